--- /dev/null
+++ b/rackswitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/rackswitch/cli/client.py
@@ -0,0 +1,57 @@
+"""Calls of the administration API."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+__all__ = ["AdminAnswer", "AdminClient"]
+
+CALL_TIMEOUT_SECONDS = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdminAnswer:
+    """An answer of the API; status 0 if there was none."""
+
+    status: int
+    body: Any
+
+
+class AdminClient:
+    """Calls any daemon's administration API.
+
+    Parameters
+    ----------
+    url : str
+        The balancer's or a daemon's address.
+    token : str
+        The operator's bearer token.
+    """
+
+    __slots__ = ("_token", "_url")
+
+    def __init__(self, url: str, token: str):
+        self._url = url.rstrip("/")
+        self._token = token
+
+    def call(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> AdminAnswer:
+        """Make one call."""
+        return asyncio.run(self._call(method, path, body, headers or {}))
+
+    async def _call(
+        self, method: str, path: str, body: Any, headers: dict[str, str]
+    ) -> AdminAnswer:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
+        headers = {**headers, "Authorization": f"Bearer {self._token}"}
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(method, self._url + path, json=body, headers=headers) as answer,
+            ):
+                return AdminAnswer(answer.status, await answer.json(content_type=None))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return AdminAnswer(0, {"detail": f"{type(error).__name__}: {error}"})
--- /dev/null
+++ b/rackswitch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: the decisions of the other subpackages, joined to the outside."""
--- /dev/null
+++ b/rackswitch/daemon/caller_edge.py
@@ -0,0 +1,365 @@
+"""The HTTP interface for callers."""
+
+from collections.abc import AsyncIterator
+from typing import Annotated, Any
+
+import msgspec
+from blacksheep import Content, Request, Response, StreamedContent
+from loguru import logger
+
+from rackswitch.daemon.access import find_tenant
+from rackswitch.daemon.callers import CallerFront, CompletionCall, ServiceCall
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.limit_keeper import LimitKeeper
+from rackswitch.outcomes import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    RanAndFailed,
+)
+from rackswitch.requests import StreamChunk
+from rackswitch.table import RouteRow, TenantRow
+from rackswitch.web import (
+    BodyFault,
+    Problem,
+    json_response,
+    path_value,
+    problem_response,
+    read_body,
+    read_json,
+    watch_disconnect,
+)
+
+__all__ = ["CallerEdge", "outcome_problem"]
+
+TIMEOUT_HEADER = b"rackswitch-timeout-seconds"
+REPEATABLE_HEADER = b"rackswitch-repeatable"
+IDEMPOTENCY_HEADER = b"idempotency-key"
+DEFAULT_TIMEOUT_SECONDS = 60.0
+MOST_TIMEOUT_SECONDS = 600.0
+MOST_KEY_CHARACTERS = 200
+SSE = b"text/event-stream"
+
+STATUS_OF_REASON = {
+    NotRunReason.BAD_REQUEST: 400,
+    NotRunReason.UNAUTHORIZED: 401,
+    NotRunReason.UNKNOWN_MODEL: 404,
+    NotRunReason.OVER_LIMIT: 429,
+    NotRunReason.DEADLINE_TOO_NEAR: 503,
+    NotRunReason.NO_TARGET: 503,
+    NotRunReason.OVERLOADED: 503,
+    NotRunReason.CLAIMS_UNAVAILABLE: 503,
+    NotRunReason.STOPPING: 503,
+    NotRunReason.TABLE_UNCONFIRMED: 503,
+}
+
+
+class CompletionBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The fields of a completion request that are served."""
+
+    model: str
+    prompt: str
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 16
+    seed: int = 0
+    stream: bool = False
+    temperature: float | None = None
+    user: str | None = None
+
+
+class CallerEdge:
+    """Turns callers' HTTP requests into calls, and outcomes into answers.
+
+    Parameters
+    ----------
+    context : DaemonContext
+        The daemon.
+    front : CallerFront
+        Serves the calls.
+    limits : LimitKeeper
+        The tenants' limits.
+    """
+
+    __slots__ = ("_context", "_front", "_limits")
+
+    def __init__(self, context: DaemonContext, front: CallerFront, limits: LimitKeeper):
+        self._context = context
+        self._front = front
+        self._limits = limits
+
+    async def completions(self, request: Request) -> Response:
+        """``POST /v1/completions``."""
+        arrived_seconds = self._context.now_seconds()
+        body = await read_json(request, CompletionBody, self._context.settings.most_body_bytes)
+        entered = self._enter(request)
+        if isinstance(entered, NotRun):
+            return self._refuse(entered)
+        if isinstance(body, BodyFault):
+            return self._leave(entered, problem_response(body.problem), "bad_request")
+        route = self._route(entered, body.model)
+        deadline = self._deadline_seconds(request, arrived_seconds)
+        for fault in (route, deadline):
+            if isinstance(fault, NotRun):
+                return self._leave(entered, self._refuse(fault), "not_run")
+        call = CompletionCall(
+            tenant=entered,
+            route=route,  # type: ignore[arg-type]
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            seed=body.seed,
+            deadline_seconds=deadline,  # type: ignore[arg-type]
+            arrived_seconds=arrived_seconds,
+        )
+        if body.stream:
+            return await self._stream(request, call)
+        return await self._collect(call)
+
+    async def service(self, request: Request) -> Response:
+        """``ANY /v1/services/{service}/{path}``."""
+        arrived_seconds = self._context.now_seconds()
+        body = await read_body(request, self._context.settings.most_body_bytes)
+        entered = self._enter(request)
+        if isinstance(entered, NotRun):
+            return self._refuse(entered)
+        if isinstance(body, BodyFault):
+            return self._leave(entered, problem_response(body.problem), "bad_request")
+        call = self._service_call(request, entered, body, arrived_seconds)
+        if isinstance(call, NotRun):
+            return self._leave(entered, self._refuse(call), "not_run")
+        outcome = await self._front.call_service(call)
+        response = self._answer(outcome)
+        return self._leave(entered, response, _label(outcome), arrived_seconds)
+
+    def _enter(self, request: Request) -> TenantRow | NotRun:
+        """Check who asks and whether they may now; counts the request in."""
+        now_seconds = self._context.now_seconds()
+        if self._context.stopping:
+            return NotRun(NotRunReason.STOPPING, "this daemon is stopping", now_seconds + 1.0)
+        if self._context.view.revision == 0:
+            return NotRun(NotRunReason.TABLE_UNCONFIRMED, "no table in force", now_seconds + 1.0)
+        refuses = self._context.settings.freshness.callers == "refuse"
+        if refuses and not self._context.view.is_confirmed(now_seconds):
+            detail = "the table in force is not confirmed"
+            return NotRun(NotRunReason.TABLE_UNCONFIRMED, detail, now_seconds + 2.0)
+        tenant = find_tenant(self._context.view, request)
+        if tenant is None:
+            return NotRun(NotRunReason.UNAUTHORIZED, "unknown bearer token")
+        refusal = self._limits.try_enter(tenant)
+        if refusal is not None:
+            self._context.telemetry.request_ended(tenant.name, tenant.caller_class, "not_run", 0.0)
+            return refusal
+        self._context.in_flight.begin()
+        return tenant
+
+    def _leave(
+        self,
+        tenant: TenantRow,
+        response: Response,
+        outcome: str,
+        arrived_seconds: float | None = None,
+    ) -> Response:
+        """Count a request out and record its end."""
+        self._context.in_flight.end()
+        self._limits.leave(tenant)
+        now_seconds = self._context.now_seconds()
+        elapsed_seconds = 0.0 if arrived_seconds is None else now_seconds - arrived_seconds
+        self._context.telemetry.request_ended(
+            tenant.name, tenant.caller_class, outcome, elapsed_seconds
+        )
+        return response
+
+    def _route(self, tenant: TenantRow, name: str) -> RouteRow | NotRun:
+        route = self._context.view.row(RouteRow, name)
+        if route is None or (route.tenants and tenant.name not in route.tenants):
+            return NotRun(NotRunReason.UNKNOWN_MODEL, f"`model`: no route {name!r} for this caller")
+        return route
+
+    def _deadline_seconds(self, request: Request, arrived_seconds: float) -> float | NotRun:
+        text = request.get_first_header(TIMEOUT_HEADER)
+        if text is None:
+            return arrived_seconds + DEFAULT_TIMEOUT_SECONDS
+        try:
+            timeout_seconds = float(text)
+        except ValueError:
+            timeout_seconds = -1.0
+        if not 0 < timeout_seconds <= MOST_TIMEOUT_SECONDS:
+            name = TIMEOUT_HEADER.decode()
+            detail = f"`{name}` must be a number above 0 and at most {MOST_TIMEOUT_SECONDS:.0f}"
+            return NotRun(NotRunReason.BAD_REQUEST, detail)
+        return arrived_seconds + timeout_seconds
+
+    def _service_call(
+        self, request: Request, tenant: TenantRow, body: bytes, arrived_seconds: float
+    ) -> ServiceCall | NotRun:
+        route = self._route(tenant, path_value(request, "service"))
+        if isinstance(route, NotRun):
+            return route
+        deadline = self._deadline_seconds(request, arrived_seconds)
+        if isinstance(deadline, NotRun):
+            return deadline
+        key = (request.get_first_header(IDEMPOTENCY_HEADER) or b"").decode("latin-1")
+        if len(key) > MOST_KEY_CHARACTERS:
+            detail = f"`idempotency-key` is over {MOST_KEY_CHARACTERS} characters"
+            return NotRun(NotRunReason.BAD_REQUEST, detail)
+        says = (request.get_first_header(REPEATABLE_HEADER) or b"").lower()
+        if says not in (b"", b"yes", b"no"):
+            return NotRun(NotRunReason.BAD_REQUEST, "`rackswitch-repeatable` must be yes or no")
+        # Only methods that are safe by their definition may be repeated unasked.
+        repeatable = says == b"yes" or (says == b"" and request.method in ("GET", "HEAD"))
+        query = request.url.query
+        path = path_value(request, "path") + (f"?{query.decode()}" if query else "")
+        return ServiceCall(
+            tenant=tenant,
+            route=route,
+            method=request.method,
+            path=path,
+            body=body,
+            media_type=(request.content_type() or b"application/octet-stream").decode("latin-1"),
+            repeatable=repeatable,
+            idempotency_key=key or None,
+            deadline_seconds=deadline,
+            arrived_seconds=arrived_seconds,
+        )
+
+    async def _collect(self, call: CompletionCall) -> Response:
+        chunks: list[StreamChunk] = []
+        outcome: Outcome | None = None
+        async for item in self._front.stream(call):
+            if isinstance(item, StreamChunk):
+                chunks.append(item)
+            else:
+                outcome = item
+        if outcome is not None:
+            return self._leave(
+                call.tenant, self._answer(outcome), _label(outcome), call.arrived_seconds
+            )
+        self._context.telemetry.tokens_passed(call.tenant.name, len(chunks))
+        response = json_response(_whole_body(call, chunks))
+        return self._leave(call.tenant, response, "completed", call.arrived_seconds)
+
+    async def _stream(self, request: Request, call: CompletionCall) -> Response:
+        source = self._front.stream(call)
+        first = await anext(source)
+        if not isinstance(first, StreamChunk):
+            return self._leave(
+                call.tenant, self._answer(first), _label(first), call.arrived_seconds
+            )
+        gone = _Gone()
+        watcher = watch_disconnect(request, gone.set)
+
+        async def events() -> AsyncIterator[bytes]:
+            label = "cancelled"
+            tokens = 0
+            try:
+                item: StreamChunk | Outcome = first
+                while isinstance(item, StreamChunk) and not gone.is_set:
+                    yield _sse(_chunk_body(call, item))
+                    tokens += len(item.token_ids)
+                    if item.finish_reason is not None:
+                        yield b"data: [DONE]\n\n"
+                        label = "completed"
+                        return
+                    item = await anext(source)
+                if not isinstance(item, StreamChunk):
+                    label = _label(item)
+                    yield _sse(self._error_event(item))
+            finally:
+                watcher.cancel()
+                await source.aclose()  # type: ignore[attr-defined]
+                self._context.telemetry.tokens_passed(call.tenant.name, tokens)
+                self._leave(call.tenant, Response(200), label, call.arrived_seconds)
+
+        return Response(200, content=StreamedContent(SSE, events))
+
+    def _error_event(self, outcome: Outcome) -> dict[str, Any]:
+        problem = outcome_problem(outcome, self._context.now_seconds())
+        # Some of the answer has been passed on, whatever the last attempt said.
+        return {"error": msgspec.structs.replace(problem, ran="yes")}
+
+    def _answer(self, outcome: Outcome) -> Response:
+        if isinstance(outcome, Completed | RanAndFailed):
+            headers = [(b"rackswitch-ran", b"yes")]
+            content = Content(outcome.media_type.encode("latin-1"), outcome.body)
+            return Response(outcome.status, headers, content)
+        return problem_response(outcome_problem(outcome, self._context.now_seconds()))
+
+    def _refuse(self, refusal: NotRun) -> Response:
+        logger.debug("refused", reason=refusal.reason.value)
+        return problem_response(outcome_problem(refusal, self._context.now_seconds()))
+
+
+class _Gone:
+    """Whether the client has gone away."""
+
+    __slots__ = ("is_set",)
+
+    def __init__(self) -> None:
+        self.is_set = False
+
+    def set(self) -> None:
+        self.is_set = True
+
+
+def outcome_problem(outcome: Outcome, now_seconds: float) -> Problem:
+    """Return the problem that tells a caller of an outcome without an answer."""
+    if isinstance(outcome, NotRun):
+        status = STATUS_OF_REASON[outcome.reason]
+        retry = _retry_after(outcome.retry_at_seconds, now_seconds)
+        return Problem(status, outcome.reason.value, outcome.detail, "no", retry)
+    if isinstance(outcome, MayHaveRun):
+        retry = _retry_after(outcome.retry_at_seconds, now_seconds)
+        return Problem(502, "may-have-run", outcome.detail, "unknown", retry)
+    return Problem(502, "ran-and-failed", "the target failed", "yes", None)
+
+
+def _retry_after(at_seconds: float | None, now_seconds: float) -> float | None:
+    return None if at_seconds is None else max(0.0, at_seconds - now_seconds)
+
+
+def _label(outcome: Outcome) -> str:
+    if isinstance(outcome, Completed):
+        return "completed"
+    if isinstance(outcome, NotRun):
+        return "not_run"
+    return "may_have_run" if isinstance(outcome, MayHaveRun) else "failed"
+
+
+def _sse(body: dict[str, Any]) -> bytes:
+    return b"data: " + msgspec.json.encode(body) + b"\n\n"
+
+
+def _fingerprint(call: CompletionCall, version: int | None) -> str | None:
+    return None if version is None else f"{call.route.name}@{version}"
+
+
+def _chunk_body(call: CompletionCall, chunk: StreamChunk) -> dict[str, Any]:
+    choice = {
+        "index": 0,
+        "text": chunk.text,
+        "token_ids": chunk.token_ids,
+        "finish_reason": chunk.finish_reason,
+    }
+    return {
+        "object": "text_completion",
+        "model": call.route.name,
+        "choices": [choice],
+        "system_fingerprint": _fingerprint(call, chunk.version),
+    }
+
+
+def _whole_body(call: CompletionCall, chunks: list[StreamChunk]) -> dict[str, Any]:
+    last = chunks[-1]
+    choice = {
+        "index": 0,
+        "text": "".join(chunk.text for chunk in chunks),
+        "finish_reason": last.finish_reason,
+    }
+    tokens = sum(len(chunk.token_ids) for chunk in chunks)
+    return {
+        "object": "text_completion",
+        "model": call.route.name,
+        "choices": [choice],
+        "system_fingerprint": _fingerprint(call, last.version),
+        "usage": {"completion_tokens": tokens},
+    }
--- /dev/null
+++ b/rackswitch/daemon/context.py
@@ -0,0 +1,111 @@
+"""What the daemon's parts share."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from rackswitch.daemon.settings import DaemonSettings
+from rackswitch.membership import Membership
+from rackswitch.outcomes import BrokenInvariant
+from rackswitch.peers.links import PeerLinks
+from rackswitch.platform.http import HttpSessions
+from rackswitch.platform.kv import KvClient
+from rackswitch.table import TableView
+from rackswitch.telemetry import Telemetry
+
+__all__ = ["DaemonContext", "InFlight"]
+
+
+class InFlight:
+    """Counts work that a planned stop has to wait for."""
+
+    __slots__ = ("_idle", "count")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def __enter__(self) -> None:
+        self.begin()
+
+    def __exit__(self, *details: object) -> None:
+        self.end()
+
+    def begin(self) -> None:
+        """Count one piece of work in."""
+        self.count += 1
+        self._idle.clear()
+
+    def end(self) -> None:
+        """Count one piece of work out."""
+        self.count -= 1
+        if self.count == 0:
+            self._idle.set()
+
+    async def wait_idle(self, timeout_seconds: float) -> bool:
+        """Wait until nothing is in flight; return whether that came in time."""
+        try:
+            await asyncio.wait_for(self._idle.wait(), timeout_seconds)
+        except TimeoutError:
+            return False
+        return True
+
+
+@dataclass(slots=True)
+class DaemonContext:
+    """State and connections that several parts of one daemon use.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether a planned stop has begun: no new work, no roles.
+    in_flight : InFlight
+        Requests, samples and claims that a planned stop waits for.
+    """
+
+    settings: DaemonSettings
+    sessions: HttpSessions
+    kv: KvClient
+    links: PeerLinks
+    view: TableView
+    membership: Membership
+    telemetry: Telemetry
+    rng: random.Random
+    stopping: bool = False
+    broken: BrokenInvariant | None = None
+    in_flight: InFlight = field(default_factory=InFlight)
+    _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    def now_seconds(self) -> float:
+        """Return the monotonic clock."""
+        return asyncio.get_running_loop().time()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run something in the background until it ends or the daemon does."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if isinstance(error, BrokenInvariant):
+            self.broken = error
+            logger.critical("broken invariant: {}", error, daemon=self.settings.daemon)
+        elif error is not None:
+            logger.opt(exception=error).error("background task failed")
+
+    async def cancel_all(self) -> None:
+        """End all background work."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/rackswitch/daemon/core.py
@@ -0,0 +1,211 @@
+"""One daemon, put together from its parts."""
+
+import asyncio
+import random
+import time
+
+from blacksheep import Content, Request, Response
+from loguru import logger
+
+from rackswitch.daemon.admin_edge import AdminEdge
+from rackswitch.daemon.caller_edge import CallerEdge
+from rackswitch.daemon.callers import CallerFront
+from rackswitch.daemon.claim_keeper import ClaimKeeper
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.heartbeats import Heartbeats
+from rackswitch.daemon.ledger_keeper import LedgerKeeper, ledger_role
+from rackswitch.daemon.limit_keeper import LimitKeeper
+from rackswitch.daemon.peers import PeersService
+from rackswitch.daemon.roles import RoleKeeper
+from rackswitch.daemon.rollout_keeper import RolloutKeeper, rollout_role
+from rackswitch.daemon.sample_runner import SampleRunner
+from rackswitch.daemon.settings import DaemonSettings
+from rackswitch.daemon.table_keeper import TableKeeper
+from rackswitch.daemon.target_keeper import TargetKeeper
+from rackswitch.daemon.trainer_edge import TrainerEdge
+from rackswitch.membership import Membership, MemberState, MemberUpdate
+from rackswitch.peers.links import PeerLinks
+from rackswitch.platform.http import HttpSessions
+from rackswitch.platform.kv import KV_CLIENTS
+from rackswitch.platform.vm_list import VmListClient
+from rackswitch.platform.weight_store import WeightStoreClient
+from rackswitch.table import DaemonRow, ModelRow, TableView, TrainerRow, choose_watchers
+from rackswitch.telemetry import Telemetry
+from rackswitch.web import WebServer, add_route, json_response, make_application
+
+__all__ = ["Daemon"]
+
+METHODS_PASSED_THROUGH = ("GET", "POST", "PUT", "PATCH", "DELETE")
+STOP_PATIENCE_SECONDS = 120.0
+BALANCER_NOTICE_SECONDS = 0.3
+"""How long a stopping daemon still answers, so that the balancer sees it not ready."""
+
+
+class Daemon:
+    """A daemon: every role of the service, on one VM.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Its settings.
+    """
+
+    def __init__(self, settings: DaemonSettings):
+        self.settings = settings
+        sessions = HttpSessions()
+        seed = settings.seed or random.SystemRandom().randrange(1 << 60)
+        rng = random.Random(seed)
+        own = MemberUpdate(
+            settings.daemon, settings.host, settings.peer_port, settings.zone,
+            int(time.time() * 1000), MemberState.ALIVE,
+        )  # fmt: skip
+        self.context = DaemonContext(
+            settings=settings,
+            sessions=sessions,
+            kv=KV_CLIENTS.get(settings.kv_protocol)(settings.kv_url, sessions),
+            links=PeerLinks(settings.fleet_secret),
+            view=TableView(),
+            membership=Membership(own, settings.heartbeat_seconds, rng),
+            telemetry=Telemetry(settings.daemon),
+            rng=rng,
+        )
+        self.table = TableKeeper(self.context, self._announce)
+        self.heartbeats = Heartbeats(
+            self.context,
+            VmListClient(settings.vm_list_url, sessions),
+            self.table.heard,
+            self.table.confirmation_age_seconds,
+            self._is_watcher,
+        )
+        self.roles = RoleKeeper(self.context, self._wanted_roles)
+        self.limits = LimitKeeper(self.context, self.heartbeats)
+        self.targets = TargetKeeper(self.context, lambda: set(self.heartbeats.leaving_targets))
+        self.claims = ClaimKeeper(self.context)
+        self.runner = SampleRunner(self.context, self.targets)
+        self.ledgers = LedgerKeeper(self.context, self.roles, self.runner)
+        store = WeightStoreClient(settings.weight_store_url, sessions)
+        self.rollouts = RolloutKeeper(self.context, self.roles, self.targets, store)
+        front = CallerFront(self.context, self.targets, self.claims)
+        self.caller_edge = CallerEdge(self.context, front, self.limits)
+        self._peers = PeersService(
+            self.context,
+            self.heartbeats,
+            self.limits,
+            self.ledgers.call_here,
+            self.runner.run_encoded,
+        )
+        self._server = WebServer(
+            self._application(), settings.host, settings.port, settings.most_connections
+        )
+
+    @property
+    def url(self) -> str:
+        """The address for callers, trainers and operators."""
+        return self._server.url
+
+    @property
+    def peer_port(self) -> int:
+        """The port for other daemons."""
+        return self.context.membership.own.peer_port
+
+    async def start(self) -> None:
+        """Listen, learn the table, and begin all duties."""
+        peer_port = await self._peers.start(self.settings.host, self.settings.peer_port)
+        own = self.context.membership.own
+        self.context.membership.own = MemberUpdate(
+            own.daemon, own.host, peer_port, own.zone, own.incarnation, own.state
+        )
+        await self._server.start()
+        await self.heartbeats.learn_vm_list()
+        await self.table.boot()
+        await self.targets.poll()
+        for duty in (
+            self.table.run(),
+            self.heartbeats.run(),
+            self.roles.run(),
+            self.limits.run(),
+            self.targets.run(),
+            self.ledgers.run(),
+            self.rollouts.run(),
+        ):
+            self.context.spawn(duty)
+        logger.info("started", daemon=self.settings.daemon, zone=self.settings.zone, url=self.url)
+
+    async def stop(self) -> None:
+        """Stop as planned: hand over the roles, finish what is in flight, then end."""
+        self.context.stopping = True
+        self.context.membership.leave()
+        await self.roles.tend()
+        await self.heartbeats.announce()
+        await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        if not await self.context.in_flight.wait_idle(STOP_PATIENCE_SECONDS):
+            logger.warning("stopping with work in flight", daemon=self.settings.daemon)
+        await self._server.stop()
+        await self._close()
+        logger.info("stopped", daemon=self.settings.daemon)
+
+    async def crash(self) -> None:
+        """End at once, as a killed process would (for tests)."""
+        await self.context.cancel_all()
+        await self._server.crash()
+        await self._close()
+
+    async def _close(self) -> None:
+        await self.context.cancel_all()
+        await self._peers.stop()
+        self.context.links.close()
+        await self.context.sessions.close()
+        self.context.telemetry.close()
+
+    async def _announce(self) -> None:
+        await self.heartbeats.announce()
+
+    def _is_watcher(self) -> bool:
+        live = self.context.membership.live_zones()
+        return self.settings.daemon in choose_watchers(live, self.settings.watchers_per_zone)
+
+    def _wanted_roles(self) -> list[str]:
+        view = self.context.view
+        roles = [ledger_role(trainer.name) for trainer in view.rows(TrainerRow)]
+        for model in view.rows(ModelRow):
+            for partition in range(self.settings.rollout_partitions):
+                roles.append(rollout_role(model.name, partition))
+        return roles
+
+    def _is_draining(self) -> bool:
+        row = self.context.view.row(DaemonRow, self.settings.daemon)
+        return row is not None and row.draining
+
+    def _application(self):
+        application = make_application()
+        trainers = TrainerEdge(self.context, self.ledgers)
+        admin = AdminEdge(self.context, self.table, self.heartbeats, self.roles)
+        add_route(application, "POST", "/v1/completions", self.caller_edge.completions)
+        for method in METHODS_PASSED_THROUGH:
+            path = "/v1/services/{service}/{path:path}"
+            add_route(application, method, path, self.caller_edge.service)
+        add_route(application, "POST", "/v1/trainers/{trainer}/plans", trainers.plan)
+        add_route(application, "POST", "/v1/trainers/{trainer}/draws", trainers.draw)
+        add_route(application, "GET", "/admin/v1/table", admin.table)
+        add_route(application, "GET", "/admin/v1/rows/{kind}/{name}", admin.get_row)
+        add_route(application, "PUT", "/admin/v1/rows/{kind}/{name}", admin.put_row)
+        add_route(application, "DELETE", "/admin/v1/rows/{kind}/{name}", admin.delete_row)
+        add_route(application, "POST", "/admin/v1/edits", admin.edit)
+        add_route(application, "GET", "/admin/v1/history", admin.history)
+        add_route(application, "GET", "/admin/v1/status", admin.status)
+        add_route(application, "GET", "/healthz", self._on_health)
+        add_route(application, "GET", "/readyz", self._on_ready)
+        add_route(application, "GET", "/metrics", self._on_metrics)
+        return application
+
+    async def _on_health(self, request: Request) -> Response:
+        healthy = self.context.broken is None
+        return json_response({"healthy": healthy}, 200 if healthy else 500)
+
+    async def _on_ready(self, request: Request) -> Response:
+        ready = self.table.is_ready and not self.context.stopping and not self._is_draining()
+        body = {"ready": ready, "revision": self.context.view.revision}
+        return json_response(body, 200 if ready else 503)
+
+    async def _on_metrics(self, request: Request) -> Response:
+        return Response(200, content=Content(b"text/plain", self.context.telemetry.exposition()))
--- /dev/null
+++ b/rackswitch/daemon/peers.py
@@ -0,0 +1,143 @@
+"""The calls that other daemons make to this one."""
+
+import hmac
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, TypeVar
+
+import msgspec
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.heartbeats import Heartbeats
+from rackswitch.daemon.limit_keeper import LimitKeeper
+from rackswitch.peers import peers_pb2 as pb
+from rackswitch.peers.links import SECRET_METADATA
+from rackswitch.peers.peers_grpc import PeersBase
+
+__all__ = ["LedgerAnswer", "PeersService"]
+
+
+RequestT = TypeVar("RequestT")
+
+
+class LedgerAnswer(msgspec.Struct, frozen=True):
+    """A ledger's answer to a trainer's call; status 421 means: not held here."""
+
+    status: int
+    body: bytes
+
+
+class PeersService(PeersBase):
+    """Serves the other daemons of the fleet.
+
+    Parameters
+    ----------
+    context : DaemonContext
+        The daemon.
+    heartbeats : Heartbeats
+        Soft state.
+    limits : LimitKeeper
+        Loans.
+    call_ledger : callable
+        Carries out a trainer's call on a ledger held here.
+    run_sample : callable
+        Makes one sample from an encoded order; empty if that failed.
+    """
+
+    def __init__(
+        self,
+        context: DaemonContext,
+        heartbeats: Heartbeats,
+        limits: LimitKeeper,
+        call_ledger: Callable[[str, str, bytes], Awaitable[LedgerAnswer]],
+        run_sample: Callable[[bytes], Awaitable[bytes]],
+    ):
+        self._context = context
+        self._heartbeats = heartbeats
+        self._limits = limits
+        self._call_ledger = call_ledger
+        self._run_sample = run_sample
+        self._server = Server([self])
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port."""
+        await self._server.start(host, port)
+        # grpclib does not say which port it was given when asked for a free one.
+        sockets = self._server._server.sockets  # type: ignore[union-attr]
+        return int(sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _receive(self, stream: Stream[RequestT, Any]) -> RequestT:
+        """Return the request of a daemon that knows the fleet's secret.
+
+        Raises
+        ------
+        GRPCError
+            If the secret is wrong or there is no request.
+        """
+        metadata: Mapping[str, Any] = stream.metadata or {}
+        given = str(metadata.get(SECRET_METADATA, ""))
+        if not hmac.compare_digest(given, self._context.settings.fleet_secret):
+            raise GRPCError(Status.UNAUTHENTICATED, "not a daemon of this fleet")
+        request = await stream.recv_message()
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no request")
+        if getattr(request, "daemon", "") in self._context.links.blocked:
+            raise GRPCError(Status.UNAVAILABLE, "cut off")
+        return request
+
+    async def Heartbeat(self, stream: Stream[pb.HeartbeatRequest, pb.HeartbeatReply]) -> None:
+        """Answer a heartbeat."""
+        request = await self._receive(stream)
+        reply = self._heartbeats.reply(request)
+        await stream.send_message(reply)
+        peer = self._context.membership.address(request.daemon)
+        if peer is not None:
+            self._context.spawn(
+                self._heartbeats.heard_table(
+                    peer, request.table_revision, request.confirmation_age_seconds
+                )
+            )
+
+    async def HeartbeatFor(
+        self, stream: Stream[pb.HeartbeatForRequest, pb.HeartbeatForReply]
+    ) -> None:
+        """Try a third daemon on behalf of the caller."""
+        request = await self._receive(stream)
+        answered = await self._heartbeats.send(request.daemon)
+        await stream.send_message(pb.HeartbeatForReply(answered=answered))
+
+    async def FetchTable(self, stream: Stream[pb.FetchTableRequest, pb.FetchTableReply]) -> None:
+        """Send the table in force if it is newer than the caller's."""
+        request = await self._receive(stream)
+        view = self._context.view
+        document = b""
+        if view.revision > request.above_revision:
+            document = msgspec.json.encode(view.document)
+        await stream.send_message(pb.FetchTableReply(revision=view.revision, document=document))
+
+    async def CallLedger(self, stream: Stream[pb.CallLedgerRequest, pb.CallLedgerReply]) -> None:
+        """Carry out a trainer's call on a ledger that is held here."""
+        request = await self._receive(stream)
+        answer = await self._call_ledger(request.trainer, request.operation, request.body)
+        await stream.send_message(pb.CallLedgerReply(status=answer.status, body=answer.body))
+
+    async def RunSample(self, stream: Stream[pb.RunSampleRequest, pb.RunSampleReply]) -> None:
+        """Make one sample."""
+        request = await self._receive(stream)
+        sample = await self._run_sample(request.order)
+        await stream.send_message(pb.RunSampleReply(sample=sample))
+
+    async def Lend(self, stream: Stream[pb.LendRequest, pb.LendReply]) -> None:
+        """Take a loan."""
+        request = await self._receive(stream)
+        taken = self._limits.borrow(
+            request.lender, request.limit, request.loan, request.units, request.hunger_sequence
+        )
+        await stream.send_message(pb.LendReply(taken=taken))
--- /dev/null
+++ b/rackswitch/daemon/roles.py
@@ -0,0 +1,145 @@
+"""Takes, keeps and gives back the roles that need a single holder."""
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.leases import LeaseAction, RoleLease
+from rackswitch.platform.kv import (
+    Compare,
+    KvRead,
+    KvUnavailable,
+    LeaseGranted,
+    Operation,
+    TxnPart,
+)
+
+__all__ = ["ROLE_PREFIX", "RoleKeeper"]
+
+ROLE_PREFIX = "roles/"
+TICK_SECONDS = 0.25
+
+
+class RoleKeeper:
+    """The daemon's leases on roles.
+
+    Parameters
+    ----------
+    context : DaemonContext
+        The daemon.
+    wanted_roles : callable
+        Returns the names of the roles that the table in force calls for.
+    """
+
+    __slots__ = ("_context", "_wanted_roles", "roles")
+
+    def __init__(self, context: DaemonContext, wanted_roles: Callable[[], list[str]]):
+        self._context = context
+        self._wanted_roles = wanted_roles
+        self.roles: dict[str, RoleLease] = {}
+
+    def may_act(self, role: str) -> bool:
+        """Return whether this daemon may cause an effect in the role at this moment."""
+        lease = self.roles.get(role)
+        return lease is not None and lease.may_act(self._context.now_seconds())
+
+    def fencing(self, role: str) -> int:
+        """Return the fencing number of a role held; 0 if it is not."""
+        lease = self.roles.get(role)
+        return lease.held.fencing if lease is not None and lease.held is not None else 0
+
+    def fence(self, role: str) -> Compare:
+        """Return the condition under which the service takes this holder's writes."""
+        return Compare(ROLE_PREFIX + role, "create", self.fencing(role))
+
+    def lose(self, role: str) -> None:
+        """Note that the service no longer knows this daemon as the holder."""
+        lease = self.roles.get(role)
+        if lease is not None:
+            lease.lost(self._context.now_seconds(), self._context.rng.random())
+
+    async def run(self) -> None:
+        """Tend all roles, one step each a tick."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            await self.tend()
+
+    async def tend(self) -> None:
+        """Take the next step of each role."""
+        live = self._context.membership.live()
+        for role in self._wanted_roles():
+            if role not in self.roles:
+                life_seconds = self._context.settings.lease_seconds
+                self.roles[role] = RoleLease(role, self._context.settings.daemon, life_seconds)
+        steps = []
+        for lease in self.roles.values():
+            now_seconds = self._context.now_seconds()
+            action = lease.next_action(now_seconds, live, self._context.stopping)
+            if action is not LeaseAction.NOTHING:
+                steps.append(self._step(lease, action))
+        await asyncio.gather(*steps)
+
+    async def _step(self, lease: RoleLease, action: LeaseAction) -> None:
+        if action is LeaseAction.ACQUIRE:
+            await self._acquire(lease)
+        elif action is LeaseAction.RENEW:
+            await self._renew(lease)
+        elif action is LeaseAction.RELEASE:
+            await self._release(lease)
+
+    async def _acquire(self, lease: RoleLease) -> None:
+        key = ROLE_PREFIX + lease.role
+        read = await self._context.kv.read(key)
+        if isinstance(read, KvUnavailable):
+            lease.unanswered(self._context.now_seconds(), self._context.rng.random())
+            return
+        if read.entries:
+            lease.lost(self._context.now_seconds(), self._context.rng.random())
+            return
+        asked_at_seconds = self._context.now_seconds()
+        granted = await self._context.kv.grant_lease(lease.life_seconds)
+        if isinstance(granted, KvUnavailable):
+            lease.unanswered(self._context.now_seconds(), self._context.rng.random())
+            return
+        await self._create_key(lease, key, granted, asked_at_seconds)
+
+    async def _create_key(
+        self, lease: RoleLease, key: str, granted: LeaseGranted, asked_at_seconds: float
+    ) -> None:
+        # The lease's number makes the value unique, so that an unanswered write can be
+        # recognized as this daemon's own.
+        value = f"{lease.daemon} {granted.lease_id}".encode()
+        part = TxnPart(
+            compares=(Compare(key, "create", 0),),
+            operations=(Operation(key, value, granted.lease_id),),
+        )
+        done = await self._context.kv.txn([part])
+        if isinstance(done, KvUnavailable) and not done.effect_unknown:
+            lease.unanswered(self._context.now_seconds(), self._context.rng.random())
+            return
+        read = await self._context.kv.read(key)
+        if isinstance(read, KvRead) and read.entries and read.entries[0].value == value:
+            lease.acquired(asked_at_seconds, granted.lease_id, read.entries[0].create_revision)
+            logger.info("role acquired", role=lease.role, daemon=lease.daemon)
+            return
+        lease.lost(self._context.now_seconds(), self._context.rng.random())
+
+    async def _renew(self, lease: RoleLease) -> None:
+        if lease.held is None:
+            return
+        asked_at_seconds = self._context.now_seconds()
+        kept = await self._context.kv.keep_lease(lease.held.lease_id)
+        if kept is True:
+            lease.renewed(asked_at_seconds)
+        elif kept is False:
+            lease.lost(self._context.now_seconds(), self._context.rng.random())
+        else:
+            lease.unanswered(self._context.now_seconds(), self._context.rng.random())
+
+    async def _release(self, lease: RoleLease) -> None:
+        held = lease.held
+        lease.lost(self._context.now_seconds(), self._context.rng.random())
+        if held is not None:
+            await self._context.kv.revoke_lease(held.lease_id)
--- /dev/null
+++ b/rackswitch/daemon/rollout_keeper.py
@@ -0,0 +1,155 @@
+"""Carries out roll-outs in the partitions that this daemon holds."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.roles import RoleKeeper
+from rackswitch.daemon.target_keeper import TargetKeeper
+from rackswitch.platform.engine import EngineInfo, OrderTaken
+from rackswitch.platform.weight_store import PublishedVersions, WeightStoreClient
+from rackswitch.table import ModelRow, RouteChoice, RouteRow, TargetRow
+from rackswitch.weights import (
+    EngineView,
+    LoadOrder,
+    RolloutState,
+    desired_version,
+    partition_of,
+    plan_load_orders,
+)
+
+__all__ = ["RolloutKeeper", "rollout_role"]
+
+TICK_SECONDS = 0.25
+
+
+def rollout_role(model: str, partition: int) -> str:
+    """Return the role whose holder orders the engines of one partition of a model."""
+    return f"rollout/{model}/{partition}"
+
+
+@dataclass(slots=True)
+class _Partition:
+    state: RolloutState = field(default_factory=RolloutState)
+
+
+class RolloutKeeper:
+    """Compares engines with the version they should have, and orders loads.
+
+    Parameters
+    ----------
+    context : DaemonContext
+        The daemon.
+    roles : RoleKeeper
+        Leases.
+    targets : TargetKeeper
+        Engine clients.
+    store : WeightStoreClient
+        Which versions are published.
+    """
+
+    __slots__ = ("_context", "_latest", "_partitions", "_roles", "_store", "_targets")
+
+    def __init__(
+        self,
+        context: DaemonContext,
+        roles: RoleKeeper,
+        targets: TargetKeeper,
+        store: WeightStoreClient,
+    ):
+        self._context = context
+        self._roles = roles
+        self._targets = targets
+        self._store = store
+        self._latest: dict[str, int] = {}
+        self._partitions: dict[str, _Partition] = {}
+
+    async def run(self) -> None:
+        """Tend the held partitions."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS * (0.9 + 0.2 * self._context.rng.random()))
+            await asyncio.gather(
+                *(self._tend_model(model) for model in self._context.view.rows(ModelRow))
+            )
+
+    async def _tend_model(self, model: ModelRow) -> None:
+        count = self._context.settings.rollout_partitions
+        held = [
+            number
+            for number in range(count)
+            if self._roles.may_act(rollout_role(model.name, number))
+        ]
+        if not held:
+            return
+        published = await self._store.published(model.name)
+        if isinstance(published, PublishedVersions):
+            latest = max(self._latest.get(model.name, 0), published.latest)
+            self._latest[model.name] = latest
+        desired = desired_version(model, self._latest.get(model.name, 0))
+        if desired == 0:
+            return
+        for number in held:
+            await self._tend_partition(model, number, desired)
+
+    async def _tend_partition(self, model: ModelRow, number: int, desired: int) -> None:
+        role = rollout_role(model.name, number)
+        partition = self._partitions.setdefault(role, _Partition())
+        rows = self._rows(model.name, number)
+        views = await asyncio.gather(*(self._look(row) for row in rows))
+        engines = [view for view in views if view is not None]
+        now_seconds = self._context.now_seconds()
+        orders = plan_load_orders(
+            desired,
+            model.unavailable_share,
+            engines,
+            self._choices(model.name),
+            partition.state,
+            now_seconds,
+        )
+        by_name = {row.name: row for row in rows}
+        for order in orders:
+            partition.state.ordered(order)
+            row = by_name[order.engine]
+            self._context.spawn(self._send(role, partition.state, model.name, row, order))
+
+    def _rows(self, model: str, number: int) -> list[TargetRow]:
+        count = self._context.settings.rollout_partitions
+        return [
+            row
+            for row in self._context.view.rows(TargetRow)
+            if row.serves == model and partition_of(row.name, count) == number
+        ]
+
+    def _choices(self, model: str) -> list[RouteChoice]:
+        return [
+            choice
+            for route in self._context.view.rows(RouteRow)
+            for choice in route.choices
+            if choice.serves == model
+        ]
+
+    async def _look(self, row: TargetRow) -> EngineView | None:
+        """Read an engine's real state; an engine that does not answer gets no order."""
+        info = await self._targets.client(row.protocol).info(row.url)
+        if not isinstance(info, EngineInfo):
+            return None
+        return EngineView(row.name, info.version, info.loading, info.queued_tokens)
+
+    async def _send(
+        self, role: str, state: RolloutState, model: str, row: TargetRow, order: LoadOrder
+    ) -> None:
+        # The lease is checked after the last wait, right before the effect; engines that
+        # ignore the fencing number are read again each tick and set right if need be.
+        if not self._roles.may_act(role):
+            state.ended(row.name, False, self._context.now_seconds())
+            return
+        fencing = self._roles.fencing(role)
+        result = await self._targets.client(row.protocol).load_version(
+            row.url, model, order.version, fencing
+        )
+        loaded = isinstance(result, OrderTaken)
+        state.ended(row.name, loaded, self._context.now_seconds())
+        if not loaded:
+            logger.warning("load failed", engine=row.name, version=order.version, detail=result)
--- /dev/null
+++ b/rackswitch/daemon/sample_runner.py
@@ -0,0 +1,192 @@
+"""Makes samples: generation over one or more engines, the label, the score."""
+
+import itertools
+
+import msgspec
+from loguru import logger
+
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.target_keeper import TargetKeeper, prompt_prefixes, version_allowed
+from rackswitch.platform.engine import EngineRequest, StreamBroken
+from rackswitch.platform.scorer import Score, ScorerClient
+from rackswitch.requests import StreamCheck, VersionSpan
+from rackswitch.routing import POLICIES, RoutedRequest, Target, usable_targets
+from rackswitch.samples import LabelUnknown, Sample, SampleLabel, SampleOrder, make_label
+from rackswitch.table import RouteChoice, TargetRow
+
+__all__ = ["SampleFailed", "SampleRunner"]
+
+SAMPLE_PRIORITY = 100
+"""Behind every caller class (0 to 9)."""
+
+SAMPLE_PATIENCE_SECONDS = 120.0
+MOST_ATTEMPTS = 4
+SCORING_TRIES = 3
+
+
+class SampleFailed(msgspec.Struct, frozen=True):
+    """No sample; `unlabelled` if its label could not be proved."""
+
+    detail: str
+    unlabelled: bool = False
+
+
+class _Partial:
+    """A sample in the making."""
+
+    __slots__ = ("finished", "spans", "text", "token_ids")
+
+    def __init__(self) -> None:
+        self.token_ids: list[int] = []
+        self.text: list[str] = []
+        self.spans: list[VersionSpan] = []
+        self.finished = False
+
+
+class SampleRunner:
+    """Carries out sample orders on this daemon.
+
+    Parameters
+    ----------
+    context : DaemonContext
+        The daemon.
+    targets : TargetKeeper
+        What is known of targets.
+    """
+
+    __slots__ = ("_context", "_counter", "_policy", "_scorer", "_start", "_targets")
+
+    def __init__(self, context: DaemonContext, targets: TargetKeeper):
+        self._context = context
+        self._targets = targets
+        self._policy = POLICIES.get(context.settings.routing_policy)(context.rng)
+        self._scorer = ScorerClient(context.sessions)
+        self._counter = itertools.count()
+        self._start = context.rng.randrange(1 << 48)
+
+    async def run(self, order: SampleOrder) -> Sample | SampleFailed:
+        """Make one sample.
+
+        A stream that breaks is resumed at another engine; the spans of both are in the
+        label. Whether the whole is fresh enough is the ledger's decision.
+        """
+        partial = _Partial()
+        choice = RouteChoice(serves=order.model, oldest_version=order.oldest_version)
+        detail = "no engine may make this sample"
+        for _ in range(MOST_ATTEMPTS):
+            candidates = self._targets.allowed(choice)
+            if not candidates:
+                break
+            detail = await self._attempt(order, candidates, choice, partial)
+            if partial.finished:
+                return await self._complete(order, partial)
+        return SampleFailed(detail)
+
+    async def run_encoded(self, encoded: bytes) -> bytes:
+        """Make a sample for another daemon; empty bytes stand for a failure."""
+        with self._context.in_flight:
+            result = await self.run(msgspec.json.decode(encoded, type=SampleOrder))
+        if isinstance(result, SampleFailed):
+            return b"unlabelled" if result.unlabelled else b""
+        return msgspec.json.encode(result)
+
+    async def _attempt(
+        self,
+        order: SampleOrder,
+        candidates: list[tuple[TargetRow, Target]],
+        choice: RouteChoice,
+        partial: _Partial,
+    ) -> str:
+        row, target, routed = self._choose(order, candidates, partial)
+        now_seconds = self._context.now_seconds()
+        request = EngineRequest(
+            request_id=f"{self._context.settings.daemon}-s-{self._start:x}-{next(self._counter)}",
+            model=order.model,
+            prompt=order.prompt,
+            max_tokens=order.max_tokens,
+            seed=order.seed,
+            priority=SAMPLE_PRIORITY,
+            deadline_seconds=now_seconds + SAMPLE_PATIENCE_SECONDS,
+            resume_token_ids=tuple(partial.token_ids),
+        )
+        check = StreamCheck(request.request_id)
+        detail = "the stream ended before its last chunk"
+        target.begin(routed.cost_tokens, routed.prefixes)
+        stream = self._targets.client(row.protocol).stream(row.url, request)
+        try:
+            async for item in stream:
+                if isinstance(item, StreamBroken):
+                    detail = item.detail
+                    break
+                if not version_allowed(choice, item.version):
+                    detail = f"version {item.version} is too old for this sample"
+                    break
+                fault = check.accept(item)
+                if fault is not None:
+                    detail = fault.detail
+                    break
+                partial.token_ids.extend(item.token_ids)
+                partial.text.append(item.text)
+        finally:
+            target.end(routed.cost_tokens)
+            await stream.aclose()  # type: ignore[attr-defined]
+        partial.spans.extend(check.spans)
+        partial.finished = check.finished
+        if check.finished:
+            target.succeeded(check.tokens, self._context.now_seconds() - now_seconds)
+        else:
+            target.failed(self._context.now_seconds())
+        return detail
+
+    def _choose(
+        self,
+        order: SampleOrder,
+        candidates: list[tuple[TargetRow, Target]],
+        partial: _Partial,
+    ) -> tuple[TargetRow, Target, RoutedRequest]:
+        routed = RoutedRequest(
+            prompt_tokens=len(order.prompt) / 4.0,
+            cost_tokens=float(order.max_tokens - len(partial.token_ids)),
+            prefixes=prompt_prefixes(order.prompt),
+            now_seconds=self._context.now_seconds(),
+        )
+        rows = {target.name: row for row, target in candidates}
+        usable = usable_targets([target for _, target in candidates], routed.now_seconds)
+        target = self._policy.choose(routed, usable)
+        return rows[target.name], target, routed
+
+    async def _complete(self, order: SampleOrder, partial: _Partial) -> Sample | SampleFailed:
+        label = make_label(partial.spans, len(partial.token_ids))
+        if isinstance(label, LabelUnknown):
+            logger.warning("sample without a label: {}", label.detail, trainer=order.trainer)
+            return SampleFailed(label.detail, unlabelled=True)
+        text = "".join(partial.text)
+        score: Score | None = None
+        if order.scorer is not None:
+            score = await self._score(order, text)
+            if score is None:
+                return SampleFailed("no score")
+        scorer_version = score.scorer_version if score is not None else None
+        return Sample(
+            step=order.step,
+            index=order.index,
+            group=order.group,
+            attempt=order.attempt,
+            seed=order.seed,
+            text=text,
+            tokens=len(partial.token_ids),
+            label=SampleLabel(spans=label.spans, scorer_version=scorer_version),
+            score=score.score if score is not None else None,
+        )
+
+    async def _score(self, order: SampleOrder, text: str) -> Score | None:
+        sample_id = f"{order.trainer}/{order.step}/{order.index}/{order.attempt}"
+        scorers = self._targets.usable(order.scorer or "")
+        for number in range(SCORING_TRIES):
+            if not scorers:
+                return None
+            row, _ = scorers[(order.index + number) % len(scorers)]
+            result = await self._scorer.score(row.url, sample_id, order.prompt, text)
+            if isinstance(result, Score):
+                return result
+        return None
--- /dev/null
+++ b/rackswitch/daemon/settings.py
@@ -0,0 +1,99 @@
+"""Settings of the daemon."""
+
+from typing import Annotated
+
+import msgspec
+
+from rackswitch.platform.kv import KV_CLIENTS
+from rackswitch.routing import POLICIES
+from rackswitch.settings import Settings
+
+__all__ = ["DaemonSettings", "FreshnessSettings"]
+
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+ON_UNCONFIRMED = ("serve", "refuse")
+
+
+class FreshnessSettings(Settings, frozen=True, kw_only=True):
+    """What a daemon does that cannot confirm its table with anybody."""
+
+    bound_seconds: Annotated[
+        Seconds, msgspec.Meta(description="How long a confirmation of the table is trusted.")
+    ] = 10.0
+    callers: Annotated[
+        str,
+        msgspec.Meta(description="'serve' or 'refuse' callers while the table is unconfirmed."),
+    ] = "serve"
+    trainers: Annotated[
+        str,
+        msgspec.Meta(description="'serve' or 'refuse' draws while the table is unconfirmed."),
+    ] = "refuse"
+
+    def contradiction(self) -> str | None:
+        """Return what contradicts what, or None."""
+        for name, value in (("callers", self.callers), ("trainers", self.trainers)):
+            if value not in ON_UNCONFIRMED:
+                return f"`$.{name}` is {value!r}; allowed: {', '.join(ON_UNCONFIRMED)}"
+        return None
+
+
+class DaemonSettings(Settings, frozen=True, kw_only=True):
+    """Settings of one daemon."""
+
+    daemon: Annotated[str, msgspec.Meta(description="This daemon's name.", min_length=1)]
+    zone: Annotated[str, msgspec.Meta(description="Its availability zone.", min_length=1)]
+    host: Annotated[str, msgspec.Meta(description="Address to listen on.")] = "127.0.0.1"
+    port: Annotated[Port, msgspec.Meta(description="HTTP port; 0 takes a free one.")] = 0
+    peer_port: Annotated[Port, msgspec.Meta(description="Port for the other daemons.")] = 0
+    kv_url: Annotated[str, msgspec.Meta(description="The key-value service.")]
+    kv_protocol: Annotated[str, msgspec.Meta(description="Its protocol.")] = "etcd-json"
+    weight_store_url: Annotated[str, msgspec.Meta(description="The weight store.")]
+    vm_list_url: Annotated[str, msgspec.Meta(description="The platform's VM list.")]
+    fleet_secret: Annotated[
+        str, msgspec.Meta(description="Shared by all daemons, by which they know each other.")
+    ]
+    operator_token_sha256: Annotated[
+        str, msgspec.Meta(description="Hash of an administrator's token that always works.")
+    ]
+    routing_policy: Annotated[str, msgspec.Meta(description="Name of the routing policy.")] = (
+        "estimated_wait"
+    )
+    freshness: FreshnessSettings = FreshnessSettings()
+    heartbeat_seconds: Annotated[Seconds, msgspec.Meta(description="Between heartbeats.")] = 1.0
+    confirm_seconds: Annotated[
+        Seconds, msgspec.Meta(description="Between a watcher's reads of the table.")
+    ] = 2.0
+    watchers_per_zone: Annotated[
+        int, msgspec.Meta(ge=1, description="Daemons of a zone that watch the service.")
+    ] = 1
+    lease_seconds: Annotated[Seconds, msgspec.Meta(description="Life of a role's lease.")] = 6.0
+    poll_seconds: Annotated[Seconds, msgspec.Meta(description="Between load polls.")] = 0.5
+    polled_targets: Annotated[
+        int, msgspec.Meta(ge=1, description="Targets of one model that this daemon uses.")
+    ] = 16
+    rollout_partitions: Annotated[
+        int, msgspec.Meta(ge=1, description="Leased partitions of a model's roll-out.")
+    ] = 1
+    zone_one_way_seconds: Annotated[
+        float, msgspec.Meta(ge=0, description="Network distance between zones.")
+    ] = 0.001
+    most_body_bytes: Annotated[int, msgspec.Meta(ge=1, description="Largest request body.")] = (
+        4_000_000
+    )
+    most_connections: Annotated[
+        int, msgspec.Meta(ge=1, description="Most connections at once.")
+    ] = 4096
+    seed: Annotated[int, msgspec.Meta(description="Seed of random choices; 0 takes any.")] = 0
+
+    def contradiction(self) -> str | None:
+        """Return what contradicts what, or None."""
+        if self.routing_policy not in POLICIES.names():
+            known = ", ".join(POLICIES.names())
+            return f"`$.routing_policy` is {self.routing_policy!r}; allowed: {known}"
+        if self.kv_protocol not in KV_CLIENTS.names():
+            known = ", ".join(KV_CLIENTS.names())
+            return f"`$.kv_protocol` is {self.kv_protocol!r}; allowed: {known}"
+        if self.confirm_seconds >= self.freshness.bound_seconds:
+            return "`$.confirm_seconds` must be below `$.freshness.bound_seconds`"
+        return None
--- /dev/null
+++ b/rackswitch/demo/main.py
@@ -0,0 +1,122 @@
+"""The program ``rackswitch-demo``: callers and a trainer on an embedded fleet."""
+
+import asyncio
+import json
+import random
+import sys
+
+import fire
+
+from rackswitch.demo.fleet import (
+    ASSOCIATION,
+    CALLER_TOKEN,
+    REGISTER,
+    TRAINER_TOKEN,
+    EmbeddedFleet,
+    FleetProfile,
+)
+from rackswitch.standins.callers import CallerStandIn
+from rackswitch.standins.trainer import TrainerStandIn
+from rackswitch.telemetry import set_up_logs
+
+__all__ = ["main", "run_demo"]
+
+PROFILES = {profile.name: profile for profile in (ASSOCIATION, REGISTER)}
+REQUESTS = 120
+STEPS = 4
+READY_PATIENCE_SECONDS = 10.0
+ARRIVALS_PER_SECOND = 40.0
+
+
+async def wait_ready(fleet: EmbeddedFleet) -> None:
+    """Wait until every daemon has the table in force and the trainer's ledger is held."""
+    async with asyncio.timeout(READY_PATIENCE_SECONDS):
+        while not all(daemon.table.is_ready for daemon in fleet.daemons.values()):
+            await asyncio.sleep(0.05)
+        for daemon in fleet.daemons.values():
+            await daemon.targets.poll()
+
+
+async def _call(caller: CallerStandIn, profile: FleetProfile, number: int, seed: int) -> None:
+    kind = number % 3
+    if kind == 0:
+        await caller.complete(profile.model, f"page {number % 7}", 48, seed + number)
+    elif kind == 1:
+        await caller.complete(profile.application, f"form {number}", 24, number, stream=False)
+    else:
+        body = f"job {number}".encode()
+        await caller.call_service(profile.service, f"jobs/{number}", body, f"key-{seed}-{number}")
+
+
+async def run_demo(profile: FleetProfile, seed: int) -> dict[str, object]:
+    """Run callers and a trainer against a fleet; return the summary."""
+    fleet = EmbeddedFleet(profile, seed)
+    await fleet.start()
+    await wait_ready(fleet)
+    caller = CallerStandIn(CALLER_TOKEN, fleet.urls(), seed)
+    trainer = TrainerStandIn(
+        "nightly", TRAINER_TOKEN, profile.model, fleet.urls(), fleet.store.url, scored=True
+    )
+    fleet.store.versions[profile.model] = {1}
+    rng = random.Random(seed)
+    training = asyncio.create_task(trainer.run(STEPS))
+    calls = []
+    for number in range(REQUESTS):
+        calls.append(asyncio.create_task(_call(caller, profile, number, seed)))
+        await asyncio.sleep(rng.expovariate(ARRIVALS_PER_SECOND))
+    await asyncio.gather(training, *calls)
+    runs_by_key: dict[str, int] = {}
+    for service in fleet.services:
+        for key, count in service.runs_by_key.items():
+            runs_by_key[key] = runs_by_key.get(key, 0) + count
+    violations = caller.violations(runs_by_key) + trainer.record.violations()
+    violations += fleet.broken_invariants()
+    await caller.close()
+    summary = {
+        "profile": profile.name,
+        "daemons": len(fleet.daemons),
+        "engines": len(fleet.engines),
+        "requests_sent": REQUESTS,
+        "requests_completed": caller.record.completed,
+        "requests_not_run": caller.record.not_run,
+        "requests_in_doubt": caller.record.may_have_run + caller.record.failed,
+        "latency_p50_ms": caller.record.percentile_ms(50),
+        "latency_p99_ms": caller.record.percentile_ms(99),
+        "steps_whole": trainer.record.steps,
+        "samples_delivered": trainer.record.samples,
+        "samples_duplicated": trainer.record.duplicated,
+        "weight_versions_seen": sorted(trainer.record.versions),
+        "staleness_most_versions": trainer.record.staleness_most,
+        "kv_calls": fleet.kv.calls,
+        "violations": violations,
+    }
+    await fleet.stop()
+    return summary
+
+
+def demo(profile: str = "association", seed: int = 1, log_level: str = "WARNING") -> None:
+    """Run the demonstration.
+
+    Parameters
+    ----------
+    profile : str
+        ``association`` or ``register``.
+    seed : int
+        Seed of all random choices.
+    log_level : str
+        Least level of the log lines on standard error.
+    """
+    set_up_logs(log_level)
+    if profile not in PROFILES:
+        print(f"unknown profile {profile!r}; known: {', '.join(PROFILES)}", file=sys.stderr)
+        sys.exit(2)
+    summary = asyncio.run(run_demo(PROFILES[profile], seed))
+    for name, value in summary.items():
+        print(f"{name:26} {value}")
+    print(json.dumps(summary))
+    sys.exit(1 if summary["violations"] else 0)
+
+
+def main() -> None:
+    """Entry point."""
+    fire.Fire(demo)
--- /dev/null
+++ b/rackswitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The outside systems, one narrow module each; the decisions import none of them."""
--- /dev/null
+++ b/rackswitch/platform/plain_service.py
@@ -0,0 +1,87 @@
+"""Plain services: one HTTP call, passed through."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+
+from rackswitch.platform.http import NOT_SENT_ERRORS, HttpSessions
+
+__all__ = ["PlainAnswer", "PlainFailed", "PlainRequest", "PlainServiceClient"]
+
+REFUSED_STATUSES = (429, 503)
+RAN_HEADER = "rackswitch-ran"
+"""A service that puts ``no`` here says that it did not begin the work."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """A call to pass through."""
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes
+    media_type: str
+    repeatable: bool
+    deadline_seconds: float
+    idempotency_key: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """The service's whole answer."""
+
+    status: int
+    body: bytes
+    media_type: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlainFailed:
+    """No whole answer; `may_have_run` is False only if the call cannot have begun."""
+
+    may_have_run: bool
+    detail: str
+
+
+class PlainServiceClient:
+    """Client of plain services.
+
+    Parameters
+    ----------
+    sessions : HttpSessions
+        Connections to use; a call that may not be repeated gets a connection of its own.
+    """
+
+    __slots__ = ("_sessions",)
+
+    def __init__(self, sessions: HttpSessions):
+        self._sessions = sessions
+
+    async def call(self, url: str, request: PlainRequest) -> PlainAnswer | PlainFailed:
+        """Make the call once."""
+        session = self._sessions.pooled if request.repeatable else self._sessions.single_use
+        headers = {"X-Request-Id": request.request_id, "Content-Type": request.media_type}
+        if request.idempotency_key is not None:
+            headers["Idempotency-Key"] = request.idempotency_key
+        try:
+            async with (
+                asyncio.timeout_at(request.deadline_seconds),
+                session.request(
+                    request.method,
+                    f"{url}/{request.path}",
+                    data=request.body,
+                    headers=headers,
+                    allow_redirects=False,
+                ) as answer,
+            ):
+                body = await answer.read()
+        except NOT_SENT_ERRORS as error:
+            return PlainFailed(False, f"cannot connect: {type(error).__name__}")
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return PlainFailed(True, f"no answer: {type(error).__name__}")
+        if answer.status in REFUSED_STATUSES and answer.headers.get(RAN_HEADER) == "no":
+            return PlainFailed(False, f"the service did not begin: status {answer.status}")
+        media_type = answer.headers.get("Content-Type", "application/octet-stream")
+        return PlainAnswer(answer.status, body, media_type)
--- /dev/null
+++ b/rackswitch/platform/scorer.py
@@ -0,0 +1,72 @@
+"""Services that score samples."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from rackswitch.platform.http import HttpSessions
+
+__all__ = ["Score", "ScorerClient", "ScoringFailed"]
+
+CALL_TIMEOUT_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Score:
+    """A score and the version of the scorer that gave it."""
+
+    score: float
+    scorer_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class ScoringFailed:
+    """No score; scoring has no effect, so it may be tried again."""
+
+    detail: str
+
+
+class _WireScore(msgspec.Struct, frozen=True):
+    sample_id: str
+    score: float
+    scorer_version: str
+
+
+class ScorerClient:
+    """Client of scoring services.
+
+    Parameters
+    ----------
+    sessions : HttpSessions
+        Connections to use.
+    """
+
+    __slots__ = ("_sessions",)
+
+    def __init__(self, sessions: HttpSessions):
+        self._sessions = sessions
+
+    async def score(
+        self, url: str, sample_id: str, prompt: str, text: str
+    ) -> Score | ScoringFailed:
+        """Score one sample; an answer about another sample counts as a failure."""
+        body = {"sample_id": sample_id, "prompt": prompt, "text": text}
+        try:
+            async with (
+                asyncio.timeout(CALL_TIMEOUT_SECONDS),
+                self._sessions.pooled.post(url + "/score", json=body) as answer,
+            ):
+                content = await answer.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return ScoringFailed(type(error).__name__)
+        if answer.status != 200:
+            return ScoringFailed(f"status {answer.status}")
+        try:
+            wire = msgspec.json.decode(content, type=_WireScore)
+        except msgspec.DecodeError as error:
+            return ScoringFailed(f"cannot read the answer: {error}")
+        if wire.sample_id != sample_id:
+            return ScoringFailed("the score belongs to another sample")
+        return Score(wire.score, wire.scorer_version)
--- /dev/null
+++ b/rackswitch/requests/__init__.py
@@ -0,0 +1,10 @@
+"""A request's life: claims, attempts, retries and the check of its answer."""
+
+from rackswitch.requests.attempts import *  # noqa: F403
+from rackswitch.requests.attempts import __all__ as _attempts_all
+from rackswitch.requests.claims import *  # noqa: F403
+from rackswitch.requests.claims import __all__ as _claims_all
+from rackswitch.requests.stream import *  # noqa: F403
+from rackswitch.requests.stream import __all__ as _stream_all
+
+__all__ = [*_attempts_all, *_claims_all, *_stream_all]
--- /dev/null
+++ b/rackswitch/requests/attempts.py
@@ -0,0 +1,90 @@
+"""What to do after an attempt at a target: retry, or say the truth about it."""
+
+from dataclasses import dataclass, field
+
+from rackswitch.outcomes import (
+    MayHaveRun,
+    NotRun,
+    NotRunReason,
+    check_invariant,
+)
+
+__all__ = ["AttemptEnd", "AttemptLog", "RetryBudget"]
+
+RETRY_SHARE = 0.2
+RETRY_RESERVE = 10.0
+MOST_ATTEMPTS = 4
+COME_BACK_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How an attempt ended without an answer.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        False only if no byte of the request can have reached the target, or the target
+        itself said that it did not begin.
+    """
+
+    target: str
+    may_have_run: bool
+    detail: str
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Retries allowed as a share of first attempts, so that failures cause no storm."""
+
+    balance: float = RETRY_RESERVE
+
+    def note_request(self) -> None:
+        """Earn a part of a retry for a first attempt."""
+        self.balance = min(RETRY_RESERVE, self.balance + RETRY_SHARE)
+
+    def try_spend(self) -> bool:
+        """Spend one retry if the budget has it."""
+        if self.balance < 1.0:
+            return False
+        self.balance -= 1.0
+        return True
+
+
+@dataclass(slots=True)
+class AttemptLog:
+    """All attempts of one request, and the truth that follows from them."""
+
+    repeatable: bool
+    ends: list[AttemptEnd] = field(default_factory=list)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have begun at a target."""
+        return any(end.may_have_run for end in self.ends)
+
+    def may_begin(self) -> bool:
+        """Return whether one more attempt is allowed by what came before."""
+        if len(self.ends) >= MOST_ATTEMPTS:
+            return False
+        return self.repeatable or not self.may_have_run
+
+    def tried_targets(self) -> set[str]:
+        """Return the targets to avoid."""
+        return {end.target for end in self.ends}
+
+    def begin(self) -> None:
+        """Assert the rule at the moment an attempt starts."""
+        check_invariant(self.may_begin(), "a request that may have run is not repeated")
+
+    def note(self, end: AttemptEnd) -> None:
+        """Record an attempt's end."""
+        self.ends.append(end)
+
+    def give_up(self, now_seconds: float) -> NotRun | MayHaveRun:
+        """Return the final answer: "not run" only if no attempt may have begun."""
+        detail = self.ends[-1].detail if self.ends else "no target could be tried"
+        retry_at_seconds = now_seconds + COME_BACK_SECONDS
+        if self.may_have_run:
+            return MayHaveRun(detail, retry_at_seconds)
+        return NotRun(NotRunReason.NO_TARGET, detail, retry_at_seconds)
--- /dev/null
+++ b/rackswitch/routing/__init__.py
@@ -0,0 +1,10 @@
+"""Choosing a target, and what is known of targets."""
+
+from rackswitch.routing.admission import *  # noqa: F403
+from rackswitch.routing.admission import __all__ as _admission_all
+from rackswitch.routing.policies import *  # noqa: F403
+from rackswitch.routing.policies import __all__ as _policies_all
+from rackswitch.routing.targets import *  # noqa: F403
+from rackswitch.routing.targets import __all__ as _targets_all
+
+__all__ = [*_admission_all, *_policies_all, *_targets_all]
--- /dev/null
+++ b/rackswitch/routing/policies.py
@@ -0,0 +1,135 @@
+"""Routing policies, by name."""
+
+import random
+from dataclasses import dataclass
+from typing import Protocol
+
+from rackswitch.registry import Registry
+from rackswitch.routing.targets import Target
+
+__all__ = ["BATCH_WIDTH", "POLICIES", "Policy", "RoutedRequest", "estimated_wait_seconds"]
+
+PREFILL_TOKENS_PER_SECOND = 8000.0
+WARM_UP_PENALTY_SECONDS = 0.05
+BATCH_WIDTH = 16.0
+"""Requests that an engine is taken to run side by side."""
+
+NEAR_TIE_SECONDS = 0.010
+"""Targets this close to the best are drawn from at random, against herding."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """What a policy may know about a request."""
+
+    prompt_tokens: float
+    cost_tokens: float
+    prefixes: tuple[int, ...]
+    now_seconds: float
+
+
+class Policy(Protocol):
+    """Chooses among the targets that may serve a request."""
+
+    def __init__(self, rng: random.Random): ...
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        ...
+
+
+POLICIES: Registry[type[Policy]] = Registry("routing policy")
+
+
+def estimated_wait_seconds(request: RoutedRequest, target: Target) -> float:
+    """Return the expected time until the target has answered the request.
+
+    The work ahead at the target's observed speed, the part of the prompt that is not
+    cached there, the request's own tokens, the network and a warm-up.
+    """
+    speed = max(1.0, target.speed_tokens_per_second)
+    queue_seconds = target.outstanding_tokens() / (speed * BATCH_WIDTH)
+    missed_share = 1.0 - target.cached_share(request.prefixes)
+    prefill_seconds = request.prompt_tokens * missed_share / PREFILL_TOKENS_PER_SECOND
+    own_seconds = request.cost_tokens / speed
+    warm_up = WARM_UP_PENALTY_SECONDS if request.now_seconds < target.warm_until_seconds else 0.0
+    return queue_seconds + prefill_seconds + own_seconds + 2 * target.one_way_seconds + warm_up
+
+
+@POLICIES.register("random")
+class RandomChoice:
+    """Any target, with equal chance."""
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        return self._rng.choice(targets)
+
+
+@POLICIES.register("round_robin")
+class RoundRobin:
+    """The targets in turn."""
+
+    __slots__ = ("_turn",)
+
+    def __init__(self, rng: random.Random):
+        self._turn = rng.randrange(1 << 16)
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        self._turn += 1
+        return targets[self._turn % len(targets)]
+
+
+@POLICIES.register("least_reported")
+class LeastReported:
+    """The target whose last report shows the shortest queue."""
+
+    __slots__ = ()
+
+    def __init__(self, rng: random.Random):
+        pass
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+
+        def reported_tokens(target: Target) -> float:
+            return target.report.queued_tokens if target.report is not None else 0.0
+
+        return min(targets, key=reported_tokens)
+
+
+@POLICIES.register("two_choices")
+class TwoChoices:
+    """The less loaded of two targets drawn at random."""
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        pair = self._rng.sample(targets, min(2, len(targets)))
+        return min(pair, key=Target.outstanding_tokens)
+
+
+@POLICIES.register("estimated_wait")
+class EstimatedWait:
+    """The shortest estimated wait, near ties drawn at random (the shipped policy)."""
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        waits = [(estimated_wait_seconds(request, target), target) for target in targets]
+        best_seconds = min(wait for wait, _ in waits)
+        near = [target for wait, target in waits if wait <= best_seconds + NEAR_TIE_SECONDS]
+        return self._rng.choice(near)
--- /dev/null
+++ b/rackswitch/telemetry/core.py
@@ -0,0 +1,89 @@
+"""Logs as JSON lines, and metrics with histograms for each tenant and class."""
+
+import json
+import sys
+from typing import Any
+
+from loguru import logger
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import CollectorRegistry, generate_latest
+
+__all__ = ["Telemetry", "set_up_logs"]
+
+LATENCY_BOUNDS_SECONDS = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0,
+)  # fmt: skip
+
+
+def set_up_logs(level: str = "INFO") -> None:
+    """Write log records to standard error, one JSON object a line."""
+    logger.remove()
+    logger.add(_write_json_line, level=level, backtrace=False, diagnose=False)
+
+
+def _write_json_line(message: Any) -> None:
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "message": record["message"],
+        **{key: str(value) for key, value in record["extra"].items()},
+    }
+    if record["exception"] is not None:
+        line["error"] = repr(record["exception"].value)
+    sys.stderr.write(json.dumps(line) + "\n")
+
+
+class Telemetry:
+    """The metrics of one daemon.
+
+    Parameters
+    ----------
+    daemon : str
+        The daemon's name, a label on all metrics.
+    """
+
+    __slots__ = ("_daemon", "_latency", "_provider", "_registry", "_requests", "_tokens")
+
+    def __init__(self, daemon: str):
+        self._daemon = daemon
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self._registry
+        )
+        # The provider is not made the global one: several daemons may share a process.
+        self._provider = MeterProvider(metric_readers=[reader])
+        meter = self._provider.get_meter("rackswitch")
+        self._latency = meter.create_histogram(
+            "rackswitch_request_seconds",
+            unit="s",
+            description="Time from a request's arrival to the end of its answer.",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_SECONDS,
+        )
+        self._requests = meter.create_counter(
+            "rackswitch_requests", description="Requests by outcome."
+        )
+        self._tokens = meter.create_counter(
+            "rackswitch_tokens", description="Tokens passed on to callers or put into samples."
+        )
+
+    def request_ended(
+        self, tenant: str, caller_class: int, outcome: str, elapsed_seconds: float
+    ) -> None:
+        """Record one request's end."""
+        labels = {"tenant": tenant, "caller_class": str(caller_class), "daemon": self._daemon}
+        self._latency.record(elapsed_seconds, labels)
+        self._requests.add(1, {**labels, "outcome": outcome})
+
+    def tokens_passed(self, tenant: str, tokens: int) -> None:
+        """Count tokens."""
+        self._tokens.add(tokens, {"tenant": tenant, "daemon": self._daemon})
+
+    def exposition(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Shut the meter provider down."""
+        self._provider.shutdown()
--- /dev/null
+++ b/rackswitch/web/core.py
@@ -0,0 +1,208 @@
+"""A web server inside the running event loop, and helpers for handlers."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, TypeVar
+
+import msgspec
+import uvicorn
+from blacksheep import Application, Content, Request, Response, Router
+
+from rackswitch.web.problems import Problem, problem_response
+
+__all__ = [
+    "BodyFault",
+    "WebServer",
+    "add_route",
+    "json_response",
+    "make_application",
+    "path_value",
+    "read_body",
+    "read_json",
+    "watch_disconnect",
+]
+
+KEEP_ALIVE_SECONDS = 30
+HEADER_NAME_MOST_BYTES = 65536
+
+T = TypeVar("T")
+
+
+class _LoopServer(uvicorn.Server):
+    """A server that leaves signals to the program it runs in."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class WebServer:
+    """Serves an ASGI application on one address.
+
+    Parameters
+    ----------
+    application : callable
+        The ASGI application.
+    host, port : str, int
+        Where to listen; port 0 takes a free one.
+    most_connections : int, optional
+        Connections beyond this number get 503.
+    """
+
+    __slots__ = ("_config", "_host", "_port", "_server", "_task")
+
+    def __init__(self, application: Any, host: str, port: int, most_connections: int | None = None):
+        self._host = host
+        self._port = port
+        self._config = uvicorn.Config(
+            application,
+            host=host,
+            port=port,
+            log_config=None,
+            log_level="critical",
+            access_log=False,
+            server_header=False,
+            http="httptools",
+            ws="none",
+            lifespan="on",
+            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            limit_concurrency=most_connections,
+        )
+        self._server = _LoopServer(self._config)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """The address as a URL."""
+        return f"http://{self._host}:{self._port}"
+
+    @property
+    def port(self) -> int:
+        """The port listened on, once started."""
+        return self._port
+
+    async def start(self) -> None:
+        """Listen; return once connections are taken.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be used.
+        """
+        self._task = asyncio.create_task(self._server.serve())
+        while not self._server.started:
+            if self._task.done():
+                raise OSError(f"cannot listen on {self._host}:{self._port}")
+            await asyncio.sleep(0.005)
+        self._port = self._server.servers[0].sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and return when the requests in progress are done."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    async def crash(self) -> None:
+        """Drop the address and all connections at once, as a killed process would."""
+        for server in self._server.servers:
+            server.close()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        self._server.force_exit = True
+        await self.stop()
+
+
+def make_application() -> Application:
+    """Return an application with its own router that answers faults with problems."""
+    application = Application(router=Router())
+
+    async def on_fault(app: Application, request: Request, error: Exception) -> Response:
+        app.logger.exception("handler failed", exc_info=error)
+        return problem_response(Problem(500, "internal-error", "The daemon failed.", ran="unknown"))
+
+    async def on_missing(app: Application, request: Request, error: Exception) -> Response:
+        return problem_response(Problem(404, "not-found", "There is nothing at this path."))
+
+    application.exceptions_handlers[Exception] = on_fault
+    application.exceptions_handlers[404] = on_missing
+    return application
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def add_route(application: Application, method: str, path: str, handler: Handler) -> None:
+    """Route a path to a bound method.
+
+    The library marks the function it is given, which a bound method does not allow, and
+    fills parameters by name; here every handler takes the request alone.
+    """
+
+    async def handle(request: Request) -> Response:
+        return await handler(request)
+
+    application.router.add(method, path, handle)
+
+
+def path_value(request: Request, name: str) -> str:
+    """Return a named part of the request's path."""
+    values = request.route_values or {}
+    return values.get(name) or ""
+
+
+def json_response(
+    value: Any, status: int = 200, headers: list[tuple[bytes, bytes]] | None = None
+) -> Response:
+    """Return a JSON response of a message."""
+    return Response(status, headers, Content(b"application/json", msgspec.json.encode(value)))
+
+
+def watch_disconnect(request: Request, on_gone: Callable[[], None]) -> asyncio.Task[None]:
+    """Call `on_gone` when the client goes away; the body must have been read.
+
+    Returns
+    -------
+    asyncio.Task
+        To be cancelled when the answer is complete.
+    """
+    receive = request.content.receive  # type: ignore[union-attr]
+
+    async def wait() -> None:
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                on_gone()
+                return
+
+    return asyncio.create_task(wait())
+
+
+class BodyFault(msgspec.Struct, frozen=True):
+    """Why a body cannot be used."""
+
+    problem: Problem
+
+
+async def read_body(request: Request, most_bytes: int) -> bytes | BodyFault:
+    """Read a body up to a size."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():  # type: ignore[attr-defined]
+        size += len(chunk)
+        if size > most_bytes:
+            detail = f"The body is over {most_bytes} bytes."
+            return BodyFault(Problem(413, "body-too-large", detail))
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+async def read_json(request: Request, kind: type[T], most_bytes: int) -> T | BodyFault:
+    """Read a JSON body as a message; a fault names the field."""
+    body = await read_body(request, most_bytes)
+    if isinstance(body, BodyFault):
+        return body
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return BodyFault(Problem(400, "bad-request", str(error)))
