Prove edits and roles under faults of the key-value service

Cause: randomised runs of the daemon's own code on a jumping clock found three faults. (1) An edit sent again while the service was down was answered "not accepted", though its first sending could still take effect: now "unknown" unless the identity was made by this daemon for this call. (3) Claims were bound to a lease of their own, so a lapse would have deleted them and let a request run twice: they now stand in periods, which a leased role deletes.

--- a/rackswitch/daemon/admin_edge.py
+++ b/rackswitch/daemon/admin_edge.py
@@ -210,13 +210,14 @@
         if isinstance(operator, Problem):
             return problem_response(operator)
         header = (request.get_first_header(EDIT_ID_HEADER) or b"").decode("latin-1")
+        given_id = edit_id or header
         edit = Edit(
-            edit_id=f"{operator.name}/{edit_id or header or self._new_edit_id()}",
+            edit_id=f"{operator.name}/{given_id or self._new_edit_id()}",
             operator=operator.name,
             at_unix_seconds=time.time(),
             changes=changes,
         )
-        result = await self._table.submit(edit, dry_run)
+        result = await self._table.submit(edit, dry_run, may_be_retry=bool(given_id))
         return _edit_response(result)
 
     def _new_edit_id(self) -> str:
--- a/rackswitch/daemon/callers.py
+++ b/rackswitch/daemon/callers.py
@@ -27,7 +27,6 @@
     StreamCheck,
     StreamChunk,
     StreamFault,
-    claim_key,
     request_digest,
 )
 from rackswitch.routing import POLICIES, RoutedRequest, Target, admit, usable_targets
@@ -143,9 +142,9 @@
             return NotRun(NotRunReason.BAD_REQUEST, "Idempotency-Key is required")
         digest = request_digest(f"{call.route.name}/{call.path}", call.method, call.body)
         claim = Claim(owner=self._claims.new_owner(), digest=digest)
-        key = claim_key(call.tenant.name, call.idempotency_key)
+        keys = self._claims.keys(call.tenant.name, call.idempotency_key)
         patience_seconds = self._context.now_seconds() + CLAIM_PATIENCE_SECONDS
-        found = await self._claims.claim(key, claim, min(call.deadline_seconds, patience_seconds))
+        found = await self._claims.claim(keys, claim, min(call.deadline_seconds, patience_seconds))
         if not isinstance(found, ClaimFound):
             retry_at_seconds = self._context.now_seconds() + IN_DOUBT_RETRY_SECONDS
             detail = "the key-value service does not answer"
@@ -153,16 +152,18 @@
         if found.decision is not ClaimDecision.RUN:
             return self._answer_duplicate(found)
         outcome = await self._call_targets(call)
-        self._context.spawn(self._close_claim(key, claim, outcome))
+        self._context.spawn(self._close_claim(keys, claim, outcome))
         return outcome
 
-    async def _close_claim(self, key: str, claim: Claim, outcome: Outcome) -> None:
+    async def _close_claim(
+        self, keys: tuple[str, str, str], claim: Claim, outcome: Outcome
+    ) -> None:
         with self._context.in_flight:
             if isinstance(outcome, NotRun):
-                await self._claims.release(key, claim)
+                await self._claims.release(keys, claim)
             elif isinstance(outcome, Completed | RanAndFailed):
                 await self._claims.store_answer(
-                    key, claim, outcome.status, outcome.media_type, outcome.body
+                    keys, claim, outcome.status, outcome.media_type, outcome.body
                 )
 
     def _answer_duplicate(self, found: ClaimFound) -> Outcome:
--- a/rackswitch/daemon/claim_keeper.py
+++ b/rackswitch/daemon/claim_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections import deque
 from dataclasses import dataclass
 
@@ -10,21 +11,31 @@
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.platform.kv import (
     Compare,
+    KvEntry,
     KvUnavailable,
-    LeaseGranted,
     Operation,
     TxnPart,
     TxnPartDone,
 )
-from rackswitch.requests import Claim, ClaimDecision, ClaimState, decide_claim
+from rackswitch.requests import (
+    Claim,
+    ClaimDecision,
+    ClaimState,
+    bucket_prefix,
+    claim_bucket,
+    claim_keys,
+    decide_claim,
+)
 
 __all__ = ["ClaimFound", "ClaimKeeper", "ClaimsUnavailable"]
 
 MOST_PARTS = 64
-CLAIM_LIFE_SECONDS = 24 * 3600.0
-LEASE_USE_SECONDS = 3600.0
 RETRY_SECONDS = 0.1
-RELEASE_TRIES = 50
+SETTLE_TRIES = 600
+SETTLE_RETRY_SECONDS = 1.0
+ENDED_PERIODS = 3
+"""Claims of the period this many before the present one are of no more use."""
+
 MOST_KEPT_ANSWER_BYTES = 64_000
 
 
@@ -60,23 +71,13 @@
         The daemon.
     """
 
-    __slots__ = (
-        "_context",
-        "_counter",
-        "_flushing",
-        "_lease",
-        "_lease_ends_seconds",
-        "_pending",
-        "_start",
-        "writes",
-    )
+    __slots__ = ("_cleaned", "_context", "_counter", "_flushing", "_pending", "_start", "writes")
 
     def __init__(self, context: DaemonContext):
         self._context = context
         self._pending: deque[_Pending] = deque()
         self._flushing = False
-        self._lease: LeaseGranted | None = None
-        self._lease_ends_seconds = 0.0
+        self._cleaned = 0
         self._counter = itertools.count()
         self._start = context.rng.randrange(1 << 60)
         self.writes = 0
@@ -85,35 +86,58 @@
         """Return an identity for one attempt at claiming, never used before."""
         return f"{self._context.settings.daemon}/{self._start:x}/{next(self._counter)}"
 
+    def keys(self, tenant: str, idempotency_key: str) -> tuple[str, str, str]:
+        """Return the keys under which a request's claim may stand now."""
+        bucket = claim_bucket(time.time(), self._context.settings.claim_life_seconds)
+        return claim_keys(tenant, idempotency_key, bucket)
+
+    async def clean(self, fence: Compare) -> None:
+        """Delete the claims of periods that have ended, under the fence of the role."""
+        bucket = claim_bucket(time.time(), self._context.settings.claim_life_seconds)
+        if bucket <= self._cleaned:
+            return
+        ended = bucket_prefix(bucket - ENDED_PERIODS)
+        part = TxnPart((fence,), (Operation(ended, None, is_prefix=True),))
+        done = await self._context.kv.txn([part])
+        if not isinstance(done, KvUnavailable) and done[0].succeeded:
+            self._cleaned = bucket
+
     async def claim(
-        self, key: str, claim: Claim, give_up_seconds: float
+        self, keys: tuple[str, str, str], claim: Claim, give_up_seconds: float
     ) -> ClaimFound | ClaimsUnavailable:
         """Make a claim if there is none; return what stands in the service.
 
         An unanswered write is simply tried again: it is conditional on the key's absence,
         and the owner in the value tells whether an earlier try made it.
         """
-        replaces = 0
+        replaces: KvEntry | None = None
         while self._context.now_seconds() < give_up_seconds:
-            done = await self._create(key, claim, replaces)
+            done = await self._write(keys, claim, replaces)
             if isinstance(done, KvUnavailable):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             if done.succeeded:
                 return ClaimFound(ClaimDecision.RUN, claim)
             if done.present is None:
-                replaces = 0
+                replaces = None
                 continue
             present = msgspec.json.decode(done.present.value, type=Claim)
             decision = decide_claim(present, claim.owner, claim.digest)
             if decision is ClaimDecision.TAKE_OVER:
-                replaces = done.present.mod_revision
+                replaces = done.present
                 continue
             return ClaimFound(decision, present)
-        self._context.spawn(self.release(key, claim))
+        self._context.spawn(self.release(keys, claim))
         return ClaimsUnavailable()
 
-    async def store_answer(self, key: str, claim: Claim, status: int, media_type: str, body: bytes):
+    async def store_answer(
+        self,
+        keys: tuple[str, str, str],
+        claim: Claim,
+        status: int,
+        media_type: str,
+        body: bytes,
+    ) -> None:
         """Write the answer into a claim, for later duplicates of the request."""
         kept = body if len(body) <= MOST_KEPT_ANSWER_BYTES else b""
         answered = msgspec.structs.replace(
@@ -123,36 +147,44 @@
             media_type=media_type if kept == body else "",
             body=kept,
         )
-        await self._settle(key, answered)
+        await self._settle(keys, answered)
 
-    async def release(self, key: str, claim: Claim) -> None:
+    async def release(self, keys: tuple[str, str, str], claim: Claim) -> None:
         """Give a claim up without having run the request.
 
         The claim is overwritten, not deleted: a try of this daemon that is still on its
         way cannot make the claim again.
         """
-        await self._settle(key, msgspec.structs.replace(claim, state=ClaimState.RELEASED))
+        await self._settle(keys, msgspec.structs.replace(claim, state=ClaimState.RELEASED))
 
-    async def _settle(self, key: str, settled: Claim) -> None:
-        replaces = 0
-        for _ in range(RELEASE_TRIES):
-            done = await self._create(key, settled, replaces)
+    async def _settle(self, keys: tuple[str, str, str], settled: Claim) -> None:
+        replaces: KvEntry | None = None
+        for _ in range(SETTLE_TRIES):
+            done = await self._write(keys, settled, replaces)
             if isinstance(done, KvUnavailable):
-                await asyncio.sleep(10 * RETRY_SECONDS)
+                await asyncio.sleep(SETTLE_RETRY_SECONDS)
                 continue
-            if done.succeeded or done.present is None:
+            if done.succeeded:
                 return
+            if done.present is None:
+                replaces = None
+                continue
             present = msgspec.json.decode(done.present.value, type=Claim)
             if present.owner != settled.owner or present.state is settled.state:
                 return
-            replaces = done.present.mod_revision
-
-    async def _create(self, key: str, claim: Claim, replaces: int) -> TxnPartDone | KvUnavailable:
-        lease_id = await self._lease_id()
-        if lease_id is None:
-            return KvUnavailable("no lease for claims", False)
-        compare = Compare(key, "mod" if replaces else "create", replaces)
-        part = TxnPart((compare,), (Operation(key, msgspec.json.encode(claim), lease_id),), key)
+            replaces = done.present
+
+    async def _write(
+        self, keys: tuple[str, str, str], claim: Claim, replaces: KvEntry | None
+    ) -> TxnPartDone | KvUnavailable:
+        """Write a claim where there is none, or in place of a known one."""
+        if replaces is None:
+            key = keys[0]
+            compares = tuple(Compare(each, "create", 0) for each in keys)
+        else:
+            key = replaces.key
+            compares = (Compare(key, "mod", replaces.mod_revision),)
+        part = TxnPart(compares, (Operation(key, msgspec.json.encode(claim)),), keys)
         future: asyncio.Future[TxnPartDone | KvUnavailable] = (
             asyncio.get_running_loop().create_future()
         )
@@ -190,13 +222,3 @@
             batch.append(each)
         self._pending.extendleft(reversed(left))
         return batch
-
-    async def _lease_id(self) -> int | None:
-        now_seconds = self._context.now_seconds()
-        if self._lease is None or now_seconds >= self._lease_ends_seconds:
-            granted = await self._context.kv.grant_lease(CLAIM_LIFE_SECONDS)
-            if isinstance(granted, KvUnavailable):
-                return self._lease.lease_id if self._lease is not None else None
-            self._lease = granted
-            self._lease_ends_seconds = now_seconds + LEASE_USE_SECONDS
-        return self._lease.lease_id
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -35,6 +35,8 @@
 
 __all__ = ["Daemon"]
 
+CLAIM_CLEANING_ROLE = "claim-cleaning"
+CLAIM_CLEANING_SECONDS = 30.0
 METHODS_PASSED_THROUGH = ("GET", "POST", "PUT", "PATCH", "DELETE")
 STOP_PATIENCE_SECONDS = 120.0
 BALANCER_NOTICE_SECONDS = 0.3
@@ -127,6 +129,7 @@
             self.targets.run(),
             self.ledgers.run(),
             self.rollouts.run(),
+            self._clean_claims(),
         ):
             self.context.spawn(duty)
         logger.info("started", daemon=self.settings.daemon, zone=self.settings.zone, url=self.url)
@@ -157,6 +160,12 @@
         await self.context.sessions.close()
         self.context.telemetry.close()
 
+    async def _clean_claims(self) -> None:
+        while True:
+            await asyncio.sleep(CLAIM_CLEANING_SECONDS)
+            if self.roles.may_act(CLAIM_CLEANING_ROLE):
+                await self.claims.clean(self.roles.fence(CLAIM_CLEANING_ROLE))
+
     async def _announce(self) -> None:
         await self.heartbeats.announce()
 
@@ -167,6 +176,7 @@
     def _wanted_roles(self) -> list[str]:
         view = self.context.view
         roles = [ledger_role(trainer.name) for trainer in view.rows(TrainerRow)]
+        roles.append(CLAIM_CLEANING_ROLE)
         for model in view.rows(ModelRow):
             for partition in range(self.settings.rollout_partitions):
                 roles.append(rollout_role(model.name, partition))
--- a/rackswitch/daemon/settings.py
+++ b/rackswitch/daemon/settings.py
@@ -78,6 +78,9 @@
     zone_one_way_seconds: Annotated[
         float, msgspec.Meta(ge=0, description="Network distance between zones.")
     ] = 0.001
+    claim_life_seconds: Annotated[
+        Seconds, msgspec.Meta(description="How long an idempotency key is remembered, at least.")
+    ] = 21600.0
     most_body_bytes: Annotated[int, msgspec.Meta(ge=1, description="Largest request body.")] = (
         4_000_000
     )
--- a/rackswitch/daemon/table_keeper.py
+++ b/rackswitch/daemon/table_keeper.py
@@ -164,9 +164,21 @@
             await self._take(msgspec.json.decode(reply.document, type=TableDocument))
         return reply.revision > 0
 
-    async def submit(self, edit: Edit, dry_run: bool = False) -> EditResult:
+    async def submit(
+        self, edit: Edit, dry_run: bool = False, may_be_retry: bool = True
+    ) -> EditResult:
         """Apply an edit to the table in the service, at most once.
 
+        Parameters
+        ----------
+        edit : Edit
+            The edit, with its identity.
+        dry_run : bool
+            Only check it.
+        may_be_retry : bool
+            Whether the same edit may have been sent before, to any daemon. An earlier try
+            may still take effect, so without an answer nothing is certain.
+
         Each try is conditional on the revision that was read, so of two tries only one
         can take effect; and the edit's own identity in the table tells a later read
         whether an unanswered try did.
@@ -174,10 +186,10 @@
         Returns
         -------
         EditResult
-            `EditUnknown` only if a try went unanswered and could not be cleared up in time.
+            `EditUnknown` if a try went unanswered and could not be cleared up in time.
         """
         give_up_seconds = self._context.now_seconds() + EDIT_PATIENCE_SECONDS
-        unanswered = False
+        unanswered = may_be_retry
         async with self._edit_lock:
             while self._context.now_seconds() < give_up_seconds:
                 read = await self._context.kv.read(TABLE_KEY)
--- a/rackswitch/platform/kv.py
+++ b/rackswitch/platform/kv.py
@@ -85,25 +85,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Operation:
-    """Put `value` under `key`, or delete the key if `value` is None."""
+    """Put `value` under `key`, or delete the key if `value` is None.
+
+    With `is_prefix` a deletion takes all keys under the prefix. A put with a lease that
+    is gone fails.
+    """
 
     key: str
     value: bytes | None
     lease_id: int = 0
+    is_prefix: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TxnPart:
-    """Operations that happen if all conditions hold; else `read_key` is read."""
+    """Operations that happen if all conditions hold; else `read_keys` are read."""
 
     compares: tuple[Compare, ...]
     operations: tuple[Operation, ...]
-    read_key: str | None = None
+    read_keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class TxnPartDone:
-    """Whether a part's conditions held, and what was read if not."""
+    """Whether a part's conditions held, and the first of its keys found if not."""
 
     succeeded: bool
     present: KvEntry | None
@@ -206,7 +211,7 @@
         present = None
         for response in self.responses:
             found = response.response_range
-            if found is not None and found.kvs:
+            if present is None and found is not None and found.kvs:
                 present = found.kvs[0].entry()
         return TxnPartDone(self.succeeded, present, revision)
 
@@ -360,14 +365,17 @@
         "compare": compares,
         "success": [_operation_body(operation) for operation in part.operations],
     }
-    if part.read_key is not None:
-        body["failure"] = [{"request_range": {"key": _text(part.read_key)}}]
+    if part.read_keys:
+        body["failure"] = [{"request_range": {"key": _text(key)}} for key in part.read_keys]
     return body
 
 
 def _operation_body(operation: Operation) -> dict[str, Any]:
     if operation.value is None:
-        return {"request_delete_range": {"key": _text(operation.key)}}
+        deletion = {"key": _text(operation.key)}
+        if operation.is_prefix:
+            deletion["range_end"] = _text(prefix_end(operation.key))
+        return {"request_delete_range": deletion}
     return {
         "request_put": {
             "key": _text(operation.key),
--- a/rackswitch/requests/claims.py
+++ b/rackswitch/requests/claims.py
@@ -15,7 +15,9 @@
     "Claim",
     "ClaimDecision",
     "ClaimState",
-    "claim_key",
+    "bucket_prefix",
+    "claim_bucket",
+    "claim_keys",
     "decide_claim",
     "request_digest",
 ]
@@ -60,10 +62,27 @@
     KEY_REUSED = "key reused"
 
 
-def claim_key(tenant: str, idempotency_key: str) -> str:
-    """Return the claim's key; tenants cannot meet each other's."""
+def claim_bucket(unix_seconds: float, life_seconds: float) -> int:
+    """Return the number of the period that a claim made now belongs to."""
+    return int(unix_seconds // life_seconds)
+
+
+def bucket_prefix(bucket: int) -> str:
+    """Return the prefix of all claims of one period, which are deleted together."""
+    return f"{CLAIM_PREFIX}{bucket:012d}/"
+
+
+def claim_keys(tenant: str, idempotency_key: str, bucket: int) -> tuple[str, str, str]:
+    """Return the keys under which a claim may stand: this period, the one before, the next.
+
+    A claim is written to the first, and holds if none of the three is there. The next
+    period counts since another daemon's clock may be ahead. Tenants cannot meet each
+    other's claims.
+    """
     digest = hashlib.blake2b(f"{tenant}\n{idempotency_key}".encode(), digest_size=16)
-    return CLAIM_PREFIX + digest.hexdigest()
+    name = digest.hexdigest()
+    this, before, after = (bucket_prefix(bucket + offset) + name for offset in (0, -1, 1))
+    return this, before, after
 
 
 def request_digest(route: str, method: str, body: bytes) -> str:
--- /dev/null
+++ b/rackswitch/standins/kv_store.py
@@ -0,0 +1,119 @@
+"""The state of the key-value stand-in, apart from its network side."""
+
+import itertools
+from dataclasses import dataclass, field
+
+from rackswitch.platform.kv import (
+    Compare,
+    KvEntry,
+    KvRead,
+    Operation,
+    TxnPart,
+    TxnPartDone,
+    prefix_end,
+)
+
+__all__ = ["KvStore"]
+
+
+@dataclass(slots=True)
+class _Stored:
+    entry: KvEntry
+    lease_id: int
+
+
+@dataclass(slots=True)
+class _Lease:
+    life_seconds: float
+    deadline_seconds: float
+
+
+@dataclass(slots=True)
+class KvStore:
+    """Keys with revisions, transactions, and leases on a clock that is passed in."""
+
+    revision: int = 1
+    keys: dict[str, _Stored] = field(default_factory=dict)
+    leases: dict[int, _Lease] = field(default_factory=dict)
+    changed: list[KvEntry] = field(default_factory=list)
+    """Entries put since the owner last cleared this list."""
+    _lease_ids: itertools.count = field(default_factory=lambda: itertools.count(1000))
+
+    def read(self, key: str, is_prefix: bool = False) -> KvRead:
+        """Read one key, or all under a prefix."""
+        if is_prefix:
+            end = prefix_end(key)
+            found = [self.keys[name].entry for name in sorted(self.keys) if key <= name < end]
+        else:
+            found = [self.keys[key].entry] if key in self.keys else []
+        return KvRead(tuple(found), self.revision)
+
+    def txn(self, parts: list[TxnPart]) -> list[TxnPartDone]:
+        """Carry out parts in one transaction, whose operations share a revision."""
+        self.revision += 1
+        return [self._part(part) for part in parts]
+
+    def grant(self, life_seconds: float, now_seconds: float) -> int:
+        """Make a lease; return its number."""
+        lease_id = next(self._lease_ids)
+        self.leases[lease_id] = _Lease(life_seconds, now_seconds + life_seconds)
+        return lease_id
+
+    def keep(self, lease_id: int, now_seconds: float) -> float:
+        """Prolong a lease; return its life, 0 if it is gone."""
+        self.expire(now_seconds)
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return 0.0
+        lease.deadline_seconds = now_seconds + lease.life_seconds
+        return lease.life_seconds
+
+    def expire(self, now_seconds: float) -> None:
+        """End the leases whose time is over."""
+        for lease_id, lease in list(self.leases.items()):
+            if now_seconds >= lease.deadline_seconds:
+                self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease, which deletes its keys."""
+        if self.leases.pop(lease_id, None) is None:
+            return
+        self.revision += 1
+        for key in [key for key, stored in self.keys.items() if stored.lease_id == lease_id]:
+            del self.keys[key]
+
+    def _part(self, part: TxnPart) -> TxnPartDone:
+        leased = [operation.lease_id for operation in part.operations if operation.lease_id]
+        holds = all(self._holds(compare) for compare in part.compares)
+        if not holds or any(lease_id not in self.leases for lease_id in leased):
+            found = [self.keys[key].entry for key in part.read_keys if key in self.keys]
+            return TxnPartDone(False, found[0] if found else None, self.revision)
+        for operation in part.operations:
+            if operation.value is None:
+                self._delete(operation)
+            else:
+                self._put(operation.key, operation.value, operation.lease_id)
+        return TxnPartDone(True, None, self.revision)
+
+    def _holds(self, compare: Compare) -> bool:
+        stored = self.keys.get(compare.key)
+        if stored is None:
+            return compare.revision == 0
+        present = stored.entry.create_revision
+        if compare.field == "mod":
+            present = stored.entry.mod_revision
+        return present == compare.revision
+
+    def _delete(self, operation: Operation) -> None:
+        if not operation.is_prefix:
+            self.keys.pop(operation.key, None)
+            return
+        for entry in self.read(operation.key, is_prefix=True).entries:
+            del self.keys[entry.key]
+
+    def _put(self, key: str, value: bytes, lease_id: int) -> None:
+        before = self.keys.get(key)
+        created = before.entry.create_revision if before is not None else self.revision
+        entry = KvEntry(key, value, created, self.revision)
+        self.keys[key] = _Stored(entry, lease_id)
+        self.changed.append(entry)
