Prove the remaining points on whole embedded fleets

Cause: planned stops, leaving targets, labels under failing swaps, edits through an outage, cut streams and bad input had code and no proof. Change: tests on embedded fleets; engines keep a record of which versions made each token, and the trainer stand-in's labels are held against it. Found: (1) a new rate bucket began with one token, so the first burst after a start was refused: it begins full; (2) the demo began before all daemons knew each other.

--- a/rackswitch/demo/fleet.py
+++ b/rackswitch/demo/fleet.py
@@ -143,10 +143,12 @@
 
     async def _start_targets(self) -> None:
         profile = self.profile
-        models = [profile.model] * profile.model_engines
-        models += [profile.application] * profile.application_engines
-        for number, model in enumerate(models):
-            name = f"{model}-{number}"
+        names = [f"{profile.model}-{number}" for number in range(profile.model_engines)]
+        names += [
+            f"{profile.application}-{number}" for number in range(profile.application_engines)
+        ]
+        for number, name in enumerate(names):
+            model = name.rsplit("-", 1)[0]
             engine = EngineStandIn(
                 name,
                 model,
--- a/rackswitch/demo/main.py
+++ b/rackswitch/demo/main.py
@@ -7,6 +7,7 @@
 
 import fire
 
+from rackswitch.daemon.core import Daemon
 from rackswitch.demo.fleet import (
     ASSOCIATION,
     CALLER_TOKEN,
@@ -16,7 +17,7 @@
     FleetProfile,
 )
 from rackswitch.standins.callers import CallerStandIn
-from rackswitch.standins.trainer import TrainerStandIn
+from rackswitch.standins.trainer import TrainerStandIn, false_labels
 from rackswitch.telemetry import set_up_logs
 
 __all__ = ["main", "run_demo"]
@@ -29,9 +30,14 @@
 
 
 async def wait_ready(fleet: EmbeddedFleet) -> None:
-    """Wait until every daemon has the table in force and the trainer's ledger is held."""
+    """Wait until every daemon has the table in force and knows all the others."""
+    daemons = fleet.daemons.values()
+
+    def is_ready(daemon: Daemon) -> bool:
+        return daemon.table.is_ready and len(daemon.context.membership.live()) == len(daemons)
+
     async with asyncio.timeout(READY_PATIENCE_SECONDS):
-        while not all(daemon.table.is_ready for daemon in fleet.daemons.values()):
+        while not all(is_ready(daemon) for daemon in daemons):
             await asyncio.sleep(0.05)
         for daemon in fleet.daemons.values():
             await daemon.targets.poll()
@@ -70,6 +76,9 @@
         for key, count in service.runs_by_key.items():
             runs_by_key[key] = runs_by_key.get(key, 0) + count
     violations = caller.violations(runs_by_key) + trainer.record.violations()
+    wrong_labels = false_labels(trainer.labels, fleet.engines.values())
+    if wrong_labels:
+        violations.append(f"{wrong_labels} samples with a false label")
     violations += fleet.broken_invariants()
     await caller.close()
     summary = {
--- /dev/null
+++ b/rackswitch/demo/tests/test_fleet.py
@@ -0,0 +1,317 @@
+"""What must always hold, on whole embedded fleets under faults."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from rackswitch.demo.fleet import (
+    CALLER_TOKEN,
+    OPERATOR_TOKEN,
+    REGISTER,
+    TRAINER_TOKEN,
+    EmbeddedFleet,
+)
+from rackswitch.demo.main import wait_ready
+from rackswitch.standins.callers import CallerStandIn
+from rackswitch.standins.faults import FaultOrder
+from rackswitch.standins.trainer import TrainerStandIn, false_labels
+from rackswitch.table import DaemonRow, ModelRow, TargetRow
+
+PATIENCE_SECONDS = 30.0
+MODEL = REGISTER.model
+APPLICATION = REGISTER.application
+
+
+@asynccontextmanager
+async def running_fleet(seed=1, daemons=3, **options):
+    fleet = EmbeddedFleet(REGISTER, seed, daemon_count=daemons, **options)
+    await fleet.start()
+    await wait_ready(fleet)
+    fleet.store.versions[MODEL] = {1}
+    try:
+        yield fleet
+        assert fleet.broken_invariants() == []
+    finally:
+        await fleet.stop()
+
+
+async def until(condition):
+    """Wait for a condition, however long the machine takes within the patience."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(work):
+    return asyncio.run(work)
+
+
+async def burst(caller, count, model=APPLICATION, tokens=64):
+    calls = (
+        caller.complete(model, f"text {n}", tokens, n, stream=n % 2 == 0) for n in range(count)
+    )
+    await asyncio.gather(*calls)
+
+
+def test_an_edit_is_in_force_everywhere_and_stays_through_an_outage():
+    async def scenario():
+        async with running_fleet(daemons=5) as fleet:
+            views = [daemon.context.view for daemon in fleet.daemons.values()]
+            revision = await fleet.put_rows([DaemonRow(name="note")])
+            await until(lambda: all(view.revision == revision for view in views))
+            fleet.kv.gate.set(FaultOrder(mode="freeze"))
+            joined = await fleet.start_daemon("late", 1)
+            await until(lambda: len(joined.context.membership.live()) > 1)
+            # The newcomer learns the table from its peers, since the service is down.
+            await until(lambda: joined.table.is_ready)
+            assert joined.context.view.revision == revision
+            fleet.kv.gate.set(FaultOrder())
+            later = await fleet.put_rows([DaemonRow(name="note", draining=True)])
+            await until(lambda: all(view.revision == later for view in views))
+
+    run(scenario())
+
+
+def test_a_daemon_cut_off_from_the_service_learns_edits_from_its_peers():
+    async def scenario():
+        async with running_fleet(daemons=3) as fleet:
+            cut = fleet.daemons["d2"]
+            cut.context.kv._url = "http://127.0.0.1:9"
+            revision = await fleet.put_rows([DaemonRow(name="note")])
+            await until(lambda: cut.context.view.revision == revision)
+
+    run(scenario())
+
+
+def test_planned_stop_cuts_no_request():
+    async def scenario():
+        async with running_fleet(tokens_per_second=200.0) as fleet:
+            caller = CallerStandIn(CALLER_TOKEN, [fleet.daemons["d0"].url])
+            calls = asyncio.create_task(burst(caller, 12))
+            await until(lambda: fleet.daemons["d0"].context.in_flight.count >= 8)
+            await fleet.daemons.pop("d0").stop()
+            await calls
+            await caller.close()
+            return caller.record
+
+    record = run(scenario())
+    assert record.completed == 12
+    assert record.violations() == []
+
+
+def test_a_crash_cuts_requests():
+    """The same as a planned stop, without its mechanism."""
+
+    async def scenario():
+        async with running_fleet(tokens_per_second=200.0) as fleet:
+            caller = CallerStandIn(CALLER_TOKEN, [fleet.daemons["d0"].url])
+            calls = asyncio.create_task(burst(caller, 12))
+            await until(lambda: fleet.daemons["d0"].context.in_flight.count >= 8)
+            await fleet.daemons.pop("d0").crash()
+            await calls
+            await caller.close()
+            return caller.record
+
+    assert run(scenario()).completed < 12
+
+
+@pytest.mark.parametrize("way", ["edit", "vm list", "vm list to one daemon only"])
+def test_a_leaving_target_gets_no_new_work(way):
+    async def scenario():
+        async with running_fleet() as fleet:
+            name = f"{APPLICATION}-0"
+            row = next(row for row in fleet.targets() if row.name == name)
+            if way == "edit":
+                fields = {f: getattr(row, f) for f in row.__struct_fields__}
+                await fleet.put_rows([TargetRow(**{**fields, "draining": True})])
+            else:
+                if way != "vm list":
+                    for other in ("d1", "d2"):
+                        fleet.daemons[other].heartbeats.vm_list._url = "http://127.0.0.1:9"
+                vm = {"name": name, "zone": row.zone, "role": "target", "state": "leaving"}
+                fleet.vm_list.put(vm)
+            daemons = fleet.daemons.values()
+            await until(
+                lambda: all(
+                    name not in [r.name for r, _ in d.targets.usable(APPLICATION)] for d in daemons
+                )
+            )
+            before = len(fleet.engines[name].runs)
+            caller = CallerStandIn(CALLER_TOKEN, fleet.urls())
+            await burst(caller, 30, tokens=8)
+            await caller.close()
+            assert len(fleet.engines[name].runs) == before
+            assert caller.record.completed == 30
+
+    run(scenario())
+
+
+def test_cut_streams_are_resumed_without_loss_or_repetition():
+    async def scenario():
+        async with running_fleet(tokens_per_second=300.0) as fleet:
+            caller = CallerStandIn(CALLER_TOKEN, fleet.urls())
+            calls = asyncio.create_task(burst(caller, 20))
+            await until(lambda: sum(len(e.runs) for e in fleet.engines.values()) >= 20)
+            for engine in fleet.engines.values():
+                engine.break_streams()
+            await calls
+            await caller.close()
+            return caller.record
+
+    record = run(scenario())
+    assert record.violations() == []
+    assert record.completed == 20
+
+
+def test_a_dead_engine_costs_no_answer():
+    async def scenario():
+        async with running_fleet(tokens_per_second=1500.0) as fleet:
+            caller = CallerStandIn(CALLER_TOKEN, fleet.urls())
+            calls = asyncio.create_task(burst(caller, 20))
+            await until(lambda: bool(fleet.engines[f"{APPLICATION}-1"].runs))
+            await fleet.engines[f"{APPLICATION}-1"].stop()
+            await calls
+            await caller.close()
+            return caller.record
+
+    record = run(scenario())
+    assert record.violations() == []
+    assert record.completed == 20
+
+
+@pytest.mark.parametrize("mode", ["refuse", "cut_before", "cut_after"])
+def test_services_that_fail_double_nothing_and_refusals_are_true(mode):
+    async def scenario():
+        async with running_fleet() as fleet:
+            caller = CallerStandIn(CALLER_TOKEN, fleet.urls())
+            for service in fleet.services:
+                service.gate.set(FaultOrder(mode=mode, share=0.5))
+            calls = (
+                caller.call_service(REGISTER.service, f"r/{n}", b"x", f"k{n}") for n in range(40)
+            )
+            await asyncio.gather(*calls)
+            await caller.close()
+            runs: dict[str, int] = {}
+            for service in fleet.services:
+                for key, count in service.runs_by_key.items():
+                    runs[key] = runs.get(key, 0) + count
+            assert caller.violations(runs) == []
+            assert caller.record.completed > 0
+            return caller.record
+
+    record = run(scenario())
+    if mode != "refuse":
+        assert record.may_have_run > 0
+
+
+def test_labels_are_true_while_swaps_fail_and_holders_change():
+    async def scenario():
+        async with running_fleet(lease_seconds=1.5) as fleet:
+            trainer = TrainerStandIn(
+                "nightly",
+                TRAINER_TOKEN,
+                MODEL,
+                fleet.urls(),
+                fleet.store.url,
+                scored=True,
+                train_seconds=0.3,
+            )
+            training = asyncio.create_task(trainer.run(4))
+            await until(lambda: trainer.record.steps >= 1)
+            for engine in list(fleet.engines.values())[:3]:
+                engine.swap.fail_next = 1
+            fleet.kv.lapse_leases()
+            await until(lambda: trainer.record.steps >= 2)
+            fleet.kv.lapse_leases()
+            await asyncio.wait_for(training, PATIENCE_SECONDS)
+            assert trainer.record.violations() == []
+            assert false_labels(trainer.labels, fleet.engines.values()) == 0
+            return trainer
+
+    trainer = run(scenario())
+    assert trainer.record.samples == 4 * 16
+
+
+def test_a_pinned_version_is_rolled_back_by_one_edit():
+    async def scenario():
+        async with running_fleet() as fleet:
+            engines = [e for name, e in fleet.engines.items() if name.startswith(MODEL)]
+            fleet.store.versions[MODEL] = {1, 2, 3}
+            await until(lambda: all(engine.version == 3 for engine in engines))
+            await fleet.put_rows([ModelRow(name=MODEL, pinned_version=2)])
+            await until(lambda: all(engine.version == 2 for engine in engines))
+
+    run(scenario())
+
+
+BAD_COMPLETIONS = [
+    (b"{", 400),
+    (b'{"model": 3, "prompt": "x"}', 400),
+    (b'{"model": "filing", "prompt": "x", "max_tokens": 0}', 400),
+    (b'{"model": "filing", "prompt": "x", "logit_bias": {}}', 400),
+    (b'{"model": "nobody", "prompt": "x"}', 404),
+    (b'{"model": "filing", "prompt": "\xff"}', 400),
+    (b"x" * 5_000_000, 413),
+]
+
+
+def test_bad_input_is_refused_and_the_daemon_goes_on():
+    async def scenario():
+        async with running_fleet(daemons=1) as fleet:
+            url = fleet.daemons["d0"].url
+            headers = {"Authorization": f"Bearer {CALLER_TOKEN}"}
+            async with aiohttp.ClientSession() as session:
+                for body, status in BAD_COMPLETIONS:
+                    path = url + "/v1/completions"
+                    async with session.post(path, data=body, headers=headers) as answer:
+                        problem = json.loads(await answer.read())
+                        assert (answer.status, problem["ran"]) == (status, "no")
+                        assert answer.content_type == "application/problem+json"
+                wrong = {"Authorization": "Bearer nobody"}
+                async with session.post(path, data=b"{}", headers=wrong) as answer:
+                    assert answer.status in (400, 401)
+                good = b'{"model": "filing", "prompt": "x"}'
+                late = {**headers, "Rackswitch-Timeout-Seconds": "-1"}
+                async with session.post(path, data=good, headers=late) as answer:
+                    assert answer.status == 400
+                async with session.post(path, data=good, headers=headers) as answer:
+                    assert answer.status == 200
+
+    run(scenario())
+
+
+def test_administration_conflicts_dry_runs_and_hidden_tokens():
+    async def scenario():
+        async with running_fleet(daemons=2) as fleet:
+            url = fleet.daemons["d1"].url + "/admin/v1"
+            headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+            async with aiohttp.ClientSession(headers=headers) as session:
+                row = {"kind": "daemon", "name": "x"}
+                path = url + "/rows/daemon/x"
+                async with session.put(path, json=row) as answer:
+                    assert answer.status == 428
+                async with session.put(path, json=row, headers={"If-None-Match": "*"}) as answer:
+                    assert answer.status == 200
+                    etag = answer.headers["ETag"]
+                async with session.put(path, json=row, headers={"If-Match": '"1"'}) as answer:
+                    assert answer.status == 412
+                    present = await answer.json(content_type=None)
+                    assert f'"{present["present"]["revision"]}"' == etag
+                bad = {"kind": "route", "name": "r", "choices": [{"serves": "filing", "weight": 0}]}
+                body = {"changes": [{"row": bad}], "dry_run": True}
+                async with session.post(url + "/edits", json=body) as answer:
+                    assert answer.status == 422
+                    assert "choices" in (await answer.json(content_type=None))["detail"]
+                async with session.get(url + "/table") as answer:
+                    assert 'token_sha256":"(hidden)' in (await answer.text()).replace(" ", "")
+                async with session.get(url + "/status") as answer:
+                    daemons = (await answer.json())["daemons"]
+                    assert [daemon["daemon"] for daemon in daemons] == ["d0", "d1"]
+                caller = {"Authorization": f"Bearer {CALLER_TOKEN}"}
+                async with session.get(url + "/table", headers=caller) as answer:
+                    assert answer.status == 401
+
+    run(scenario())
--- a/rackswitch/limits/buckets.py
+++ b/rackswitch/limits/buckets.py
@@ -39,7 +39,8 @@
         rate = self.book.available_units(now_seconds)
         capacity = max(1.0, rate * BURST_SECONDS)
         if self.filled_at_seconds is None:
-            self.tokens = min(1.0, capacity)
+            # A new bucket is full: a daemon that starts may exceed its share by one burst.
+            self.tokens = capacity
         else:
             earned = (now_seconds - self.filled_at_seconds) * rate
             self.tokens = min(capacity, self.tokens + earned)
--- /dev/null
+++ b/rackswitch/membership/tests/test_core.py
@@ -0,0 +1,114 @@
+"""Failure detection: deaths are found, slow and half-cut daemons are not called dead."""
+
+import random
+
+from rackswitch.membership import Membership, MemberState, MemberUpdate, VmEntry
+
+PERIOD_SECONDS = 1.0
+
+
+class Network:
+    """Runs heartbeats between views; links can be cut in one direction."""
+
+    def __init__(self, count, seed):
+        self.rng = random.Random(seed)
+        names = [f"d{n}" for n in range(count)]
+        entries = [VmEntry(name, "h", 1, "z", False) for name in names]
+        self.views = {}
+        self.dead = set()
+        self.cut = set()
+        self.now_seconds = 0.0
+        for name in names:
+            own = MemberUpdate(name, "h", 1, "z", 1, MemberState.ALIVE)
+            view = Membership(own, PERIOD_SECONDS, random.Random(f"{seed}{name}"))
+            view.learn_vms(entries, 0.0)
+            self.views[name] = view
+
+    def reaches(self, source, target):
+        alive = source not in self.dead and target not in self.dead
+        return alive and (source, target) not in self.cut
+
+    def exchange(self, source, target):
+        """Send a heartbeat; return whether its answer came back."""
+        if not self.reaches(source, target):
+            return False
+        for update in self.views[source].updates_to_send():
+            self.views[target].merge(update, self.now_seconds)
+        if not self.reaches(target, source):
+            return False
+        for update in self.views[target].updates_to_send():
+            self.views[source].merge(update, self.now_seconds)
+        return True
+
+    def period(self):
+        self.now_seconds += PERIOD_SECONDS
+        for name, view in self.views.items():
+            if name in self.dead:
+                continue
+            view.tick(self.now_seconds)
+            target = view.next_target()
+            if target is None:
+                continue
+            helped = any(
+                self.exchange(name, helper) and self.exchange(helper, target)
+                for helper in view.helpers(target, 3)
+            )
+            if self.exchange(name, target) or helped:
+                view.answered(target, self.now_seconds)
+            else:
+                view.unanswered(target, self.now_seconds)
+
+    def living(self):
+        return {name for name in self.views if name not in self.dead}
+
+
+def test_a_death_is_known_everywhere_within_seconds():
+    for seed in range(5):
+        network = Network(20, seed)
+        network.dead.add("d3")
+        for _ in range(25):
+            network.period()
+        for name in network.living():
+            assert "d3" not in network.views[name].live()
+            assert len(network.views[name].live()) == 19
+
+
+def test_a_one_way_cut_kills_nobody():
+    network = Network(9, 1)
+    network.cut = {("d1", "d2"), ("d4", "d5")}
+    for _ in range(120):
+        network.period()
+        assert all(len(view.live()) == 9 for view in network.views.values())
+
+
+def test_a_cut_off_daemon_comes_back():
+    network = Network(9, 2)
+    network.cut = {pair for n in range(9) if n != 3 for pair in ((f"d{n}", "d3"), ("d3", f"d{n}"))}
+    for _ in range(30):
+        network.period()
+    assert "d3" not in network.views["d0"].live()
+    network.cut = set()
+    entries = [VmEntry(f"d{n}", "h", 1, "z", False) for n in range(9)]
+    for _ in range(90):
+        network.period()
+        for view in network.views.values():
+            view.learn_vms(entries, network.now_seconds)
+    assert all(len(view.live()) == 9 for view in network.views.values())
+
+
+def test_a_leaving_daemon_is_left_out_though_it_answers():
+    network = Network(9, 3)
+    network.views["d2"].leave()
+    for _ in range(20):
+        network.period()
+    assert all("d2" not in view.live() for view in network.views.values())
+
+
+def test_message_size_does_not_grow_with_the_fleet():
+    sizes = []
+    for count in (9, 100, 330):
+        view = Network(count, 4).views["d0"]
+        for name in list(view.members)[: count // 2]:
+            view.unanswered(name, 1.0)
+        sizes.append(len(view.updates_to_send()))
+    assert max(sizes) <= 6
--- a/rackswitch/standins/engine.py
+++ b/rackswitch/standins/engine.py
@@ -2,7 +2,7 @@
 
 Each token follows from the seed, the prompt and the tokens before it, so an
 answer can be checked from its request alone, resumed streams included. The
-engine keeps its own record of which version made each token.
+engine keeps its own record of which versions made each token.
 """
 
 import asyncio
@@ -138,7 +138,7 @@
         self.version: int | None = version
         self.loading = False
         self.runs: dict[str, int] = {}
-        self.labels: dict[str, list[int | None]] = {}
+        self.made: dict[tuple[str, int], dict[int, set[int | None]]] = {}
         self.cache_hits = 0
         self.cache_misses = 0
         self.swap = _Swap()
@@ -214,7 +214,6 @@
         running = _Running(request_id, wire, state, made=len(wire.resume_token_ids))
         running.prefill_tokens = self._uncached_tokens(wire.prompt)
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
-        self.labels[request_id] = []
         self._waiting.append(running)
         return running
 
@@ -274,7 +273,8 @@
         token, last = running.state.next_token()
         running.made += 1
         running.made_here += 1
-        self.labels[running.request_id].append(self.version)
+        made = self.made.setdefault((running.wire.prompt, running.wire.seed), {})
+        made.setdefault(running.made, set()).add(self.version)
         finish = "stop" if last else "length" if running.made >= running.wire.max_tokens else None
         running.queue.put_nowait(self._wire_chunk(running, token, finish))
         if finish is not None:
@@ -320,7 +320,7 @@
         )
 
     async def _on_record(self, request: Request) -> Response:
-        return json_response({"runs": self.runs, "labels": self.labels})
+        return json_response({"runs": self.runs})
 
     async def _on_update_weights(self, request: Request) -> Response:
         order: Any = msgspec.json.decode(await request.read() or b"{}")
--- a/rackswitch/standins/trainer.py
+++ b/rackswitch/standins/trainer.py
@@ -3,22 +3,51 @@
 import asyncio
 import json
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import aiohttp
 import msgspec
 
 from rackswitch.samples import Batch, Draw, GroupPlan, Sample, StepPlan
-from rackswitch.standins.engine import MEAN_LENGTH_TOKENS, expected_tokens, token_text
+from rackswitch.standins.engine import (
+    MEAN_LENGTH_TOKENS,
+    EngineStandIn,
+    expected_tokens,
+    token_text,
+)
 from rackswitch.standins.services import expected_score
 
-__all__ = ["TrainerRecord", "TrainerStandIn"]
+__all__ = ["LabelSeen", "TrainerRecord", "TrainerStandIn", "false_labels"]
 
 RETRY_SECONDS = 0.1
 CALL_TIMEOUT_SECONDS = 8.0
 PROMPT_WORDS = 24
 
 
+@dataclass(frozen=True, slots=True)
+class LabelSeen:
+    """A received sample's identity and label, to be held against the engines' records."""
+
+    prompt: str
+    seed: int
+    spans: tuple[tuple[int, int], ...]
+
+
+def false_labels(seen: list[LabelSeen], engines: Iterable[EngineStandIn]) -> int:
+    """Count labels that name, for any token, a version that no engine made it with."""
+    records = [engine.made for engine in engines]
+    count = 0
+    for label in seen:
+        versions = [version for version, tokens in label.spans for _ in range(tokens)]
+        made = [record.get((label.prompt, label.seed), {}) for record in records]
+        count += not all(
+            any(version in each.get(position, ()) for each in made)
+            for position, version in enumerate(versions, start=1)
+        )
+    return count
+
+
 @dataclass(slots=True)
 class TrainerRecord:
     """What the trainer has seen, counted outside of the daemons.
@@ -88,6 +117,7 @@
         seed: int = 1,
     ):
         self.record = TrainerRecord()
+        self.labels: list[LabelSeen] = []
         self.urls = urls
         self.version = 1
         self.epoch = 0
@@ -177,6 +207,7 @@
         tokens = expected_tokens(group.prompt, sample.seed, group.max_tokens)
         text = "".join(token_text(token) for token in tokens)
         self.record.wrong_text += text != sample.text
+        self.labels.append(LabelSeen(group.prompt, sample.seed, sample.label.spans))
         if self._scored:
             self.record.wrong_score += sample.score != expected_score(group.prompt, text)
 
