Drive real separate processes: kill, pause, outage, planned stop

Cause: the proofs so far shared one event loop. Change: a test that starts the programs as processes and ends them by id.

--- /dev/null
+++ b/rackswitch/demo/tests/test_processes.py
@@ -0,0 +1,259 @@
+"""Real separate processes: kill, pause, an outage and a planned stop in between."""
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from rackswitch.demo.fleet import (
+    CALLER_TOKEN,
+    FLEET_SECRET,
+    OPERATOR_TOKEN,
+    REGISTER,
+    TRAINER_TOKEN,
+    sha256_hex,
+    table_rows,
+)
+from rackswitch.standins.callers import CallerStandIn
+from rackswitch.standins.trainer import TrainerStandIn
+from rackswitch.table import DaemonRow, TargetRow
+
+PATIENCE_SECONDS = 40.0
+DAEMONS = 3
+MODEL, APPLICATION, SERVICE = REGISTER.model, REGISTER.application, REGISTER.service
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Processes:
+    """The programs of a small fleet, started by this test and ended by their ids."""
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.running: dict[str, subprocess.Popen] = {}
+        ports = iter(free_ports(2 * DAEMONS + 10))
+        self.port = {name: next(ports) for name in ("kv", "store", "vms", "service", "scorer")}
+        self.engines = {f"{MODEL}-0": next(ports), f"{MODEL}-1": next(ports)}
+        self.engines |= {f"{APPLICATION}-0": next(ports), f"{APPLICATION}-1": next(ports)}
+        self.daemons = {f"d{n}": (next(ports), next(ports)) for n in range(DAEMONS)}
+
+    def url(self, port):
+        return f"http://127.0.0.1:{port}"
+
+    def daemon_urls(self):
+        return [self.url(port) for port, _ in self.daemons.values()]
+
+    def start(self, name, module, *arguments):
+        command = [sys.executable, "-c", f"from {module} import main; main()", *arguments]
+        log = (self.folder / f"{name}.log").open("a")
+        self.running[name] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def start_stand_ins(self):
+        module = "rackswitch.standins.main"
+        store_url = self.url(self.port["store"])
+        self.start("kv", module, "kv", str(self.port["kv"]))
+        self.start("store", module, "store", str(self.port["store"]), MODEL)
+        self.start("vms", module, "vm_list", str(self.port["vms"]))
+        self.start("service", module, "service", str(self.port["service"]))
+        self.start("scorer", module, "scorer", str(self.port["scorer"]))
+        for name, port in self.engines.items():
+            model = name.rsplit("-", 1)[0]
+            extra = [f"--store_url={store_url}"] if model == MODEL else []
+            self.start(name, module, "engine", str(port), name, model, *extra)
+
+    def start_daemon(self, name):
+        port, peer_port = self.daemons[name]
+        settings = {
+            "daemon": name,
+            "zone": REGISTER.zones[int(name[1:]) % 3],
+            "port": port,
+            "peer_port": peer_port,
+            "kv_url": self.url(self.port["kv"]),
+            "weight_store_url": self.url(self.port["store"]),
+            "vm_list_url": self.url(self.port["vms"]),
+            "fleet_secret": FLEET_SECRET,
+            "operator_token_sha256": sha256_hex(OPERATOR_TOKEN),
+            "heartbeat_seconds": 0.3,
+            "lease_seconds": 2.0,
+            "confirm_seconds": 1.0,
+            "poll_seconds": 0.2,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text("// settings of " + name + "\n" + json.dumps(settings))
+        self.start(name, "rackswitch.daemon.main", f"--settings={path}")
+
+    def targets(self):
+        zone = REGISTER.zones[0]
+        rows = [
+            TargetRow(name=name, url=self.url(port), zone=zone, serves=name.rsplit("-", 1)[0])
+            for name, port in self.engines.items()
+        ]
+        for name, serves, protocol in (
+            ("service", SERVICE, "plain"),
+            ("scorer", "scorer", "scorer"),
+        ):
+            url = self.url(self.port[name])
+            rows.append(TargetRow(name=name, url=url, zone=zone, serves=serves, protocol=protocol))
+        return rows
+
+    def end_all(self):
+        for process in self.running.values():
+            process.kill()
+        for process in self.running.values():
+            process.wait()
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not await condition():
+            await asyncio.sleep(0.1)
+
+
+async def get(session, url, headers=None):
+    try:
+        async with session.get(url, headers=headers) as answer:
+            return answer.status, await answer.json(content_type=None)
+    except (aiohttp.ClientError, TimeoutError):
+        return 0, None
+
+
+async def edit(session, url, rows, edit_id):
+    """Send an edit, again with the same identity until it is known to be accepted."""
+    body = msgspec.json.encode({"changes": [{"row": row} for row in rows], "edit_id": edit_id})
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+
+    async def accepted():
+        try:
+            path = url + "/admin/v1/edits"
+            async with session.post(path, data=body, headers=headers) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    await until(accepted)
+
+
+@asynccontextmanager
+async def running_processes(folder):
+    processes = Processes(folder)
+    timeout = aiohttp.ClientTimeout(total=8.0)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        try:
+            processes.start_stand_ins()
+            for port in [*processes.port.values(), *processes.engines.values()]:
+                await until(lambda port=port: answers(session, processes.url(port)))
+            for name, (_, peer_port) in processes.daemons.items():
+                vm = {"zone": "z", "role": "daemon", "peer_port": peer_port}
+                async with session.put(
+                    f"{processes.url(processes.port['vms'])}/vms/{name}", json=vm
+                ):
+                    pass
+                processes.start_daemon(name)
+            for url in processes.daemon_urls():
+                await until(lambda url=url: answers(session, url + "/healthz"))
+            rows = table_rows(REGISTER, processes.targets(), DAEMONS)
+            await edit(session, processes.daemon_urls()[0], rows, "first")
+            for url in processes.daemon_urls():
+                await until(lambda url=url: is_ready(session, url))
+            yield processes, session
+        finally:
+            processes.end_all()
+
+
+async def answers(session, url):
+    return (await get(session, url))[0] != 0
+
+
+async def is_ready(session, url):
+    return (await get(session, url + "/readyz"))[0] == 200
+
+
+async def revision_of(session, url):
+    body = (await get(session, url + "/readyz"))[1]
+    return body["revision"] if body else 0
+
+
+def test_kill_pause_outage_and_planned_stop(tmp_path):
+    async def scenario():
+        async with running_processes(tmp_path) as (processes, session):
+            urls = processes.daemon_urls()
+            caller = CallerStandIn(CALLER_TOKEN, urls[:2])
+            trainer = TrainerStandIn(
+                "nightly",
+                TRAINER_TOKEN,
+                MODEL,
+                urls,
+                processes.url(processes.port["store"]),
+                scored=True,
+            )
+            training = asyncio.create_task(trainer.run(5))
+
+            # Kill one daemon and bring its replacement, with an edit in between.
+            processes.running["d2"].kill()
+            processes.running["d2"].wait()
+            await edit(session, urls[0], [DaemonRow(name="note")], "second")
+            processes.start_daemon("d2")
+
+            # Pause a daemon past its leases; the others go on; it catches up when it wakes.
+            processes.running["d1"].send_signal(signal.SIGSTOP)
+            await edit(session, urls[0], [DaemonRow(name="note", draining=True)], "third")
+            await asyncio.sleep(3.0)
+            processes.running["d1"].send_signal(signal.SIGCONT)
+            for url in urls:
+                await until(lambda url=url: has_revision(session, url, 3))
+
+            # An outage of the key-value service; callers are served through it.
+            processes.running["kv"].send_signal(signal.SIGSTOP)
+            await asyncio.gather(*(caller.complete(APPLICATION, f"t{n}", 32, n) for n in range(10)))
+            assert caller.record.completed == 10
+            processes.running["kv"].send_signal(signal.SIGCONT)
+            await asyncio.wait_for(training, PATIENCE_SECONDS)
+
+            # A planned stop under load.
+            caller.urls = urls[:1]
+            calls = [
+                asyncio.create_task(caller.complete(APPLICATION, f"s{n}", 64, n)) for n in range(20)
+            ]
+            await asyncio.sleep(0.05)
+            processes.running["d0"].send_signal(signal.SIGTERM)
+            await asyncio.gather(*calls)
+            assert processes.running["d0"].wait(timeout=PATIENCE_SECONDS) == 0
+            await caller.close()
+            return caller.record, trainer.record
+
+    caller, trainer = asyncio.run(scenario())
+    assert caller.violations() == []
+    assert caller.failed == 0, caller.details
+    assert caller.may_have_run == 0
+    assert trainer.violations() == []
+    assert trainer.samples == 5 * 16
+
+
+async def has_revision(session, url, revision):
+    return await revision_of(session, url) == revision
+
+
+def test_bad_settings_end_with_one_line_and_code_2(tmp_path):
+    path = tmp_path / "bad.json"
+    path.write_text('{"daemon": "d0", "zone": 7} // wrong')
+    command = [sys.executable, "-c", "from rackswitch.daemon.main import main; main()"]
+    done = subprocess.run([*command, f"--settings={path}"], capture_output=True, text=True)
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1
+    assert "$.zone" in done.stderr
+    assert "found 7" in done.stderr
--- /dev/null
+++ b/rackswitch/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
