--- a/rackswitch/limits/shares.py
+++ b/rackswitch/limits/shares.py
@@ -19,7 +19,7 @@
 
 LOAN_LIFE_SECONDS = 6.0
 LOAN_MARGIN_SECONDS = 0.5
-KEEP_SHARE = 0.2
+KEEP_SHARE = 0.05
 """Part of its base that a daemon never lends, for its own next requests."""
 
 UNITS_TOLERANCE = 1e-9
