Claims: the answer replaces the claim it knows, one call less

Cause: storing an answer first tried to create the claim, failed, read it and wrote again, though the revision was known from the claim's own write. Change: it is passed along.

--- a/rackswitch/daemon/callers.py
+++ b/rackswitch/daemon/callers.py
@@ -152,18 +152,18 @@
         if found.decision is not ClaimDecision.RUN:
             return self._answer_duplicate(found)
         outcome = await self._call_targets(call)
-        self._context.spawn(self._close_claim(keys, claim, outcome))
+        self._context.spawn(self._close_claim(keys, found, outcome))
         return outcome
 
     async def _close_claim(
-        self, keys: tuple[str, str, str], claim: Claim, outcome: Outcome
+        self, keys: tuple[str, str, str], found: ClaimFound, outcome: Outcome
     ) -> None:
         with self._context.in_flight:
             if isinstance(outcome, NotRun):
-                await self._claims.release(keys, claim)
+                await self._claims.release(keys, found.claim, found.entry)
             elif isinstance(outcome, Completed | RanAndFailed):
                 await self._claims.store_answer(
-                    keys, claim, outcome.status, outcome.media_type, outcome.body
+                    keys, found, outcome.status, outcome.media_type, outcome.body
                 )
 
     def _answer_duplicate(self, found: ClaimFound) -> Outcome:
@@ -268,12 +268,15 @@
         )
         routed = self._routed(call, progress)
         check = StreamCheck(request.request_id)
-        began_seconds = self._context.now_seconds()
+        first_seconds = 0.0
         end: AttemptEnd | None = None
         target.begin(routed.cost_tokens, routed.prefixes)
         stream = self._targets.client(row.protocol).stream(row.url, request)
         try:
             async for item in stream:
+                if isinstance(item, StreamChunk):
+                    first_seconds = first_seconds or self._context.now_seconds()
+                    target.saw_chunk(item, self._context.now_seconds())
                 end = self._check_item(row, item, check, progress)
                 if end is not None or isinstance(item, StreamBroken):
                     break
@@ -285,7 +288,7 @@
             await stream.aclose()  # type: ignore[attr-defined]
         now_seconds = self._context.now_seconds()
         if progress.finished:
-            target.succeeded(check.tokens, now_seconds - began_seconds)
+            target.succeeded(check.tokens, now_seconds - first_seconds)
             return
         if end is None:
             end = AttemptEnd(row.name, True, "the stream ended before its last chunk")
--- a/rackswitch/daemon/claim_keeper.py
+++ b/rackswitch/daemon/claim_keeper.py
@@ -41,10 +41,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimFound:
-    """What the claim in the service means for this attempt."""
+    """What the claim in the service means for this attempt.
+
+    Attributes
+    ----------
+    entry : KvEntry or None
+        The claim's key as this attempt wrote it, to be replaced by the answer.
+    """
 
     decision: ClaimDecision
     claim: Claim
+    entry: KvEntry | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +124,9 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             if done.succeeded:
-                return ClaimFound(ClaimDecision.RUN, claim)
+                key = keys[0] if replaces is None else replaces.key
+                entry = KvEntry(key, b"", 0, done.revision)
+                return ClaimFound(ClaimDecision.RUN, claim, entry)
             if done.present is None:
                 replaces = None
                 continue
@@ -133,7 +142,7 @@
     async def store_answer(
         self,
         keys: tuple[str, str, str],
-        claim: Claim,
+        found: ClaimFound,
         status: int,
         media_type: str,
         body: bytes,
@@ -141,24 +150,27 @@
         """Write the answer into a claim, for later duplicates of the request."""
         kept = body if len(body) <= MOST_KEPT_ANSWER_BYTES else b""
         answered = msgspec.structs.replace(
-            claim,
+            found.claim,
             state=ClaimState.ANSWERED,
             status=status,
             media_type=media_type if kept == body else "",
             body=kept,
         )
-        await self._settle(keys, answered)
+        await self._settle(keys, answered, found.entry)
 
-    async def release(self, keys: tuple[str, str, str], claim: Claim) -> None:
+    async def release(
+        self, keys: tuple[str, str, str], claim: Claim, entry: KvEntry | None = None
+    ) -> None:
         """Give a claim up without having run the request.
 
         The claim is overwritten, not deleted: a try of this daemon that is still on its
         way cannot make the claim again.
         """
-        await self._settle(keys, msgspec.structs.replace(claim, state=ClaimState.RELEASED))
+        await self._settle(keys, msgspec.structs.replace(claim, state=ClaimState.RELEASED), entry)
 
-    async def _settle(self, keys: tuple[str, str, str], settled: Claim) -> None:
-        replaces: KvEntry | None = None
+    async def _settle(
+        self, keys: tuple[str, str, str], settled: Claim, replaces: KvEntry | None
+    ) -> None:
         for _ in range(SETTLE_TRIES):
             done = await self._write(keys, settled, replaces)
             if isinstance(done, KvUnavailable):
