Routing: a prefix's home unless it is clearly busier, load told with answers

Change: the home of a prefix by rendezvous hashing, bounded by the better of two random targets; the engine's load rides on its answers (ORCA header); the speed of a target counts from its first token.

--- a/rackswitch/daemon/rollout_keeper.py
+++ b/rackswitch/daemon/rollout_keeper.py
@@ -23,6 +23,9 @@
 __all__ = ["RolloutKeeper", "rollout_role"]
 
 TICK_SECONDS = 0.25
+STORE_SECONDS = 0.5
+REPAIR_SECONDS = 5.0
+"""How often engines that have the desired version are read again."""
 
 
 def rollout_role(model: str, partition: int) -> str:
@@ -32,7 +35,14 @@
 
 @dataclass(slots=True)
 class _Partition:
+    """A held partition; it is looked at often only while it has not converged."""
+
     state: RolloutState = field(default_factory=RolloutState)
+    desired: int = 0
+    next_look_seconds: float = 0.0
+
+    def is_due(self, desired: int, now_seconds: float) -> bool:
+        return desired != self.desired or now_seconds >= self.next_look_seconds
 
 
 class RolloutKeeper:
@@ -50,7 +60,15 @@
         Which versions are published.
     """
 
-    __slots__ = ("_context", "_latest", "_partitions", "_roles", "_store", "_targets")
+    __slots__ = (
+        "_context",
+        "_latest",
+        "_next_store_seconds",
+        "_partitions",
+        "_roles",
+        "_store",
+        "_targets",
+    )
 
     def __init__(
         self,
@@ -64,6 +82,7 @@
         self._targets = targets
         self._store = store
         self._latest: dict[str, int] = {}
+        self._next_store_seconds: dict[str, float] = {}
         self._partitions: dict[str, _Partition] = {}
 
     async def run(self) -> None:
@@ -83,23 +102,34 @@
         ]
         if not held:
             return
-        published = await self._store.published(model.name)
-        if isinstance(published, PublishedVersions):
-            latest = max(self._latest.get(model.name, 0), published.latest)
-            self._latest[model.name] = latest
+        await self._read_store(model.name)
         desired = desired_version(model, self._latest.get(model.name, 0))
         if desired == 0:
             return
         for number in held:
             await self._tend_partition(model, number, desired)
 
+    async def _read_store(self, model: str) -> None:
+        now_seconds = self._context.now_seconds()
+        if now_seconds < self._next_store_seconds.get(model, 0.0):
+            return
+        self._next_store_seconds[model] = now_seconds + STORE_SECONDS
+        published = await self._store.published(model)
+        if isinstance(published, PublishedVersions):
+            self._latest[model] = max(self._latest.get(model, 0), published.latest)
+
     async def _tend_partition(self, model: ModelRow, number: int, desired: int) -> None:
         role = rollout_role(model.name, number)
         partition = self._partitions.setdefault(role, _Partition())
+        if not partition.is_due(desired, self._context.now_seconds()):
+            return
+        partition.desired = desired
         rows = self._rows(model.name, number)
         views = await asyncio.gather(*(self._look(row) for row in rows))
         engines = [view for view in views if view is not None]
         now_seconds = self._context.now_seconds()
+        converged = all(view is not None and view.version == desired for view in views)
+        partition.next_look_seconds = now_seconds + (REPAIR_SECONDS if converged else 0.0)
         orders = plan_load_orders(
             desired,
             model.unavailable_share,
--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -110,6 +110,7 @@
             resume_token_ids=tuple(partial.token_ids),
         )
         check = StreamCheck(request.request_id)
+        first_seconds = 0.0
         detail = "the stream ended before its last chunk"
         target.begin(routed.cost_tokens, routed.prefixes)
         stream = self._targets.client(row.protocol).stream(row.url, request)
@@ -118,6 +119,8 @@
                 if isinstance(item, StreamBroken):
                     detail = item.detail
                     break
+                first_seconds = first_seconds or self._context.now_seconds()
+                target.saw_chunk(item, self._context.now_seconds())
                 if not version_allowed(choice, item.version):
                     detail = f"version {item.version} is too old for this sample"
                     break
@@ -133,7 +136,7 @@
         partial.spans.extend(check.spans)
         partial.finished = check.finished
         if check.finished:
-            target.succeeded(check.tokens, self._context.now_seconds() - now_seconds)
+            target.succeeded(check.tokens, self._context.now_seconds() - first_seconds)
         else:
             target.failed(self._context.now_seconds())
         return detail
--- a/rackswitch/daemon/settings.py
+++ b/rackswitch/daemon/settings.py
@@ -57,7 +57,7 @@
         str, msgspec.Meta(description="Hash of an administrator's token that always works.")
     ]
     routing_policy: Annotated[str, msgspec.Meta(description="Name of the routing policy.")] = (
-        "estimated_wait"
+        "prefix_home"
     )
     freshness: FreshnessSettings = FreshnessSettings()
     heartbeat_seconds: Annotated[Seconds, msgspec.Meta(description="Between heartbeats.")] = 1.0
@@ -68,7 +68,9 @@
         int, msgspec.Meta(ge=1, description="Daemons of a zone that watch the service.")
     ] = 1
     lease_seconds: Annotated[Seconds, msgspec.Meta(description="Life of a role's lease.")] = 6.0
-    poll_seconds: Annotated[Seconds, msgspec.Meta(description="Between load polls.")] = 0.5
+    poll_seconds: Annotated[
+        Seconds, msgspec.Meta(description="Between polls of one engine and the next.")
+    ] = 0.5
     polled_targets: Annotated[
         int, msgspec.Meta(ge=1, description="Targets of one model that this daemon uses.")
     ] = 16
--- a/rackswitch/daemon/target_keeper.py
+++ b/rackswitch/daemon/target_keeper.py
@@ -28,7 +28,7 @@
         Returns the names of targets whose VM is leaving.
     """
 
-    __slots__ = ("_clients", "_context", "_leaving", "polls", "targets")
+    __slots__ = ("_clients", "_context", "_leaving", "_round", "polls", "targets")
 
     def __init__(self, context: DaemonContext, leaving: Callable[[], set[str]]):
         self._context = context
@@ -38,25 +38,36 @@
         }
         self.targets: dict[str, Target] = {}
         self.polls = 0
+        self._round: list[TargetRow] = []
 
     def client(self, protocol: str) -> EngineClient:
         """Return the client for an engine protocol."""
         return self._clients[protocol]
 
     async def run(self) -> None:
-        """Poll this daemon's engines, each once a period."""
+        """Poll one of this daemon's engines after the other, at a bounded rate.
+
+        So the cost does not grow with the number of engines; what the daemon's own
+        requests show of an engine fills the time between.
+        """
         while True:
             jitter = 0.9 + 0.2 * self._context.rng.random()
             await asyncio.sleep(self._context.settings.poll_seconds * jitter)
-            await self.poll()
+            if not self._round:
+                self._round = self._polled_rows()
+            if self._round:
+                await self._poll_one(self._round.pop())
 
     async def poll(self) -> None:
-        """Read the state of this daemon's engines."""
+        """Read the state of all of this daemon's engines, as at its start."""
+        await asyncio.gather(*(self._poll_one(row) for row in self._polled_rows()))
+
+    def _polled_rows(self) -> list[TargetRow]:
         rows = [row for row in self._context.view.rows(TargetRow) if row.protocol == "openai"]
         chosen: list[TargetRow] = []
         for model in sorted({row.serves for row in rows}):
             chosen.extend(self._subset([row for row in rows if row.serves == model]))
-        await asyncio.gather(*(self._poll_one(row) for row in chosen))
+        return chosen
 
     def usable(self, serves: str) -> list[tuple[TargetRow, Target]]:
         """Return the targets of a model or service that may get new work from here."""
--- a/rackswitch/demo/fleet.py
+++ b/rackswitch/demo/fleet.py
@@ -117,6 +117,8 @@
     seed: int = 1
     lease_seconds: float = 3.0
     heartbeat_seconds: float = 0.3
+    poll_seconds: float = 0.03
+    confirm_seconds: float = 1.0
     tokens_per_second: float = 3000.0
     daemon_count: int = 0
     kv: KvStandIn = field(init=False)
@@ -210,8 +212,8 @@
             operator_token_sha256=sha256_hex(OPERATOR_TOKEN),
             heartbeat_seconds=self.heartbeat_seconds,
             lease_seconds=self.lease_seconds,
-            confirm_seconds=1.0,
-            poll_seconds=0.2,
+            confirm_seconds=self.confirm_seconds,
+            poll_seconds=self.poll_seconds,
             zone_one_way_seconds=self.profile.zone_one_way_seconds,
             seed=self.seed * 1000 + number,
         )
--- a/rackswitch/demo/tests/test_processes.py
+++ b/rackswitch/demo/tests/test_processes.py
@@ -91,7 +91,7 @@
             "heartbeat_seconds": 0.3,
             "lease_seconds": 2.0,
             "confirm_seconds": 1.0,
-            "poll_seconds": 0.2,
+            "poll_seconds": 0.05,
         }
         path = self.folder / f"{name}.json"
         path.write_text("// settings of " + name + "\n" + json.dumps(settings))
--- a/rackswitch/peers/links.py
+++ b/rackswitch/peers/links.py
@@ -38,12 +38,13 @@
         The fleet's secret, by which daemons know each other.
     """
 
-    __slots__ = ("_channels", "_secret", "blocked", "calls")
+    __slots__ = ("_channels", "_secret", "blocked", "calls", "most_channels")
 
     def __init__(self, secret: str):
         self._secret = secret
         self._channels: OrderedDict[tuple[str, int], Channel] = OrderedDict()
         self.calls = 0
+        self.most_channels = MOST_CHANNELS
         self.blocked: set[str] = set()
         """Peers that tests have cut off."""
 
@@ -73,7 +74,7 @@
             channel = Channel(host, port)
             self._channels[key] = channel
         self._channels.move_to_end(key)
-        if len(self._channels) > MOST_CHANNELS:
+        if len(self._channels) > self.most_channels:
             _, oldest = self._channels.popitem(last=False)
             oldest.close()
         return channel
--- a/rackswitch/platform/engine.py
+++ b/rackswitch/platform/engine.py
@@ -3,7 +3,9 @@
 The client speaks the OpenAI completions interface with the extensions that
 common engines have published: ``return_token_ids``, ``continuous_usage_stats``,
 ``priority``, the request identity taken from ``X-Request-Id``, and the weights
-named in ``system_fingerprint`` as ``model@version``. A stream that broke off
+named in ``system_fingerprint`` as ``model@version``. The load comes with each
+answer in the header ``endpoint-load-metrics``, as the ORCA interface has it. A
+stream that broke off
 is resumed by sending the prompt with the token ids generated so far.
 """
 
@@ -36,6 +38,8 @@
 NEXT_CHUNK_TIMEOUT_SECONDS = 5.0
 ORDER_TIMEOUT_SECONDS = 20.0
 SSE_DATA = b"data: "
+LOAD_HEADER = "endpoint-load-metrics"
+LOAD_FORMAT = "JSON "
 SSE_DONE = b"[DONE]"
 REFUSED_STATUSES = (429, 503)
 
@@ -145,6 +149,10 @@
     usage: _WireUsage = _WireUsage()
 
 
+class _WireLoad(msgspec.Struct, frozen=True):
+    named_metrics: dict[str, float] = {}
+
+
 class _WireInfo(msgspec.Struct, frozen=True):
     system_fingerprint: str | None
     loading: bool
@@ -197,6 +205,7 @@
                     yield _refusal(answer.status, await answer.read())
                     return
                 limit.reschedule(_next_limit(request, loop, FIRST_CHUNK_TIMEOUT_SECONDS))
+                queued_tokens = _queued_tokens(answer)
                 async for line in answer.content:
                     if not line.startswith(SSE_DATA):
                         continue
@@ -204,7 +213,8 @@
                     if data == SSE_DONE:
                         return
                     limit.reschedule(_next_limit(request, loop, NEXT_CHUNK_TIMEOUT_SECONDS))
-                    yield _chunk(data)
+                    yield _chunk(data, queued_tokens)
+                    queued_tokens = None
         except NOT_SENT_ERRORS as error:
             yield StreamBroken(False, f"cannot connect: {type(error).__name__}")
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
@@ -271,7 +281,18 @@
     return StreamBroken(began, f"engine status {status}: {text}")
 
 
-def _chunk(data: bytes) -> StreamChunk:
+def _queued_tokens(answer: aiohttp.ClientResponse) -> float | None:
+    header = answer.headers.get(LOAD_HEADER, "")
+    if not header.startswith(LOAD_FORMAT):
+        return None
+    try:
+        load = msgspec.json.decode(header[len(LOAD_FORMAT) :], type=_WireLoad)
+    except msgspec.DecodeError:
+        return None
+    return load.named_metrics.get("queued_tokens")
+
+
+def _chunk(data: bytes, queued_tokens: float | None) -> StreamChunk:
     wire = msgspec.json.decode(data, type=_WireChunk)
     choice = wire.choices[0] if wire.choices else _WireChoice()
     return StreamChunk(
@@ -281,4 +302,5 @@
         tokens_so_far=wire.usage.completion_tokens,
         version=version_of(wire.system_fingerprint),
         finish_reason=choice.finish_reason,
+        queued_tokens=queued_tokens,
     )
--- a/rackswitch/requests/stream.py
+++ b/rackswitch/requests/stream.py
@@ -19,6 +19,8 @@
         The weights that made these tokens, by the engine's word; None if it cannot say.
     finish_reason : str or None
         Set on the last chunk.
+    queued_tokens : float or None
+        The engine's load when it began to answer; on the first chunk, if it tells.
     """
 
     request_id: str
@@ -27,6 +29,7 @@
     tokens_so_far: int
     version: int | None
     finish_reason: str | None = None
+    queued_tokens: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/routing/policies.py
+++ b/rackswitch/routing/policies.py
@@ -1,5 +1,6 @@
 """Routing policies, by name."""
 
+import hashlib
 import random
 from dataclasses import dataclass
 from typing import Protocol
@@ -14,6 +15,10 @@
 BATCH_WIDTH = 16.0
 """Requests that an engine is taken to run side by side."""
 
+HOME_WAIT_FACTOR = 1.25
+HOME_WAIT_SECONDS = 0.02
+"""How much longer than elsewhere a request may wait at its prefix's home."""
+
 NEAR_TIE_SECONDS = 0.010
 """Targets this close to the best are drawn from at random, against herding."""
 
@@ -120,7 +125,7 @@
 
 @POLICIES.register("estimated_wait")
 class EstimatedWait:
-    """The shortest estimated wait, near ties drawn at random (the shipped policy)."""
+    """The shortest estimated wait, near ties drawn at random."""
 
     __slots__ = ("_rng",)
 
@@ -133,3 +138,45 @@
         best_seconds = min(wait for wait, _ in waits)
         near = [target for wait, target in waits if wait <= best_seconds + NEAR_TIE_SECONDS]
         return self._rng.choice(near)
+
+
+@POLICIES.register("prefix_home")
+class PrefixHome:
+    """A prefix's home target, unless it is clearly busier than the better of two others.
+
+    The home follows from the prompt's first chunk alone, so all daemons send a prefix to
+    the same engine without talking. Two random candidates in place of all keep daemons
+    with equally old reports from running to the same engine. This is the shipped policy;
+    see benchmarks/bench_routing.py for the figures.
+
+    References
+    ----------
+    The bound on the home's load is after "Consistent Hashing with Bounded Loads"
+    (Mirrokni, Thorup, Zadimoghaddam; SODA 2018).
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        pair = self._rng.sample(targets, min(2, len(targets)))
+        waits = [estimated_wait_seconds(request, target) for target in pair]
+        best_seconds = min(waits)
+        if request.prefixes:
+            home = _home(request.prefixes[0], targets)
+            bound_seconds = best_seconds * HOME_WAIT_FACTOR + HOME_WAIT_SECONDS
+            if estimated_wait_seconds(request, home) <= bound_seconds:
+                return home
+        return pair[waits.index(best_seconds)]
+
+
+def _home(prefix: int, targets: list[Target]) -> Target:
+    """Return the target that a prefix belongs to (rendezvous hashing)."""
+
+    def weight(target: Target) -> bytes:
+        return hashlib.blake2b(f"{prefix}|{target.name}".encode(), digest_size=8).digest()
+
+    return max(targets, key=weight)
--- a/rackswitch/routing/targets.py
+++ b/rackswitch/routing/targets.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from rackswitch.requests import StreamChunk
+
 __all__ = ["LoadReport", "Target", "usable_targets"]
 
 SPEED_SMOOTHING = 0.2
@@ -66,6 +68,15 @@
         self.report = report
         self.own_tokens_at_report = self.own_tokens
 
+    def saw_chunk(self, chunk: StreamChunk, now_seconds: float) -> None:
+        """Learn the version, and the load if it is told, from a piece of an answer."""
+        queued_tokens = chunk.queued_tokens
+        if queued_tokens is None:
+            if self.report is not None and self.report.version == chunk.version:
+                return
+            queued_tokens = self.outstanding_tokens()
+        self.take_report(LoadReport(queued_tokens, chunk.version, False, now_seconds))
+
     def outstanding_tokens(self) -> float:
         """Return the work believed to be queued or running, in tokens.
 
@@ -91,7 +102,11 @@
         self.own_tokens = max(0.0, self.own_tokens - cost_tokens)
 
     def succeeded(self, tokens: int, elapsed_seconds: float) -> None:
-        """Note a whole answer; its rate feeds the speed estimate (slow engines show here)."""
+        """Note a whole answer, and the time from its first token to its last.
+
+        Its rate feeds the speed estimate; an engine that is slow, though it answers, shows
+        here.
+        """
         self.failures = 0
         self.opened_times = 0
         self.open_until_seconds = 0.0
--- /dev/null
+++ b/rackswitch/routing/tests/test_routing.py
@@ -0,0 +1,111 @@
+"""Routing and admission: rules that hold for every policy, and what the shipped one is for."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rackswitch.outcomes import NotRun, NotRunReason
+from rackswitch.registry import UnknownNameError
+from rackswitch.routing import (
+    POLICIES,
+    LoadReport,
+    RoutedRequest,
+    Target,
+    admit,
+    usable_targets,
+)
+
+
+def make_targets(loads):
+    targets = [Target(f"t{n}", "", "z") for n in range(len(loads))]
+    for target, load in zip(targets, loads, strict=True):
+        target.take_report(LoadReport(load, 1, False, 0.0))
+    return targets
+
+
+def make_request(prefixes=()):
+    return RoutedRequest(512.0, 100.0, prefixes, 1.0)
+
+
+@given(
+    st.sampled_from(POLICIES.names()),
+    st.lists(st.floats(0, 1e6), min_size=1, max_size=12),
+    st.integers(0, 9),
+)
+def test_every_policy_returns_one_of_the_targets(name, loads, seed):
+    targets = make_targets(loads)
+    chosen = POLICIES.get(name)(random.Random(seed)).choose(make_request((seed,)), targets)
+    assert chosen in targets
+
+
+def test_unknown_policy_names_the_known_ones():
+    with pytest.raises(UnknownNameError, match="round_robin"):
+        POLICIES.get("wishful")
+
+
+def test_all_daemons_send_a_prefix_to_the_same_target():
+    homes = set()
+    for seed in range(20):
+        policy = POLICIES.get("prefix_home")(random.Random(seed))
+        homes.add(policy.choose(make_request((7,)), make_targets([0.0] * 6)).name)
+    assert len(homes) == 1
+
+
+def test_a_busy_home_is_left():
+    policy = POLICIES.get("prefix_home")(random.Random(1))
+    targets = make_targets([0.0] * 6)
+    home = policy.choose(make_request((7,)), targets)
+    home.take_report(LoadReport(1e5, 1, False, 0.0))
+    assert policy.choose(make_request((7,)), targets) is not home
+
+
+def test_a_slow_target_is_avoided_though_it_answers():
+    targets = make_targets([100.0] * 4)
+    for _ in range(30):
+        targets[0].succeeded(20, 2.0)
+        targets[1].succeeded(20, 0.1)
+    policy = POLICIES.get("prefix_home")(random.Random(1))
+    chosen = [policy.choose(make_request(), targets) for _ in range(200)]
+    assert chosen.count(targets[0]) == 0
+
+
+@given(st.lists(st.booleans(), min_size=1, max_size=10))
+def test_breakers_never_empty_the_set(broken):
+    targets = make_targets([0.0] * len(broken))
+    for target, is_broken in zip(targets, broken, strict=True):
+        for _ in range(5 if is_broken else 0):
+            target.failed(0.0)
+    usable = usable_targets(targets, 0.5)
+    assert len(usable) >= len(targets) / 2
+    if sum(broken) <= len(broken) / 2:
+        assert all(
+            not is_broken or t not in usable for t, is_broken in zip(targets, broken, strict=True)
+        )
+
+
+def test_an_open_breaker_probes_again_and_one_failure_reopens_it():
+    target = make_targets([0.0, 0.0])[0]
+    for _ in range(3):
+        target.failed(0.0)
+    assert target.open_until_seconds > 1.0
+    reopened_at = target.open_until_seconds + 0.1
+    target.failed(reopened_at)
+    assert target.open_until_seconds > reopened_at + 2.0
+    target.succeeded(5, 0.1)
+    assert target.open_until_seconds == 0.0
+
+
+def test_work_that_cannot_finish_is_refused_at_once_with_a_time():
+    target = make_targets([1e6])[0]
+    refusal = admit(make_request(), target, 2.0, 0)
+    assert isinstance(refusal, NotRun)
+    assert refusal.reason is NotRunReason.DEADLINE_TOO_NEAR
+    assert refusal.retry_at_seconds > 2.0
+
+
+def test_lower_classes_are_refused_first():
+    target = make_targets([200.0 * 16 * 6])[0]
+    assert admit(make_request(), target, None, 0) is None
+    assert isinstance(admit(make_request(), target, None, 9), NotRun)
--- a/rackswitch/standins/engine.py
+++ b/rackswitch/standins/engine.py
@@ -205,7 +205,9 @@
             finally:
                 watcher.cancel()
 
-        return Response(200, content=StreamedContent(b"text/event-stream", events))
+        load = msgspec.json.encode({"named_metrics": {"queued_tokens": self._queued_tokens()}})
+        headers = [(b"endpoint-load-metrics", b"JSON " + load)]
+        return Response(200, headers, StreamedContent(b"text/event-stream", events))
 
     def _enqueue(self, request_id: str, wire: _WireRequest) -> _Running:
         state = _State(wire.prompt, wire.seed)
@@ -302,13 +304,16 @@
         return None if self.version is None else f"{self._model}@{self.version}"
 
     def _note_load(self, now_seconds: float) -> None:
+        self._reports.append((now_seconds, self._queued_tokens()))
+        while len(self._reports) > 1 and self._reports[1][0] <= now_seconds - REPORT_LAG_SECONDS:
+            self._reports.popleft()
+
+    def _queued_tokens(self) -> float:
         queued = 0.0
         for running in [*self._batch, *self._waiting]:
             expected = min(running.wire.max_tokens, MEAN_LENGTH_TOKENS)
             queued += max(1.0, expected - running.made_here)
-        self._reports.append((now_seconds, queued))
-        while len(self._reports) > 1 and self._reports[1][0] <= now_seconds - REPORT_LAG_SECONDS:
-            self._reports.popleft()
+        return queued
 
     async def _on_info(self, request: Request) -> Response:
         return json_response(
--- a/rackswitch/standins/kv.py
+++ b/rackswitch/standins/kv.py
@@ -13,7 +13,13 @@
 from rackswitch.platform.kv import Compare, KvEntry, Operation, TxnPart, TxnPartDone
 from rackswitch.standins.faults import FaultGate, FaultyApplication
 from rackswitch.standins.kv_store import KvStore
-from rackswitch.web import WebServer, add_route, json_response, make_application
+from rackswitch.web import (
+    WebServer,
+    add_route,
+    json_response,
+    make_application,
+    watch_disconnect,
+)
 
 __all__ = ["KvStandIn"]
 
@@ -161,12 +167,15 @@
             if entry.mod_revision >= int(create.get("start_revision", 0)):
                 watch.queue.put_nowait(self._event(entry))
 
+        watcher = watch_disconnect(request, lambda: watch.queue.put_nowait(b""))
+
         async def lines() -> AsyncIterator[bytes]:
             try:
                 yield msgspec.json.encode({"result": {"header": self._header()}}) + b"\n"
                 while line := await watch.queue.get():
                     yield line
             finally:
+                watcher.cancel()
                 self._watches.discard(watch)
 
         return Response(200, content=StreamedContent(b"application/json", lines))
--- a/rackswitch/web/core.py
+++ b/rackswitch/web/core.py
@@ -8,6 +8,7 @@
 import msgspec
 import uvicorn
 from blacksheep import Application, Content, Request, Response, Router
+from blacksheep.exceptions import MessageAborted
 
 from rackswitch.web.problems import Problem, problem_response
 
@@ -124,7 +125,12 @@
     async def on_missing(app: Application, request: Request, error: Exception) -> Response:
         return problem_response(Problem(404, "not-found", "There is nothing at this path."))
 
+    async def on_abort(app: Application, request: Request, error: Exception) -> Response:
+        # The client went away in the middle of its request; nobody will read this.
+        return problem_response(Problem(400, "bad-request", "The body is not whole."))
+
     application.exceptions_handlers[Exception] = on_fault
+    application.exceptions_handlers[MessageAborted] = on_abort
     application.exceptions_handlers[404] = on_missing
     return application
 
