--- a/rackswitch/daemon/caller_edge.py
+++ b/rackswitch/daemon/caller_edge.py
@@ -1,5 +1,6 @@
 """The HTTP interface for callers."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Annotated, Any
 
@@ -113,7 +114,11 @@
         )
         if body.stream:
             return await self._stream(request, call)
-        return await self._collect(call)
+        watcher = _cancel_when_gone(request)
+        try:
+            return await self._collect(call)
+        finally:
+            watcher.cancel()
 
     async def service(self, request: Request) -> Response:
         """``ANY /v1/services/{service}/{path}``."""
@@ -225,35 +230,38 @@
     async def _collect(self, call: CompletionCall) -> Response:
         chunks: list[StreamChunk] = []
         outcome: Outcome | None = None
-        async for item in self._front.stream(call):
-            if isinstance(item, StreamChunk):
-                chunks.append(item)
+        response = Response(499)
+        label = "cancelled"
+        try:
+            async for item in self._front.stream(call):
+                if isinstance(item, StreamChunk):
+                    chunks.append(item)
+                else:
+                    outcome = item
+            if outcome is not None:
+                response, label = self._answer(outcome), _label(outcome)
             else:
-                outcome = item
-        if outcome is not None:
-            return self._leave(
-                call.tenant, self._answer(outcome), _label(outcome), call.arrived_seconds
-            )
-        self._context.telemetry.tokens_passed(call.tenant.name, len(chunks))
-        response = json_response(_whole_body(call, chunks))
-        return self._leave(call.tenant, response, "completed", call.arrived_seconds)
+                response, label = json_response(_whole_body(call, chunks)), "completed"
+        finally:
+            self._context.telemetry.tokens_passed(call.tenant.name, len(chunks))
+            self._leave(call.tenant, response, label, call.arrived_seconds)
+        return response
 
     async def _stream(self, request: Request, call: CompletionCall) -> Response:
         source = self._front.stream(call)
-        first = await anext(source)
+        first = await self._first_item(request, call, source)
         if not isinstance(first, StreamChunk):
             return self._leave(
                 call.tenant, self._answer(first), _label(first), call.arrived_seconds
             )
-        gone = _Gone()
-        watcher = watch_disconnect(request, gone.set)
+        watcher: asyncio.Task[None] | None = None
 
         async def events() -> AsyncIterator[bytes]:
             label = "cancelled"
             tokens = 0
             try:
                 item: StreamChunk | Outcome = first
-                while isinstance(item, StreamChunk) and not gone.is_set:
+                while isinstance(item, StreamChunk):
                     yield _sse(_chunk_body(call, item))
                     tokens += len(item.token_ids)
                     if item.finish_reason is not None:
@@ -261,17 +269,30 @@
                         label = "completed"
                         return
                     item = await anext(source)
-                if not isinstance(item, StreamChunk):
-                    label = _label(item)
-                    yield _sse(self._error_event(item))
+                label = _label(item)
+                yield _sse(self._error_event(item))
             finally:
-                watcher.cancel()
+                if watcher is not None:
+                    watcher.cancel()
                 await source.aclose()  # type: ignore[attr-defined]
                 self._context.telemetry.tokens_passed(call.tenant.name, tokens)
                 self._leave(call.tenant, Response(200), label, call.arrived_seconds)
 
+        watcher = _cancel_when_gone(request)
         return Response(200, content=StreamedContent(SSE, events))
 
+    async def _first_item(
+        self, request: Request, call: CompletionCall, source: AsyncIterator[StreamChunk | Outcome]
+    ) -> StreamChunk | Outcome:
+        watcher = _cancel_when_gone(request)
+        try:
+            return await anext(source)
+        except asyncio.CancelledError:
+            self._leave(call.tenant, Response(499), "cancelled", call.arrived_seconds)
+            raise
+        finally:
+            watcher.cancel()
+
     def _error_event(self, outcome: Outcome) -> dict[str, Any]:
         problem = outcome_problem(outcome, self._context.now_seconds())
         # Some of the answer has been passed on, whatever the last attempt said.
@@ -289,16 +310,15 @@
         return problem_response(outcome_problem(refusal, self._context.now_seconds()))
 
 
-class _Gone:
-    """Whether the client has gone away."""
-
-    __slots__ = ("is_set",)
+def _cancel_when_gone(request: Request) -> asyncio.Task[None]:
+    """Cancel the present task, and with it the engine's work, when the client goes away."""
+    task = asyncio.current_task()
 
-    def __init__(self) -> None:
-        self.is_set = False
+    def cancel() -> None:
+        if task is not None:
+            task.cancel()
 
-    def set(self) -> None:
-        self.is_set = True
+    return watch_disconnect(request, cancel)
 
 
 def outcome_problem(outcome: Outcome, now_seconds: float) -> Problem:
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -154,8 +154,8 @@
         await self._close()
 
     async def _close(self) -> None:
-        await self.context.cancel_all()
         await self._peers.stop()
+        await self.context.cancel_all()
         self.context.links.close()
         await self.context.sessions.close()
         self.context.telemetry.close()
--- a/rackswitch/daemon/peers.py
+++ b/rackswitch/daemon/peers.py
@@ -1,5 +1,7 @@
 """The calls that other daemons make to this one."""
 
+import asyncio
+import contextlib
 import hmac
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, TypeVar
@@ -19,6 +21,8 @@
 __all__ = ["LedgerAnswer", "PeersService"]
 
 
+CLOSE_PATIENCE_SECONDS = 2.0
+
 RequestT = TypeVar("RequestT")
 
 
@@ -69,9 +73,10 @@
         return int(sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening; calls still in progress are cancelled."""
         self._server.close()
-        await self._server.wait_closed()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._server.wait_closed(), CLOSE_PATIENCE_SECONDS)
 
     async def _receive(self, stream: Stream[RequestT, Any]) -> RequestT:
         """Return the request of a daemon that knows the fleet's secret.
--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -84,6 +84,8 @@
 
     async def run_encoded(self, encoded: bytes) -> bytes:
         """Make a sample for another daemon; empty bytes stand for a failure."""
+        if self._context.stopping:
+            return b""
         with self._context.in_flight:
             result = await self.run(msgspec.json.decode(encoded, type=SampleOrder))
         if isinstance(result, SampleFailed):
