--- /dev/null
+++ b/rackswitch/demo/tests/test_disconnect.py
@@ -0,0 +1,39 @@
+"""A client that goes away takes its engine's work with it, and holds no place."""
+
+import asyncio
+
+import aiohttp
+
+from rackswitch.demo.fleet import CALLER_TOKEN, REGISTER, EmbeddedFleet
+from rackswitch.demo.main import wait_ready
+
+PATIENCE_SECONDS = 20.0
+
+
+async def leave_in_the_middle(stream):
+    fleet = EmbeddedFleet(REGISTER, 1, daemon_count=1, tokens_per_second=2.0)
+    await fleet.start()
+    await wait_ready(fleet)
+    daemon = fleet.daemons["d0"]
+    body = {"model": REGISTER.application, "prompt": "x", "max_tokens": 500, "stream": stream}
+    headers = {"Authorization": f"Bearer {CALLER_TOKEN}"}
+    session = aiohttp.ClientSession()
+    url = daemon.url + "/v1/completions"
+    request = asyncio.create_task(session.post(url, json=body, headers=headers))
+    engines = [fleet.engines[f"{REGISTER.application}-{n}"] for n in range(3)]
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not any(engine._batch for engine in engines):
+            await asyncio.sleep(0.02)
+        request.cancel()
+        await session.close()
+        while daemon.context.in_flight.count or any(engine._batch for engine in engines):
+            await asyncio.sleep(0.02)
+    await fleet.stop()
+
+
+def test_a_streamed_request_is_cancelled():
+    asyncio.run(leave_in_the_middle(stream=True))
+
+
+def test_a_request_for_the_whole_text_is_cancelled():
+    asyncio.run(leave_in_the_middle(stream=False))
--- a/rackswitch/demo/tests/test_processes.py
+++ b/rackswitch/demo/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -257,3 +258,44 @@
     assert done.stderr.count("\n") == 1
     assert "$.zone" in done.stderr
     assert "found 7" in done.stderr
+
+
+def control(url, *arguments):
+    """Run the operators' command line; return its exit code and output."""
+    command = [sys.executable, "-c", "from rackswitch.cli.main import main; main()", *arguments]
+    environment = {**os.environ, "RACKSWITCH_URL": url, "RACKSWITCH_TOKEN": OPERATOR_TOKEN}
+    done = subprocess.run(command, capture_output=True, text=True, env=environment)
+    return done.returncode, done.stdout
+
+
+def test_the_command_line_covers_the_administration_api(tmp_path):
+    async def scenario():
+        async with running_processes(tmp_path) as (processes, _):
+            url = processes.daemon_urls()[1]
+
+            async def run(*arguments):
+                return await asyncio.to_thread(control, url, *arguments)
+
+            row = tmp_path / "row.json"
+            row.write_text('{"kind": "daemon", "name": "x"} // a row')
+            assert (await run("put", str(row), "--if_revision=0"))[0] == 0
+            assert (await run("put", str(row), "--if_revision=0"))[0] == 3
+            code, output = await run("get", "daemon/x")
+            assert (code, json.loads(output)["row"]["name"]) == (0, "x")
+            bad = tmp_path / "bad.json"
+            bad.write_text('[{"row": {"kind": "route", "name": "r", "choices": []}}]')
+            assert (await run("edit", str(bad), "--dry_run"))[0] == 1
+            assert (await run("drain", f"target/{APPLICATION}-0"))[0] == 0
+            code, output = await run("rows", "--output=json")
+            rows = json.loads(output)["rows"]
+            assert rows[f"target/{APPLICATION}-0"]["row"]["draining"] is True
+            code, output = await run("status")
+            assert all(name in output for name in processes.daemons)
+            code, output = await run("history", "--output=json")
+            assert len(json.loads(output)["edits"]) == 3
+            assert (await run("remove", "daemon/x"))[0] == 0
+            processes.running["d1"].kill()
+            processes.running["d1"].wait()
+            assert (await run("status"))[0] == 4
+
+    asyncio.run(scenario())
