Mend what a reading of the whole found

Cause and change, each with a test where it decides something: - the holder of a ledger trusted its own table though only the front's freshness was checked: it now refuses draws too while unconfirmed; - a VM replaced under its old name could be held for leaving for ever by the lagging list: a daemon refutes that, and believes the list about itself only once it has been listed live; - news of hunger could circulate after its end: sequences are remembered, and start from the clock so that a restart is heard; - a request was tied to a route choice that had no target while another had; - `/metrics` showed all tenants to anybody: operators only; - a body that trickles in is given up after 20 s.

--- a/rackswitch/daemon/callers.py
+++ b/rackswitch/daemon/callers.py
@@ -118,7 +118,7 @@
         A stream that breaks goes on at another engine from the tokens already passed on.
         """
         log = AttemptLog(repeatable=True)
-        progress = _Progress([], pick_choice(call.route, self._context.rng))
+        progress = _Progress([], self._pick_choice(call.route))
         self._budget.note_request()
         while True:
             chosen = self._choose(call, progress, log)
@@ -178,7 +178,7 @@
 
     async def _call_targets(self, call: ServiceCall) -> Outcome:
         log = AttemptLog(call.repeatable)
-        choice = pick_choice(call.route, self._context.rng)
+        choice = self._pick_choice(call.route)
         routed = RoutedRequest(0.0, PLAIN_COST_TOKENS, (), self._context.now_seconds())
         self._budget.note_request()
         while True:
@@ -211,6 +211,11 @@
             if late or not log.may_begin() or not self._budget.try_spend():
                 return log.give_up(self._context.now_seconds())
 
+    def _pick_choice(self, route: RouteRow) -> RouteChoice:
+        """Draw by weight among the choices that have a target now, else among all."""
+        served = tuple(choice for choice in route.choices if self._targets.allowed(choice))
+        return pick_choice(served or route.choices, self._context.rng)
+
     def _choose(
         self, call: CompletionCall, progress: _Progress, log: AttemptLog
     ) -> tuple[TargetRow, Target] | NotRun:
@@ -319,10 +324,12 @@
         return refusal
 
 
-def pick_choice(route: RouteRow, rng: random.Random) -> RouteChoice:
+def pick_choice(choices: tuple[RouteChoice, ...], rng: random.Random) -> RouteChoice:
     """Draw one of a route's choices by weight."""
-    weights = [choice.weight for choice in route.choices]
-    return rng.choices(route.choices, weights)[0]
+    weights = [choice.weight for choice in choices]
+    if sum(weights) <= 0:
+        return choices[0]
+    return rng.choices(choices, weights)[0]
 
 
 def _plain_outcome(answer: PlainAnswer) -> Outcome:
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -7,6 +7,7 @@
 from blacksheep import Content, Request, Response
 from loguru import logger
 
+from rackswitch.daemon.access import find_operator
 from rackswitch.daemon.admin_edge import AdminEdge
 from rackswitch.daemon.caller_edge import CallerEdge
 from rackswitch.daemon.callers import CallerFront
@@ -31,7 +32,14 @@
 from rackswitch.platform.weight_store import WeightStoreClient
 from rackswitch.table import DaemonRow, ModelRow, TableView, TrainerRow, choose_watchers
 from rackswitch.telemetry import Telemetry
-from rackswitch.web import WebServer, add_route, json_response, make_application
+from rackswitch.web import (
+    Problem,
+    WebServer,
+    add_route,
+    json_response,
+    make_application,
+    problem_response,
+)
 
 __all__ = ["Daemon"]
 
@@ -218,4 +226,8 @@
         return json_response(body, 200 if ready else 503)
 
     async def _on_metrics(self, request: Request) -> Response:
+        # The metrics show every tenant, so they are for operators only.
+        token = self.settings.operator_token_sha256
+        if find_operator(self.context.view, request, token) is None:
+            return problem_response(Problem(401, "unauthorized", "Unknown bearer token."))
         return Response(200, content=Content(b"text/plain", self.context.telemetry.exposition()))
--- a/rackswitch/daemon/heartbeats.py
+++ b/rackswitch/daemon/heartbeats.py
@@ -56,6 +56,7 @@
     is_watcher: Callable[[], bool]
     hungers: dict[tuple[str, str], HungerNews] = field(default_factory=dict)
     leaving_targets: dict[str, int] = field(default_factory=dict)
+    heard_sequences: dict[tuple[str, str], int] = field(default_factory=dict)
     next_vm_list_seconds: float = 0.0
 
     async def run(self) -> None:
@@ -135,10 +136,10 @@
         )
 
     def note_hunger(self, news: HungerNews) -> None:
-        """Keep the newest word of a daemon about a limit."""
+        """Keep the newest word of a daemon about a limit; old news does not come back."""
         key = (news.daemon, news.limit)
-        known = self.hungers.get(key)
-        if known is None or known.sequence < news.sequence:
+        if self.heard_sequences.get(key, 0) < news.sequence:
+            self.heard_sequences[key] = news.sequence
             self.hungers[key] = news
 
     def note_leaving(self, target: str) -> None:
--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -258,6 +258,9 @@
             while True:
                 if not self._may_act(trainer, held):
                     return LedgerAnswer(NOT_HELD_HERE, b"")
+                if not self._may_trust_table():
+                    detail = "The holder's table is not confirmed, so the bound may have changed."
+                    return _problem(503, "table-unconfirmed", detail)
                 self._refresh_rules(trainer, held)
                 decision = held.ledger.draw(draw, at_least)
                 if isinstance(decision, DrawRefused):
@@ -273,6 +276,12 @@
                 if failure is not None:
                     return failure
 
+    def _may_trust_table(self) -> bool:
+        """Return whether the staleness bound in force here is known to be the newest."""
+        if self._context.settings.freshness.trainers != "refuse":
+            return True
+        return self._context.view.is_confirmed(self._context.now_seconds())
+
     def _refresh_rules(self, trainer: str, held: _HeldLedger) -> None:
         row = self._context.view.row(TrainerRow, trainer)
         if row is not None:
--- a/rackswitch/daemon/limit_keeper.py
+++ b/rackswitch/daemon/limit_keeper.py
@@ -1,6 +1,7 @@
 """The tenants' limits on this daemon, and loans to and from the others."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 from rackswitch.daemon.context import DaemonContext
@@ -50,7 +51,8 @@
         self._heartbeats = heartbeats
         self._tenants: dict[str, _TenantLimits] = {}
         self._lent_to: dict[tuple[str, str], float] = {}
-        self._sequence = 0
+        # A restarted daemon must not announce with numbers that peers have heard before.
+        self._sequence = time.time_ns() // 1_000_000
 
     def try_enter(self, tenant: TenantRow) -> NotRun | None:
         """Count a request in, or refuse it with the time to come back."""
--- a/rackswitch/daemon/tests/test_ledgers.py
+++ b/rackswitch/daemon/tests/test_ledgers.py
@@ -157,6 +157,7 @@
     def start_daemon(name: str) -> LedgerKeeper:
         context = make_context(name, store, rng, faults)
         context.view.offer(TABLE)
+        context.view.confirm(1, float("inf"))
         entries = [VmEntry(f"d{n}", "h", 1, "z", False) for n in range(DAEMONS)]
         context.membership.learn_vms(entries, 0.0)
         roles = RoleKeeper(context, lambda: [ledger_role("t")])
@@ -209,6 +210,23 @@
     assert received >= STEPS * 11
 
 
+def test_a_holder_with_an_unconfirmed_table_hands_nothing_over():
+    async def draw():
+        context = make_context("d0", KvStore(), random.Random(1))
+        context.view.offer(TABLE)
+        roles = RoleKeeper(context, lambda: [ledger_role("t")])
+        await roles.tend()
+        keeper = LocalKeeper(context, roles, World(random.Random(1)))
+        context.spawn(keeper.run())
+        await asyncio.sleep(1.0)
+        message = Draw(step=1, acknowledged_batch=0, policy_version=1)
+        return await keeper.call_here("t", "draw", msgspec.json.encode(message))
+
+    answer = run_virtual(draw())
+    assert answer.status == 503
+    assert b"table-unconfirmed" in answer.body
+
+
 def test_without_the_record_a_new_holder_cannot_go_on(monkeypatch):
     """Naive: hand over from memory, remember nothing durably."""
 
--- a/rackswitch/demo/tests/test_fleet.py
+++ b/rackswitch/demo/tests/test_fleet.py
@@ -313,5 +313,10 @@
                 caller = {"Authorization": f"Bearer {CALLER_TOKEN}"}
                 async with session.get(url + "/table", headers=caller) as answer:
                     assert answer.status == 401
+                metrics = fleet.daemons["d1"].url + "/metrics"
+                async with session.get(metrics, headers=caller) as answer:
+                    assert answer.status == 401
+                async with session.get(metrics) as answer:
+                    assert answer.status == 200
 
     run(scenario())
--- a/rackswitch/membership/core.py
+++ b/rackswitch/membership/core.py
@@ -79,12 +79,19 @@
         Time between heartbeats.
     rng : random.Random
         Source of the shuffles.
+
+    Attributes
+    ----------
+    listed_live : bool
+        Whether the platform's list has shown this VM as live; before that its word that
+        the VM is leaving is about a predecessor of the same name.
     """
 
     own: MemberUpdate
     period_seconds: float
     rng: random.Random
     members: dict[str, Member] = field(default_factory=dict)
+    listed_live: bool = False
     _round: list[str] = field(default_factory=list)
 
     def live(self) -> list[str]:
@@ -112,7 +119,9 @@
         """
         for entry in entries:
             if entry.daemon == self.own.daemon:
-                if entry.leaving:
+                if not entry.leaving:
+                    self.listed_live = True
+                elif self.listed_live:
                     self.leave()
                 continue
             known = self.members.get(entry.daemon)
@@ -201,7 +210,7 @@
         return [self.own, *(member.update for member in chosen)]
 
     def _refute(self, update: MemberUpdate) -> None:
-        worse = update.state in (MemberState.SUSPECT, MemberState.DEAD)
+        worse = update.state != MemberState.ALIVE and self.own.state == MemberState.ALIVE
         if worse and update.incarnation >= self.own.incarnation:
             self.own = _with_state(self.own, self.own.state, update.incarnation + 1)
 
--- a/rackswitch/membership/tests/test_core.py
+++ b/rackswitch/membership/tests/test_core.py
@@ -112,3 +112,23 @@
             view.unanswered(name, 1.0)
         sizes.append(len(view.updates_to_send()))
     assert max(sizes) <= 6
+
+
+def test_a_replacement_of_the_same_name_is_not_taken_for_leaving():
+    network = Network(5, 5)
+    view = network.views["d1"]
+    old_list = [VmEntry(f"d{n}", "h", 1, "z", n == 1) for n in range(5)]
+    view.listed_live = False
+    for other in network.views.values():
+        other.learn_vms(old_list, 0.0)
+    assert view.own.state == MemberState.ALIVE
+    for _ in range(20):
+        network.period()
+    assert all("d1" in other.live() for other in network.views.values())
+
+
+def test_a_vm_listed_live_and_then_leaving_leaves():
+    view = Network(3, 6).views["d0"]
+    view.learn_vms([VmEntry("d0", "h", 1, "z", True)], 1.0)
+    assert view.own.state == MemberState.LEAVING
+    assert "d0" not in view.live()
--- a/rackswitch/web/core.py
+++ b/rackswitch/web/core.py
@@ -25,7 +25,7 @@
 ]
 
 KEEP_ALIVE_SECONDS = 30
-HEADER_NAME_MOST_BYTES = 65536
+BODY_PATIENCE_SECONDS = 20.0
 
 T = TypeVar("T")
 
@@ -194,12 +194,16 @@
     """Read a body up to a size."""
     chunks: list[bytes] = []
     size = 0
-    async for chunk in request.stream():  # type: ignore[attr-defined]
-        size += len(chunk)
-        if size > most_bytes:
-            detail = f"The body is over {most_bytes} bytes."
-            return BodyFault(Problem(413, "body-too-large", detail))
-        chunks.append(chunk)
+    try:
+        async with asyncio.timeout(BODY_PATIENCE_SECONDS):
+            async for chunk in request.stream():  # type: ignore[attr-defined]
+                size += len(chunk)
+                if size > most_bytes:
+                    detail = f"The body is over {most_bytes} bytes."
+                    return BodyFault(Problem(413, "body-too-large", detail))
+                chunks.append(chunk)
+    except TimeoutError:
+        return BodyFault(Problem(408, "body-too-slow", "The body did not come in time."))
     return b"".join(chunks)
 
 
