Faults: leave a target within a second, leave a frozen engine in 1.5 s

(3) In embedded fleets a crashed daemon went on answering over connections its peers kept open, so it was never found dead and take-overs stuck: it refuses now.

--- a/rackswitch/daemon/callers.py
+++ b/rackswitch/daemon/callers.py
@@ -29,7 +29,14 @@
     StreamFault,
     request_digest,
 )
-from rackswitch.routing import POLICIES, RoutedRequest, Target, admit, usable_targets
+from rackswitch.routing import (
+    POLICIES,
+    RoutedRequest,
+    Target,
+    admit,
+    estimated_wait_seconds,
+    usable_targets,
+)
 from rackswitch.table import RouteChoice, RouteRow, TargetRow, TenantRow
 
 __all__ = ["CallerFront", "CompletionCall", "ServiceCall"]
@@ -38,6 +45,9 @@
 CLAIM_PATIENCE_SECONDS = 2.0
 IN_DOUBT_RETRY_SECONDS = 1.0
 PLAIN_COST_TOKENS = 20.0
+LEAST_PATIENCE_SECONDS = 1.5
+PATIENCE_FACTOR = 3.0
+"""How many times the estimated wait an engine may take before another one is tried."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,6 +271,10 @@
         log: AttemptLog,
     ) -> AsyncIterator[StreamChunk]:
         row, target = chosen
+        routed = self._routed(call, progress)
+        patience_seconds = max(
+            LEAST_PATIENCE_SECONDS, PATIENCE_FACTOR * estimated_wait_seconds(routed, target)
+        )
         request = EngineRequest(
             request_id=self._attempt_id(),
             model=row.serves,
@@ -269,9 +283,9 @@
             seed=call.seed,
             priority=call.tenant.caller_class,
             deadline_seconds=call.deadline_seconds,
+            first_chunk_deadline_seconds=routed.now_seconds + patience_seconds,
             resume_token_ids=tuple(progress.token_ids),
         )
-        routed = self._routed(call, progress)
         check = StreamCheck(request.request_id)
         first_seconds = 0.0
         end: AttemptEnd | None = None
--- a/rackswitch/daemon/heartbeats.py
+++ b/rackswitch/daemon/heartbeats.py
@@ -143,10 +143,11 @@
             self.hungers[key] = news
 
     def note_leaving(self, target: str) -> None:
-        """Spread the news that a target's VM is leaving."""
+        """Spread the news that a target's VM is leaving, the first time at once."""
         if target not in self.leaving_targets:
             members = len(self.context.membership.members) + 2
             self.leaving_targets[target] = 3 * members.bit_length()
+            self.context.spawn(self.announce())
 
     def _learn(self, message: pb.HeartbeatRequest | pb.HeartbeatReply) -> None:
         now_seconds = self.context.now_seconds()
--- a/rackswitch/daemon/peers.py
+++ b/rackswitch/daemon/peers.py
@@ -64,6 +64,7 @@
         self._call_ledger = call_ledger
         self._run_sample = run_sample
         self._server = Server([self])
+        self._closed = False
 
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port."""
@@ -74,6 +75,8 @@
 
     async def stop(self) -> None:
         """Stop listening; calls still in progress are cancelled."""
+        # Connections that peers keep open outlive the listening socket.
+        self._closed = True
         self._server.close()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._server.wait_closed(), CLOSE_PATIENCE_SECONDS)
@@ -93,7 +96,7 @@
         request = await stream.recv_message()
         if request is None:
             raise GRPCError(Status.INVALID_ARGUMENT, "no request")
-        if getattr(request, "daemon", "") in self._context.links.blocked:
+        if self._closed or getattr(request, "daemon", "") in self._context.links.blocked:
             raise GRPCError(Status.UNAVAILABLE, "cut off")
         return request
 
--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -20,6 +20,7 @@
 """Behind every caller class (0 to 9)."""
 
 SAMPLE_PATIENCE_SECONDS = 120.0
+FIRST_CHUNK_PATIENCE_SECONDS = 20.0
 MOST_ATTEMPTS = 4
 SCORING_TRIES = 3
 
@@ -109,6 +110,7 @@
             seed=order.seed,
             priority=SAMPLE_PRIORITY,
             deadline_seconds=now_seconds + SAMPLE_PATIENCE_SECONDS,
+            first_chunk_deadline_seconds=now_seconds + FIRST_CHUNK_PATIENCE_SECONDS,
             resume_token_ids=tuple(partial.token_ids),
         )
         check = StreamCheck(request.request_id)
