--- a/benchmarks/bench_faults.py
+++ b/benchmarks/bench_faults.py
@@ -7,7 +7,7 @@
 import json
 from pathlib import Path
 
-from rackswitch.daemon.ledger_keeper import ledger_role
+from rackswitch.daemon.ledger_store import ledger_role
 from rackswitch.demo.fleet import ASSOCIATION, CALLER_TOKEN, EmbeddedFleet
 from rackswitch.demo.main import wait_ready
 from rackswitch.standins.callers import CallerStandIn
--- a/rackswitch/daemon/caller_edge.py
+++ b/rackswitch/daemon/caller_edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import Annotated, Any
 
 import msgspec
@@ -9,12 +10,19 @@
 from loguru import logger
 
 from rackswitch.daemon.access import find_tenant
-from rackswitch.daemon.callers import CallerFront, CompletionCall, ServiceCall
+from rackswitch.daemon.caller_answers import (
+    chunk_body,
+    outcome_label,
+    outcome_problem,
+    server_sent_event,
+    whole_body,
+)
+from rackswitch.daemon.completions import CompletionCall, CompletionFront
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.limit_keeper import LimitKeeper
+from rackswitch.daemon.service_calls import ServiceCall, ServiceFront
 from rackswitch.outcomes import (
     Completed,
-    MayHaveRun,
     NotRun,
     NotRunReason,
     Outcome,
@@ -24,7 +32,6 @@
 from rackswitch.table import RouteRow, TenantRow
 from rackswitch.web import (
     BodyFault,
-    Problem,
     json_response,
     path_value,
     problem_response,
@@ -33,7 +40,7 @@
     watch_disconnect,
 )
 
-__all__ = ["CallerEdge", "outcome_problem"]
+__all__ = ["CallerEdge"]
 
 TIMEOUT_HEADER = b"rackswitch-timeout-seconds"
 REPEATABLE_HEADER = b"rackswitch-repeatable"
@@ -43,19 +50,6 @@
 MOST_KEY_CHARACTERS = 200
 SSE = b"text/event-stream"
 
-STATUS_OF_REASON = {
-    NotRunReason.BAD_REQUEST: 400,
-    NotRunReason.UNAUTHORIZED: 401,
-    NotRunReason.UNKNOWN_MODEL: 404,
-    NotRunReason.OVER_LIMIT: 429,
-    NotRunReason.DEADLINE_TOO_NEAR: 503,
-    NotRunReason.NO_TARGET: 503,
-    NotRunReason.OVERLOADED: 503,
-    NotRunReason.CLAIMS_UNAVAILABLE: 503,
-    NotRunReason.STOPPING: 503,
-    NotRunReason.TABLE_UNCONFIRMED: 503,
-}
-
 
 class CompletionBody(msgspec.Struct, forbid_unknown_fields=True):
     """The fields of a completion request that are served."""
@@ -76,17 +70,26 @@
     ----------
     context : DaemonContext
         The daemon.
-    front : CallerFront
-        Serves the calls.
+    completions : CompletionFront
+        Serves completions.
+    services : ServiceFront
+        Serves calls of plain services.
     limits : LimitKeeper
         The tenants' limits.
     """
 
-    __slots__ = ("_context", "_front", "_limits")
+    __slots__ = ("_completions", "_context", "_limits", "_services")
 
-    def __init__(self, context: DaemonContext, front: CallerFront, limits: LimitKeeper):
+    def __init__(
+        self,
+        context: DaemonContext,
+        completions: CompletionFront,
+        services: ServiceFront,
+        limits: LimitKeeper,
+    ):
         self._context = context
-        self._front = front
+        self._completions = completions
+        self._services = services
         self._limits = limits
 
     async def completions(self, request: Request) -> Response:
@@ -132,9 +135,9 @@
         call = self._service_call(request, entered, body, arrived_seconds)
         if isinstance(call, NotRun):
             return self._leave(entered, self._refuse(call), "not_run")
-        outcome = await self._front.call_service(call)
+        outcome = await self._services.call(call)
         response = self._answer(outcome)
-        return self._leave(entered, response, _label(outcome), arrived_seconds)
+        return self._leave(entered, response, outcome_label(outcome), arrived_seconds)
 
     def _enter(self, request: Request) -> TenantRow | NotRun:
         """Check who asks and whether they may now; counts the request in."""
@@ -233,26 +236,27 @@
         response = Response(499)
         label = "cancelled"
         try:
-            async for item in self._front.stream(call):
-                if isinstance(item, StreamChunk):
-                    chunks.append(item)
-                else:
-                    outcome = item
+            async with aclosing(self._completions.stream(call)) as source:
+                async for item in source:
+                    if isinstance(item, StreamChunk):
+                        chunks.append(item)
+                    else:
+                        outcome = item
             if outcome is not None:
-                response, label = self._answer(outcome), _label(outcome)
+                response, label = self._answer(outcome), outcome_label(outcome)
             else:
-                response, label = json_response(_whole_body(call, chunks)), "completed"
+                response, label = json_response(whole_body(call, chunks)), "completed"
         finally:
             self._context.telemetry.tokens_passed(call.tenant.name, len(chunks))
             self._leave(call.tenant, response, label, call.arrived_seconds)
         return response
 
     async def _stream(self, request: Request, call: CompletionCall) -> Response:
-        source = self._front.stream(call)
+        source = self._completions.stream(call)
         first = await self._first_item(request, call, source)
         if not isinstance(first, StreamChunk):
             return self._leave(
-                call.tenant, self._answer(first), _label(first), call.arrived_seconds
+                call.tenant, self._answer(first), outcome_label(first), call.arrived_seconds
             )
         watcher: asyncio.Task[None] | None = None
 
@@ -262,19 +266,19 @@
             try:
                 item: StreamChunk | Outcome = first
                 while isinstance(item, StreamChunk):
-                    yield _sse(_chunk_body(call, item))
+                    yield server_sent_event(chunk_body(call, item))
                     tokens += len(item.token_ids)
                     if item.finish_reason is not None:
                         yield b"data: [DONE]\n\n"
                         label = "completed"
                         return
                     item = await anext(source)
-                label = _label(item)
-                yield _sse(self._error_event(item))
+                label = outcome_label(item)
+                yield server_sent_event(self._error_event(item))
             finally:
                 if watcher is not None:
                     watcher.cancel()
-                await source.aclose()  # type: ignore[attr-defined]
+                await source.aclose()
                 self._context.telemetry.tokens_passed(call.tenant.name, tokens)
                 self._leave(call.tenant, Response(200), label, call.arrived_seconds)
 
@@ -319,67 +323,3 @@
             task.cancel()
 
     return watch_disconnect(request, cancel)
-
-
-def outcome_problem(outcome: Outcome, now_seconds: float) -> Problem:
-    """Return the problem that tells a caller of an outcome without an answer."""
-    if isinstance(outcome, NotRun):
-        status = STATUS_OF_REASON[outcome.reason]
-        retry = _retry_after(outcome.retry_at_seconds, now_seconds)
-        return Problem(status, outcome.reason.value, outcome.detail, "no", retry)
-    if isinstance(outcome, MayHaveRun):
-        retry = _retry_after(outcome.retry_at_seconds, now_seconds)
-        return Problem(502, "may-have-run", outcome.detail, "unknown", retry)
-    return Problem(502, "ran-and-failed", "the target failed", "yes", None)
-
-
-def _retry_after(at_seconds: float | None, now_seconds: float) -> float | None:
-    return None if at_seconds is None else max(0.0, at_seconds - now_seconds)
-
-
-def _label(outcome: Outcome) -> str:
-    if isinstance(outcome, Completed):
-        return "completed"
-    if isinstance(outcome, NotRun):
-        return "not_run"
-    return "may_have_run" if isinstance(outcome, MayHaveRun) else "failed"
-
-
-def _sse(body: dict[str, Any]) -> bytes:
-    return b"data: " + msgspec.json.encode(body) + b"\n\n"
-
-
-def _fingerprint(call: CompletionCall, version: int | None) -> str | None:
-    return None if version is None else f"{call.route.name}@{version}"
-
-
-def _chunk_body(call: CompletionCall, chunk: StreamChunk) -> dict[str, Any]:
-    choice = {
-        "index": 0,
-        "text": chunk.text,
-        "token_ids": chunk.token_ids,
-        "finish_reason": chunk.finish_reason,
-    }
-    return {
-        "object": "text_completion",
-        "model": call.route.name,
-        "choices": [choice],
-        "system_fingerprint": _fingerprint(call, chunk.version),
-    }
-
-
-def _whole_body(call: CompletionCall, chunks: list[StreamChunk]) -> dict[str, Any]:
-    last = chunks[-1]
-    choice = {
-        "index": 0,
-        "text": "".join(chunk.text for chunk in chunks),
-        "finish_reason": last.finish_reason,
-    }
-    tokens = sum(len(chunk.token_ids) for chunk in chunks)
-    return {
-        "object": "text_completion",
-        "model": call.route.name,
-        "choices": [choice],
-        "system_fingerprint": _fingerprint(call, last.version),
-        "usage": {"completion_tokens": tokens},
-    }
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -10,24 +10,28 @@
 from rackswitch.daemon.access import find_operator
 from rackswitch.daemon.admin_edge import AdminEdge
 from rackswitch.daemon.caller_edge import CallerEdge
-from rackswitch.daemon.callers import CallerFront
 from rackswitch.daemon.claim_keeper import ClaimKeeper
+from rackswitch.daemon.completions import CompletionFront
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.heartbeats import Heartbeats
-from rackswitch.daemon.ledger_keeper import LedgerKeeper, ledger_role
+from rackswitch.daemon.ledger_keeper import LedgerKeeper
+from rackswitch.daemon.ledger_store import ledger_role
 from rackswitch.daemon.limit_keeper import LimitKeeper
 from rackswitch.daemon.peers import PeersService
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.rollout_keeper import RolloutKeeper, rollout_role
 from rackswitch.daemon.sample_runner import SampleRunner
+from rackswitch.daemon.service_calls import ServiceFront
 from rackswitch.daemon.settings import DaemonSettings
 from rackswitch.daemon.table_keeper import TableKeeper
+from rackswitch.daemon.target_choice import TargetChooser
 from rackswitch.daemon.target_keeper import TargetKeeper
 from rackswitch.daemon.trainer_edge import TrainerEdge
 from rackswitch.membership import Membership, MemberState, MemberUpdate
 from rackswitch.peers.links import PeerLinks
 from rackswitch.platform.http import HttpSessions
 from rackswitch.platform.kv import KV_CLIENTS
+from rackswitch.platform.plain_service import PlainServiceClient
 from rackswitch.platform.vm_list import VmListClient
 from rackswitch.platform.weight_store import WeightStoreClient
 from rackswitch.table import DaemonRow, ModelRow, TableView, TrainerRow, choose_watchers
@@ -91,12 +95,15 @@
         self.limits = LimitKeeper(self.context, self.heartbeats)
         self.targets = TargetKeeper(self.context, lambda: set(self.heartbeats.leaving_targets))
         self.claims = ClaimKeeper(self.context)
-        self.runner = SampleRunner(self.context, self.targets)
+        chooser = TargetChooser(self.context, self.targets)
+        self.runner = SampleRunner(self.context, self.targets, chooser)
         self.ledgers = LedgerKeeper(self.context, self.roles, self.runner)
         store = WeightStoreClient(settings.weight_store_url, sessions)
         self.rollouts = RolloutKeeper(self.context, self.roles, self.targets, store)
-        front = CallerFront(self.context, self.targets, self.claims)
-        self.caller_edge = CallerEdge(self.context, front, self.limits)
+        completions = CompletionFront(self.context, self.targets, chooser)
+        plain = PlainServiceClient(sessions)
+        services = ServiceFront(self.context, chooser, self.claims, plain)
+        self.caller_edge = CallerEdge(self.context, completions, services, self.limits)
         self._peers = PeersService(
             self.context,
             self.heartbeats,
--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -3,19 +3,25 @@
 import asyncio
 import contextlib
 import itertools
-from dataclasses import dataclass, field
 
 import msgspec
 from loguru import logger
 
 from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.ledger_store import (
+    NOT_HELD_HERE,
+    HeldLedger,
+    LedgerStore,
+    ledger_problem,
+    ledger_role,
+)
 from rackswitch.daemon.peers import LedgerAnswer
 from rackswitch.daemon.roles import ROLE_PREFIX, RoleKeeper
 from rackswitch.daemon.sample_runner import SampleFailed, SampleRunner
 from rackswitch.leases import rank_candidates
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.platform.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart
+from rackswitch.platform.kv import KvRead
 from rackswitch.samples import (
     Batch,
     Draw,
@@ -23,48 +29,18 @@
     DrawHandOver,
     DrawRefused,
     DrawWrite,
-    LedgerRecord,
     Sample,
-    SampleLedger,
     SampleOrder,
     StepPlan,
 )
 from rackswitch.table import TrainerRow
-from rackswitch.web import Problem
 
-__all__ = ["LedgerKeeper", "ledger_role"]
+__all__ = ["LedgerKeeper"]
 
 TICK_SECONDS = 0.2
 RETRY_SECONDS = 0.05
-NOT_HELD_HERE = 421
 FORWARD_TIMEOUT_SECONDS = 35.0
 RUN_TIMEOUT_SECONDS = 150.0
-MOST_PLAN_BYTES = 900_000
-COME_BACK_SECONDS = 0.5
-
-
-def ledger_role(trainer: str) -> str:
-    """Return the role whose holder keeps a trainer's ledger."""
-    return f"ledger/{trainer}"
-
-
-@dataclass(slots=True)
-class _HeldLedger:
-    """A ledger on the daemon that holds its role.
-
-    Attributes
-    ----------
-    fencing : int
-        The fencing number under which it was loaded.
-    mod_revision : int
-        Revision of the record in the service, as last known.
-    """
-
-    ledger: SampleLedger
-    fencing: int
-    mod_revision: int
-    news: asyncio.Event = field(default_factory=asyncio.Event)
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 class LedgerKeeper:
@@ -80,13 +56,14 @@
         Makes samples on this daemon.
     """
 
-    __slots__ = ("_context", "_held", "_holders", "_roles", "_runner", "_turn", "_wake")
+    __slots__ = ("_context", "_held", "_holders", "_roles", "_runner", "_store", "_turn", "_wake")
 
     def __init__(self, context: DaemonContext, roles: RoleKeeper, runner: SampleRunner):
         self._context = context
         self._roles = roles
+        self._store = LedgerStore(context, roles)
         self._runner = runner
-        self._held: dict[str, _HeldLedger] = {}
+        self._held: dict[str, HeldLedger] = {}
         self._holders: dict[str, str] = {}
         self._turn = itertools.count()
         self._wake = asyncio.Event()
@@ -111,21 +88,17 @@
                 self._holders[trainer] = daemon
                 return answer
         self._holders.pop(trainer, None)
-        return _problem(503, "ledger-moving", "No daemon holds this trainer's ledger now.")
+        return ledger_problem(503, "ledger-moving", "No daemon holds this trainer's ledger now.")
 
     async def call_here(self, trainer: str, operation: str, body: bytes) -> LedgerAnswer:
         """Carry out a trainer's call if its ledger is held here."""
         held = self._held.get(trainer)
-        if held is None or not self._may_act(trainer, held):
+        if held is None or not self._store.may_act(trainer, held):
             return LedgerAnswer(NOT_HELD_HERE, b"")
         if operation == "plan":
             return await self._plan(trainer, held, msgspec.json.decode(body, type=StepPlan))
         return await self._draw(trainer, held, msgspec.json.decode(body, type=Draw))
 
-    def _may_act(self, trainer: str, held: _HeldLedger) -> bool:
-        role = ledger_role(trainer)
-        return self._roles.may_act(role) and self._roles.fencing(role) == held.fencing
-
     async def _likely_holders(self, trainer: str) -> list[str]:
         """Return daemons to ask: the last known holder, the likely ones, the one on record."""
         own = self._context.settings.daemon
@@ -154,13 +127,13 @@
 
     async def _tend(self, trainer: TrainerRow) -> None:
         held = self._held.get(trainer.name)
-        if held is not None and not self._may_act(trainer.name, held):
+        if held is not None and not self._store.may_act(trainer.name, held):
             del self._held[trainer.name]
             held.news.set()
             held = None
         if held is None:
             if self._roles.may_act(ledger_role(trainer.name)):
-                await self._load(trainer)
+                await self._take_over(trainer)
             return
         held.ledger.set_rules(trainer.staleness_bound_versions, 0)
         room = int(trainer.concurrency) - len(held.ledger.running)
@@ -170,22 +143,13 @@
         for order in orders:
             self._context.spawn(self._carry_out(held, order))
 
-    async def _load(self, trainer: TrainerRow) -> None:
-        """Take over a ledger from its record and plans in the service."""
-        fencing = self._roles.fencing(ledger_role(trainer.name))
-        record_read = await self._context.kv.read(_record_key(trainer.name))
-        plans_read = await self._context.kv.read(_plans_prefix(trainer.name), is_prefix=True)
-        if isinstance(record_read, KvUnavailable) or isinstance(plans_read, KvUnavailable):
-            return
-        record, mod_revision = _record_of(record_read)
-        ledger = SampleLedger(trainer.name, trainer.model, record, trainer.scorer)
-        ledger.set_rules(trainer.staleness_bound_versions, 0)
-        for entry in plans_read.entries:
-            ledger.learn_plan(msgspec.json.decode(entry.value, type=StepPlan))
-        self._held[trainer.name] = _HeldLedger(ledger, fencing, mod_revision)
-        logger.info("ledger loaded", trainer=trainer.name, step=record.step, fencing=fencing)
+    async def _take_over(self, trainer: TrainerRow) -> None:
+        held = await self._store.load(trainer)
+        if held is not None:
+            self._held[trainer.name] = held
+            logger.info("ledger loaded", trainer=trainer.name, fencing=held.fencing)
 
-    async def _carry_out(self, held: _HeldLedger, order: SampleOrder) -> None:
+    async def _carry_out(self, held: HeldLedger, order: SampleOrder) -> None:
         result = await self._run_somewhere(order)
         if isinstance(result, Sample):
             held.ledger.finished(result)
@@ -212,30 +176,16 @@
             return SampleFailed("failed at a peer", unlabelled=reply.sample == b"unlabelled")
         return msgspec.json.decode(reply.sample, type=Sample)
 
-    async def _plan(self, trainer: str, held: _HeldLedger, plan: StepPlan) -> LedgerAnswer:
-        encoded = msgspec.json.encode(plan)
-        if len(encoded) > MOST_PLAN_BYTES:
-            return _problem(413, "plan-too-large", f"A plan holds at most {MOST_PLAN_BYTES} bytes.")
+    async def _plan(self, trainer: str, held: HeldLedger, plan: StepPlan) -> LedgerAnswer:
         async with held.lock:
             refusal = held.ledger.learn_plan(plan)
             if refusal is not None:
-                return _problem(409, "plan-differs", refusal.detail)
-            key = f"{_plans_prefix(trainer)}{plan.step:012d}"
-            part = TxnPart(
-                compares=(self._roles.fence(ledger_role(trainer)),),
-                operations=(Operation(key, encoded),),
-            )
-            done = await self._context.kv.txn([part])
+                return ledger_problem(409, "plan-differs", refusal.detail)
+            answer = await self._store.put_plan(trainer, plan)
         self._wake.set()
-        if isinstance(done, KvUnavailable):
-            # Planning the same step again is harmless, so the trainer may simply retry.
-            return _problem(503, "store-unavailable", "The plan is not known to be kept.")
-        if not done[0].succeeded:
-            self._roles.lose(ledger_role(trainer))
-            return LedgerAnswer(NOT_HELD_HERE, b"")
-        return LedgerAnswer(200, b'{"planned":true}')
+        return answer
 
-    async def _draw(self, trainer: str, held: _HeldLedger, draw: Draw) -> LedgerAnswer:
+    async def _draw(self, trainer: str, held: HeldLedger, draw: Draw) -> LedgerAnswer:
         deadline_seconds = self._context.now_seconds() + draw.wait_seconds
         while True:
             held.news.clear()
@@ -252,26 +202,26 @@
                 continue
 
     async def _try_draw(
-        self, trainer: str, held: _HeldLedger, draw: Draw, at_least: int
+        self, trainer: str, held: HeldLedger, draw: Draw, at_least: int
     ) -> LedgerAnswer | None:
         async with held.lock:
             while True:
-                if not self._may_act(trainer, held):
+                if not self._store.may_act(trainer, held):
                     return LedgerAnswer(NOT_HELD_HERE, b"")
                 if not self._may_trust_table():
                     detail = "The holder's table is not confirmed, so the bound may have changed."
-                    return _problem(503, "table-unconfirmed", detail)
+                    return ledger_problem(503, "table-unconfirmed", detail)
                 self._refresh_rules(trainer, held)
                 decision = held.ledger.draw(draw, at_least)
                 if isinstance(decision, DrawRefused):
-                    return _problem(409, "draw-refused", decision.detail)
+                    return ledger_problem(409, "draw-refused", decision.detail)
                 if isinstance(decision, DrawComplete):
                     return self._batch(held, draw, draw.acknowledged_batch, True, ())
                 if isinstance(decision, DrawHandOver):
                     return self._batch(held, draw, decision.batch, False, decision.samples)
                 if not isinstance(decision, DrawWrite):
                     return None
-                failure = await self._write(trainer, held, decision.record)
+                failure = await self._store.write(trainer, held, decision.record)
                 self._wake.set()
                 if failure is not None:
                     return failure
@@ -282,14 +232,14 @@
             return True
         return self._context.view.is_confirmed(self._context.now_seconds())
 
-    def _refresh_rules(self, trainer: str, held: _HeldLedger) -> None:
+    def _refresh_rules(self, trainer: str, held: HeldLedger) -> None:
         row = self._context.view.row(TrainerRow, trainer)
         if row is not None:
             held.ledger.set_rules(row.staleness_bound_versions, 0)
 
     def _batch(
         self,
-        held: _HeldLedger,
+        held: HeldLedger,
         draw: Draw,
         number: int,
         complete: bool,
@@ -303,72 +253,3 @@
             samples=samples,
         )
         return LedgerAnswer(200, msgspec.json.encode(batch))
-
-    async def _write(
-        self, trainer: str, held: _HeldLedger, record: LedgerRecord
-    ) -> LedgerAnswer | None:
-        """Write the record under the lease's fence; None once it is known to be in force."""
-        key = _record_key(trainer)
-        operations = [Operation(key, msgspec.json.encode(record))]
-        if record.step > held.ledger.record.step and record.step >= 2:
-            old_step = record.step - 2
-            operations.append(Operation(f"{_plans_prefix(trainer)}{old_step:012d}", None))
-        part = TxnPart(
-            compares=(
-                self._roles.fence(ledger_role(trainer)),
-                Compare(key, "mod", held.mod_revision),
-            ),
-            operations=tuple(operations),
-        )
-        done = await self._context.kv.txn([part])
-        if isinstance(done, KvUnavailable) and not done.effect_unknown:
-            return _problem(503, "store-unavailable", "The hand-over cannot be recorded now.")
-        if not isinstance(done, KvUnavailable) and done[0].succeeded:
-            held.mod_revision = done[0].revision
-            held.ledger.written(record)
-            return None
-        read = await self._context.kv.read(key)
-        if isinstance(read, KvUnavailable):
-            return _problem(503, "store-unavailable", "The hand-over is not known to be kept.")
-        # The role is read after the record: if it is still this holder's, then so is the
-        # record, written in this try or in an earlier one that went unanswered.
-        if not await self._still_holds(trainer, held):
-            return LedgerAnswer(NOT_HELD_HERE, b"")
-        present, mod_revision = _record_of(read)
-        if mod_revision < held.mod_revision:
-            return _problem(503, "store-unavailable", "The service answered with an old state.")
-        held.mod_revision = mod_revision
-        if present == held.ledger.record:
-            return _problem(503, "store-unavailable", "The hand-over was not recorded.")
-        held.ledger.written(present)
-        return None
-
-    async def _still_holds(self, trainer: str, held: _HeldLedger) -> bool:
-        role = ledger_role(trainer)
-        read = await self._context.kv.read(ROLE_PREFIX + role)
-        if isinstance(read, KvUnavailable) or not self._may_act(trainer, held):
-            return False
-        if read.entries and read.entries[0].create_revision == held.fencing:
-            return True
-        self._roles.lose(role)
-        return False
-
-
-def _record_key(trainer: str) -> str:
-    return f"ledgers/{trainer}"
-
-
-def _plans_prefix(trainer: str) -> str:
-    return f"plans/{trainer}/"
-
-
-def _record_of(read: KvRead) -> tuple[LedgerRecord, int]:
-    if not read.entries:
-        return LedgerRecord(), 0
-    entry = read.entries[0]
-    return msgspec.json.decode(entry.value, type=LedgerRecord), entry.mod_revision
-
-
-def _problem(status: int, name: str, detail: str) -> LedgerAnswer:
-    problem = Problem(status, name, detail, "no", COME_BACK_SECONDS)
-    return LedgerAnswer(status, msgspec.json.encode(problem))
--- /dev/null
+++ b/rackswitch/daemon/ledger_store.py
@@ -0,0 +1,171 @@
+"""A trainer's ledger in the key-value service: its record and its plans."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.peers import LedgerAnswer
+from rackswitch.daemon.roles import ROLE_PREFIX, RoleKeeper
+from rackswitch.platform.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart
+from rackswitch.samples import LedgerRecord, SampleLedger, StepPlan
+from rackswitch.table import TrainerRow
+from rackswitch.web import Problem
+
+__all__ = ["NOT_HELD_HERE", "HeldLedger", "LedgerStore", "ledger_problem", "ledger_role"]
+
+NOT_HELD_HERE = 421
+COME_BACK_SECONDS = 0.5
+MOST_PLAN_BYTES = 900_000
+
+
+def ledger_role(trainer: str) -> str:
+    """Return the role whose holder keeps a trainer's ledger."""
+    return f"ledger/{trainer}"
+
+
+@dataclass(slots=True)
+class HeldLedger:
+    """A ledger on the daemon that holds its role.
+
+    Attributes
+    ----------
+    fencing : int
+        The fencing number under which it was loaded.
+    mod_revision : int
+        Revision of the record in the service, as last known.
+    """
+
+    ledger: SampleLedger
+    fencing: int
+    mod_revision: int
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+class LedgerStore:
+    """Reads and writes ledgers; writes only under the fence of the ledger's role.
+
+    Parameters
+    ----------
+    context : DaemonContext
+        The daemon.
+    roles : RoleKeeper
+        Leases.
+    """
+
+    __slots__ = ("_context", "_roles")
+
+    def __init__(self, context: DaemonContext, roles: RoleKeeper):
+        self._context = context
+        self._roles = roles
+
+    def may_act(self, trainer: str, held: HeldLedger) -> bool:
+        """Return whether this daemon may act on the ledger at this moment."""
+        role = ledger_role(trainer)
+        return self._roles.may_act(role) and self._roles.fencing(role) == held.fencing
+
+    async def load(self, trainer: TrainerRow) -> HeldLedger | None:
+        """Take over a ledger from its record and plans; None if they cannot be read."""
+        fencing = self._roles.fencing(ledger_role(trainer.name))
+        record_read = await self._context.kv.read(_record_key(trainer.name))
+        plans_read = await self._context.kv.read(_plans_prefix(trainer.name), is_prefix=True)
+        if isinstance(record_read, KvUnavailable) or isinstance(plans_read, KvUnavailable):
+            return None
+        record, mod_revision = _record_of(record_read)
+        ledger = SampleLedger(trainer.name, trainer.model, record, trainer.scorer)
+        ledger.set_rules(trainer.staleness_bound_versions, 0)
+        for entry in plans_read.entries:
+            ledger.learn_plan(msgspec.json.decode(entry.value, type=StepPlan))
+        return HeldLedger(ledger, fencing, mod_revision)
+
+    async def put_plan(self, trainer: str, plan: StepPlan) -> LedgerAnswer:
+        """Keep a step's plan; keeping it again is harmless."""
+        encoded = msgspec.json.encode(plan)
+        if len(encoded) > MOST_PLAN_BYTES:
+            detail = f"A plan holds at most {MOST_PLAN_BYTES} bytes."
+            return ledger_problem(413, "plan-too-large", detail)
+        key = f"{_plans_prefix(trainer)}{plan.step:012d}"
+        fence = self._roles.fence(ledger_role(trainer))
+        done = await self._context.kv.txn([TxnPart((fence,), (Operation(key, encoded),))])
+        if isinstance(done, KvUnavailable):
+            return ledger_problem(503, "store-unavailable", "The plan is not known to be kept.")
+        if not done[0].succeeded:
+            self._roles.lose(ledger_role(trainer))
+            return LedgerAnswer(NOT_HELD_HERE, b"")
+        return LedgerAnswer(200, b'{"planned":true}')
+
+    async def write(
+        self, trainer: str, held: HeldLedger, record: LedgerRecord
+    ) -> LedgerAnswer | None:
+        """Write the record under the lease's fence; None once it is known to be in force."""
+        key = _record_key(trainer)
+        operations = [Operation(key, msgspec.json.encode(record))]
+        if record.step > held.ledger.record.step and record.step >= 2:
+            old_step = record.step - 2
+            operations.append(Operation(f"{_plans_prefix(trainer)}{old_step:012d}", None))
+        part = TxnPart(
+            compares=(
+                self._roles.fence(ledger_role(trainer)),
+                Compare(key, "mod", held.mod_revision),
+            ),
+            operations=tuple(operations),
+        )
+        done = await self._context.kv.txn([part])
+        if isinstance(done, KvUnavailable) and not done.effect_unknown:
+            return ledger_problem(503, "store-unavailable", "The hand-over cannot be recorded now.")
+        if not isinstance(done, KvUnavailable) and done[0].succeeded:
+            held.mod_revision = done[0].revision
+            held.ledger.written(record)
+            return None
+        read = await self._context.kv.read(key)
+        if isinstance(read, KvUnavailable):
+            return ledger_problem(
+                503, "store-unavailable", "The hand-over is not known to be kept."
+            )
+        # The role is read after the record: if it is still this holder's, then so is the
+        # record, written in this try or in an earlier one that went unanswered.
+        if not await self._still_holds(trainer, held):
+            return LedgerAnswer(NOT_HELD_HERE, b"")
+        present, mod_revision = _record_of(read)
+        if mod_revision < held.mod_revision:
+            return ledger_problem(
+                503, "store-unavailable", "The service answered with an old state."
+            )
+        held.mod_revision = mod_revision
+        if present == held.ledger.record:
+            return ledger_problem(503, "store-unavailable", "The hand-over was not recorded.")
+        held.ledger.written(present)
+        return None
+
+    async def _still_holds(self, trainer: str, held: HeldLedger) -> bool:
+        role = ledger_role(trainer)
+        read = await self._context.kv.read(ROLE_PREFIX + role)
+        if isinstance(read, KvUnavailable) or not self.may_act(trainer, held):
+            return False
+        if read.entries and read.entries[0].create_revision == held.fencing:
+            return True
+        self._roles.lose(role)
+        return False
+
+
+def _record_key(trainer: str) -> str:
+    return f"ledgers/{trainer}"
+
+
+def _plans_prefix(trainer: str) -> str:
+    return f"plans/{trainer}/"
+
+
+def _record_of(read: KvRead) -> tuple[LedgerRecord, int]:
+    if not read.entries:
+        return LedgerRecord(), 0
+    entry = read.entries[0]
+    return msgspec.json.decode(entry.value, type=LedgerRecord), entry.mod_revision
+
+
+def ledger_problem(status: int, name: str, detail: str) -> LedgerAnswer:
+    """Return a refusal, with when to come back."""
+    problem = Problem(status, name, detail, "no", COME_BACK_SECONDS)
+    return LedgerAnswer(status, msgspec.json.encode(problem))
--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -1,18 +1,16 @@
 """Makes samples: generation over one or more engines, the label, the score."""
 
-import itertools
-
 import msgspec
 from loguru import logger
 
 from rackswitch.daemon.context import DaemonContext
-from rackswitch.daemon.target_keeper import TargetKeeper, prompt_prefixes, version_allowed
+from rackswitch.daemon.target_choice import Candidate, TargetChooser
+from rackswitch.daemon.target_keeper import TargetKeeper, version_allowed
 from rackswitch.platform.engine import EngineRequest, StreamBroken
 from rackswitch.platform.scorer import Score, ScorerClient
 from rackswitch.requests import StreamCheck, VersionSpan
-from rackswitch.routing import POLICIES, RoutedRequest, Target, usable_targets
 from rackswitch.samples import LabelUnknown, Sample, SampleLabel, SampleOrder, make_label
-from rackswitch.table import RouteChoice, TargetRow
+from rackswitch.table import RouteChoice
 
 __all__ = ["SampleFailed", "SampleRunner"]
 
@@ -53,17 +51,17 @@
         The daemon.
     targets : TargetKeeper
         What is known of targets.
+    chooser : TargetChooser
+        Picks engines.
     """
 
-    __slots__ = ("_context", "_counter", "_policy", "_scorer", "_start", "_targets")
+    __slots__ = ("_chooser", "_context", "_scorer", "_targets")
 
-    def __init__(self, context: DaemonContext, targets: TargetKeeper):
+    def __init__(self, context: DaemonContext, targets: TargetKeeper, chooser: TargetChooser):
         self._context = context
         self._targets = targets
-        self._policy = POLICIES.get(context.settings.routing_policy)(context.rng)
+        self._chooser = chooser
         self._scorer = ScorerClient(context.sessions)
-        self._counter = itertools.count()
-        self._start = context.rng.randrange(1 << 48)
 
     async def run(self, order: SampleOrder) -> Sample | SampleFailed:
         """Make one sample.
@@ -96,14 +94,16 @@
     async def _attempt(
         self,
         order: SampleOrder,
-        candidates: list[tuple[TargetRow, Target]],
+        candidates: list[Candidate],
         choice: RouteChoice,
         partial: _Partial,
     ) -> str:
-        row, target, routed = self._choose(order, candidates, partial)
+        remaining_tokens = float(order.max_tokens - len(partial.token_ids))
+        routed = self._chooser.routed(order.prompt, remaining_tokens)
+        row, target = self._chooser.pick(routed, candidates)
         now_seconds = self._context.now_seconds()
         request = EngineRequest(
-            request_id=f"{self._context.settings.daemon}-s-{self._start:x}-{next(self._counter)}",
+            request_id=self._chooser.new_attempt_id(),
             model=order.model,
             prompt=order.prompt,
             max_tokens=order.max_tokens,
@@ -145,23 +145,6 @@
             target.failed(self._context.now_seconds())
         return detail
 
-    def _choose(
-        self,
-        order: SampleOrder,
-        candidates: list[tuple[TargetRow, Target]],
-        partial: _Partial,
-    ) -> tuple[TargetRow, Target, RoutedRequest]:
-        routed = RoutedRequest(
-            prompt_tokens=len(order.prompt) / 4.0,
-            cost_tokens=float(order.max_tokens - len(partial.token_ids)),
-            prefixes=prompt_prefixes(order.prompt),
-            now_seconds=self._context.now_seconds(),
-        )
-        rows = {target.name: row for row, target in candidates}
-        usable = usable_targets([target for _, target in candidates], routed.now_seconds)
-        target = self._policy.choose(routed, usable)
-        return rows[target.name], target, routed
-
     async def _complete(self, order: SampleOrder, partial: _Partial) -> Sample | SampleFailed:
         label = make_label(partial.spans, len(partial.token_ids))
         if isinstance(label, LabelUnknown):
--- a/rackswitch/daemon/tests/test_claims.py
+++ b/rackswitch/daemon/tests/test_claims.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from rackswitch.daemon.callers import CallerFront, ServiceCall
 from rackswitch.daemon.claim_keeper import ClaimFound, ClaimKeeper
+from rackswitch.daemon.service_calls import ServiceCall, ServiceFront
+from rackswitch.daemon.target_choice import TargetChooser
 from rackswitch.daemon.tests.support import make_context, run_virtual
 from rackswitch.outcomes import Completed, NotRun, Outcome
 from rackswitch.platform.plain_service import PlainAnswer, PlainFailed
@@ -78,6 +79,11 @@
     )
 
 
+def make_front(context, claims: ClaimKeeper, service: FakeService) -> ServiceFront:
+    chooser = TargetChooser(context, FakeTargets())
+    return ServiceFront(context, chooser, claims, service)
+
+
 async def lodge(seed: int, claims_kind: type[ClaimKeeper]) -> tuple[list[str], Counter[str]]:
     """Send every key to two daemons, at once or after a refusal, under faults and deaths."""
     rng = random.Random(seed)
@@ -87,19 +93,17 @@
     wrong: list[str] = []
     kinds: Counter[str] = Counter()
 
-    def start_daemon(number: int) -> CallerFront:
+    def start_daemon(number: int) -> ServiceFront:
         context = make_context(f"d{number}", store, rng, faults)
-        front = CallerFront(context, FakeTargets(), claims_kind(context))
-        front._plain = service
-        return front
+        return make_front(context, claims_kind(context), service)
 
     fronts = [start_daemon(number) for number in range(DAEMONS)]
-    running: dict[CallerFront, set[asyncio.Task]] = {}
+    running: dict[ServiceFront, set[asyncio.Task]] = {}
 
     async def send(key: str) -> Outcome | None:
         front = rng.choice(fronts)
         call = make_call(key, asyncio.get_running_loop().time())
-        work = asyncio.create_task(front.call_service(call))
+        work = asyncio.create_task(front.call(call))
         running.setdefault(front, set()).add(work)
         if front in fronts and rng.random() < 0.1:
             # The daemon dies somewhere in the middle; its replacement knows nothing.
@@ -163,9 +167,8 @@
         outcomes = []
         for number in range(2):
             context = make_context(f"d{number}", store, rng)
-            front = CallerFront(context, FakeTargets(), ClaimKeeper(context))
-            front._plain = service
-            outcomes.append(await front.call_service(make_call("k", 0.0)))
+            front = make_front(context, ClaimKeeper(context), service)
+            outcomes.append(await front.call(make_call("k", 0.0)))
             await asyncio.sleep(1)
         return outcomes, service.runs["k"]
 
@@ -178,13 +181,14 @@
 def test_key_used_for_another_request_is_refused():
     async def reuse():
         context = make_context("d0", KvStore(), random.Random(1))
-        front = CallerFront(context, FakeTargets(), ClaimKeeper(context))
-        front._plain = FakeService(random.Random(2), trouble=0.0)
+        front = make_front(
+            context, ClaimKeeper(context), FakeService(random.Random(2), trouble=0.0)
+        )
         call = make_call("k", 0.0)
-        await front.call_service(call)
+        await front.call(call)
         await asyncio.sleep(1)
         other = dataclasses.replace(make_call("k", 0.0), body=b"another")
-        return await front.call_service(other)
+        return await front.call(other)
 
     outcome = run_virtual(reuse())
     assert isinstance(outcome, NotRun)
@@ -195,11 +199,10 @@
     async def refused():
         service = FakeService(random.Random(1))
         context = make_context("d0", KvStore(), random.Random(1), KvFaults(down=True))
-        front = CallerFront(context, FakeTargets(), ClaimKeeper(context))
-        front._plain = service
+        front = make_front(context, ClaimKeeper(context), service)
         loop = asyncio.get_running_loop()
         began = loop.time()
-        outcome = await front.call_service(make_call("k", began))
+        outcome = await front.call(make_call("k", began))
         return outcome, loop.time() - began, service.runs
 
     outcome, elapsed_seconds, runs = run_virtual(refused())
--- a/rackswitch/daemon/tests/test_ledgers.py
+++ b/rackswitch/daemon/tests/test_ledgers.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from rackswitch.daemon.ledger_keeper import LedgerKeeper, ledger_role
+from rackswitch.daemon.ledger_keeper import LedgerKeeper
+from rackswitch.daemon.ledger_store import LedgerStore, ledger_role
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.tests.support import make_context, run_virtual
 from rackswitch.membership import VmEntry
@@ -233,7 +234,7 @@
     async def remember_only(self, trainer, held, record):
         held.ledger.written(record)
 
-    monkeypatch.setattr(LedgerKeeper, "_write", remember_only)
+    monkeypatch.setattr(LedgerStore, "write", remember_only)
     try:
         wrong, _ = run_virtual(train(1, patience_seconds=120.0))
     except TimeoutError:
