--- a/rackswitch/daemon/peers.py
+++ b/rackswitch/daemon/peers.py
@@ -17,6 +17,7 @@
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import SECRET_METADATA
 from rackswitch.peers.peers_grpc import PeersBase
+from rackswitch.table import delta_since
 
 __all__ = ["LedgerAnswer", "PeersService"]
 
@@ -122,13 +123,17 @@
         await stream.send_message(pb.HeartbeatForReply(answered=answered))
 
     async def FetchTable(self, stream: Stream[pb.FetchTableRequest, pb.FetchTableReply]) -> None:
-        """Send the table in force if it is newer than the caller's."""
+        """Send what the caller misses of the table in force, or the whole of it."""
         request = await self._receive(stream)
         view = self._context.view
-        document = b""
+        reply = pb.FetchTableReply(revision=view.revision)
         if view.revision > request.above_revision:
-            document = msgspec.json.encode(view.document)
-        await stream.send_message(pb.FetchTableReply(revision=view.revision, document=document))
+            delta = delta_since(view.document, request.above_revision)
+            if delta is not None:
+                reply.delta = msgspec.json.encode(delta)
+            else:
+                reply.document = msgspec.json.encode(view.document)
+        await stream.send_message(reply)
 
     async def CallLedger(self, stream: Stream[pb.CallLedgerRequest, pb.CallLedgerReply]) -> None:
         """Carry out a trainer's call on a ledger that is held here."""
--- a/rackswitch/daemon/settings.py
+++ b/rackswitch/daemon/settings.py
@@ -70,7 +70,7 @@
     lease_seconds: Annotated[Seconds, msgspec.Meta(description="Life of a role's lease.")] = 6.0
     poll_seconds: Annotated[
         Seconds, msgspec.Meta(description="Between polls of one engine and the next.")
-    ] = 0.5
+    ] = 1.0
     polled_targets: Annotated[
         int, msgspec.Meta(ge=1, description="Targets of one model that this daemon uses.")
     ] = 16
--- a/rackswitch/daemon/table_keeper.py
+++ b/rackswitch/daemon/table_keeper.py
@@ -12,12 +12,15 @@
 from rackswitch.peers.links import PeerUnreachable
 from rackswitch.platform.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart, WatchNews
 from rackswitch.table import (
+    REMEMBERED_EDITS,
     Edit,
     EditAccepted,
     EditConflict,
     EditDone,
     EditInvalid,
+    TableDelta,
     TableDocument,
+    apply_delta,
     apply_edit,
     choose_watchers,
 )
@@ -60,6 +63,8 @@
         "_context",
         "_edit_lock",
         "_fetching",
+        "_read_mod_revision",
+        "_read_revision",
         "_watch_task",
         "changed",
     )
@@ -70,6 +75,8 @@
         self._boot_done = False
         self._edit_lock = asyncio.Lock()
         self._fetching: set[str] = set()
+        self._read_mod_revision = 0
+        self._read_revision = 0
         self._watch_task: asyncio.Task[None] | None = None
         self.changed = asyncio.Event()
 
@@ -121,17 +128,39 @@
                 await self._take(msgspec.json.decode(entry.value, type=TableDocument))
 
     async def read_service(self) -> bool:
-        """Read the table from the service; return whether it answered."""
+        """Confirm the table with the service, or read it if it has changed.
+
+        Returns
+        -------
+        bool
+            Whether the service answered.
+        """
         asked_at_seconds = self._context.now_seconds()
+        bound_seconds = self._context.settings.freshness.bound_seconds
+        until_seconds = asked_at_seconds + bound_seconds
+        if await self._is_unchanged():
+            self._context.view.confirm(self._read_revision, until_seconds)
+            return True
         read = await self._context.kv.read(TABLE_KEY)
         if not isinstance(read, KvRead):
             return False
         document = _document_of(read)
+        if read.entries:
+            self._read_mod_revision = read.entries[0].mod_revision
+            self._read_revision = document.revision
         await self._take(document)
-        bound_seconds = self._context.settings.freshness.bound_seconds
-        self._context.view.confirm(document.revision, asked_at_seconds + bound_seconds)
+        self._context.view.confirm(document.revision, until_seconds)
         return True
 
+    async def _is_unchanged(self) -> bool:
+        """Ask for the key's revision alone, which spares the value's way every time."""
+        if self._read_mod_revision == 0:
+            return False
+        read = await self._context.kv.read(TABLE_KEY, keys_only=True)
+        if not isinstance(read, KvRead) or not read.entries:
+            return False
+        return read.entries[0].mod_revision == self._read_mod_revision
+
     def confirmation_age_seconds(self) -> float:
         """Return how old the confirmation of the table in force is; may be infinite."""
         bound_seconds = self._context.settings.freshness.bound_seconds
@@ -160,7 +189,13 @@
             self._fetching.discard(peer.daemon)
         if isinstance(reply, PeerUnreachable):
             return False
-        if reply.document:
+        if reply.delta:
+            delta = msgspec.json.decode(reply.delta, type=TableDelta)
+            newer = apply_delta(self._context.view.document, delta, REMEMBERED_EDITS)
+            # None: another peer's table came in meanwhile; the next heartbeat tells.
+            if newer is not None:
+                await self._take(newer)
+        elif reply.document:
             await self._take(msgspec.json.decode(reply.document, type=TableDocument))
         return reply.revision > 0
 
--- a/rackswitch/platform/kv.py
+++ b/rackswitch/platform/kv.py
@@ -136,8 +136,10 @@
 
     calls: int
 
-    async def read(self, key: str, is_prefix: bool = False) -> KvRead | KvUnavailable:
-        """Read one key, or all under a prefix."""
+    async def read(
+        self, key: str, is_prefix: bool = False, keys_only: bool = False
+    ) -> KvRead | KvUnavailable:
+        """Read one key, or all under a prefix; with `keys_only` revisions without values."""
         ...
 
     async def txn(self, parts: list[TxnPart]) -> list[TxnPartDone] | KvUnavailable:
@@ -266,9 +268,13 @@
         self._sessions = sessions
         self.calls = 0
 
-    async def read(self, key: str, is_prefix: bool = False) -> KvRead | KvUnavailable:
-        """Read one key, or all under a prefix."""
-        body = {"key": _text(key)}
+    async def read(
+        self, key: str, is_prefix: bool = False, keys_only: bool = False
+    ) -> KvRead | KvUnavailable:
+        """Read one key, or all under a prefix; with `keys_only` revisions without values."""
+        body: dict[str, Any] = {"key": _text(key)}
+        if keys_only:
+            body["keys_only"] = True
         if is_prefix:
             body["range_end"] = _text(prefix_end(key))
         answer = await self._call("/v3/kv/range", body, _WireRange)
--- a/rackswitch/standins/faulty_kv.py
+++ b/rackswitch/standins/faulty_kv.py
@@ -71,8 +71,10 @@
         self._older: dict[str, KvRead] = {}
         self._late: set[asyncio.Task[None]] = set()
 
-    async def read(self, key: str, is_prefix: bool = False) -> KvRead | KvUnavailable:
-        """Read one key, or all under a prefix."""
+    async def read(
+        self, key: str, is_prefix: bool = False, keys_only: bool = False
+    ) -> KvRead | KvUnavailable:
+        """Read one key, or all under a prefix; values always come along here."""
         if not await self._answers():
             return KvUnavailable("no answer", False)
         self._expire()
--- a/rackswitch/standins/kv.py
+++ b/rackswitch/standins/kv.py
@@ -117,6 +117,9 @@
         body = await self._body(request)
         read = self.store.read(_text(body["key"]), is_prefix="range_end" in body)
         kvs = [_wire_entry(entry) for entry in read.entries]
+        if body.get("keys_only"):
+            for wire in kvs:
+                del wire["value"]
         return json_response({"header": self._header(), "kvs": kvs})
 
     async def _on_txn(self, request: Request) -> Response:
--- a/rackswitch/table/__init__.py
+++ b/rackswitch/table/__init__.py
@@ -1,5 +1,7 @@
 """The operators' table: rows, edits and the view that is in force."""
 
+from rackswitch.table.delta import *  # noqa: F403
+from rackswitch.table.delta import __all__ as _delta_all
 from rackswitch.table.edits import *  # noqa: F403
 from rackswitch.table.edits import __all__ as _edits_all
 from rackswitch.table.rows import *  # noqa: F403
@@ -7,4 +9,4 @@
 from rackswitch.table.view import *  # noqa: F403
 from rackswitch.table.view import __all__ as _view_all
 
-__all__ = [*_edits_all, *_rows_all, *_view_all]
+__all__ = [*_delta_all, *_edits_all, *_rows_all, *_view_all]
--- a/rackswitch/table/edits.py
+++ b/rackswitch/table/edits.py
@@ -19,6 +19,7 @@
 )
 
 __all__ = [
+    "REMEMBERED_EDITS",
     "Edit",
     "EditAccepted",
     "EditConflict",
