Membership: bad news goes first

Cause: a fleet that starts has news of every living daemon to spread, and the news of a death waited behind it (most sends left went first). Change: news of suspicion, death and leaving goes before news of the living. Ruled out: the probing itself, half of all knew after 15 s before too.

--- a/rackswitch/membership/core.py
+++ b/rackswitch/membership/core.py
@@ -203,7 +203,11 @@
     def updates_to_send(self) -> list[MemberUpdate]:
         """Return the news for the next message: this daemon, then the least spread."""
         fresh = [member for member in self.members.values() if member.remaining_sends > 0]
-        fresh.sort(key=lambda member: -member.remaining_sends)
+        # Bad news goes first: a fleet that starts has much news of the living, behind
+        # which the news of a death would wait.
+        fresh.sort(
+            key=lambda member: (member.update.state == MemberState.ALIVE, -member.remaining_sends)
+        )
         chosen = fresh[: UPDATES_PER_MESSAGE - 1]
         for member in chosen:
             member.remaining_sends -= 1
