Samples: a broken sample is resumed only while it can still be fresh enough

Cause: reading found `may_resume` written, tested and not called: a sample broken off under old weights was carried on and then dropped by the ledger. Change: the order carries the trainer's version and the bound; the runner begins anew when the oldest span would be too old, or is not known.

--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -9,7 +9,14 @@
 from rackswitch.platform.engine import EngineRequest, StreamBroken
 from rackswitch.platform.scorer import Score, ScorerClient
 from rackswitch.requests import StreamCheck, VersionSpan
-from rackswitch.samples import LabelUnknown, Sample, SampleLabel, SampleOrder, make_label
+from rackswitch.samples import (
+    LabelUnknown,
+    Sample,
+    SampleLabel,
+    SampleOrder,
+    make_label,
+    may_resume,
+)
 from rackswitch.table import RouteChoice
 
 __all__ = ["SampleFailed", "SampleRunner"]
@@ -66,8 +73,10 @@
     async def run(self, order: SampleOrder) -> Sample | SampleFailed:
         """Make one sample.
 
-        A stream that breaks is resumed at another engine; the spans of both are in the
-        label. Whether the whole is fresh enough is the ledger's decision.
+        A stream that breaks is resumed at another engine, with the spans of both in the
+        label, unless its oldest span would be too old by then; it is begun anew then, and
+        also if an engine could not name its version. Whether the whole is fresh enough is
+        the ledger's decision.
         """
         partial = _Partial()
         choice = RouteChoice(serves=order.model, oldest_version=order.oldest_version)
@@ -79,6 +88,8 @@
             detail = await self._attempt(order, candidates, choice, partial)
             if partial.finished:
                 return await self._complete(order, partial)
+            if not may_resume(partial.spans, order.policy_version, order.staleness_bound_versions):
+                partial = _Partial()
         return SampleFailed(detail)
 
     async def run_encoded(self, encoded: bytes) -> bytes:
--- a/rackswitch/samples/ledger.py
+++ b/rackswitch/samples/ledger.py
@@ -237,7 +237,8 @@
             seed=group.seed * 1_000_003 + plan.step * 10_007 + index,
             max_tokens=group.max_tokens,
             scorer=self.scorer,
-            oldest_version=max(0, self.policy_version - self.staleness_bound_versions),
+            policy_version=self.policy_version,
+            staleness_bound_versions=self.staleness_bound_versions,
         )
 
     def _missing(self, step: int) -> set[int]:
--- a/rackswitch/samples/messages.py
+++ b/rackswitch/samples/messages.py
@@ -65,7 +65,13 @@
 
 
 class SampleOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """An order to make one sample; `attempt` tells a remade one from its elder."""
+    """An order to make one sample; `attempt` tells a remade one from its elder.
+
+    Attributes
+    ----------
+    policy_version, staleness_bound_versions : int
+        The trainer's version and the bound when the order was given.
+    """
 
     trainer: str
     model: str
@@ -77,7 +83,13 @@
     seed: int
     max_tokens: int
     scorer: str | None = None
-    oldest_version: int = 0
+    policy_version: int = 0
+    staleness_bound_versions: int = 0
+
+    @property
+    def oldest_version(self) -> int:
+        """The oldest version that may make any token."""
+        return max(0, self.policy_version - self.staleness_bound_versions)
 
 
 class SampleLabel(msgspec.Struct, frozen=True, kw_only=True):
--- a/rackswitch/samples/tests/test_work.py
+++ b/rackswitch/samples/tests/test_work.py
@@ -8,7 +8,6 @@
     LengthForecast,
     StepPlan,
     shadow_allowed,
-    share_capacity,
     work_order,
 )
 
@@ -33,19 +32,6 @@
     assert expected == sorted(expected, reverse=True)
 
 
-@given(
-    st.integers(0, 200),
-    st.dictionaries(
-        st.sampled_from("abcd"), st.tuples(st.floats(0.1, 9), st.integers(0, 90)), min_size=1
-    ),
-)
-def test_capacity_is_shared_without_waste(slots, wants):
-    given_slots = share_capacity(slots, wants)
-    wanted = sum(count for _, count in wants.values())
-    assert sum(given_slots.values()) == min(slots, wanted)
-    assert all(given_slots[name] <= wants[name][1] for name in wants)
-
-
 def test_weights_decide_when_the_next_step_may_start():
     assert shadow_allowed(100, 100, idle_weight=1, staleness_weight=0)
     assert not shadow_allowed(1, 100, idle_weight=0, staleness_weight=1)
--- a/rackswitch/samples/work.py
+++ b/rackswitch/samples/work.py
@@ -4,7 +4,7 @@
 
 from rackswitch.samples.messages import StepPlan
 
-__all__ = ["LengthForecast", "index_groups", "share_capacity", "shadow_allowed", "work_order"]
+__all__ = ["LengthForecast", "index_groups", "shadow_allowed", "work_order"]
 
 FORECAST_SMOOTHING = 0.3
 
@@ -62,28 +62,3 @@
     if whole <= 0:
         return False
     return unfinished <= total * idle_weight / whole and idle_weight > 0
-
-
-def share_capacity(slots: int, wants: dict[str, tuple[float, int]]) -> dict[str, int]:
-    """Divide sample slots between trainers by weight, work-conserving.
-
-    Parameters
-    ----------
-    slots : int
-        Samples that may run at once.
-    wants : dict of str to (weight, wanted)
-        What each trainer may draw, and how many samples it could start.
-
-    Returns
-    -------
-    dict of str to int
-        Slots for each trainer; what one does not want goes to the others.
-    """
-    given = dict.fromkeys(wants, 0)
-    for _ in range(slots):
-        open_trainers = [name for name, (_, wanted) in wants.items() if given[name] < wanted]
-        if not open_trainers:
-            break
-        neediest = min(open_trainers, key=lambda name: given[name] / max(wants[name][0], 1e-9))
-        given[neediest] += 1
-    return given
