Platform: one call for JSON answers in place of four

Cause: the clients of the weight store, scorer, VM list and engine state each had the same limit, errors and decoding written out.

--- a/rackswitch/demo/tests/test_fleet.py
+++ b/rackswitch/demo/tests/test_fleet.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from rackswitch.daemon.core import Daemon
 from rackswitch.demo.fleet import (
     CALLER_TOKEN,
     OPERATOR_TOKEN,
@@ -86,36 +87,27 @@
     run(scenario())
 
 
-def test_planned_stop_cuts_no_request():
-    async def scenario():
-        async with running_fleet(tokens_per_second=200.0) as fleet:
-            caller = CallerStandIn(CALLER_TOKEN, [fleet.daemons["d0"].url])
-            calls = asyncio.create_task(burst(caller, 12))
-            await until(lambda: fleet.daemons["d0"].context.in_flight.count >= 8)
-            await fleet.daemons.pop("d0").stop()
-            await calls
-            await caller.close()
-            return caller.record
+async def end_daemon_under_load(end):
+    """Return what callers saw of a daemon that ends with requests in flight."""
+    async with running_fleet(tokens_per_second=200.0) as fleet:
+        caller = CallerStandIn(CALLER_TOKEN, [fleet.daemons["d0"].url])
+        calls = asyncio.create_task(burst(caller, 12))
+        await until(lambda: fleet.daemons["d0"].context.in_flight.count >= 8)
+        await end(fleet.daemons.pop("d0"))
+        await calls
+        await caller.close()
+        return caller.record
 
-    record = run(scenario())
+
+def test_planned_stop_cuts_no_request():
+    record = run(end_daemon_under_load(Daemon.stop))
     assert record.completed == 12
     assert record.violations() == []
 
 
 def test_a_crash_cuts_requests():
     """The same as a planned stop, without its mechanism."""
-
-    async def scenario():
-        async with running_fleet(tokens_per_second=200.0) as fleet:
-            caller = CallerStandIn(CALLER_TOKEN, [fleet.daemons["d0"].url])
-            calls = asyncio.create_task(burst(caller, 12))
-            await until(lambda: fleet.daemons["d0"].context.in_flight.count >= 8)
-            await fleet.daemons.pop("d0").crash()
-            await calls
-            await caller.close()
-            return caller.record
-
-    assert run(scenario()).completed < 12
+    assert run(end_daemon_under_load(Daemon.crash)).completed < 12
 
 
 @pytest.mark.parametrize("way", ["edit", "vm list", "vm list to one daemon only"])
--- a/rackswitch/platform/engine.py
+++ b/rackswitch/platform/engine.py
@@ -17,7 +17,7 @@
 import aiohttp
 import msgspec
 
-from rackswitch.platform.http import NOT_SENT_ERRORS, HttpSessions
+from rackswitch.platform.http import NOT_SENT_ERRORS, CallFailed, HttpSessions, call_json
 from rackswitch.registry import Registry
 from rackswitch.requests import StreamChunk
 
@@ -222,14 +222,11 @@
 
     async def info(self, url: str) -> EngineInfo | Unreachable:
         """Read the engine's state and load."""
-        try:
-            async with (
-                asyncio.timeout(INFO_TIMEOUT_SECONDS),
-                self._sessions.pooled.get(url + "/server_info") as answer,
-            ):
-                wire = msgspec.json.decode(await answer.read(), type=_WireInfo)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
-            return Unreachable(type(error).__name__)
+        wire = await call_json(
+            self._sessions.pooled, "GET", url + "/server_info", _WireInfo, INFO_TIMEOUT_SECONDS
+        )
+        if isinstance(wire, CallFailed):
+            return Unreachable(wire.detail)
         return EngineInfo(version_of(wire.system_fingerprint), wire.loading, wire.queued_tokens)
 
     async def load_version(
--- a/rackswitch/platform/scorer.py
+++ b/rackswitch/platform/scorer.py
@@ -1,12 +1,10 @@
 """Services that score samples."""
 
-import asyncio
 from dataclasses import dataclass
 
-import aiohttp
 import msgspec
 
-from rackswitch.platform.http import HttpSessions
+from rackswitch.platform.http import CallFailed, HttpSessions, call_json
 
 __all__ = ["Score", "ScorerClient", "ScoringFailed"]
 
@@ -53,20 +51,11 @@
     ) -> Score | ScoringFailed:
         """Score one sample; an answer about another sample counts as a failure."""
         body = {"sample_id": sample_id, "prompt": prompt, "text": text}
-        try:
-            async with (
-                asyncio.timeout(CALL_TIMEOUT_SECONDS),
-                self._sessions.pooled.post(url + "/score", json=body) as answer,
-            ):
-                content = await answer.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
-            return ScoringFailed(type(error).__name__)
-        if answer.status != 200:
-            return ScoringFailed(f"status {answer.status}")
-        try:
-            wire = msgspec.json.decode(content, type=_WireScore)
-        except msgspec.DecodeError as error:
-            return ScoringFailed(f"cannot read the answer: {error}")
+        wire = await call_json(
+            self._sessions.pooled, "POST", url + "/score", _WireScore, CALL_TIMEOUT_SECONDS, body
+        )
+        if isinstance(wire, CallFailed):
+            return ScoringFailed(wire.detail)
         if wire.sample_id != sample_id:
             return ScoringFailed("the score belongs to another sample")
         return Score(wire.score, wire.scorer_version)
--- a/rackswitch/platform/vm_list.py
+++ b/rackswitch/platform/vm_list.py
@@ -1,13 +1,11 @@
 """The platform's lagging list of live and leaving VMs."""
 
-import asyncio
 from dataclasses import dataclass
 
-import aiohttp
 import msgspec
 
 from rackswitch.membership import VmEntry
-from rackswitch.platform.http import HttpSessions
+from rackswitch.platform.http import CallFailed, HttpSessions, call_json
 
 __all__ = ["VmList", "VmListClient", "VmListUnavailable"]
 
@@ -61,14 +59,10 @@
 
     async def read(self) -> VmList | VmListUnavailable:
         """Read the list."""
-        try:
-            async with (
-                asyncio.timeout(CALL_TIMEOUT_SECONDS),
-                self._sessions.pooled.get(self._url + "/vms") as answer,
-            ):
-                wire = msgspec.json.decode(await answer.read(), type=_WireVms)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
-            return VmListUnavailable(type(error).__name__)
+        url = self._url + "/vms"
+        wire = await call_json(self._sessions.pooled, "GET", url, _WireVms, CALL_TIMEOUT_SECONDS)
+        if isinstance(wire, CallFailed):
+            return VmListUnavailable(wire.detail)
         daemons = tuple(
             VmEntry(vm.name, vm.host, vm.peer_port, vm.zone, vm.state == "leaving")
             for vm in wire.vms
--- a/rackswitch/platform/weight_store.py
+++ b/rackswitch/platform/weight_store.py
@@ -1,12 +1,10 @@
 """The weight store: which versions of a model are published."""
 
-import asyncio
 from dataclasses import dataclass
 
-import aiohttp
 import msgspec
 
-from rackswitch.platform.http import HttpSessions
+from rackswitch.platform.http import CallFailed, HttpSessions, call_json
 
 __all__ = ["PublishedVersions", "StoreUnavailable", "WeightStoreClient"]
 
@@ -51,18 +49,9 @@
     async def published(self, model: str) -> PublishedVersions | StoreUnavailable:
         """Read which versions of a model are there."""
         url = f"{self._url}/models/{model}/versions"
-        try:
-            async with (
-                asyncio.timeout(CALL_TIMEOUT_SECONDS),
-                self._sessions.pooled.get(url) as answer,
-            ):
-                content = await answer.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
-            return StoreUnavailable(type(error).__name__)
-        if answer.status != 200:
-            return StoreUnavailable(f"status {answer.status}")
-        try:
-            versions = msgspec.json.decode(content, type=_WireVersions).versions
-        except msgspec.DecodeError as error:
-            return StoreUnavailable(f"cannot read the answer: {error}")
-        return PublishedVersions(max(versions, default=0))
+        wire = await call_json(
+            self._sessions.pooled, "GET", url, _WireVersions, CALL_TIMEOUT_SECONDS
+        )
+        if isinstance(wire, CallFailed):
+            return StoreUnavailable(wire.detail)
+        return PublishedVersions(max(wire.versions, default=0))
