--- a/rackswitch/daemon/context.py
+++ b/rackswitch/daemon/context.py
@@ -50,7 +50,8 @@
     async def wait_idle(self, timeout_seconds: float) -> bool:
         """Wait until nothing is in flight; return whether that came in time."""
         try:
-            await asyncio.wait_for(self._idle.wait(), timeout_seconds)
+            async with asyncio.timeout(timeout_seconds):
+                await self._idle.wait()
         except TimeoutError:
             return False
         return True
--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -71,8 +71,10 @@
     async def run(self) -> None:
         """Load and drop ledgers as roles come and go, and start their work."""
         while True:
+            # Not `wait_for`: it can lose a cancellation that comes with the event.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), TICK_SECONDS)
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._wake.wait()
             self._wake.clear()
             for trainer in list(self._context.view.rows(TrainerRow)):
                 await self._tend(trainer)
@@ -196,10 +198,9 @@
             if late:
                 return self._batch(held, draw, draw.acknowledged_batch, False, ())
             timeout_seconds = max(0.0, deadline_seconds - self._context.now_seconds())
-            try:
-                await asyncio.wait_for(held.news.wait(), timeout_seconds)
-            except TimeoutError:
-                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_seconds):
+                    await held.news.wait()
 
     async def _try_draw(
         self, trainer: str, held: HeldLedger, draw: Draw, at_least: int
--- a/rackswitch/daemon/peers.py
+++ b/rackswitch/daemon/peers.py
@@ -80,7 +80,8 @@
         self._closed = True
         self._server.close()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._server.wait_closed(), CLOSE_PATIENCE_SECONDS)
+            async with asyncio.timeout(CLOSE_PATIENCE_SECONDS):
+                await self._server.wait_closed()
 
     async def _receive(self, stream: Stream[RequestT, Any]) -> RequestT:
         """Return the request of a daemon that knows the fleet's secret.
--- a/rackswitch/daemon/tests/test_ledgers.py
+++ b/rackswitch/daemon/tests/test_ledgers.py
@@ -228,6 +228,24 @@
     assert b"table-unconfirmed" in answer.body
 
 
+def test_a_keeper_cancelled_as_it_wakes_ends():
+    async def cancel():
+        context = make_context("d0", KvStore(), random.Random(1))
+        roles = RoleKeeper(context, lambda: [])
+        keeper = LocalKeeper(context, roles, World(random.Random(1)))
+        task = asyncio.create_task(keeper.run())
+        for _ in range(2):
+            await asyncio.sleep(0)
+        keeper._wake.set()
+        await asyncio.sleep(0)
+        task.cancel()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        return task.done()
+
+    assert run_virtual(cancel())
+
+
 def test_without_the_record_a_new_holder_cannot_go_on(monkeypatch):
     """Naive: hand over from memory, remember nothing durably."""
 
