--- a/rackswitch/load/main.py
+++ b/rackswitch/load/main.py
@@ -1,18 +1,35 @@
 """The program ``rackswitch-load``: campaigns of load and faults."""
 
 import asyncio
+import os
 import sys
 
 import fire
 import msgspec
 
 from rackswitch.demo.main import PROFILES
-from rackswitch.load.campaign import Campaign
+from rackswitch.load.campaign import Campaign, CampaignReport
 from rackswitch.telemetry import set_up_logs
 
 __all__ = ["main"]
 
 SECONDS_PER_RUN = 30.0
+END_PATIENCE_SECONDS = 120.0
+EXIT_NOT_ENDED = 6
+
+
+async def _run_bounded(campaign: Campaign, run_seconds: float) -> CampaignReport:
+    """Run a campaign; one that does not end shows what waits, and ends the program."""
+    task = asyncio.create_task(campaign.run(run_seconds))
+    done, _ = await asyncio.wait({task}, timeout=run_seconds + END_PATIENCE_SECONDS)
+    if done:
+        return task.result()
+    print(f"seed {campaign.report.seed} did not end; what waits:", flush=True)
+    for waiting in asyncio.all_tasks():
+        frames = [f"{frame.f_code.co_qualname}:{frame.f_lineno}" for frame in waiting.get_stack()]
+        print(" ", waiting.get_name(), " < ".join(reversed(frames)), flush=True)
+    # The waiting tasks may not give way to an orderly end.
+    os._exit(EXIT_NOT_ENDED)
 
 
 class Commands:
@@ -35,7 +52,8 @@
             sys.exit(2)
         bad = 0
         for number in range(max(1, round(minutes * 60 / run_seconds))):
-            report = asyncio.run(Campaign(PROFILES[profile], seed + number).run(run_seconds))
+            campaign = Campaign(PROFILES[profile], seed + number)
+            report = asyncio.run(_run_bounded(campaign, run_seconds))
             print(msgspec.json.encode(report).decode(), flush=True)
             if report.violations:
                 bad += 1
