--- a/rackswitch/platform/kv.py
+++ b/rackswitch/clients/kv.py
@@ -19,7 +19,7 @@
 import aiohttp
 import msgspec
 
-from rackswitch.platform.http import NOT_SENT_ERRORS, HttpSessions
+from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions
 from rackswitch.registry import Registry
 
 __all__ = [
@@ -68,10 +68,13 @@
     ----------
     effect_unknown : bool
         True if a write may have taken effect, or may still.
+    history_lost : bool
+        True if a watch cannot go on from its revision, so the keys must be read anew.
     """
 
     detail: str
     effect_unknown: bool
+    history_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,11 +111,18 @@
 
 @dataclass(frozen=True, slots=True)
 class TxnPartDone:
-    """Whether a part's conditions held, and the first of its keys found if not."""
+    """Whether a part's conditions held, and the first of its keys found if not.
+
+    Attributes
+    ----------
+    lease_gone : bool
+        True if nothing was done because a put named a lease that is over.
+    """
 
     succeeded: bool
     present: KvEntry | None
     revision: int
+    lease_gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,10 +135,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchNews:
-    """Something changed (entries put; deletions are not told), or only progress."""
+    """Something changed, or only progress; `deleted` are keys, where the client tells them."""
 
     entries: tuple[KvEntry, ...]
     revision: int
+    deleted: tuple[str, ...] = ()
 
 
 class KvClient(Protocol):
--- a/rackswitch/platform/plain_service.py
+++ b/rackswitch/clients/plain_service.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from rackswitch.platform.http import NOT_SENT_ERRORS, HttpSessions
+from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions
 
 __all__ = ["PlainAnswer", "PlainFailed", "PlainRequest", "PlainServiceClient"]
 
--- a/rackswitch/platform/scorer.py
+++ b/rackswitch/clients/scorer.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rackswitch.platform.http import CallFailed, HttpSessions, call_json
+from rackswitch.clients.http import CallFailed, HttpSessions, call_json
 
 __all__ = ["Score", "ScorerClient", "ScoringFailed"]
 
--- a/rackswitch/platform/vm_list.py
+++ b/rackswitch/clients/vm_list.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rackswitch.membership import VmEntry
-from rackswitch.platform.http import CallFailed, HttpSessions, call_json
+from rackswitch.clients.http import CallFailed, HttpSessions, call_json
 
 __all__ = ["VmList", "VmListClient", "VmListUnavailable"]
 
--- a/rackswitch/daemon/claim_keeper.py
+++ b/rackswitch/daemon/claim_keeper.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from rackswitch.daemon.context import DaemonContext
-from rackswitch.platform.kv import (
+from rackswitch.clients.kv import (
     Compare,
     KvEntry,
     KvUnavailable,
--- a/rackswitch/daemon/completions.py
+++ b/rackswitch/daemon/completions.py
@@ -8,7 +8,7 @@
 from rackswitch.daemon.target_choice import Candidate, TargetChooser
 from rackswitch.daemon.target_keeper import TargetKeeper, version_allowed
 from rackswitch.outcomes import MayHaveRun, NotRun, NotRunReason, Outcome
-from rackswitch.platform.engine import EngineRequest, StreamBroken
+from rackswitch.clients.engine import EngineRequest, StreamBroken
 from rackswitch.requests import (
     AttemptEnd,
     AttemptLog,
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -29,11 +29,11 @@
 from rackswitch.daemon.trainer_edge import TrainerEdge
 from rackswitch.membership import Membership, MemberState, MemberUpdate
 from rackswitch.peers.links import PeerLinks
-from rackswitch.platform.http import HttpSessions
-from rackswitch.platform.kv import KV_CLIENTS
-from rackswitch.platform.plain_service import PlainServiceClient
-from rackswitch.platform.vm_list import VmListClient
-from rackswitch.platform.weight_store import WeightStoreClient
+from rackswitch.clients.http import HttpSessions
+from rackswitch.clients.kv import KV_CLIENTS
+from rackswitch.clients.plain_service import PlainServiceClient
+from rackswitch.clients.vm_list import VmListClient
+from rackswitch.clients.weight_store import WeightStoreClient
 from rackswitch.table import DaemonRow, ModelRow, TableView, TrainerRow, choose_watchers
 from rackswitch.telemetry import Telemetry
 from rackswitch.web import (
--- a/rackswitch/daemon/heartbeats.py
+++ b/rackswitch/daemon/heartbeats.py
@@ -9,7 +9,7 @@
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.platform.vm_list import VmList, VmListClient
+from rackswitch.clients.vm_list import VmList, VmListClient
 
 __all__ = ["Heartbeats", "HungerNews"]
 
--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -21,7 +21,7 @@
 from rackswitch.leases import rank_candidates
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.platform.kv import KvRead
+from rackswitch.clients.kv import KvRead
 from rackswitch.samples import (
     Batch,
     Draw,
--- a/rackswitch/daemon/roles.py
+++ b/rackswitch/daemon/roles.py
@@ -7,7 +7,7 @@
 
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.leases import LeaseAction, RoleLease
-from rackswitch.platform.kv import (
+from rackswitch.clients.kv import (
     Compare,
     KvRead,
     KvUnavailable,
--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -6,8 +6,8 @@
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.target_choice import Candidate, TargetChooser
 from rackswitch.daemon.target_keeper import TargetKeeper, version_allowed
-from rackswitch.platform.engine import EngineRequest, StreamBroken
-from rackswitch.platform.scorer import Score, ScorerClient
+from rackswitch.clients.engine import EngineRequest, StreamBroken
+from rackswitch.clients.scorer import Score, ScorerClient
 from rackswitch.requests import StreamCheck, VersionSpan
 from rackswitch.samples import (
     LabelUnknown,
--- a/rackswitch/daemon/service_calls.py
+++ b/rackswitch/daemon/service_calls.py
@@ -13,7 +13,7 @@
     Outcome,
     RanAndFailed,
 )
-from rackswitch.platform.plain_service import PlainAnswer, PlainRequest, PlainServiceClient
+from rackswitch.clients.plain_service import PlainAnswer, PlainRequest, PlainServiceClient
 from rackswitch.requests import (
     AttemptEnd,
     AttemptLog,
--- a/rackswitch/daemon/settings.py
+++ b/rackswitch/daemon/settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rackswitch.platform.kv import KV_CLIENTS
+from rackswitch.clients.kv import KV_CLIENTS
 from rackswitch.routing import POLICIES
 from rackswitch.settings import Settings
 
--- a/rackswitch/daemon/table_keeper.py
+++ b/rackswitch/daemon/table_keeper.py
@@ -10,7 +10,7 @@
 from rackswitch.membership import MemberUpdate
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.platform.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart, WatchNews
+from rackswitch.clients.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart, WatchNews
 from rackswitch.table import (
     REMEMBERED_EDITS,
     Edit,
--- a/rackswitch/daemon/target_keeper.py
+++ b/rackswitch/daemon/target_keeper.py
@@ -6,7 +6,7 @@
 
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.leases import rank_candidates
-from rackswitch.platform.engine import ENGINE_CLIENTS, EngineClient, EngineInfo
+from rackswitch.clients.engine import ENGINE_CLIENTS, EngineClient, EngineInfo
 from rackswitch.routing import LoadReport, Target
 from rackswitch.table import RouteChoice, TargetRow
 
--- a/rackswitch/daemon/tests/test_roles.py
+++ b/rackswitch/daemon/tests/test_roles.py
@@ -8,7 +8,7 @@
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.tests.support import make_context, run_virtual
 from rackswitch.membership import MemberState, VmEntry
-from rackswitch.platform.kv import Operation, TxnPart
+from rackswitch.clients.kv import Operation, TxnPart
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 
--- /dev/null
+++ b/rackswitch/gateway/contact.py
@@ -0,0 +1,47 @@
+"""Whether the platform's key-value service answers this daemon."""
+
+from dataclasses import dataclass
+
+from rackswitch.telemetry import DecisionLog
+
+__all__ = ["StoreContact"]
+
+
+@dataclass(slots=True)
+class StoreContact:
+    """Contact with the key-value service, as its calls show it.
+
+    Attributes
+    ----------
+    away_since_seconds : float or None
+        When the first of the calls that went unanswered was made; None while all is well.
+    back_seconds : float
+        When the service last answered again after being away; minus infinity if never.
+    """
+
+    log: DecisionLog
+    away_since_seconds: float | None = None
+    back_seconds: float = float("-inf")
+    losses: int = 0
+
+    @property
+    def is_away(self) -> bool:
+        """Whether the last call went unanswered."""
+        return self.away_since_seconds is not None
+
+    def answered(self, now_seconds: float) -> None:
+        """Note an answer."""
+        if self.away_since_seconds is None:
+            return
+        away_seconds = now_seconds - self.away_since_seconds
+        self.away_since_seconds = None
+        self.back_seconds = now_seconds
+        self.log.write("dependency regained", dependency="key-value", away_seconds=away_seconds)
+
+    def failed(self, now_seconds: float, detail: str) -> None:
+        """Note a call without an answer."""
+        if self.away_since_seconds is not None:
+            return
+        self.away_since_seconds = now_seconds
+        self.losses += 1
+        self.log.write("dependency lost", dependency="key-value", detail=detail)
--- /dev/null
+++ b/rackswitch/gateway/context.py
@@ -0,0 +1,62 @@
+"""What the gateway's parts share."""
+
+import random
+from dataclasses import dataclass, field
+
+from rackswitch.clients.kv import KvClient
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.gateway.contact import StoreContact
+from rackswitch.platform.settings import NodeSettings
+from rackswitch.platform.store import PlatformKvClient
+from rackswitch.routing import Target, TargetDirectory
+from rackswitch.table import RouteIndex
+from rackswitch.telemetry import DecisionLog
+
+__all__ = ["GatewayContext"]
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """State and connections that several parts of one gateway use.
+
+    Attributes
+    ----------
+    daemon : DaemonContext
+        What is common with a daemon of the stand-alone deployment: the table in force, the
+        members, clock, tasks and work in flight.
+    routes : RouteIndex
+        The routes of the table in force.
+    named_versions : dict of str to int
+        The newest version of each model that its trainer has named.
+    targets : dict of str to Target
+        Load, speed and health of the listed targets, by instance.
+    """
+
+    settings: NodeSettings
+    daemon: DaemonContext
+    store: PlatformKvClient
+    contact: StoreContact
+    log: DecisionLog
+    routes: RouteIndex = field(default_factory=RouteIndex)
+    directory: TargetDirectory = field(default_factory=TargetDirectory)
+    named_versions: dict[str, int] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+
+    @property
+    def kv(self) -> KvClient:
+        """The key-value service."""
+        return self.daemon.kv
+
+    @property
+    def rng(self) -> random.Random:
+        """Source of random choices."""
+        return self.daemon.rng
+
+    @property
+    def table_revision(self) -> int:
+        """Revision of the table in force; 0 if none is known yet."""
+        return self.daemon.view.revision
+
+    def now_seconds(self) -> float:
+        """Return the monotonic clock."""
+        return self.daemon.now_seconds()
--- /dev/null
+++ b/rackswitch/gateway/item_runner.py
@@ -0,0 +1,190 @@
+"""Runs items of batch jobs at engines, and their reward calls."""
+
+import asyncio
+from contextlib import aclosing
+from dataclasses import dataclass
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.request_front import RequestFront
+from rackswitch.jobs import ItemProgress, JobItem, JobLedger, PieceFault, TextPiece
+from rackswitch.outcomes import NotRun
+from rackswitch.platform.engine import ItemRunEnd, ItemRunEnded, PlatformEngineClient
+from rackswitch.platform.ingress import stamp_of
+from rackswitch.requests import Call, TargetAnswer
+from rackswitch.routing import ListedTarget
+
+__all__ = ["EnginePaces", "ItemRunner"]
+
+FIRST_PIECE_PATIENCE_SECONDS = 2.0
+"""A full engine queues a run for up to the time of another one, some 0.9 s; twice that is
+more likely a fault."""
+
+NEXT_PIECE_PATIENCE_SECONDS = 1.2
+"""Events come some 40 ms apart, but a load of weights, 0.9 s, may stand between two."""
+
+REWARD_PAUSE_SECONDS = 0.1
+"""Between tries of a reward call that found no target; a few times its usual work."""
+
+PACE_SMOOTHING = 0.1
+FIRST_PACE_SECONDS = 0.05
+"""What an engine's time between events is taken for before one has been seen."""
+
+ITEM_URGENCY = 5
+"""The platform's middle urgency, which a run without any would have."""
+
+
+@dataclass(slots=True)
+class EnginePaces:
+    """Smoothed time between the events of a stream, by engine."""
+
+    seconds_per_piece: dict[str, float]
+
+    def note(self, instance: str, gap_seconds: float) -> None:
+        """Take in one gap."""
+        before = self.seconds_per_piece.get(instance, gap_seconds)
+        self.seconds_per_piece[instance] = before + PACE_SMOOTHING * (gap_seconds - before)
+
+    def get(self, instance: str) -> float:
+        """Return an engine's pace."""
+        return self.seconds_per_piece.get(instance, FIRST_PACE_SECONDS)
+
+
+class ItemRunner:
+    """Carries out what the schedule has decided for single items.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    engines : PlatformEngineClient
+        Makes the calls.
+    front : RequestFront
+        Serves the reward calls.
+    """
+
+    __slots__ = ("_context", "_engines", "_front", "paces")
+
+    def __init__(
+        self, context: GatewayContext, engines: PlatformEngineClient, front: RequestFront
+    ):
+        self._context = context
+        self._engines = engines
+        self._front = front
+        self.paces = EnginePaces({})
+
+    async def run(
+        self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget
+    ) -> ItemRunEnded:
+        """Run an item at an engine and note in the ledger how that ended."""
+        began_seconds = self._context.now_seconds()
+        first_number = progress.last_number + 1
+        ended = await self._stream(ledger, progress, target)
+        now_seconds = self._context.now_seconds()
+        self._context.log.write(
+            "item run ended",
+            job=ledger.job.job_id,
+            item=progress.item.item_id,
+            run=progress.run_number,
+            target=target.instance,
+            first_piece=first_number,
+            pieces=progress.last_number,
+            versions=progress.versions,
+            run_seconds=round(now_seconds - began_seconds, 3),
+            outcome=ended.end.value,
+            detail=ended.detail,
+        )
+        self._note_end(ledger, progress, target, ended)
+        return ended
+
+    async def _stream(
+        self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget
+    ) -> ItemRunEnded:
+        if ledger.single_version:
+            progress.begin_anew()
+        pieces = self._engines.run_item(
+            target,
+            ledger.job.host,
+            progress.item,
+            progress.last_number,
+            ITEM_URGENCY,
+            FIRST_PIECE_PATIENCE_SECONDS,
+            NEXT_PIECE_PATIENCE_SECONDS,
+        )
+        last_seconds: float | None = None
+        async with aclosing(pieces):  # type: ignore[type-var]
+            async for piece in pieces:
+                if isinstance(piece, ItemRunEnded):
+                    return piece
+                fault = self._take_piece(ledger, progress, piece)
+                if fault is not None:
+                    return ItemRunEnded(ItemRunEnd.BROKEN, fault.detail)
+                now_seconds = self._context.now_seconds()
+                if last_seconds is not None:
+                    self.paces.note(target.instance, now_seconds - last_seconds)
+                last_seconds = now_seconds
+        return ItemRunEnded(ItemRunEnd.BROKEN, "the stream told no end")
+
+    def _take_piece(
+        self, ledger: JobLedger, progress: ItemProgress, piece: TextPiece
+    ) -> PieceFault | None:
+        fault = progress.accept(piece, ledger.job.oldest_version)
+        if fault is None and ledger.single_version and len(progress.versions) > 1:
+            return PieceFault("the weights changed in the middle of the text")
+        return fault
+
+    def _note_end(
+        self,
+        ledger: JobLedger,
+        progress: ItemProgress,
+        target: ListedTarget,
+        ended: ItemRunEnded,
+    ) -> None:
+        now_seconds = self._context.now_seconds()
+        load = self._context.targets[target.instance]
+        if ended.end is ItemRunEnd.WHOLE and progress.pieces:
+            load.succeeded(0, 0.0)
+            ledger.whole(progress)
+        elif ended.end is ItemRunEnd.IMPOSSIBLE:
+            ledger.give_up(progress)
+        elif ended.end is ItemRunEnd.FAILED:
+            ledger.failed(progress, now_seconds)
+        else:
+            if ended.end is ItemRunEnd.SILENT:
+                load.went_silent(now_seconds)
+            elif ended.end is ItemRunEnd.NOT_THERE:
+                self._context.directory.disown(target.instance)
+            ledger.broke(progress, target.instance, now_seconds)
+
+    async def score(self, ledger: JobLedger, progress: ItemProgress) -> None:
+        """Make an item's reward call until it is answered or given up."""
+        item: JobItem = progress.item
+        reward = item.reward
+        if reward is None:
+            return
+        call = Call(reward.request_id, reward.host, "POST", reward.path, (), reward.body)
+        while not ledger.ended:
+            route = self._context.routes.find(reward.host, reward.path.partition("?")[0])
+            if route is None:
+                await asyncio.sleep(REWARD_PAUSE_SECONDS)
+                continue
+            deadline_seconds = self._context.now_seconds() + route.timeout_seconds
+            answer = await self._front.call(route, call, deadline_seconds)
+            outcome = answer.outcome
+            self._context.log.write(
+                "reward call ended",
+                job=ledger.job.job_id,
+                item=item.item_id,
+                request=reward.request_id,
+                target=answer.target,
+                attempts=answer.attempts,
+                failures=answer.failures,
+                outcome=outcome.status if isinstance(outcome, TargetAnswer) else outcome.detail,
+            )
+            if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
+                ledger.scored(progress, stamp_of(outcome))
+                return
+            for _ in range(answer.failures):
+                if not ledger.reward_failed(progress):
+                    return
+            if isinstance(outcome, NotRun) or answer.failures == 0:
+                await asyncio.sleep(REWARD_PAUSE_SECONDS)
--- /dev/null
+++ b/rackswitch/gateway/job_keeper.py
@@ -0,0 +1,448 @@
+"""The batch jobs that this daemon owns, and the taking over of those whose owner died."""
+
+import asyncio
+import contextlib
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+from loguru import logger
+
+from rackswitch.clients.kv import KvEntry, KvUnavailable
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.item_runner import ItemRunner
+from rackswitch.gateway.job_store import (
+    JOBS_PREFIX,
+    OWNERS_PREFIX,
+    AppendConflict,
+    Appended,
+    JobCreated,
+    JobKnown,
+    JobMarker,
+    JobNotStored,
+    JobStore,
+    JobTooLarge,
+    key_part,
+)
+from rackswitch.gateway.session import Session
+from rackswitch.jobs import (
+    EngineRoom,
+    ItemPhase,
+    ItemStart,
+    Job,
+    JobLedger,
+    JobOrphans,
+    plan_starts,
+)
+from rackswitch.platform.engine import ItemRunEnd
+from rackswitch.table import RouteRow, ServiceRow
+
+__all__ = ["JobKeeper", "OwnedJob"]
+
+TICK_SECONDS = 0.05
+"""Longest pause between two looks at what may start."""
+
+APPEND_SECONDS = 0.2
+"""Least time between two segments of a job: trainers read about twice a second, and each
+segment is a call."""
+
+APPEND_RETRY_SECONDS = 0.25
+"""After a segment that the service did not take."""
+
+FULL_PAUSE_SECONDS = 0.1
+"""How long an engine that refused a run is left alone; it is full or loads weights."""
+
+ADOPT_AFTER_SECONDS = 0.5
+"""How long an answer may lag behind the watch that shows what was written."""
+
+DEFAULT_SLOTS = 4
+"""Runs at an engine whose slots nobody tells."""
+
+
+@dataclass(slots=True)
+class OwnedJob:
+    """A job that this daemon owns.
+
+    Attributes
+    ----------
+    owner_revision : int
+        Fences this owner's writes.
+    due_seconds, keep_until_seconds : float
+        When all results are wanted, and from when items may be given up (monotonic).
+    runs : dict of str to asyncio.Task
+        Runs and reward calls under way, by item.
+    news : asyncio.Event
+        Set when results were listed; replaced then.
+    """
+
+    ledger: JobLedger
+    owner_revision: int
+    due_seconds: float
+    keep_until_seconds: float
+    runs: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+    next_append_seconds: float = 0.0
+    is_appending: bool = False
+
+    def tell_news(self) -> None:
+        """Wake all who wait for results."""
+        self.news.set()
+        self.news = asyncio.Event()
+
+
+class JobKeeper:
+    """Owns jobs: starts their items, keeps their results, takes over and hands over.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    session : Session
+        The lease that ownership hangs on.
+    store : JobStore
+        Jobs in the key-value service.
+    runner : ItemRunner
+        Runs items.
+    """
+
+    __slots__ = (
+        "_context",
+        "_engine_runs",
+        "_full_until_seconds",
+        "_orphans",
+        "_runner",
+        "_session",
+        "_store",
+        "_wake",
+        "markers",
+        "owned",
+    )
+
+    def __init__(
+        self, context: GatewayContext, session: Session, store: JobStore, runner: ItemRunner
+    ):
+        self._context = context
+        self._session = session
+        self._store = store
+        self._runner = runner
+        self._orphans = JobOrphans(context.settings.daemon)
+        self._engine_runs: dict[str, int] = {}
+        self._full_until_seconds: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self.markers: dict[str, tuple[JobMarker, int]] = {}
+        self.owned: dict[str, OwnedJob] = {}
+
+    # What the key-value service tells
+
+    def marker_put(self, entry: KvEntry) -> None:
+        """Take in a job's marker."""
+        marker = msgspec.json.decode(entry.value, type=JobMarker)
+        self.markers[marker.job_id] = (marker, entry.mod_revision)
+        if marker.ended:
+            self._drop(marker.job_id, "ended")
+
+    def marker_deleted(self, key: str) -> None:
+        """Note that a job is forgotten."""
+        name = key.removeprefix(JOBS_PREFIX)
+        for job_id in [job_id for job_id in self.markers if key_part(job_id) == name]:
+            del self.markers[job_id]
+            self._drop(job_id, "forgotten")
+
+    def owner_put(self, entry: KvEntry) -> None:
+        """Note who owns a job."""
+        name = entry.key.removeprefix(OWNERS_PREFIX)
+        self._orphans.owned(name)
+        if entry.value.decode() == self._context.settings.daemon:
+            self._context.daemon.spawn(self._adopt(name, entry.mod_revision))
+            return
+        for job_id, owned in list(self.owned.items()):
+            if key_part(job_id) == name and entry.mod_revision > owned.owner_revision:
+                self._drop(job_id, "taken over")
+
+    def owner_deleted(self, key: str) -> None:
+        """Note that a job has no owner."""
+        self._orphans.orphaned(key.removeprefix(OWNERS_PREFIX), self._context.now_seconds())
+
+    def listed(self, entries: tuple[KvEntry, ...]) -> None:
+        """Take in all markers and owners anew."""
+        owners = {entry.key for entry in entries if entry.key.startswith(OWNERS_PREFIX)}
+        for entry in entries:
+            if entry.key.startswith(JOBS_PREFIX):
+                self.marker_put(entry)
+                owner_key = entry.key.replace(JOBS_PREFIX, OWNERS_PREFIX, 1)
+                if owner_key not in owners:
+                    self.owner_deleted(owner_key)
+            elif entry.key.startswith(OWNERS_PREFIX):
+                self.owner_put(entry)
+
+    def session_lost(self) -> None:
+        """Note that the owner keys of this daemon are gone with its lease."""
+        now_seconds = self._context.now_seconds()
+        for job_id in self.owned:
+            self._orphans.orphaned(key_part(job_id), now_seconds)
+
+    # What trainers ask
+
+    async def submit(self, job: Job) -> JobCreated | JobKnown | JobTooLarge | JobNotStored:
+        """Keep a new job and begin to work on it."""
+        if job.job_id in self.markers:
+            return JobKnown()
+        lease_id = self._session.lease_id
+        if lease_id is None:
+            return JobNotStored("no session with the key-value service", effect_unknown=False)
+        outcome = await self._store.create(job, lease_id)
+        if isinstance(outcome, JobCreated):
+            marker = JobMarker(job.job_id, len(job.items), job.submitted_at_unix_seconds)
+            self.markers.setdefault(job.job_id, (marker, outcome.owner_revision))
+            self._own(job, outcome.owner_revision, [])
+        return outcome
+
+    async def end(self, marker: JobMarker) -> None | JobNotStored:
+        """End a job; nothing of it starts afterwards."""
+        if marker.ended:
+            return None
+        failure = await self._store.end(marker)
+        if failure is None:
+            _, revision = self.markers.get(marker.job_id, (marker, 0))
+            ended = msgspec.structs.replace(marker, ended=True)
+            self.markers[marker.job_id] = (ended, revision)
+            self._drop(marker.job_id, "ended")
+        return failure
+
+    # Work
+
+    async def run(self) -> None:
+        """Start items, append results and take over orphans until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._wake.wait()
+            self._wake.clear()
+            if self._context.daemon.stopping:
+                continue
+            self._claim_orphans()
+            self._start_items()
+            self._append_results()
+
+    async def hand_over(self) -> None:
+        """Give all jobs to other daemons, results that are ready first."""
+        await asyncio.gather(*(self._append(owned) for owned in list(self.owned.values())))
+        for job_id, owned in list(self.owned.items()):
+            self._drop(job_id, "handed over")
+            await self._store.release(job_id, owned.owner_revision)
+
+    def _own(self, job: Job, owner_revision: int, listed: list) -> None:
+        route = self._context.routes.find(job.host, job.path)
+        now_seconds = self._context.now_seconds()
+        age_seconds = max(0.0, time.time() - job.submitted_at_unix_seconds)
+        due_seconds = route.due_seconds if route is not None else 0.0
+        keep_seconds = route.keep_seconds if route is not None else 3600.0
+        ledger = JobLedger(
+            job,
+            listed,
+            most_failures=route.most_attempts if route is not None else 3,
+            single_version=route is not None and route.single_version,
+        )
+        begun_seconds = now_seconds - age_seconds
+        self.owned[job.job_id] = OwnedJob(
+            ledger, owner_revision, begun_seconds + due_seconds, begun_seconds + keep_seconds
+        )
+        self._context.log.write(
+            "job owned",
+            job=job.job_id,
+            step=job.step,
+            items=len(job.items),
+            listed=len(listed),
+            age_seconds=round(age_seconds, 3),
+            owner_revision=owner_revision,
+            oldest_version=job.oldest_version,
+        )
+        self._wake.set()
+
+    def _drop(self, job_id: str, reason: str) -> None:
+        owned = self.owned.pop(job_id, None)
+        if owned is None:
+            return
+        owned.ledger.end()
+        for task in owned.runs.values():
+            task.cancel()
+        owned.tell_news()
+        self._context.log.write(
+            "job dropped",
+            job=job_id,
+            reason=reason,
+            listed=len(owned.ledger.listed),
+            items=owned.ledger.total,
+            owner_revision=owned.owner_revision,
+        )
+
+    def _claim_orphans(self) -> None:
+        if not self._session.is_sure() or self._context.contact.is_away:
+            return
+        now_seconds = self._context.now_seconds()
+        live = self._context.daemon.membership.live()
+        for job_id, (marker, revision) in self.markers.items():
+            if marker.ended:
+                continue
+            held = job_id in self.owned
+            if self._orphans.may_claim(key_part(job_id), live, held, now_seconds):
+                self._context.daemon.spawn(self._claim(job_id, revision))
+
+    async def _claim(self, job_id: str, marker_revision: int) -> None:
+        lease_id = self._session.lease_id
+        if lease_id is None:
+            return
+        claimed = await self._store.claim(job_id, marker_revision, lease_id)
+        if isinstance(claimed, JobNotStored):
+            return
+        if claimed == 0:
+            self._drop(job_id, "taken over")
+            return
+        self._orphans.owned(key_part(job_id))
+        held = self.owned.get(job_id)
+        if held is not None:
+            held.owner_revision = claimed
+            return
+        await self._load(job_id, claimed)
+
+    async def _adopt(self, name: str, owner_revision: int) -> None:
+        """Work on a job that is this daemon's by a write whose answer never came."""
+        await asyncio.sleep(ADOPT_AFTER_SECONDS)
+        for job_id, (marker, _) in list(self.markers.items()):
+            if key_part(job_id) == name and job_id not in self.owned and not marker.ended:
+                await self._load(job_id, owner_revision)
+
+    async def _load(self, job_id: str, owner_revision: int) -> None:
+        job = await self._store.load_items(job_id)
+        results = await self._store.load_results(job_id, 0)
+        marker, _ = self.markers.get(job_id, (None, 0))
+        if marker is None or marker.ended or job_id in self.owned:
+            return
+        if isinstance(job, Job) and not isinstance(results, KvUnavailable):
+            self._own(job, owner_revision, results)
+        else:
+            logger.warning("job claimed but not read", job=job_id)
+            await self._store.release(job_id, owner_revision)
+
+    def _start_items(self) -> None:
+        if not self.owned:
+            return
+        now_seconds = self._context.now_seconds()
+        services: dict[str, str] = {}
+        for job_id, owned in self.owned.items():
+            route = self._route(owned)
+            if route is not None:
+                services[job_id] = route.choices[0].serves
+            elif self._context.table_revision:
+                self._give_up(owned, "its route is gone")
+            if now_seconds >= owned.keep_until_seconds:
+                self._give_up(owned, "it is past the time it is kept for")
+        rooms = self._engine_rooms(set(services.values()), now_seconds)
+        due_seconds = {job_id: owned.due_seconds for job_id, owned in self.owned.items()}
+        ledgers = [owned.ledger for owned in self.owned.values()]
+        for start in plan_starts(ledgers, rooms, services, due_seconds, now_seconds):
+            self._start(start)
+
+    def _route(self, owned: OwnedJob) -> RouteRow | None:
+        job = owned.ledger.job
+        return self._context.routes.find(job.host, job.path)
+
+    def _give_up(self, owned: OwnedJob, reason: str) -> None:
+        for progress in owned.ledger.items.values():
+            if progress.phase is ItemPhase.WAITING:
+                owned.ledger.give_up(progress)
+                self._context.log.write(
+                    "item given up",
+                    job=owned.ledger.job.job_id,
+                    item=progress.item.item_id,
+                    reason=reason,
+                    table_revision=self._context.table_revision,
+                )
+
+    def _engine_rooms(self, services: set[str], now_seconds: float) -> list[EngineRoom]:
+        rooms: list[EngineRoom] = []
+        for service in services:
+            row = self._context.daemon.view.row(ServiceRow, service)
+            for listed in self._context.directory.usable(service, now_seconds):
+                slots = listed.slots or (row.slots if row is not None else 0) or DEFAULT_SLOTS
+                if now_seconds < self._full_until_seconds.get(listed.instance, 0.0):
+                    continue
+                if now_seconds < self._context.targets[listed.instance].open_until_seconds:
+                    continue
+                rooms.append(
+                    EngineRoom(
+                        listed.instance,
+                        service,
+                        slots - self._engine_runs.get(listed.instance, 0),
+                        self._runner.paces.get(listed.instance),
+                        listed.versions,
+                    )
+                )
+        return rooms
+
+    def _start(self, start: ItemStart) -> None:
+        owned = self.owned[start.ledger.job.job_id]
+        start.ledger.started(start.progress)
+        task = self._context.daemon.spawn(self._carry_out(owned, start))
+        owned.runs[start.progress.item.item_id] = task
+
+    async def _carry_out(self, owned: OwnedJob, start: ItemStart) -> None:
+        ledger, progress = start.ledger, start.progress
+        listed = self._context.directory.entries.get(start.instance)
+        if listed is None:
+            ledger.broke(progress, start.instance, self._context.now_seconds())
+            return
+        self._engine_runs[start.instance] = self._engine_runs.get(start.instance, 0) + 1
+        try:
+            ended = await self._runner.run(ledger, progress, listed)
+        finally:
+            self._engine_runs[start.instance] -= 1
+            self._wake.set()
+        if ended.end is ItemRunEnd.NOT_RUN:
+            until_seconds = self._context.now_seconds() + FULL_PAUSE_SECONDS
+            self._full_until_seconds[start.instance] = until_seconds
+        if progress.phase is ItemPhase.SCORING:
+            await self._runner.score(ledger, progress)
+            self._wake.set()
+        owned.runs.pop(progress.item.item_id, None)
+
+    def _append_results(self) -> None:
+        now_seconds = self._context.now_seconds()
+        for owned in self.owned.values():
+            ready = owned.ledger.has_pending and not owned.is_appending
+            if ready and now_seconds >= owned.next_append_seconds:
+                self._context.daemon.spawn(self._append(owned))
+
+    async def _append(self, owned: OwnedJob) -> None:
+        if owned.is_appending or not owned.ledger.has_pending:
+            return
+        owned.is_appending = True
+        try:
+            await self._append_segment(owned)
+        finally:
+            owned.is_appending = False
+            self._wake.set()
+
+    async def _append_segment(self, owned: OwnedJob) -> None:
+        job_id = owned.ledger.job.job_id
+        position, segment = owned.ledger.next_segment()
+        outcome = await self._store.append(job_id, owned.owner_revision, position, segment)
+        now_seconds = self._context.now_seconds()
+        if isinstance(outcome, Appended):
+            owned.ledger.appended(position, outcome.results)
+            owned.next_append_seconds = now_seconds + APPEND_SECONDS
+            owned.tell_news()
+        elif isinstance(outcome, AppendConflict):
+            # The owner key is gone or another daemon's: claim anew, which tells.
+            self._orphans.orphaned(key_part(job_id), now_seconds)
+            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
+        else:
+            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
+        self._context.log.write(
+            "results appended",
+            job=job_id,
+            position=position,
+            count=len(segment),
+            owner_revision=owned.owner_revision,
+            outcome=type(outcome).__name__,
+        )
--- /dev/null
+++ b/rackswitch/gateway/job_reader.py
@@ -0,0 +1,169 @@
+"""Reading jobs at any daemon: from the owner's memory, or from the key-value service."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+
+from rackswitch.clients.kv import KvUnavailable
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_keeper import JobKeeper, OwnedJob
+from rackswitch.gateway.job_store import JobMarker, JobStore
+from rackswitch.gateway.session import Session
+from rackswitch.jobs import Job, JobResult
+
+__all__ = ["JobReader", "JobUnknown", "JobUnsure", "ResultsPage"]
+
+POLL_SECONDS = 0.35
+"""Between two reads of the service while a reader waits for results."""
+
+MOST_PAGE_CHARACTERS = 900_000
+"""Keeps a page of results below the platform's 1 MB."""
+
+MOST_CACHED_JOBS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ResultsPage:
+    """Results from a position on."""
+
+    total: int
+    results: list[JobResult]
+
+
+@dataclass(frozen=True, slots=True)
+class JobUnknown:
+    """There is no such job, by the service's own word."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobUnsure:
+    """The service cannot be asked, and this daemon does not know for itself."""
+
+    detail: str
+
+
+class JobReader:
+    """Answers what trainers ask about jobs.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    keeper : JobKeeper
+        The jobs owned here, and the markers of all.
+    store : JobStore
+        Jobs in the key-value service.
+    session : Session
+        Whether this daemon can be sure that it still owns what it owns.
+    """
+
+    __slots__ = ("_cached", "_context", "_items", "_keeper", "_session", "_store")
+
+    def __init__(
+        self, context: GatewayContext, keeper: JobKeeper, store: JobStore, session: Session
+    ):
+        self._context = context
+        self._keeper = keeper
+        self._store = store
+        self._session = session
+        self._cached: dict[str, list[JobResult]] = {}
+        self._items: dict[str, Job] = {}
+
+    async def marker(self, job_id: str) -> JobMarker | JobUnknown | JobUnsure:
+        """Return a job's marker."""
+        known = self._keeper.markers.get(job_id)
+        if known is not None:
+            return known[0]
+        entry = await self._store.load_marker(job_id)
+        if isinstance(entry, KvUnavailable):
+            return JobUnsure(entry.detail)
+        if entry is None:
+            return JobUnknown()
+        self._keeper.marker_put(entry)
+        return msgspec.json.decode(entry.value, type=JobMarker)
+
+    async def results(
+        self, job_id: str, position: int, deadline_seconds: float
+    ) -> ResultsPage | JobUnknown | JobUnsure:
+        """Return results from a position on; until the deadline wait for one to exist."""
+        marker = await self.marker(job_id)
+        if not isinstance(marker, JobMarker):
+            return marker
+        owned = self._keeper.owned.get(job_id)
+        if owned is not None and self._session.is_sure():
+            return await self._owned_results(owned, position, deadline_seconds)
+        return await self._stored_results(marker, position, deadline_seconds)
+
+    async def item(self, job_id: str, item_id: str) -> bytes | JobUnknown | JobUnsure:
+        """Return the body of an item."""
+        marker = await self.marker(job_id)
+        if not isinstance(marker, JobMarker):
+            return marker
+        owned = self._keeper.owned.get(job_id)
+        job = owned.ledger.job if owned is not None else self._items.get(job_id)
+        if job is None:
+            loaded = await self._store.load_items(job_id)
+            if isinstance(loaded, KvUnavailable):
+                return JobUnsure(loaded.detail)
+            if loaded is None:
+                return JobUnknown()
+            job = loaded
+            self._remember(self._items, job_id, job)
+        for item in job.items:
+            if item.item_id == item_id:
+                return item.body
+        return JobUnknown()
+
+    async def _owned_results(
+        self, owned: OwnedJob, position: int, deadline_seconds: float
+    ) -> ResultsPage | JobUnsure:
+        ledger = owned.ledger
+        while len(ledger.listed) <= position and not ledger.ended and not ledger.is_complete:
+            try:
+                async with asyncio.timeout_at(deadline_seconds):
+                    await owned.news.wait()
+            except TimeoutError:
+                break
+        if len(ledger.listed) <= position and not self._session.is_sure():
+            return JobUnsure("the session with the key-value service is not sure")
+        return ResultsPage(ledger.total, _page(ledger.listed, position))
+
+    async def _stored_results(
+        self, marker: JobMarker, position: int, deadline_seconds: float
+    ) -> ResultsPage | JobUnsure:
+        while True:
+            cached = self._cached.get(marker.job_id, [])
+            if len(cached) <= position and len(cached) < marker.total:
+                newer = await self._store.load_results(marker.job_id, len(cached))
+                if isinstance(newer, KvUnavailable):
+                    return JobUnsure(newer.detail)
+                # Another read may have filled the cache meanwhile.
+                if self._cached.get(marker.job_id, []) == cached:
+                    cached = cached + newer
+                    self._remember(self._cached, marker.job_id, cached)
+                else:
+                    continue
+            left_seconds = deadline_seconds - self._context.now_seconds()
+            over = marker.ended or len(cached) == marker.total
+            if len(cached) > position or over or left_seconds <= 0:
+                return ResultsPage(marker.total, _page(cached, position))
+            await asyncio.sleep(min(POLL_SECONDS, left_seconds))
+
+    def _remember(self, cache: dict, job_id: str, value: object) -> None:
+        cache.pop(job_id, None)
+        cache[job_id] = value
+        while len(cache) > MOST_CACHED_JOBS:
+            del cache[next(iter(cache))]
+
+
+def _page(listed: list[JobResult], position: int) -> list[JobResult]:
+    """Return results from a position on, as many as fit in one answer."""
+    page: list[JobResult] = []
+    characters = 0
+    for result in listed[position:]:
+        characters += len(result.text)
+        if page and characters > MOST_PAGE_CHARACTERS:
+            break
+        page.append(result)
+    return page
--- /dev/null
+++ b/rackswitch/gateway/job_store.py
@@ -0,0 +1,280 @@
+"""Batch jobs in the key-value service.
+
+A job has a small marker that every daemon watches, its items in one or a few
+chunks, an owner key on the owner's session lease, and its results in segments
+whose keys carry the position of their first result. A segment is written only
+where it is absent and only while the owner key is the writer's own, so
+positions never move and a former owner cannot append.
+"""
+
+import re
+import zlib
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import msgspec
+
+from rackswitch.clients.kv import Compare, KvEntry, KvRead, KvUnavailable, Operation, TxnPart
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.jobs import Job, JobResult
+
+__all__ = [
+    "JOBS_PREFIX",
+    "OWNERS_PREFIX",
+    "AppendConflict",
+    "Appended",
+    "JobCreated",
+    "JobKnown",
+    "JobMarker",
+    "JobNotStored",
+    "JobStore",
+    "JobTooLarge",
+    "key_part",
+]
+
+JOBS_PREFIX = "control/jobs/"
+OWNERS_PREFIX = "control/owners/"
+ITEMS_PREFIX = "items/"
+RESULTS_PREFIX = "results/"
+
+CHUNK_BYTES = 700_000
+"""As base64 it stays below the 1 MiB that a value may have."""
+
+MOST_CHUNKS = 24
+"""A call takes 32 entries; some are for the marker, the owner and the conditions."""
+
+COMPRESSION_LEVEL = 1
+PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+
+class JobMarker(msgspec.Struct, frozen=True):
+    """What every daemon knows of a job."""
+
+    job_id: str
+    total: int
+    submitted_at_unix_seconds: float
+    ended: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobCreated:
+    """The job is kept; `owner_revision` fences its owner's writes."""
+
+    owner_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobKnown:
+    """The job was kept before."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobTooLarge:
+    """The job does not fit."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobNotStored:
+    """The service did not take the write.
+
+    Attributes
+    ----------
+    effect_unknown : bool
+        True if the write may have taken effect, or may still.
+    lease_gone : bool
+        Whether the session's lease was over.
+    """
+
+    detail: str
+    effect_unknown: bool
+    lease_gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """A segment is kept: the one proposed, or an earlier proposal of this owner."""
+
+    results: list[JobResult]
+
+
+@dataclass(frozen=True, slots=True)
+class AppendConflict:
+    """The writer does not own the job any more."""
+
+
+def key_part(identity: str) -> str:
+    """Return a form of a caller's identity that is safe and short in a key."""
+    if PLAIN_ID.fullmatch(identity):
+        return identity
+    return "." + blake2b(identity.encode(), digest_size=16).hexdigest()
+
+
+class JobStore:
+    """Reads and writes jobs.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    """
+
+    __slots__ = ("_context",)
+
+    def __init__(self, context: GatewayContext):
+        self._context = context
+
+    async def create(
+        self, job: Job, lease_id: int
+    ) -> JobCreated | JobKnown | JobTooLarge | JobNotStored:
+        """Keep a job and own it, in one write."""
+        part_name = key_part(job.job_id)
+        chunks = _encode_items(job)
+        if len(chunks) > MOST_CHUNKS:
+            return JobTooLarge(f"the job takes {len(chunks)} chunks, at most {MOST_CHUNKS} fit")
+        marker = JobMarker(job.job_id, len(job.items), job.submitted_at_unix_seconds)
+        marker_key = JOBS_PREFIX + part_name
+        operations = [
+            Operation(marker_key, msgspec.json.encode(marker)),
+            self._owner_put(part_name, lease_id),
+        ]
+        for number, chunk in enumerate(chunks):
+            operations.append(Operation(f"{ITEMS_PREFIX}{part_name}/{number:02d}", chunk))
+        part = TxnPart((Compare(marker_key, "mod", 0),), tuple(operations))
+        done = await self._txn(part)
+        if isinstance(done, JobNotStored):
+            return done
+        if done.succeeded:
+            return JobCreated(done.revision)
+        return JobKnown()
+
+    async def claim(self, job_id: str, marker_revision: int, lease_id: int) -> int | JobNotStored:
+        """Become the owner of a job that has none; return the owner revision, 0 if too late."""
+        part_name = key_part(job_id)
+        part = TxnPart(
+            (
+                Compare(OWNERS_PREFIX + part_name, "mod", 0),
+                Compare(JOBS_PREFIX + part_name, "mod", marker_revision),
+            ),
+            (self._owner_put(part_name, lease_id),),
+        )
+        done = await self._txn(part)
+        if isinstance(done, JobNotStored):
+            return done
+        return done.revision if done.succeeded else 0
+
+    async def release(self, job_id: str, owner_revision: int) -> None:
+        """Stop owning a job, so that another daemon takes it at once."""
+        key = OWNERS_PREFIX + key_part(job_id)
+        await self._txn(TxnPart((Compare(key, "mod", owner_revision),), (Operation(key, None),)))
+
+    async def load_items(self, job_id: str) -> Job | None | KvUnavailable:
+        """Read a job with its items; None if it is not there."""
+        read = await self._read(f"{ITEMS_PREFIX}{key_part(job_id)}/")
+        if isinstance(read, KvUnavailable):
+            return read
+        if not read.entries:
+            return None
+        return _decode_items(read.entries)
+
+    async def load_results(
+        self, job_id: str, from_position: int
+    ) -> list[JobResult] | KvUnavailable:
+        """Read the results that are kept, from the segment that starts at a position on."""
+        prefix = f"{RESULTS_PREFIX}{key_part(job_id)}/"
+        after_key = f"{prefix}{from_position - 1:08d}" if from_position else ""
+        read = await self._context.store.read_from(prefix, after_key)
+        self._note(read)
+        if isinstance(read, KvUnavailable):
+            return read
+        results: list[JobResult] = []
+        for entry in sorted(read.entries, key=lambda entry: entry.key):
+            results.extend(_decode_results(entry.value))
+        return results
+
+    async def load_marker(self, job_id: str) -> KvEntry | None | KvUnavailable:
+        """Read a job's marker from the service itself; None if there is no such job."""
+        read = await self._context.kv.read(JOBS_PREFIX + key_part(job_id))
+        self._note(read)
+        if isinstance(read, KvUnavailable):
+            return read
+        return read.entries[0] if read.entries else None
+
+    async def append(
+        self, job_id: str, owner_revision: int, position: int, results: list[JobResult]
+    ) -> Appended | AppendConflict | JobNotStored:
+        """Keep a segment of results, under the owner's fence."""
+        part_name = key_part(job_id)
+        key = f"{RESULTS_PREFIX}{part_name}/{position:08d}"
+        encoded = zlib.compress(msgspec.msgpack.encode(results), COMPRESSION_LEVEL)
+        part = TxnPart(
+            (
+                Compare(key, "mod", 0),
+                Compare(OWNERS_PREFIX + part_name, "mod", owner_revision),
+            ),
+            (Operation(key, encoded),),
+            read_keys=(key,),
+        )
+        done = await self._txn(part)
+        if isinstance(done, JobNotStored):
+            return done
+        if done.succeeded:
+            return Appended(results)
+        if done.present is not None and done.present.key == key:
+            # An earlier try of this owner that went unanswered: nobody else may write.
+            return Appended(_decode_results(done.present.value))
+        return AppendConflict()
+
+    async def end(self, marker: JobMarker) -> None | JobNotStored:
+        """Mark a job as ended and take its owner away, in one write."""
+        part_name = key_part(marker.job_id)
+        ended = msgspec.structs.replace(marker, ended=True)
+        part = TxnPart(
+            (),
+            (
+                Operation(JOBS_PREFIX + part_name, msgspec.json.encode(ended)),
+                Operation(OWNERS_PREFIX + part_name, None),
+            ),
+        )
+        done = await self._txn(part)
+        return done if isinstance(done, JobNotStored) else None
+
+    def _owner_put(self, part_name: str, lease_id: int) -> Operation:
+        owner = self._context.settings.daemon.encode()
+        return Operation(OWNERS_PREFIX + part_name, owner, lease_id)
+
+    async def _read(self, prefix: str) -> KvRead | KvUnavailable:
+        read = await self._context.kv.read(prefix, is_prefix=True)
+        self._note(read)
+        return read
+
+    async def _txn(self, part: TxnPart):
+        done = await self._context.kv.txn([part])
+        self._note(done)
+        if isinstance(done, KvUnavailable):
+            return JobNotStored(done.detail, done.effect_unknown)
+        if done[0].lease_gone:
+            return JobNotStored("the session's lease is over", False, lease_gone=True)
+        return done[0]
+
+    def _note(self, answer: object) -> None:
+        now_seconds = self._context.now_seconds()
+        if isinstance(answer, KvUnavailable):
+            self._context.contact.failed(now_seconds, answer.detail)
+        else:
+            self._context.contact.answered(now_seconds)
+
+
+def _encode_items(job: Job) -> list[bytes]:
+    encoded = zlib.compress(msgspec.msgpack.encode(job), COMPRESSION_LEVEL)
+    return [encoded[start : start + CHUNK_BYTES] for start in range(0, len(encoded), CHUNK_BYTES)]
+
+
+def _decode_items(entries: tuple[KvEntry, ...]) -> Job:
+    chunks = [entry.value for entry in sorted(entries, key=lambda entry: entry.key)]
+    return msgspec.msgpack.decode(zlib.decompress(b"".join(chunks)), type=Job)
+
+
+def _decode_results(value: bytes) -> list[JobResult]:
+    return msgspec.msgpack.decode(zlib.decompress(value), type=list[JobResult])
--- /dev/null
+++ b/rackswitch/gateway/main.py
@@ -0,0 +1,72 @@
+"""The program of a VM on the operator platform."""
+
+import asyncio
+import signal
+import sys
+
+from loguru import logger
+
+from rackswitch.gateway.core import Gateway
+from rackswitch.platform.settings import NodeSettings, read_node_settings
+from rackswitch.settings import SettingsFault
+from rackswitch.telemetry import set_up_logs
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+EXIT_BROKEN = 3
+CHECK_SECONDS = 0.2
+RELOAD_SECONDS = 2.0
+"""Between looks at the settings file, which may also change without a signal."""
+
+
+class _Signals:
+    """What the platform has asked for."""
+
+    __slots__ = ("reload", "stop")
+
+    def __init__(self) -> None:
+        self.stop = asyncio.Event()
+        self.reload = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload.set)
+
+
+async def _run(settings: NodeSettings) -> int:
+    signals = _Signals()
+    gateway = Gateway(settings)
+    await gateway.start()
+    loop = asyncio.get_running_loop()
+    next_reload_seconds = loop.time() + RELOAD_SECONDS
+    while not signals.stop.is_set():
+        if gateway.context.daemon.broken is not None:
+            logger.critical("stopping on a broken invariant")
+            gateway.log.pump()
+            return EXIT_BROKEN
+        if signals.reload.is_set() or loop.time() >= next_reload_seconds:
+            signals.reload.clear()
+            next_reload_seconds = loop.time() + RELOAD_SECONDS
+            _reload(gateway)
+        await asyncio.sleep(CHECK_SECONDS)
+    await gateway.stop()
+    return 0
+
+
+def _reload(gateway: Gateway) -> None:
+    settings = read_node_settings()
+    if isinstance(settings, SettingsFault):
+        logger.error("settings kept as they were: {}", settings.line)
+    elif settings != gateway.settings:
+        gateway.settings_changed(settings)
+
+
+def main() -> None:
+    """Entry point; the settings file is the one that the platform names."""
+    set_up_logs()
+    settings = read_node_settings()
+    if isinstance(settings, SettingsFault):
+        print(settings.line, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    sys.exit(asyncio.run(_run(settings)))
--- /dev/null
+++ b/rackswitch/gateway/request_front.py
@@ -0,0 +1,152 @@
+"""Serving callers: a target's whole answer to their own request, or the truth about it."""
+
+import asyncio
+from dataclasses import dataclass
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.target_choice import CALL_COST_TOKENS, TargetChooser
+from rackswitch.outcomes import MayHaveRun, NotRun, NotRunReason
+from rackswitch.platform.engine import PlatformEngineClient
+from rackswitch.requests import (
+    AttemptEnd,
+    AttemptLog,
+    Call,
+    TargetAnswer,
+    TargetFailed,
+    attempt_deadline_seconds,
+)
+from rackswitch.routing import ListedTarget
+from rackswitch.table import Handling, RouteRow
+
+__all__ = ["FrontAnswer", "RequestFront"]
+
+MOST_REFUSALS = 8
+"""Targets that may refuse one request before it is refused itself."""
+
+REFUSAL_GOAL_SHARE = 0.25
+"""Part of a request's goal time within which it is refused if no target can be had; the
+platform counts a refusal in that time as prompt."""
+
+PAUSE_SECONDS = 0.02
+"""Between tries while every target is full; about half a call's usual work."""
+
+COME_BACK_SECONDS = 0.2
+"""When a refused caller should come back: a few times a call's usual work."""
+
+
+@dataclass(frozen=True, slots=True)
+class FrontAnswer:
+    """What became of a request.
+
+    Attributes
+    ----------
+    failures : int
+        Answers by which targets themselves said that they had failed.
+    """
+
+    outcome: TargetAnswer | NotRun | MayHaveRun
+    attempts: int
+    failures: int
+    target: str = ""
+
+
+class RequestFront:
+    """Sends calls to targets, again where that is allowed and useful.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    chooser : TargetChooser
+        Picks targets.
+    engines : PlatformEngineClient
+        Makes the calls.
+    """
+
+    __slots__ = ("_chooser", "_context", "_engines")
+
+    def __init__(
+        self, context: GatewayContext, chooser: TargetChooser, engines: PlatformEngineClient
+    ):
+        self._context = context
+        self._chooser = chooser
+        self._engines = engines
+
+    async def call(self, route: RouteRow, call: Call, deadline_seconds: float) -> FrontAnswer:
+        """Serve one call.
+
+        Parameters
+        ----------
+        route : RouteRow
+            The route in force when the call came.
+        call : Call
+            The call.
+        deadline_seconds : float
+            When the caller, or the route, gives it up (event loop time).
+        """
+        repeatable = route.handling is Handling.REPEATABLE
+        log = AttemptLog(
+            repeatable, most_attempts=route.most_attempts, most_refusals=MOST_REFUSALS
+        )
+        service = self._chooser.draw_choice(route).serves
+        refuse_at_seconds = self._context.now_seconds() + route.goal_seconds * REFUSAL_GOAL_SHARE
+        failures = 0
+        last_failure: tuple[TargetAnswer, str] | None = None
+        while log.may_begin() and self._context.now_seconds() < deadline_seconds:
+            target = self._chooser.pick(service, log.tried_targets())
+            if target is None and log.ends and repeatable:
+                target = self._chooser.pick(service, set())
+            if target is None:
+                if self._context.now_seconds() >= refuse_at_seconds:
+                    break
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            log.begin()
+            result = await self._attempt(route, call, target, log, deadline_seconds)
+            if isinstance(result, TargetFailed):
+                self._chooser.note_failure(target, result)
+                log.note(AttemptEnd(target.instance, result.may_have_run, result.detail))
+                if not result.may_have_run and not result.silent:
+                    await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            if result.status < 500 or not repeatable:
+                return FrontAnswer(result, len(log.ends) + 1, failures, target.instance)
+            failures += 1
+            last_failure = (result, target.instance)
+            log.note(AttemptEnd(target.instance, True, f"status {result.status}"))
+        if last_failure is not None:
+            answer, instance = last_failure
+            return FrontAnswer(answer, len(log.ends), failures, instance)
+        return FrontAnswer(self._give_up(log, service), len(log.ends), failures)
+
+    async def _attempt(
+        self,
+        route: RouteRow,
+        call: Call,
+        target: ListedTarget,
+        log: AttemptLog,
+        deadline_seconds: float,
+    ) -> TargetAnswer | TargetFailed:
+        load = self._chooser.load(target)
+        until_seconds = attempt_deadline_seconds(
+            log, route.goal_seconds, deadline_seconds, self._context.now_seconds()
+        )
+        fresh_connection = not log.repeatable
+        load.begin(CALL_COST_TOKENS, ())
+        try:
+            result = await self._engines.forward(target, call, until_seconds, fresh_connection)
+        finally:
+            load.end(CALL_COST_TOKENS)
+        if isinstance(result, TargetAnswer) and result.status < 500:
+            load.succeeded(0, 0.0)
+        return result
+
+    def _give_up(self, log: AttemptLog, service: str) -> NotRun | MayHaveRun:
+        now_seconds = self._context.now_seconds()
+        if not log.ends:
+            detail = f"no target of {service!r} can be had"
+            return NotRun(NotRunReason.NO_TARGET, detail, now_seconds + COME_BACK_SECONDS)
+        outcome = log.give_up(now_seconds)
+        if isinstance(outcome, NotRun):
+            return NotRun(outcome.reason, outcome.detail, now_seconds + COME_BACK_SECONDS)
+        return outcome
--- /dev/null
+++ b/rackswitch/gateway/state_keeper.py
@@ -0,0 +1,143 @@
+"""The desired state and the list of targets, as this daemon knows them."""
+
+from loguru import logger
+
+from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.watching import PrefixWatcher
+from rackswitch.platform.desired_state import (
+    MalformedEntry,
+    NamedVersion,
+    RetireOrder,
+    decode_operator_entry,
+    encode_retired,
+)
+from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
+from rackswitch.platform.servers import decode_target, target_instance
+from rackswitch.routing import ListedTarget, Target
+from rackswitch.table import TableDocument, index_routes
+
+__all__ = ["StateKeeper"]
+
+SAME_ZONE_SECONDS = 0.0002
+OTHER_ZONE_SECONDS = 0.001
+"""Network distances that routing starts from; the platform does not tell them."""
+
+
+class StateKeeper:
+    """Follows what operators, trainers and targets write to the platform's service.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    """
+
+    __slots__ = ("_context", "operators", "targets")
+
+    def __init__(self, context: GatewayContext):
+        self._context = context
+        self.operators = PrefixWatcher(
+            context, OPERATOR_PREFIX, self._operators_listed, self._operator_put, lambda key: None
+        )
+        self.targets = PrefixWatcher(
+            context, SERVERS_PREFIX, self._targets_listed, self._target_put, self._target_deleted
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a table is in force and targets have been listed."""
+        return self._context.table_revision > 0 and self.targets.is_listed
+
+    def _operators_listed(self, entries: tuple[KvEntry, ...]) -> None:
+        for entry in entries:
+            self._operator_put(entry)
+
+    def _operator_put(self, entry: KvEntry) -> None:
+        decoded = decode_operator_entry(entry.key, entry.value)
+        if isinstance(decoded, MalformedEntry):
+            logger.error("entry {} cannot be read: {}", entry.key, decoded.detail)
+        elif isinstance(decoded, TableDocument):
+            self._take_table(decoded)
+        elif isinstance(decoded, NamedVersion):
+            self._take_version(decoded)
+        elif isinstance(decoded, RetireOrder):
+            self._context.daemon.spawn(self._answer_retire(decoded.vm))
+
+    def _take_table(self, document: TableDocument) -> None:
+        before = self._context.table_revision
+        if self._context.daemon.view.offer(document):
+            self._context.routes = index_routes(document)
+            self._context.log.write(
+                "table in force", revision=document.revision, revision_before=before
+            )
+
+    def _take_version(self, named: NamedVersion) -> None:
+        before = self._context.named_versions.get(named.model, 0)
+        if named.version > before:
+            self._context.named_versions[named.model] = named.version
+            self._context.log.write(
+                "version named", model=named.model, version=named.version, version_before=before
+            )
+
+    async def _answer_retire(self, vm: str) -> None:
+        """Say that a VM may be taken: nothing that must last is kept on VMs."""
+        key, value = encode_retired(vm)
+        read = await self._context.kv.read(key)
+        if isinstance(read, KvUnavailable) or read.entries:
+            return
+        part = TxnPart((), (Operation(key, value),))
+        done = await self._context.kv.txn([part])
+        outcome = done.detail if isinstance(done, KvUnavailable) else "told"
+        self._context.log.write("retire", vm=vm, outcome=outcome)
+
+    def _targets_listed(self, entries: tuple[KvEntry, ...]) -> None:
+        listed = []
+        for entry in entries:
+            instance = target_instance(entry.key)
+            target = decode_target(instance, entry.value)
+            if isinstance(target, MalformedEntry):
+                logger.error("target entry cannot be read: {}", target.detail)
+                continue
+            listed.append(target)
+        now_seconds = self._context.now_seconds()
+        back_seconds = self._context.contact.back_seconds
+        self._context.directory.replace(listed, now_seconds, back_seconds)
+        for target in listed:
+            self._learn(target)
+        self._context.log.write("targets listed", count=len(listed))
+
+    def _target_put(self, entry: KvEntry) -> None:
+        instance = target_instance(entry.key)
+        target = decode_target(instance, entry.value)
+        if isinstance(target, MalformedEntry):
+            logger.error("target entry cannot be read: {}", target.detail)
+            return
+        before = self._context.directory.entries.get(instance)
+        self._context.directory.put(target)
+        self._learn(target)
+        if before is None or before.draining != target.draining:
+            self._context.log.write(
+                "target listed",
+                target=instance,
+                service=target.service,
+                draining=target.draining,
+                revision=entry.mod_revision,
+            )
+
+    def _target_deleted(self, key: str) -> None:
+        instance = target_instance(key)
+        now_seconds = self._context.now_seconds()
+        back_seconds = self._context.contact.back_seconds
+        self._context.directory.remove(instance, now_seconds, back_seconds)
+        lapsed = instance in self._context.directory.lapsed
+        self._context.log.write("target gone", target=instance, still_used=lapsed)
+
+    def _learn(self, listed: ListedTarget) -> None:
+        if listed.instance in self._context.targets:
+            return
+        same_zone = listed.zone == self._context.settings.zone
+        distance_seconds = SAME_ZONE_SECONDS if same_zone else OTHER_ZONE_SECONDS
+        self._context.targets[listed.instance] = Target(
+            listed.instance, listed.url, listed.zone, distance_seconds
+        )
--- /dev/null
+++ b/rackswitch/jobs/__init__.py
@@ -0,0 +1,14 @@
+"""Batch jobs: many requests submitted together, run later, their results read by position."""
+
+from rackswitch.jobs.ledger import *  # noqa: F403
+from rackswitch.jobs.ledger import __all__ as _ledger_all
+from rackswitch.jobs.messages import *  # noqa: F403
+from rackswitch.jobs.messages import __all__ as _messages_all
+from rackswitch.jobs.orphans import *  # noqa: F403
+from rackswitch.jobs.orphans import __all__ as _orphans_all
+from rackswitch.jobs.progress import *  # noqa: F403
+from rackswitch.jobs.progress import __all__ as _progress_all
+from rackswitch.jobs.schedule import *  # noqa: F403
+from rackswitch.jobs.schedule import __all__ as _schedule_all
+
+__all__ = [*_ledger_all, *_messages_all, *_orphans_all, *_progress_all, *_schedule_all]
--- /dev/null
+++ b/rackswitch/jobs/ledger.py
@@ -0,0 +1,191 @@
+"""One batch job on the daemon that owns it.
+
+The ledger decides which items may start, when a result may be listed and at
+which position. A position is given only once the segment that holds it is
+known to be kept in the key-value service; segments are appended one at a time
+by the owner alone, so a position never moves.
+"""
+
+from dataclasses import dataclass, field
+
+from rackswitch.jobs.messages import Job, JobItem, JobResult
+from rackswitch.jobs.progress import ItemPhase, ItemProgress
+from rackswitch.outcomes import check_invariant
+
+__all__ = ["JobLedger"]
+
+MOST_RESULTS_PER_SEGMENT = 256
+MOST_SEGMENT_CHARACTERS = 500_000
+"""Keeps a segment, as base64, below the 1 MiB that a value may have."""
+
+RETRY_PAUSE_SECONDS = 0.05
+"""Pause before an item whose run broke starts again; engines that refuse are found
+out within a few network round trips, so this only spaces a busy loop."""
+
+
+@dataclass(slots=True)
+class JobLedger:
+    """The state of a job's items, and its results in their order.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    listed : list of JobResult
+        Results that are kept, by position.
+    most_failures : int
+        Failures of an item's runs, or of its reward calls, after which it is given up.
+    single_version : bool
+        Whether all of a text must be made by one version.
+    """
+
+    job: Job
+    listed: list[JobResult] = field(default_factory=list)
+    most_failures: int = 3
+    single_version: bool = False
+    ended: bool = False
+    items: dict[str, ItemProgress] = field(default_factory=dict)
+    _pending: list[JobResult] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.items = {item.item_id: ItemProgress(item) for item in self.job.items}
+        for result in self.listed:
+            self._mark_listed(result)
+
+    @property
+    def total(self) -> int:
+        """The number of items."""
+        return len(self.job.items)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every item is listed."""
+        return len(self.listed) == self.total
+
+    def waiting(self, now_seconds: float) -> list[ItemProgress]:
+        """Return the items that may start now; none once the job is ended."""
+        if self.ended:
+            return []
+        return [
+            progress
+            for progress in self.items.values()
+            if progress.phase is ItemPhase.WAITING and now_seconds >= progress.not_before_seconds
+        ]
+
+    def missing_by_group(self) -> dict[str, int]:
+        """Return for each group how many of its items have no result yet."""
+        missing: dict[str, int] = {}
+        for progress in self.items.values():
+            unfinished = progress.result is None
+            group = progress.item.group
+            missing[group] = missing.get(group, 0) + unfinished
+        return missing
+
+    def started(self, progress: ItemProgress) -> int:
+        """Note that a run of an item begins; return the run's number."""
+        check_invariant(progress.phase is ItemPhase.WAITING, "an item runs once at a time")
+        progress.phase = ItemPhase.RUNNING
+        progress.run_number += 1
+        return progress.run_number
+
+    def broke(self, progress: ItemProgress, target: str, now_seconds: float) -> None:
+        """Note that a run ended before the text was whole, through no fault of the item."""
+        progress.phase = ItemPhase.WAITING
+        progress.avoid = target
+        progress.not_before_seconds = now_seconds + RETRY_PAUSE_SECONDS
+
+    def failed(self, progress: ItemProgress, now_seconds: float) -> None:
+        """Note that an engine ended a run with a failure; enough of them end the item."""
+        progress.failures += 1
+        if progress.failures >= self.most_failures:
+            self.give_up(progress)
+            return
+        progress.phase = ItemPhase.WAITING
+        progress.not_before_seconds = now_seconds + RETRY_PAUSE_SECONDS
+
+    def whole(self, progress: ItemProgress) -> None:
+        """Note that the text is whole; it is listed at once or after its reward call."""
+        if progress.item.reward is None:
+            self._finish(progress, "")
+        else:
+            progress.phase = ItemPhase.SCORING
+
+    def scored(self, progress: ItemProgress, score: str) -> None:
+        """Note the answer of the reward call."""
+        self._finish(progress, score)
+
+    def reward_failed(self, progress: ItemProgress) -> bool:
+        """Note a reward call that the service failed; return whether to try again."""
+        progress.reward_failures += 1
+        if progress.reward_failures < self.most_failures:
+            return True
+        self.give_up(progress)
+        return False
+
+    def give_up(self, progress: ItemProgress) -> None:
+        """End an item without a text."""
+        if progress.result is not None:
+            return
+        self._take_result(progress, JobResult(item_id=progress.item.item_id, completed=False))
+
+    def next_segment(self) -> tuple[int, list[JobResult]]:
+        """Return the results to append now, and the position of the first of them."""
+        segment: list[JobResult] = []
+        characters = 0
+        for result in self._pending[:MOST_RESULTS_PER_SEGMENT]:
+            characters += len(result.text)
+            if segment and characters > MOST_SEGMENT_CHARACTERS:
+                break
+            segment.append(result)
+        return len(self.listed), segment
+
+    def appended(self, position: int, segment: list[JobResult]) -> None:
+        """Note that a segment is kept, whether it is the one last proposed or an earlier one."""
+        check_invariant(position == len(self.listed), "segments are appended in order")
+        known = {result.item_id for result in self.listed}
+        for result in segment:
+            check_invariant(result.item_id not in known, "an item is listed once")
+            known.add(result.item_id)
+            self.listed.append(result)
+            self._mark_listed(result)
+        self._pending = [result for result in self._pending if result.item_id not in known]
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether results wait to be appended."""
+        return bool(self._pending)
+
+    def end(self) -> None:
+        """Note that the submitter has ended the job: nothing of it starts any more."""
+        self.ended = True
+
+    def item(self, item_id: str) -> JobItem | None:
+        """Return an item by its identity."""
+        progress = self.items.get(item_id)
+        return progress.item if progress is not None else None
+
+    def _finish(self, progress: ItemProgress, score: str) -> None:
+        if progress.result is not None:
+            return
+        result = JobResult(
+            item_id=progress.item.item_id,
+            completed=True,
+            text=progress.text(),
+            versions=tuple(progress.versions),
+            score=score,
+        )
+        self._take_result(progress, result)
+
+    def _take_result(self, progress: ItemProgress, result: JobResult) -> None:
+        progress.result = result
+        progress.phase = ItemPhase.FINISHED
+        progress.begin_anew()
+        self._pending.append(result)
+
+    def _mark_listed(self, result: JobResult) -> None:
+        progress = self.items.get(result.item_id)
+        check_invariant(progress is not None, "a result belongs to an item of its job")
+        if progress is not None:
+            progress.result = result
+            progress.phase = ItemPhase.LISTED
+            progress.begin_anew()
--- a/rackswitch/leases/__init__.py
+++ b/rackswitch/leases/__init__.py
@@ -1,4 +1,8 @@
-"""Single holders: leases with fencing numbers."""
+"""Leases on roles and sessions, with fencing numbers."""
 
 from rackswitch.leases.core import *  # noqa: F403
-from rackswitch.leases.core import __all__  # noqa: F401
+from rackswitch.leases.core import __all__ as _core_all
+from rackswitch.leases.session import *  # noqa: F403
+from rackswitch.leases.session import __all__ as _session_all
+
+__all__ = [*_core_all, *_session_all]
--- a/rackswitch/membership/core.py
+++ b/rackswitch/membership/core.py
@@ -134,6 +134,17 @@
             elif entry.leaving and known.update.state != MemberState.LEAVING:
                 self._set_state(known, MemberState.LEAVING, now_seconds)
 
+    def learn_listed(self, entries: list[VmEntry], now_seconds: float) -> None:
+        """Take a list for the whole truth: who is not on it is gone.
+
+        For deployments whose platform drops a daemon's entry when the daemon dies, so that
+        no heartbeats between daemons are needed.
+        """
+        listed = {entry.daemon for entry in entries}
+        for name in [name for name in self.members if name not in listed]:
+            del self.members[name]
+        self.learn_vms(entries, now_seconds)
+
     def next_target(self) -> str | None:
         """Return the member to send the next heartbeat to."""
         while True:
--- /dev/null
+++ b/rackswitch/platform/desired_state.py
@@ -0,0 +1,209 @@
+"""What operators and trainers write to the platform's service, as our rows and types."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from rackswitch.platform.names import (
+    CONFIG_KEY,
+    RETIRE_PREFIX,
+    RETIRE_STATUS_PREFIX,
+    VERSION_PREFIX,
+)
+from rackswitch.table import (
+    Handling,
+    LimitsRow,
+    RouteChoice,
+    RouteRow,
+    Row,
+    ServiceRow,
+    StoredRow,
+    TableDocument,
+    row_key,
+)
+
+__all__ = [
+    "LIMITS_NAME",
+    "MalformedEntry",
+    "NamedVersion",
+    "OperatorEntry",
+    "RetireOrder",
+    "decode_desired_state",
+    "decode_operator_entry",
+    "encode_retired",
+]
+
+LIMITS_NAME = "callers"
+"""Name of the one row of callers' limits."""
+
+HANDLING_OF_KIND = {
+    "safe": Handling.REPEATABLE,
+    "unsafe": Handling.ONCE,
+    "rollout": Handling.BATCH,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class MalformedEntry:
+    """An entry of the platform that cannot be read; what was known before stays."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NamedVersion:
+    """A version of a model's weights that its trainer has named."""
+
+    model: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RetireOrder:
+    """An order to move everything that must last off a VM."""
+
+    vm: str
+
+
+OperatorEntry = TableDocument | NamedVersion | RetireOrder | MalformedEntry
+
+
+class _WireSplit(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = "unsafe"
+    service: str | None = None
+    split: list[_WireSplit] = []
+    timeout_ms: float = 60_000
+    # The time within which an answer is wanted; not a limit.
+    goal_ms: float = 1_000
+    # For batch jobs: when all results are due, counted from the first submission.
+    run_target_ms: float = 600_000
+    keep_s: float = 3_600
+    priority: int = 5
+    # Different engines that one request may be sent to; a repeat at the same one is free.
+    max_attempts: int = 1
+    streaming: bool = False
+    resumable: bool = False
+    single_version: bool = False
+
+
+class _WireModel(msgspec.Struct):
+    name: str
+
+
+class _WireEngine(msgspec.Struct):
+    slots: int = 0
+    models: list[_WireModel] = []
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    engine: _WireEngine | None = None
+
+
+class _WireLimits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 33_554_432
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _WireConfig(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute] = []
+    services: list[_WireService] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+class _WireVersion(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_desired_state(value: bytes) -> TableDocument | MalformedEntry:
+    """Return the operators' desired state as a table, whose revision is its version."""
+    try:
+        wire = msgspec.json.decode(value, type=_WireConfig)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return MalformedEntry(str(error))
+    rows: list[Row] = [_limits_row(wire.limits)]
+    rows.extend(_service_row(service) for service in wire.services)
+    rows.extend(_route_row(route) for route in wire.routes)
+    stored = {row_key(row): StoredRow(wire.version, row) for row in rows}
+    return TableDocument(revision=wire.version, rows=stored)
+
+
+def decode_operator_entry(key: str, value: bytes) -> OperatorEntry | None:
+    """Return what an entry of the operators or trainers says; None if it concerns us not."""
+    if key == CONFIG_KEY:
+        return decode_desired_state(value)
+    if key.startswith(VERSION_PREFIX):
+        return _named_version(value)
+    if key.startswith(RETIRE_PREFIX):
+        return RetireOrder(key.removeprefix(RETIRE_PREFIX))
+    return None
+
+
+def _named_version(value: bytes) -> NamedVersion | MalformedEntry:
+    try:
+        wire = msgspec.json.decode(value, type=_WireVersion)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return MalformedEntry(str(error))
+    return NamedVersion(wire.model, wire.version)
+
+
+def encode_retired(vm: str) -> tuple[str, bytes]:
+    """Return key and value that say that a VM holds nothing more."""
+    return RETIRE_STATUS_PREFIX + vm, msgspec.json.encode({"state": "completed"})
+
+
+def _limits_row(wire: _WireLimits) -> LimitsRow:
+    return LimitsRow(
+        name=LIMITS_NAME,
+        most_header_bytes=wire.max_header_bytes,
+        most_body_bytes=wire.max_body_bytes,
+        header_timeout_seconds=wire.header_timeout_ms / 1000,
+        idle_timeout_seconds=wire.idle_timeout_ms / 1000,
+    )
+
+
+def _service_row(wire: _WireService) -> ServiceRow:
+    engine = wire.engine or _WireEngine()
+    return ServiceRow(
+        name=wire.name,
+        most_connections=wire.max_conns,
+        slots=engine.slots,
+        models=tuple(model.name for model in engine.models),
+    )
+
+
+def _route_row(wire: _WireRoute) -> RouteRow:
+    if wire.split:
+        choices = [RouteChoice(serves=part.service, weight=part.weight) for part in wire.split]
+    else:
+        choices = [RouteChoice(serves=wire.service or "")]
+    return RouteRow(
+        name=wire.name,
+        choices=tuple(choices),
+        host=wire.host,
+        path_prefix=wire.path_prefix,
+        # A kind that is not known here is treated with the most care.
+        handling=HANDLING_OF_KIND.get(wire.kind, Handling.ONCE),
+        timeout_seconds=wire.timeout_ms / 1000,
+        goal_seconds=wire.goal_ms / 1000,
+        caller_class=max(0, wire.priority),
+        most_attempts=max(1, wire.max_attempts),
+        streams=wire.streaming or wire.kind == "streaming",
+        resumable=wire.resumable,
+        single_version=wire.single_version,
+        due_seconds=wire.run_target_ms / 1000,
+        keep_seconds=wire.keep_s,
+    )
--- /dev/null
+++ b/rackswitch/platform/names.py
@@ -0,0 +1,47 @@
+"""Headers, paths and keys of the platform."""
+
+__all__ = [
+    "CONFIG_KEY",
+    "DEADLINE_HEADER",
+    "EXPECT_INSTANCE_HEADER",
+    "INSTANCE_HEADER",
+    "LAST_EVENT_HEADER",
+    "LENGTH_HINT_HEADER",
+    "LOAD_HEADER",
+    "NOT_RUN_HEADER",
+    "OPERATOR_PREFIX",
+    "REQUEST_ID_HEADER",
+    "RETIRE_PREFIX",
+    "RETIRE_STATUS_PREFIX",
+    "SERVERS_PREFIX",
+    "SETTINGS_VARIABLE",
+    "STAMP_HEADER",
+    "URGENCY_HEADER",
+    "VERSION_PREFIX",
+    "VERSIONS_HEADER",
+    "WAIT_HEADER",
+]
+
+SETTINGS_VARIABLE = "RACKSWITCH_BOOT"
+
+REQUEST_ID_HEADER = "X-Rackswitch-Request-Id"
+DEADLINE_HEADER = "X-Rackswitch-Deadline-Ms"
+"""Not a point in time: the milliseconds that are left."""
+EXPECT_INSTANCE_HEADER = "X-Rackswitch-Expect-Instance"
+INSTANCE_HEADER = "X-Rackswitch-Instance-Id"
+STAMP_HEADER = "X-Rackswitch-Server-Stamp"
+NOT_RUN_HEADER = "X-Rackswitch-Not-Run"
+LOAD_HEADER = "X-Rackswitch-Server-Load"
+VERSIONS_HEADER = "X-Rackswitch-Weight-Versions"
+"""One number in spite of its name: the version that makes the answer's first event."""
+URGENCY_HEADER = "X-Rackswitch-Request-Urgency"
+LENGTH_HINT_HEADER = "X-Rackswitch-Length-Hint"
+LAST_EVENT_HEADER = "Last-Event-Id"
+WAIT_HEADER = "X-Rackswitch-Wait-Ms"
+
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+VERSION_PREFIX = "op/version/"
+RETIRE_PREFIX = "op/retire/"
+RETIRE_STATUS_PREFIX = "status/retire/"
+SERVERS_PREFIX = "servers/"
--- /dev/null
+++ b/rackswitch/platform/settings.py
@@ -0,0 +1,150 @@
+"""The settings file that the platform gives each process."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from rackswitch.platform.names import SETTINGS_VARIABLE
+from rackswitch.settings import SettingsFault
+
+__all__ = ["Address", "NodeSettings", "read_node_settings"]
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where to listen or connect."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a process learns of its VM and of the bounds that hold.
+
+    Attributes
+    ----------
+    daemon : str
+        Name of the VM, and so of the one daemon on it.
+    callers, readiness : Address or None
+        Where to listen for callers, and for the balancer's question whether this daemon
+        is ready; None on VMs that callers do not reach.
+    peer_ports : (int, int)
+        First and last port that is free for calls between daemons.
+    stop_grace_seconds : float
+        From the order to stop until the process is killed.
+    order_turn_seconds : float
+        How long the last order of one holder must be past before another holder orders.
+    fence_checked : bool
+        Whether engines refuse orders with an old fencing number.
+    keep_results_seconds : float
+        How long after its submission a batch job can be read.
+    """
+
+    daemon: str
+    machine_class: str
+    host: str
+    zone: str
+    callers: Address | None
+    readiness: Address | None
+    peer_ports: tuple[int, int]
+    kv_url: str
+    kv_most_value_bytes: int
+    lease_least_seconds: float
+    stop_grace_seconds: float
+    order_turn_seconds: float
+    fence_checked: bool
+    keep_results_seconds: float
+
+
+class _WireListen(msgspec.Struct):
+    front: str | None = None
+    ready: str | None = None
+
+
+class _WireBounds(msgspec.Struct):
+    grace_s: float = 8.0
+    lease_ms: float = 3000.0
+    fence_checked: bool = False
+    status_s: float = 120.0
+
+
+class _WirePlatform(msgspec.Struct):
+    address: str
+    value_bytes: int = 1_048_576
+    ttl_min_ms: float = 1000.0
+
+
+class _WireSettings(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    platform: _WirePlatform
+    machine_class: str = ""
+    listen: _WireListen = msgspec.field(default_factory=_WireListen)
+    # The first and the last of a range, not a list of ports.
+    internal_ports: list[int] = msgspec.field(default_factory=list)
+    bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
+
+
+def read_node_settings(path: str | None = None) -> NodeSettings | SettingsFault:
+    """Read and check the settings file.
+
+    Parameters
+    ----------
+    path : str, optional
+        The file; by default the one that the platform's environment variable names.
+
+    Returns
+    -------
+    NodeSettings or SettingsFault
+        The settings, or one line with file, field and what is wrong.
+    """
+    if path is None:
+        path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        return SettingsFault(f"the environment variable {SETTINGS_VARIABLE} is not set")
+    try:
+        content = Path(path).read_bytes()
+    except OSError as error:
+        return SettingsFault(f"{path}: cannot be read: {error.strerror}")
+    try:
+        wire = msgspec.yaml.decode(content, type=_WireSettings)
+        return _node_settings(wire)
+    except msgspec.DecodeError as error:
+        return SettingsFault(f"{path}: {error}")
+    except ValueError as error:
+        return SettingsFault(f"{path}: {error}")
+
+
+def _node_settings(wire: _WireSettings) -> NodeSettings:
+    ports = wire.internal_ports
+    if len(ports) != 2:
+        raise ValueError(f"`$.internal_ports` must hold two numbers (found {ports!r})")
+    return NodeSettings(
+        daemon=wire.node,
+        machine_class=wire.machine_class,
+        host=wire.ip,
+        zone=wire.zone,
+        callers=_address("listen.front", wire.listen.front),
+        readiness=_address("listen.ready", wire.listen.ready),
+        peer_ports=(ports[0], ports[1]),
+        kv_url=f"http://{wire.platform.address}",
+        kv_most_value_bytes=wire.platform.value_bytes,
+        lease_least_seconds=wire.platform.ttl_min_ms / 1000,
+        stop_grace_seconds=wire.bounds.grace_s,
+        order_turn_seconds=wire.bounds.lease_ms / 1000,
+        fence_checked=wire.bounds.fence_checked,
+        keep_results_seconds=wire.bounds.status_s,
+    )
+
+
+def _address(field: str, text: str | None) -> Address | None:
+    if text is None:
+        return None
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"`$.{field}` must be HOST:PORT (found {text!r})")
+    return Address(host, int(port))
--- /dev/null
+++ b/rackswitch/platform/store.py
@@ -0,0 +1,306 @@
+"""Client of the platform's key-value service.
+
+It fulfils the `KvClient` interface, so the keepers that use the stand-alone
+deployment's service work here too.
+"""
+
+import asyncio
+from base64 import b64decode, b64encode
+from collections.abc import AsyncIterator
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import aiohttp
+import msgspec
+
+from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions
+from rackswitch.clients.kv import (
+    KV_CLIENTS,
+    KvEntry,
+    KvRead,
+    KvUnavailable,
+    LeaseGranted,
+    TxnPart,
+    TxnPartDone,
+    WatchNews,
+)
+from rackswitch.outcomes import check_invariant
+
+__all__ = ["PROTOCOL_NAME", "PlatformKvClient"]
+
+PROTOCOL_NAME = "operator-platform"
+
+CALL_TIMEOUT_SECONDS = 1.5
+"""An answer takes 4 ms on a calm day and up to a hundred times that on a slow one."""
+
+WATCH_WAIT_SECONDS = 10.0
+"""How long a watch is held open; a call each 10 s costs little, and a cut that nobody
+answers is noticed by the shorter calls of lease renewal before."""
+
+WATCH_SLACK_SECONDS = 2.0
+MOST_PAGES = 200
+
+T = TypeVar("T")
+
+
+class _WireItem(msgspec.Struct, frozen=True):
+    key: str
+    value: str = ""
+    # The revision of the last change, where other services say "mod revision".
+    revision: int = 0
+    create_revision: int = 0
+    tombstone: bool = False
+
+    def entry(self) -> KvEntry:
+        return KvEntry(self.key, b64decode(self.value), self.create_revision, self.revision)
+
+
+class _WireKey(_WireItem, frozen=True):
+    store_revision: int = 0
+
+
+class _WireRange(msgspec.Struct, frozen=True):
+    store_revision: int
+    items: list[_WireItem] = []
+    truncated: bool = False
+
+
+class _WireWatch(msgspec.Struct, frozen=True):
+    store_revision: int
+    events: list[_WireItem] = []
+
+
+class _WireTxnDone(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _WireConflict(msgspec.Struct, frozen=True):
+    items: list[_WireItem] = []
+
+
+class _WireLease(msgspec.Struct, frozen=True):
+    ttl_ms: float
+    lease: int = 0
+
+
+class _Answer:
+    """Status and content of one call."""
+
+    __slots__ = ("content", "status")
+
+    def __init__(self, status: int, content: bytes):
+        self.status = status
+        self.content = content
+
+    def decode(self, kind: type[T]) -> T | KvUnavailable:
+        try:
+            return msgspec.json.decode(self.content, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return KvUnavailable(f"cannot read the answer: {error}", effect_unknown=True)
+
+
+@KV_CLIENTS.register(PROTOCOL_NAME)
+class PlatformKvClient:
+    """Client of the platform's key-value service.
+
+    Parameters
+    ----------
+    url : str
+        The service's address.
+    sessions : HttpSessions
+        Connections to use.
+    """
+
+    __slots__ = ("_sessions", "_url", "calls")
+
+    def __init__(self, url: str, sessions: HttpSessions):
+        self._url = url
+        self._sessions = sessions
+        self.calls = 0
+
+    async def read(
+        self, key: str, is_prefix: bool = False, keys_only: bool = False
+    ) -> KvRead | KvUnavailable:
+        """Read one key, or all under a prefix.
+
+        The service knows no reading of revisions alone, so `keys_only` changes nothing.
+        """
+        if is_prefix:
+            return await self.read_from(key, "")
+        answer = await self._call("GET", "/rackswitch/kv-key", {"key": key})
+        if isinstance(answer, KvUnavailable):
+            return _without_effect(answer)
+        if answer.status == 404:
+            # Only an answer of the service itself counts as "no such key".
+            missing = answer.decode(_WireRange)
+            revision = missing.store_revision if isinstance(missing, _WireRange) else 0
+            return KvRead((), revision)
+        found = answer.decode(_WireKey)
+        if isinstance(found, KvUnavailable):
+            return _without_effect(found)
+        return KvRead((found.entry(),), found.store_revision)
+
+    async def read_from(self, prefix: str, after_key: str) -> KvRead | KvUnavailable:
+        """Read the keys under a prefix that come after a key, page by page.
+
+        The revision is that of the first page, so a watch from there misses nothing that
+        changed between the pages.
+        """
+        entries: dict[str, KvEntry] = {}
+        first_revision = 0
+        start = after_key
+        for _ in range(MOST_PAGES):
+            # The service takes the key to go on from under the name of a revision.
+            query = {"path_prefix": prefix, **({"since_rev": start} if start else {})}
+            answer = await self._call("GET", "/rackswitch/kv-range", query)
+            if isinstance(answer, KvUnavailable):
+                return _without_effect(answer)
+            page = answer.decode(_WireRange)
+            if isinstance(page, KvUnavailable):
+                return _without_effect(page)
+            first_revision = first_revision or page.store_revision
+            fresh = [item for item in page.items if item.key > start]
+            for item in fresh:
+                entries[item.key] = item.entry()
+            if not page.truncated or not fresh:
+                break
+            start = fresh[-1].key
+        return KvRead(tuple(entries.values()), first_revision)
+
+    async def txn(self, parts: list[TxnPart]) -> list[TxnPartDone] | KvUnavailable:
+        """Carry out parts one after the other, each on its own conditions."""
+        done: list[TxnPartDone] = []
+        for part in parts:
+            result = await self._txn_part(part)
+            if isinstance(result, KvUnavailable):
+                effect_unknown = result.effect_unknown or bool(done)
+                return KvUnavailable(result.detail, effect_unknown)
+            done.append(result)
+        return done
+
+    async def _txn_part(self, part: TxnPart) -> TxnPartDone | KvUnavailable:
+        answer = await self._call("POST", "/rackswitch/kv-txn", body=_txn_body(part))
+        if isinstance(answer, KvUnavailable):
+            return answer
+        if answer.status == 404:
+            return TxnPartDone(False, None, 0, lease_gone=True)
+        if answer.status == 412:
+            conflict = answer.decode(_WireConflict)
+            if isinstance(conflict, KvUnavailable):
+                return KvUnavailable(conflict.detail, effect_unknown=False)
+            return TxnPartDone(False, _present(part, conflict), 0)
+        written = answer.decode(_WireTxnDone)
+        if isinstance(written, KvUnavailable):
+            return written
+        return TxnPartDone(True, None, written.revision)
+
+    async def grant_lease(self, life_seconds: float) -> LeaseGranted | KvUnavailable:
+        """Make a lease."""
+        body = {"ttl_ms": round(life_seconds * 1000)}
+        answer = await self._call("POST", "/rackswitch/kv-lease", body=body)
+        if isinstance(answer, KvUnavailable):
+            return answer
+        granted = answer.decode(_WireLease)
+        if isinstance(granted, KvUnavailable):
+            return granted
+        return LeaseGranted(granted.lease, granted.ttl_ms / 1000)
+
+    async def keep_lease(self, lease_id: int) -> bool | KvUnavailable:
+        """Prolong a lease; False if it is gone."""
+        answer = await self._call("POST", f"/rackswitch/kv-keep/{lease_id}")
+        if isinstance(answer, KvUnavailable):
+            return answer
+        return answer.status != 404
+
+    async def revoke_lease(self, lease_id: int) -> KvUnavailable | None:
+        """End a lease, which deletes its keys."""
+        answer = await self._call("DELETE", f"/rackswitch/kv-lease-end/{lease_id}")
+        return answer if isinstance(answer, KvUnavailable) else None
+
+    async def watch(self, key: str, from_revision: int) -> AsyncIterator[WatchNews | KvUnavailable]:
+        """Yield changes under a prefix after a revision until the watch breaks."""
+        revision = from_revision
+        while True:
+            query = {
+                "path_prefix": key,
+                "since_rev": str(revision),
+                "wait_ms": str(round(WATCH_WAIT_SECONDS * 1000)),
+            }
+            limit_seconds = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
+            answer = await self._call("GET", "/rackswitch/kv-watch", query, None, limit_seconds)
+            if isinstance(answer, KvUnavailable):
+                yield _without_effect(answer)
+                return
+            news = answer.decode(_WireWatch)
+            if isinstance(news, KvUnavailable):
+                yield _without_effect(news)
+                return
+            revision = max(revision, news.store_revision)
+            yield WatchNews(
+                tuple(event.entry() for event in news.events if not event.tombstone),
+                revision,
+                tuple(event.key for event in news.events if event.tombstone),
+            )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: Any = None,
+        limit_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> _Answer | KvUnavailable:
+        self.calls += 1
+        url = self._url + path + ("?" + urlencode(query, safe="/") if query else "")
+        data = msgspec.json.encode(body) if body is not None else None
+        headers = {"Content-Type": "application/json"} if data is not None else None
+        try:
+            async with (
+                asyncio.timeout(limit_seconds),
+                self._sessions.pooled.request(method, url, data=data, headers=headers) as answer,
+            ):
+                content = await answer.read()
+        except NOT_SENT_ERRORS as error:
+            return KvUnavailable(type(error).__name__, effect_unknown=False)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return KvUnavailable(type(error).__name__, effect_unknown=True)
+        return _checked(answer.status, content)
+
+
+def _checked(status: int, content: bytes) -> _Answer | KvUnavailable:
+    if status in (200, 404, 412):
+        return _Answer(status, content)
+    if status == 410:
+        return KvUnavailable("the history is gone", effect_unknown=False, history_lost=True)
+    # By the platform's word a refusal with one of these means that nothing was done.
+    refused = status in (400, 403, 413, 429, 503)
+    return KvUnavailable(f"status {status}", effect_unknown=not refused)
+
+
+def _without_effect(answer: KvUnavailable) -> KvUnavailable:
+    return KvUnavailable(answer.detail, effect_unknown=False, history_lost=answer.history_lost)
+
+
+def _txn_body(part: TxnPart) -> dict[str, Any]:
+    # A key of ours is never written again where its create revision is compared, so both
+    # kinds of comparison are the same here.
+    expected = [{"key": compare.key, "revision": compare.revision} for compare in part.compares]
+    puts = []
+    removals = []
+    for operation in part.operations:
+        check_invariant(not operation.is_prefix, "this service deletes single keys only")
+        if operation.value is None:
+            removals.append(operation.key)
+            continue
+        value = b64encode(operation.value).decode()
+        puts.append({"key": operation.key, "value": value, "lease": operation.lease_id})
+    return {"expected": expected, "set_keys": puts, "remove": removals}
+
+
+def _present(part: TxnPart, conflict: _WireConflict) -> KvEntry | None:
+    wanted = part.read_keys or tuple(compare.key for compare in part.compares)
+    by_key = {item.key: item for item in conflict.items if not item.tombstone}
+    for key in wanted:
+        if key in by_key:
+            return by_key[key].entry()
+    return None
--- a/rackswitch/requests/attempts.py
+++ b/rackswitch/requests/attempts.py
@@ -9,12 +9,15 @@
     check_invariant,
 )
 
-__all__ = ["AttemptEnd", "AttemptLog", "RetryBudget"]
+__all__ = ["AttemptEnd", "AttemptLog", "RetryBudget", "attempt_deadline_seconds"]
 
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 10.0
 MOST_ATTEMPTS = 4
 COME_BACK_SECONDS = 1.0
+ATTEMPT_GOAL_FACTOR = 1.5
+"""How many times a request's goal one attempt may take while another can follow: an answer
+past the goal earns little, so a slow target is left soon after it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,10 +56,20 @@
 
 @dataclass(slots=True)
 class AttemptLog:
-    """All attempts of one request, and the truth that follows from them."""
+    """All attempts of one request, and the truth that follows from them.
+
+    Attributes
+    ----------
+    most_attempts : int
+        Targets that may run the request.
+    most_refusals : int
+        Attempts, besides those, that a target may end by saying that it did not begin.
+    """
 
     repeatable: bool
     ends: list[AttemptEnd] = field(default_factory=list)
+    most_attempts: int = MOST_ATTEMPTS
+    most_refusals: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -65,7 +78,10 @@
 
     def may_begin(self) -> bool:
         """Return whether one more attempt is allowed by what came before."""
-        if len(self.ends) >= MOST_ATTEMPTS:
+        if len(self.ends) >= self.most_attempts + self.most_refusals:
+            return False
+        runs = sum(end.may_have_run for end in self.ends)
+        if runs >= self.most_attempts:
             return False
         return self.repeatable or not self.may_have_run
 
@@ -88,3 +104,29 @@
         if self.may_have_run:
             return MayHaveRun(detail, retry_at_seconds)
         return NotRun(NotRunReason.NO_TARGET, detail, retry_at_seconds)
+
+
+def attempt_deadline_seconds(
+    log: AttemptLog, goal_seconds: float, deadline_seconds: float, now_seconds: float
+) -> float:
+    """Return until when an attempt may take that begins now.
+
+    Parameters
+    ----------
+    log : AttemptLog
+        The attempts before it.
+    goal_seconds : float
+        The time within which the answer is wanted.
+    deadline_seconds, now_seconds : float
+        When the request is given up, and the present (same clock).
+
+    Returns
+    -------
+    float
+        The request's own deadline for the last attempt, and for a request that may not be
+        repeated, since leaving that one would only lose its answer.
+    """
+    runs = sum(end.may_have_run for end in log.ends)
+    if not log.repeatable or runs + 1 >= log.most_attempts:
+        return deadline_seconds
+    return min(deadline_seconds, now_seconds + goal_seconds * ATTEMPT_GOAL_FACTOR)
--- a/rackswitch/routing/targets.py
+++ b/rackswitch/routing/targets.py
@@ -124,6 +124,15 @@
             # One further failure, of the probe that follows, opens it again.
             self.failures = FAILURES_TO_OPEN - 1
 
+    def went_silent(self, now_seconds: float) -> None:
+        """Note that the target did not take a connection or stopped answering.
+
+        Unlike a failed answer, which may concern one request, this opens the breaker at
+        once: whatever is sent next would most likely wait in vain too.
+        """
+        self.failures = FAILURES_TO_OPEN
+        self.failed(now_seconds)
+
     def cached_share(self, prefixes: tuple[int, ...]) -> float:
         """Return which share of the prompt's prefix chunks this daemon sent here lately."""
         if not prefixes:
--- a/rackswitch/standins/faulty_kv.py
+++ b/rackswitch/standins/faulty_kv.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
-from rackswitch.platform.kv import (
+from rackswitch.clients.kv import (
     KvRead,
     KvUnavailable,
     LeaseGranted,
--- a/rackswitch/standins/kv.py
+++ b/rackswitch/standins/kv.py
@@ -10,7 +10,7 @@
 import msgspec
 from blacksheep import Request, Response, StreamedContent
 
-from rackswitch.platform.kv import Compare, KvEntry, Operation, TxnPart, TxnPartDone
+from rackswitch.clients.kv import Compare, KvEntry, Operation, TxnPart, TxnPartDone
 from rackswitch.standins.faults import FaultGate, FaultyApplication
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.web import (
--- a/rackswitch/standins/kv_store.py
+++ b/rackswitch/standins/kv_store.py
@@ -3,7 +3,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from rackswitch.platform.kv import (
+from rackswitch.clients.kv import (
     Compare,
     KvEntry,
     KvRead,
--- a/rackswitch/table/__init__.py
+++ b/rackswitch/table/__init__.py
@@ -4,9 +4,11 @@
 from rackswitch.table.delta import __all__ as _delta_all
 from rackswitch.table.edits import *  # noqa: F403
 from rackswitch.table.edits import __all__ as _edits_all
+from rackswitch.table.matching import *  # noqa: F403
+from rackswitch.table.matching import __all__ as _matching_all
 from rackswitch.table.rows import *  # noqa: F403
 from rackswitch.table.rows import __all__ as _rows_all
 from rackswitch.table.view import *  # noqa: F403
 from rackswitch.table.view import __all__ as _view_all
 
-__all__ = [*_delta_all, *_edits_all, *_rows_all, *_view_all]
+__all__ = [*_delta_all, *_edits_all, *_matching_all, *_rows_all, *_view_all]
--- /dev/null
+++ b/rackswitch/table/matching.py
@@ -0,0 +1,52 @@
+"""Finding the route of a request by its host and path."""
+
+from dataclasses import dataclass, field
+
+from rackswitch.table.edits import TableDocument
+from rackswitch.table.rows import RouteRow
+
+__all__ = ["RouteIndex", "index_routes"]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteIndex:
+    """The routes of one table by host, longest path prefix first.
+
+    Attributes
+    ----------
+    revision : int
+        The table's revision.
+    """
+
+    revision: int = 0
+    by_host: dict[str, tuple[RouteRow, ...]] = field(default_factory=dict)
+
+    def find(self, host: str, path: str) -> RouteRow | None:
+        """Return the route with the longest prefix of `path`, or None.
+
+        Parameters
+        ----------
+        host : str
+            The ``Host`` header; a port in it does not matter, nor does case.
+        path : str
+            The path, without the query.
+        """
+        name = host.rsplit(":", 1)[0] if ":" in host else host
+        for route in self.by_host.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def index_routes(document: TableDocument) -> RouteIndex:
+    """Return the index of the routes that have a host."""
+    by_host: dict[str, list[RouteRow]] = {}
+    for stored in document.rows.values():
+        row = stored.row
+        if isinstance(row, RouteRow) and row.host:
+            by_host.setdefault(row.host.lower(), []).append(row)
+    sorted_routes = {
+        host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+        for host, routes in by_host.items()
+    }
+    return RouteIndex(document.revision, sorted_routes)
--- a/rackswitch/table/rows.py
+++ b/rackswitch/table/rows.py
@@ -1,5 +1,6 @@
 """The kinds of rows that operators and automation write."""
 
+from enum import Enum
 from typing import Annotated
 
 import msgspec
@@ -7,12 +8,15 @@
 __all__ = [
     "DaemonRow",
     "FleetRow",
+    "Handling",
+    "LimitsRow",
     "ModelRow",
     "OperatorRow",
     "RouteChoice",
     "RouteRow",
     "Row",
     "RowKey",
+    "ServiceRow",
     "TargetRow",
     "TenantRow",
     "TrainerRow",
@@ -59,11 +63,84 @@
     newest_version: NonNegativeInt | None = None
 
 
+class Handling(Enum):
+    """How requests of a route may be treated."""
+
+    REPEATABLE = "repeatable"
+    """May run more than once."""
+
+    ONCE = "once"
+    """Runs at most once."""
+
+    BATCH = "batch"
+    """Submits a batch job, whose items run later."""
+
+
 class RouteRow(_Row, tag="route", frozen=True, kw_only=True):
-    """What callers may ask for by this name, and which versions may serve them."""
+    """What callers may ask for, and which versions may serve them.
+
+    A route is asked for by its name, or, if it has a host, by host and path.
+
+    Attributes
+    ----------
+    host, path_prefix : str
+        Requests to this host whose path begins so; the longest prefix of a host wins.
+    timeout_seconds, goal_seconds : float
+        The longest a request is held, and the time within which an answer is wanted.
+    caller_class : int
+        Rank of the requests, 0 first.
+    most_attempts : int
+        Targets that one request may be sent to.
+    streams, resumable : bool
+        Whether answers are event streams, and whether another target may go on with one.
+    single_version : bool
+        Whether all of a sample must be made by one version.
+    due_seconds, keep_seconds : float
+        For batch jobs, counted from the submission: when all results are due, and from
+        when an item may be given up.
+    """
 
     choices: tuple[RouteChoice, ...]
     tenants: tuple[Name, ...] = ()
+    host: str = ""
+    path_prefix: str = ""
+    handling: Handling = Handling.REPEATABLE
+    timeout_seconds: Positive = 60.0
+    goal_seconds: Positive = 1.0
+    caller_class: NonNegativeInt = 5
+    most_attempts: Annotated[int, msgspec.Meta(ge=1)] = 4
+    streams: bool = False
+    resumable: bool = False
+    single_version: bool = False
+    due_seconds: Positive = 600.0
+    keep_seconds: Positive = 3600.0
+
+
+class ServiceRow(_Row, tag="service", frozen=True, kw_only=True):
+    """Facts about the targets of one service that do not differ between them.
+
+    Attributes
+    ----------
+    most_connections : int
+        Connections that a target takes from all daemons together.
+    slots : int
+        Requests that a target works on at once; 0 if that is not known here.
+    models : tuple of str
+        Models whose versions the targets load; none for a plain service.
+    """
+
+    most_connections: NonNegativeInt = 0
+    slots: NonNegativeInt = 0
+    models: tuple[str, ...] = ()
+
+
+class LimitsRow(_Row, tag="limits", frozen=True, kw_only=True):
+    """What a caller may send, and how long its connection may take or rest."""
+
+    most_header_bytes: NonNegativeInt = 16_384
+    most_body_bytes: NonNegativeInt = 33_554_432
+    header_timeout_seconds: Positive = 3.0
+    idle_timeout_seconds: Positive = 15.0
 
 
 class TenantRow(_Row, tag="tenant", frozen=True, kw_only=True):
@@ -106,7 +183,18 @@
     daemon_slots: Annotated[int, msgspec.Meta(ge=1)] = 9
 
 
-Row = TargetRow | ModelRow | RouteRow | TenantRow | TrainerRow | OperatorRow | DaemonRow | FleetRow
+Row = (
+    TargetRow
+    | ModelRow
+    | RouteRow
+    | ServiceRow
+    | LimitsRow
+    | TenantRow
+    | TrainerRow
+    | OperatorRow
+    | DaemonRow
+    | FleetRow
+)
 
 
 def row_key(row: Row) -> RowKey:
--- a/rackswitch/web/core.py
+++ b/rackswitch/web/core.py
@@ -49,11 +49,20 @@
         Where to listen; port 0 takes a free one.
     most_connections : int, optional
         Connections beyond this number get 503.
+    keep_alive_seconds : int
+        How long an idle connection is kept.
     """
 
     __slots__ = ("_config", "_host", "_port", "_server", "_task")
 
-    def __init__(self, application: Any, host: str, port: int, most_connections: int | None = None):
+    def __init__(
+        self,
+        application: Any,
+        host: str,
+        port: int,
+        most_connections: int | None = None,
+        keep_alive_seconds: int = KEEP_ALIVE_SECONDS,
+    ):
         self._host = host
         self._port = port
         self._config = uvicorn.Config(
@@ -66,8 +75,8 @@
             server_header=False,
             http="httptools",
             ws="none",
-            lifespan="on",
-            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            lifespan="auto",
+            timeout_keep_alive=keep_alive_seconds,
             limit_concurrency=most_connections,
         )
         self._server = _LoopServer(self._config)
--- /dev/null
+++ b/rackswitch/web/exchange.py
@@ -0,0 +1,157 @@
+"""One HTTP request and its answer, for handlers that pass bytes through unchanged."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["BodyTooLarge", "BodyTooSlow", "CallerGone", "Exchange"]
+
+Message = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class BodyTooLarge:
+    """The body is larger than allowed."""
+
+    most_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class BodyTooSlow:
+    """The body did not come in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller left before its body was whole."""
+
+
+class Exchange:
+    """An ASGI request with its answer.
+
+    Parameters
+    ----------
+    scope : dict
+        The ASGI scope.
+    receive, send : callable
+        The ASGI channels.
+    """
+
+    __slots__ = ("_receive", "_scope", "_send", "close_connection", "is_answered")
+
+    def __init__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[Message]],
+        send: Callable[[Message], Awaitable[None]],
+    ):
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self.close_connection = False
+        self.is_answered = False
+
+    @property
+    def method(self) -> str:
+        """The request's method."""
+        return self._scope["method"]
+
+    @property
+    def path(self) -> str:
+        """The path as it was sent, without the query."""
+        return self._scope["raw_path"].decode("latin-1")
+
+    @property
+    def query(self) -> str:
+        """The query as it was sent, without the question mark."""
+        return self._scope["query_string"].decode("latin-1")
+
+    @property
+    def target(self) -> str:
+        """Path and query as they were sent."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """The headers in order; names are in lower case."""
+        return tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self._scope["headers"]
+        )
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of a name, or None."""
+        wanted = name.lower().encode("latin-1")
+        for key, value in self._scope["headers"]:
+            if key == wanted:
+                return value.decode("latin-1")
+        return None
+
+    @property
+    def header_bytes(self) -> int:
+        """Size of the request's head, without its first line."""
+        return sum(len(name) + len(value) + 4 for name, value in self._scope["headers"])
+
+    async def read_body(
+        self, most_bytes: int, deadline_seconds: float
+    ) -> bytes | BodyTooLarge | BodyTooSlow | CallerGone:
+        """Read the body up to a size, until a deadline (event loop time)."""
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout_at(deadline_seconds):
+                while True:
+                    message = await self._receive()
+                    if message["type"] == "http.disconnect":
+                        return CallerGone()
+                    chunk = message.get("body", b"")
+                    size += len(chunk)
+                    if size > most_bytes:
+                        self.close_connection = True
+                        return BodyTooLarge(most_bytes)
+                    chunks.append(chunk)
+                    if not message.get("more_body", False):
+                        return b"".join(chunks)
+        except TimeoutError:
+            self.close_connection = True
+            return BodyTooSlow()
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has gone; the body must have been read."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def respond(
+        self, status: int, headers: tuple[tuple[str, str], ...] = (), body: bytes = b""
+    ) -> None:
+        """Send a whole answer."""
+        await self._start(status, (*headers, ("content-length", str(len(body)))))
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def stream(
+        self, status: int, headers: tuple[tuple[str, str], ...], pieces: AsyncIterator[bytes]
+    ) -> None:
+        """Send an answer as it comes.
+
+        Raises
+        ------
+        ConnectionError
+            If the source breaks off; the answer is left without its end then, so that the
+            caller does not take it for whole.
+        """
+        await self._start(status, headers)
+        async for piece in pieces:
+            await self._send({"type": "http.response.body", "body": piece, "more_body": True})
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def _start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        self.is_answered = True
+        encoded = [
+            (name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers
+        ]
+        if self.close_connection:
+            encoded.append((b"connection", b"close"))
+        await self._send({"type": "http.response.start", "status": status, "headers": encoded})
--- a/rackswitch/weights/rollout.py
+++ b/rackswitch/weights/rollout.py
@@ -83,6 +83,7 @@
     choices: Iterable[RouteChoice],
     state: RolloutState,
     now_seconds: float,
+    most_loading: int | None = None,
 ) -> list[LoadOrder]:
     """Decide which engines of a partition to order now.
 
@@ -100,6 +101,8 @@
         Orders under way.
     now_seconds : float
         Monotonic clock.
+    most_loading : int, optional
+        Most engines that may be loading at once, in place of the share.
 
     Returns
     -------
@@ -112,7 +115,8 @@
         for engine in fleet
         if engine.loading or _under_way(state, engine.name, now_seconds)
     }
-    room = max(1, int(len(fleet) * unavailable_share)) - len(busy)
+    allowance = most_loading or max(1, int(len(fleet) * unavailable_share))
+    room = allowance - len(busy)
     waiting = [
         engine
         for engine in fleet
