Watches: a silent one is noticed within a second

Ruled out: a change hidden by the revision of a normal answer (a watch that goes on gets 410 and lists anew). Change: watches wait 0.7 s.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -45,6 +45,9 @@
 wants between two holders' orders."""
 
 LOG_PUMP_SECONDS = 0.1
+COUNTS_LOG_SECONDS = 10.0
+"""Between log lines that tell how many calls the key-value service got so far."""
+
 BALANCER_NOTICE_SECONDS = 2.5
 """How long a stopping daemon still takes connections: the balancer asks each second and
 leaves a daemon out that has said no twice."""
@@ -177,8 +180,12 @@
         membership.learn_listed(list(self._members.values()), self.context.now_seconds())
 
     async def _pump_log(self) -> None:
+        next_count_seconds = self.context.now_seconds()
         while True:
             self.log.pump()
+            if self.context.now_seconds() >= next_count_seconds:
+                next_count_seconds += COUNTS_LOG_SECONDS
+                self.log.write("key-value calls", calls=dict(self.context.store.calls_by_path))
             await asyncio.sleep(LOG_PUMP_SECONDS)
 
     async def _on_ready(self, exchange: Exchange) -> None:
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -183,8 +183,7 @@
             if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
                 ledger.scored(progress, stamp_of(outcome))
                 return
-            for _ in range(answer.failures):
-                if not ledger.reward_failed(progress):
-                    return
+            if not ledger.reward_failed(progress, answer.failures, route.most_attempts):
+                return
             if isinstance(outcome, NotRun) or answer.failures == 0:
                 await asyncio.sleep(REWARD_PAUSE_SECONDS)
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -41,7 +41,7 @@
     Attributes
     ----------
     failures : int
-        Answers by which targets themselves said that they had failed.
+        Answers of 500, by which targets themselves said that they had failed.
     """
 
     outcome: TargetAnswer | NotRun | MayHaveRun
@@ -111,7 +111,7 @@
                 continue
             if result.status < 500 or not repeatable:
                 return FrontAnswer(result, len(log.ends) + 1, failures, target.instance)
-            failures += 1
+            failures += result.status == 500
             last_failure = (result, target.instance)
             log.note(AttemptEnd(target.instance, True, f"status {result.status}"))
         if last_failure is not None:
--- a/rackswitch/gateway/watching.py
+++ b/rackswitch/gateway/watching.py
@@ -8,8 +8,9 @@
 
 __all__ = ["PrefixWatcher"]
 
-RETRY_SECONDS = 0.25
-"""Pause after a broken watch; the bounds on taking a change in are seconds."""
+RETRY_SECONDS = 0.1
+"""Pause after a broken watch; a change must be in force within 2 s, most of which a silent
+watch may have used up already."""
 
 
 class PrefixWatcher:
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -34,7 +34,7 @@
     listed : list of JobResult
         Results that are kept, by position.
     most_failures : int
-        Failures of an item's runs, or of its reward calls, after which it is given up.
+        Failures of an item's runs after which it is given up.
     single_version : bool
         Whether all of a text must be made by one version.
     """
@@ -114,10 +114,20 @@
         """Note the answer of the reward call."""
         self._finish(progress, score)
 
-    def reward_failed(self, progress: ItemProgress) -> bool:
-        """Note a reward call that the service failed; return whether to try again."""
-        progress.reward_failures += 1
-        if progress.reward_failures < self.most_failures:
+    def reward_failed(self, progress: ItemProgress, failures: int, most_failures: int) -> bool:
+        """Note answers by which the reward service failed; return whether to try again.
+
+        Parameters
+        ----------
+        progress : ItemProgress
+            The item.
+        failures : int
+            Answers since the last call of this method.
+        most_failures : int
+            How many of them, over all calls, the reward call's own route allows.
+        """
+        progress.reward_failures += failures
+        if progress.reward_failures < most_failures:
             return True
         self.give_up(progress)
         return False
--- /dev/null
+++ b/rackswitch/jobs/tests/test_ledger.py
@@ -0,0 +1,86 @@
+import pytest
+
+from rackswitch.jobs import ItemPhase, JobLedger, JobResult
+from rackswitch.jobs.tests.support import finish, make_job
+from rackswitch.outcomes import BrokenInvariant
+
+
+def test_a_result_has_a_position_only_once_it_is_kept():
+    ledger = JobLedger(make_job())
+    finish(ledger, "i2")
+    assert ledger.listed == []
+    position, segment = ledger.next_segment()
+    assert (position, [result.item_id for result in segment]) == (0, ["i2"])
+    ledger.appended(position, segment)
+    assert [result.item_id for result in ledger.listed] == ["i2"]
+    assert not ledger.has_pending
+
+
+def test_an_earlier_proposal_that_was_kept_takes_the_place_of_the_last_one():
+    ledger = JobLedger(make_job())
+    finish(ledger, "i0")
+    _, first = ledger.next_segment()
+    finish(ledger, "i1")
+    # The first write went unanswered and took effect; the second met it.
+    ledger.appended(0, first)
+    assert [result.item_id for result in ledger.listed] == ["i0"]
+    assert ledger.next_segment()[0] == 1
+    assert [result.item_id for result in ledger.next_segment()[1]] == ["i1"]
+
+
+def test_an_item_is_never_listed_twice():
+    ledger = JobLedger(make_job())
+    finish(ledger, "i0")
+    _, segment = ledger.next_segment()
+    ledger.appended(0, segment)
+    with pytest.raises(BrokenInvariant):
+        ledger.appended(1, segment)
+
+
+def test_a_new_owner_goes_on_behind_what_is_listed():
+    listed = [JobResult(item_id="i1", completed=True, text="x")]
+    ledger = JobLedger(make_job(), listed)
+    assert ledger.items["i1"].phase is ItemPhase.LISTED
+    assert {progress.item.item_id for progress in ledger.waiting(0.0)} == {"i0", "i2", "i3"}
+    finish(ledger, "i0")
+    assert ledger.next_segment()[0] == 1
+
+
+def test_an_item_is_given_up_after_the_allowed_failures_and_not_before():
+    ledger = JobLedger(make_job(), most_failures=3)
+    progress = ledger.items["i0"]
+    for _ in range(2):
+        ledger.started(progress)
+        ledger.failed(progress, 0.0)
+        assert progress.result is None
+    ledger.started(progress)
+    ledger.failed(progress, 0.0)
+    assert progress.result == JobResult(item_id="i0", completed=False)
+
+
+def test_failed_reward_calls_count_against_the_reward_route_and_not_the_items():
+    # Found on the register's quiet day: the job's route allowed 3, the reward's 4.
+    ledger = JobLedger(make_job(reward=True), most_failures=3)
+    finish(ledger, "i0")
+    progress = ledger.items["i0"]
+    assert progress.phase is ItemPhase.SCORING
+    assert ledger.reward_failed(progress, 3, most_failures=4)
+    assert progress.result is None
+    assert not ledger.reward_failed(progress, 1, most_failures=4)
+    assert progress.result == JobResult(item_id="i0", completed=False)
+
+
+def test_broken_runs_do_not_count_as_failures():
+    ledger = JobLedger(make_job(), most_failures=1)
+    progress = ledger.items["i0"]
+    for _ in range(10):
+        ledger.started(progress)
+        ledger.broke(progress, "t", 0.0)
+    assert progress.result is None
+    assert progress.avoid == "t"
+
+
+def test_nothing_starts_once_the_job_is_ended():
+    ledger = JobLedger(make_job())
+    ledger.end()
+    assert ledger.waiting(100.0) == []
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from base64 import b64decode, b64encode
+from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -33,11 +34,13 @@
 CALL_TIMEOUT_SECONDS = 1.5
 """An answer takes 4 ms on a calm day and up to a hundred times that on a slow one."""
 
-WATCH_WAIT_SECONDS = 10.0
-"""How long a watch is held open; a call each 10 s costs little, and a cut that nobody
-answers is noticed by the shorter calls of lease renewal before."""
+WATCH_WAIT_SECONDS = 0.7
+"""How long a watch is held open. A watch may go silent without a word, which shows only
+when its time is over; a change that it has missed must be in force 2 s after it was made."""
+
+WATCH_SLACK_SECONDS = 0.3
+"""How much later than its time a watch may answer before it counts as cut."""
 
-WATCH_SLACK_SECONDS = 2.0
 MOST_PAGES = 200
 
 T = TypeVar("T")
@@ -111,12 +114,13 @@
         Connections to use.
     """
 
-    __slots__ = ("_sessions", "_url", "calls")
+    __slots__ = ("_sessions", "_url", "calls", "calls_by_path")
 
     def __init__(self, url: str, sessions: HttpSessions):
         self._url = url
         self._sessions = sessions
         self.calls = 0
+        self.calls_by_path: Counter[str] = Counter()
 
     async def read(
         self, key: str, is_prefix: bool = False, keys_only: bool = False
@@ -251,6 +255,7 @@
         limit_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> _Answer | KvUnavailable:
         self.calls += 1
+        self.calls_by_path[_call_name(path, query)] += 1
         url = self._url + path + ("?" + urlencode(query, safe="/") if query else "")
         data = msgspec.json.encode(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if data is not None else None
@@ -267,6 +272,13 @@
         return _checked(answer.status, content)
 
 
+def _call_name(path: str, query: dict[str, str] | None) -> str:
+    """Return a call's name for counting: its verb, and the prefix that it is about."""
+    verb = path.split("/")[2]
+    prefix = (query or {}).get("path_prefix", "").partition("/")[0]
+    return f"{verb} {prefix}" if prefix else verb
+
+
 def _checked(status: int, content: bytes) -> _Answer | KvUnavailable:
     if status in (200, 404, 412):
         return _Answer(status, content)
