Jobs: a restarted daemon adopts only what is still its own; a former owner does not adopt segments

Besides, an append that met another owner's segment took it for an earlier try of its own. Ruled out: a range read that misses segments (all readers of the store saw the whole list). Change: adoption checks the owner key as the watch last showed it; a refused append reads segment and owner. Tests fail before, pass after.

--- a/rackswitch/clients/kv.py
+++ b/rackswitch/clients/kv.py
@@ -153,6 +153,10 @@
         """Read one key, or all under a prefix; with `keys_only` revisions without values."""
         ...
 
+    async def read_from(self, prefix: str, after_key: str) -> KvRead | KvUnavailable:
+        """Read the keys under a prefix that come after a key (empty: all of them)."""
+        ...
+
     async def txn(self, parts: list[TxnPart]) -> list[TxnPartDone] | KvUnavailable:
         """Carry out parts in one call, each on its own conditions."""
         ...
@@ -288,6 +292,15 @@
             body["keys_only"] = True
         if is_prefix:
             body["range_end"] = _text(prefix_end(key))
+        return await self._range(body)
+
+    async def read_from(self, prefix: str, after_key: str) -> KvRead | KvUnavailable:
+        """Read the keys under a prefix that come after a key (empty: all of them)."""
+        # The smallest key after another one has a zero byte more.
+        start = after_key + "\0" if after_key else prefix
+        return await self._range({"key": _text(start), "range_end": _text(prefix_end(prefix))})
+
+    async def _range(self, body: dict[str, Any]) -> KvRead | KvUnavailable:
         answer = await self._call("/v3/kv/range", body, _WireRange)
         if isinstance(answer, KvUnavailable):
             return KvUnavailable(answer.detail, effect_unknown=False)
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -7,7 +7,6 @@
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.gateway.contact import StoreContact
 from rackswitch.platform.settings import NodeSettings
-from rackswitch.platform.store import PlatformKvClient
 from rackswitch.routing import Target, TargetDirectory
 from rackswitch.table import RouteIndex
 from rackswitch.telemetry import DecisionLog
@@ -34,7 +33,6 @@
 
     settings: NodeSettings
     daemon: DaemonContext
-    store: PlatformKvClient
     contact: StoreContact
     log: DecisionLog
     routes: RouteIndex = field(default_factory=RouteIndex)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -74,11 +74,7 @@
         self.log = DecisionLog(settings.daemon)
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
         daemon = _daemon_context(settings, rng)
-        store = daemon.kv
-        assert isinstance(store, PlatformKvClient)
-        self.context = GatewayContext(
-            settings, daemon, store, StoreContact(self.log), self.log
-        )
+        self.context = GatewayContext(settings, daemon, StoreContact(self.log), self.log)
         self._sessions = EngineSessions()
         engines = PlatformEngineClient(self._sessions)
         self.state = StateKeeper(self.context)
@@ -181,11 +177,12 @@
 
     async def _pump_log(self) -> None:
         next_count_seconds = self.context.now_seconds()
+        calls = getattr(self.context.kv, "calls_by_path", {})
         while True:
             self.log.pump()
             if self.context.now_seconds() >= next_count_seconds:
                 next_count_seconds += COUNTS_LOG_SECONDS
-                self.log.write("key-value calls", calls=dict(self.context.store.calls_by_path))
+                self.log.write("key-value calls", calls=dict(calls))
             await asyncio.sleep(LOG_PUMP_SECONDS)
 
     async def _on_ready(self, exchange: Exchange) -> None:
--- a/rackswitch/gateway/edge.py
+++ b/rackswitch/gateway/edge.py
@@ -269,6 +269,15 @@
         if isinstance(page, JobUnknown | JobUnsure):
             await self._refuse_job_call(exchange, page, call)
             return
+        self._context.log.write(
+            "results read",
+            job=call.job_id,
+            position=call.position,
+            count=len(page.results),
+            source=page.source,
+            listed=page.listed,
+            elapsed_seconds=round(self._context.now_seconds() - arrived_seconds, 4),
+        )
         body = encode_results(page.total, call.position, page.results)
         await exchange.respond(200, JSON, body)
 
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -110,6 +110,7 @@
         "_engine_runs",
         "_full_until_seconds",
         "_orphans",
+        "_owner_revisions",
         "_runner",
         "_session",
         "_store",
@@ -126,6 +127,7 @@
         self._store = store
         self._runner = runner
         self._orphans = JobOrphans(context.settings.daemon)
+        self._owner_revisions: dict[str, int] = {}
         self._engine_runs: dict[str, int] = {}
         self._full_until_seconds: dict[str, float] = {}
         self._wake = asyncio.Event()
@@ -152,6 +154,7 @@
         """Note who owns a job."""
         name = entry.key.removeprefix(OWNERS_PREFIX)
         self._orphans.owned(name)
+        self._owner_revisions[name] = entry.mod_revision
         if entry.value.decode() == self._context.settings.daemon:
             self._context.daemon.spawn(self._adopt(name, entry.mod_revision))
             return
@@ -161,7 +164,9 @@
 
     def owner_deleted(self, key: str) -> None:
         """Note that a job has no owner."""
-        self._orphans.orphaned(key.removeprefix(OWNERS_PREFIX), self._context.now_seconds())
+        name = key.removeprefix(OWNERS_PREFIX)
+        self._owner_revisions.pop(name, None)
+        self._orphans.orphaned(name, self._context.now_seconds())
 
     def listed(self, entries: tuple[KvEntry, ...]) -> None:
         """Take in all markers and owners anew."""
@@ -308,6 +313,9 @@
     async def _adopt(self, name: str, owner_revision: int) -> None:
         """Work on a job that is this daemon's by a write whose answer never came."""
         await asyncio.sleep(ADOPT_AFTER_SECONDS)
+        if self._owner_revisions.get(name) != owner_revision:
+            # It was a predecessor's, whose lease has ended meanwhile.
+            return
         for job_id, (marker, _) in list(self.markers.items()):
             if key_part(job_id) == name and job_id not in self.owned and not marker.ended:
                 await self._load(job_id, owner_revision)
@@ -318,6 +326,9 @@
         marker, _ = self.markers.get(job_id, (None, 0))
         if marker is None or marker.ended or job_id in self.owned:
             return
+        if self._owner_revisions.get(key_part(job_id), owner_revision) > owner_revision:
+            self._context.log.write("job not owned", job=job_id, reason="taken over meanwhile")
+            return
         if isinstance(job, Job) and not isinstance(results, KvUnavailable):
             self._own(job, owner_revision, results)
         else:
--- a/rackswitch/gateway/job_reader.py
+++ b/rackswitch/gateway/job_reader.py
@@ -25,10 +25,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ResultsPage:
-    """Results from a position on."""
+    """Results from a position on.
+
+    Attributes
+    ----------
+    source, listed : str, int
+        Where they were read, and how many results of the job are known there.
+    """
 
     total: int
     results: list[JobResult]
+    source: str
+    listed: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +135,9 @@
                 break
         if len(ledger.listed) <= position and not self._session.is_sure():
             return JobUnsure("the session with the key-value service is not sure")
-        return ResultsPage(ledger.total, _page(ledger.listed, position))
+        return ResultsPage(
+            ledger.total, _page(ledger.listed, position), "owner", len(ledger.listed)
+        )
 
     async def _stored_results(
         self, marker: JobMarker, position: int, deadline_seconds: float
@@ -147,7 +157,7 @@
             left_seconds = deadline_seconds - self._context.now_seconds()
             over = marker.ended or len(cached) == marker.total
             if len(cached) > position or over or left_seconds <= 0:
-                return ResultsPage(marker.total, _page(cached, position))
+                return ResultsPage(marker.total, _page(cached, position), "store", len(cached))
             await asyncio.sleep(min(POLL_SECONDS, left_seconds))
 
     def _remember(self, cache: dict, job_id: str, value: object) -> None:
--- a/rackswitch/gateway/job_store.py
+++ b/rackswitch/gateway/job_store.py
@@ -184,7 +184,7 @@
         """Read the results that are kept, from the segment that starts at a position on."""
         prefix = f"{RESULTS_PREFIX}{key_part(job_id)}/"
         after_key = f"{prefix}{from_position - 1:08d}" if from_position else ""
-        read = await self._context.store.read_from(prefix, after_key)
+        read = await self._context.kv.read_from(prefix, after_key)
         self._note(read)
         if isinstance(read, KvUnavailable):
             return read
@@ -214,17 +214,35 @@
                 Compare(OWNERS_PREFIX + part_name, "mod", owner_revision),
             ),
             (Operation(key, encoded),),
-            read_keys=(key,),
         )
         done = await self._txn(part)
         if isinstance(done, JobNotStored):
             return done
         if done.succeeded:
             return Appended(results)
-        if done.present is not None and done.present.key == key:
-            # An earlier try of this owner that went unanswered: nobody else may write.
-            return Appended(_decode_results(done.present.value))
-        return AppendConflict()
+        return await self._settle_append(key, OWNERS_PREFIX + part_name, owner_revision)
+
+    async def _settle_append(
+        self, key: str, owner_key: str, owner_revision: int
+    ) -> Appended | AppendConflict | JobNotStored:
+        """Find out why a segment was not taken.
+
+        Either an earlier try of this owner took effect though its answer was lost, or the
+        job has another owner. The segment is read first: if the job is still this owner's
+        after that, nobody else can have written it.
+        """
+        segment = await self._context.kv.read(key)
+        owner = await self._context.kv.read(owner_key)
+        for read in (segment, owner):
+            self._note(read)
+            if isinstance(read, KvUnavailable):
+                return JobNotStored(read.detail, effect_unknown=False)
+        assert isinstance(segment, KvRead) and isinstance(owner, KvRead)
+        if not owner.entries or owner.entries[0].mod_revision != owner_revision:
+            return AppendConflict()
+        if not segment.entries:
+            return JobNotStored("the segment was not taken", effect_unknown=False)
+        return Appended(_decode_results(segment.entries[0].value))
 
     async def end(self, marker: JobMarker) -> None | JobNotStored:
         """Mark a job as ended and take its owner away, in one write."""
--- /dev/null
+++ b/rackswitch/gateway/tests/test_job_keeper.py
@@ -0,0 +1,74 @@
+import asyncio
+
+from rackswitch.clients.kv import KvEntry
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.job_keeper import ADOPT_AFTER_SECONDS, JobKeeper
+from rackswitch.gateway.job_store import OWNERS_PREFIX, JobStore
+from rackswitch.gateway.session import Session
+from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.jobs.tests.support import make_job
+from rackswitch.standins.kv_store import KvStore
+
+
+def make_keeper(name: str, kv: KvStore) -> JobKeeper:
+    context = make_gateway_context(name, kv)
+    session = Session(context, 1, lambda: None)
+    session.lease.taken(0.0, kv.grant(1000.0, 0.0), 1000.0)
+    return JobKeeper(context, session, JobStore(context), runner=None)
+
+
+def owner_entry(kv: KvStore) -> KvEntry:
+    return kv.keys[OWNERS_PREFIX + "j"].entry
+
+
+async def tell(keeper: JobKeeper, kv: KvStore) -> None:
+    keeper.listed(kv.read("control/", is_prefix=True).entries)
+
+
+def test_a_job_written_without_an_answer_is_adopted():
+    async def scenario():
+        kv = KvStore()
+        keeper = make_keeper("a", kv)
+        await JobStore(make_gateway_context("a", kv)).create(make_job(), keeper._session.lease_id)
+        await tell(keeper, kv)
+        await asyncio.sleep(ADOPT_AFTER_SECONDS + 0.1)
+        assert keeper.owned["j"].owner_revision == owner_entry(kv).mod_revision
+
+    run_virtual(scenario())
+
+
+def test_a_predecessors_job_that_another_daemon_took_is_not_adopted():
+    # Found on the association's site (trouble-3, seed 867584076257): after a restart the
+    # daemon saw its predecessor's owner key and worked on a job that had moved on.
+    async def scenario():
+        kv = KvStore()
+        lease = kv.grant(100.0, 0.0)
+        await JobStore(make_gateway_context("a", kv)).create(make_job(), lease)
+        keeper = make_keeper("a", kv)
+        await tell(keeper, kv)
+        kv.end_lease(lease)
+        keeper.owner_deleted(OWNERS_PREFIX + "j")
+        successor = JobStore(make_gateway_context("b", kv))
+        marker = await successor.load_marker("j")
+        await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0))
+        keeper.owner_put(owner_entry(kv))
+        await asyncio.sleep(ADOPT_AFTER_SECONDS + 0.1)
+        assert keeper.owned == {}
+
+    run_virtual(scenario())
+
+
+def test_a_job_that_another_daemon_owns_is_dropped():
+    async def scenario():
+        kv = KvStore()
+        keeper = make_keeper("a", kv)
+        await keeper.submit(make_job())
+        assert "j" in keeper.owned
+        kv.end_lease(keeper._session.lease_id)
+        successor = JobStore(make_gateway_context("b", kv))
+        marker = await successor.load_marker("j")
+        await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0))
+        keeper.owner_put(owner_entry(kv))
+        assert keeper.owned == {}
+
+    run_virtual(scenario())
--- /dev/null
+++ b/rackswitch/gateway/tests/test_job_store.py
@@ -0,0 +1,136 @@
+import msgspec
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.job_store import (
+    AppendConflict,
+    Appended,
+    JobCreated,
+    JobKnown,
+    JobMarker,
+    JobNotStored,
+    JobStore,
+    key_part,
+)
+from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.jobs import JobResult
+from rackswitch.jobs.tests.support import make_job
+from rackswitch.standins.faulty_kv import KvFaults
+from rackswitch.standins.kv_store import KvStore
+
+FIRST = [JobResult(item_id="i0", completed=True, text="a", versions=(1,), score="s")]
+OTHER = [JobResult(item_id="i1", completed=True, text="b", versions=(1,), score="s")]
+
+
+def make_store(name: str, kv: KvStore, faults: KvFaults | None = None) -> JobStore:
+    return JobStore(make_gateway_context(name, kv, faults=faults))
+
+
+def test_a_job_is_taken_once_and_read_back_whole():
+    async def scenario():
+        kv = KvStore()
+        lease = kv.grant(100.0, 0.0)
+        job = make_job(reward=True)
+        first = await make_store("a", kv).create(job, lease)
+        second = await make_store("b", kv).create(job, lease)
+        assert isinstance(first, JobCreated)
+        assert isinstance(second, JobKnown)
+        assert await make_store("b", kv).load_items("j") == job
+
+    run_virtual(scenario())
+
+
+def test_a_job_without_a_living_lease_is_not_kept():
+    async def scenario():
+        kv = KvStore()
+        outcome = await make_store("a", kv).create(make_job(), 77)
+        assert not isinstance(outcome, JobCreated)
+        assert kv.keys == {}
+
+    run_virtual(scenario())
+
+
+def test_results_keep_their_positions_over_segments():
+    async def scenario():
+        kv = KvStore()
+        store = make_store("a", kv)
+        created = await store.create(make_job(), kv.grant(100.0, 0.0))
+        assert isinstance(await store.append("j", created.owner_revision, 0, FIRST), Appended)
+        assert isinstance(await store.append("j", created.owner_revision, 1, OTHER), Appended)
+        reader = make_store("b", kv)
+        assert await reader.load_results("j", 0) == [*FIRST, *OTHER]
+        assert await reader.load_results("j", 1) == OTHER
+
+    run_virtual(scenario())
+
+
+def test_an_unanswered_append_that_took_effect_is_recognized():
+    async def scenario():
+        kv = KvStore()
+        faults = KvFaults()
+        store = make_store("a", kv, faults)
+        created = await store.create(make_job(), kv.grant(100.0, 0.0))
+        faults.lost_answer = 1.0
+        assert isinstance(await store.append("j", created.owner_revision, 0, FIRST), JobNotStored)
+        faults.lost_answer = 0.0
+        outcome = await store.append("j", created.owner_revision, 0, [*FIRST, *OTHER])
+        assert outcome == Appended(FIRST)
+
+    run_virtual(scenario())
+
+
+def test_a_former_owner_does_not_take_the_new_owners_segment_for_its_own():
+    # Found on the association's site (trouble-3, seed 867584076257): the former owner went
+    # on answering reads from a list that had fallen behind.
+    async def scenario():
+        kv = KvStore()
+        former, successor = make_store("a", kv), make_store("b", kv)
+        lease = kv.grant(100.0, 0.0)
+        created = await former.create(make_job(), lease)
+        kv.end_lease(lease)
+        marker = await successor.load_marker("j")
+        claimed = await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0))
+        assert isinstance(claimed, int) and claimed > created.owner_revision
+        assert isinstance(await successor.append("j", claimed, 0, FIRST), Appended)
+        outcome = await former.append("j", created.owner_revision, 0, OTHER)
+        assert isinstance(outcome, AppendConflict)
+        assert await successor.load_results("j", 0) == FIRST
+
+    run_virtual(scenario())
+
+
+def test_of_two_claims_one_wins():
+    async def scenario():
+        kv = KvStore()
+        lease = kv.grant(100.0, 0.0)
+        await make_store("a", kv).create(make_job(), lease)
+        kv.end_lease(lease)
+        marker = await make_store("b", kv).load_marker("j")
+        own_lease = kv.grant(100.0, 0.0)
+        claims = [
+            await make_store(name, kv).claim("j", marker.mod_revision, own_lease)
+            for name in ("b", "c")
+        ]
+        assert claims[0] > 0
+        assert claims[1] == 0
+
+    run_virtual(scenario())
+
+
+def test_an_ended_job_cannot_be_claimed_or_appended_to():
+    async def scenario():
+        kv = KvStore()
+        store = make_store("a", kv)
+        created = await store.create(make_job(), kv.grant(100.0, 0.0))
+        known = await store.load_marker("j")
+        await store.end(msgspec.json.decode(known.value, type=JobMarker))
+        outcome = await store.append("j", created.owner_revision, 0, FIRST)
+        assert isinstance(outcome, AppendConflict)
+        assert await store.claim("j", known.mod_revision, kv.grant(100.0, 0.0)) == 0
+
+    run_virtual(scenario())
+
+
+def test_identities_that_do_not_fit_a_key_are_digested():
+    assert key_part("7c41e09b52d6a3f8") == "7c41e09b52d6a3f8"
+    assert key_part("a/b").startswith(".")
+    assert len(key_part("x" * 500)) < 64
--- a/rackswitch/standins/faulty_kv.py
+++ b/rackswitch/standins/faulty_kv.py
@@ -85,6 +85,14 @@
             self._older[key] = read
         return read
 
+    async def read_from(self, prefix: str, after_key: str) -> KvRead | KvUnavailable:
+        """Read the keys under a prefix that come after a key (empty: all of them)."""
+        read = await self.read(prefix, is_prefix=True)
+        if isinstance(read, KvUnavailable):
+            return read
+        later = tuple(entry for entry in read.entries if entry.key > after_key)
+        return KvRead(later, read.revision)
+
     async def txn(self, parts: list[TxnPart]) -> list[TxnPartDone] | KvUnavailable:
         """Carry out parts in one call, each on its own conditions."""
         self.calls += 1
