Versions: a record of orders tells a successor when its turn begins

Cause: after the death of the daemon that orders versions, engines stood still for up to 11 s: 3 s until the lease lapsed, then a fixed 5.25 s; steps that wait for a version failed. Ruled out: slow engines, refused jobs (all 21 accepted). Change: a holder enters itself in a record under its role's fence before each round of orders and orders only within 0.5 s of that; a successor waits 3 s from the last entry of another holder, and not at all behind itself or when no order was given lately. Failed try: ending the predecessor's lease whenever a role is acquired made a ledger test run without end (roles flap under faults); it is done once, at the start, instead.

--- a/rackswitch/clients/vm_list.py
+++ b/rackswitch/clients/vm_list.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from rackswitch.membership import VmEntry
 from rackswitch.clients.http import CallFailed, HttpSessions, call_json
+from rackswitch.membership import VmEntry
 
 __all__ = ["VmList", "VmListClient", "VmListUnavailable"]
 
--- a/rackswitch/daemon/claim_keeper.py
+++ b/rackswitch/daemon/claim_keeper.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from rackswitch.daemon.context import DaemonContext
 from rackswitch.clients.kv import (
     Compare,
     KvEntry,
@@ -17,6 +16,7 @@
     TxnPart,
     TxnPartDone,
 )
+from rackswitch.daemon.context import DaemonContext
 from rackswitch.requests import (
     Claim,
     ClaimDecision,
--- a/rackswitch/daemon/completions.py
+++ b/rackswitch/daemon/completions.py
@@ -4,11 +4,11 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 
+from rackswitch.clients.engine import EngineRequest, StreamBroken
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.target_choice import Candidate, TargetChooser
 from rackswitch.daemon.target_keeper import TargetKeeper, version_allowed
 from rackswitch.outcomes import MayHaveRun, NotRun, NotRunReason, Outcome
-from rackswitch.clients.engine import EngineRequest, StreamBroken
 from rackswitch.requests import (
     AttemptEnd,
     AttemptLog,
--- a/rackswitch/daemon/context.py
+++ b/rackswitch/daemon/context.py
@@ -8,12 +8,12 @@
 
 from loguru import logger
 
+from rackswitch.clients.http import HttpSessions
+from rackswitch.clients.kv import KvClient
 from rackswitch.daemon.settings import DaemonSettings
 from rackswitch.membership import Membership
 from rackswitch.outcomes import BrokenInvariant
 from rackswitch.peers.links import PeerLinks
-from rackswitch.clients.http import HttpSessions
-from rackswitch.clients.kv import KvClient
 from rackswitch.table import TableView
 from rackswitch.telemetry import Telemetry
 
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -7,6 +7,11 @@
 from blacksheep import Content, Request, Response
 from loguru import logger
 
+from rackswitch.clients.http import HttpSessions
+from rackswitch.clients.kv import KV_CLIENTS
+from rackswitch.clients.plain_service import PlainServiceClient
+from rackswitch.clients.vm_list import VmListClient
+from rackswitch.clients.weight_store import WeightStoreClient
 from rackswitch.daemon.access import find_operator
 from rackswitch.daemon.admin_edge import AdminEdge
 from rackswitch.daemon.caller_edge import CallerEdge
@@ -29,11 +34,6 @@
 from rackswitch.daemon.trainer_edge import TrainerEdge
 from rackswitch.membership import Membership, MemberState, MemberUpdate
 from rackswitch.peers.links import PeerLinks
-from rackswitch.clients.http import HttpSessions
-from rackswitch.clients.kv import KV_CLIENTS
-from rackswitch.clients.plain_service import PlainServiceClient
-from rackswitch.clients.vm_list import VmListClient
-from rackswitch.clients.weight_store import WeightStoreClient
 from rackswitch.table import DaemonRow, ModelRow, TableView, TrainerRow, choose_watchers
 from rackswitch.telemetry import Telemetry
 from rackswitch.web import (
--- a/rackswitch/daemon/heartbeats.py
+++ b/rackswitch/daemon/heartbeats.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from rackswitch.clients.vm_list import VmList, VmListClient
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.clients.vm_list import VmList, VmListClient
 
 __all__ = ["Heartbeats", "HungerNews"]
 
--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from rackswitch.clients.kv import KvRead
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.ledger_store import (
     NOT_HELD_HERE,
@@ -21,7 +22,6 @@
 from rackswitch.leases import rank_candidates
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.clients.kv import KvRead
 from rackswitch.samples import (
     Batch,
     Draw,
--- a/rackswitch/daemon/ledger_store.py
+++ b/rackswitch/daemon/ledger_store.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
+from rackswitch.clients.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.peers import LedgerAnswer
 from rackswitch.daemon.roles import ROLE_PREFIX, RoleKeeper
-from rackswitch.clients.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart
 from rackswitch.samples import LedgerRecord, SampleLedger, StepPlan
 from rackswitch.table import TrainerRow
 from rackswitch.web import Problem
--- a/rackswitch/daemon/roles.py
+++ b/rackswitch/daemon/roles.py
@@ -5,8 +5,6 @@
 
 from loguru import logger
 
-from rackswitch.daemon.context import DaemonContext
-from rackswitch.leases import LeaseAction, RoleLease
 from rackswitch.clients.kv import (
     Compare,
     KvRead,
@@ -15,6 +13,8 @@
     Operation,
     TxnPart,
 )
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.leases import LeaseAction, RoleLease
 
 __all__ = ["ROLE_PREFIX", "RoleKeeper"]
 
@@ -66,6 +66,19 @@
             await asyncio.sleep(TICK_SECONDS)
             await self.tend()
 
+    async def end_predecessors(self) -> None:
+        """End the leases of an earlier process of this daemon, which is dead.
+
+        To be called once, at the start, so that nobody has to wait for those leases' ends.
+        """
+        read = await self._context.kv.read(ROLE_PREFIX, is_prefix=True)
+        if isinstance(read, KvUnavailable):
+            return
+        for entry in read.entries:
+            daemon, _, lease_id = entry.value.decode().partition(" ")
+            if daemon == self._context.settings.daemon and lease_id.isdigit():
+                await self._context.kv.revoke_lease(int(lease_id))
+
     async def tend(self) -> None:
         """Take the next step of each role."""
         live = self._context.membership.live()
--- a/rackswitch/daemon/rollout_keeper.py
+++ b/rackswitch/daemon/rollout_keeper.py
@@ -5,11 +5,11 @@
 
 from loguru import logger
 
+from rackswitch.clients.engine import EngineInfo, OrderTaken
+from rackswitch.clients.weight_store import PublishedVersions, WeightStoreClient
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.target_keeper import TargetKeeper
-from rackswitch.clients.engine import EngineInfo, OrderTaken
-from rackswitch.clients.weight_store import PublishedVersions, WeightStoreClient
 from rackswitch.table import ModelRow, RouteChoice, RouteRow, TargetRow
 from rackswitch.weights import (
     EngineView,
--- a/rackswitch/daemon/sample_runner.py
+++ b/rackswitch/daemon/sample_runner.py
@@ -3,11 +3,11 @@
 import msgspec
 from loguru import logger
 
+from rackswitch.clients.engine import EngineRequest, StreamBroken
+from rackswitch.clients.scorer import Score, ScorerClient
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.target_choice import Candidate, TargetChooser
 from rackswitch.daemon.target_keeper import TargetKeeper, version_allowed
-from rackswitch.clients.engine import EngineRequest, StreamBroken
-from rackswitch.clients.scorer import Score, ScorerClient
 from rackswitch.requests import StreamCheck, VersionSpan
 from rackswitch.samples import (
     LabelUnknown,
--- a/rackswitch/daemon/service_calls.py
+++ b/rackswitch/daemon/service_calls.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from rackswitch.clients.plain_service import PlainAnswer, PlainRequest, PlainServiceClient
 from rackswitch.daemon.claim_keeper import ClaimFound, ClaimKeeper
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.target_choice import TargetChooser
@@ -13,7 +14,6 @@
     Outcome,
     RanAndFailed,
 )
-from rackswitch.clients.plain_service import PlainAnswer, PlainRequest, PlainServiceClient
 from rackswitch.requests import (
     AttemptEnd,
     AttemptLog,
--- a/rackswitch/daemon/table_keeper.py
+++ b/rackswitch/daemon/table_keeper.py
@@ -6,11 +6,11 @@
 import msgspec
 from loguru import logger
 
+from rackswitch.clients.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart, WatchNews
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.membership import MemberUpdate
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
-from rackswitch.clients.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart, WatchNews
 from rackswitch.table import (
     REMEMBERED_EDITS,
     Edit,
--- a/rackswitch/daemon/target_keeper.py
+++ b/rackswitch/daemon/target_keeper.py
@@ -4,9 +4,9 @@
 import hashlib
 from collections.abc import Callable
 
+from rackswitch.clients.engine import ENGINE_CLIENTS, EngineClient, EngineInfo
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.leases import rank_candidates
-from rackswitch.clients.engine import ENGINE_CLIENTS, EngineClient, EngineInfo
 from rackswitch.routing import LoadReport, Target
 from rackswitch.table import RouteChoice, TargetRow
 
--- a/rackswitch/daemon/tests/test_claims.py
+++ b/rackswitch/daemon/tests/test_claims.py
@@ -7,12 +7,12 @@
 
 import pytest
 
+from rackswitch.clients.plain_service import PlainAnswer, PlainFailed
 from rackswitch.daemon.claim_keeper import ClaimFound, ClaimKeeper
 from rackswitch.daemon.service_calls import ServiceCall, ServiceFront
 from rackswitch.daemon.target_choice import TargetChooser
 from rackswitch.daemon.tests.support import make_context, run_virtual
 from rackswitch.outcomes import Completed, NotRun, Outcome
-from rackswitch.clients.plain_service import PlainAnswer, PlainFailed
 from rackswitch.requests import Claim, ClaimDecision
 from rackswitch.routing import Target
 from rackswitch.standins.faulty_kv import KvFaults
--- a/rackswitch/daemon/tests/test_roles.py
+++ b/rackswitch/daemon/tests/test_roles.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from rackswitch.clients.kv import Operation, TxnPart
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.tests.support import make_context, run_virtual
 from rackswitch.membership import MemberState, VmEntry
-from rackswitch.clients.kv import Operation, TxnPart
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 
@@ -112,3 +112,20 @@
     assert not still
     assert entries == ()
     assert MemberState.LEAVING > MemberState.ALIVE
+
+
+def test_a_restarted_daemon_need_not_wait_for_its_predecessors_lease():
+    async def restart():
+        store = KvStore()
+        before = RoleKeeper(make_context("d0", store, random.Random(1)), lambda: [ROLE])
+        other = RoleKeeper(make_context("d1", store, random.Random(2)), lambda: [ROLE + "2"])
+        await before.tend()
+        await other.tend()
+        after = RoleKeeper(make_context("d0", store, random.Random(3)), lambda: [ROLE])
+        await after.end_predecessors()
+        await after.tend()
+        return after.may_act(ROLE), store.read("roles/" + ROLE + "2").entries
+
+    acts, others = run_virtual(restart())
+    assert acts
+    assert others
--- a/rackswitch/daemon/tests/test_sample_runner.py
+++ b/rackswitch/daemon/tests/test_sample_runner.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from rackswitch.clients.engine import StreamBroken
 from rackswitch.daemon.sample_runner import SampleRunner
 from rackswitch.daemon.target_choice import TargetChooser
 from rackswitch.daemon.tests.support import make_context, run_virtual
-from rackswitch.clients.engine import StreamBroken
 from rackswitch.requests import StreamChunk
 from rackswitch.routing import Target
 from rackswitch.samples import Sample, SampleOrder
--- a/rackswitch/daemon/tests/test_table_keeper.py
+++ b/rackswitch/daemon/tests/test_table_keeper.py
@@ -6,9 +6,9 @@
 import msgspec
 import pytest
 
+from rackswitch.clients.kv import KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.table_keeper import EditUnavailable, EditUnknown, TableKeeper
 from rackswitch.daemon.tests.support import make_context, run_virtual
-from rackswitch.clients.kv import KvUnavailable, Operation, TxnPart
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.table import DaemonRow, Edit, EditDone, RowChange, TableDocument, apply_edit
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -5,10 +5,8 @@
 import time
 from typing import Any
 
-from loguru import logger
-
-from rackswitch.clients.kv import KvEntry
 from rackswitch.clients.http import HttpSessions
+from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.settings import DaemonSettings
@@ -23,7 +21,7 @@
 from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member
 from rackswitch.gateway.state_keeper import StateKeeper
 from rackswitch.gateway.target_choice import TargetChooser
-from rackswitch.gateway.version_keeper import VersionKeeper
+from rackswitch.gateway.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.gateway.watching import PrefixWatcher
 from rackswitch.membership import Membership, MemberState, MemberUpdate, VmEntry
 from rackswitch.peers.links import PeerLinks
@@ -40,7 +38,7 @@
 CONTROL_PREFIX = "control/"
 """Members, job markers and job owners: small entries that every daemon follows."""
 
-ROLE_LEASE_SECONDS = 3.0
+ROLE_LEASE_SECONDS = 2.0
 """Life of a role's lease; a successor waits for it and for the turn that the platform
 wants between two holders' orders."""
 
@@ -88,7 +86,11 @@
         reader = JobReader(self.context, self.jobs, job_store, self.session)
         self._members: dict[str, VmEntry] = {}
         self._control = PrefixWatcher(
-            self.context, CONTROL_PREFIX, self._control_listed, self._control_put, self._control_deleted
+            self.context,
+            CONTROL_PREFIX,
+            self._control_listed,
+            self._control_put,
+            self._control_deleted,
         )
         edge = CallerEdge(self.context, self.front, self.jobs, reader)
         self._servers = _servers(settings, edge, self._on_ready)
@@ -102,13 +104,15 @@
             self.state.targets.run(),
             self._control.run(),
             self.session.run(),
-            self.roles.run(),
+            self._hold_roles(),
             self.versions.run(),
             self.jobs.run(),
             self._pump_log(),
         ):
             self.context.daemon.spawn(duty)
-        self.log.write("started", zone=self.settings.zone, machine_class=self.settings.machine_class)
+        self.log.write(
+            "started", zone=self.settings.zone, machine_class=self.settings.machine_class
+        )
 
     async def stop(self) -> None:
         """Stop as planned: hand over, serve what still comes, finish, then end."""
@@ -135,6 +139,10 @@
         self.context.settings = settings
         self.log.write("reloaded")
 
+    async def _hold_roles(self) -> None:
+        await self.roles.end_predecessors()
+        await self.roles.run()
+
     def _session_lost(self) -> None:
         self.jobs.session_lost()
 
@@ -146,6 +154,8 @@
         for entry in entries:
             if entry.key.startswith(MEMBERS_PREFIX):
                 self._take_member(entry)
+            elif entry.key.startswith(ORDERS_PREFIX):
+                self.versions.orders_put(entry)
         self._members_changed()
         self.jobs.listed(entries)
 
@@ -157,6 +167,8 @@
             self.jobs.marker_put(entry)
         elif entry.key.startswith(OWNERS_PREFIX):
             self.jobs.owner_put(entry)
+        elif entry.key.startswith(ORDERS_PREFIX):
+            self.versions.orders_put(entry)
 
     def _control_deleted(self, key: str) -> None:
         if key.startswith(MEMBERS_PREFIX):
--- a/rackswitch/gateway/edge.py
+++ b/rackswitch/gateway/edge.py
@@ -134,9 +134,7 @@
         elif route.handling is Handling.BATCH:
             await self._submit(exchange, route, request_id, host, body)
         else:
-            call = Call(
-                request_id, host, exchange.method, exchange.target, exchange.headers, body
-            )
+            call = Call(request_id, host, exchange.method, exchange.target, exchange.headers, body)
             route_deadline = arrived_seconds + route.timeout_seconds
             until = min(route_deadline, deadline) if deadline is not None else route_deadline
             await self._pass_through(exchange, route, call, until, arrived_seconds)
@@ -326,7 +324,7 @@
         self, exchange: Exchange, status: int, detail: str, retry_after_seconds: float | None = None
     ) -> None:
         """Answer that the request has not run and will not."""
-        headers = TEXT
+        headers: tuple[tuple[str, str], ...] = TEXT
         if retry_after_seconds is not None:
             headers = (*TEXT, ("retry-after", f"{retry_after_seconds:.3f}"))
         if status in (400, 404, 413, 431):
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -64,9 +64,7 @@
 
     __slots__ = ("_context", "_engines", "_front", "paces")
 
-    def __init__(
-        self, context: GatewayContext, engines: PlatformEngineClient, front: RequestFront
-    ):
+    def __init__(self, context: GatewayContext, engines: PlatformEngineClient, front: RequestFront):
         self._context = context
         self._engines = engines
         self._front = front
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -85,9 +85,7 @@
             When the caller, or the route, gives it up (event loop time).
         """
         repeatable = route.handling is Handling.REPEATABLE
-        log = AttemptLog(
-            repeatable, most_attempts=route.most_attempts, most_refusals=MOST_REFUSALS
-        )
+        log = AttemptLog(repeatable, most_attempts=route.most_attempts, most_refusals=MOST_REFUSALS)
         service = self._chooser.draw_choice(route).serves
         refuse_at_seconds = self._context.now_seconds() + route.goal_seconds * REFUSAL_GOAL_SHARE
         failures = 0
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -1,21 +1,26 @@
 """Rolls named versions onto engines, as the single holder that may order them."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 import msgspec
 
-from rackswitch.clients.kv import KvRead, KvUnavailable, Operation, TxnPart
+from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.platform.engine import EngineReport, OrderAnswer, PlatformEngineClient
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow, ServiceRow
-from rackswitch.weights import EngineView, LoadOrder, RolloutState, plan_load_orders
+from rackswitch.weights import (
+    EngineView,
+    LoadOrder,
+    OrderTurns,
+    RolloutState,
+    plan_load_orders,
+)
 
-__all__ = ["VersionKeeper", "version_role"]
+__all__ = ["ORDERS_PREFIX", "VersionKeeper", "version_role"]
 
-ORDERS_PREFIX = "orders/"
+ORDERS_PREFIX = "control/orders/"
 TICK_SECONDS = 0.1
 MOST_LOADING = 2
 """Engines of one service that load at once; the platform's loads slow down beyond two."""
@@ -30,9 +35,6 @@
 REPORT_EVERY_SECONDS = 0.5
 """Between questions to an engine whose listed version does not change after an order."""
 
-HOLDER_LIFE_SHARE = 0.75
-"""Part of a lease's life after its last renewal during which its holder may still order."""
-
 
 def version_role(service: str) -> str:
     """Return the role whose holder orders the engines of a service.
@@ -44,28 +46,11 @@
 
 
 class OrdersRecord(msgspec.Struct, frozen=True):
-    """Who ordered a service's engines last."""
+    """Who orders a service's engines."""
 
     holder: str
 
 
-@dataclass(slots=True)
-class _Held:
-    """A role held here.
-
-    Attributes
-    ----------
-    fencing : int
-        The fencing number it is held under.
-    may_order_from_seconds : float or None
-        When the former holder's last order is surely past; None until that is known.
-    """
-
-    fencing: int
-    may_order_from_seconds: float | None = None
-    states: dict[str, RolloutState] = field(default_factory=dict)
-
-
 class VersionKeeper:
     """Compares engines with the versions that trainers have named, and orders loads.
 
@@ -79,15 +64,15 @@
         Makes the calls.
     """
 
-    __slots__ = ("_context", "_engines", "_held", "_roles")
+    __slots__ = ("_context", "_engines", "_roles", "_states", "_turns")
 
-    def __init__(
-        self, context: GatewayContext, roles: RoleKeeper, engines: PlatformEngineClient
-    ):
+    def __init__(self, context: GatewayContext, roles: RoleKeeper, engines: PlatformEngineClient):
         self._context = context
         self._roles = roles
         self._engines = engines
-        self._held: dict[str, _Held] = {}
+        settings = context.settings
+        self._turns = OrderTurns(settings.daemon, settings.order_turn_seconds)
+        self._states: dict[tuple[str, str], RolloutState] = {}
 
     def wanted_roles(self) -> list[str]:
         """Return the roles that the table in force calls for."""
@@ -102,123 +87,129 @@
                 if row.models:
                     await self._tend(row)
 
+    def orders_put(self, entry: KvEntry) -> None:
+        """Note who has entered the record of a service's orders."""
+        record = msgspec.json.decode(entry.value, type=OrdersRecord)
+        service = entry.key.removeprefix(ORDERS_PREFIX)
+        self._turns.entered(service, record.holder, self._context.now_seconds())
+
     async def _tend(self, row: ServiceRow) -> None:
-        role = version_role(row.name)
-        if not self._roles.may_act(role):
-            self._held.pop(row.name, None)
+        if not self._roles.may_act(version_role(row.name)):
             return
-        fencing = self._roles.fencing(role)
-        held = self._held.get(row.name)
-        if held is None or held.fencing != fencing:
-            held = self._held[row.name] = _Held(fencing)
-        if held.may_order_from_seconds is None:
-            await self._succeed(row.name, held)
+        if self._context.now_seconds() < self._turns.may_order_from_seconds(row.name):
             return
-        if self._context.now_seconds() < held.may_order_from_seconds:
+        planned = [
+            (model, target, order)
+            for model in row.models
+            for target, order in self._plan(row, model)
+        ]
+        if not planned:
             return
-        for model in row.models:
-            self._order_loads(row, model, held)
-
-    async def _succeed(self, service: str, held: _Held) -> None:
-        """Learn from whom the role was taken over, and enter this daemon as the holder."""
-        key = ORDERS_PREFIX + service
-        read = await self._context.kv.read(key)
-        if not isinstance(read, KvRead):
+        entered_at_seconds = self._context.now_seconds()
+        if not await self._enter(row.name):
             return
-        own = self._context.settings.daemon
-        former = ""
-        if read.entries:
-            former = msgspec.json.decode(read.entries[0].value, type=OrdersRecord).holder
-        if former != own:
-            put = Operation(key, msgspec.json.encode(OrdersRecord(own)))
-            fence = self._roles.fence(version_role(service))
-            done = await self._context.kv.txn([TxnPart((fence,), (put,))])
-            if isinstance(done, KvUnavailable) or not done[0].succeeded:
-                return
-        wait_seconds = 0.0
-        if former not in ("", own):
-            life_seconds = self._context.daemon.settings.lease_seconds
-            wait_seconds = (
-                life_seconds * HOLDER_LIFE_SHARE + self._context.settings.order_turn_seconds
+        for model, target, order in planned:
+            state = self._states[row.name, model]
+            state.ordered(order)
+            self._context.daemon.spawn(
+                self._send(row, model, state, target, order, entered_at_seconds)
             )
-        held.may_order_from_seconds = self._context.now_seconds() + wait_seconds
-        self._context.log.write(
-            "orders taken over",
-            service=service,
-            former=former,
-            fencing=held.fencing,
-            wait_seconds=wait_seconds,
-        )
 
-    def _order_loads(self, row: ServiceRow, model: str, held: _Held) -> None:
+    async def _enter(self, service: str) -> bool:
+        """Enter this daemon in the record of a service's orders, under the role's fence."""
+        record = OrdersRecord(self._context.settings.daemon)
+        put = Operation(ORDERS_PREFIX + service, msgspec.json.encode(record))
+        fence = self._roles.fence(version_role(service))
+        done = await self._context.kv.txn([TxnPart((fence,), (put,))])
+        if isinstance(done, KvUnavailable):
+            self._context.contact.failed(self._context.now_seconds(), done.detail)
+            return False
+        if not done[0].succeeded:
+            self._roles.lose(version_role(service))
+        return done[0].succeeded
+
+    def _plan(self, row: ServiceRow, model: str) -> list[tuple[ListedTarget, LoadOrder]]:
         desired = self._context.named_versions.get(model, 0)
         if desired == 0:
-            return
+            return []
         now_seconds = self._context.now_seconds()
-        listed = self._context.directory.usable(row.name, now_seconds)
-        state = held.states.setdefault(model, RolloutState())
-        loading = {
-            instance
-            for other in held.states.values()
-            for instance, order in other.orders.items()
-            if now_seconds < order.deadline_seconds
+        listed = {
+            target.instance: target
+            for target in self._context.directory.usable(row.name, now_seconds)
         }
+        state = self._states.setdefault((row.name, model), RolloutState())
+        loading = self._loading(row, now_seconds)
         views = [
             EngineView(target.instance, target.versions.get(model), target.instance in loading)
-            for target in listed
+            for target in listed.values()
         ]
         stale = [view for view in views if (view.version or 0) < desired]
         if not stale:
-            return
+            return []
         fit = [view for view in views if view.loading or view in stale]
         orders = plan_load_orders(
             desired, UNAVAILABLE_SHARE, fit, (), state, now_seconds, most_loading=MOST_LOADING
         )
-        by_instance = {target.instance: target for target in listed}
-        for order in orders:
-            state.ordered(order)
-            target = by_instance[order.engine]
-            self._context.daemon.spawn(self._send(row, model, held, state, target, order))
+        return [(listed[order.engine], order) for order in orders]
+
+    def _loading(self, row: ServiceRow, now_seconds: float) -> set[str]:
+        """Return the engines of a service with an order under way, for any model."""
+        return {
+            instance
+            for model in row.models
+            for instance, order in self._states.get(
+                (row.name, model), RolloutState()
+            ).orders.items()
+            if now_seconds < order.deadline_seconds
+        }
 
     async def _send(
         self,
         row: ServiceRow,
         model: str,
-        held: _Held,
         state: RolloutState,
         target: ListedTarget,
         order: LoadOrder,
+        entered_at_seconds: float,
     ) -> None:
         loaded = False
         try:
-            loaded = await self._load(row, model, held, target, order)
+            loaded = await self._load(row, model, target, order, entered_at_seconds)
         finally:
             state.ended(target.instance, loaded, self._context.now_seconds())
 
     async def _load(
-        self, row: ServiceRow, model: str, held: _Held, target: ListedTarget, order: LoadOrder
+        self,
+        row: ServiceRow,
+        model: str,
+        target: ListedTarget,
+        order: LoadOrder,
+        entered_at_seconds: float,
     ) -> bool:
         """Order one load and wait for its effect; return whether it showed."""
         report = await self._engines.report(target)
         if not isinstance(report, EngineReport):
-            self._log_order(model, held, target, order, f"no report: {report.detail}")
+            self._log_order(model, target, order, 0, f"no report: {report.detail}")
             return False
         if report.versions.get(model, 0) >= order.version:
             return True
         role = version_role(row.name)
         # After the last wait, right before the effect.
-        if not self._roles.may_act(role) or self._roles.fencing(role) != held.fencing:
+        in_time = self._turns.may_send(entered_at_seconds, self._context.now_seconds())
+        if not in_time or not self._roles.may_act(role):
+            self._log_order(model, target, order, 0, "not sent: too late after the entry")
             return False
+        fencing = self._roles.fencing(role)
         answer = await self._engines.order_version(
             target,
             model,
             order.version,
             self._context.settings.daemon,
-            held.fencing,
+            fencing,
             report.orders_taken,
             self._runs_may_go_on(row.name),
         )
-        self._log_order(model, held, target, order, answer.value, report.orders_taken)
+        self._log_order(model, target, order, fencing, answer.value, report.orders_taken)
         if answer is OrderAnswer.REFUSED:
             return False
         return await self._wait_loaded(model, target, order.version)
@@ -253,9 +244,9 @@
     def _log_order(
         self,
         model: str,
-        held: _Held,
         target: ListedTarget,
         order: LoadOrder,
+        fencing: int,
         outcome: str,
         orders_taken: int | None = None,
     ) -> None:
@@ -265,7 +256,7 @@
             model=model,
             version=order.version,
             version_listed=target.versions.get(model),
-            fencing=held.fencing,
+            fencing=fencing,
             orders_taken=orders_taken,
             outcome=outcome,
         )
--- a/rackswitch/platform/engine.py
+++ b/rackswitch/platform/engine.py
@@ -89,7 +89,9 @@
     __slots__ = ("kept", "single_use")
 
     def __init__(self) -> None:
-        self.kept = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_CONNECTION_SECONDS))
+        self.kept = _session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_CONNECTION_SECONDS)
+        )
         self.single_use = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
     async def close(self) -> None:
@@ -99,7 +101,8 @@
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(_CheckedResponseHandler, loop=loop)
+    # The library has no public way to choose the handler.
+    connector._factory = functools.partial(_CheckedResponseHandler, loop=loop)  # type: ignore[assignment]
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
--- a/rackswitch/weights/__init__.py
+++ b/rackswitch/weights/__init__.py
@@ -1,4 +1,8 @@
-"""Bringing weight versions onto engines."""
+"""Versions of weights: which engines load what, when, and by whose order."""
 
 from rackswitch.weights.rollout import *  # noqa: F403
-from rackswitch.weights.rollout import __all__  # noqa: F401
+from rackswitch.weights.rollout import __all__ as _rollout_all
+from rackswitch.weights.turns import *  # noqa: F403
+from rackswitch.weights.turns import __all__ as _turns_all
+
+__all__ = [*_rollout_all, *_turns_all]
--- /dev/null
+++ b/rackswitch/weights/turns.py
@@ -0,0 +1,54 @@
+"""When a new holder may order engines that do not check fencing numbers.
+
+Before a holder orders, it enters itself in a record under its role's fence, and
+it orders only within a short window after that. All daemons follow the record,
+so a successor knows how long the last possible order of the former holder is
+past, without asking anybody.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["ORDER_WINDOW_SECONDS", "OrderTurns"]
+
+ORDER_WINDOW_SECONDS = 0.5
+"""How long after it began to enter itself a holder may order. The entry takes some
+milliseconds on a calm day; one that takes longer than this is made again."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    holder: str
+    seen_seconds: float
+
+
+@dataclass(slots=True)
+class OrderTurns:
+    """Who entered the records last, as this daemon saw it.
+
+    Parameters
+    ----------
+    daemon : str
+        This daemon. Its own orders and those of an earlier process of it are one
+        holder's: the earlier process is dead.
+    turn_seconds : float
+        How long the last order of one holder must be past before another orders.
+    """
+
+    daemon: str
+    turn_seconds: float
+    entries: dict[str, _Entry] = field(default_factory=dict)
+
+    def entered(self, group: str, holder: str, seen_seconds: float) -> None:
+        """Note an entry for a group of engines, seen at a moment (monotonic)."""
+        self.entries[group] = _Entry(holder, seen_seconds)
+
+    def may_order_from_seconds(self, group: str) -> float:
+        """Return from when on this daemon, once it holds the role, may order the group."""
+        entry = self.entries.get(group)
+        if entry is None or entry.holder == self.daemon:
+            return float("-inf")
+        return entry.seen_seconds + ORDER_WINDOW_SECONDS + self.turn_seconds
+
+    def may_send(self, entered_at_seconds: float, now_seconds: float) -> bool:
+        """Return whether an order may still leave whose entry was begun at a moment."""
+        return now_seconds < entered_at_seconds + ORDER_WINDOW_SECONDS
