Copies: two daemons watch the store, the others follow one of them

Weighed: long watches with a cheap old read (such reads lag 6 s after a compaction), range polls (as dear), reading by few. Change: every daemon keeps copies of three prefixes; two watch, the others ask one of them and are answered when something changes; a copy that is not vouched for within 1.4 s is not followed. After a broken watch the prefix is read at once. Failed on the way: an empty fleet secret is no valid metadata and ended the duty without a word; a duty that ends with an error now ends the process.

--- a/rackswitch/daemon/context.py
+++ b/rackswitch/daemon/context.py
@@ -93,6 +93,16 @@
         task.add_done_callback(self._ended)
         return task
 
+    def spawn_duty(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run something that the daemon cannot do without; its failure ends the daemon."""
+        task = self.spawn(work)
+        task.add_done_callback(self._duty_ended)
+        return task
+
+    def _duty_ended(self, task: asyncio.Task[Any]) -> None:
+        if not task.cancelled() and task.exception() is not None and self.broken is None:
+            self.broken = BrokenInvariant(f"a duty ended: {task.exception()!r}")
+
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -17,15 +17,17 @@
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_reader import JobReader
 from rackswitch.gateway.job_store import JOBS_PREFIX, OWNERS_PREFIX, JobStore
+from rackswitch.gateway.peer_service import GatewayPeersService
 from rackswitch.gateway.request_front import RequestFront
 from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member
 from rackswitch.gateway.state_keeper import StateKeeper
 from rackswitch.gateway.target_choice import TargetChooser
 from rackswitch.gateway.version_keeper import ORDERS_PREFIX, VersionKeeper
-from rackswitch.gateway.watching import PrefixWatcher
+from rackswitch.gateway.watching import CopyHandlers, CopyKeeper
 from rackswitch.membership import Membership, MemberState, MemberUpdate, VmEntry
 from rackswitch.peers.links import PeerLinks
 from rackswitch.platform.engine import EngineSessions, PlatformEngineClient
+from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.platform.store import PROTOCOL_NAME, PlatformKvClient
 from rackswitch.table import TableView
@@ -85,13 +87,13 @@
         self.jobs = JobKeeper(self.context, self.session, job_store, runner)
         reader = JobReader(self.context, self.jobs, job_store, self.session)
         self._members: dict[str, VmEntry] = {}
-        self._control = PrefixWatcher(
-            self.context,
-            CONTROL_PREFIX,
-            self._control_listed,
-            self._control_put,
-            self._control_deleted,
-        )
+        handlers = {
+            OPERATOR_PREFIX: self.state.operator_handlers(),
+            SERVERS_PREFIX: self.state.target_handlers(),
+            CONTROL_PREFIX: CopyHandlers(self._control_put, self._control_deleted),
+        }
+        self.copies = CopyKeeper(self.context, handlers)
+        self._peers = GatewayPeersService(self.context, self.copies, reader)
         edge = CallerEdge(self.context, self.front, self.jobs, reader)
         self._servers = _servers(settings, edge, self._on_ready)
 
@@ -99,17 +101,16 @@
         """Listen and begin all duties."""
         for server in self._servers:
             await server.start()
+        await self._peers.start(self.settings.host, self.settings.peer_ports[0])
         for duty in (
-            self.state.operators.run(),
-            self.state.targets.run(),
-            self._control.run(),
+            self.copies.run(),
             self.session.run(),
             self._hold_roles(),
             self.versions.run(),
             self.jobs.run(),
             self._pump_log(),
         ):
-            self.context.daemon.spawn(duty)
+            self.context.daemon.spawn_duty(duty)
         self.log.write(
             "started", zone=self.settings.zone, machine_class=self.settings.machine_class
         )
@@ -149,16 +150,6 @@
     def _wanted_roles(self) -> list[str]:
         return self.versions.wanted_roles()
 
-    def _control_listed(self, entries: tuple[KvEntry, ...]) -> None:
-        self._members = {}
-        for entry in entries:
-            if entry.key.startswith(MEMBERS_PREFIX):
-                self._take_member(entry)
-            elif entry.key.startswith(ORDERS_PREFIX):
-                self.versions.orders_put(entry)
-        self._members_changed()
-        self.jobs.listed(entries)
-
     def _control_put(self, entry: KvEntry) -> None:
         if entry.key.startswith(MEMBERS_PREFIX):
             self._take_member(entry)
@@ -198,7 +189,8 @@
             await asyncio.sleep(LOG_PUMP_SECONDS)
 
     async def _on_ready(self, exchange: Exchange) -> None:
-        ready = self.state.is_ready and not self.context.daemon.stopping
+        known = self.copies.is_complete and self.context.table_revision > 0
+        ready = known and not self.context.daemon.stopping
         await exchange.respond(200 if ready else 503)
 
 
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -110,6 +110,7 @@
         "_engine_runs",
         "_full_until_seconds",
         "_orphans",
+        "_owner_names",
         "_owner_revisions",
         "_runner",
         "_session",
@@ -128,6 +129,7 @@
         self._runner = runner
         self._orphans = JobOrphans(context.settings.daemon)
         self._owner_revisions: dict[str, int] = {}
+        self._owner_names: dict[str, str] = {}
         self._engine_runs: dict[str, int] = {}
         self._full_until_seconds: dict[str, float] = {}
         self._wake = asyncio.Event()
@@ -155,6 +157,7 @@
         name = entry.key.removeprefix(OWNERS_PREFIX)
         self._orphans.owned(name)
         self._owner_revisions[name] = entry.mod_revision
+        self._owner_names[name] = entry.value.decode()
         if entry.value.decode() == self._context.settings.daemon:
             self._context.daemon.spawn(self._adopt(name, entry.mod_revision))
             return
@@ -166,19 +169,12 @@
         """Note that a job has no owner."""
         name = key.removeprefix(OWNERS_PREFIX)
         self._owner_revisions.pop(name, None)
+        self._owner_names.pop(name, None)
         self._orphans.orphaned(name, self._context.now_seconds())
 
-    def listed(self, entries: tuple[KvEntry, ...]) -> None:
-        """Take in all markers and owners anew."""
-        owners = {entry.key for entry in entries if entry.key.startswith(OWNERS_PREFIX)}
-        for entry in entries:
-            if entry.key.startswith(JOBS_PREFIX):
-                self.marker_put(entry)
-                owner_key = entry.key.replace(JOBS_PREFIX, OWNERS_PREFIX, 1)
-                if owner_key not in owners:
-                    self.owner_deleted(owner_key)
-            elif entry.key.startswith(OWNERS_PREFIX):
-                self.owner_put(entry)
+    def owner_name(self, job_id: str) -> str | None:
+        """Return the daemon that owns a job, as far as is known."""
+        return self._owner_names.get(key_part(job_id))
 
     def session_lost(self) -> None:
         """Note that the owner keys of this daemon are gone with its lease."""
@@ -290,6 +286,8 @@
             if marker.ended:
                 continue
             held = job_id in self.owned
+            if not held and key_part(job_id) not in self._owner_revisions:
+                self._orphans.orphaned(key_part(job_id), now_seconds)
             if self._orphans.may_claim(key_part(job_id), live, held, now_seconds):
                 self._context.daemon.spawn(self._claim(job_id, revision))
 
--- a/rackswitch/gateway/job_reader.py
+++ b/rackswitch/gateway/job_reader.py
@@ -1,6 +1,7 @@
 """Reading jobs at any daemon: from the owner's memory, or from the key-value service."""
 
 import asyncio
+import zlib
 from dataclasses import dataclass
 
 import msgspec
@@ -11,6 +12,9 @@
 from rackswitch.gateway.job_store import JobMarker, JobStore
 from rackswitch.gateway.session import Session
 from rackswitch.jobs import Job, JobResult
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.gateway_grpc import GatewayPeersStub
+from rackswitch.peers.links import PeerUnreachable
 
 __all__ = ["JobReader", "JobUnknown", "JobUnsure", "ResultsPage"]
 
@@ -22,6 +26,9 @@
 
 MOST_CACHED_JOBS = 64
 
+OWNER_SLACK_SECONDS = 0.3
+"""How much longer than a reader waits its owner may take; the service is asked then."""
+
 
 @dataclass(frozen=True, slots=True)
 class ResultsPage:
@@ -98,11 +105,49 @@
         marker = await self.marker(job_id)
         if not isinstance(marker, JobMarker):
             return marker
-        owned = self._keeper.owned.get(job_id)
-        if owned is not None and self._session.is_sure():
-            return await self._owned_results(owned, position, deadline_seconds)
+        page = await self.owned_page(job_id, position, deadline_seconds)
+        if page is None:
+            page = await self._owner_page(job_id, position, deadline_seconds)
+        if page is not None:
+            return page
         return await self._stored_results(marker, position, deadline_seconds)
 
+    async def owned_page(
+        self, job_id: str, position: int, deadline_seconds: float
+    ) -> ResultsPage | None:
+        """Return results of a job that is owned here; None if that is not sure."""
+        owned = self._keeper.owned.get(job_id)
+        if owned is None or not self._session.is_sure():
+            return None
+        return await self._owned_results(owned, position, deadline_seconds)
+
+    async def _owner_page(
+        self, job_id: str, position: int, deadline_seconds: float
+    ) -> ResultsPage | None:
+        """Ask the daemon that owns the job; None if it does not answer for it."""
+        cached = self._cached.get(job_id, [])
+        if len(cached) > position:
+            return None
+        owner = self._keeper.owner_name(job_id)
+        peer = self._context.daemon.membership.address(owner) if owner is not None else None
+        if peer is None:
+            return None
+        wait_seconds = max(0.0, deadline_seconds - self._context.now_seconds())
+        request = pb.ReadJobRequest(
+            job_id=job_id, position=position, wait_ms=round(wait_seconds * 1000)
+        )
+        reply = await self._context.daemon.links.call(
+            peer,
+            lambda stub: stub.ReadJob,
+            request,
+            wait_seconds + OWNER_SLACK_SECONDS,
+            GatewayPeersStub,
+        )
+        if isinstance(reply, PeerUnreachable) or not reply.owned:
+            return None
+        results = msgspec.msgpack.decode(zlib.decompress(reply.results), type=list[JobResult])
+        return ResultsPage(reply.total, results, f"owner {owner}", reply.listed)
+
     async def item(self, job_id: str, item_id: str) -> bytes | JobUnknown | JobUnsure:
         """Return the body of an item."""
         marker = await self.marker(job_id)
@@ -125,7 +170,7 @@
 
     async def _owned_results(
         self, owned: OwnedJob, position: int, deadline_seconds: float
-    ) -> ResultsPage | JobUnsure:
+    ) -> ResultsPage | None:
         ledger = owned.ledger
         while len(ledger.listed) <= position and not ledger.ended and not ledger.is_complete:
             try:
@@ -134,7 +179,7 @@
             except TimeoutError:
                 break
         if len(ledger.listed) <= position and not self._session.is_sure():
-            return JobUnsure("the session with the key-value service is not sure")
+            return None
         return ResultsPage(
             ledger.total, _page(ledger.listed, position), "owner", len(ledger.listed)
         )
--- /dev/null
+++ b/rackswitch/gateway/peer_service.py
@@ -0,0 +1,68 @@
+"""The calls that other gateways make to this one."""
+
+import asyncio
+import zlib
+
+import msgspec
+from grpclib.server import Server, Stream
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_reader import JobReader, ResultsPage
+from rackswitch.gateway.watching import CopyKeeper
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.gateway_grpc import GatewayPeersBase
+
+__all__ = ["GatewayPeersService"]
+
+COMPRESSION_LEVEL = 1
+"""Texts shrink little; more effort is not worth the processor time."""
+
+
+class GatewayPeersService(GatewayPeersBase):
+    """Serves the other gateways of the fleet.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    copies : CopyKeeper
+        What followers ask for.
+    reader : JobReader
+        Results of the jobs owned here.
+    """
+
+    def __init__(self, context: GatewayContext, copies: CopyKeeper, reader: JobReader):
+        self._context = context
+        self._copies = copies
+        self._reader = reader
+        self._server = Server([self])
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Stop listening; calls still in progress are cancelled."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def Follow(self, stream: Stream[pb.FollowRequest, pb.FollowReply]) -> None:
+        """Answer a follower of this daemon's copies."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._copies.serve(request))
+
+    async def ReadJob(self, stream: Stream[pb.ReadJobRequest, pb.ReadJobReply]) -> None:
+        """Answer a read of a job that is owned here."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        deadline_seconds = asyncio.get_running_loop().time() + request.wait_ms / 1000
+        page = await self._reader.owned_page(request.job_id, request.position, deadline_seconds)
+        reply = pb.ReadJobReply(owned=False)
+        if isinstance(page, ResultsPage):
+            encoded = zlib.compress(msgspec.msgpack.encode(page.results), COMPRESSION_LEVEL)
+            reply = pb.ReadJobReply(
+                owned=True, total=page.total, listed=page.listed, results=encoded
+            )
+        await stream.send_message(reply)
--- a/rackswitch/gateway/state_keeper.py
+++ b/rackswitch/gateway/state_keeper.py
@@ -4,7 +4,7 @@
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.watching import PrefixWatcher
+from rackswitch.gateway.watching import CopyHandlers
 from rackswitch.platform.desired_state import (
     MalformedEntry,
     NamedVersion,
@@ -12,7 +12,6 @@
     decode_operator_entry,
     encode_retired,
 )
-from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
 from rackswitch.platform.servers import decode_target, target_instance
 from rackswitch.routing import ListedTarget, Target
 from rackswitch.table import TableDocument, index_routes
@@ -33,25 +32,19 @@
         The daemon.
     """
 
-    __slots__ = ("_context", "operators", "targets")
+    __slots__ = ("_context",)
 
     def __init__(self, context: GatewayContext):
         self._context = context
-        self.operators = PrefixWatcher(
-            context, OPERATOR_PREFIX, self._operators_listed, self._operator_put, lambda key: None
-        )
-        self.targets = PrefixWatcher(
-            context, SERVERS_PREFIX, self._targets_listed, self._target_put, self._target_deleted
-        )
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether a table is in force and targets have been listed."""
-        return self._context.table_revision > 0 and self.targets.is_listed
+    def operator_handlers(self) -> CopyHandlers:
+        """Return what takes in the operators' and trainers' entries."""
+        # Entries that go say nothing: the newest table and versions stay in force.
+        return CopyHandlers(self._operator_put, lambda key: None)
 
-    def _operators_listed(self, entries: tuple[KvEntry, ...]) -> None:
-        for entry in entries:
-            self._operator_put(entry)
+    def target_handlers(self) -> CopyHandlers:
+        """Return what takes in the list of targets."""
+        return CopyHandlers(self._target_put, self._target_deleted)
 
     def _operator_put(self, entry: KvEntry) -> None:
         decoded = decode_operator_entry(entry.key, entry.value)
@@ -91,22 +84,6 @@
         outcome = done.detail if isinstance(done, KvUnavailable) else "told"
         self._context.log.write("retire", vm=vm, outcome=outcome)
 
-    def _targets_listed(self, entries: tuple[KvEntry, ...]) -> None:
-        listed = []
-        for entry in entries:
-            instance = target_instance(entry.key)
-            target = decode_target(instance, entry.value)
-            if isinstance(target, MalformedEntry):
-                logger.error("target entry cannot be read: {}", target.detail)
-                continue
-            listed.append(target)
-        now_seconds = self._context.now_seconds()
-        back_seconds = self._context.contact.back_seconds
-        self._context.directory.replace(listed, now_seconds, back_seconds)
-        for target in listed:
-            self._learn(target)
-        self._context.log.write("targets listed", count=len(listed))
-
     def _target_put(self, entry: KvEntry) -> None:
         instance = target_instance(entry.key)
         target = decode_target(instance, entry.value)
--- /dev/null
+++ b/rackswitch/gateway/tests/test_copies.py
@@ -0,0 +1,65 @@
+import hypothesis.strategies as st
+from hypothesis import given
+
+from rackswitch.clients.kv import KvEntry, WatchNews
+from rackswitch.gateway.copies import PrefixCopy
+
+
+def entry(key: str, revision: int) -> KvEntry:
+    return KvEntry(key, str(revision).encode(), revision, revision)
+
+
+def follow(follower: PrefixCopy, leader: PrefixCopy) -> None:
+    changes = leader.changes_since(follower.revision)
+    if changes is None:
+        return
+    if changes.whole:
+        follower.replace(changes.entries, changes.revision)
+    else:
+        follower.apply(WatchNews(changes.entries, changes.revision, changes.deleted))
+
+
+def test_a_reading_tells_only_what_changed():
+    copy = PrefixCopy("p/")
+    copy.replace([entry("p/a", 1), entry("p/b", 2)], 5)
+    news = copy.replace([entry("p/b", 2), entry("p/c", 7)], 8)
+    assert [item.key for item in news.entries] == ["p/c"]
+    assert news.deleted == ("p/a",)
+
+
+def test_an_older_reading_changes_nothing():
+    copy = PrefixCopy("p/")
+    copy.replace([entry("p/a", 7)], 8)
+    assert copy.replace([], 5) == WatchNews((), 8)
+    assert set(copy.entries) == {"p/a"}
+
+
+def test_a_new_follower_gets_the_whole():
+    leader, follower = PrefixCopy("p/"), PrefixCopy("p/")
+    leader.replace([entry("p/a", 1)], 5)
+    changes = leader.changes_since(0)
+    assert changes is not None and changes.whole
+    follow(follower, leader)
+    assert follower.entries == leader.entries
+    assert leader.changes_since(follower.revision) is None
+
+
+step = st.tuples(st.sampled_from("abcd"), st.booleans(), st.booleans())
+
+
+@given(st.lists(step, max_size=60))
+def test_a_follower_that_asks_now_and_then_has_the_same_entries(steps):
+    leader, follower = PrefixCopy("p/"), PrefixCopy("p/")
+    leader.replace([], 1)
+    revision = 1
+    for key, is_put, asks in steps:
+        revision += 1
+        if is_put:
+            leader.apply(WatchNews((entry(key, revision),), revision))
+        else:
+            leader.apply(WatchNews((), revision, (key,)))
+        if asks:
+            follow(follower, leader)
+            assert follower.entries == leader.entries
+    follow(follower, leader)
+    assert follower.entries == leader.entries
--- a/rackswitch/gateway/tests/test_job_keeper.py
+++ b/rackswitch/gateway/tests/test_job_keeper.py
@@ -22,7 +22,11 @@
 
 
 async def tell(keeper: JobKeeper, kv: KvStore) -> None:
-    keeper.listed(kv.read("control/", is_prefix=True).entries)
+    for entry in kv.read("control/", is_prefix=True).entries:
+        if entry.key.startswith(OWNERS_PREFIX):
+            keeper.owner_put(entry)
+        else:
+            keeper.marker_put(entry)
 
 
 def test_a_job_written_without_an_answer_is_adopted():
--- a/rackswitch/peers/links.py
+++ b/rackswitch/peers/links.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -35,7 +35,7 @@
     Parameters
     ----------
     secret : str
-        The fleet's secret, by which daemons know each other.
+        The fleet's secret, by which daemons know each other; empty if there is none.
     """
 
     __slots__ = ("_channels", "_secret", "blocked", "calls", "most_channels")
@@ -51,16 +51,18 @@
     async def call(
         self,
         peer: MemberUpdate,
-        method: Callable[[PeersStub], Callable[..., Awaitable[T]]],
+        method: Callable[[Any], Callable[..., Awaitable[T]]],
         message: object,
         timeout_seconds: float,
+        stub_kind: Callable[[Channel], Any] = PeersStub,
     ) -> T | PeerUnreachable:
-        """Call a method of a peer once."""
+        """Call a method of a peer once; `stub_kind` is the service it belongs to."""
         if peer.daemon in self.blocked:
             return PeerUnreachable("cut off")
         self.calls += 1
-        stub = PeersStub(self._channel(peer.host, peer.peer_port))
-        metadata = {SECRET_METADATA: self._secret}
+        stub = stub_kind(self._channel(peer.host, peer.peer_port))
+        # An empty value is no valid metadata.
+        metadata = {SECRET_METADATA: self._secret} if self._secret else {}
         try:
             async with asyncio.timeout(timeout_seconds):
                 return await method(stub)(message, timeout=timeout_seconds, metadata=metadata)
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -38,7 +38,7 @@
 """How long a watch is held open. A watch may go silent without a word, which shows only
 when its time is over; a change that it has missed must be in force 2 s after it was made."""
 
-WATCH_SLACK_SECONDS = 0.3
+WATCH_SLACK_SECONDS = 0.15
 """How much later than its time a watch may answer before it counts as cut."""
 
 MOST_PAGES = 200
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -6,7 +6,6 @@
 the service is.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 __all__ = ["ListedTarget", "TargetDirectory"]
@@ -90,17 +89,6 @@
         else:
             self._forget(instance)
 
-    def replace(
-        self, targets: Iterable[ListedTarget], now_seconds: float, service_back_seconds: float
-    ) -> None:
-        """Take in a whole reading of the list."""
-        listed = {target.instance: target for target in targets}
-        for instance in list(self.entries):
-            if instance not in listed:
-                self.remove(instance, now_seconds, service_back_seconds)
-        for target in listed.values():
-            self.put(target)
-
     def disown(self, instance: str) -> None:
         """Note that another target answered at this one's address."""
         self._forget(instance)
