--- a/rackswitch/demo/main.py
+++ b/rackswitch/demo/main.py
@@ -16,15 +16,17 @@
     EmbeddedFleet,
     FleetProfile,
 )
+from rackswitch.demo.platform_fleet import PlatformFleet
 from rackswitch.standins.callers import CallerStandIn
 from rackswitch.standins.trainer import TrainerStandIn, false_labels
 from rackswitch.telemetry import set_up_logs
 
-__all__ = ["main", "run_demo"]
+__all__ = ["main", "run_demo", "run_platform_demo"]
 
 PROFILES = {profile.name: profile for profile in (ASSOCIATION, REGISTER)}
 REQUESTS = 120
 STEPS = 4
+PLATFORM_JOBS = 4
 READY_PATIENCE_SECONDS = 10.0
 ARRIVALS_PER_SECOND = 40.0
 
@@ -103,7 +105,53 @@
     return summary
 
 
-def demo(profile: str = "association", seed: int = 1, log_level: str = "WARNING") -> None:
+async def run_platform_demo(jobs: int = PLATFORM_JOBS) -> dict[str, object]:
+    """Run callers and a trainer against gateways on the platform's stand-ins."""
+    fleet = PlatformFleet(daemons=3, engines=3)
+    await fleet.start()
+    lookups = [
+        fleet.request(f"d{number % 3}", "POST", "/look/x", b"form", f"r{number}")
+        for number in range(REQUESTS)
+    ]
+    answers = await asyncio.gather(*lookups)
+    whole = 0
+    versions: set[int] = set()
+    for number in range(jobs):
+        pieces = [1 + (item * 7 + number) % 40 for item in range(16)]
+        version = {"model": "m0", "version": number + 2}
+        await fleet.submit(f"d{number % 3}", f"job{number}", pieces)
+        fleet.store.put("op/version/m0", version)
+        results = await fleet.read_all(f"d{(number + 1) % 3}", f"job{number}")
+        whole += all(
+            len(result["text"].split("\n")) == pieces[int(result["id"].rpartition("-")[2])]
+            for result in results
+        )
+        versions.update(number for result in results for number in result["versions"])
+        await fleet.request("d0", "DELETE", f"/rackswitch/lots/job{number}")
+    completed = sum(status == 200 for status, _, _ in answers)
+    violations = [] if whole == jobs else [f"{jobs - whole} jobs with a text that is not whole"]
+    if completed < REQUESTS:
+        violations.append(f"{REQUESTS - completed} requests not completed")
+    summary: dict[str, object] = {
+        "gateways": len(fleet.gateways),
+        "engines": len(fleet.engines),
+        "requests_completed": completed,
+        "jobs_whole": whole,
+        "weight_versions_seen": sorted(versions),
+        "load_orders": sum(len(engine.orders) for engine in fleet.engines),
+        "kv_calls": fleet.store.calls,
+        "violations": violations,
+    }
+    await fleet.stop()
+    return summary
+
+
+def demo(
+    profile: str = "association",
+    seed: int = 1,
+    log_level: str = "WARNING",
+    platform: bool = False,
+) -> None:
     """Run the demonstration.
 
     Parameters
@@ -114,12 +162,17 @@
         Seed of all random choices.
     log_level : str
         Least level of the log lines on standard error.
+    platform : bool
+        Run on stand-ins of the operator platform instead.
     """
     set_up_logs(log_level)
     if profile not in PROFILES:
         print(f"unknown profile {profile!r}; known: {', '.join(PROFILES)}", file=sys.stderr)
         sys.exit(2)
-    summary = asyncio.run(run_demo(PROFILES[profile], seed))
+    if platform:
+        summary = asyncio.run(run_platform_demo())
+    else:
+        summary = asyncio.run(run_demo(PROFILES[profile], seed))
     for name, value in summary.items():
         print(f"{name:26} {value}")
     print(json.dumps(summary))
--- /dev/null
+++ b/rackswitch/demo/platform_fleet.py
@@ -0,0 +1,235 @@
+"""Gateways with stand-ins of the operator platform, all in one process."""
+
+import asyncio
+import os
+import socket
+from base64 import b64encode
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from rackswitch.gateway.core import Gateway
+from rackswitch.platform.settings import Address, NodeSettings
+from rackswitch.standins.platform_store import PlatformStoreStandIn
+from rackswitch.standins.platform_target import PlatformTargetStandIn
+
+__all__ = ["HOST", "JobAnswer", "PlatformFleet"]
+
+HOST = "site.example"
+MODEL = "m0"
+READY_PATIENCE_SECONDS = 10.0
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def desired_state(version: int, **changes: Any) -> dict[str, Any]:
+    """Return a desired state as the operator writes it."""
+    common = {"host": HOST, "timeout_ms": 1500, "goal_ms": 200, "priority": 2}
+    plain = {**common, "service": "desk"}
+    routes = [
+        {**plain, "name": "lookup", "path_prefix": "/look/", "kind": "safe", "max_attempts": 3},
+        {**plain, "name": "lodge", "path_prefix": "/lodge/", "kind": "unsafe", "max_attempts": 2},
+        {
+            **common,
+            "name": "samples",
+            "path_prefix": "/jobs/",
+            "kind": "rollout",
+            "service": "engines",
+            "max_attempts": 3,
+            "run_target_ms": 7500,
+            "keep_s": 40,
+        },
+    ]
+    engine = {"slots": 4, "models": [{"name": MODEL}]}
+    state = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "max_conns": 50},
+            {"name": "engines", "max_conns": 50, "engine": engine},
+        ],
+        "limits": {
+            "max_header_bytes": 4000,
+            "max_body_bytes": 200_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
+    }
+    return {**state, **changes}
+
+
+@dataclass(slots=True)
+class JobAnswer:
+    """A page of results as a trainer reads it."""
+
+    status: int
+    total: int = 0
+    results: list[dict[str, Any]] = field(default_factory=list)
+
+
+class PlatformFleet:
+    """A platform's store, targets and gateways on loopback.
+
+    Parameters
+    ----------
+    daemons, engines, services : int
+        How many gateways, engines and plain services.
+    """
+
+    def __init__(self, daemons: int = 2, engines: int = 2, services: int = 2):
+        self.store = PlatformStoreStandIn()
+        self.engines = [
+            PlatformTargetStandIn(f"e{number}", "engines", self.store, (MODEL,))
+            for number in range(engines)
+        ]
+        self.services = [
+            PlatformTargetStandIn(f"s{number}", "desk", self.store) for number in range(services)
+        ]
+        self.gateways: dict[str, Gateway] = {}
+        self._names = [f"d{number}" for number in range(daemons)]
+        self._session: aiohttp.ClientSession | None = None
+        self._null = os.open(os.devnull, os.O_WRONLY)
+
+    async def start(self) -> None:
+        """Start everything and wait until every gateway is ready."""
+        self._session = aiohttp.ClientSession(auto_decompress=False)
+        await self.store.start()
+        self.store.put("op/config", desired_state(1))
+        for target in (*self.engines, *self.services):
+            await target.start()
+        for name in self._names:
+            await self.start_gateway(name)
+        async with asyncio.timeout(READY_PATIENCE_SECONDS):
+            while not all(self._is_ready(gateway) for gateway in self.gateways.values()):
+                await asyncio.sleep(0.02)
+
+    def _is_ready(self, gateway: Gateway) -> bool:
+        members = gateway.context.daemon.membership.live()
+        held = gateway.session.is_sure()
+        return gateway.copies.is_complete and held and len(members) == len(self._names)
+
+    async def start_gateway(self, name: str) -> Gateway:
+        """Start one gateway, in place of an earlier one of the same name."""
+        port = free_port()
+        settings = NodeSettings(
+            daemon=name,
+            machine_class="front",
+            host="127.0.0.1",
+            zone="z",
+            callers=Address("127.0.0.1", 0),
+            readiness=Address("127.0.0.1", 0),
+            peer_ports=(port, port),
+            kv_url=f"http://{self.store.address}",
+            kv_most_value_bytes=1_048_576,
+            lease_least_seconds=1.0,
+            stop_grace_seconds=8.0,
+            order_turn_seconds=0.5,
+            fence_checked=False,
+            keep_results_seconds=120.0,
+        )
+        gateway = Gateway(settings, os.dup(self._null))
+        await gateway.start()
+        self.gateways[name] = gateway
+        return gateway
+
+    async def stop(self) -> None:
+        """End everything."""
+        for gateway in self.gateways.values():
+            await gateway.crash()
+        for target in (*self.engines, *self.services):
+            await target.crash()
+        await self.store.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def request(
+        self,
+        daemon: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        request_id: str = "r1",
+        headers: dict[str, str] | None = None,
+        deadline_ms: int = 1500,
+        host: str = HOST,
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        """Send a request as a caller does; return status, headers and body."""
+        assert self._session is not None
+        sent = {
+            "Host": host,
+            "X-Rackswitch-Deadline-Ms": str(deadline_ms),
+            **({"X-Rackswitch-Request-Id": request_id} if request_id else {}),
+            **(headers or {}),
+        }
+        url = self.gateways[daemon].url + path
+        async with self._session.request(method, url, data=body or None, headers=sent) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    async def submit(
+        self, daemon: str, job_id: str, pieces: list[int], oldest_version: int = 1
+    ) -> int:
+        """Submit a job whose items bring so many pieces each; return the status."""
+        items = [
+            {
+                "id": f"{job_id}-{number}",
+                "path": f"/jobs/{number}",
+                "headers": {"X-Rackswitch-Model": MODEL, "X-Rackswitch-Length-Hint": str(count)},
+                "body": b64encode(str(count).encode()).decode(),
+                "tokens": 10,
+                "group": f"g{number // 2}",
+                "scorer": {
+                    "id": f"{job_id}-score-{number}",
+                    "host": HOST,
+                    "path": "/look/score",
+                    "body": b64encode(b"score").decode(),
+                },
+            }
+            for number, count in enumerate(pieces)
+        ]
+        job = {
+            "step": 1,
+            "model": MODEL,
+            "min_version": oldest_version,
+            "desired_count": 1,
+            "items": items,
+        }
+        body = msgspec.json.encode(job)
+        status, _, _ = await self.request(daemon, "POST", "/jobs/new", body, job_id)
+        return status
+
+    async def read(
+        self, daemon: str, job_id: str, position: int = 0, wait_ms: int = 0
+    ) -> JobAnswer:
+        """Read a job's results once."""
+        status, _, body = await self.request(
+            daemon,
+            "GET",
+            f"/rackswitch/lots/{job_id}?since_rev={position}",
+            headers={"X-Rackswitch-Wait-Ms": str(wait_ms)},
+        )
+        if status != 200:
+            return JobAnswer(status)
+        page = msgspec.json.decode(body)
+        assert page["next_token"] == position + len(page["results"])
+        return JobAnswer(200, page["total"], page["results"])
+
+    async def read_all(
+        self, daemon: str, job_id: str, timeout_seconds: float = 10.0
+    ) -> list[dict[str, Any]]:
+        """Read until a job is whole."""
+        results: list[dict[str, Any]] = []
+        async with asyncio.timeout(timeout_seconds):
+            while True:
+                page = await self.read(daemon, job_id, len(results), wait_ms=500)
+                results += page.results
+                if page.status == 200 and len(results) == page.total:
+                    return results
+                await asyncio.sleep(0.02)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -67,11 +67,13 @@
     ----------
     settings : NodeSettings
         Its settings.
+    log_descriptor : int
+        Where its decisions are logged; standard output by default.
     """
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(self, settings: NodeSettings, log_descriptor: int = 1):
         self.settings = settings
-        self.log = DecisionLog(settings.daemon)
+        self.log = DecisionLog(settings.daemon, log_descriptor)
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
         daemon = _daemon_context(settings, rng)
         self.context = GatewayContext(settings, daemon, StoreContact(self.log), self.log)
@@ -134,6 +136,27 @@
         while self.log.pump() and self.context.now_seconds() < deadline_seconds:
             await asyncio.sleep(LOG_PUMP_SECONDS / 10)
 
+    async def crash(self) -> None:
+        """End at once, as a killed process would (for tests)."""
+        await self.context.daemon.cancel_all()
+        for server in self._servers:
+            await server.crash()
+        await self.close()
+
+    async def close(self) -> None:
+        """End all work and close all connections."""
+        await self.context.daemon.cancel_all()
+        await self._peers.stop()
+        self.context.daemon.links.close()
+        await self.context.daemon.sessions.close()
+        await self._sessions.close()
+        self.context.daemon.telemetry.close()
+
+    @property
+    def url(self) -> str:
+        """Where callers reach this daemon."""
+        return self._servers[0].url
+
     def settings_changed(self, settings: NodeSettings) -> None:
         """Take in settings that changed while this daemon runs."""
         self.settings = settings
--- a/rackswitch/gateway/main.py
+++ b/rackswitch/gateway/main.py
@@ -51,6 +51,7 @@
             _reload(gateway)
         await asyncio.sleep(CHECK_SECONDS)
     await gateway.stop()
+    await gateway.close()
     return 0
 
 
--- /dev/null
+++ b/rackswitch/gateway/tests/test_path.py
@@ -0,0 +1,324 @@
+"""The whole path on loopback: gateways, the platform's store, engines and services."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from rackswitch.demo.platform_fleet import HOST, PlatformFleet, desired_state
+from rackswitch.standins.platform_target import PlatformTargetStandIn
+
+SCENARIO_SECONDS = 30.0
+
+
+def play(scenario: Callable[[PlatformFleet], Awaitable[None]], **sizes: int) -> None:
+    """Run a scenario on a fresh fleet."""
+
+    async def whole() -> None:
+        fleet = PlatformFleet(**sizes)
+        await fleet.start()
+        try:
+            async with asyncio.timeout(SCENARIO_SECONDS):
+                await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(whole())
+
+
+def runs_of(targets: list[PlatformTargetStandIn], request_id: str) -> int:
+    return sum(run.request_id == request_id for target in targets for run in target.runs)
+
+
+async def wait_for(condition: Callable[[], bool], timeout_seconds: float = 8.0) -> None:
+    async with asyncio.timeout(timeout_seconds):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def check_whole(results: list[dict], pieces: list[int], job_id: str) -> None:
+    """Every item stands once, with its whole text and its own score."""
+    by_id = {result["id"]: result for result in results}
+    assert len(by_id) == len(results) == len(pieces)
+    for number, count in enumerate(pieces):
+        result = by_id[f"{job_id}-{number}"]
+        assert result["state"] == "completed"
+        assert result["text"] == "\n".join(f"piece {n}" for n in range(1, count + 1))
+        assert result["score"].endswith(f"-{job_id}-score-{number}")
+
+
+def test_a_request_and_its_answer_pass_through_unchanged():
+    async def scenario(fleet):
+        status, headers, body = await fleet.request(
+            "d0", "POST", "/look/a%2Fb?x=1&y=%20", b"hello", "r1", {"X-Own": "kept"}
+        )
+        assert status == 200
+        assert body == b"answer to hello"
+        assert headers["X-Rackswitch-Request-Id"] == "r1"
+        assert headers["X-Rackswitch-Server-Stamp"].endswith("-r1")
+        [run] = [run for service in fleet.services for run in service.runs]
+        assert (run.method, run.target, run.body) == ("POST", "/look/a%2Fb?x=1&y=%20", b"hello")
+
+    play(scenario)
+
+
+def test_bad_requests_get_the_status_that_names_the_fault_and_run_nothing():
+    async def scenario(fleet):
+        async def status(*args, **kwargs):
+            return (await fleet.request("d0", *args, **kwargs))[0]
+
+        assert await status("GET", "/look/x", host="other.example") == 404
+        assert await status("GET", "/nowhere") == 404
+        assert await status("GET", "/look/x", request_id="") == 400
+        assert await status("GET", "/look/x", headers={"X-Rackswitch-Deadline-Ms": "soon"}) == 400
+        assert await status("POST", "/look/x", b"x" * 200_001) == 413
+        assert await status("GET", "/look/x", headers={"X-Long": "x" * 5000}) == 431
+        assert await status("POST", "/jobs/new", b"{") == 400
+        assert await status("POST", "/jobs/new", b'{"items":[]}') == 400
+        twice = b'{"items":[{"id":"a","path":"/jobs/1"},{"id":"a","path":"/jobs/2"}]}'
+        assert await status("POST", "/jobs/new", twice) == 400
+        encoding = b'{"items":[{"id":"a","path":"/jobs/1","body":"!"}]}'
+        assert await status("POST", "/jobs/new", encoding) == 400
+        assert await status("GET", "/rackswitch/lots/none?since_rev=x") == 400
+        assert await status("GET", "/rackswitch/lots/none") == 404
+        assert await status("DELETE", "/rackswitch/lots/none") == 404
+        assert not any(target.runs for target in (*fleet.services, *fleet.engines))
+        assert await status("GET", "/look/x") == 200
+
+    play(scenario)
+
+
+def test_a_refusal_is_true_prompt_and_tells_when_to_come_back():
+    async def scenario(fleet):
+        for service in fleet.services:
+            service.faults.refuse = True
+        began = asyncio.get_running_loop().time()
+        status, headers, _ = await fleet.request("d0", "POST", "/lodge/1", b"b")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert asyncio.get_running_loop().time() - began < 0.7
+        assert not any(service.runs for service in fleet.services)
+
+    play(scenario)
+
+
+def test_a_repeatable_request_moves_on_from_a_mute_target():
+    async def scenario(fleet):
+        fleet.services[0].faults.mute = True
+        for number in range(4):
+            status, _, _ = await fleet.request("d0", "POST", "/look/1", b"b", f"r{number}")
+            assert status == 200
+
+    play(scenario)
+
+
+def test_a_request_that_may_not_be_repeated_runs_once_and_is_not_called_unrun():
+    async def scenario(fleet):
+        for service in fleet.services:
+            service.faults.mute = True
+        status, _, _ = await fleet.request("d0", "POST", "/lodge/1", b"b", deadline_ms=400)
+        assert status == 504
+        assert runs_of(fleet.services, "r1") == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fault", ["foreign", "encoded"])
+def test_an_answer_that_is_not_the_targets_own_is_not_passed_on(fault):
+    async def scenario(fleet):
+        setattr(fleet.services[0].faults, fault, True)
+        setattr(fleet.services[1].faults, fault, True)
+        status, headers, _ = await fleet.request("d0", "POST", "/look/1", b"b", deadline_ms=600)
+        assert status in (502, 504)
+        assert "X-Rackswitch-Server-Stamp" not in headers
+
+    play(scenario)
+
+
+def test_a_target_that_drains_gets_nothing_new():
+    async def scenario(fleet):
+        fleet.services[0].list_itself("draining")
+        directories = [gateway.context.directory for gateway in fleet.gateways.values()]
+        await wait_for(lambda: all(d.entries["s0"].draining for d in directories), 2.0)
+        for number in range(6):
+            status, _, _ = await fleet.request("d1", "GET", "/look/1", request_id=f"r{number}")
+            assert status == 200
+        assert not fleet.services[0].runs
+
+    play(scenario)
+
+
+def test_a_change_is_in_force_everywhere_although_the_store_forgets_its_history():
+    async def scenario(fleet):
+        fleet.store.put("op/config", desired_state(5, routes=[]))
+        fleet.store.forget_history()
+        gateways = fleet.gateways.values()
+        await wait_for(lambda: all(g.context.table_revision == 5 for g in gateways), 2.0)
+        fleet.store.put("op/config", desired_state(3))
+        await asyncio.sleep(0.3)
+        assert all(gateway.context.table_revision == 5 for gateway in gateways)
+        assert (await fleet.request("d0", "GET", "/look/x"))[0] == 404
+
+    play(scenario)
+
+
+def test_a_job_is_run_scored_and_read_alike_at_every_daemon():
+    async def scenario(fleet):
+        pieces = [3, 1, 8, 2, 5, 4]
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        assert await fleet.submit("d1", "j1", pieces) == 202
+        results = await fleet.read_all("d1", "j1")
+        check_whole(results, pieces, "j1")
+        assert all(result["versions"] == [1] for result in results)
+        assert (await fleet.read("d0", "j1")).results == results
+        assert (await fleet.read("d1", "j1", 4)).results == results[4:]
+        status, _, body = await fleet.request("d1", "GET", "/rackswitch/items/j1?id=j1-2")
+        assert (status, body) == (200, b"8")
+        for daemon in ("d1", "d0"):
+            status, _, _ = await fleet.request(daemon, "DELETE", "/rackswitch/lots/j1")
+            assert status == 200
+        assert (await fleet.read("d0", "j1")).results == results
+
+    play(scenario)
+
+
+def test_streams_that_break_inside_an_event_are_resumed_and_joined_whole():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.break_after = 2
+        pieces = [9, 7, 8]
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        check_whole(await fleet.read_all("d0", "j1"), pieces, "j1")
+        resumed = [run for engine in fleet.engines for run in engine.runs if run.last_event_id]
+        assert resumed
+
+    play(scenario)
+
+
+def test_another_daemon_takes_a_dead_owners_job_and_keeps_its_positions():
+    async def scenario(fleet):
+        pieces = [1, 1, 400, 400, 2, 400]
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        async with asyncio.timeout(5.0):
+            while not (before := (await fleet.read("d1", "j1", 0, 500)).results):
+                pass
+        await fleet.gateways["d0"].crash()
+        results = await fleet.read_all("d1", "j1", 20.0)
+        check_whole(results, pieces, "j1")
+        assert results[: len(before)] == before
+
+    play(scenario)
+
+
+def test_nothing_of_a_job_reaches_an_engine_after_its_end():
+    async def scenario(fleet):
+        assert await fleet.submit("d0", "j1", [300] * 12) == 202
+        await wait_for(lambda: any(engine.runs for engine in fleet.engines))
+        status, _, _ = await fleet.request("d1", "DELETE", "/rackswitch/lots/j1")
+        assert status == 200
+        await asyncio.sleep(0.5)
+        before = sum(len(engine.runs) for engine in fleet.engines)
+        await asyncio.sleep(1.0)
+        assert sum(len(engine.runs) for engine in fleet.engines) == before
+
+    play(scenario)
+
+
+def test_a_job_whose_acceptance_went_unanswered_is_not_called_refused_and_runs_once_listed():
+    async def scenario(fleet):
+        fleet.store.faults.lost_answers = 1
+        status = await fleet.submit("d0", "j1", [2, 3])
+        assert status == 504
+        assert await fleet.submit("d1", "j1", [2, 3]) == 202
+        check_whole(await fleet.read_all("d1", "j1"), [2, 3], "j1")
+
+    play(scenario)
+
+
+def test_what_was_accepted_goes_on_while_the_store_is_down():
+    async def scenario(fleet):
+        assert await fleet.submit("d0", "j1", [40, 50, 60]) == 202
+        fleet.store.faults.down = "busy"
+        assert await fleet.submit("d0", "j2", [2]) == 503
+        assert (await fleet.request("d0", "GET", "/look/1"))[0] == 200
+        await wait_for(lambda: sum(len(engine.runs) for engine in fleet.engines) == 3)
+        await asyncio.sleep(1.0)
+        fleet.store.faults.down = ""
+        check_whole(await fleet.read_all("d0", "j1"), [40, 50, 60], "j1")
+        assert await fleet.submit("d0", "j2", [2]) == 202
+
+    play(scenario)
+
+
+def test_a_named_version_is_rolled_onto_all_engines_by_one_holder():
+    async def scenario(fleet):
+        fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+        engines = fleet.engines
+        await wait_for(lambda: all(engine.versions["m0"] == 2 for engine in engines))
+        orders = [order for engine in engines for order in engine.orders]
+        assert len(orders) == len(engines)
+        assert len({(order.holder, order.fence) for order in orders}) == 1
+        assert await fleet.submit("d0", "j1", [2, 2], oldest_version=2) == 202
+        results = await fleet.read_all("d0", "j1")
+        assert all(result["versions"] == [2] for result in results)
+
+    play(scenario, engines=3)
+
+
+def test_a_text_made_by_two_versions_names_both():
+    async def scenario(fleet):
+        assert await fleet.submit("d0", "j1", [120] * 4) == 202
+        await wait_for(lambda: any(engine.runs for engine in fleet.engines))
+        fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+        results = await fleet.read_all("d0", "j1")
+        check_whole(results, [120] * 4, "j1")
+        assert {tuple(result["versions"]) for result in results} <= {(1,), (1, 2), (2,)}
+        assert Counter(len(result["versions"]) for result in results)[2] > 0
+
+    play(scenario, engines=1)
+
+
+def test_a_job_that_needs_a_newer_version_waits_for_it():
+    async def scenario(fleet):
+        assert await fleet.submit("d0", "j1", [2], oldest_version=2) == 202
+        await asyncio.sleep(0.3)
+        assert not any(engine.runs for engine in fleet.engines)
+        fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+        assert (await fleet.read_all("d0", "j1"))[0]["versions"] == [2]
+
+    play(scenario)
+
+
+def test_a_daemon_that_the_store_turns_away_learns_from_the_others():
+    async def scenario(fleet):
+        follower = fleet.gateways["d2"]
+        await wait_for(lambda: follower.copies._choice.is_following)
+        # Its own calls fail from here on; what it follows does not.
+        follower.context.daemon.kv._url = "http://127.0.0.1:9"
+        fleet.store.put("op/config", desired_state(9, routes=[]))
+        await wait_for(lambda: follower.context.table_revision == 9, 2.0)
+
+    play(scenario, daemons=3)
+
+
+def test_a_planned_stop_hands_the_jobs_over_and_cuts_nothing():
+    async def scenario(fleet):
+        pieces = [1, 150, 150]
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        stopping = asyncio.create_task(fleet.gateways["d0"].stop())
+        await asyncio.sleep(0.1)
+        status, _, _ = await fleet.request("d0", "GET", "/look/1")
+        assert status == 200
+        check_whole(await fleet.read_all("d1", "j1", 15.0), pieces, "j1")
+        await stopping
+
+    play(scenario)
+
+
+def test_the_host_is_matched_without_its_port():
+    async def scenario(fleet):
+        status, _, _ = await fleet.request("d0", "GET", "/look/x", host=HOST.upper() + ":80")
+        assert status == 200
+
+    play(scenario)
--- a/rackswitch/standins/kv_store.py
+++ b/rackswitch/standins/kv_store.py
@@ -37,6 +37,8 @@
     leases: dict[int, _Lease] = field(default_factory=dict)
     changed: list[KvEntry] = field(default_factory=list)
     """Entries put since the owner last cleared this list."""
+    deleted: list[tuple[str, int]] = field(default_factory=list)
+    """Keys that went, each with the revision, since the owner last cleared this list."""
     _lease_ids: itertools.count = field(default_factory=lambda: itertools.count(1000))
 
     def read(self, key: str, is_prefix: bool = False) -> KvRead:
@@ -80,7 +82,7 @@
             return
         self.revision += 1
         for key in [key for key, stored in self.keys.items() if stored.lease_id == lease_id]:
-            del self.keys[key]
+            self._drop(key)
 
     def _part(self, part: TxnPart) -> TxnPartDone:
         leased = [operation.lease_id for operation in part.operations if operation.lease_id]
@@ -106,10 +108,14 @@
 
     def _delete(self, operation: Operation) -> None:
         if not operation.is_prefix:
-            self.keys.pop(operation.key, None)
+            self._drop(operation.key)
             return
         for entry in self.read(operation.key, is_prefix=True).entries:
-            del self.keys[entry.key]
+            self._drop(entry.key)
+
+    def _drop(self, key: str) -> None:
+        if self.keys.pop(key, None) is not None:
+            self.deleted.append((key, self.revision))
 
     def _put(self, key: str, value: bytes, lease_id: int) -> None:
         before = self.keys.get(key)
--- a/rackswitch/web/core.py
+++ b/rackswitch/web/core.py
@@ -73,6 +73,7 @@
             log_level="critical",
             access_log=False,
             server_header=False,
+            interface="asgi3",
             http="httptools",
             ws="none",
             lifespan="auto",
