Callers' streams: passed on as they come, resumed elsewhere where the route allows it

Change: a route that streams is relayed event by event; a resumable one goes on at another target after the last whole event, within the attempts of its route; one that is not is left without its end. Tests: cut streams at any byte, both kinds of route on loopback.

--- a/rackswitch/gateway/edge.py
+++ b/rackswitch/gateway/edge.py
@@ -11,7 +11,8 @@
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_reader import JobReader, JobUnknown, JobUnsure
 from rackswitch.gateway.job_store import JobCreated, JobKnown, JobMarker, JobTooLarge
-from rackswitch.gateway.request_front import RequestFront
+from rackswitch.gateway.request_front import RequestFront, outcome_label
+from rackswitch.gateway.stream_relay import StreamRelay
 from rackswitch.jobs import check_job
 from rackswitch.outcomes import MayHaveRun, NotRun
 from rackswitch.platform.desired_state import LIMITS_NAME
@@ -27,7 +28,7 @@
     request_deadline_seconds,
     request_identity,
 )
-from rackswitch.requests import Call, TargetAnswer
+from rackswitch.requests import Call, TargetAnswer, TargetStream
 from rackswitch.table import Handling, LimitsRow, RouteRow
 from rackswitch.web.exchange import BodyTooLarge, BodyTooSlow, CallerGone, Exchange
 
@@ -147,32 +148,43 @@
         deadline_seconds: float,
         arrived_seconds: float,
     ) -> None:
-        work = asyncio.create_task(self._front.call(route, call, deadline_seconds))
-        gone = asyncio.create_task(exchange.wait_gone())
-        try:
-            await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            gone.cancel()
-            if not work.done():
-                work.cancel()
-        if not work.done():
+        log = self._front.new_log(route)
+        work = asyncio.create_task(
+            self._front.call(route, call, deadline_seconds, log, as_stream=route.streams)
+        )
+        if not await _done_before_gone(exchange, work):
             self._log_end(route, call, arrived_seconds, "caller left", 0, "")
             return
         answer = work.result()
         outcome = answer.outcome
+        label = outcome_label(outcome)
         if isinstance(outcome, TargetAnswer):
-            label = str(outcome.status)
             await exchange.respond(outcome.status, outcome.headers, outcome.body)
+        elif isinstance(outcome, TargetStream):
+            relay = StreamRelay(self._front, route, call, deadline_seconds, log)
+            label = await self._relay(exchange, relay, outcome, answer.target)
         elif isinstance(outcome, NotRun):
-            label = f"not run: {outcome.detail}"
             retry_at_seconds = outcome.retry_at_seconds or self._context.now_seconds()
             left_seconds = max(0.0, retry_at_seconds - self._context.now_seconds())
             await self._refuse(exchange, 503, outcome.detail, left_seconds)
         else:
-            label = f"may have run: {outcome.detail}"
             await self._fail(exchange, outcome, deadline_seconds)
         self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.target)
 
+    async def _relay(
+        self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: str
+    ) -> str:
+        """Pass a stream on as it comes; return how that ended."""
+        pieces = relay.pieces(stream, target)
+        sending = asyncio.create_task(exchange.stream(stream.status, stream.headers, pieces))
+        try:
+            if not await _done_before_gone(exchange, sending):
+                return "caller left"
+            sending.result()
+        finally:
+            await pieces.aclose()
+        return f"{stream.status}, resumed {relay.resumed} times"
+
     def _log_end(
         self,
         route: RouteRow,
@@ -254,14 +266,7 @@
         work = asyncio.create_task(
             self._reader.results(call.job_id, call.position, deadline_seconds)
         )
-        gone = asyncio.create_task(exchange.wait_gone())
-        try:
-            await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            gone.cancel()
-            if not work.done():
-                work.cancel()
-        if not work.done():
+        if not await _done_before_gone(exchange, work):
             return
         page = work.result()
         if isinstance(page, JobUnknown | JobUnsure):
@@ -335,3 +340,18 @@
         """Answer without a promise whether the request has run."""
         late = self._context.now_seconds() >= deadline_seconds
         await exchange.respond(504 if late else 502, TEXT, outcome.detail.encode())
+
+
+async def _done_before_gone(exchange: Exchange, work: asyncio.Task[Any]) -> bool:
+    """Wait for work on a request; cancel it and return False if the caller goes first."""
+    gone = asyncio.create_task(exchange.wait_gone())
+    try:
+        await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        gone.cancel()
+        if not work.done():
+            work.cancel()
+    if work.done():
+        return True
+    await asyncio.wait((work,))
+    return False
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.request_front import RequestFront
+from rackswitch.gateway.request_front import RequestFront, outcome_label
 from rackswitch.jobs import ItemProgress, JobItem, JobLedger, PieceFault, TextPiece
 from rackswitch.outcomes import NotRun
 from rackswitch.platform.engine import ItemRunEnd, ItemRunEnded, PlatformEngineClient
@@ -166,7 +166,8 @@
                 await asyncio.sleep(REWARD_PAUSE_SECONDS)
                 continue
             deadline_seconds = self._context.now_seconds() + route.timeout_seconds
-            answer = await self._front.call(route, call, deadline_seconds)
+            log = self._front.new_log(route)
+            answer = await self._front.call(route, call, deadline_seconds, log)
             outcome = answer.outcome
             self._context.log.write(
                 "reward call ended",
@@ -176,7 +177,7 @@
                 target=answer.target,
                 attempts=answer.attempts,
                 failures=answer.failures,
-                outcome=outcome.status if isinstance(outcome, TargetAnswer) else outcome.detail,
+                outcome=outcome_label(outcome),
             )
             if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
                 ledger.scored(progress, stamp_of(outcome))
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -13,12 +13,13 @@
     Call,
     TargetAnswer,
     TargetFailed,
+    TargetStream,
     attempt_deadline_seconds,
 )
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow
 
-__all__ = ["FrontAnswer", "RequestFront"]
+__all__ = ["FrontAnswer", "FrontOutcome", "RequestFront", "outcome_label"]
 
 MOST_REFUSALS = 8
 """Targets that may refuse one request before it is refused itself."""
@@ -34,6 +35,18 @@
 """When a refused caller should come back: a few times a call's usual work."""
 
 
+FrontOutcome = TargetAnswer | TargetStream | NotRun | MayHaveRun
+
+
+def outcome_label(outcome: FrontOutcome) -> str:
+    """Return an outcome in a few words, for logs."""
+    if isinstance(outcome, NotRun):
+        return f"not run: {outcome.detail}"
+    if isinstance(outcome, MayHaveRun):
+        return f"may have run: {outcome.detail}"
+    return str(outcome.status)
+
+
 @dataclass(frozen=True, slots=True)
 class FrontAnswer:
     """What became of a request.
@@ -44,7 +57,7 @@
         Answers of 500, by which targets themselves said that they had failed.
     """
 
-    outcome: TargetAnswer | NotRun | MayHaveRun
+    outcome: FrontOutcome
     attempts: int
     failures: int
     target: str = ""
@@ -72,7 +85,21 @@
         self._chooser = chooser
         self._engines = engines
 
-    async def call(self, route: RouteRow, call: Call, deadline_seconds: float) -> FrontAnswer:
+    def new_log(self, route: RouteRow) -> AttemptLog:
+        """Return the record of a request's attempts, which says how many there may be."""
+        repeatable = route.handling is Handling.REPEATABLE or route.resumable
+        return AttemptLog(
+            repeatable, most_attempts=route.most_attempts, most_refusals=MOST_REFUSALS
+        )
+
+    async def call(
+        self,
+        route: RouteRow,
+        call: Call,
+        deadline_seconds: float,
+        log: AttemptLog,
+        as_stream: bool = False,
+    ) -> FrontAnswer:
         """Serve one call.
 
         Parameters
@@ -100,14 +127,14 @@
                 await asyncio.sleep(PAUSE_SECONDS)
                 continue
             log.begin()
-            result = await self._attempt(route, call, target, log, deadline_seconds)
+            result = await self._attempt(route, call, target, log, deadline_seconds, as_stream)
             if isinstance(result, TargetFailed):
                 self._chooser.note_failure(target, result)
                 log.note(AttemptEnd(target.instance, result.may_have_run, result.detail))
                 if not result.may_have_run and not result.silent:
                     await asyncio.sleep(PAUSE_SECONDS)
                 continue
-            if result.status < 500 or not repeatable:
+            if isinstance(result, TargetStream) or result.status < 500 or not repeatable:
                 return FrontAnswer(result, len(log.ends) + 1, failures, target.instance)
             failures += result.status == 500
             last_failure = (result, target.instance)
@@ -124,7 +151,8 @@
         target: ListedTarget,
         log: AttemptLog,
         deadline_seconds: float,
-    ) -> TargetAnswer | TargetFailed:
+        as_stream: bool,
+    ) -> TargetAnswer | TargetStream | TargetFailed:
         load = self._chooser.load(target)
         until_seconds = attempt_deadline_seconds(
             log, route.goal_seconds, deadline_seconds, self._context.now_seconds()
@@ -132,10 +160,11 @@
         fresh_connection = not log.repeatable
         load.begin(CALL_COST_TOKENS, ())
         try:
-            result = await self._engines.forward(target, call, until_seconds, fresh_connection)
+            send = self._engines.open_stream if as_stream else self._engines.forward
+            result = await send(target, call, until_seconds, fresh_connection)
         finally:
             load.end(CALL_COST_TOKENS)
-        if isinstance(result, TargetAnswer) and result.status < 500:
+        if not isinstance(result, TargetFailed) and result.status < 500:
             load.succeeded(0, 0.0)
         return result
 
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 import pytest
 
 from rackswitch.demo.platform_fleet import HOST, PlatformFleet, desired_state
@@ -322,3 +323,29 @@
         assert status == 200
 
     play(scenario)
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_a_callers_stream_goes_on_elsewhere_only_where_the_route_allows_it(resumable):
+    async def scenario(fleet):
+        state = desired_state(2)
+        state["routes"][0] |= {"service": "engines", "streaming": True, "resumable": resumable}
+        state["routes"][0]["kind"] = "unsafe"
+        fleet.store.put("op/config", state)
+        await wait_for(lambda: fleet.gateways["d0"].context.table_revision == 2)
+        fleet.engines[0].faults.break_after = 3
+        fleet.engines[1].faults.break_after = 4
+        model = {"X-Rackswitch-Model": "m0"}
+        whole = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, 8))
+        if not resumable:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await fleet.request("d0", "POST", "/look/s", b"7", "r1", model)
+            assert runs_of(fleet.engines, "r1") == 1
+            return
+        status, headers, body = await fleet.request("d0", "POST", "/look/s", b"7", "r1", model)
+        assert (status, body.decode()) == (200, whole)
+        runs = [run for engine in fleet.engines for run in engine.runs]
+        assert sorted(run.last_event_id or "" for run in runs)[0] == ""
+        assert len(runs) == 2
+
+    play(scenario)
--- a/rackswitch/platform/engine.py
+++ b/rackswitch/platform/engine.py
@@ -228,8 +228,11 @@
 
     async def open_stream(
         self, target: ListedTarget, call: Call, deadline_seconds: float, fresh_connection: bool
-    ) -> TargetStream | TargetFailed:
-        """Send a call and return its answer as soon as its head is there."""
+    ) -> TargetStream | TargetAnswer | TargetFailed:
+        """Send a call and return its answer as soon as its head is there.
+
+        An answer that is no success is read whole, since it is no stream.
+        """
         request = self._open(target, call, deadline_seconds, fresh_connection)
         try:
             async with asyncio.timeout_at(deadline_seconds):
@@ -240,9 +243,14 @@
         if fault is not None:
             _discard(answer)
             return fault
-        return TargetStream(
-            answer.status, _passed_back(answer.headers), _body_pieces(answer), answer.close
-        )
+        headers = _passed_back(answer.headers)
+        if 200 <= answer.status < 300:
+            return TargetStream(answer.status, headers, _body_pieces(answer), answer.close)
+        try:
+            async with asyncio.timeout_at(deadline_seconds), answer:
+                return TargetAnswer(answer.status, headers, await answer.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            return _failure(error)
 
     async def run_item(
         self,
--- a/rackswitch/platform/events.py
+++ b/rackswitch/platform/events.py
@@ -5,7 +5,7 @@
 from rackswitch.jobs import TextPiece
 from rackswitch.platform.names import VERSIONS_HEADER
 
-__all__ = ["EventParser"]
+__all__ = ["EventCutter", "EventParser"]
 
 VERSION_FIELD = VERSIONS_HEADER.lower()
 
@@ -77,3 +77,44 @@
         self._data = []
         self._number = None
         return piece
+
+
+class EventCutter:
+    """Cuts a stream into whole events without changing a byte.
+
+    Attributes
+    ----------
+    last_number : str
+        Number of the last whole event; empty before the first.
+    """
+
+    __slots__ = ("_buffer", "last_number")
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self.last_number = ""
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether no part of an event is left over."""
+        return not self._buffer
+
+    def drop_part(self) -> None:
+        """Forget the event that has only come in part."""
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take in bytes and yield the events that are whole now."""
+        self._buffer += data
+        while (end := _event_end(self._buffer)) >= 0:
+            event, self._buffer = self._buffer[:end], self._buffer[end:]
+            for line in event.splitlines():
+                if line.startswith(b"id:"):
+                    self.last_number = line[3:].strip().decode("latin-1")
+            yield event
+
+
+def _event_end(buffer: bytes) -> int:
+    """Return where the first event ends, behind its empty line; -1 if it is not whole."""
+    ends = [buffer.find(mark) + len(mark) for mark in (b"\n\n", b"\r\n\r\n") if mark in buffer]
+    return min(ends) if ends else -1
--- a/rackswitch/platform/ingress.py
+++ b/rackswitch/platform/ingress.py
@@ -1,6 +1,6 @@
 """What callers and trainers send through the platform's balancer, and how they are answered."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qs
 
 import msgspec
@@ -8,12 +8,13 @@
 from rackswitch.jobs import Job, JobItem, JobResult, RewardCall
 from rackswitch.platform.names import (
     DEADLINE_HEADER,
+    LAST_EVENT_HEADER,
     LENGTH_HINT_HEADER,
     REQUEST_ID_HEADER,
     STAMP_HEADER,
     WAIT_HEADER,
 )
-from rackswitch.requests import TargetAnswer
+from rackswitch.requests import Call, TargetAnswer
 from rackswitch.web.exchange import Exchange
 
 __all__ = [
@@ -28,6 +29,7 @@
     "is_ready_question",
     "request_deadline_seconds",
     "request_identity",
+    "resumed_after",
     "stamp_of",
 ]
 
@@ -234,6 +236,13 @@
     return msgspec.json.encode(_WireResults(total, position + len(results), wire))
 
 
+def resumed_after(call: Call, last_number: str) -> Call:
+    """Return the call that goes on with a stream after an event."""
+    kept = tuple(pair for pair in call.headers if pair[0].lower() != LAST_EVENT_HEADER.lower())
+    headers = (*kept, (LAST_EVENT_HEADER, last_number)) if last_number else call.headers
+    return replace(call, headers=headers)
+
+
 def stamp_of(answer: TargetAnswer) -> str:
     """Return the signature that a target puts on its answers."""
     for name, value in answer.headers:
