Versions: each engine loads every second one; metrics are served

A job may use the version before the newest, so half of the engines are enough for each. Ruled out: a fixed share of engines for each trainer (halves what a step can run on when an engine is lost). Change: engines that no open job can use load first, then as many as bring the newest version to half.

Metrics are served on the port that the deploy file names.

--- a/rackswitch/demo/main.py
+++ b/rackswitch/demo/main.py
@@ -16,8 +16,8 @@
     EmbeddedFleet,
     FleetProfile,
 )
-from rackswitch.demo.platform_fleet import PlatformFleet
 from rackswitch.standins.callers import CallerStandIn
+from rackswitch.standins.platform_fleet import PlatformFleet
 from rackswitch.standins.trainer import TrainerStandIn, false_labels
 from rackswitch.telemetry import set_up_logs
 
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -28,7 +28,7 @@
 from rackswitch.peers.links import PeerLinks
 from rackswitch.platform.engine import EngineSessions, PlatformEngineClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
-from rackswitch.platform.settings import NodeSettings
+from rackswitch.platform.settings import METRICS_PATH, NodeSettings
 from rackswitch.platform.store import PROTOCOL_NAME, PlatformKvClient
 from rackswitch.table import TableView
 from rackswitch.telemetry import DecisionLog, Telemetry
@@ -82,11 +82,13 @@
         self.state = StateKeeper(self.context)
         self.session = Session(self.context, settings.peer_ports[0], self._session_lost)
         self.roles = RoleKeeper(daemon, self._wanted_roles)
-        self.versions = VersionKeeper(self.context, self.roles, engines)
         self.front = RequestFront(self.context, TargetChooser(self.context), engines)
         job_store = JobStore(self.context)
         runner = ItemRunner(self.context, engines, self.front)
         self.jobs = JobKeeper(self.context, self.session, job_store, runner)
+        self.versions = VersionKeeper(
+            self.context, self.roles, engines, self.jobs.oldest_usable_version
+        )
         reader = JobReader(self.context, self.jobs, job_store, self.session)
         self._members: dict[str, VmEntry] = {}
         handlers = {
@@ -97,7 +99,7 @@
         self.copies = CopyKeeper(self.context, handlers)
         self._peers = GatewayPeersService(self.context, self.copies, reader)
         edge = CallerEdge(self.context, self.front, self.jobs, reader)
-        self._servers = _servers(settings, edge, self._on_ready)
+        self._servers = _servers(settings, edge, self._on_ready, self._on_metrics)
 
     async def start(self) -> None:
         """Listen and begin all duties."""
@@ -216,6 +218,13 @@
         ready = known and not self.context.daemon.stopping
         await exchange.respond(200 if ready else 503)
 
+    async def _on_metrics(self, exchange: Exchange) -> None:
+        if exchange.path != METRICS_PATH:
+            await exchange.respond(404)
+            return
+        figures = self.context.daemon.telemetry.exposition()
+        await exchange.respond(200, (("content-type", "text/plain; version=0.0.4"),), figures)
+
 
 def _daemon_context(settings: NodeSettings, rng: random.Random) -> DaemonContext:
     sessions = HttpSessions()
@@ -250,16 +259,17 @@
     )
 
 
-def _servers(settings: NodeSettings, edge: CallerEdge, on_ready: Any) -> list[WebServer]:
+def _servers(
+    settings: NodeSettings, edge: CallerEdge, on_ready: Any, on_metrics: Any
+) -> list[WebServer]:
     servers = []
     if settings.callers is not None:
         address = settings.callers
         server = WebServer(edge, address.host, address.port, keep_alive_seconds=KEEP_ALIVE_SECONDS)
         servers.append(server)
-    if settings.readiness is not None:
-        servers.append(
-            WebServer(_one_handler(on_ready), settings.readiness.host, settings.readiness.port)
-        )
+    for at, handler in ((settings.readiness, on_ready), (settings.metrics, on_metrics)):
+        if at is not None:
+            servers.append(WebServer(_one_handler(handler), at.host, at.port))
     return servers
 
 
--- a/rackswitch/gateway/edge.py
+++ b/rackswitch/gateway/edge.py
@@ -196,7 +196,7 @@
     ) -> None:
         elapsed_seconds = self._context.now_seconds() - arrived_seconds
         self._context.daemon.telemetry.request_ended(
-            route.name, route.caller_class, outcome.partition(":")[0], elapsed_seconds
+            route.name, route.caller_class, _short_label(outcome), elapsed_seconds
         )
         self._context.log.write(
             "request ended",
@@ -342,6 +342,11 @@
         await exchange.respond(504 if late else 502, TEXT, outcome.detail.encode())
 
 
+def _short_label(outcome: str) -> str:
+    """Return an outcome without its detail, so that metrics have few labels."""
+    return outcome.partition(":")[0].partition(",")[0]
+
+
 async def _done_before_gone(exchange: Exchange, work: asyncio.Task[Any]) -> bool:
     """Wait for work on a request; cancel it and return False if the caller goes first."""
     gone = asyncio.create_task(exchange.wait_gone())
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -23,6 +23,7 @@
     JobStore,
     JobTooLarge,
     key_part,
+    marker_of,
 )
 from rackswitch.gateway.session import Session
 from rackswitch.jobs import (
@@ -182,6 +183,15 @@
         for job_id in self.owned:
             self._orphans.orphaned(key_part(job_id), now_seconds)
 
+    def oldest_usable_version(self, model: str) -> int:
+        """Return the oldest version of a model that all open jobs may use; 0 if none is open."""
+        needs = [
+            marker.oldest_version
+            for marker, _ in self.markers.values()
+            if marker.model == model and not marker.ended
+        ]
+        return max(needs, default=0)
+
     # What trainers ask
 
     async def submit(self, job: Job) -> JobCreated | JobKnown | JobTooLarge | JobNotStored:
@@ -193,8 +203,7 @@
             return JobNotStored("no session with the key-value service", effect_unknown=False)
         outcome = await self._store.create(job, lease_id)
         if isinstance(outcome, JobCreated):
-            marker = JobMarker(job.job_id, len(job.items), job.submitted_at_unix_seconds)
-            self.markers.setdefault(job.job_id, (marker, outcome.owner_revision))
+            self.markers.setdefault(job.job_id, (marker_of(job), outcome.owner_revision))
             self._own(job, outcome.owner_revision, [])
         return outcome
 
--- a/rackswitch/gateway/job_store.py
+++ b/rackswitch/gateway/job_store.py
@@ -30,6 +30,7 @@
     "JobStore",
     "JobTooLarge",
     "key_part",
+    "marker_of",
 ]
 
 JOBS_PREFIX = "control/jobs/"
@@ -48,14 +49,33 @@
 
 
 class JobMarker(msgspec.Struct, frozen=True):
-    """What every daemon knows of a job."""
+    """What every daemon knows of a job.
+
+    Attributes
+    ----------
+    model, oldest_version : str, int
+        The model whose engines run it, and the oldest version that may.
+    """
 
     job_id: str
     total: int
     submitted_at_unix_seconds: float
+    model: str = ""
+    oldest_version: int = 0
     ended: bool = False
 
 
+def marker_of(job: Job) -> JobMarker:
+    """Return the marker of a new job."""
+    return JobMarker(
+        job.job_id,
+        len(job.items),
+        job.submitted_at_unix_seconds,
+        job.model,
+        job.oldest_version,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class JobCreated:
     """The job is kept; `owner_revision` fences its owner's writes."""
@@ -133,7 +153,7 @@
         chunks = _encode_items(job)
         if len(chunks) > MOST_CHUNKS:
             return JobTooLarge(f"the job takes {len(chunks)} chunks, at most {MOST_CHUNKS} fit")
-        marker = JobMarker(job.job_id, len(job.items), job.submitted_at_unix_seconds)
+        marker = marker_of(job)
         marker_key = JOBS_PREFIX + part_name
         operations = [
             Operation(marker_key, msgspec.json.encode(marker)),
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -20,6 +20,7 @@
         zone="z",
         callers=None,
         readiness=None,
+        metrics=None,
         peer_ports=(1, 2),
         kv_url="",
         kv_most_value_bytes=1_000_000,
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -1,6 +1,7 @@
 """Rolls named versions onto engines, as the single holder that may order them."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,6 +16,8 @@
     LoadOrder,
     OrderTurns,
     RolloutState,
+    VersionNeed,
+    engines_to_load,
     plan_load_orders,
 )
 
@@ -62,11 +65,27 @@
         Leases on roles.
     engines : PlatformEngineClient
         Makes the calls.
+    oldest_usable_version : callable
+        Returns the oldest version of a model that all open jobs may use.
     """
 
-    __slots__ = ("_context", "_engines", "_roles", "_states", "_turns")
+    __slots__ = (
+        "_context",
+        "_engines",
+        "_oldest_usable_version",
+        "_roles",
+        "_states",
+        "_turns",
+    )
 
-    def __init__(self, context: GatewayContext, roles: RoleKeeper, engines: PlatformEngineClient):
+    def __init__(
+        self,
+        context: GatewayContext,
+        roles: RoleKeeper,
+        engines: PlatformEngineClient,
+        oldest_usable_version: Callable[[str], int],
+    ):
+        self._oldest_usable_version = oldest_usable_version
         self._context = context
         self._roles = roles
         self._engines = engines
@@ -143,7 +162,8 @@
             EngineView(target.instance, target.versions.get(model), target.instance in loading)
             for target in listed.values()
         ]
-        stale = [view for view in views if (view.version or 0) < desired]
+        need = VersionNeed(desired, self._oldest_usable_version(model))
+        stale = engines_to_load(need, views)
         if not stale:
             return []
         fit = [view for view in views if view.loading or view in stale]
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -9,7 +9,12 @@
 from rackswitch.platform.names import SETTINGS_VARIABLE
 from rackswitch.settings import SettingsFault
 
-__all__ = ["Address", "NodeSettings", "read_node_settings"]
+__all__ = ["METRICS_PATH", "Address", "NodeSettings", "read_node_settings"]
+
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+"""As `deploy/system.toml` tells the platform; the port is the usual one of OpenTelemetry's
+Prometheus exporters."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +36,8 @@
     callers, readiness : Address or None
         Where to listen for callers, and for the balancer's question whether this daemon
         is ready; None on VMs that callers do not reach.
+    metrics : Address or None
+        Where the daemon's own figures are served; None for nowhere.
     peer_ports : (int, int)
         First and last port that is free for calls between daemons.
     stop_grace_seconds : float
@@ -49,6 +56,7 @@
     zone: str
     callers: Address | None
     readiness: Address | None
+    metrics: Address | None
     peer_ports: tuple[int, int]
     kv_url: str
     kv_most_value_bytes: int
@@ -130,6 +138,7 @@
         zone=wire.zone,
         callers=_address("listen.front", wire.listen.front),
         readiness=_address("listen.ready", wire.listen.ready),
+        metrics=Address(wire.ip, METRICS_PORT),
         peer_ports=(ports[0], ports[1]),
         kv_url=f"http://{wire.platform.address}",
         kv_most_value_bytes=wire.platform.value_bytes,
--- /dev/null
+++ b/rackswitch/platform/tests/test_settings.py
@@ -0,0 +1,72 @@
+from pathlib import Path
+
+import pytest
+
+from rackswitch.platform.settings import Address, NodeSettings, read_node_settings
+from rackswitch.settings import SettingsFault
+
+GOOD = """
+node: "front-a-1"
+machine_class: "front"
+ip: "10.1.0.10"
+zone: "a"
+something_new: [1, 2]
+listen:
+  front: "10.1.0.10:8161"
+  ready: "10.1.0.10:8167"
+internal_ports:
+  - 7720
+  - 7735
+bounds:
+  grace_s: 8
+  lease_ms: 3000
+  fence_checked: false
+  status_s: 120
+platform:
+  address: "10.200.1.7:8169"
+  value_bytes: 1048576
+  ttl_min_ms: 1000
+"""
+
+
+def read(tmp_path: Path, text: str) -> NodeSettings | SettingsFault:
+    path = tmp_path / "node.yaml"
+    path.write_text(text)
+    return read_node_settings(str(path))
+
+
+def test_the_platforms_file_is_read_and_new_fields_are_passed_over(tmp_path):
+    settings = read(tmp_path, GOOD)
+    assert isinstance(settings, NodeSettings)
+    assert settings.callers == Address("10.1.0.10", 8161)
+    assert settings.peer_ports == (7720, 7735)
+    assert settings.kv_url == "http://10.200.1.7:8169"
+    assert settings.order_turn_seconds == 3.0
+
+
+def test_a_vm_without_callers_listens_for_none(tmp_path):
+    listening = '  front: "10.1.0.10:8161"\n  ready: "10.1.0.10:8167"\n'
+    settings = read(tmp_path, GOOD.replace(listening, "  {}\n"))
+    assert isinstance(settings, NodeSettings)
+    assert settings.callers is None
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ('node: "front-a-1"', "node: 3", "$.node"),
+        ('zone: "a"\n', "", "zone"),
+        ('"10.1.0.10:8161"', '"10.1.0.10"', "listen.front"),
+        ("  - 7735\n", "", "internal_ports"),
+        ("ttl_min_ms: 1000", "ttl_min_ms: soon", "platform.ttl_min_ms"),
+        ("node:", "node: [", ""),
+    ],
+)
+def test_a_wrong_value_is_named_in_one_line(tmp_path, before, after, named):
+    fault = read(tmp_path, GOOD.replace(before, after))
+    assert isinstance(fault, SettingsFault)
+    assert named in fault.line
+
+
+def test_a_file_that_is_not_there_is_a_fault():
+    assert isinstance(read_node_settings("/nowhere/node.yaml"), SettingsFault)
--- a/rackswitch/demo/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -126,6 +126,7 @@
             zone="z",
             callers=Address("127.0.0.1", 0),
             readiness=Address("127.0.0.1", 0),
+            metrics=None,
             peer_ports=(port, port),
             kv_url=f"http://{self.store.address}",
             kv_most_value_bytes=1_048_576,
