Campaigns: a fleet that does not recover leaves what each daemon believes

Tried meanwhile: a daemon whose crash the campaign's end cancels halfway goes on answering heartbeats and stays a candidate for roles (seen, one such daemon of four, twice: the fleet went on at 2 steps a second), so one alone does not explain the stuck runs.

--- a/rackswitch/load/campaign.py
+++ b/rackswitch/load/campaign.py
@@ -63,6 +63,7 @@
     steps: int = 0
     edits_accepted: int = 0
     refusals: Counter[str] = field(default_factory=Counter)
+    beliefs: list[str] = field(default_factory=list)
 
 
 class Campaign:
@@ -203,6 +204,32 @@
             self.report.faults.update(names)
             await asyncio.gather(*(FAULTS.get(name)(self) for name in names))
 
+    def _beliefs(self) -> list[str]:
+        """Return what each daemon believes and waits for, and what the trainer last heard."""
+        now_seconds = asyncio.get_running_loop().time()
+        lines = [f"trainer's last refusals: {list(self.trainer.last_refusals)}"]
+        for engine in self.fleet.engines.values():
+            lines.append(f"engine {engine.name}: version {engine.version}, {engine.gate.order}")
+        for name, daemon in self.fleet.daemons.items():
+            view = daemon.context.view
+            members = {
+                member: f"{known.update.state.name} {known.update.incarnation}"
+                for member, known in daemon.context.membership.members.items()
+            }
+            roles = {
+                role: lease.held.fencing if lease.held is not None else None
+                for role, lease in daemon.roles.roles.items()
+            }
+            targets = {
+                target.name: (target.version, round(target.open_until_seconds - now_seconds, 1))
+                for target in daemon.targets.targets.values()
+            }
+            lines.append(
+                f"{name}: table {view.revision} confirmed={view.is_confirmed(now_seconds)} "
+                f"members={members} roles={roles} targets={targets}"
+            )
+        return lines
+
     def _heal(self) -> None:
         fleet = self.fleet
         gates = [fleet.kv.gate, fleet.store.gate, fleet.scorer.gate]
@@ -225,6 +252,7 @@
                     await asyncio.sleep(0.05)
         except TimeoutError:
             self.report.violations.append("the fleet did not recover after the faults ended")
+            self.report.beliefs = self._beliefs()
         training.cancel()
         await asyncio.gather(training, return_exceptions=True)
         if self._calls:
--- a/rackswitch/standins/trainer.py
+++ b/rackswitch/standins/trainer.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -118,6 +119,7 @@
     ):
         self.record = TrainerRecord()
         self.labels: list[LabelSeen] = []
+        self.last_refusals: deque[tuple[str, int, bytes]] = deque(maxlen=6)
         self.urls = urls
         self.version = 1
         self.epoch = 0
@@ -243,7 +245,10 @@
                 content = await answer.read()
         except (aiohttp.ClientError, TimeoutError):
             return None
-        return content if answer.status == 200 else None
+        if answer.status != 200:
+            self.last_refusals.append((operation, answer.status, content[:200]))
+            return None
+        return content
 
     async def _publish(self, session: aiohttp.ClientSession) -> None:
         version = self.version + 1
