--- /dev/null
+++ b/rackswitch/jobs/tests/test_schedule.py
@@ -0,0 +1,81 @@
+import msgspec
+
+from rackswitch.jobs import EngineRoom, JobLedger, JobOrphans, plan_starts
+from rackswitch.jobs.tests.support import make_item, make_job
+from rackswitch.leases import rank_candidates
+
+
+def room(name: str, free: int, pace: float = 0.05, version: int = 1) -> EngineRoom:
+    return EngineRoom(name, "s", free, pace, {"m": version})
+
+
+def plan(ledgers: list[JobLedger], rooms: list[EngineRoom], due: dict[str, float] | None = None):
+    services = {ledger.job.job_id: "s" for ledger in ledgers}
+    deadlines = due or {ledger.job.job_id: 0.0 for ledger in ledgers}
+    starts = plan_starts(ledgers, rooms, services, deadlines, 0.0)
+    return [(start.progress.item.item_id, start.instance) for start in starts]
+
+
+def ledger_of(lengths: list[float], job_id: str = "j", oldest_version: int = 0) -> JobLedger:
+    items = tuple(make_item(n, expected_tokens=length) for n, length in enumerate(lengths))
+    job = msgspec.structs.replace(
+        make_job(), items=items, job_id=job_id, oldest_version=oldest_version
+    )
+    return JobLedger(job)
+
+
+def test_the_longest_items_start_first_on_the_fastest_engine():
+    starts = plan([ledger_of([10, 900, 50])], [room("slow", 5, 0.09), room("fast", 1)])
+    assert starts == [("i1", "fast"), ("i2", "slow"), ("i0", "slow")]
+
+
+def test_no_engine_gets_more_than_it_has_room_for():
+    starts = plan([ledger_of([1] * 10)], [room("a", 2), room("b", 3)])
+    assert len(starts) == 5
+
+
+def test_items_wait_for_an_engine_with_weights_that_may_make_them():
+    rooms = [room("old", 9, version=1)]
+    assert plan([ledger_of([1], oldest_version=2)], rooms) == []
+    rooms.append(room("new", 9, version=2))
+    assert plan([ledger_of([1], oldest_version=2)], rooms) == [("i0", "new")]
+
+
+def test_the_job_that_is_due_first_goes_first():
+    ledgers = [ledger_of([1], "late"), ledger_of([1], "early")]
+    starts = plan(ledgers, [room("a", 1)], {"late": 9.0, "early": 5.0})
+    assert len(starts) == 1
+    ledgers[1].started(ledgers[1].items["i0"])
+    assert len(plan(ledgers, [room("a", 1)], {"late": 9.0, "early": 5.0})) == 1
+
+
+def test_an_item_whose_run_broke_goes_before_the_others_and_elsewhere():
+    ledger = ledger_of([10, 900])
+    broken = ledger.items["i0"]
+    ledger.started(broken)
+    ledger.broke(broken, "a", -1.0)
+    assert plan([ledger], [room("a", 1, 0.01), room("b", 1)]) == [("i0", "b"), ("i1", "a")]
+
+
+def test_a_former_owner_may_claim_first_then_the_daemons_in_their_order():
+    live = ["a", "b", "c"]
+    first, second, _ = rank_candidates("j", live)
+
+    def claims(daemon: str, held: bool, at_seconds: float) -> bool:
+        orphans = JobOrphans(daemon)
+        orphans.orphaned("j", 0.0)
+        return orphans.may_claim("j", live, held, at_seconds)
+
+    assert claims(second, True, 0.0)
+    assert not claims(first, False, 0.3)
+    assert claims(first, False, 0.4)
+    assert not claims(second, False, 0.7)
+    assert claims(second, False, 0.8)
+
+
+def test_a_job_with_an_owner_is_not_claimed():
+    orphans = JobOrphans("a")
+    assert not orphans.may_claim("j", ["a"], False, 100.0)
+    orphans.orphaned("j", 0.0)
+    orphans.owned("j")
+    assert not orphans.may_claim("j", ["a"], False, 100.0)
--- /dev/null
+++ b/rackswitch/platform/tests/test_decoding.py
@@ -0,0 +1,108 @@
+import msgspec
+
+from rackswitch.jobs import JobResult
+from rackswitch.platform.desired_state import (
+    MalformedEntry,
+    NamedVersion,
+    RetireOrder,
+    decode_desired_state,
+    decode_operator_entry,
+    encode_retired,
+)
+from rackswitch.platform.ingress import encode_results
+from rackswitch.platform.servers import decode_target, target_instance
+from rackswitch.standins.platform_fleet import desired_state
+from rackswitch.table import Handling, LimitsRow, RouteRow, ServiceRow, TableDocument, index_routes
+
+
+def encode(value: object) -> bytes:
+    return msgspec.json.encode(value)
+
+
+def rows(document: TableDocument, kind: type) -> dict:
+    found = [stored.row for stored in document.rows.values() if isinstance(stored.row, kind)]
+    return {row.name: row for row in found}
+
+
+def test_a_desired_state_becomes_rows_of_its_version():
+    document = decode_desired_state(encode(desired_state(7)))
+    assert isinstance(document, TableDocument)
+    assert document.revision == 7
+    routes = rows(document, RouteRow)
+    assert routes["lookup"].handling is Handling.REPEATABLE
+    assert routes["lodge"].handling is Handling.ONCE
+    assert routes["samples"].handling is Handling.BATCH
+    assert routes["samples"].due_seconds == 7.5
+    assert routes["samples"].timeout_seconds == 1.5
+    assert rows(document, ServiceRow)["engines"].models == ("m0",)
+    assert rows(document, LimitsRow)["callers"].most_body_bytes == 200_000
+
+
+def test_a_split_route_has_its_weights_and_an_unknown_kind_runs_once():
+    state = desired_state(1)
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    state["routes"] = [
+        {"name": "r", "host": "h", "path_prefix": "/", "kind": "newer", "split": split, "odd": 1}
+    ]
+    route = rows(decode_desired_state(encode(state)), RouteRow)["r"]
+    assert [(choice.serves, choice.weight) for choice in route.choices] == [("a", 90), ("b", 10)]
+    assert route.handling is Handling.ONCE
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    state = desired_state(1)
+    short = {"name": "short", "host": "h", "path_prefix": "/a/", "service": "s"}
+    state["routes"] = [short, {**short, "name": "long", "path_prefix": "/a/b/"}]
+    index = index_routes(decode_desired_state(encode(state)))
+    assert index.find("H:80", "/a/b/c").name == "long"
+    assert index.find("h", "/a/c").name == "short"
+    assert index.find("h", "/b") is None
+    assert index.find("other", "/a/c") is None
+
+
+def test_entries_that_cannot_be_read_are_named_and_change_nothing():
+    for value in (b"", b"{", b'{"version":"x"}', b'{"routes":[]}', b"\xff"):
+        assert isinstance(decode_desired_state(value), MalformedEntry)
+    assert isinstance(decode_operator_entry("op/version/m", b"{}"), MalformedEntry)
+    assert isinstance(decode_target("i-1", b'{"service":"s","address":"x"}'), MalformedEntry)
+
+
+def test_other_entries_of_the_operators():
+    version = encode({"model": "m", "version": 4})
+    assert decode_operator_entry("op/version/m", version) == NamedVersion("m", 4)
+    assert decode_operator_entry("op/retire/store-1", b"{}") == RetireOrder("store-1")
+    assert decode_operator_entry("op/other", b"{}") is None
+    assert encode_retired("store-1") == ("status/retire/store-1", b'{"state":"completed"}')
+
+
+def test_a_listed_target_is_read_without_its_misleading_fields():
+    entry = {
+        "service": "s",
+        "address": "10.128.0.9:8080",
+        "zone": "z",
+        "version": "v9",
+        "slots": 12,
+        "state": "draining",
+        "models": [{"name": "m", "version": 3, "adapters": []}],
+        "seq": 77,
+    }
+    instance = target_instance("servers/i-1")
+    target = decode_target(instance, encode(entry))
+    assert (target.instance, target.url) == ("i-1", "http://10.128.0.9:8080")
+    assert target.draining
+    assert target.versions == {"m": 3}
+
+
+def test_results_are_told_as_the_platform_expects():
+    results = [
+        JobResult(item_id="a", completed=True, text="x\ny", versions=(1, 2), score="s"),
+        JobResult(item_id="b", completed=False),
+    ]
+    assert msgspec.json.decode(encode_results(40, 12, results)) == {
+        "total": 40,
+        "next_token": 14,
+        "results": [
+            {"id": "a", "state": "completed", "text": "x\ny", "versions": [1, 2], "score": "s"},
+            {"id": "b", "state": "dead"},
+        ],
+    }
