A planned stop ends in time although the store is silent

Ruled out: memory, a broken invariant. Change: the time-out is an outcome that is logged; so is a hand-over that takes too long. The test fails before, passes after.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -128,8 +128,12 @@
         self.context.daemon.stopping = True
         self.context.daemon.membership.leave()
         notice = asyncio.create_task(asyncio.sleep(BALANCER_NOTICE_SECONDS))
-        async with asyncio.timeout_at(deadline_seconds):
-            await asyncio.gather(self.roles.tend(), self.jobs.hand_over())
+        try:
+            async with asyncio.timeout_at(deadline_seconds):
+                await asyncio.gather(self.roles.tend(), self.jobs.hand_over())
+        except TimeoutError:
+            # What was not handed over is taken over when this daemon's leases are over.
+            self.log.write("hand-over given up", jobs=len(self.jobs.owned))
         await notice
         left_seconds = deadline_seconds - self.context.now_seconds()
         whole = await self.context.daemon.in_flight.wait_idle(max(0.0, left_seconds))
--- a/rackswitch/gateway/session.py
+++ b/rackswitch/gateway/session.py
@@ -23,7 +23,7 @@
 within seconds; renewing three times a life costs little."""
 
 TICK_SECONDS = 0.1
-PLANNED_END_TIMEOUT_SECONDS = 1.0
+PLANNED_END_TIMEOUT_SECONDS = 0.4
 
 
 class MemberEntry(msgspec.Struct, frozen=True):
@@ -84,9 +84,18 @@
 
     async def end(self) -> None:
         """Give the lease back, so that others need not wait for its end."""
-        if self.lease.lease_id is not None:
+        if self.lease.lease_id is None:
+            return
+        outcome = "ended"
+        try:
             async with asyncio.timeout(PLANNED_END_TIMEOUT_SECONDS):
-                await self._context.kv.revoke_lease(self.lease.lease_id)
+                failure = await self._context.kv.revoke_lease(self.lease.lease_id)
+            if failure is not None:
+                outcome = failure.detail
+        except TimeoutError:
+            # The lease runs out by itself; a stop does not wait for the service.
+            outcome = "no answer in time"
+        self._context.log.write("session ended", lease=self.lease.lease_id, outcome=outcome)
 
     @property
     def _key(self) -> str:
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import aiohttp
 import pytest
@@ -322,6 +323,21 @@
     play(scenario)
 
 
+def test_a_planned_stop_ends_in_time_although_the_store_is_silent():
+    # Found in a hunt (association, scale-1, seed 255389782199): processes ended with an
+    # unhandled time-out of the session's end.
+    async def scenario(fleet):
+        gateway = fleet.gateways["d0"]
+        gateway.settings = replace(gateway.settings, stop_grace_seconds=4.0)
+        assert await fleet.submit("d0", "j1", [300, 300]) == 202
+        fleet.store.faults.down = "silent"
+        began = asyncio.get_running_loop().time()
+        await gateway.stop()
+        assert asyncio.get_running_loop().time() - began < 6.0
+
+    play(scenario)
+
+
 def test_the_host_is_matched_without_its_port():
     async def scenario(fleet):
         status, _, _ = await fleet.request("d0", "GET", "/look/x", host=HOST.upper() + ":80")
