--- a/rackswitch/daemon/service_calls.py
+++ b/rackswitch/daemon/service_calls.py
@@ -1,5 +1,6 @@
 """Serving callers of plain services, at most once where that is asked."""
 
+import asyncio
 from dataclasses import dataclass
 
 from rackswitch.clients.plain_service import PlainAnswer, PlainRequest, PlainServiceClient
@@ -29,6 +30,13 @@
 
 CLAIM_PATIENCE_SECONDS = 2.0
 IN_DOUBT_RETRY_SECONDS = 1.0
+DUPLICATE_PATIENCE_SECONDS = 2.0
+"""How long a second copy waits for the first one's answer; plain calls take some 50 ms, and
+a first copy whose daemon died never answers."""
+
+DUPLICATE_LOOK_SECONDS = 0.05
+"""Between two looks for that answer, about a plain call's usual time."""
+
 PLAIN_COST_TOKENS = 20.0
 
 
@@ -93,12 +101,38 @@
             retry_at_seconds = self._context.now_seconds() + IN_DOUBT_RETRY_SECONDS
             detail = "the key-value service does not answer"
             return NotRun(NotRunReason.CLAIMS_UNAVAILABLE, detail, retry_at_seconds)
+        if found.decision is ClaimDecision.IN_DOUBT:
+            found = await self._wait_for_first(keys, claim, found, call.deadline_seconds)
         if found.decision is not ClaimDecision.RUN:
             return self._answer_duplicate(found)
         outcome = await self._call_targets(call)
         self._context.spawn(self._close_claim(keys, found, outcome))
         return outcome
 
+    async def _wait_for_first(
+        self,
+        keys: tuple[str, str, str],
+        claim: Claim,
+        found: ClaimFound,
+        deadline_seconds: float,
+    ) -> ClaimFound:
+        """Wait a while for the first request with this key, which may be under way.
+
+        Should it end without having run, its claim is released and this request gets it.
+        """
+        patience_seconds = self._context.now_seconds() + DUPLICATE_PATIENCE_SECONDS
+        until_seconds = min(deadline_seconds, patience_seconds)
+        while (
+            found.decision is ClaimDecision.IN_DOUBT
+            and self._context.now_seconds() + DUPLICATE_LOOK_SECONDS < until_seconds
+        ):
+            await asyncio.sleep(DUPLICATE_LOOK_SECONDS)
+            looked = await self._claims.claim(keys, claim, until_seconds)
+            if not isinstance(looked, ClaimFound):
+                break
+            found = looked
+        return found
+
     async def _close_claim(
         self, keys: tuple[str, str, str], found: ClaimFound, outcome: Outcome
     ) -> None:
--- a/rackswitch/daemon/tests/test_claims.py
+++ b/rackswitch/daemon/tests/test_claims.py
@@ -256,3 +256,23 @@
         assert found.decision is ClaimDecision.RUN
 
     run_virtual(scenario())
+
+
+def test_a_second_copy_under_way_at_another_daemon_gets_the_first_ones_answer():
+    # Found by trial: it got "may have run" although the answer came 10 ms later.
+    async def scenario():
+        rng, store = random.Random(1), KvStore()
+        service = FakeService(rng, trouble=0.0)
+        fronts = []
+        for number in range(2):
+            context = make_context(f"d{number}", store, rng, KvFaults())
+            fronts.append(make_front(context, ClaimKeeper(context), service))
+        answers = []
+        for number in range(10):
+            call = make_call(f"k{number}", asyncio.get_running_loop().time())
+            answers += await asyncio.gather(*(front.call(call) for front in fronts))
+        return answers, service.runs
+
+    answers, runs = run_virtual(scenario())
+    assert [type(answer) for answer in answers] == [Completed] * 20
+    assert set(runs.values()) == {1}
--- /dev/null
+++ b/rackswitch/platform/tests/test_engine.py
@@ -0,0 +1,94 @@
+"""What the client makes of answers that a library alone would take for whole."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from rackswitch.platform.engine import EngineSessions, PlatformEngineClient
+from rackswitch.requests import Call, TargetAnswer, TargetFailed
+from rackswitch.routing import ListedTarget
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Rackswitch-Request-Id: r1\r\nX-Rackswitch-Server-Stamp: s\r\n"
+CALL = Call("r1", "h.example", "POST", "/a%2Fb?c=%20", (("x-own", "1"), ("x-own", "2")), b"body")
+
+
+async def answer_with(answer: bytes, reset: bool = False) -> tuple[object, bytes]:
+    """Let a target answer with bytes; return what the client makes of them, and the request."""
+    requests: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        requests.append(await reader.read(10_000))
+        writer.write(answer)
+        await writer.drain()
+        if reset:
+            await asyncio.sleep(0.05)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    sessions = EngineSessions()
+    target = ListedTarget("i-1", "s", "127.0.0.1", port, "z")
+    deadline_seconds = asyncio.get_running_loop().time() + 2.0
+    result = await PlatformEngineClient(sessions).forward(target, CALL, deadline_seconds, False)
+    await sessions.close()
+    server.close()
+    return result, requests[0]
+
+
+def test_an_answer_without_length_that_ends_with_its_connection_is_whole():
+    result, _ = asyncio.run(answer_with(HEAD + b"\r\nthe whole"))
+    assert isinstance(result, TargetAnswer)
+    assert result.body == b"the whole"
+
+
+def test_an_answer_without_length_whose_connection_is_reset_is_not_whole():
+    result, _ = asyncio.run(answer_with(HEAD + b"\r\nthe first pa", reset=True))
+    assert isinstance(result, TargetFailed)
+    assert result.may_have_run
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: 20\r\n\r\nshort",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        HEAD + b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nxx",
+        HEAD.replace(b"r1", b"r2") + b"Content-Length: 2\r\n\r\nxx",
+        HEAD.replace(b"X-Rackswitch-Server-Stamp: s\r\n", b"") + b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
+        b"these are no bytes of an answer\r\n\r\n",
+        b"",
+    ],
+)
+def test_what_is_not_the_targets_whole_answer_may_have_run(answer):
+    result, _ = asyncio.run(answer_with(answer))
+    assert isinstance(result, TargetFailed)
+    assert result.may_have_run
+
+
+def test_only_the_targets_own_word_says_that_nothing_ran():
+    refusal = b"HTTP/1.1 503 X\r\nX-Rackswitch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    result, _ = asyncio.run(answer_with(refusal))
+    assert isinstance(result, TargetFailed) and not result.may_have_run
+    result, _ = asyncio.run(answer_with(HEAD.replace(b"200 OK", b"503 X") + b"\r\n"))
+    assert isinstance(result, TargetAnswer)
+    assert result.status == 503
+
+
+def test_a_call_is_passed_byte_for_byte_with_what_the_platform_wants():
+    _, request = asyncio.run(answer_with(HEAD + b"Content-Length: 0\r\n\r\n"))
+    head, _, body = request.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /a%2Fb?c=%20 HTTP/1.1"
+    assert body == b"body"
+    names = [line.split(b":")[0].lower() for line in lines[1:]]
+    assert names.count(b"x-own") == 2
+    assert b"X-Rackswitch-Expect-Instance: i-1" in lines
+    assert b"Host: h.example" in lines
+    assert not {b"accept-encoding", b"user-agent", b"accept"} & set(names)
