Remove leftovers: fields, methods and names that nothing reads

Exchange.is_answered, JobLedger.item and .missing_by_group, the run number that JobLedger.started returned (it stays in the item's progress), the ready question's path, two header names, StoreContact.losses, DecisionLog.written, JobNotStored.lease_gone, RouteIndex.revision. The largest age told to followers has a name. Behaviour is unchanged.

--- a/rackswitch/gateway/contact.py
+++ b/rackswitch/gateway/contact.py
@@ -22,7 +22,6 @@
     log: DecisionLog
     away_since_seconds: float | None = None
     back_seconds: float = float("-inf")
-    losses: int = 0
 
     @property
     def is_away(self) -> bool:
@@ -43,5 +42,4 @@
         if self.away_since_seconds is not None:
             return
         self.away_since_seconds = now_seconds
-        self.losses += 1
         self.log.write("dependency lost", dependency="key-value", detail=detail)
--- a/rackswitch/gateway/job_store.py
+++ b/rackswitch/gateway/job_store.py
@@ -103,13 +103,10 @@
     ----------
     effect_unknown : bool
         True if the write may have taken effect, or may still.
-    lease_gone : bool
-        Whether the session's lease was over.
     """
 
     detail: str
     effect_unknown: bool
-    lease_gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,7 +290,7 @@
         if isinstance(done, KvUnavailable):
             return JobNotStored(done.detail, done.effect_unknown)
         if done[0].lease_gone:
-            return JobNotStored("the session's lease is over", False, lease_gone=True)
+            return JobNotStored("the session's lease is over", effect_unknown=False)
         return done[0]
 
     def _note(self, answer: object) -> None:
--- a/rackswitch/gateway/watching.py
+++ b/rackswitch/gateway/watching.py
@@ -32,6 +32,10 @@
 """How old the service's word for a copy may be that is followed: a watch's time, its slack,
 and what an answer takes."""
 
+MOST_TOLD_AGE_SECONDS = 60.0
+"""Largest age of a copy that is told to followers: far over `FRESH_SECONDS`, and it keeps a
+copy that was never confirmed, whose age is infinite, within the field's range."""
+
 
 @dataclass(frozen=True, slots=True)
 class CopyHandlers:
@@ -223,7 +227,7 @@
     def _add_news(
         self, reply: pb.FollowReply, copy: PrefixCopy, revision: int, now_seconds: float
     ) -> None:
-        age_seconds = min(60.0, now_seconds - copy.confirmed_at_seconds)
+        age_seconds = min(MOST_TOLD_AGE_SECONDS, now_seconds - copy.confirmed_at_seconds)
         news = reply.news.add(
             prefix=copy.prefix, revision=copy.revision, age_ms=round(age_seconds * 1000)
         )
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from rackswitch.jobs.messages import Job, JobItem, JobResult
+from rackswitch.jobs.messages import Job, JobResult
 from rackswitch.jobs.progress import ItemPhase, ItemProgress
 from rackswitch.outcomes import check_invariant
 
@@ -72,21 +72,11 @@
             if progress.phase is ItemPhase.WAITING and now_seconds >= progress.not_before_seconds
         ]
 
-    def missing_by_group(self) -> dict[str, int]:
-        """Return for each group how many of its items have no result yet."""
-        missing: dict[str, int] = {}
-        for progress in self.items.values():
-            unfinished = progress.result is None
-            group = progress.item.group
-            missing[group] = missing.get(group, 0) + unfinished
-        return missing
-
-    def started(self, progress: ItemProgress) -> int:
-        """Note that a run of an item begins; return the run's number."""
+    def started(self, progress: ItemProgress) -> None:
+        """Note that a run of an item begins."""
         check_invariant(progress.phase is ItemPhase.WAITING, "an item runs once at a time")
         progress.phase = ItemPhase.RUNNING
         progress.run_number += 1
-        return progress.run_number
 
     def broke(self, progress: ItemProgress, target: str, now_seconds: float) -> None:
         """Note that a run ended before the text was whole, through no fault of the item."""
@@ -169,11 +159,6 @@
         """Note that the submitter has ended the job: nothing of it starts any more."""
         self.ended = True
 
-    def item(self, item_id: str) -> JobItem | None:
-        """Return an item by its identity."""
-        progress = self.items.get(item_id)
-        return progress.item if progress is not None else None
-
     def _finish(self, progress: ItemProgress, score: str) -> None:
         if progress.result is not None:
             return
--- a/rackswitch/platform/ingress.py
+++ b/rackswitch/platform/ingress.py
@@ -26,7 +26,6 @@
     "decode_job",
     "decode_job_call",
     "encode_results",
-    "is_ready_question",
     "request_deadline_seconds",
     "request_identity",
     "resumed_after",
@@ -35,7 +34,6 @@
 
 RESULTS_PATH = "/rackswitch/lots/"
 ITEMS_PATH = "/rackswitch/items/"
-READY_PATH = "/rackswitch/ready"
 MOST_WAIT_SECONDS = 30.0
 """Longest time that a read may ask to be held for."""
 
@@ -115,11 +113,6 @@
     results: list[_WireResult]
 
 
-def is_ready_question(exchange: Exchange) -> bool:
-    """Return whether the balancer asks if this daemon is ready."""
-    return exchange.path == READY_PATH
-
-
 def request_identity(exchange: Exchange) -> str:
     """Return the caller's identity of its request; empty if it gave none."""
     return exchange.header(REQUEST_ID_HEADER) or ""
--- a/rackswitch/platform/names.py
+++ b/rackswitch/platform/names.py
@@ -4,10 +4,8 @@
     "CONFIG_KEY",
     "DEADLINE_HEADER",
     "EXPECT_INSTANCE_HEADER",
-    "INSTANCE_HEADER",
     "LAST_EVENT_HEADER",
     "LENGTH_HINT_HEADER",
-    "LOAD_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_PREFIX",
     "REQUEST_ID_HEADER",
@@ -28,10 +26,8 @@
 DEADLINE_HEADER = "X-Rackswitch-Deadline-Ms"
 """Not a point in time: the milliseconds that are left."""
 EXPECT_INSTANCE_HEADER = "X-Rackswitch-Expect-Instance"
-INSTANCE_HEADER = "X-Rackswitch-Instance-Id"
 STAMP_HEADER = "X-Rackswitch-Server-Stamp"
 NOT_RUN_HEADER = "X-Rackswitch-Not-Run"
-LOAD_HEADER = "X-Rackswitch-Server-Load"
 VERSIONS_HEADER = "X-Rackswitch-Weight-Versions"
 """One number in spite of its name: the version that makes the answer's first event."""
 URGENCY_HEADER = "X-Rackswitch-Request-Urgency"
--- a/rackswitch/table/matching.py
+++ b/rackswitch/table/matching.py
@@ -10,15 +10,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteIndex:
-    """The routes of one table by host, longest path prefix first.
+    """The routes of one table by host, longest path prefix first."""
 
-    Attributes
-    ----------
-    revision : int
-        The table's revision.
-    """
-
-    revision: int = 0
     by_host: dict[str, tuple[RouteRow, ...]] = field(default_factory=dict)
 
     def find(self, host: str, path: str) -> RouteRow | None:
@@ -49,4 +42,4 @@
         host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
         for host, routes in by_host.items()
     }
-    return RouteIndex(document.revision, sorted_routes)
+    return RouteIndex(sorted_routes)
--- a/rackswitch/telemetry/journal.py
+++ b/rackswitch/telemetry/journal.py
@@ -31,7 +31,7 @@
         Where to write; 1 is standard output.
     """
 
-    __slots__ = ("_daemon", "_descriptor", "_lines", "_partial", "dropped", "written")
+    __slots__ = ("_daemon", "_descriptor", "_lines", "_partial", "dropped")
 
     def __init__(self, daemon: str, descriptor: int = 1):
         self._daemon = daemon
@@ -39,7 +39,6 @@
         self._lines: deque[bytes] = deque()
         self._partial = b""
         self.dropped = 0
-        self.written = 0
         os.set_blocking(descriptor, False)
 
     def write(self, event: str, **fields: Any) -> None:
@@ -91,5 +90,4 @@
             line = self._lines.popleft()
             size += len(line)
             block.append(line)
-            self.written += 1
         return b"".join(block)
--- a/rackswitch/web/exchange.py
+++ b/rackswitch/web/exchange.py
@@ -38,7 +38,7 @@
         The ASGI channels.
     """
 
-    __slots__ = ("_receive", "_scope", "_send", "close_connection", "is_answered")
+    __slots__ = ("_receive", "_scope", "_send", "close_connection")
 
     def __init__(
         self,
@@ -50,7 +50,6 @@
         self._receive = receive
         self._send = send
         self.close_connection = False
-        self.is_answered = False
 
     @property
     def method(self) -> str:
@@ -148,7 +147,6 @@
         await self._send({"type": "http.response.body", "body": b""})
 
     async def _start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        self.is_answered = True
         encoded = [
             (name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers
         ]
