--- /dev/null
+++ b/rackswitch/gateway/item_starter.py
@@ -0,0 +1,136 @@
+"""Starting the items of owned jobs at engines that have room."""
+
+import asyncio
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.item_runner import ItemRunner
+from rackswitch.gateway.owned_job import OwnedJob
+from rackswitch.jobs import EngineRoom, ItemPhase, ItemStart, plan_starts
+from rackswitch.platform.engine import ItemRunEnd
+from rackswitch.routing import ListedTarget
+from rackswitch.table import RouteRow, ServiceRow
+
+__all__ = ["ItemStarter"]
+
+FULL_PAUSE_SECONDS = 0.1
+"""How long an engine that refused a run is left alone; it is full or loads weights."""
+
+DEFAULT_SLOTS = 4
+"""Runs at an engine whose slots nobody tells."""
+
+
+class ItemStarter:
+    """Carries out what the schedule decides, and keeps count of the runs at each engine.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    runner : ItemRunner
+        Runs items.
+    wake : asyncio.Event
+        Set when a run or a reward call has ended, so that more may start.
+    """
+
+    __slots__ = ("_context", "_engine_runs", "_full_until_seconds", "_runner", "_wake")
+
+    def __init__(self, context: GatewayContext, runner: ItemRunner, wake: asyncio.Event):
+        self._context = context
+        self._runner = runner
+        self._wake = wake
+        self._engine_runs: dict[str, int] = {}
+        self._full_until_seconds: dict[str, float] = {}
+
+    def start_items(self, owned_jobs: dict[str, OwnedJob]) -> None:
+        """Start what may start now, and give up items that cannot be run any more."""
+        if not owned_jobs:
+            return
+        now_seconds = self._context.now_seconds()
+        services = self._services(owned_jobs, now_seconds)
+        rooms = self._engine_rooms(set(services.values()), now_seconds)
+        due_seconds = {job_id: owned.due_seconds for job_id, owned in owned_jobs.items()}
+        ledgers = [owned.ledger for owned in owned_jobs.values()]
+        for start in plan_starts(ledgers, rooms, services, due_seconds, now_seconds):
+            self._start(owned_jobs[start.ledger.job.job_id], start)
+
+    def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
+        """Return the service that runs each job; items that no engine may run are given up."""
+        services: dict[str, str] = {}
+        for job_id, owned in owned_jobs.items():
+            route = self._route(owned)
+            if route is not None:
+                services[job_id] = route.choices[0].serves
+            elif self._context.table_revision:
+                self._give_up(owned, "its route is gone")
+            if now_seconds >= owned.keep_until_seconds:
+                self._give_up(owned, "it is past the time it is kept for")
+        return services
+
+    def _route(self, owned: OwnedJob) -> RouteRow | None:
+        job = owned.ledger.job
+        return self._context.routes.find(job.host, job.path)
+
+    def _give_up(self, owned: OwnedJob, reason: str) -> None:
+        for progress in owned.ledger.items.values():
+            if progress.phase is ItemPhase.WAITING:
+                owned.ledger.give_up(progress)
+                self._context.log.write(
+                    "item given up",
+                    job=owned.ledger.job.job_id,
+                    item=progress.item.item_id,
+                    reason=reason,
+                    table_revision=self._context.table_revision,
+                )
+
+    def _engine_rooms(self, services: set[str], now_seconds: float) -> list[EngineRoom]:
+        rooms: list[EngineRoom] = []
+        for service in services:
+            row = self._context.daemon.view.row(ServiceRow, service)
+            default_slots = (row.slots if row is not None else 0) or DEFAULT_SLOTS
+            rooms.extend(
+                self._room(listed, default_slots)
+                for listed in self._context.directory.usable(service, now_seconds)
+                if not self._is_left_alone(listed.instance, now_seconds)
+            )
+        return rooms
+
+    def _is_left_alone(self, instance: str, now_seconds: float) -> bool:
+        """Return whether an engine gets no runs now, as it is full or was silent."""
+        if now_seconds < self._full_until_seconds.get(instance, 0.0):
+            return True
+        return now_seconds < self._context.targets[instance].open_until_seconds
+
+    def _room(self, listed: ListedTarget, default_slots: int) -> EngineRoom:
+        slots = listed.slots or default_slots
+        return EngineRoom(
+            listed.instance,
+            listed.service,
+            slots - self._engine_runs.get(listed.instance, 0),
+            self._runner.paces.get(listed.instance),
+            listed.versions,
+        )
+
+    def _start(self, owned: OwnedJob, start: ItemStart) -> None:
+        start.ledger.started(start.progress)
+        task = self._context.daemon.spawn(self._carry_out(owned, start))
+        owned.runs[start.progress.item.item_id] = task
+
+    async def _carry_out(self, owned: OwnedJob, start: ItemStart) -> None:
+        ledger, progress = start.ledger, start.progress
+        listed = self._context.directory.entries.get(start.instance)
+        if listed is None:
+            ledger.broke(progress, start.instance, self._context.now_seconds())
+            return
+        self._engine_runs[start.instance] = self._engine_runs.get(start.instance, 0) + 1
+        try:
+            ended = await self._runner.run(ledger, progress, listed)
+        finally:
+            self._engine_runs[start.instance] -= 1
+            self._wake.set()
+        if ended.end is ItemRunEnd.NOT_RUN:
+            until_seconds = self._context.now_seconds() + FULL_PAUSE_SECONDS
+            self._full_until_seconds[start.instance] = until_seconds
+        if progress.phase is ItemPhase.SCORING:
+            await self._runner.score(ledger, progress)
+            self._wake.set()
+        owned.runs.pop(progress.item.item_id, None)
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import time
-from dataclasses import dataclass, field
 
 import msgspec
 from loguru import logger
@@ -11,11 +10,10 @@
 from rackswitch.clients.kv import KvEntry, KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.item_runner import ItemRunner
+from rackswitch.gateway.item_starter import ItemStarter
 from rackswitch.gateway.job_store import (
     JOBS_PREFIX,
     OWNERS_PREFIX,
-    AppendConflict,
-    Appended,
     JobCreated,
     JobKnown,
     JobMarker,
@@ -25,70 +23,25 @@
     key_part,
     marker_of,
 )
+from rackswitch.gateway.owned_job import OwnedJob
+from rackswitch.gateway.result_appender import ResultAppender
 from rackswitch.gateway.session import Session
-from rackswitch.jobs import (
-    EngineRoom,
-    ItemPhase,
-    ItemStart,
-    Job,
-    JobLedger,
-    JobOrphans,
-    plan_starts,
-)
-from rackswitch.platform.engine import ItemRunEnd
-from rackswitch.table import RouteRow, ServiceRow
+from rackswitch.jobs import Job, JobLedger, JobOrphans, JobResult
+from rackswitch.table import RouteRow
 
-__all__ = ["JobKeeper", "OwnedJob"]
+__all__ = ["JobKeeper"]
 
 TICK_SECONDS = 0.05
 """Longest pause between two looks at what may start."""
 
-APPEND_SECONDS = 0.2
-"""Least time between two segments of a job: trainers read about twice a second, and each
-segment is a call."""
-
-APPEND_RETRY_SECONDS = 0.25
-"""After a segment that the service did not take."""
-
-FULL_PAUSE_SECONDS = 0.1
-"""How long an engine that refused a run is left alone; it is full or loads weights."""
-
 ADOPT_AFTER_SECONDS = 0.5
 """How long an answer may lag behind the watch that shows what was written."""
 
-DEFAULT_SLOTS = 4
-"""Runs at an engine whose slots nobody tells."""
-
-
-@dataclass(slots=True)
-class OwnedJob:
-    """A job that this daemon owns.
-
-    Attributes
-    ----------
-    owner_revision : int
-        Fences this owner's writes.
-    due_seconds, keep_until_seconds : float
-        When all results are wanted, and from when items may be given up (monotonic).
-    runs : dict of str to asyncio.Task
-        Runs and reward calls under way, by item.
-    news : asyncio.Event
-        Set when results were listed; replaced then.
-    """
+UNROUTED_MOST_FAILURES = 3
+"""Failures that end an item of a job whose route is unknown; the ledger's own default."""
 
-    ledger: JobLedger
-    owner_revision: int
-    due_seconds: float
-    keep_until_seconds: float
-    runs: dict[str, asyncio.Task[None]] = field(default_factory=dict)
-    news: asyncio.Event = field(default_factory=asyncio.Event)
-    next_append_seconds: float = 0.0
-    is_appending: bool = False
-
-    def tell_news(self) -> None:
-        """Wake all who wait for results."""
-        self.news.set()
-        self.news = asyncio.Event()
+UNROUTED_KEEP_SECONDS = 3600.0
+"""How long a job is kept whose route is unknown; as long as a route that does not say."""
 
 
 class JobKeeper:
@@ -107,14 +60,13 @@
     """
 
     __slots__ = (
+        "_appender",
         "_context",
-        "_engine_runs",
-        "_full_until_seconds",
         "_orphans",
         "_owner_names",
         "_owner_revisions",
-        "_runner",
         "_session",
+        "_starter",
         "_store",
         "_wake",
         "markers",
@@ -127,13 +79,12 @@
         self._context = context
         self._session = session
         self._store = store
-        self._runner = runner
         self._orphans = JobOrphans(context.settings.daemon)
         self._owner_revisions: dict[str, int] = {}
         self._owner_names: dict[str, str] = {}
-        self._engine_runs: dict[str, int] = {}
-        self._full_until_seconds: dict[str, float] = {}
         self._wake = asyncio.Event()
+        self._starter = ItemStarter(context, runner, self._wake)
+        self._appender = ResultAppender(context, store, self._orphans, self._wake)
         self.markers: dict[str, tuple[JobMarker, int]] = {}
         self.owned: dict[str, OwnedJob] = {}
 
@@ -231,32 +182,21 @@
             if self._context.daemon.stopping:
                 continue
             self._claim_orphans()
-            self._start_items()
-            self._append_results()
+            self._starter.start_items(self.owned)
+            self._appender.append_due(self.owned.values())
 
     async def hand_over(self) -> None:
         """Give all jobs to other daemons, results that are ready first."""
-        await asyncio.gather(*(self._append(owned) for owned in list(self.owned.values())))
+        await asyncio.gather(*(self._appender.append(owned) for owned in list(self.owned.values())))
         for job_id, owned in list(self.owned.items()):
             self._drop(job_id, "handed over")
             await self._store.release(job_id, owned.owner_revision)
 
-    def _own(self, job: Job, owner_revision: int, listed: list) -> None:
+    def _own(self, job: Job, owner_revision: int, listed: list[JobResult]) -> None:
         route = self._context.routes.find(job.host, job.path)
-        now_seconds = self._context.now_seconds()
         age_seconds = max(0.0, time.time() - job.submitted_at_unix_seconds)
-        due_seconds = route.due_seconds if route is not None else 0.0
-        keep_seconds = route.keep_seconds if route is not None else 3600.0
-        ledger = JobLedger(
-            job,
-            listed,
-            most_failures=route.most_attempts if route is not None else 3,
-            single_version=route is not None and route.single_version,
-        )
-        begun_seconds = now_seconds - age_seconds
-        self.owned[job.job_id] = OwnedJob(
-            ledger, owner_revision, begun_seconds + due_seconds, begun_seconds + keep_seconds
-        )
+        begun_seconds = self._context.now_seconds() - age_seconds
+        self.owned[job.job_id] = _owned_job(job, owner_revision, listed, route, begun_seconds)
         self._context.log.write(
             "job owned",
             job=job.job_id,
@@ -342,125 +282,28 @@
             logger.warning("job claimed but not read", job=job_id)
             await self._store.release(job_id, owner_revision)
 
-    def _start_items(self) -> None:
-        if not self.owned:
-            return
-        now_seconds = self._context.now_seconds()
-        services: dict[str, str] = {}
-        for job_id, owned in self.owned.items():
-            route = self._route(owned)
-            if route is not None:
-                services[job_id] = route.choices[0].serves
-            elif self._context.table_revision:
-                self._give_up(owned, "its route is gone")
-            if now_seconds >= owned.keep_until_seconds:
-                self._give_up(owned, "it is past the time it is kept for")
-        rooms = self._engine_rooms(set(services.values()), now_seconds)
-        due_seconds = {job_id: owned.due_seconds for job_id, owned in self.owned.items()}
-        ledgers = [owned.ledger for owned in self.owned.values()]
-        for start in plan_starts(ledgers, rooms, services, due_seconds, now_seconds):
-            self._start(start)
-
-    def _route(self, owned: OwnedJob) -> RouteRow | None:
-        job = owned.ledger.job
-        return self._context.routes.find(job.host, job.path)
-
-    def _give_up(self, owned: OwnedJob, reason: str) -> None:
-        for progress in owned.ledger.items.values():
-            if progress.phase is ItemPhase.WAITING:
-                owned.ledger.give_up(progress)
-                self._context.log.write(
-                    "item given up",
-                    job=owned.ledger.job.job_id,
-                    item=progress.item.item_id,
-                    reason=reason,
-                    table_revision=self._context.table_revision,
-                )
-
-    def _engine_rooms(self, services: set[str], now_seconds: float) -> list[EngineRoom]:
-        rooms: list[EngineRoom] = []
-        for service in services:
-            row = self._context.daemon.view.row(ServiceRow, service)
-            for listed in self._context.directory.usable(service, now_seconds):
-                slots = listed.slots or (row.slots if row is not None else 0) or DEFAULT_SLOTS
-                if now_seconds < self._full_until_seconds.get(listed.instance, 0.0):
-                    continue
-                if now_seconds < self._context.targets[listed.instance].open_until_seconds:
-                    continue
-                rooms.append(
-                    EngineRoom(
-                        listed.instance,
-                        service,
-                        slots - self._engine_runs.get(listed.instance, 0),
-                        self._runner.paces.get(listed.instance),
-                        listed.versions,
-                    )
-                )
-        return rooms
-
-    def _start(self, start: ItemStart) -> None:
-        owned = self.owned[start.ledger.job.job_id]
-        start.ledger.started(start.progress)
-        task = self._context.daemon.spawn(self._carry_out(owned, start))
-        owned.runs[start.progress.item.item_id] = task
-
-    async def _carry_out(self, owned: OwnedJob, start: ItemStart) -> None:
-        ledger, progress = start.ledger, start.progress
-        listed = self._context.directory.entries.get(start.instance)
-        if listed is None:
-            ledger.broke(progress, start.instance, self._context.now_seconds())
-            return
-        self._engine_runs[start.instance] = self._engine_runs.get(start.instance, 0) + 1
-        try:
-            ended = await self._runner.run(ledger, progress, listed)
-        finally:
-            self._engine_runs[start.instance] -= 1
-            self._wake.set()
-        if ended.end is ItemRunEnd.NOT_RUN:
-            until_seconds = self._context.now_seconds() + FULL_PAUSE_SECONDS
-            self._full_until_seconds[start.instance] = until_seconds
-        if progress.phase is ItemPhase.SCORING:
-            await self._runner.score(ledger, progress)
-            self._wake.set()
-        owned.runs.pop(progress.item.item_id, None)
-
-    def _append_results(self) -> None:
-        now_seconds = self._context.now_seconds()
-        for owned in self.owned.values():
-            ready = owned.ledger.has_pending and not owned.is_appending
-            if ready and now_seconds >= owned.next_append_seconds:
-                self._context.daemon.spawn(self._append(owned))
 
-    async def _append(self, owned: OwnedJob) -> None:
-        if owned.is_appending or not owned.ledger.has_pending:
-            return
-        owned.is_appending = True
-        try:
-            await self._append_segment(owned)
-        finally:
-            owned.is_appending = False
-            self._wake.set()
-
-    async def _append_segment(self, owned: OwnedJob) -> None:
-        job_id = owned.ledger.job.job_id
-        position, segment = owned.ledger.next_segment()
-        outcome = await self._store.append(job_id, owned.owner_revision, position, segment)
-        now_seconds = self._context.now_seconds()
-        if isinstance(outcome, Appended):
-            owned.ledger.appended(position, outcome.results)
-            owned.next_append_seconds = now_seconds + APPEND_SECONDS
-            owned.tell_news()
-        elif isinstance(outcome, AppendConflict):
-            # The owner key is gone or another daemon's: claim anew, which tells.
-            self._orphans.orphaned(key_part(job_id), now_seconds)
-            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
-        else:
-            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
-        self._context.log.write(
-            "results appended",
-            job=job_id,
-            position=position,
-            count=len(segment),
-            owner_revision=owned.owner_revision,
-            outcome=type(outcome).__name__,
-        )
+def _owned_job(
+    job: Job,
+    owner_revision: int,
+    listed: list[JobResult],
+    route: RouteRow | None,
+    begun_seconds: float,
+) -> OwnedJob:
+    """Return a job that was submitted at a moment (monotonic), with its route's bounds."""
+    if route is None:
+        ledger = JobLedger(job, listed, most_failures=UNROUTED_MOST_FAILURES)
+        keep_until_seconds = begun_seconds + UNROUTED_KEEP_SECONDS
+        return OwnedJob(ledger, owner_revision, begun_seconds, keep_until_seconds)
+    ledger = JobLedger(
+        job,
+        listed,
+        most_failures=route.most_attempts,
+        single_version=route.single_version,
+    )
+    return OwnedJob(
+        ledger,
+        owner_revision,
+        due_seconds=begun_seconds + route.due_seconds,
+        keep_until_seconds=begun_seconds + route.keep_seconds,
+    )
--- a/rackswitch/gateway/job_reader.py
+++ b/rackswitch/gateway/job_reader.py
@@ -8,8 +8,9 @@
 
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.job_keeper import JobKeeper, OwnedJob
+from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_store import JobMarker, JobStore
+from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.gateway.session import Session
 from rackswitch.jobs import Job, JobResult
 from rackswitch.peers import gateway_pb2 as pb
--- /dev/null
+++ b/rackswitch/gateway/result_appender.py
@@ -0,0 +1,87 @@
+"""Appending the results of owned jobs to the key-value service, a segment at a time."""
+
+import asyncio
+from collections.abc import Iterable
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_store import AppendConflict, Appended, JobStore, key_part
+from rackswitch.gateway.owned_job import OwnedJob
+from rackswitch.jobs import JobOrphans
+
+__all__ = ["ResultAppender"]
+
+APPEND_SECONDS = 0.2
+"""Least time between two segments of a job: trainers read about twice a second, and each
+segment is a call."""
+
+APPEND_RETRY_SECONDS = 0.25
+"""After a segment that the service did not take."""
+
+
+class ResultAppender:
+    """Keeps results, under the fence of this daemon's ownership.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    store : JobStore
+        Jobs in the key-value service.
+    orphans : JobOrphans
+        Told of a job whose owner this daemon turns out not to be.
+    wake : asyncio.Event
+        Set after each try.
+    """
+
+    __slots__ = ("_context", "_orphans", "_store", "_wake")
+
+    def __init__(
+        self, context: GatewayContext, store: JobStore, orphans: JobOrphans, wake: asyncio.Event
+    ):
+        self._context = context
+        self._store = store
+        self._orphans = orphans
+        self._wake = wake
+
+    def append_due(self, owned_jobs: Iterable[OwnedJob]) -> None:
+        """Begin to append the results that are ready, where the last segment is past."""
+        now_seconds = self._context.now_seconds()
+        for owned in owned_jobs:
+            ready = owned.ledger.has_pending and not owned.is_appending
+            if ready and now_seconds >= owned.next_append_seconds:
+                self._context.daemon.spawn(self.append(owned))
+
+    async def append(self, owned: OwnedJob) -> None:
+        """Append the next segment of a job, unless one is under way or nothing is ready."""
+        if owned.is_appending or not owned.ledger.has_pending:
+            return
+        owned.is_appending = True
+        try:
+            await self._append_segment(owned)
+        finally:
+            owned.is_appending = False
+            self._wake.set()
+
+    async def _append_segment(self, owned: OwnedJob) -> None:
+        job_id = owned.ledger.job.job_id
+        position, segment = owned.ledger.next_segment()
+        outcome = await self._store.append(job_id, owned.owner_revision, position, segment)
+        now_seconds = self._context.now_seconds()
+        if isinstance(outcome, Appended):
+            owned.ledger.appended(position, outcome.results)
+            owned.next_append_seconds = now_seconds + APPEND_SECONDS
+            owned.tell_news()
+        elif isinstance(outcome, AppendConflict):
+            # The owner key is gone or another daemon's: claim anew, which tells.
+            self._orphans.orphaned(key_part(job_id), now_seconds)
+            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
+        else:
+            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
+        self._context.log.write(
+            "results appended",
+            job=job_id,
+            position=position,
+            count=len(segment),
+            owner_revision=owned.owner_revision,
+            outcome=type(outcome).__name__,
+        )
