Operator platform: one client a job in place of one for all calls

platform/engine.py (478 lines) is gone; its parts: connections.py (TargetSessions, was EngineSessions), answers.py (what the head of an answer says), target_calls.py (TargetClient: calls and streams passed through), item_runs.py (ItemClient, whose run was run_item), orders.py (OrderClient: reports and orders). The errors of a broken call have one name; the check for redirects, which are never followed, is gone. Behaviour is unchanged.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -26,10 +26,13 @@
 from rackswitch.gateway.watching import CopyHandlers, CopyKeeper
 from rackswitch.membership import Membership, MemberState, MemberUpdate, VmEntry
 from rackswitch.peers.links import PeerLinks
-from rackswitch.platform.engine import EngineSessions, PlatformEngineClient
+from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.item_runs import ItemClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
+from rackswitch.platform.orders import OrderClient
 from rackswitch.platform.settings import METRICS_PATH, NodeSettings
 from rackswitch.platform.store import PROTOCOL_NAME, PlatformKvClient
+from rackswitch.platform.target_calls import TargetClient
 from rackswitch.table import TableView
 from rackswitch.telemetry import DecisionLog, Telemetry
 from rackswitch.web import WebServer
@@ -77,17 +80,18 @@
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
         daemon = _daemon_context(settings, rng)
         self.context = GatewayContext(settings, daemon, StoreContact(self.log), self.log)
-        self._sessions = EngineSessions()
-        engines = PlatformEngineClient(self._sessions)
+        self._sessions = TargetSessions()
         self.state = StateKeeper(self.context)
         self.session = Session(self.context, settings.peer_ports[0], self._session_lost)
         self.roles = RoleKeeper(daemon, self._wanted_roles)
-        self.front = RequestFront(self.context, TargetChooser(self.context), engines)
+        self.front = RequestFront(
+            self.context, TargetChooser(self.context), TargetClient(self._sessions)
+        )
         job_store = JobStore(self.context)
-        runner = ItemRunner(self.context, engines, self.front)
+        runner = ItemRunner(self.context, ItemClient(self._sessions), self.front)
         self.jobs = JobKeeper(self.context, self.session, job_store, runner)
         self.versions = VersionKeeper(
-            self.context, self.roles, engines, self.jobs.oldest_usable_version
+            self.context, self.roles, OrderClient(self._sessions), self.jobs.oldest_usable_version
         )
         reader = JobReader(self.context, self.jobs, job_store, self.session)
         self._members: dict[str, VmEntry] = {}
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -8,8 +8,8 @@
 from rackswitch.gateway.request_front import RequestFront, outcome_label
 from rackswitch.jobs import ItemProgress, JobItem, JobLedger, PieceFault, TextPiece
 from rackswitch.outcomes import NotRun
-from rackswitch.platform.engine import ItemRunEnd, ItemRunEnded, PlatformEngineClient
 from rackswitch.platform.ingress import stamp_of
+from rackswitch.platform.item_runs import ItemClient, ItemRunEnd, ItemRunEnded
 from rackswitch.requests import Call, TargetAnswer
 from rackswitch.routing import ListedTarget
 
@@ -56,7 +56,7 @@
     ----------
     context : GatewayContext
         The daemon.
-    engines : PlatformEngineClient
+    engines : ItemClient
         Makes the calls.
     front : RequestFront
         Serves the reward calls.
@@ -64,7 +64,7 @@
 
     __slots__ = ("_context", "_engines", "_front", "paces")
 
-    def __init__(self, context: GatewayContext, engines: PlatformEngineClient, front: RequestFront):
+    def __init__(self, context: GatewayContext, engines: ItemClient, front: RequestFront):
         self._context = context
         self._engines = engines
         self._front = front
@@ -99,7 +99,7 @@
     ) -> ItemRunEnded:
         if ledger.single_version:
             progress.begin_anew()
-        pieces = self._engines.run_item(
+        pieces = self._engines.run(
             target,
             ledger.job.host,
             progress.item,
--- a/rackswitch/gateway/item_starter.py
+++ b/rackswitch/gateway/item_starter.py
@@ -6,7 +6,7 @@
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.jobs import EngineRoom, ItemPhase, ItemStart, plan_starts
-from rackswitch.platform.engine import ItemRunEnd
+from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow, ServiceRow
 
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -6,7 +6,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.target_choice import CALL_COST_TOKENS, TargetChooser
 from rackswitch.outcomes import MayHaveRun, NotRun, NotRunReason
-from rackswitch.platform.engine import PlatformEngineClient
+from rackswitch.platform.target_calls import TargetClient
 from rackswitch.requests import (
     AttemptEnd,
     AttemptLog,
@@ -72,18 +72,16 @@
         The daemon.
     chooser : TargetChooser
         Picks targets.
-    engines : PlatformEngineClient
+    targets : TargetClient
         Makes the calls.
     """
 
-    __slots__ = ("_chooser", "_context", "_engines")
+    __slots__ = ("_chooser", "_context", "_targets")
 
-    def __init__(
-        self, context: GatewayContext, chooser: TargetChooser, engines: PlatformEngineClient
-    ):
+    def __init__(self, context: GatewayContext, chooser: TargetChooser, targets: TargetClient):
         self._context = context
         self._chooser = chooser
-        self._engines = engines
+        self._targets = targets
 
     def new_log(self, route: RouteRow) -> AttemptLog:
         """Return the record of a request's attempts, which says how many there may be."""
@@ -160,7 +158,7 @@
         fresh_connection = not log.repeatable
         load.begin(CALL_COST_TOKENS, ())
         try:
-            send = self._engines.open_stream if as_stream else self._engines.forward
+            send = self._targets.open_stream if as_stream else self._targets.forward
             result = await send(target, call, until_seconds, fresh_connection)
         finally:
             load.end(CALL_COST_TOKENS)
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -8,7 +8,7 @@
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.platform.engine import EngineReport, OrderAnswer, PlatformEngineClient
+from rackswitch.platform.orders import EngineReport, OrderAnswer, OrderClient
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow, ServiceRow
 from rackswitch.weights import (
@@ -63,7 +63,7 @@
         The daemon.
     roles : RoleKeeper
         Leases on roles.
-    engines : PlatformEngineClient
+    engines : OrderClient
         Makes the calls.
     oldest_usable_version : callable
         Returns the oldest version of a model that all open jobs may use.
@@ -82,7 +82,7 @@
         self,
         context: GatewayContext,
         roles: RoleKeeper,
-        engines: PlatformEngineClient,
+        engines: OrderClient,
         oldest_usable_version: Callable[[str], int],
     ):
         self._oldest_usable_version = oldest_usable_version
--- /dev/null
+++ b/rackswitch/platform/item_runs.py
@@ -0,0 +1,161 @@
+"""Running items of batch jobs at the platform's engines."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from rackswitch.clients.http import NOT_SENT_ERRORS
+from rackswitch.jobs import JobItem, TextPiece
+from rackswitch.platform.answers import refusal_or_fault
+from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.events import EventParser
+from rackswitch.platform.names import (
+    EXPECT_INSTANCE_HEADER,
+    LAST_EVENT_HEADER,
+    REQUEST_ID_HEADER,
+    URGENCY_HEADER,
+    VERSIONS_HEADER,
+)
+from rackswitch.routing import ListedTarget
+
+__all__ = ["ItemClient", "ItemRunEnd", "ItemRunEnded"]
+
+
+class ItemRunEnd(Enum):
+    """How a run of an item ended."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    """The stream stopped before its end; it can go on elsewhere."""
+
+    SILENT = "silent"
+    """The engine did not take a connection, or stopped sending."""
+
+    NOT_RUN = "not run"
+    """The engine said that it did not begin, as it is full or loads weights."""
+
+    NOT_THERE = "not there"
+    """Another engine has the address."""
+
+    FAILED = "failed"
+    """The engine ended the run with a failure of its own."""
+
+    IMPOSSIBLE = "impossible"
+    """The engine said that this item can never be done."""
+
+
+@dataclass(frozen=True, slots=True)
+class ItemRunEnded:
+    """The last thing a run of an item brings."""
+
+    end: ItemRunEnd
+    detail: str = ""
+
+
+class ItemClient:
+    """Client of engines for the items of batch jobs.
+
+    Parameters
+    ----------
+    sessions : TargetSessions
+        Connections to use.
+    """
+
+    __slots__ = ("_sessions",)
+
+    def __init__(self, sessions: TargetSessions):
+        self._sessions = sessions
+
+    async def run(
+        self,
+        target: ListedTarget,
+        host: str,
+        item: JobItem,
+        after_piece: int,
+        urgency: int,
+        first_patience_seconds: float,
+        next_patience_seconds: float,
+    ) -> AsyncIterator[TextPiece | ItemRunEnded]:
+        """Run an item from after a piece on; closing the iterator ends the engine's work.
+
+        Yields
+        ------
+        TextPiece or ItemRunEnded
+            The pieces in order, then how the run ended.
+        """
+        headers = _run_headers(target, host, item, after_piece, urgency)
+        url = URL(target.url + item.path, encoded=True)
+        loop = asyncio.get_running_loop()
+        try:
+            async with (
+                asyncio.timeout(first_patience_seconds) as limit,
+                self._sessions.kept.post(
+                    url, data=item.body, headers=headers, allow_redirects=False
+                ) as answer,
+            ):
+                parser = _event_parser(answer, item.item_id)
+                if isinstance(parser, ItemRunEnded):
+                    # What may still come on the connection belongs to nobody.
+                    answer.close()
+                    yield parser
+                    return
+                async for data in answer.content.iter_any():
+                    limit.reschedule(loop.time() + next_patience_seconds)
+                    for piece in parser.feed(data):
+                        yield piece
+                    if parser.fault:
+                        answer.close()
+                        yield ItemRunEnded(ItemRunEnd.BROKEN, parser.fault)
+                        return
+            yield ItemRunEnded(ItemRunEnd.WHOLE)
+        except NOT_SENT_ERRORS as error:
+            yield ItemRunEnded(ItemRunEnd.SILENT, f"cannot connect: {type(error).__name__}")
+        except TimeoutError:
+            yield ItemRunEnded(ItemRunEnd.SILENT, "nothing came in time")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            yield ItemRunEnded(ItemRunEnd.BROKEN, f"{type(error).__name__}: {error}")
+
+
+def _run_headers(
+    target: ListedTarget, host: str, item: JobItem, after_piece: int, urgency: int
+) -> CIMultiDict[str]:
+    headers = CIMultiDict(item.headers)
+    headers["Host"] = host
+    headers[REQUEST_ID_HEADER] = item.item_id
+    headers[EXPECT_INSTANCE_HEADER] = target.instance
+    headers[URGENCY_HEADER] = str(urgency)
+    if after_piece:
+        headers[LAST_EVENT_HEADER] = str(after_piece)
+    return headers
+
+
+def _event_parser(answer: aiohttp.ClientResponse, item_id: str) -> EventParser | ItemRunEnded:
+    """Return what reads an answer's events, or why it brings none."""
+    ended = _item_refusal(answer, item_id)
+    if ended is not None:
+        return ended
+    version = answer.headers.get(VERSIONS_HEADER, "")
+    if not version.isdigit():
+        return ItemRunEnded(ItemRunEnd.BROKEN, "the answer names no version")
+    return EventParser(int(version))
+
+
+def _item_refusal(answer: aiohttp.ClientResponse, item_id: str) -> ItemRunEnded | None:
+    fault = refusal_or_fault(answer, item_id)
+    if fault is not None:
+        if fault.not_there:
+            return ItemRunEnded(ItemRunEnd.NOT_THERE, fault.detail)
+        end = ItemRunEnd.BROKEN if fault.may_have_run else ItemRunEnd.NOT_RUN
+        return ItemRunEnded(end, fault.detail)
+    if answer.status == 422:
+        return ItemRunEnded(ItemRunEnd.IMPOSSIBLE, "status 422")
+    if answer.status == 500:
+        return ItemRunEnded(ItemRunEnd.FAILED, "status 500")
+    if answer.status != 200:
+        return ItemRunEnded(ItemRunEnd.BROKEN, f"status {answer.status}")
+    return None
--- /dev/null
+++ b/rackswitch/platform/target_calls.py
@@ -0,0 +1,123 @@
+"""Passing callers' calls through to the platform's engines and plain services."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from rackswitch.clients.http import NOT_SENT_ERRORS
+from rackswitch.platform.answers import end_to_end_headers, refusal_or_fault
+from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.names import DEADLINE_HEADER, EXPECT_INSTANCE_HEADER, REQUEST_ID_HEADER
+from rackswitch.requests import Call, TargetAnswer, TargetFailed, TargetStream
+from rackswitch.routing import ListedTarget
+
+__all__ = ["TargetClient"]
+
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+"""What a call that brings no whole answer may raise."""
+
+
+class TargetClient:
+    """Passes calls through, unchanged but for the platform's own headers.
+
+    Parameters
+    ----------
+    sessions : TargetSessions
+        Connections to use.
+    """
+
+    __slots__ = ("_sessions",)
+
+    def __init__(self, sessions: TargetSessions):
+        self._sessions = sessions
+
+    async def forward(
+        self, target: ListedTarget, call: Call, deadline_seconds: float, fresh_connection: bool
+    ) -> TargetAnswer | TargetFailed:
+        """Send a call to a target once and read its whole answer."""
+        try:
+            async with (
+                asyncio.timeout_at(deadline_seconds),
+                self._open(target, call, deadline_seconds, fresh_connection) as answer,
+            ):
+                fault = refusal_or_fault(answer, call.request_id)
+                if fault is not None:
+                    # What may still come on the connection belongs to nobody.
+                    answer.close()
+                    return fault
+                body = await answer.read()
+        except CALL_ERRORS as error:
+            return _failure(error)
+        return TargetAnswer(answer.status, end_to_end_headers(answer.headers), body)
+
+    async def open_stream(
+        self, target: ListedTarget, call: Call, deadline_seconds: float, fresh_connection: bool
+    ) -> TargetStream | TargetAnswer | TargetFailed:
+        """Send a call and return its answer as soon as its head is there.
+
+        An answer that is no success is read whole, since it is no stream.
+        """
+        request = self._open(target, call, deadline_seconds, fresh_connection)
+        try:
+            async with asyncio.timeout_at(deadline_seconds):
+                answer = await request
+        except CALL_ERRORS as error:
+            return _failure(error)
+        fault = refusal_or_fault(answer, call.request_id)
+        if fault is not None:
+            answer.close()
+            return fault
+        headers = end_to_end_headers(answer.headers)
+        if 200 <= answer.status < 300:
+            return TargetStream(answer.status, headers, _body_pieces(answer), answer.close)
+        try:
+            async with asyncio.timeout_at(deadline_seconds), answer:
+                return TargetAnswer(answer.status, headers, await answer.read())
+        except CALL_ERRORS as error:
+            return _failure(error)
+
+    def _open(
+        self, target: ListedTarget, call: Call, deadline_seconds: float, fresh_connection: bool
+    ) -> Any:
+        session = self._sessions.single_use if fresh_connection else self._sessions.kept
+        left_seconds = deadline_seconds - asyncio.get_running_loop().time()
+        headers = CIMultiDict(end_to_end_headers(call.headers))
+        headers["Host"] = call.host
+        headers[REQUEST_ID_HEADER] = call.request_id
+        headers[EXPECT_INSTANCE_HEADER] = target.instance
+        headers[DEADLINE_HEADER] = str(max(1, int(left_seconds * 1000)))
+        return session.request(
+            call.method,
+            URL(target.url + call.path, encoded=True),
+            data=call.body or None,
+            headers=headers,
+            allow_redirects=False,
+        )
+
+
+def _failure(error: Exception) -> TargetFailed:
+    if isinstance(error, NOT_SENT_ERRORS):
+        return TargetFailed(False, f"cannot connect: {type(error).__name__}", silent=True)
+    silent = isinstance(error, TimeoutError)
+    return TargetFailed(True, f"no whole answer: {type(error).__name__}", silent=silent)
+
+
+async def _body_pieces(answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield a body as it comes.
+
+    Raises
+    ------
+    ConnectionError
+        If it breaks off.
+    """
+    try:
+        async for data in answer.content.iter_any():
+            yield data
+    except (aiohttp.ClientError, OSError) as error:
+        raise ConnectionError(str(error)) from error
+    finally:
+        answer.close()
