--- /dev/null
+++ b/rackswitch/gateway/call_edge.py
@@ -0,0 +1,113 @@
+"""Callers' calls over HTTP: a target's answer or stream, or the truth about it."""
+
+import asyncio
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.departures import done_before_gone
+from rackswitch.gateway.refusals import TEXT, Refusal, refuse
+from rackswitch.gateway.request_front import RequestFront, outcome_label
+from rackswitch.gateway.stream_relay import StreamRelay
+from rackswitch.outcomes import MayHaveRun, NotRun
+from rackswitch.requests import Call, TargetAnswer, TargetStream
+from rackswitch.table import RouteRow
+from rackswitch.web.exchange import Exchange
+
+__all__ = ["CallEdge"]
+
+
+class CallEdge:
+    """Answers callers whose calls are passed through.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    front : RequestFront
+        Serves calls.
+    """
+
+    __slots__ = ("_context", "_front")
+
+    def __init__(self, context: GatewayContext, front: RequestFront):
+        self._context = context
+        self._front = front
+
+    async def serve(
+        self,
+        exchange: Exchange,
+        route: RouteRow,
+        call: Call,
+        deadline_seconds: float,
+        arrived_seconds: float,
+    ) -> None:
+        """Serve a call, and give its work up if the caller leaves first."""
+        log = self._front.new_log(route)
+        work = asyncio.create_task(
+            self._front.call(route, call, deadline_seconds, log, as_stream=route.streams)
+        )
+        if not await done_before_gone(exchange, work):
+            self._log_end(route, call, arrived_seconds, "caller left", 0, "")
+            return
+        answer = work.result()
+        outcome = answer.outcome
+        label = outcome_label(outcome)
+        if isinstance(outcome, TargetAnswer):
+            await exchange.respond(outcome.status, outcome.headers, outcome.body)
+        elif isinstance(outcome, TargetStream):
+            relay = StreamRelay(self._front, route, call, deadline_seconds, log)
+            label = await self._relay(exchange, relay, outcome, answer.target)
+        elif isinstance(outcome, NotRun):
+            retry_at_seconds = outcome.retry_at_seconds or self._context.now_seconds()
+            left_seconds = max(0.0, retry_at_seconds - self._context.now_seconds())
+            await refuse(exchange, self._context.log, Refusal(503, outcome.detail, left_seconds))
+        else:
+            await self._fail(exchange, outcome, deadline_seconds)
+        self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.target)
+
+    async def _relay(
+        self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: str
+    ) -> str:
+        """Pass a stream on as it comes; return how that ended."""
+        pieces = relay.pieces(stream, target)
+        sending = asyncio.create_task(exchange.stream(stream.status, stream.headers, pieces))
+        try:
+            if not await done_before_gone(exchange, sending):
+                return "caller left"
+            sending.result()
+        finally:
+            await pieces.aclose()
+        return f"{stream.status}, resumed {relay.resumed} times"
+
+    def _log_end(
+        self,
+        route: RouteRow,
+        call: Call,
+        arrived_seconds: float,
+        outcome: str,
+        attempts: int,
+        target: str,
+    ) -> None:
+        elapsed_seconds = self._context.now_seconds() - arrived_seconds
+        self._context.daemon.telemetry.request_ended(
+            route.name, route.caller_class, _short_label(outcome), elapsed_seconds
+        )
+        self._context.log.write(
+            "request ended",
+            request=call.request_id,
+            route=route.name,
+            table_revision=self._context.table_revision,
+            target=target,
+            attempts=attempts,
+            elapsed_seconds=round(elapsed_seconds, 4),
+            outcome=outcome,
+        )
+
+    async def _fail(self, exchange: Exchange, outcome: MayHaveRun, deadline_seconds: float) -> None:
+        """Answer without a promise whether the request has run."""
+        late = self._context.now_seconds() >= deadline_seconds
+        await exchange.respond(504 if late else 502, TEXT, outcome.detail.encode())
+
+
+def _short_label(outcome: str) -> str:
+    """Return an outcome without its detail, so that metrics have few labels."""
+    return outcome.partition(":")[0].partition(",")[0]
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -10,10 +10,12 @@
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.settings import DaemonSettings
+from rackswitch.gateway.call_edge import CallEdge
 from rackswitch.gateway.contact import StoreContact
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.edge import CallerEdge
 from rackswitch.gateway.item_runner import ItemRunner
+from rackswitch.gateway.job_edge import JobEdge
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_reader import JobReader
 from rackswitch.gateway.job_store import JOBS_PREFIX, OWNERS_PREFIX, JobStore
@@ -102,7 +104,11 @@
         }
         self.copies = CopyKeeper(self.context, handlers)
         self._peers = GatewayPeersService(self.context, self.copies, reader)
-        edge = CallerEdge(self.context, self.front, self.jobs, reader)
+        edge = CallerEdge(
+            self.context,
+            CallEdge(self.context, self.front),
+            JobEdge(self.context, self.jobs, reader),
+        )
         self._servers = _servers(settings, edge, self._on_ready, self._on_metrics)
 
     async def start(self) -> None:
--- /dev/null
+++ b/rackswitch/gateway/job_edge.py
@@ -0,0 +1,190 @@
+"""Trainers' batch jobs over HTTP: submitting, reading and ending them."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.departures import done_before_gone
+from rackswitch.gateway.job_keeper import JobKeeper
+from rackswitch.gateway.job_reader import JobReader, JobUnknown, JobUnsure
+from rackswitch.gateway.job_store import (
+    JobCreated,
+    JobKnown,
+    JobMarker,
+    JobNotStored,
+    JobTooLarge,
+)
+from rackswitch.gateway.refusals import TEXT, Refusal, refuse
+from rackswitch.jobs import check_job
+from rackswitch.platform.ingress import (
+    EndJob,
+    JobCall,
+    MalformedRequest,
+    ReadItem,
+    ReadResults,
+    decode_job,
+    encode_results,
+)
+from rackswitch.table import RouteRow
+from rackswitch.web.exchange import Exchange
+
+__all__ = ["JobEdge"]
+
+COME_BACK_SECONDS = 0.3
+"""When a refused trainer should come back: another daemon may take the job at once."""
+
+JSON = (("content-type", "application/json"),)
+BYTES = (("content-type", "application/octet-stream"),)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answered:
+    """What a trainer was told of its job."""
+
+    status: int
+    detail: str
+
+
+class JobEdge:
+    """Answers trainers.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    keeper : JobKeeper
+        Takes and ends jobs.
+    reader : JobReader
+        Reads jobs.
+    """
+
+    __slots__ = ("_context", "_keeper", "_reader")
+
+    def __init__(self, context: GatewayContext, keeper: JobKeeper, reader: JobReader):
+        self._context = context
+        self._keeper = keeper
+        self._reader = reader
+
+    async def submit(
+        self, exchange: Exchange, route: RouteRow, job_id: str, host: str, body: bytes
+    ) -> None:
+        """Take a batch job, or say why not."""
+        job = decode_job(job_id, host, exchange.path, body, time.time())
+        if isinstance(job, MalformedRequest):
+            await refuse(exchange, self._context.log, Refusal(400, job.detail))
+            return
+        fault = check_job(job)
+        if fault is not None:
+            await refuse(exchange, self._context.log, Refusal(400, fault))
+            return
+        if self._context.daemon.stopping:
+            await refuse(
+                exchange,
+                self._context.log,
+                Refusal(503, "this daemon is stopping", COME_BACK_SECONDS),
+            )
+            return
+        outcome = await self._keeper.submit(job)
+        answered = await self._answer_submission(exchange, outcome)
+        self._context.log.write(
+            "job submitted",
+            job=job_id,
+            route=route.name,
+            step=job.step,
+            items=len(job.items),
+            table_revision=self._context.table_revision,
+            outcome=answered.status,
+            detail=answered.detail,
+        )
+
+    async def _answer_submission(
+        self, exchange: Exchange, outcome: JobCreated | JobKnown | JobTooLarge | JobNotStored
+    ) -> _Answered:
+        if isinstance(outcome, JobCreated | JobKnown):
+            await exchange.respond(202)
+            return _Answered(202, type(outcome).__name__)
+        if isinstance(outcome, JobNotStored) and outcome.effect_unknown:
+            await exchange.respond(504, TEXT, b"the job may have been taken; send it again")
+            return _Answered(504, outcome.detail)
+        if isinstance(outcome, JobTooLarge):
+            refusal = Refusal(413, outcome.detail)
+        else:
+            refusal = Refusal(503, outcome.detail, COME_BACK_SECONDS)
+        await refuse(exchange, self._context.log, refusal)
+        return _Answered(refusal.status, refusal.detail)
+
+    async def serve(self, exchange: Exchange, call: JobCall, arrived_seconds: float) -> None:
+        """Serve a call about a batch job."""
+        if isinstance(call, ReadResults):
+            await self._read_results(exchange, call, arrived_seconds)
+        elif isinstance(call, ReadItem):
+            await self._read_item(exchange, call)
+        else:
+            await self._end_job(exchange, call)
+
+    async def _read_item(self, exchange: Exchange, call: ReadItem) -> None:
+        body = await self._reader.item(call.job_id, call.item_id)
+        if isinstance(body, bytes):
+            await exchange.respond(200, BYTES, body)
+        else:
+            await self._refuse_job_call(exchange, body, call)
+
+    async def _read_results(
+        self, exchange: Exchange, call: ReadResults, arrived_seconds: float
+    ) -> None:
+        deadline_seconds = arrived_seconds + call.wait_seconds
+        work = asyncio.create_task(
+            self._reader.results(call.job_id, call.position, deadline_seconds)
+        )
+        if not await done_before_gone(exchange, work):
+            return
+        page = work.result()
+        if isinstance(page, JobUnknown | JobUnsure):
+            await self._refuse_job_call(exchange, page, call)
+            return
+        self._context.log.write(
+            "results read",
+            job=call.job_id,
+            position=call.position,
+            count=len(page.results),
+            source=page.source,
+            listed=page.listed,
+            elapsed_seconds=round(self._context.now_seconds() - arrived_seconds, 4),
+        )
+        body = encode_results(page.total, call.position, page.results)
+        await exchange.respond(200, JSON, body)
+
+    async def _end_job(self, exchange: Exchange, call: EndJob) -> None:
+        marker = await self._reader.marker(call.job_id)
+        if not isinstance(marker, JobMarker):
+            await self._refuse_job_call(exchange, marker, call)
+            return
+        failure = await self._keeper.end(marker)
+        outcome = "ended" if failure is None else failure.detail
+        self._context.log.write("job ended", job=call.job_id, outcome=outcome)
+        if failure is None:
+            await exchange.respond(200)
+        else:
+            await refuse(
+                exchange, self._context.log, Refusal(503, failure.detail, COME_BACK_SECONDS)
+            )
+
+    async def _refuse_job_call(
+        self, exchange: Exchange, reason: JobUnknown | JobUnsure, call: JobCall
+    ) -> None:
+        self._context.log.write(
+            "job call refused",
+            job=call.job_id,
+            call=type(call).__name__,
+            outcome=type(reason).__name__,
+            detail=reason.detail if isinstance(reason, JobUnsure) else "",
+        )
+        if isinstance(reason, JobUnsure):
+            await refuse(
+                exchange,
+                self._context.log,
+                Refusal(503, "the job cannot be read now", COME_BACK_SECONDS),
+            )
+        else:
+            await refuse(exchange, self._context.log, Refusal(404, "there is no such job or item"))
