Job store and platform store: messages and encodings apart from the calls

job_store.py keeps the calls; job_records.py holds the keys and values (JobMarker, key_part, pack_ and unpack_ functions), job_outcomes.py the outcomes of writes. Results that daemons pass on are packed by the same functions, which had been written out twice. platform/store.py keeps its calls; store_messages.py holds the service's messages. Behaviour is unchanged.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -18,7 +18,8 @@
 from rackswitch.gateway.job_edge import JobEdge
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_reader import JobReader
-from rackswitch.gateway.job_store import JOBS_PREFIX, OWNERS_PREFIX, JobStore
+from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX
+from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.peer_service import GatewayPeersService
 from rackswitch.gateway.request_front import RequestFront
 from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member
--- a/rackswitch/gateway/job_edge.py
+++ b/rackswitch/gateway/job_edge.py
@@ -7,14 +7,9 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.departures import done_before_gone
 from rackswitch.gateway.job_keeper import JobKeeper
+from rackswitch.gateway.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
 from rackswitch.gateway.job_reader import JobReader, JobUnknown, JobUnsure
-from rackswitch.gateway.job_store import (
-    JobCreated,
-    JobKnown,
-    JobMarker,
-    JobNotStored,
-    JobTooLarge,
-)
+from rackswitch.gateway.job_records import JobMarker
 from rackswitch.gateway.refusals import TEXT, Refusal, refuse
 from rackswitch.jobs import check_job
 from rackswitch.platform.ingress import (
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -11,18 +11,15 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.item_starter import ItemStarter
-from rackswitch.gateway.job_store import (
+from rackswitch.gateway.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
+from rackswitch.gateway.job_records import (
     JOBS_PREFIX,
     OWNERS_PREFIX,
-    JobCreated,
-    JobKnown,
     JobMarker,
-    JobNotStored,
-    JobStore,
-    JobTooLarge,
     key_part,
     marker_of,
 )
+from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.gateway.result_appender import ResultAppender
 from rackswitch.gateway.session import Session
--- a/rackswitch/gateway/job_reader.py
+++ b/rackswitch/gateway/job_reader.py
@@ -1,7 +1,6 @@
 """Reading jobs at any daemon: from the owner's memory, or from the key-value service."""
 
 import asyncio
-import zlib
 from dataclasses import dataclass
 
 import msgspec
@@ -9,7 +8,8 @@
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.job_keeper import JobKeeper
-from rackswitch.gateway.job_store import JobMarker, JobStore
+from rackswitch.gateway.job_records import JobMarker, unpack_results
+from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.gateway.session import Session
 from rackswitch.jobs import Job, JobResult
@@ -146,7 +146,7 @@
         )
         if isinstance(reply, PeerUnreachable) or not reply.owned:
             return None
-        results = msgspec.msgpack.decode(zlib.decompress(reply.results), type=list[JobResult])
+        results = unpack_results(reply.results)
         return ResultsPage(reply.total, results, f"owner {owner}", reply.listed)
 
     async def item(self, job_id: str, item_id: str) -> bytes | JobUnknown | JobUnsure:
--- /dev/null
+++ b/rackswitch/gateway/job_records.py
@@ -0,0 +1,94 @@
+"""Keys and values of batch jobs in the key-value service, and as daemons pass them on."""
+
+import re
+import zlib
+from hashlib import blake2b
+
+import msgspec
+
+from rackswitch.clients.kv import KvEntry
+from rackswitch.jobs import Job, JobResult
+
+__all__ = [
+    "ITEMS_PREFIX",
+    "JOBS_PREFIX",
+    "OWNERS_PREFIX",
+    "RESULTS_PREFIX",
+    "JobMarker",
+    "key_part",
+    "marker_of",
+    "pack_items",
+    "pack_results",
+    "unpack_items",
+    "unpack_results",
+]
+
+JOBS_PREFIX = "control/jobs/"
+OWNERS_PREFIX = "control/owners/"
+ITEMS_PREFIX = "items/"
+RESULTS_PREFIX = "results/"
+
+CHUNK_BYTES = 700_000
+"""As base64 it stays below the 1 MiB that a value may have."""
+
+COMPRESSION_LEVEL = 1
+"""Texts shrink little; more effort is not worth the processor time."""
+
+PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+
+class JobMarker(msgspec.Struct, frozen=True):
+    """What every daemon knows of a job.
+
+    Attributes
+    ----------
+    model, oldest_version : str, int
+        The model whose engines run it, and the oldest version that may.
+    """
+
+    job_id: str
+    total: int
+    submitted_at_unix_seconds: float
+    model: str = ""
+    oldest_version: int = 0
+    ended: bool = False
+
+
+def marker_of(job: Job) -> JobMarker:
+    """Return the marker of a new job."""
+    return JobMarker(
+        job.job_id,
+        len(job.items),
+        job.submitted_at_unix_seconds,
+        job.model,
+        job.oldest_version,
+    )
+
+
+def key_part(identity: str) -> str:
+    """Return a form of a caller's identity that is safe and short in a key."""
+    if PLAIN_ID.fullmatch(identity):
+        return identity
+    return "." + blake2b(identity.encode(), digest_size=16).hexdigest()
+
+
+def pack_items(job: Job) -> list[bytes]:
+    """Return a job with its items, in chunks that a value may hold."""
+    encoded = zlib.compress(msgspec.msgpack.encode(job), COMPRESSION_LEVEL)
+    return [encoded[start : start + CHUNK_BYTES] for start in range(0, len(encoded), CHUNK_BYTES)]
+
+
+def unpack_items(entries: tuple[KvEntry, ...]) -> Job:
+    """Return the job whose chunks these entries hold, in any order."""
+    chunks = [entry.value for entry in sorted(entries, key=lambda entry: entry.key)]
+    return msgspec.msgpack.decode(zlib.decompress(b"".join(chunks)), type=Job)
+
+
+def pack_results(results: list[JobResult]) -> bytes:
+    """Return results as one value."""
+    return zlib.compress(msgspec.msgpack.encode(results), COMPRESSION_LEVEL)
+
+
+def unpack_results(value: bytes) -> list[JobResult]:
+    """Return the results that a value holds."""
+    return msgspec.msgpack.decode(zlib.decompress(value), type=list[JobResult])
--- a/rackswitch/gateway/job_store.py
+++ b/rackswitch/gateway/job_store.py
@@ -7,126 +7,46 @@
 positions never move and a former owner cannot append.
 """
 
-import re
-import zlib
-from dataclasses import dataclass
-from hashlib import blake2b
-
 import msgspec
 
-from rackswitch.clients.kv import Compare, KvEntry, KvRead, KvUnavailable, Operation, TxnPart
+from rackswitch.clients.kv import (
+    Compare,
+    KvEntry,
+    KvRead,
+    KvUnavailable,
+    Operation,
+    TxnPart,
+    TxnPartDone,
+)
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_outcomes import (
+    AppendConflict,
+    Appended,
+    JobCreated,
+    JobKnown,
+    JobNotStored,
+    JobTooLarge,
+)
+from rackswitch.gateway.job_records import (
+    ITEMS_PREFIX,
+    JOBS_PREFIX,
+    OWNERS_PREFIX,
+    RESULTS_PREFIX,
+    JobMarker,
+    key_part,
+    marker_of,
+    pack_items,
+    pack_results,
+    unpack_items,
+    unpack_results,
+)
 from rackswitch.jobs import Job, JobResult
 
-__all__ = [
-    "JOBS_PREFIX",
-    "OWNERS_PREFIX",
-    "AppendConflict",
-    "Appended",
-    "JobCreated",
-    "JobKnown",
-    "JobMarker",
-    "JobNotStored",
-    "JobStore",
-    "JobTooLarge",
-    "key_part",
-    "marker_of",
-]
-
-JOBS_PREFIX = "control/jobs/"
-OWNERS_PREFIX = "control/owners/"
-ITEMS_PREFIX = "items/"
-RESULTS_PREFIX = "results/"
-
-CHUNK_BYTES = 700_000
-"""As base64 it stays below the 1 MiB that a value may have."""
+__all__ = ["JobStore"]
 
 MOST_CHUNKS = 24
 """A call takes 32 entries; some are for the marker, the owner and the conditions."""
 
-COMPRESSION_LEVEL = 1
-PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
-
-
-class JobMarker(msgspec.Struct, frozen=True):
-    """What every daemon knows of a job.
-
-    Attributes
-    ----------
-    model, oldest_version : str, int
-        The model whose engines run it, and the oldest version that may.
-    """
-
-    job_id: str
-    total: int
-    submitted_at_unix_seconds: float
-    model: str = ""
-    oldest_version: int = 0
-    ended: bool = False
-
-
-def marker_of(job: Job) -> JobMarker:
-    """Return the marker of a new job."""
-    return JobMarker(
-        job.job_id,
-        len(job.items),
-        job.submitted_at_unix_seconds,
-        job.model,
-        job.oldest_version,
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class JobCreated:
-    """The job is kept; `owner_revision` fences its owner's writes."""
-
-    owner_revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class JobKnown:
-    """The job was kept before."""
-
-
-@dataclass(frozen=True, slots=True)
-class JobTooLarge:
-    """The job does not fit."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class JobNotStored:
-    """The service did not take the write.
-
-    Attributes
-    ----------
-    effect_unknown : bool
-        True if the write may have taken effect, or may still.
-    """
-
-    detail: str
-    effect_unknown: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Appended:
-    """A segment is kept: the one proposed, or an earlier proposal of this owner."""
-
-    results: list[JobResult]
-
-
-@dataclass(frozen=True, slots=True)
-class AppendConflict:
-    """The writer does not own the job any more."""
-
-
-def key_part(identity: str) -> str:
-    """Return a form of a caller's identity that is safe and short in a key."""
-    if PLAIN_ID.fullmatch(identity):
-        return identity
-    return "." + blake2b(identity.encode(), digest_size=16).hexdigest()
-
 
 class JobStore:
     """Reads and writes jobs.
@@ -147,7 +67,7 @@
     ) -> JobCreated | JobKnown | JobTooLarge | JobNotStored:
         """Keep a job and own it, in one write."""
         part_name = key_part(job.job_id)
-        chunks = _encode_items(job)
+        chunks = pack_items(job)
         if len(chunks) > MOST_CHUNKS:
             return JobTooLarge(f"the job takes {len(chunks)} chunks, at most {MOST_CHUNKS} fit")
         marker = marker_of(job)
@@ -193,7 +113,7 @@
             return read
         if not read.entries:
             return None
-        return _decode_items(read.entries)
+        return unpack_items(read.entries)
 
     async def load_results(
         self, job_id: str, from_position: int
@@ -207,7 +127,7 @@
             return read
         results: list[JobResult] = []
         for entry in sorted(read.entries, key=lambda entry: entry.key):
-            results.extend(_decode_results(entry.value))
+            results.extend(unpack_results(entry.value))
         return results
 
     async def load_marker(self, job_id: str) -> KvEntry | None | KvUnavailable:
@@ -224,13 +144,12 @@
         """Keep a segment of results, under the owner's fence."""
         part_name = key_part(job_id)
         key = f"{RESULTS_PREFIX}{part_name}/{position:08d}"
-        encoded = zlib.compress(msgspec.msgpack.encode(results), COMPRESSION_LEVEL)
         part = TxnPart(
             (
                 Compare(key, "mod", 0),
                 Compare(OWNERS_PREFIX + part_name, "mod", owner_revision),
             ),
-            (Operation(key, encoded),),
+            (Operation(key, pack_results(results)),),
         )
         done = await self._txn(part)
         if isinstance(done, JobNotStored):
@@ -259,7 +178,7 @@
             return AppendConflict()
         if not segment.entries:
             return JobNotStored("the segment was not taken", effect_unknown=False)
-        return Appended(_decode_results(segment.entries[0].value))
+        return Appended(unpack_results(segment.entries[0].value))
 
     async def end(self, marker: JobMarker) -> None | JobNotStored:
         """Mark a job as ended and take its owner away, in one write."""
@@ -284,7 +203,7 @@
         self._note(read)
         return read
 
-    async def _txn(self, part: TxnPart):
+    async def _txn(self, part: TxnPart) -> TxnPartDone | JobNotStored:
         done = await self._context.kv.txn([part])
         self._note(done)
         if isinstance(done, KvUnavailable):
@@ -299,17 +218,3 @@
             self._context.contact.failed(now_seconds, answer.detail)
         else:
             self._context.contact.answered(now_seconds)
-
-
-def _encode_items(job: Job) -> list[bytes]:
-    encoded = zlib.compress(msgspec.msgpack.encode(job), COMPRESSION_LEVEL)
-    return [encoded[start : start + CHUNK_BYTES] for start in range(0, len(encoded), CHUNK_BYTES)]
-
-
-def _decode_items(entries: tuple[KvEntry, ...]) -> Job:
-    chunks = [entry.value for entry in sorted(entries, key=lambda entry: entry.key)]
-    return msgspec.msgpack.decode(zlib.decompress(b"".join(chunks)), type=Job)
-
-
-def _decode_results(value: bytes) -> list[JobResult]:
-    return msgspec.msgpack.decode(zlib.decompress(value), type=list[JobResult])
--- a/rackswitch/gateway/peer_service.py
+++ b/rackswitch/gateway/peer_service.py
@@ -1,22 +1,18 @@
 """The calls that other gateways make to this one."""
 
 import asyncio
-import zlib
 
-import msgspec
 from grpclib.server import Server, Stream
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.job_reader import JobReader, ResultsPage
+from rackswitch.gateway.job_records import pack_results
 from rackswitch.gateway.watching import CopyKeeper
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersBase
 
 __all__ = ["GatewayPeersService"]
 
-COMPRESSION_LEVEL = 1
-"""Texts shrink little; more effort is not worth the processor time."""
-
 
 class GatewayPeersService(GatewayPeersBase):
     """Serves the other gateways of the fleet.
@@ -61,8 +57,10 @@
         page = await self._reader.owned_page(request.job_id, request.position, deadline_seconds)
         reply = pb.ReadJobReply(owned=False)
         if isinstance(page, ResultsPage):
-            encoded = zlib.compress(msgspec.msgpack.encode(page.results), COMPRESSION_LEVEL)
             reply = pb.ReadJobReply(
-                owned=True, total=page.total, listed=page.listed, results=encoded
+                owned=True,
+                total=page.total,
+                listed=page.listed,
+                results=pack_results(page.results),
             )
         await stream.send_message(reply)
--- a/rackswitch/gateway/result_appender.py
+++ b/rackswitch/gateway/result_appender.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.job_store import AppendConflict, Appended, JobStore, key_part
+from rackswitch.gateway.job_outcomes import AppendConflict, Appended
+from rackswitch.gateway.job_records import key_part
+from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.jobs import JobOrphans
 
--- a/rackswitch/gateway/tests/test_job_keeper.py
+++ b/rackswitch/gateway/tests/test_job_keeper.py
@@ -3,7 +3,8 @@
 from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.tests.support import run_virtual
 from rackswitch.gateway.job_keeper import ADOPT_AFTER_SECONDS, JobKeeper
-from rackswitch.gateway.job_store import OWNERS_PREFIX, JobStore
+from rackswitch.gateway.job_records import OWNERS_PREFIX
+from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.session import Session
 from rackswitch.gateway.tests.support import make_gateway_context
 from rackswitch.jobs.tests.support import make_job
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -5,10 +5,9 @@
 """
 
 import asyncio
-from base64 import b64decode, b64encode
 from collections import Counter
 from collections.abc import AsyncIterator
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import urlencode
 
 import aiohttp
@@ -25,7 +24,19 @@
     TxnPartDone,
     WatchNews,
 )
-from rackswitch.outcomes import check_invariant
+from rackswitch.platform.store_messages import (
+    StoreAnswer,
+    WireConflict,
+    WireKey,
+    WireLease,
+    WireRange,
+    WireTxnDone,
+    WireWatch,
+    checked_answer,
+    present_entry,
+    txn_body,
+    without_effect,
+)
 
 __all__ = ["PROTOCOL_NAME", "PlatformKvClient"]
 
@@ -43,64 +54,6 @@
 
 MOST_PAGES = 200
 
-T = TypeVar("T")
-
-
-class _WireItem(msgspec.Struct, frozen=True):
-    key: str
-    value: str = ""
-    # The revision of the last change, where other services say "mod revision".
-    revision: int = 0
-    create_revision: int = 0
-    tombstone: bool = False
-
-    def entry(self) -> KvEntry:
-        return KvEntry(self.key, b64decode(self.value), self.create_revision, self.revision)
-
-
-class _WireKey(_WireItem, frozen=True):
-    store_revision: int = 0
-
-
-class _WireRange(msgspec.Struct, frozen=True):
-    store_revision: int
-    items: list[_WireItem] = []
-    truncated: bool = False
-
-
-class _WireWatch(msgspec.Struct, frozen=True):
-    store_revision: int
-    events: list[_WireItem] = []
-
-
-class _WireTxnDone(msgspec.Struct, frozen=True):
-    revision: int
-
-
-class _WireConflict(msgspec.Struct, frozen=True):
-    items: list[_WireItem] = []
-
-
-class _WireLease(msgspec.Struct, frozen=True):
-    ttl_ms: float
-    lease: int = 0
-
-
-class _Answer:
-    """Status and content of one call."""
-
-    __slots__ = ("content", "status")
-
-    def __init__(self, status: int, content: bytes):
-        self.status = status
-        self.content = content
-
-    def decode(self, kind: type[T]) -> T | KvUnavailable:
-        try:
-            return msgspec.json.decode(self.content, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return KvUnavailable(f"cannot read the answer: {error}", effect_unknown=True)
-
 
 @KV_CLIENTS.register(PROTOCOL_NAME)
 class PlatformKvClient:
@@ -133,15 +86,15 @@
             return await self.read_from(key, "")
         answer = await self._call("GET", "/rackswitch/kv-key", {"key": key})
         if isinstance(answer, KvUnavailable):
-            return _without_effect(answer)
+            return without_effect(answer)
         if answer.status == 404:
             # Only an answer of the service itself counts as "no such key".
-            missing = answer.decode(_WireRange)
-            revision = missing.store_revision if isinstance(missing, _WireRange) else 0
+            missing = answer.decode(WireRange)
+            revision = missing.store_revision if isinstance(missing, WireRange) else 0
             return KvRead((), revision)
-        found = answer.decode(_WireKey)
+        found = answer.decode(WireKey)
         if isinstance(found, KvUnavailable):
-            return _without_effect(found)
+            return without_effect(found)
         return KvRead((found.entry(),), found.store_revision)
 
     async def read_from(self, prefix: str, after_key: str) -> KvRead | KvUnavailable:
@@ -158,10 +111,10 @@
             query = {"path_prefix": prefix, **({"since_rev": start} if start else {})}
             answer = await self._call("GET", "/rackswitch/kv-range", query)
             if isinstance(answer, KvUnavailable):
-                return _without_effect(answer)
-            page = answer.decode(_WireRange)
+                return without_effect(answer)
+            page = answer.decode(WireRange)
             if isinstance(page, KvUnavailable):
-                return _without_effect(page)
+                return without_effect(page)
             first_revision = first_revision or page.store_revision
             fresh = [item for item in page.items if item.key > start]
             for item in fresh:
@@ -183,17 +136,17 @@
         return done
 
     async def _txn_part(self, part: TxnPart) -> TxnPartDone | KvUnavailable:
-        answer = await self._call("POST", "/rackswitch/kv-txn", body=_txn_body(part))
+        answer = await self._call("POST", "/rackswitch/kv-txn", body=txn_body(part))
         if isinstance(answer, KvUnavailable):
             return answer
         if answer.status == 404:
             return TxnPartDone(False, None, 0, lease_gone=True)
         if answer.status == 412:
-            conflict = answer.decode(_WireConflict)
+            conflict = answer.decode(WireConflict)
             if isinstance(conflict, KvUnavailable):
                 return KvUnavailable(conflict.detail, effect_unknown=False)
-            return TxnPartDone(False, _present(part, conflict), 0)
-        written = answer.decode(_WireTxnDone)
+            return TxnPartDone(False, present_entry(part, conflict), 0)
+        written = answer.decode(WireTxnDone)
         if isinstance(written, KvUnavailable):
             return written
         return TxnPartDone(True, None, written.revision)
@@ -204,7 +157,7 @@
         answer = await self._call("POST", "/rackswitch/kv-lease", body=body)
         if isinstance(answer, KvUnavailable):
             return answer
-        granted = answer.decode(_WireLease)
+        granted = answer.decode(WireLease)
         if isinstance(granted, KvUnavailable):
             return granted
         return LeaseGranted(granted.lease, granted.ttl_ms / 1000)
@@ -233,11 +186,11 @@
             limit_seconds = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
             answer = await self._call("GET", "/rackswitch/kv-watch", query, None, limit_seconds)
             if isinstance(answer, KvUnavailable):
-                yield _without_effect(answer)
+                yield without_effect(answer)
                 return
-            news = answer.decode(_WireWatch)
+            news = answer.decode(WireWatch)
             if isinstance(news, KvUnavailable):
-                yield _without_effect(news)
+                yield without_effect(news)
                 return
             revision = max(revision, news.store_revision)
             yield WatchNews(
@@ -253,7 +206,7 @@
         query: dict[str, str] | None = None,
         body: Any = None,
         limit_seconds: float = CALL_TIMEOUT_SECONDS,
-    ) -> _Answer | KvUnavailable:
+    ) -> StoreAnswer | KvUnavailable:
         self.calls += 1
         self.calls_by_path[_call_name(path, query)] += 1
         url = self._url + path + ("?" + urlencode(query, safe="/") if query else "")
@@ -269,7 +222,7 @@
             return KvUnavailable(type(error).__name__, effect_unknown=False)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return KvUnavailable(type(error).__name__, effect_unknown=True)
-        return _checked(answer.status, content)
+        return checked_answer(answer.status, content)
 
 
 def _call_name(path: str, query: dict[str, str] | None) -> str:
@@ -277,42 +230,3 @@
     verb = path.split("/")[2]
     prefix = (query or {}).get("path_prefix", "").partition("/")[0]
     return f"{verb} {prefix}" if prefix else verb
-
-
-def _checked(status: int, content: bytes) -> _Answer | KvUnavailable:
-    if status in (200, 404, 412):
-        return _Answer(status, content)
-    if status == 410:
-        return KvUnavailable("the history is gone", effect_unknown=False, history_lost=True)
-    # By the platform's word a refusal with one of these means that nothing was done.
-    refused = status in (400, 403, 413, 429, 503)
-    return KvUnavailable(f"status {status}", effect_unknown=not refused)
-
-
-def _without_effect(answer: KvUnavailable) -> KvUnavailable:
-    return KvUnavailable(answer.detail, effect_unknown=False, history_lost=answer.history_lost)
-
-
-def _txn_body(part: TxnPart) -> dict[str, Any]:
-    # A key of ours is never written again where its create revision is compared, so both
-    # kinds of comparison are the same here.
-    expected = [{"key": compare.key, "revision": compare.revision} for compare in part.compares]
-    puts = []
-    removals = []
-    for operation in part.operations:
-        check_invariant(not operation.is_prefix, "this service deletes single keys only")
-        if operation.value is None:
-            removals.append(operation.key)
-            continue
-        value = b64encode(operation.value).decode()
-        puts.append({"key": operation.key, "value": value, "lease": operation.lease_id})
-    return {"expected": expected, "set_keys": puts, "remove": removals}
-
-
-def _present(part: TxnPart, conflict: _WireConflict) -> KvEntry | None:
-    wanted = part.read_keys or tuple(compare.key for compare in part.compares)
-    by_key = {item.key: item for item in conflict.items if not item.tombstone}
-    for key in wanted:
-        if key in by_key:
-            return by_key[key].entry()
-    return None
