Gateway: orders, listeners and control entries have modules of their own

version_keeper.py keeps the plan and the entry into the record; order_sender.py (OrderSender, PlannedLoad in place of tuples) sends one order and awaits its effect. From core.py: listeners.py (where a daemon listens, OwnPages), control_entries.py (members, jobs, owners, orders), daemon_context.py. Behaviour is unchanged.

--- /dev/null
+++ b/rackswitch/gateway/control_entries.py
@@ -0,0 +1,70 @@
+"""Handing on what daemons write for each other: members, jobs, owners and orders."""
+
+from rackswitch.clients.kv import KvEntry
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_keeper import JobKeeper
+from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX
+from rackswitch.gateway.session import MEMBERS_PREFIX, decode_member
+from rackswitch.gateway.version_keeper import ORDERS_PREFIX, VersionKeeper
+from rackswitch.gateway.watching import CopyHandlers
+from rackswitch.membership import VmEntry
+
+__all__ = ["CONTROL_PREFIX", "ControlEntries"]
+
+CONTROL_PREFIX = "control/"
+"""Members, job markers, job owners and records of orders: small entries that every daemon
+follows."""
+
+
+class ControlEntries:
+    """Takes in the entries under `CONTROL_PREFIX`.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon, whose membership learns of members.
+    jobs : JobKeeper
+        Told of jobs and their owners.
+    versions : VersionKeeper
+        Told of the records of orders.
+    """
+
+    __slots__ = ("_context", "_jobs", "_members", "_versions")
+
+    def __init__(self, context: GatewayContext, jobs: JobKeeper, versions: VersionKeeper):
+        self._context = context
+        self._jobs = jobs
+        self._versions = versions
+        self._members: dict[str, VmEntry] = {}
+
+    def handlers(self) -> CopyHandlers:
+        """Return what takes in the entries."""
+        return CopyHandlers(self._put, self._deleted)
+
+    def _put(self, entry: KvEntry) -> None:
+        if entry.key.startswith(MEMBERS_PREFIX):
+            self._take_member(entry)
+            self._members_changed()
+        elif entry.key.startswith(JOBS_PREFIX):
+            self._jobs.marker_put(entry)
+        elif entry.key.startswith(OWNERS_PREFIX):
+            self._jobs.owner_put(entry)
+        elif entry.key.startswith(ORDERS_PREFIX):
+            self._versions.orders_put(entry)
+
+    def _deleted(self, key: str) -> None:
+        if key.startswith(MEMBERS_PREFIX):
+            self._members.pop(key.removeprefix(MEMBERS_PREFIX), None)
+            self._members_changed()
+        elif key.startswith(JOBS_PREFIX):
+            self._jobs.marker_deleted(key)
+        elif key.startswith(OWNERS_PREFIX):
+            self._jobs.owner_deleted(key)
+
+    def _take_member(self, entry: KvEntry) -> None:
+        name = entry.key.removeprefix(MEMBERS_PREFIX)
+        self._members[name] = decode_member(name, entry.value)
+
+    def _members_changed(self) -> None:
+        membership = self._context.daemon.membership
+        membership.learn_listed(list(self._members.values()), self._context.now_seconds())
--- /dev/null
+++ b/rackswitch/gateway/daemon_context.py
@@ -0,0 +1,57 @@
+"""What a daemon on the operator platform has in common with a stand-alone one."""
+
+import random
+import time
+
+from rackswitch.clients.http import HttpSessions
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.daemon.settings import DaemonSettings
+from rackswitch.membership import Membership, MemberState, MemberUpdate
+from rackswitch.peers.links import PeerLinks
+from rackswitch.platform.settings import NodeSettings
+from rackswitch.platform.store import PROTOCOL_NAME, PlatformKvClient
+from rackswitch.table import TableView
+from rackswitch.telemetry import Telemetry
+
+__all__ = ["make_daemon_context"]
+
+ROLE_LEASE_SECONDS = 2.0
+"""Life of a role's lease; a successor waits for it and for the turn that the platform
+wants between two holders' orders."""
+
+
+def make_daemon_context(settings: NodeSettings, rng: random.Random) -> DaemonContext:
+    """Return the context of a daemon that has not started.
+
+    Services of the stand-alone deployment that the platform lacks have no address in it.
+    """
+    sessions = HttpSessions()
+    own = MemberUpdate(
+        settings.daemon,
+        settings.host,
+        settings.peer_ports[0],
+        settings.zone,
+        int(time.time() * 1000),
+        MemberState.ALIVE,
+    )
+    return DaemonContext(
+        settings=DaemonSettings(
+            daemon=settings.daemon,
+            zone=settings.zone,
+            host=settings.host,
+            kv_url=settings.kv_url,
+            kv_protocol=PROTOCOL_NAME,
+            weight_store_url="",
+            vm_list_url="",
+            fleet_secret="",
+            operator_token_sha256="",
+            lease_seconds=max(ROLE_LEASE_SECONDS, settings.lease_least_seconds),
+        ),
+        sessions=sessions,
+        kv=PlatformKvClient(settings.kv_url, sessions),
+        links=PeerLinks(""),
+        view=TableView(),
+        membership=Membership(own, 1.0, rng),
+        telemetry=Telemetry(settings.daemon),
+        rng=rng,
+    )
--- /dev/null
+++ b/rackswitch/gateway/listeners.py
@@ -0,0 +1,70 @@
+"""Where a daemon listens: for callers, for the balancer, and for readers of its figures."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.edge import CallerEdge
+from rackswitch.gateway.watching import CopyKeeper
+from rackswitch.platform.settings import METRICS_PATH, NodeSettings
+from rackswitch.web import WebServer
+from rackswitch.web.exchange import Exchange
+
+__all__ = ["OwnPages", "listeners"]
+
+KEEP_ALIVE_SECONDS = 120
+"""Longer than any idle time that operators allow callers, so that it is always the caller
+who closes an idle connection and no request crosses a close."""
+
+
+class OwnPages:
+    """What a daemon tells about itself.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    copies : CopyKeeper
+        Whether the key-value service has been read.
+    """
+
+    __slots__ = ("_context", "_copies")
+
+    def __init__(self, context: GatewayContext, copies: CopyKeeper):
+        self._context = context
+        self._copies = copies
+
+    async def ready(self, exchange: Exchange) -> None:
+        """Answer the balancer whether this daemon serves callers."""
+        known = self._copies.is_complete and self._context.table_revision > 0
+        ready = known and not self._context.daemon.stopping
+        await exchange.respond(200 if ready else 503)
+
+    async def metrics(self, exchange: Exchange) -> None:
+        """Answer with the daemon's own figures."""
+        if exchange.path != METRICS_PATH:
+            await exchange.respond(404)
+            return
+        figures = self._context.daemon.telemetry.exposition()
+        await exchange.respond(200, (("content-type", "text/plain; version=0.0.4"),), figures)
+
+
+def listeners(settings: NodeSettings, edge: CallerEdge, pages: OwnPages) -> list[WebServer]:
+    """Return the servers of a daemon, not started yet; the callers' is the first."""
+    servers = []
+    if settings.callers is not None:
+        address = settings.callers
+        server = WebServer(edge, address.host, address.port, keep_alive_seconds=KEEP_ALIVE_SECONDS)
+        servers.append(server)
+    for at, handler in ((settings.readiness, pages.ready), (settings.metrics, pages.metrics)):
+        if at is not None:
+            servers.append(WebServer(_one_handler(handler), at.host, at.port))
+    return servers
+
+
+def _one_handler(handler: Callable[[Exchange], Awaitable[None]]) -> Any:
+    async def application(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["type"] == "http":
+            await handler(Exchange(scope, receive, send))
+
+    return application
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -8,12 +8,11 @@
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.platform.orders import EngineReport, OrderAnswer, OrderClient
-from rackswitch.routing import ListedTarget
-from rackswitch.table import Handling, RouteRow, ServiceRow
+from rackswitch.gateway.order_sender import OrderSender, PlannedLoad, version_role
+from rackswitch.platform.orders import OrderClient
+from rackswitch.table import ServiceRow
 from rackswitch.weights import (
     EngineView,
-    LoadOrder,
     OrderTurns,
     RolloutState,
     VersionNeed,
@@ -21,7 +20,7 @@
     plan_load_orders,
 )
 
-__all__ = ["ORDERS_PREFIX", "VersionKeeper", "version_role"]
+__all__ = ["ORDERS_PREFIX", "VersionKeeper"]
 
 ORDERS_PREFIX = "control/orders/"
 TICK_SECONDS = 0.1
@@ -31,22 +30,6 @@
 UNAVAILABLE_SHARE = 0.34
 """As in the stand-alone deployment; `MOST_LOADING` takes its place here."""
 
-LOAD_PATIENCE_SECONDS = 4.0
-"""A load takes 0.9 s and is told with a lag; an order that has shown no effect by then is
-looked after."""
-
-REPORT_EVERY_SECONDS = 0.5
-"""Between questions to an engine whose listed version does not change after an order."""
-
-
-def version_role(service: str) -> str:
-    """Return the role whose holder orders the engines of a service.
-
-    One holder for all models of a service: an engine may carry several, and must not get
-    orders from two daemons.
-    """
-    return f"versions/{service}"
-
 
 class OrdersRecord(msgspec.Struct, frozen=True):
     """Who orders a service's engines."""
@@ -71,9 +54,9 @@
 
     __slots__ = (
         "_context",
-        "_engines",
         "_oldest_usable_version",
         "_roles",
+        "_sender",
         "_states",
         "_turns",
     )
@@ -88,9 +71,9 @@
         self._oldest_usable_version = oldest_usable_version
         self._context = context
         self._roles = roles
-        self._engines = engines
         settings = context.settings
         self._turns = OrderTurns(settings.daemon, settings.order_turn_seconds)
+        self._sender = OrderSender(context, roles, engines, self._turns)
         self._states: dict[tuple[str, str], RolloutState] = {}
 
     def wanted_roles(self) -> list[str]:
@@ -117,22 +100,23 @@
             return
         if self._context.now_seconds() < self._turns.may_order_from_seconds(row.name):
             return
-        planned = [
-            (model, target, order)
-            for model in row.models
-            for target, order in self._plan(row, model)
-        ]
+        planned = [load for model in row.models for load in self._plan(row, model)]
         if not planned:
             return
         entered_at_seconds = self._context.now_seconds()
         if not await self._enter(row.name):
             return
-        for model, target, order in planned:
-            state = self._states[row.name, model]
-            state.ordered(order)
-            self._context.daemon.spawn(
-                self._send(row, model, state, target, order, entered_at_seconds)
-            )
+        for load in planned:
+            self._states[load.service, load.model].ordered(load.order)
+            self._context.daemon.spawn(self._send(load, entered_at_seconds))
+
+    async def _send(self, load: PlannedLoad, entered_at_seconds: float) -> None:
+        state = self._states[load.service, load.model]
+        loaded = False
+        try:
+            loaded = await self._sender.load(load, entered_at_seconds)
+        finally:
+            state.ended(load.target.instance, loaded, self._context.now_seconds())
 
     async def _enter(self, service: str) -> bool:
         """Enter this daemon in the record of a service's orders, under the role's fence."""
@@ -147,7 +131,7 @@
             self._roles.lose(version_role(service))
         return done[0].succeeded
 
-    def _plan(self, row: ServiceRow, model: str) -> list[tuple[ListedTarget, LoadOrder]]:
+    def _plan(self, row: ServiceRow, model: str) -> list[PlannedLoad]:
         desired = self._context.named_versions.get(model, 0)
         if desired == 0:
             return []
@@ -170,113 +154,15 @@
         orders = plan_load_orders(
             desired, UNAVAILABLE_SHARE, fit, (), state, now_seconds, most_loading=MOST_LOADING
         )
-        return [(listed[order.engine], order) for order in orders]
+        return [PlannedLoad(row.name, model, listed[order.engine], order) for order in orders]
 
     def _loading(self, row: ServiceRow, now_seconds: float) -> set[str]:
         """Return the engines of a service with an order under way, for any model."""
+        states = [self._states.get((row.name, model)) for model in row.models]
         return {
             instance
-            for model in row.models
-            for instance, order in self._states.get(
-                (row.name, model), RolloutState()
-            ).orders.items()
+            for state in states
+            if state is not None
+            for instance, order in state.orders.items()
             if now_seconds < order.deadline_seconds
         }
-
-    async def _send(
-        self,
-        row: ServiceRow,
-        model: str,
-        state: RolloutState,
-        target: ListedTarget,
-        order: LoadOrder,
-        entered_at_seconds: float,
-    ) -> None:
-        loaded = False
-        try:
-            loaded = await self._load(row, model, target, order, entered_at_seconds)
-        finally:
-            state.ended(target.instance, loaded, self._context.now_seconds())
-
-    async def _load(
-        self,
-        row: ServiceRow,
-        model: str,
-        target: ListedTarget,
-        order: LoadOrder,
-        entered_at_seconds: float,
-    ) -> bool:
-        """Order one load and wait for its effect; return whether it showed."""
-        report = await self._engines.report(target)
-        if not isinstance(report, EngineReport):
-            self._log_order(model, target, order, 0, f"no report: {report.detail}")
-            return False
-        if report.versions.get(model, 0) >= order.version:
-            return True
-        role = version_role(row.name)
-        # After the last wait, right before the effect.
-        in_time = self._turns.may_send(entered_at_seconds, self._context.now_seconds())
-        if not in_time or not self._roles.may_act(role):
-            self._log_order(model, target, order, 0, "not sent: too late after the entry")
-            return False
-        fencing = self._roles.fencing(role)
-        answer = await self._engines.order_version(
-            target,
-            model,
-            order.version,
-            self._context.settings.daemon,
-            fencing,
-            report.orders_taken,
-            self._runs_may_go_on(row.name),
-        )
-        self._log_order(model, target, order, fencing, answer.value, report.orders_taken)
-        if answer is OrderAnswer.REFUSED:
-            return False
-        return await self._wait_loaded(model, target, order.version)
-
-    def _runs_may_go_on(self, service: str) -> bool:
-        """Return whether no route of a service wants each text from one version."""
-        routes = self._context.daemon.view.rows(RouteRow)
-        return not any(
-            route.single_version and route.handling is Handling.BATCH
-            for route in routes
-            if any(choice.serves == service for choice in route.choices)
-        )
-
-    async def _wait_loaded(self, model: str, target: ListedTarget, version: int) -> bool:
-        deadline_seconds = self._context.now_seconds() + LOAD_PATIENCE_SECONDS
-        next_report_seconds = self._context.now_seconds() + 2 * REPORT_EVERY_SECONDS
-        while self._context.now_seconds() < deadline_seconds:
-            await asyncio.sleep(TICK_SECONDS / 2)
-            listed = self._context.directory.entries.get(target.instance)
-            if listed is None:
-                return False
-            if listed.versions.get(model, 0) >= version:
-                return True
-            if self._context.now_seconds() < next_report_seconds:
-                continue
-            next_report_seconds += REPORT_EVERY_SECONDS
-            report = await self._engines.report(target)
-            if isinstance(report, EngineReport) and not report.is_loading:
-                return report.versions.get(model, 0) >= version
-        return False
-
-    def _log_order(
-        self,
-        model: str,
-        target: ListedTarget,
-        order: LoadOrder,
-        fencing: int,
-        outcome: str,
-        orders_taken: int | None = None,
-    ) -> None:
-        self._context.log.write(
-            "load ordered",
-            target=target.instance,
-            model=model,
-            version=order.version,
-            version_listed=target.versions.get(model),
-            fencing=fencing,
-            orders_taken=orders_taken,
-            outcome=outcome,
-        )
