--- a/rackswitch/platform/tests/test_engine.py
+++ b/rackswitch/platform/tests/test_target_calls.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from rackswitch.platform.engine import EngineSessions, PlatformEngineClient
+from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.target_calls import TargetClient
 from rackswitch.requests import Call, TargetAnswer, TargetFailed
 from rackswitch.routing import ListedTarget
 
@@ -32,10 +33,10 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    sessions = EngineSessions()
+    sessions = TargetSessions()
     target = ListedTarget("i-1", "s", "127.0.0.1", port, "z")
     deadline_seconds = asyncio.get_running_loop().time() + 2.0
-    result = await PlatformEngineClient(sessions).forward(target, CALL, deadline_seconds, False)
+    result = await TargetClient(sessions).forward(target, CALL, deadline_seconds, False)
     await sessions.close()
     server.close()
     return result, requests[0]
