Jobs: what is known of all jobs stands apart from the jobs owned here

known_jobs.py (KnownJobs, KnownJob, JobOwner in place of tuples and two maps) holds markers and owners as the key-value service told them; JobKeeper acts on them. Behaviour is unchanged.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -73,7 +73,10 @@
         runner = ItemRunner(self.context, ItemClient(self._sessions), self.front)
         self.jobs = JobKeeper(self.context, self.session, job_store, runner)
         self.versions = VersionKeeper(
-            self.context, self.roles, OrderClient(self._sessions), self.jobs.oldest_usable_version
+            self.context,
+            self.roles,
+            OrderClient(self._sessions),
+            self.jobs.known.oldest_usable_version,
         )
         reader = JobReader(self.context, self.jobs, job_store, self.session)
         control = ControlEntries(self.context, self.jobs, self.versions)
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -4,7 +4,6 @@
 import contextlib
 import time
 
-import msgspec
 from loguru import logger
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable
@@ -13,13 +12,13 @@
 from rackswitch.gateway.item_starter import ItemStarter
 from rackswitch.gateway.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
 from rackswitch.gateway.job_records import (
-    JOBS_PREFIX,
     OWNERS_PREFIX,
     JobMarker,
     key_part,
     marker_of,
 )
 from rackswitch.gateway.job_store import JobStore
+from rackswitch.gateway.known_jobs import KnownJobs
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.gateway.result_appender import ResultAppender
 from rackswitch.gateway.session import Session
@@ -54,19 +53,24 @@
         Jobs in the key-value service.
     runner : ItemRunner
         Runs items.
+
+    Attributes
+    ----------
+    known : KnownJobs
+        All jobs of the fleet.
+    owned : dict of str to OwnedJob
+        The jobs owned here, by identity.
     """
 
     __slots__ = (
         "_appender",
         "_context",
         "_orphans",
-        "_owner_names",
-        "_owner_revisions",
         "_session",
         "_starter",
         "_store",
         "_wake",
-        "markers",
+        "known",
         "owned",
     )
 
@@ -77,53 +81,41 @@
         self._session = session
         self._store = store
         self._orphans = JobOrphans(context.settings.daemon)
-        self._owner_revisions: dict[str, int] = {}
-        self._owner_names: dict[str, str] = {}
         self._wake = asyncio.Event()
         self._starter = ItemStarter(context, runner, self._wake)
         self._appender = ResultAppender(context, store, self._orphans, self._wake)
-        self.markers: dict[str, tuple[JobMarker, int]] = {}
+        self.known = KnownJobs()
         self.owned: dict[str, OwnedJob] = {}
 
     # What the key-value service tells
 
     def marker_put(self, entry: KvEntry) -> None:
         """Take in a job's marker."""
-        marker = msgspec.json.decode(entry.value, type=JobMarker)
-        self.markers[marker.job_id] = (marker, entry.mod_revision)
+        marker = self.known.marker_put(entry)
         if marker.ended:
             self._drop(marker.job_id, "ended")
 
     def marker_deleted(self, key: str) -> None:
         """Note that a job is forgotten."""
-        name = key.removeprefix(JOBS_PREFIX)
-        for job_id in [job_id for job_id in self.markers if key_part(job_id) == name]:
-            del self.markers[job_id]
+        for job_id in self.known.marker_deleted(key):
             self._drop(job_id, "forgotten")
 
     def owner_put(self, entry: KvEntry) -> None:
         """Note who owns a job."""
         name = entry.key.removeprefix(OWNERS_PREFIX)
         self._orphans.owned(name)
-        self._owner_revisions[name] = entry.mod_revision
-        self._owner_names[name] = entry.value.decode()
-        if entry.value.decode() == self._context.settings.daemon:
-            self._context.daemon.spawn(self._adopt(name, entry.mod_revision))
+        owner = self.known.owner_put(entry)
+        if owner.daemon == self._context.settings.daemon:
+            self._context.daemon.spawn(self._adopt(name, owner.revision))
             return
         for job_id, owned in list(self.owned.items()):
-            if key_part(job_id) == name and entry.mod_revision > owned.owner_revision:
+            if key_part(job_id) == name and owner.revision > owned.owner_revision:
                 self._drop(job_id, "taken over")
 
     def owner_deleted(self, key: str) -> None:
         """Note that a job has no owner."""
-        name = key.removeprefix(OWNERS_PREFIX)
-        self._owner_revisions.pop(name, None)
-        self._owner_names.pop(name, None)
-        self._orphans.orphaned(name, self._context.now_seconds())
-
-    def owner_name(self, job_id: str) -> str | None:
-        """Return the daemon that owns a job, as far as is known."""
-        return self._owner_names.get(key_part(job_id))
+        self.known.owner_deleted(key)
+        self._orphans.orphaned(key.removeprefix(OWNERS_PREFIX), self._context.now_seconds())
 
     def session_lost(self) -> None:
         """Note that the owner keys of this daemon are gone with its lease."""
@@ -131,27 +123,18 @@
         for job_id in self.owned:
             self._orphans.orphaned(key_part(job_id), now_seconds)
 
-    def oldest_usable_version(self, model: str) -> int:
-        """Return the oldest version of a model that all open jobs may use; 0 if none is open."""
-        needs = [
-            marker.oldest_version
-            for marker, _ in self.markers.values()
-            if marker.model == model and not marker.ended
-        ]
-        return max(needs, default=0)
-
     # What trainers ask
 
     async def submit(self, job: Job) -> JobCreated | JobKnown | JobTooLarge | JobNotStored:
         """Keep a new job and begin to work on it."""
-        if job.job_id in self.markers:
+        if job.job_id in self.known.jobs:
             return JobKnown()
         lease_id = self._session.lease_id
         if lease_id is None:
             return JobNotStored("no session with the key-value service", effect_unknown=False)
         outcome = await self._store.create(job, lease_id)
         if isinstance(outcome, JobCreated):
-            self.markers.setdefault(job.job_id, (marker_of(job), outcome.owner_revision))
+            self.known.created(marker_of(job), outcome.owner_revision)
             self._own(job, outcome.owner_revision, [])
         return outcome
 
@@ -161,9 +144,7 @@
             return None
         failure = await self._store.end(marker)
         if failure is None:
-            _, revision = self.markers.get(marker.job_id, (marker, 0))
-            ended = msgspec.structs.replace(marker, ended=True)
-            self.markers[marker.job_id] = (ended, revision)
+            self.known.ended(marker)
             self._drop(marker.job_id, "ended")
         return failure
 
@@ -228,14 +209,14 @@
             return
         now_seconds = self._context.now_seconds()
         live = self._context.daemon.membership.live()
-        for job_id, (marker, revision) in self.markers.items():
-            if marker.ended:
+        for job_id, known in self.known.jobs.items():
+            if known.marker.ended:
                 continue
-            held = job_id in self.owned
-            if not held and key_part(job_id) not in self._owner_revisions:
-                self._orphans.orphaned(key_part(job_id), now_seconds)
-            if self._orphans.may_claim(key_part(job_id), live, held, now_seconds):
-                self._context.daemon.spawn(self._claim(job_id, revision))
+            name, held = key_part(job_id), job_id in self.owned
+            if not held and self.known.owner(name) is None:
+                self._orphans.orphaned(name, now_seconds)
+            if self._orphans.may_claim(name, live, held, now_seconds):
+                self._context.daemon.spawn(self._claim(job_id, known.revision))
 
     async def _claim(self, job_id: str, marker_revision: int) -> None:
         lease_id = self._session.lease_id
@@ -257,20 +238,22 @@
     async def _adopt(self, name: str, owner_revision: int) -> None:
         """Work on a job that is this daemon's by a write whose answer never came."""
         await asyncio.sleep(ADOPT_AFTER_SECONDS)
-        if self._owner_revisions.get(name) != owner_revision:
+        owner = self.known.owner(name)
+        if owner is None or owner.revision != owner_revision:
             # It was a predecessor's, whose lease has ended meanwhile.
             return
-        for job_id, (marker, _) in list(self.markers.items()):
-            if key_part(job_id) == name and job_id not in self.owned and not marker.ended:
+        for job_id, known in list(self.known.jobs.items()):
+            if key_part(job_id) == name and job_id not in self.owned and not known.marker.ended:
                 await self._load(job_id, owner_revision)
 
     async def _load(self, job_id: str, owner_revision: int) -> None:
         job = await self._store.load_items(job_id)
         results = await self._store.load_results(job_id, 0)
-        marker, _ = self.markers.get(job_id, (None, 0))
+        marker = self.known.marker(job_id)
         if marker is None or marker.ended or job_id in self.owned:
             return
-        if self._owner_revisions.get(key_part(job_id), owner_revision) > owner_revision:
+        owner = self.known.owner(key_part(job_id))
+        if owner is not None and owner.revision > owner_revision:
             self._context.log.write("job not owned", job=job_id, reason="taken over meanwhile")
             return
         if isinstance(job, Job) and not isinstance(results, KvUnavailable):
--- a/rackswitch/gateway/job_reader.py
+++ b/rackswitch/gateway/job_reader.py
@@ -8,7 +8,7 @@
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.job_keeper import JobKeeper
-from rackswitch.gateway.job_records import JobMarker, unpack_results
+from rackswitch.gateway.job_records import JobMarker, key_part, unpack_results
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.gateway.session import Session
@@ -88,9 +88,9 @@
 
     async def marker(self, job_id: str) -> JobMarker | JobUnknown | JobUnsure:
         """Return a job's marker."""
-        known = self._keeper.markers.get(job_id)
+        known = self._keeper.known.marker(job_id)
         if known is not None:
-            return known[0]
+            return known
         entry = await self._store.load_marker(job_id)
         if isinstance(entry, KvUnavailable):
             return JobUnsure(entry.detail)
@@ -129,8 +129,10 @@
         cached = self._cached.get(job_id, [])
         if len(cached) > position:
             return None
-        owner = self._keeper.owner_name(job_id)
-        peer = self._context.daemon.membership.address(owner) if owner is not None else None
+        owner = self._keeper.known.owner(key_part(job_id))
+        if owner is None:
+            return None
+        peer = self._context.daemon.membership.address(owner.daemon)
         if peer is None:
             return None
         wait_seconds = max(0.0, deadline_seconds - self._context.now_seconds())
@@ -147,7 +149,7 @@
         if isinstance(reply, PeerUnreachable) or not reply.owned:
             return None
         results = unpack_results(reply.results)
-        return ResultsPage(reply.total, results, f"owner {owner}", reply.listed)
+        return ResultsPage(reply.total, results, f"owner {owner.daemon}", reply.listed)
 
     async def item(self, job_id: str, item_id: str) -> bytes | JobUnknown | JobUnsure:
         """Return the body of an item."""
--- /dev/null
+++ b/rackswitch/gateway/known_jobs.py
@@ -0,0 +1,98 @@
+"""All batch jobs and their owners, as the key-value service last told them."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from rackswitch.clients.kv import KvEntry
+from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX, JobMarker, key_part
+
+__all__ = ["JobOwner", "KnownJob", "KnownJobs"]
+
+
+@dataclass(frozen=True, slots=True)
+class KnownJob:
+    """A job's marker, and the revision of its entry."""
+
+    marker: JobMarker
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobOwner:
+    """The daemon that owns a job, and the revision that fences its writes."""
+
+    daemon: str
+    revision: int
+
+
+class KnownJobs:
+    """What one daemon knows of the fleet's jobs.
+
+    Owners are kept by the key's part that stands for the job: an owner may be told of
+    before its job is.
+
+    Attributes
+    ----------
+    jobs : dict of str to KnownJob
+        The jobs by identity, ended ones included until the service forgets them.
+    """
+
+    __slots__ = ("_owners", "jobs")
+
+    def __init__(self) -> None:
+        self._owners: dict[str, JobOwner] = {}
+        self.jobs: dict[str, KnownJob] = {}
+
+    def marker(self, job_id: str) -> JobMarker | None:
+        """Return a job's marker, if it is known."""
+        known = self.jobs.get(job_id)
+        return known.marker if known is not None else None
+
+    def marker_put(self, entry: KvEntry) -> JobMarker:
+        """Take in a job's marker and return it."""
+        marker = msgspec.json.decode(entry.value, type=JobMarker)
+        self.jobs[marker.job_id] = KnownJob(marker, entry.mod_revision)
+        return marker
+
+    def marker_deleted(self, key: str) -> list[str]:
+        """Note that a marker is gone; return the jobs that are forgotten with it."""
+        name = key.removeprefix(JOBS_PREFIX)
+        forgotten = [job_id for job_id in self.jobs if key_part(job_id) == name]
+        for job_id in forgotten:
+            del self.jobs[job_id]
+        return forgotten
+
+    def created(self, marker: JobMarker, revision: int) -> None:
+        """Note a job that was just created, unless the service has told of it already."""
+        self.jobs.setdefault(marker.job_id, KnownJob(marker, revision))
+
+    def ended(self, marker: JobMarker) -> None:
+        """Note that a job was just ended."""
+        known = self.jobs.get(marker.job_id)
+        revision = known.revision if known is not None else 0
+        over = msgspec.structs.replace(marker, ended=True)
+        self.jobs[marker.job_id] = KnownJob(over, revision)
+
+    def owner(self, name: str) -> JobOwner | None:
+        """Return the owner of the job that a key's part stands for, if it is known."""
+        return self._owners.get(name)
+
+    def owner_put(self, entry: KvEntry) -> JobOwner:
+        """Take in who owns a job and return it."""
+        owner = JobOwner(entry.value.decode(), entry.mod_revision)
+        self._owners[entry.key.removeprefix(OWNERS_PREFIX)] = owner
+        return owner
+
+    def owner_deleted(self, key: str) -> None:
+        """Note that a job has no owner."""
+        self._owners.pop(key.removeprefix(OWNERS_PREFIX), None)
+
+    def oldest_usable_version(self, model: str) -> int:
+        """Return the oldest version of a model that all open jobs may use; 0 if none is open."""
+        needs = [
+            known.marker.oldest_version
+            for known in self.jobs.values()
+            if known.marker.model == model and not known.marker.ended
+        ]
+        return max(needs, default=0)
