--- a/rackswitch/demo/main.py
+++ b/rackswitch/demo/main.py
@@ -118,16 +118,15 @@
     versions: set[int] = set()
     for number in range(jobs):
         pieces = [1 + (item * 7 + number) % 40 for item in range(16)]
-        version = {"model": "m0", "version": number + 2}
         await fleet.submit(f"d{number % 3}", f"job{number}", pieces)
-        fleet.store.put("op/version/m0", version)
+        fleet.name_version(number + 2)
         results = await fleet.read_all(f"d{(number + 1) % 3}", f"job{number}")
         whole += all(
             len(result["text"].split("\n")) == pieces[int(result["id"].rpartition("-")[2])]
             for result in results
         )
         versions.update(number for result in results for number in result["versions"])
-        await fleet.request("d0", "DELETE", f"/rackswitch/lots/job{number}")
+        await fleet.end_job("d0", f"job{number}")
     completed = sum(status == 200 for status, _, _ in answers)
     violations = [] if whole == jobs else [f"{jobs - whole} jobs with a text that is not whole"]
     if completed < REQUESTS:
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -20,6 +20,8 @@
 
 HOST = "site.example"
 MODEL = "m0"
+VERSION_PREFIX = "op/version/"
+RESULTS_PATH = "/rackswitch/lots/"
 READY_PATIENCE_SECONDS = 10.0
 
 
@@ -206,6 +208,15 @@
         status, _, _ = await self.request(daemon, "POST", "/jobs/new", body, job_id)
         return status
 
+    def name_version(self, version: int) -> None:
+        """Name a version of the model, as its trainer does."""
+        self.store.put(VERSION_PREFIX + MODEL, {"model": MODEL, "version": version})
+
+    async def end_job(self, daemon: str, job_id: str) -> int:
+        """End a job; return the status."""
+        status, _, _ = await self.request(daemon, "DELETE", f"{RESULTS_PATH}{job_id}")
+        return status
+
     async def read(
         self, daemon: str, job_id: str, position: int = 0, wait_ms: int = 0
     ) -> JobAnswer:
@@ -213,7 +224,7 @@
         status, _, body = await self.request(
             daemon,
             "GET",
-            f"/rackswitch/lots/{job_id}?since_rev={position}",
+            f"{RESULTS_PATH}{job_id}?since_rev={position}",
             headers={"X-Rackswitch-Wait-Ms": str(wait_ms)},
         )
         if status != 200:
