Platform: a run of an item and an order to load are messages

ItemClient.run takes an ItemRequest and OrderClient.order_version a VersionOrder, in place of seven parameters each. Behaviour is unchanged.

--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -9,7 +9,7 @@
 from rackswitch.jobs import ItemProgress, JobItem, JobLedger, PieceFault, TextPiece
 from rackswitch.outcomes import NotRun
 from rackswitch.platform.ingress import stamp_of
-from rackswitch.platform.item_runs import ItemClient, ItemRunEnd, ItemRunEnded
+from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
 from rackswitch.requests import Call, TargetAnswer
 from rackswitch.routing import ListedTarget
 
@@ -99,14 +99,9 @@
     ) -> ItemRunEnded:
         if ledger.single_version:
             progress.begin_anew()
+        request = ItemRequest(ledger.job.host, progress.item, progress.last_number, ITEM_URGENCY)
         pieces = self._engines.run(
-            target,
-            ledger.job.host,
-            progress.item,
-            progress.last_number,
-            ITEM_URGENCY,
-            FIRST_PIECE_PATIENCE_SECONDS,
-            NEXT_PIECE_PATIENCE_SECONDS,
+            target, request, FIRST_PIECE_PATIENCE_SECONDS, NEXT_PIECE_PATIENCE_SECONDS
         )
         last_seconds: float | None = None
         async with aclosing(pieces):  # type: ignore[type-var]
--- a/rackswitch/gateway/order_sender.py
+++ b/rackswitch/gateway/order_sender.py
@@ -5,7 +5,7 @@
 
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.platform.orders import EngineReport, OrderAnswer, OrderClient
+from rackswitch.platform.orders import EngineReport, OrderAnswer, OrderClient, VersionOrder
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow
 from rackswitch.weights import LoadOrder, OrderTurns
@@ -97,8 +97,7 @@
             self._log_order(planned, 0, "not sent: too late after the entry")
             return False
         fencing = self._roles.fencing(role)
-        answer = await self._engines.order_version(
-            target,
+        sent = VersionOrder(
             planned.model,
             order.version,
             self._context.settings.daemon,
@@ -106,6 +105,7 @@
             report.orders_taken,
             self._runs_may_go_on(planned.service),
         )
+        answer = await self._engines.order_version(target, sent)
         self._log_order(planned, fencing, answer.value, report.orders_taken)
         if answer is OrderAnswer.REFUSED:
             return False
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -23,7 +23,7 @@
 )
 from rackswitch.routing import ListedTarget
 
-__all__ = ["ItemClient", "ItemRunEnd", "ItemRunEnded"]
+__all__ = ["ItemClient", "ItemRequest", "ItemRunEnd", "ItemRunEnded"]
 
 
 class ItemRunEnd(Enum):
@@ -57,6 +57,24 @@
     detail: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ItemRequest:
+    """An item as it is sent to an engine.
+
+    Attributes
+    ----------
+    after_piece : int
+        Number of the last piece that is there already; 0 for a run from the beginning.
+    urgency : int
+        Rank among the engine's runs, on the platform's scale.
+    """
+
+    host: str
+    item: JobItem
+    after_piece: int
+    urgency: int
+
+
 class ItemClient:
     """Client of engines for the items of batch jobs.
 
@@ -74,31 +92,38 @@
     async def run(
         self,
         target: ListedTarget,
-        host: str,
-        item: JobItem,
-        after_piece: int,
-        urgency: int,
+        request: ItemRequest,
         first_patience_seconds: float,
         next_patience_seconds: float,
     ) -> AsyncIterator[TextPiece | ItemRunEnded]:
-        """Run an item from after a piece on; closing the iterator ends the engine's work.
+        """Run an item; closing the iterator ends the engine's work.
+
+        Parameters
+        ----------
+        target : ListedTarget
+            The engine.
+        request : ItemRequest
+            What to run.
+        first_patience_seconds, next_patience_seconds : float
+            How long the first bytes may take, counted from the run's start, and any next
+            ones, counted from those before them.
 
         Yields
         ------
         TextPiece or ItemRunEnded
             The pieces in order, then how the run ended.
         """
-        headers = _run_headers(target, host, item, after_piece, urgency)
-        url = URL(target.url + item.path, encoded=True)
+        headers = _run_headers(target, request)
+        url = URL(target.url + request.item.path, encoded=True)
         loop = asyncio.get_running_loop()
         try:
             async with (
                 asyncio.timeout(first_patience_seconds) as limit,
                 self._sessions.kept.post(
-                    url, data=item.body, headers=headers, allow_redirects=False
+                    url, data=request.item.body, headers=headers, allow_redirects=False
                 ) as answer,
             ):
-                parser = _event_parser(answer, item.item_id)
+                parser = _event_parser(answer, request.item.item_id)
                 if isinstance(parser, ItemRunEnded):
                     # What may still come on the connection belongs to nobody.
                     answer.close()
@@ -121,16 +146,14 @@
             yield ItemRunEnded(ItemRunEnd.BROKEN, f"{type(error).__name__}: {error}")
 
 
-def _run_headers(
-    target: ListedTarget, host: str, item: JobItem, after_piece: int, urgency: int
-) -> CIMultiDict[str]:
-    headers = CIMultiDict(item.headers)
-    headers["Host"] = host
-    headers[REQUEST_ID_HEADER] = item.item_id
+def _run_headers(target: ListedTarget, request: ItemRequest) -> CIMultiDict[str]:
+    headers = CIMultiDict(request.item.headers)
+    headers["Host"] = request.host
+    headers[REQUEST_ID_HEADER] = request.item.item_id
     headers[EXPECT_INSTANCE_HEADER] = target.instance
-    headers[URGENCY_HEADER] = str(urgency)
-    if after_piece:
-        headers[LAST_EVENT_HEADER] = str(after_piece)
+    headers[URGENCY_HEADER] = str(request.urgency)
+    if request.after_piece:
+        headers[LAST_EVENT_HEADER] = str(request.after_piece)
     return headers
 
 
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -14,7 +14,7 @@
 from rackswitch.platform.names import EXPECT_INSTANCE_HEADER
 from rackswitch.routing import ListedTarget
 
-__all__ = ["EngineReport", "NoReport", "OrderAnswer", "OrderClient"]
+__all__ = ["EngineReport", "NoReport", "OrderAnswer", "OrderClient", "VersionOrder"]
 
 REPORT_TIMEOUT_SECONDS = 0.5
 ORDER_TIMEOUT_SECONDS = 1.0
@@ -44,6 +44,29 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class VersionOrder:
+    """An order to load a version.
+
+    Attributes
+    ----------
+    holder, fencing : str, int
+        The daemon that orders, and the fencing number of its role.
+    orders_taken : int
+        How many orders the engine has taken, by its last report.
+    runs_go_on : bool
+        Whether the engine's runs go on under the new weights; else it waits for their ends
+        before it loads.
+    """
+
+    model: str
+    version: int
+    holder: str
+    fencing: int
+    orders_taken: int
+    runs_go_on: bool
+
+
 class OrderAnswer(Enum):
     """How an engine answered an order."""
 
@@ -107,29 +130,21 @@
     async def order_version(
         self,
         target: ListedTarget,
-        model: str,
-        version: int,
-        holder: str,
-        fencing: int,
-        orders_taken: int,
-        runs_go_on: bool,
+        order: VersionOrder,
     ) -> OrderAnswer:
         """Order an engine to load a version.
 
-        With `runs_go_on` its runs go on under the new weights, else it waits for their
-        ends before it loads.
-
         The order names the engine's instance and the number of orders it has taken, so
         that one which arrives late or after a restart has no effect.
         """
         body = {
             "op": "version",
-            "model": model,
-            "version": version,
-            "mode": "keep" if runs_go_on else "wait",
-            "holder": holder,
-            "fence": fencing,
-            "expected": orders_taken,
+            "model": order.model,
+            "version": order.version,
+            "mode": "keep" if order.runs_go_on else "wait",
+            "holder": order.holder,
+            "fence": order.fencing,
+            "expected": order.orders_taken,
         }
         headers = {
             EXPECT_INSTANCE_HEADER: target.instance,
