--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -259,7 +259,7 @@
         if isinstance(job, Job) and not isinstance(results, KvUnavailable):
             self._own(job, owner_revision, results)
         else:
-            logger.warning("job claimed but not read", job=job_id)
+            logger.warning("job {} claimed but not read", job_id)
             await self._store.release(job_id, owner_revision)
 
 
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -108,9 +108,12 @@
             The call.
         deadline_seconds : float
             When the caller, or the route, gives it up (event loop time).
+        log : AttemptLog
+            The request's attempts so far; a stream that goes on elsewhere brings its own.
+        as_stream : bool
+            Whether to return a success as soon as its head is there.
         """
-        repeatable = route.handling is Handling.REPEATABLE
-        log = AttemptLog(repeatable, most_attempts=route.most_attempts, most_refusals=MOST_REFUSALS)
+        repeatable = log.repeatable
         service = self._chooser.draw_choice(route).serves
         refuse_at_seconds = self._context.now_seconds() + route.goal_seconds * REFUSAL_GOAL_SHARE
         failures = 0
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -309,6 +309,26 @@
     play(scenario, daemons=3)
 
 
+def test_a_stream_that_keeps_breaking_runs_on_no_more_targets_than_its_route_allows():
+    # Found by a test that failed now and then: a stream that went on elsewhere forgot its
+    # earlier attempts.
+    async def scenario(fleet):
+        state = desired_state(2)
+        state["routes"][0] |= {"service": "engines", "streaming": True, "resumable": True}
+        state["routes"][0] |= {"goal_ms": 10_000, "timeout_ms": 20_000, "max_attempts": 2}
+        fleet.store.put("op/config", state)
+        await wait_for(lambda: fleet.gateways["d0"].context.table_revision == 2)
+        for engine in fleet.engines:
+            engine.faults.break_after = 1
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await fleet.request(
+                "d0", "POST", "/look/s", b"9", "r1", {"X-Rackswitch-Model": "m0"}, 5000
+            )
+        assert runs_of(fleet.engines, "r1") == 2
+
+    play(scenario, engines=3)
+
+
 def test_a_planned_stop_hands_the_jobs_over_and_cuts_nothing():
     async def scenario(fleet):
         pieces = [1, 150, 150]
@@ -352,7 +372,6 @@
         state = desired_state(2)
         state["routes"][0] |= {"service": "engines", "streaming": True, "resumable": resumable}
         state["routes"][0]["kind"] = "unsafe"
-        # Far off, so that a busy machine does not make the first attempt give up early.
         state["routes"][0]["goal_ms"] = 10_000
         state["routes"][0]["timeout_ms"] = 20_000
         fleet.store.put("op/config", state)
