Items: a stream that ends inside an event is a broken run

Cause: a run counted as whole once its answer had ended in order; the part of an event that was left over was dropped in silence, so an engine that stopped inside an event and closed in order could have left a text without its last event. Ruled out: answers cut by a reset or inside a chunk, which were broken runs already. Change: the parser tells whether it stands between two events; only then is a run whole. Measured: three of fourteen new cases of raw answers fail without the change, none with it.

--- a/rackswitch/platform/events.py
+++ b/rackswitch/platform/events.py
@@ -24,15 +24,21 @@
         Why the stream is not to be trusted from here on; empty while it is.
     """
 
-    __slots__ = ("_buffer", "_data", "_number", "_version", "fault")
+    __slots__ = ("_buffer", "_data", "_is_open", "_number", "_version", "fault")
 
     def __init__(self, version: int):
         self._version = version
         self._buffer = b""
+        self._is_open = False
         self._data: list[str] = []
         self._number: int | None = None
         self.fault = ""
 
+    @property
+    def is_between_events(self) -> bool:
+        """Whether no part of an event is left over."""
+        return not self._buffer and not self._is_open
+
     def feed(self, data: bytes) -> Iterator[TextPiece]:
         """Take in bytes and yield the events that are whole now.
 
@@ -51,12 +57,15 @@
                 return
             if text:
                 self._take_field(text)
-            elif self._data or self._number is not None:
+                continue
+            self._is_open = False
+            if self._data or self._number is not None:
                 piece = self._close_event()
                 if piece is not None:
                     yield piece
 
     def _take_field(self, line: str) -> None:
+        self._is_open = True
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "data":
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -137,7 +137,11 @@
                         answer.close()
                         yield ItemRunEnded(ItemRunEnd.BROKEN, parser.fault)
                         return
-            yield ItemRunEnded(ItemRunEnd.WHOLE)
+            # An engine that stops may end its answer in order, but inside an event.
+            if parser.is_between_events:
+                yield ItemRunEnded(ItemRunEnd.WHOLE)
+            else:
+                yield ItemRunEnded(ItemRunEnd.BROKEN, "the stream ended inside an event")
         except NOT_SENT_ERRORS as error:
             yield ItemRunEnded(ItemRunEnd.SILENT, f"cannot connect: {type(error).__name__}")
         except TimeoutError:
--- /dev/null
+++ b/rackswitch/platform/tests/support.py
@@ -0,0 +1,45 @@
+"""A target that answers one request with given bytes."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from rackswitch.routing import ListedTarget
+
+RESET_AFTER_SECONDS = 0.05
+
+
+class RawTarget:
+    """Answers each connection's first request with the same bytes, then closes or resets."""
+
+    def __init__(self, answer: bytes, reset: bool):
+        self.requests: list[bytes] = []
+        self._answer = answer
+        self._reset = reset
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.requests.append(await reader.read(10_000))
+        writer.write(self._answer)
+        await writer.drain()
+        if self._reset:
+            await asyncio.sleep(RESET_AFTER_SECONDS)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return
+        writer.close()
+
+
+@asynccontextmanager
+async def raw_target(
+    answer: bytes, reset: bool = False
+) -> AsyncIterator[tuple[ListedTarget, RawTarget]]:
+    raw = RawTarget(answer, reset)
+    server = await asyncio.start_server(raw.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield ListedTarget("i-1", "s", "127.0.0.1", port, "z"), raw
+    finally:
+        server.close()
--- a/rackswitch/platform/tests/test_events.py
+++ b/rackswitch/platform/tests/test_events.py
@@ -33,6 +33,14 @@
     assert len(pieces) < 3
 
 
+@given(st.integers(0, len(STREAM)))
+def test_a_stream_that_ends_inside_an_event_shows_it(end):
+    parser = EventParser(6)
+    list(parser.feed(STREAM[:end]))
+    ends = [0] + [STREAM.find(mark) + len(mark) for mark in (b"a\n\n", b"c\n\n")] + [len(STREAM)]
+    assert parser.is_between_events == (end in ends)
+
+
 def test_bytes_that_are_no_stream_are_a_fault():
     parser = EventParser(1)
     assert list(parser.feed(b"data: no number\n\n")) == []
--- /dev/null
+++ b/rackswitch/platform/tests/test_item_runs.py
@@ -0,0 +1,72 @@
+"""How the runs of items end, by what the engine sends."""
+
+import asyncio
+
+import pytest
+
+from rackswitch.jobs import JobItem, TextPiece
+from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
+from rackswitch.platform.tests.support import raw_target
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Rackswitch-Request-Id: i1\r\nX-Rackswitch-Server-Stamp: s\r\n"
+    b"X-Rackswitch-Weight-Versions: 4\r\n"
+)
+EVENT = b"id: 1\ndata: a\n\n"
+ITEM = JobItem(item_id="i1", path="/p", headers=(), body=b"b", tokens=1)
+
+
+async def run_with(
+    answer: bytes, reset: bool = False
+) -> tuple[list[TextPiece], ItemRunEnded, bytes]:
+    """Run an item at a target that answers with bytes."""
+    sessions = TargetSessions()
+    request = ItemRequest("h.example", ITEM, 0, 5)
+    pieces: list[TextPiece] = []
+    ended = None
+    async with raw_target(answer, reset) as (target, raw):
+        async for piece in ItemClient(sessions).run(target, request, 2.0, 2.0):
+            if isinstance(piece, ItemRunEnded):
+                ended = piece
+            else:
+                pieces.append(piece)
+    await sessions.close()
+    assert ended is not None
+    return pieces, ended, raw.requests[0]
+
+
+def chunked(*parts: bytes) -> bytes:
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
+
+
+@pytest.mark.parametrize(
+    ("answer", "reset", "end", "count"),
+    [
+        (chunked(EVENT) + b"0\r\n\r\n", False, ItemRunEnd.WHOLE, 1),
+        (HEAD + b"\r\n" + EVENT, False, ItemRunEnd.WHOLE, 1),
+        # The end of the answer is in order, that of the event is not.
+        (chunked(EVENT, b"id: 2\nda") + b"0\r\n\r\n", False, ItemRunEnd.BROKEN, 1),
+        (chunked(EVENT, b"id: 2\n") + b"0\r\n\r\n", False, ItemRunEnd.BROKEN, 1),
+        (HEAD + b"\r\n" + EVENT + b"id: 2\ndata: b\n", False, ItemRunEnd.BROKEN, 1),
+        (chunked(EVENT), False, ItemRunEnd.BROKEN, 1),
+        (HEAD + b"\r\n" + EVENT, True, ItemRunEnd.BROKEN, 1),
+        (chunked(b"data: no number\n\n") + b"0\r\n\r\n", False, ItemRunEnd.BROKEN, 0),
+        (HEAD.replace(b"i1", b"i2") + b"\r\n" + EVENT, False, ItemRunEnd.BROKEN, 0),
+        (b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", False, ItemRunEnd.NOT_THERE, 0),
+        (
+            b"HTTP/1.1 503 X\r\nX-Rackswitch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+            False,
+            ItemRunEnd.NOT_RUN,
+            0,
+        ),
+        (HEAD.replace(b"200 OK", b"422 X") + b"\r\n", False, ItemRunEnd.IMPOSSIBLE, 0),
+        (HEAD.replace(b"200 OK", b"500 X") + b"\r\n", False, ItemRunEnd.FAILED, 0),
+        (b"", False, ItemRunEnd.BROKEN, 0),
+    ],
+)
+def test_only_a_stream_that_ends_between_two_events_is_whole(answer, reset, end, count):
+    pieces, ended, _ = asyncio.run(run_with(answer, reset))
+    assert ended.end is end, ended
+    assert [piece.number for piece in pieces] == list(range(1, count + 1))
--- a/rackswitch/platform/tests/test_target_calls.py
+++ b/rackswitch/platform/tests/test_target_calls.py
@@ -1,15 +1,13 @@
 """What the client makes of answers that a library alone would take for whole."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.target_calls import TargetClient
+from rackswitch.platform.tests.support import raw_target
 from rackswitch.requests import Call, TargetAnswer, TargetFailed
-from rackswitch.routing import ListedTarget
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Rackswitch-Request-Id: r1\r\nX-Rackswitch-Server-Stamp: s\r\n"
 CALL = Call("r1", "h.example", "POST", "/a%2Fb?c=%20", (("x-own", "1"), ("x-own", "2")), b"body")
@@ -17,29 +15,12 @@
 
 async def answer_with(answer: bytes, reset: bool = False) -> tuple[object, bytes]:
     """Let a target answer with bytes; return what the client makes of them, and the request."""
-    requests: list[bytes] = []
-
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        requests.append(await reader.read(10_000))
-        writer.write(answer)
-        await writer.drain()
-        if reset:
-            await asyncio.sleep(0.05)
-            raw = writer.get_extra_info("socket")
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
-            return
-        writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
     sessions = TargetSessions()
-    target = ListedTarget("i-1", "s", "127.0.0.1", port, "z")
     deadline_seconds = asyncio.get_running_loop().time() + 2.0
-    result = await TargetClient(sessions).forward(target, CALL, deadline_seconds, False)
+    async with raw_target(answer, reset) as (target, raw):
+        result = await TargetClient(sessions).forward(target, CALL, deadline_seconds, False)
     await sessions.close()
-    server.close()
-    return result, requests[0]
+    return result, raw.requests[0]
 
 
 def test_an_answer_without_length_that_ends_with_its_connection_is_whole():
