Callers' connections: limits on heads and rest follow the table in force

Cause: the operators' limits on the time of a head and of a resting connection were decoded and used nowhere; a head that never ended held its connection for ever. Change: the server's protocol has both timers, read from limits that the table sets; a late head gets 408, a resting connection is closed.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -8,12 +8,19 @@
 from rackswitch.gateway.contact import StoreContact
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.routing import Target, TargetDirectory
-from rackswitch.table import RouteIndex
+from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
+from rackswitch.web.connection_limits import ConnectionLimits
 
 __all__ = ["GatewayContext"]
 
 
+def _first_connection_limits() -> ConnectionLimits:
+    """Return the limits that hold before a table is known: those of a row that says nothing."""
+    row = LimitsRow(name="callers")
+    return ConnectionLimits(row.header_timeout_seconds, row.idle_timeout_seconds)
+
+
 @dataclass(slots=True)
 class GatewayContext:
     """State and connections that several parts of one gateway use.
@@ -29,6 +36,8 @@
         The newest version of each model that its trainer has named.
     targets : dict of str to Target
         Load, speed and health of the listed targets, by instance.
+    connection_limits : ConnectionLimits
+        How long callers' connections may rest and their heads may take, by the table.
     """
 
     settings: NodeSettings
@@ -39,6 +48,7 @@
     directory: TargetDirectory = field(default_factory=TargetDirectory)
     named_versions: dict[str, int] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
+    connection_limits: ConnectionLimits = field(default_factory=_first_connection_limits)
 
     @property
     def kv(self) -> KvClient:
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -92,7 +92,7 @@
             CallEdge(self.context, self.front),
             JobEdge(self.context, self.jobs, reader),
         )
-        self._servers = listeners(settings, edge, OwnPages(self.context, self.copies))
+        self._servers = listeners(self.context, edge, OwnPages(self.context, self.copies))
 
     async def start(self) -> None:
         """Listen and begin all duties."""
--- a/rackswitch/gateway/listeners.py
+++ b/rackswitch/gateway/listeners.py
@@ -6,16 +6,12 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.edge import CallerEdge
 from rackswitch.gateway.watching import CopyKeeper
-from rackswitch.platform.settings import METRICS_PATH, NodeSettings
+from rackswitch.platform.settings import METRICS_PATH
 from rackswitch.web import WebServer
 from rackswitch.web.exchange import Exchange
 
 __all__ = ["OwnPages", "listeners"]
 
-KEEP_ALIVE_SECONDS = 120
-"""Longer than any idle time that operators allow callers, so that it is always the caller
-who closes an idle connection and no request crosses a close."""
-
 
 class OwnPages:
     """What a daemon tells about itself.
@@ -49,12 +45,13 @@
         await exchange.respond(200, (("content-type", "text/plain; version=0.0.4"),), figures)
 
 
-def listeners(settings: NodeSettings, edge: CallerEdge, pages: OwnPages) -> list[WebServer]:
+def listeners(context: GatewayContext, edge: CallerEdge, pages: OwnPages) -> list[WebServer]:
     """Return the servers of a daemon, not started yet; the callers' is the first."""
+    settings = context.settings
     servers = []
     if settings.callers is not None:
         address = settings.callers
-        server = WebServer(edge, address.host, address.port, keep_alive_seconds=KEEP_ALIVE_SECONDS)
+        server = WebServer(edge, address.host, address.port, limits=context.connection_limits)
         servers.append(server)
     for at, handler in ((settings.readiness, pages.ready), (settings.metrics, pages.metrics)):
         if at is not None:
--- a/rackswitch/gateway/state_keeper.py
+++ b/rackswitch/gateway/state_keeper.py
@@ -6,6 +6,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.watching import CopyHandlers
 from rackswitch.platform.desired_state import (
+    LIMITS_NAME,
     MalformedEntry,
     NamedVersion,
     RetireOrder,
@@ -14,7 +15,7 @@
 )
 from rackswitch.platform.servers import decode_target, target_instance
 from rackswitch.routing import ListedTarget, Target
-from rackswitch.table import TableDocument, index_routes
+from rackswitch.table import LimitsRow, TableDocument, index_routes
 
 __all__ = ["StateKeeper"]
 
@@ -61,10 +62,18 @@
         before = self._context.table_revision
         if self._context.daemon.view.offer(document):
             self._context.routes = index_routes(document)
+            self._take_limits()
             self._context.log.write(
                 "table in force", revision=document.revision, revision_before=before
             )
 
+    def _take_limits(self) -> None:
+        row = self._context.daemon.view.row(LimitsRow, LIMITS_NAME)
+        if row is not None:
+            limits = self._context.connection_limits
+            limits.header_timeout_seconds = row.header_timeout_seconds
+            limits.idle_timeout_seconds = row.idle_timeout_seconds
+
     def _take_version(self, named: NamedVersion) -> None:
         before = self._context.named_versions.get(named.model, 0)
         if named.version > before:
--- a/rackswitch/web/core.py
+++ b/rackswitch/web/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, TypeVar
 
@@ -10,6 +11,7 @@
 from blacksheep import Application, Content, Request, Response, Router
 from blacksheep.exceptions import MessageAborted
 
+from rackswitch.web.connection_limits import BoundedHttpProtocol, ConnectionLimits
 from rackswitch.web.problems import Problem, problem_response
 
 __all__ = [
@@ -24,7 +26,12 @@
     "watch_disconnect",
 ]
 
-KEEP_ALIVE_SECONDS = 30
+HEADER_TIMEOUT_SECONDS = 10.0
+"""Unless limits are given; heads are a few kilobytes, and a slow one holds a descriptor."""
+
+IDLE_TIMEOUT_SECONDS = 30.0
+"""Unless limits are given; peers and tools keep a connection for less than that."""
+
 BODY_PATIENCE_SECONDS = 20.0
 
 T = TypeVar("T")
@@ -49,8 +56,8 @@
         Where to listen; port 0 takes a free one.
     most_connections : int, optional
         Connections beyond this number get 503.
-    keep_alive_seconds : int
-        How long an idle connection is kept.
+    limits : ConnectionLimits, optional
+        How long connections may rest and heads may take; may change while the server runs.
     """
 
     __slots__ = ("_config", "_host", "_port", "_server", "_task")
@@ -61,10 +68,12 @@
         host: str,
         port: int,
         most_connections: int | None = None,
-        keep_alive_seconds: int = KEEP_ALIVE_SECONDS,
+        limits: ConnectionLimits | None = None,
     ):
         self._host = host
         self._port = port
+        if limits is None:
+            limits = ConnectionLimits(HEADER_TIMEOUT_SECONDS, IDLE_TIMEOUT_SECONDS)
         self._config = uvicorn.Config(
             application,
             host=host,
@@ -74,10 +83,9 @@
             access_log=False,
             server_header=False,
             interface="asgi3",
-            http="httptools",
+            http=functools.partial(BoundedHttpProtocol, limits),  # type: ignore[arg-type]
             ws="none",
             lifespan="auto",
-            timeout_keep_alive=keep_alive_seconds,
             limit_concurrency=most_connections,
         )
         self._server = _LoopServer(self._config)
