Jobs: bounded in items, decoded in pieces, forgotten after their time; settings that change are used

Cause: a job of a million small items held the loop for seconds; jobs stayed in the key-value service for ever; changed settings were logged as reloaded and read by few parts; a planned stop handed over at most one segment a job. Change: items are counted before they are decoded (20,000 at most, 413), then decoded and packed in pieces; one daemon of the fleet forgets a job after its time, marker last; settings name what is applied and what needs a restart; all results that are ready are handed over; a setting that nothing read is gone.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -65,6 +65,11 @@
         """Revision of the table in force; 0 if none is known yet."""
         return self.daemon.view.revision
 
+    @property
+    def daemon_name(self) -> str:
+        """This daemon's name."""
+        return self.settings.daemon
+
     def now_seconds(self) -> float:
         """Return the monotonic clock."""
         return self.daemon.now_seconds()
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -11,12 +11,14 @@
 from rackswitch.gateway.daemon_context import make_daemon_context
 from rackswitch.gateway.edge import CallerEdge
 from rackswitch.gateway.item_runner import ItemRunner
+from rackswitch.gateway.job_cleaner import JobCleaner
 from rackswitch.gateway.job_edge import JobEdge
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_reader import JobReader
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.listeners import OwnPages, listeners
 from rackswitch.gateway.peer_service import GatewayPeersService
+from rackswitch.gateway.reload import compare_settings
 from rackswitch.gateway.request_front import RequestFront
 from rackswitch.gateway.session import Session
 from rackswitch.gateway.state_keeper import StateKeeper
@@ -28,6 +30,7 @@
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
 from rackswitch.platform.orders import OrderClient
 from rackswitch.platform.settings import NodeSettings
+from rackswitch.platform.store import PlatformKvClient
 from rackswitch.platform.target_calls import TargetClient
 from rackswitch.telemetry import DecisionLog
 
@@ -78,6 +81,7 @@
             OrderClient(self._sessions),
             self.jobs.known.oldest_usable_version,
         )
+        self._cleaner = JobCleaner(self.context, self.jobs.known, job_store)
         reader = JobReader(self.context, self.jobs, job_store, self.session)
         control = ControlEntries(self.context, self.jobs, self.versions)
         handlers = {
@@ -105,6 +109,7 @@
             self._hold_roles(),
             self.versions.run(),
             self.jobs.run(),
+            self._cleaner.run(),
             self._pump_log(),
         ):
             self.context.daemon.spawn_duty(duty)
@@ -158,9 +163,12 @@
 
     def settings_changed(self, settings: NodeSettings) -> None:
         """Take in settings that changed while this daemon runs."""
+        changes = compare_settings(self.settings, settings)
         self.settings = settings
         self.context.settings = settings
-        self.log.write("reloaded")
+        if isinstance(self.context.kv, PlatformKvClient):
+            self.context.kv.url = settings.kv_url
+        self.log.write("reloaded", applied=changes.applied, needs_restart=changes.needs_restart)
 
     async def _hold_roles(self) -> None:
         await self.roles.end_predecessors()
--- /dev/null
+++ b/rackswitch/gateway/job_cleaner.py
@@ -0,0 +1,70 @@
+"""Forgetting jobs that nobody may expect to read any more."""
+
+import asyncio
+import time
+
+from rackswitch.clients.kv import KvUnavailable
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_records import key_part
+from rackswitch.gateway.job_store import JobStore
+from rackswitch.gateway.known_jobs import KnownJobs
+from rackswitch.jobs import is_forgettable
+from rackswitch.leases import rank_candidates
+
+__all__ = ["JobCleaner"]
+
+CLEAN_SECONDS = 2.0
+"""Between two jobs that one daemon forgets. A trainer submits one each 4 s or so, and all
+daemons share the work."""
+
+
+class JobCleaner:
+    """Deletes old jobs from the key-value service, each by one daemon.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    known : KnownJobs
+        All jobs of the fleet.
+    store : JobStore
+        Jobs in the key-value service.
+    """
+
+    __slots__ = ("_context", "_known", "_store")
+
+    def __init__(self, context: GatewayContext, known: KnownJobs, store: JobStore):
+        self._context = context
+        self._known = known
+        self._store = store
+
+    async def run(self) -> None:
+        """Forget one job after the other until cancelled."""
+        while True:
+            await asyncio.sleep(CLEAN_SECONDS * (0.5 + self._context.rng.random()))
+            if self._context.daemon.stopping or self._context.contact.is_away:
+                continue
+            job_id = self._next_job()
+            if job_id is not None:
+                await self._forget(job_id)
+
+    def _next_job(self) -> str | None:
+        """Return an old job that is this daemon's to forget."""
+        live = self._context.daemon.membership.live()
+        now_unix_seconds = time.time()
+        for job_id, known in self._known.jobs.items():
+            marker = known.marker
+            old = is_forgettable(
+                marker.submitted_at_unix_seconds,
+                marker.ended,
+                self._context.settings.keep_results_seconds,
+                now_unix_seconds,
+            )
+            if old and rank_candidates(key_part(job_id), live)[:1] == [self._context.daemon_name]:
+                return job_id
+        return None
+
+    async def _forget(self, job_id: str) -> None:
+        failure = await self._store.forget(job_id)
+        outcome = failure.detail if isinstance(failure, KvUnavailable) else "forgotten"
+        self._context.log.write("job forgotten", job=job_id, outcome=outcome)
--- a/rackswitch/gateway/job_edge.py
+++ b/rackswitch/gateway/job_edge.py
@@ -4,6 +4,8 @@
 import time
 from dataclasses import dataclass
 
+import msgspec
+
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.departures import done_before_gone
 from rackswitch.gateway.job_keeper import JobKeeper
@@ -11,14 +13,16 @@
 from rackswitch.gateway.job_reader import JobReader, JobUnknown, JobUnsure
 from rackswitch.gateway.job_records import JobMarker
 from rackswitch.gateway.refusals import TEXT, Refusal, refuse
-from rackswitch.jobs import check_job
+from rackswitch.jobs import MOST_ITEMS, Job, JobItem, check_job
 from rackswitch.platform.ingress import MalformedRequest
 from rackswitch.platform.job_calls import (
     EndJob,
     JobCall,
+    JobOutline,
     ReadItem,
     ReadResults,
-    decode_job,
+    decode_job_items,
+    decode_job_outline,
     encode_results,
 )
 from rackswitch.table import RouteRow
@@ -29,6 +33,9 @@
 COME_BACK_SECONDS = 0.3
 """When a refused trainer should come back: another daemon may take the job at once."""
 
+ITEMS_PER_PIECE = 200
+"""Items decoded before other work has its turn: some 200 kB, about a millisecond."""
+
 JSON = (("content-type", "application/json"),)
 BYTES = (("content-type", "application/octet-stream"),)
 
@@ -65,13 +72,10 @@
         self, exchange: Exchange, route: RouteRow, job_id: str, host: str, body: bytes
     ) -> None:
         """Take a batch job, or say why not."""
-        job = decode_job(job_id, host, exchange.path, body, time.time())
-        if isinstance(job, MalformedRequest):
-            await refuse(exchange, self._context.log, Refusal(400, job.detail))
-            return
-        fault = check_job(job)
-        if fault is not None:
-            await refuse(exchange, self._context.log, Refusal(400, fault))
+        outline = decode_job_outline(job_id, host, exchange.path, body, time.time())
+        job = await _whole_job(outline)
+        if isinstance(job, Refusal):
+            await refuse(exchange, self._context.log, job)
             return
         if self._context.daemon.stopping:
             await refuse(
@@ -183,3 +187,22 @@
             )
         else:
             await refuse(exchange, self._context.log, Refusal(404, "there is no such job or item"))
+
+
+async def _whole_job(outline: JobOutline | MalformedRequest) -> Job | Refusal:
+    """Return a job with its items, or why it is not taken; other work has its turn meanwhile."""
+    if isinstance(outline, MalformedRequest):
+        return Refusal(400, outline.detail)
+    count = len(outline.raw_items)
+    if count > MOST_ITEMS:
+        return Refusal(413, f"`items` holds {count} items, at most {MOST_ITEMS} are taken")
+    items: list[JobItem] = []
+    for first in range(0, count, ITEMS_PER_PIECE):
+        piece = decode_job_items(outline, first, ITEMS_PER_PIECE)
+        if isinstance(piece, MalformedRequest):
+            return Refusal(400, piece.detail)
+        items.extend(piece)
+        await asyncio.sleep(0)
+    job = msgspec.structs.replace(outline.job, items=tuple(items))
+    fault = check_job(job)
+    return job if fault is None else Refusal(400, fault)
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -165,7 +165,9 @@
 
     async def hand_over(self) -> None:
         """Give all jobs to other daemons, results that are ready first."""
-        await asyncio.gather(*(self._appender.append(owned) for owned in list(self.owned.values())))
+        await asyncio.gather(
+            *(self._appender.append_all(owned) for owned in list(self.owned.values()))
+        )
         for job_id, owned in list(self.owned.items()):
             self._drop(job_id, "handed over")
             await self._store.release(job_id, owned.owner_revision)
--- a/rackswitch/gateway/job_records.py
+++ b/rackswitch/gateway/job_records.py
@@ -1,5 +1,6 @@
 """Keys and values of batch jobs in the key-value service, and as daemons pass them on."""
 
+import asyncio
 import re
 import zlib
 from hashlib import blake2b
@@ -28,8 +29,11 @@
 ITEMS_PREFIX = "items/"
 RESULTS_PREFIX = "results/"
 
-CHUNK_BYTES = 700_000
-"""As base64 it stays below the 1 MiB that a value may have."""
+VALUE_SHARE = 0.66
+"""Part of the service's largest value that a chunk takes: as base64 it grows by a third."""
+
+PIECE_BYTES = 262_144
+"""Compressed before other work has its turn: a few milliseconds."""
 
 COMPRESSION_LEVEL = 1
 """Texts shrink little; more effort is not worth the processor time."""
@@ -72,10 +76,21 @@
     return "." + blake2b(identity.encode(), digest_size=16).hexdigest()
 
 
-def pack_items(job: Job) -> list[bytes]:
-    """Return a job with its items, in chunks that a value may hold."""
-    encoded = zlib.compress(msgspec.msgpack.encode(job), COMPRESSION_LEVEL)
-    return [encoded[start : start + CHUNK_BYTES] for start in range(0, len(encoded), CHUNK_BYTES)]
+async def pack_items(job: Job, most_value_bytes: int) -> list[bytes]:
+    """Return a job with its items, in chunks that a value may hold.
+
+    Other work has its turn while a large job is compressed.
+    """
+    encoded = msgspec.msgpack.encode(job)
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    parts: list[bytes] = []
+    for start in range(0, len(encoded), PIECE_BYTES):
+        parts.append(compressor.compress(encoded[start : start + PIECE_BYTES]))
+        await asyncio.sleep(0)
+    parts.append(compressor.flush())
+    packed = b"".join(parts)
+    chunk_bytes = int(most_value_bytes * VALUE_SHARE)
+    return [packed[start : start + chunk_bytes] for start in range(0, len(packed), chunk_bytes)]
 
 
 def unpack_items(entries: tuple[KvEntry, ...]) -> Job:
--- a/rackswitch/gateway/job_store.py
+++ b/rackswitch/gateway/job_store.py
@@ -47,6 +47,9 @@
 MOST_CHUNKS = 24
 """A call takes 32 entries; some are for the marker, the owner and the conditions."""
 
+MOST_DELETIONS = 30
+"""Keys that one call deletes; it takes 32 entries."""
+
 
 class JobStore:
     """Reads and writes jobs.
@@ -67,7 +70,7 @@
     ) -> JobCreated | JobKnown | JobTooLarge | JobNotStored:
         """Keep a job and own it, in one write."""
         part_name = key_part(job.job_id)
-        chunks = pack_items(job)
+        chunks = await pack_items(job, self._context.settings.kv_most_value_bytes)
         if len(chunks) > MOST_CHUNKS:
             return JobTooLarge(f"the job takes {len(chunks)} chunks, at most {MOST_CHUNKS} fit")
         marker = marker_of(job)
@@ -194,6 +197,31 @@
         done = await self._txn(part)
         return done if isinstance(done, JobNotStored) else None
 
+    async def forget(self, job_id: str) -> KvUnavailable | None:
+        """Delete all of a job.
+
+        Its marker goes last, so that a deletion that fails halfway is found and gone on with.
+        """
+        part_name = key_part(job_id)
+        for prefix in (f"{ITEMS_PREFIX}{part_name}/", f"{RESULTS_PREFIX}{part_name}/"):
+            read = await self._read(prefix)
+            if isinstance(read, KvUnavailable):
+                return read
+            failure = await self._delete([entry.key for entry in read.entries])
+            if failure is not None:
+                return failure
+        return await self._delete([OWNERS_PREFIX + part_name, JOBS_PREFIX + part_name])
+
+    async def _delete(self, keys: list[str]) -> KvUnavailable | None:
+        for start in range(0, len(keys), MOST_DELETIONS):
+            chosen = keys[start : start + MOST_DELETIONS]
+            part = TxnPart((), tuple(Operation(key, None) for key in chosen))
+            done = await self._context.kv.txn([part])
+            self._note(done)
+            if isinstance(done, KvUnavailable):
+                return done
+        return None
+
     def _owner_put(self, part_name: str, lease_id: int) -> Operation:
         owner = self._context.settings.daemon.encode()
         return Operation(OWNERS_PREFIX + part_name, owner, lease_id)
--- a/rackswitch/gateway/owned_job.py
+++ b/rackswitch/gateway/owned_job.py
@@ -20,6 +20,8 @@
         When all results are wanted, and from when items may be given up (monotonic).
     runs : dict of str to asyncio.Task
         Runs and reward calls under way, by item.
+    appending : asyncio.Lock
+        Held while a segment of results is being kept: there is one at a time.
     news : asyncio.Event
         Set when results were listed; replaced then.
     """
@@ -31,7 +33,7 @@
     runs: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     news: asyncio.Event = field(default_factory=asyncio.Event)
     next_append_seconds: float = 0.0
-    is_appending: bool = False
+    appending: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def tell_news(self) -> None:
         """Wake all who wait for results."""
--- a/rackswitch/gateway/result_appender.py
+++ b/rackswitch/gateway/result_appender.py
@@ -49,22 +49,25 @@
         """Begin to append the results that are ready, where the last segment is past."""
         now_seconds = self._context.now_seconds()
         for owned in owned_jobs:
-            ready = owned.ledger.has_pending and not owned.is_appending
+            ready = owned.ledger.has_pending and not owned.appending.locked()
             if ready and now_seconds >= owned.next_append_seconds:
-                self._context.daemon.spawn(self.append(owned))
+                self._context.daemon.spawn(self._append(owned))
 
-    async def append(self, owned: OwnedJob) -> None:
-        """Append the next segment of a job, unless one is under way or nothing is ready."""
-        if owned.is_appending or not owned.ledger.has_pending:
-            return
-        owned.is_appending = True
-        try:
-            await self._append_segment(owned)
-        finally:
-            owned.is_appending = False
-            self._wake.set()
+    async def append_all(self, owned: OwnedJob) -> None:
+        """Append all results that are ready, until a segment is not taken."""
+        async with owned.appending:
+            while owned.ledger.has_pending:
+                if not await self._append_segment(owned):
+                    return
 
-    async def _append_segment(self, owned: OwnedJob) -> None:
+    async def _append(self, owned: OwnedJob) -> None:
+        async with owned.appending:
+            if owned.ledger.has_pending:
+                await self._append_segment(owned)
+        self._wake.set()
+
+    async def _append_segment(self, owned: OwnedJob) -> bool:
+        """Append the next segment of a job; return whether it is kept."""
         job_id = owned.ledger.job.job_id
         position, segment = owned.ledger.next_segment()
         outcome = await self._store.append(job_id, owned.owner_revision, position, segment)
@@ -87,3 +90,4 @@
             owner_revision=owned.owner_revision,
             outcome=type(outcome).__name__,
         )
+        return isinstance(outcome, Appended)
--- a/rackswitch/gateway/session.py
+++ b/rackswitch/gateway/session.py
@@ -62,8 +62,7 @@
         self._peer_port = peer_port
         self._on_lost = on_lost
         self._started_at_unix_seconds = time.time()
-        life_seconds = max(LIFE_SECONDS, context.settings.lease_least_seconds)
-        self.lease = SessionLease(life_seconds)
+        self.lease = SessionLease(self._life_seconds())
 
     @property
     def lease_id(self) -> int | None:
@@ -101,6 +100,9 @@
     def _key(self) -> str:
         return MEMBERS_PREFIX + self._context.settings.daemon
 
+    def _life_seconds(self) -> float:
+        return max(LIFE_SECONDS, self._context.settings.lease_least_seconds)
+
     async def _end_predecessor(self) -> None:
         """End the lease of an earlier process of this daemon, which can no longer act."""
         read = await self._context.kv.read(self._key)
@@ -112,7 +114,7 @@
 
     async def _take(self) -> None:
         asked_at_seconds = self._context.now_seconds()
-        granted = await self._context.kv.grant_lease(self.lease.life_seconds)
+        granted = await self._context.kv.grant_lease(self._life_seconds())
         if not isinstance(granted, LeaseGranted):
             self._unanswered(granted)
             return
--- /dev/null
+++ b/rackswitch/gateway/tests/test_job_cleaner.py
@@ -0,0 +1,102 @@
+"""Old jobs are forgotten whole, by one daemon, also after a deletion that failed halfway."""
+
+import asyncio
+import time
+
+import msgspec
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.job_cleaner import JobCleaner
+from rackswitch.gateway.job_records import JOBS_PREFIX
+from rackswitch.gateway.job_store import JobStore
+from rackswitch.gateway.known_jobs import KnownJobs
+from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.jobs import JobResult
+from rackswitch.jobs.tests.support import make_job
+from rackswitch.membership import VmEntry
+from rackswitch.standins.faulty_kv import KvFaults
+from rackswitch.standins.kv_store import KvStore
+
+LONG_SECONDS = 60.0
+
+
+async def make_ended_job(context: GatewayContext, kv: KvStore, age_seconds: float) -> KnownJobs:
+    """Keep a job with two segments that was ended; return what a daemon knows of it."""
+    store = JobStore(context)
+    job = msgspec.structs.replace(make_job(), submitted_at_unix_seconds=time.time() - age_seconds)
+    created = await store.create(job, kv.grant(1e9, 0.0))
+    for position, item in enumerate(job.items[:2]):
+        result = JobResult(item_id=item.item_id, completed=False)
+        await store.append(job.job_id, created.owner_revision, position, [result])
+    known = KnownJobs()
+    marker = known.marker_put(await store.load_marker(job.job_id))
+    await store.end(marker)
+    known.marker_put(await store.load_marker(job.job_id))
+    return known
+
+
+def join(context: GatewayContext, *names: str) -> None:
+    entries = [VmEntry(name, "127.0.0.1", 1, "z", leaving=False) for name in names]
+    context.daemon.membership.learn_listed(entries, 0.0)
+
+
+async def clean(context: GatewayContext, known: KnownJobs) -> None:
+    cleaner = JobCleaner(context, known, JobStore(context))
+    task = asyncio.create_task(cleaner.run())
+    await asyncio.sleep(LONG_SECONDS)
+    task.cancel()
+
+
+def test_an_old_job_is_forgotten_whole():
+    async def scenario():
+        kv = KvStore()
+        context = make_gateway_context("a", kv)
+        known = await make_ended_job(context, kv, 1000.0)
+        await clean(context, known)
+        assert kv.keys == {}
+
+    run_virtual(scenario())
+
+
+def test_a_job_within_its_time_is_kept():
+    async def scenario():
+        kv = KvStore()
+        context = make_gateway_context("a", kv)
+        known = await make_ended_job(context, kv, 100.0)
+        before = dict(kv.keys)
+        await clean(context, known)
+        assert kv.keys == before
+
+    run_virtual(scenario())
+
+
+def test_a_deletion_that_fails_halfway_is_gone_on_with():
+    async def scenario():
+        kv = KvStore()
+        faults = KvFaults()
+        context = make_gateway_context("a", kv, faults=faults)
+        known = await make_ended_job(context, kv, 1000.0)
+        faults.lost_answer = 0.7
+        await clean(context, known)
+        assert any(key.startswith(JOBS_PREFIX) for key in kv.keys) or kv.keys == {}
+        faults.lost_answer = 0.0
+        # As the session's next renewal would tell.
+        context.contact.answered(context.now_seconds())
+        await clean(context, known)
+        assert kv.keys == {}
+
+    run_virtual(scenario())
+
+
+def test_one_daemon_of_a_fleet_forgets_a_job():
+    async def scenario():
+        kv = KvStore()
+        contexts = {name: make_gateway_context(name, kv) for name in ("a", "b", "c")}
+        known = await make_ended_job(contexts["a"], kv, 1000.0)
+        for context in contexts.values():
+            join(context, *contexts)
+        cleaners = [JobCleaner(c, known, JobStore(c)) for c in contexts.values()]
+        assert sum(cleaner._next_job() is not None for cleaner in cleaners) == 1
+
+    run_virtual(scenario())
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -302,7 +302,7 @@
         follower = fleet.gateways["d2"]
         await wait_for(lambda: follower.copies._choice.is_following)
         # Its own calls fail from here on; what it follows does not.
-        follower.context.daemon.kv._url = "http://127.0.0.1:9"
+        follower.context.daemon.kv.url = "http://127.0.0.1:9"
         fleet.store.put("op/config", desired_state(9, routes=[]))
         await wait_for(lambda: follower.context.table_revision == 9, 2.0)
 
@@ -392,3 +392,16 @@
         assert len(runs) == 2, runs
 
     play(scenario)
+
+
+def test_changed_settings_are_in_force_without_a_restart():
+    async def scenario(fleet):
+        gateway = fleet.gateways["d0"]
+        old_url = gateway.settings.kv_url
+        gateway.settings_changed(replace(gateway.settings, kv_url="http://127.0.0.1:9"))
+        assert await fleet.submit("d0", "j1", [2]) == 503
+        gateway.settings_changed(replace(gateway.settings, kv_url=old_url))
+        await wait_for(gateway.session.is_sure)
+        assert await fleet.submit("d0", "j1", [2]) == 202
+
+    play(scenario)
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -72,8 +72,7 @@
         self._oldest_usable_version = oldest_usable_version
         self._context = context
         self._roles = roles
-        settings = context.settings
-        self._turns = OrderTurns(settings.daemon, settings.order_turn_seconds)
+        self._turns = OrderTurns(context.settings.daemon)
         self._sender = OrderSender(context, roles, engines, self._turns)
         self._record_read_under: dict[str, int] = {}
         self._states: dict[tuple[str, str], RolloutState] = {}
@@ -102,7 +101,7 @@
         role = version_role(row.name)
         if not self._roles.may_act(role) or not await self._knows_record(row.name, role):
             return
-        if self._context.now_seconds() < self._turns.may_order_from_seconds(row.name):
+        if self._context.now_seconds() < self._may_order_from_seconds(row.name):
             return
         planned = [load for model in row.models for load in self._plan(row, model)]
         if not planned:
@@ -116,6 +115,10 @@
         for load in planned:
             self._context.daemon.spawn(self._send(load, entered_at_seconds))
 
+    def _may_order_from_seconds(self, service: str) -> float:
+        turn_seconds = self._context.settings.order_turn_seconds
+        return self._turns.may_order_from_seconds(service, turn_seconds)
+
     async def _knows_record(self, service: str, role: str) -> bool:
         """Read the record once after the role was acquired; return whether it is known.
 
@@ -132,7 +135,7 @@
         for entry in read.entries:
             self.orders_put(entry)
         self._record_read_under[service] = fencing
-        wait_seconds = self._turns.may_order_from_seconds(service) - self._context.now_seconds()
+        wait_seconds = self._may_order_from_seconds(service) - self._context.now_seconds()
         self._context.log.write(
             "orders taken over",
             service=service,
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -8,7 +8,16 @@
 from rackswitch.jobs.orphans import __all__ as _orphans_all
 from rackswitch.jobs.progress import *  # noqa: F403
 from rackswitch.jobs.progress import __all__ as _progress_all
+from rackswitch.jobs.retention import *  # noqa: F403
+from rackswitch.jobs.retention import __all__ as _retention_all
 from rackswitch.jobs.schedule import *  # noqa: F403
 from rackswitch.jobs.schedule import __all__ as _schedule_all
 
-__all__ = [*_ledger_all, *_messages_all, *_orphans_all, *_progress_all, *_schedule_all]
+__all__ = [
+    *_ledger_all,
+    *_messages_all,
+    *_orphans_all,
+    *_progress_all,
+    *_retention_all,
+    *_schedule_all,
+]
--- a/rackswitch/jobs/messages.py
+++ b/rackswitch/jobs/messages.py
@@ -2,7 +2,11 @@
 
 import msgspec
 
-__all__ = ["Job", "JobItem", "JobResult", "RewardCall", "check_job"]
+__all__ = ["MOST_ITEMS", "Job", "JobItem", "JobResult", "RewardCall", "check_job"]
+
+MOST_ITEMS = 20_000
+"""Items of one job: some twenty times the largest step that users expect (1,024 samples).
+What is looked at for each item at every tick stays within a few milliseconds."""
 
 
 class RewardCall(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/rackswitch/platform/job_calls.py
+++ b/rackswitch/platform/job_calls.py
@@ -15,8 +15,10 @@
     "JobCall",
     "ReadItem",
     "ReadResults",
-    "decode_job",
+    "JobOutline",
     "decode_job_call",
+    "decode_job_items",
+    "decode_job_outline",
     "encode_results",
 ]
 
@@ -71,7 +73,8 @@
 
 
 class _WireJob(msgspec.Struct):
-    items: list[_WireItem]
+    # Left undecoded at first, so that a job with too many of them costs little.
+    items: list[msgspec.Raw]
     step: int = 0
     model: str = ""
     min_version: int = 0
@@ -125,26 +128,56 @@
     return values[0] if values else None
 
 
-def decode_job(
+@dataclass(frozen=True, slots=True)
+class JobOutline:
+    """A batch job whose items are counted, and not decoded yet.
+
+    Attributes
+    ----------
+    job : Job
+        The job without items.
+    raw_items : list of msgspec.Raw
+        The items as they came.
+    """
+
+    job: Job
+    raw_items: list[msgspec.Raw]
+
+
+def decode_job_outline(
     job_id: str, host: str, path: str, body: bytes, now_unix_seconds: float
-) -> Job | MalformedRequest:
-    """Return the batch job in a body."""
+) -> JobOutline | MalformedRequest:
+    """Return the batch job in a body, with its items still to be decoded."""
     try:
-        # Bodies of items are base64 in JSON, which msgspec reads into bytes.
         wire = msgspec.json.decode(body, type=_WireJob)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
         return MalformedRequest(str(error))
-    return Job(
+    job = Job(
         job_id=job_id,
         host=host,
         path=path,
-        items=tuple(_item(item) for item in wire.items),
+        items=(),
         model=wire.model,
         step=wire.step,
         oldest_version=wire.min_version,
         wanted_groups=wire.desired_count,
         submitted_at_unix_seconds=now_unix_seconds,
     )
+    return JobOutline(job, wire.items)
+
+
+def decode_job_items(
+    outline: JobOutline, first: int, count: int
+) -> list[JobItem] | MalformedRequest:
+    """Return some of a job's items, so that a large job can be decoded in pieces."""
+    items: list[JobItem] = []
+    for number, raw in enumerate(outline.raw_items[first : first + count], start=first):
+        try:
+            # Bodies are base64 in JSON, which msgspec reads into bytes.
+            items.append(_item(msgspec.json.decode(raw, type=_WireItem)))
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+            return MalformedRequest(f"`$.items[{number}]`: {error}")
+    return items
 
 
 def _item(wire: _WireItem) -> JobItem:
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -44,8 +44,8 @@
         From the order to stop until the process is killed.
     order_turn_seconds : float
         How long the last order of one holder must be past before another holder orders.
-    fence_checked : bool
-        Whether engines refuse orders with an old fencing number.
+    kv_most_value_bytes : int
+        Largest value that the key-value service takes.
     keep_results_seconds : float
         How long after its submission a batch job can be read.
     """
@@ -63,7 +63,6 @@
     lease_least_seconds: float
     stop_grace_seconds: float
     order_turn_seconds: float
-    fence_checked: bool
     keep_results_seconds: float
 
 
@@ -75,7 +74,6 @@
 class _WireBounds(msgspec.Struct):
     grace_s: float = 8.0
     lease_ms: float = 3000.0
-    fence_checked: bool = False
     status_s: float = 120.0
 
 
@@ -145,7 +143,6 @@
         lease_least_seconds=wire.platform.ttl_min_ms / 1000,
         stop_grace_seconds=wire.bounds.grace_s,
         order_turn_seconds=wire.bounds.lease_ms / 1000,
-        fence_checked=wire.bounds.fence_checked,
         keep_results_seconds=wire.bounds.status_s,
     )
 
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -65,12 +65,17 @@
         The service's address.
     sessions : HttpSessions
         Connections to use.
+
+    Attributes
+    ----------
+    url : str
+        The service's address, which may change while the daemon runs.
     """
 
-    __slots__ = ("_sessions", "_url", "calls", "calls_by_path")
+    __slots__ = ("_sessions", "calls", "calls_by_path", "url")
 
     def __init__(self, url: str, sessions: HttpSessions):
-        self._url = url
+        self.url = url
         self._sessions = sessions
         self.calls = 0
         self.calls_by_path: Counter[str] = Counter()
@@ -209,7 +214,7 @@
     ) -> StoreAnswer | KvUnavailable:
         self.calls += 1
         self.calls_by_path[_call_name(path, query)] += 1
-        url = self._url + path + ("?" + urlencode(query, safe="/") if query else "")
+        url = self.url + path + ("?" + urlencode(query, safe="/") if query else "")
         data = msgspec.json.encode(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if data is not None else None
         try:
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -5,7 +5,7 @@
 import socket
 from base64 import b64encode
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import aiohttp
@@ -16,7 +16,7 @@
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.standins.platform_target import PlatformTargetStandIn
 
-__all__ = ["HOST", "JobAnswer", "PlatformFleet"]
+__all__ = ["HOST", "JobAnswer", "PlatformFleet", "stand_in_settings"]
 
 HOST = "site.example"
 MODEL = "m0"
@@ -32,6 +32,26 @@
         return probe.getsockname()[1]
 
 
+def stand_in_settings(name: str, kv_url: str = "") -> NodeSettings:
+    """Return settings with the platform's usual bounds; nothing is listened on."""
+    return NodeSettings(
+        daemon=name,
+        machine_class="front",
+        host="127.0.0.1",
+        zone="z",
+        callers=None,
+        readiness=None,
+        metrics=None,
+        peer_ports=(1, 2),
+        kv_url=kv_url,
+        kv_most_value_bytes=1_048_576,
+        lease_least_seconds=1.0,
+        stop_grace_seconds=8.0,
+        order_turn_seconds=3.0,
+        keep_results_seconds=120.0,
+    )
+
+
 def desired_state(version: int, **changes: Any) -> dict[str, Any]:
     """Return a desired state as the operator writes it."""
     common = {"host": HOST, "timeout_ms": 1500, "goal_ms": 200, "priority": 2}
@@ -121,22 +141,12 @@
     async def start_gateway(self, name: str) -> Gateway:
         """Start one gateway, in place of an earlier one of the same name."""
         port = free_port()
-        settings = NodeSettings(
-            daemon=name,
-            machine_class="front",
-            host="127.0.0.1",
-            zone="z",
+        settings = replace(
+            stand_in_settings(name, f"http://{self.store.address}"),
             callers=Address("127.0.0.1", 0),
             readiness=Address("127.0.0.1", 0),
-            metrics=None,
             peer_ports=(port, port),
-            kv_url=f"http://{self.store.address}",
-            kv_most_value_bytes=1_048_576,
-            lease_least_seconds=1.0,
-            stop_grace_seconds=8.0,
             order_turn_seconds=0.5,
-            fence_checked=False,
-            keep_results_seconds=120.0,
         )
         gateway = Gateway(settings, os.dup(self._null))
         await gateway.start()
--- a/rackswitch/weights/tests/test_turns.py
+++ b/rackswitch/weights/tests/test_turns.py
@@ -1,34 +1,42 @@
 from rackswitch.weights import ORDER_WINDOW_SECONDS, OrderTurns
 
+TURN_SECONDS = 3.0
+
 
 def test_the_first_holder_need_not_wait():
-    assert OrderTurns("a", 3.0).may_order_from_seconds("g") == float("-inf")
+    assert OrderTurns("a").may_order_from_seconds("g", TURN_SECONDS) == float("-inf")
 
 
 def test_a_successor_waits_from_the_last_entry_of_the_former_holder():
-    turns = OrderTurns("b", 3.0)
+    turns = OrderTurns("b")
     turns.entered("g", "a", 1, 10.0)
     turns.entered("g", "a", 2, 12.0)
-    assert turns.may_order_from_seconds("g") == 12.0 + ORDER_WINDOW_SECONDS + 3.0
-    assert turns.may_order_from_seconds("other") == float("-inf")
+    assert (
+        turns.may_order_from_seconds("g", TURN_SECONDS)
+        == 12.0 + ORDER_WINDOW_SECONDS + TURN_SECONDS
+    )
+    assert turns.may_order_from_seconds("other", TURN_SECONDS) == float("-inf")
 
 
 def test_a_restarted_daemon_goes_on_with_its_own_turn():
-    turns = OrderTurns("a", 3.0)
+    turns = OrderTurns("a")
     turns.entered("g", "a", 1, 10.0)
-    assert turns.may_order_from_seconds("g") == float("-inf")
+    assert turns.may_order_from_seconds("g", TURN_SECONDS) == float("-inf")
 
 
 def test_an_order_does_not_leave_long_after_its_entry():
-    turns = OrderTurns("a", 3.0)
+    turns = OrderTurns("a")
     assert turns.may_send(10.0, 10.0 + ORDER_WINDOW_SECONDS / 2)
     # As after a freeze between the entry's answer and the order.
     assert not turns.may_send(10.0, 10.0 + ORDER_WINDOW_SECONDS)
 
 
 def test_an_entry_that_is_read_again_does_not_prolong_the_wait():
-    turns = OrderTurns("b", 3.0)
+    turns = OrderTurns("b")
     turns.entered("g", "a", 5, 10.0)
     turns.entered("g", "a", 5, 12.0)
     turns.entered("g", "c", 4, 13.0)
-    assert turns.may_order_from_seconds("g") == 10.0 + ORDER_WINDOW_SECONDS + 3.0
+    assert (
+        turns.may_order_from_seconds("g", TURN_SECONDS)
+        == 10.0 + ORDER_WINDOW_SECONDS + TURN_SECONDS
+    )
--- a/rackswitch/weights/turns.py
+++ b/rackswitch/weights/turns.py
@@ -31,12 +31,9 @@
     daemon : str
         This daemon. Its own orders and those of an earlier process of it are one
         holder's: the earlier process is dead.
-    turn_seconds : float
-        How long the last order of one holder must be past before another orders.
     """
 
     daemon: str
-    turn_seconds: float
     entries: dict[str, _Entry] = field(default_factory=dict)
 
     def entered(self, group: str, holder: str, revision: int, seen_seconds: float) -> None:
@@ -48,12 +45,20 @@
         if known is None or revision > known.revision:
             self.entries[group] = _Entry(holder, revision, seen_seconds)
 
-    def may_order_from_seconds(self, group: str) -> float:
-        """Return from when on this daemon, once it holds the role, may order the group."""
+    def may_order_from_seconds(self, group: str, turn_seconds: float) -> float:
+        """Return from when on this daemon, once it holds the role, may order the group.
+
+        Parameters
+        ----------
+        group : str
+            The engines.
+        turn_seconds : float
+            How long the last order of one holder must be past before another orders.
+        """
         entry = self.entries.get(group)
         if entry is None or entry.holder == self.daemon:
             return float("-inf")
-        return entry.seen_seconds + ORDER_WINDOW_SECONDS + self.turn_seconds
+        return entry.seen_seconds + ORDER_WINDOW_SECONDS + turn_seconds
 
     def may_send(self, entered_at_seconds: float, now_seconds: float) -> bool:
         """Return whether an order may still leave whose entry was begun at a moment."""
