--- a/rackswitch/daemon/context.py
+++ b/rackswitch/daemon/context.py
@@ -15,7 +15,7 @@
 from rackswitch.outcomes import BrokenInvariant
 from rackswitch.peers.links import PeerLinks
 from rackswitch.table import TableView
-from rackswitch.telemetry import Telemetry
+from rackswitch.telemetry import DecisionLog, Telemetry
 
 __all__ = ["DaemonContext", "InFlight"]
 
@@ -76,11 +76,13 @@
     view: TableView
     membership: Membership
     telemetry: Telemetry
+    log: DecisionLog
     rng: random.Random
     stopping: bool = False
     broken: BrokenInvariant | None = None
     in_flight: InFlight = field(default_factory=InFlight)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    _duties: dict[str, asyncio.Task[Any]] = field(default_factory=dict)
 
     def now_seconds(self) -> float:
         """Return the monotonic clock."""
@@ -96,6 +98,7 @@
     def spawn_duty(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run something that the daemon cannot do without; its failure ends the daemon."""
         task = self.spawn(work)
+        self._duties[getattr(work, "__qualname__", task.get_name())] = task
         task.add_done_callback(self._duty_ended)
         return task
 
@@ -114,9 +117,27 @@
         elif error is not None:
             logger.opt(exception=error).error("background task failed")
 
+    def duty_states(self) -> list[str]:
+        """Return a line for each duty: where it waits, or how it ended (for diagnosis)."""
+        return [f"{name}: {_task_state(task)}" for name, task in self._duties.items()]
+
     async def cancel_all(self) -> None:
         """End all background work."""
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _task_state(task: asyncio.Task[Any]) -> str:
+    if task.cancelled():
+        return "cancelled"
+    if task.done():
+        return f"ended: {task.exception()!r}"
+    # The innermost coroutine is the last of the chain that each one awaits.
+    places: list[str] = []
+    waiting: Any = task.get_coro()
+    while (frame := getattr(waiting, "cr_frame", None)) is not None:
+        places.append(f"{frame.f_code.co_qualname}:{frame.f_lineno}")
+        waiting = waiting.cr_await
+    return " < ".join(reversed(places)) + f" < {waiting!r}"[:120]
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -5,7 +5,6 @@
 import time
 
 from blacksheep import Content, Request, Response
-from loguru import logger
 
 from rackswitch.clients.http import HttpSessions
 from rackswitch.clients.kv import KV_CLIENTS
@@ -35,7 +34,8 @@
 from rackswitch.membership import Membership, MemberState, MemberUpdate
 from rackswitch.peers.links import PeerLinks
 from rackswitch.table import DaemonRow, ModelRow, TableView, TrainerRow, choose_watchers
-from rackswitch.telemetry import Telemetry
+from rackswitch.telemetry import DecisionLog, Telemetry
+from rackswitch.telemetry.events import Started, Stopped, Stopping
 from rackswitch.web import (
     Problem,
     WebServer,
@@ -62,9 +62,11 @@
     ----------
     settings : DaemonSettings
         Its settings.
+    log_descriptor : int or None
+        Where its decisions are logged; None for nowhere, as many daemons in one process.
     """
 
-    def __init__(self, settings: DaemonSettings):
+    def __init__(self, settings: DaemonSettings, log_descriptor: int | None = None):
         self.settings = settings
         sessions = HttpSessions()
         seed = settings.seed or random.SystemRandom().randrange(1 << 60)
@@ -73,6 +75,7 @@
             settings.daemon, settings.host, settings.peer_port, settings.zone,
             int(time.time() * 1000), MemberState.ALIVE,
         )  # fmt: skip
+        telemetry = Telemetry(settings.daemon)
         self.context = DaemonContext(
             settings=settings,
             sessions=sessions,
@@ -80,7 +83,8 @@
             links=PeerLinks(settings.fleet_secret),
             view=TableView(),
             membership=Membership(own, settings.heartbeat_seconds, rng),
-            telemetry=Telemetry(settings.daemon),
+            telemetry=telemetry,
+            log=DecisionLog(settings.daemon, log_descriptor, telemetry.events.count),
             rng=rng,
         )
         self.table = TableKeeper(self.context, self._announce)
@@ -145,22 +149,24 @@
             self.ledgers.run(),
             self.rollouts.run(),
             self._clean_claims(),
+            self.context.log.run(),
         ):
-            self.context.spawn(duty)
-        logger.info("started", daemon=self.settings.daemon, zone=self.settings.zone, url=self.url)
+            self.context.spawn_duty(duty)
+        self.context.log.write(Started(zone=self.settings.zone))
 
     async def stop(self) -> None:
         """Stop as planned: hand over the roles, finish what is in flight, then end."""
+        self.context.log.write(Stopping(requests_in_flight=self.context.in_flight.count))
         self.context.stopping = True
         self.context.membership.leave()
         await self.roles.tend()
         await self.heartbeats.announce()
         await asyncio.sleep(BALANCER_NOTICE_SECONDS)
-        if not await self.context.in_flight.wait_idle(STOP_PATIENCE_SECONDS):
-            logger.warning("stopping with work in flight", daemon=self.settings.daemon)
+        whole = await self.context.in_flight.wait_idle(STOP_PATIENCE_SECONDS)
         await self._server.stop()
+        self.context.log.write(Stopped(whole=whole))
         await self._close()
-        logger.info("stopped", daemon=self.settings.daemon)
+        self.context.log.pump()
 
     async def crash(self) -> None:
         """End at once, as a killed process would (for tests)."""
--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -5,7 +5,6 @@
 import itertools
 
 import msgspec
-from loguru import logger
 
 from rackswitch.clients.kv import KvRead
 from rackswitch.daemon.context import DaemonContext
@@ -34,6 +33,7 @@
     StepPlan,
 )
 from rackswitch.table import TrainerRow
+from rackswitch.telemetry.events import LedgerLoaded, SampleEnded
 
 __all__ = ["LedgerKeeper"]
 
@@ -79,6 +79,10 @@
             for trainer in list(self._context.view.rows(TrainerRow)):
                 await self._tend(trainer)
 
+    def held_fencings(self) -> dict[str, int]:
+        """Return the ledgers held here, with the fencing number that each was loaded under."""
+        return {trainer: held.fencing for trainer, held in self._held.items()}
+
     async def call(self, trainer: str, operation: str, body: bytes) -> LedgerAnswer:
         """Carry out a trainer's call wherever its ledger is held."""
         answer = await self.call_here(trainer, operation, body)
@@ -149,10 +153,21 @@
         held = await self._store.load(trainer)
         if held is not None:
             self._held[trainer.name] = held
-            logger.info("ledger loaded", trainer=trainer.name, fencing=held.fencing)
+            self._context.log.write(LedgerLoaded(trainer=trainer.name, fencing=held.fencing))
 
     async def _carry_out(self, held: HeldLedger, order: SampleOrder) -> None:
+        began_seconds = self._context.now_seconds()
         result = await self._run_somewhere(order)
+        self._context.log.write(
+            SampleEnded(
+                trainer=order.trainer,
+                step=order.step,
+                index=order.index,
+                attempt=order.attempt,
+                elapsed_seconds=round(self._context.now_seconds() - began_seconds, 3),
+                outcome="made" if isinstance(result, Sample) else result.detail,
+            )
+        )
         if isinstance(result, Sample):
             held.ledger.finished(result)
         else:
--- a/rackswitch/daemon/main.py
+++ b/rackswitch/daemon/main.py
@@ -24,7 +24,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    daemon = Daemon(settings)
+    daemon = Daemon(settings, log_descriptor=1)
     await daemon.start()
     while not stop.is_set():
         if daemon.context.broken is not None:
--- a/rackswitch/daemon/roles.py
+++ b/rackswitch/daemon/roles.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from loguru import logger
-
 from rackswitch.clients.kv import (
     Compare,
     KvRead,
@@ -15,6 +13,7 @@
 )
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.leases import LeaseAction, RoleLease
+from rackswitch.telemetry.events import RoleAcquired, RoleLost
 
 __all__ = ["ROLE_PREFIX", "RoleKeeper"]
 
@@ -58,7 +57,7 @@
         """Note that the service no longer knows this daemon as the holder."""
         lease = self.roles.get(role)
         if lease is not None:
-            lease.lost(self._context.now_seconds(), self._context.rng.random())
+            self._lost(lease, "a write under its fence was not taken")
 
     async def run(self) -> None:
         """Tend all roles, one step each a tick."""
@@ -134,8 +133,9 @@
             return
         read = await self._context.kv.read(key)
         if isinstance(read, KvRead) and read.entries and read.entries[0].value == value:
-            lease.acquired(asked_at_seconds, granted.lease_id, read.entries[0].create_revision)
-            logger.info("role acquired", role=lease.role, daemon=lease.daemon)
+            fencing = read.entries[0].create_revision
+            lease.acquired(asked_at_seconds, granted.lease_id, fencing)
+            self._context.log.write(RoleAcquired(role=lease.role, fencing=fencing))
             return
         lease.lost(self._context.now_seconds(), self._context.rng.random())
 
@@ -147,12 +147,29 @@
         if kept is True:
             lease.renewed(asked_at_seconds)
         elif kept is False:
-            lease.lost(self._context.now_seconds(), self._context.rng.random())
+            self._lost(lease, "the service ended the lease")
         else:
-            lease.unanswered(self._context.now_seconds(), self._context.rng.random())
+            self._unanswered(lease)
 
     async def _release(self, lease: RoleLease) -> None:
         held = lease.held
-        lease.lost(self._context.now_seconds(), self._context.rng.random())
+        self._lost(lease, "released")
         if held is not None:
             await self._context.kv.revoke_lease(held.lease_id)
+
+    def _lost(self, lease: RoleLease, reason: str) -> None:
+        """Note that a role is not held any more."""
+        if lease.held is not None:
+            self._context.log.write(
+                RoleLost(role=lease.role, fencing=lease.held.fencing, reason=reason)
+            )
+        lease.lost(self._context.now_seconds(), self._context.rng.random())
+
+    def _unanswered(self, lease: RoleLease) -> None:
+        """Note that a renewal went unanswered; the role is lost once its deadline is past."""
+        held = lease.held
+        lease.unanswered(self._context.now_seconds(), self._context.rng.random())
+        if held is not None and lease.held is None:
+            self._context.log.write(
+                RoleLost(role=lease.role, fencing=held.fencing, reason="not renewed in time")
+            )
--- a/rackswitch/daemon/rollout_keeper.py
+++ b/rackswitch/daemon/rollout_keeper.py
@@ -3,14 +3,13 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from loguru import logger
-
 from rackswitch.clients.engine import EngineInfo, OrderTaken
 from rackswitch.clients.weight_store import PublishedVersions, WeightStoreClient
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.daemon.target_keeper import TargetKeeper
 from rackswitch.table import ModelRow, RouteChoice, RouteRow, TargetRow
+from rackswitch.telemetry.events import LoadOrdered
 from rackswitch.weights import (
     EngineView,
     LoadOrder,
@@ -181,5 +180,14 @@
         )
         loaded = isinstance(result, OrderTaken)
         state.ended(row.name, loaded, self._context.now_seconds())
-        if not loaded:
-            logger.warning("load failed", engine=row.name, version=order.version, detail=result)
+        self._context.log.write(
+            LoadOrdered(
+                target=row.name,
+                model=model,
+                version=order.version,
+                version_listed=None,
+                fencing=fencing,
+                orders_taken=None,
+                outcome="loaded" if isinstance(result, OrderTaken) else result.detail,
+            )
+        )
--- a/rackswitch/daemon/table_keeper.py
+++ b/rackswitch/daemon/table_keeper.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from loguru import logger
 
 from rackswitch.clients.kv import Compare, KvRead, KvUnavailable, Operation, TxnPart, WatchNews
 from rackswitch.daemon.context import DaemonContext
@@ -24,6 +23,7 @@
     apply_edit,
     choose_watchers,
 )
+from rackswitch.telemetry import events
 
 __all__ = ["EditResult", "EditUnavailable", "EditUnknown", "TableKeeper"]
 
@@ -238,12 +238,15 @@
                     return EditDone(outcome.document.revision)
                 written = await self._write(read, outcome.document)
                 if written is True:
-                    logger.info("edit accepted", edit=edit.edit_id, operator=edit.operator)
+                    self._log_edit(edit)
                     await self._take(outcome.document)
                     return EditDone(outcome.document.revision)
                 unanswered = unanswered or written is None
         return EditUnknown() if unanswered else EditUnavailable()
 
+    def _log_edit(self, edit: Edit) -> None:
+        self._context.log.write(events.EditAccepted(edit=edit.edit_id, operator=edit.operator))
+
     async def _write(self, read: KvRead, document: TableDocument) -> bool | None:
         """Write the document; False if it was not written, None if that is not known."""
         mod_revision = read.entries[0].mod_revision if read.entries else 0
@@ -257,7 +260,11 @@
         return done[0].succeeded
 
     async def _take(self, document: TableDocument) -> None:
+        before = self._context.view.revision
         if self._context.view.offer(document):
+            self._context.log.write(
+                events.TableInForce(revision=document.revision, revision_before=before)
+            )
             self.changed.set()
             self.changed = asyncio.Event()
             await self._announce()
--- a/rackswitch/daemon/tests/support.py
+++ b/rackswitch/daemon/tests/support.py
@@ -14,6 +14,7 @@
 from rackswitch.standins.faulty_kv import FaultyKv, KvFaults
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.table import TableView
+from rackswitch.telemetry import DecisionLog
 
 
 class NoTelemetry:
@@ -58,5 +59,6 @@
         view=TableView(),
         membership=Membership(own, 1.0, rng),
         telemetry=NoTelemetry(),  # type: ignore[arg-type]
+        log=DecisionLog(name, None),
         rng=rng,
     )
--- a/rackswitch/gateway/call_edge.py
+++ b/rackswitch/gateway/call_edge.py
@@ -10,6 +10,7 @@
 from rackswitch.outcomes import MayHaveRun, NotRun
 from rackswitch.requests import Call, TargetAnswer, TargetStream
 from rackswitch.table import RouteRow
+from rackswitch.telemetry.events import RequestEnded
 from rackswitch.web.exchange import Exchange
 
 __all__ = ["CallEdge"]
@@ -59,7 +60,7 @@
         elif isinstance(outcome, NotRun):
             retry_at_seconds = outcome.retry_at_seconds or self._context.now_seconds()
             left_seconds = max(0.0, retry_at_seconds - self._context.now_seconds())
-            await refuse(exchange, self._context.log, Refusal(503, outcome.detail, left_seconds))
+            await refuse(exchange, self._context, Refusal(503, outcome.detail, left_seconds))
         else:
             await self._fail(exchange, outcome, deadline_seconds)
         self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.target)
@@ -88,26 +89,22 @@
         target: str,
     ) -> None:
         elapsed_seconds = self._context.now_seconds() - arrived_seconds
-        self._context.daemon.telemetry.request_ended(
-            route.name, route.caller_class, _short_label(outcome), elapsed_seconds
-        )
         self._context.log.write(
-            "request ended",
-            request=call.request_id,
-            route=route.name,
-            table_revision=self._context.table_revision,
-            target=target,
-            attempts=attempts,
-            elapsed_seconds=round(elapsed_seconds, 4),
-            outcome=outcome,
+            RequestEnded(
+                request=call.request_id,
+                route=route.name,
+                caller_class=route.caller_class,
+                table_revision=self._context.table_revision,
+                list_age_seconds=self._context.list_age_seconds(),
+                targets_known=self._front.usable_count(route),
+                target=target,
+                attempts=attempts,
+                elapsed_seconds=round(elapsed_seconds, 4),
+                outcome=outcome,
+            )
         )
 
     async def _fail(self, exchange: Exchange, outcome: MayHaveRun, deadline_seconds: float) -> None:
         """Answer without a promise whether the request has run."""
         late = self._context.now_seconds() >= deadline_seconds
         await exchange.respond(504 if late else 502, TEXT, outcome.detail.encode())
-
-
-def _short_label(outcome: str) -> str:
-    """Return an outcome without its detail, so that metrics have few labels."""
-    return outcome.partition(":")[0].partition(",")[0]
--- a/rackswitch/gateway/contact.py
+++ b/rackswitch/gateway/contact.py
@@ -4,9 +4,13 @@
 
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.telemetry import DecisionLog
+from rackswitch.telemetry.events import DependencyLost, DependencyRegained
 
 __all__ = ["StoreContact"]
 
+KEY_VALUE = "key-value"
+"""The service's name in logs and metrics."""
+
 
 @dataclass(slots=True)
 class StoreContact:
@@ -43,11 +47,11 @@
         away_seconds = now_seconds - self.away_since_seconds
         self.away_since_seconds = None
         self.back_seconds = now_seconds
-        self.log.write("dependency regained", dependency="key-value", away_seconds=away_seconds)
+        self.log.write(DependencyRegained(dependency=KEY_VALUE, away_seconds=away_seconds))
 
     def failed(self, now_seconds: float, detail: str) -> None:
         """Note a call without an answer."""
         if self.away_since_seconds is not None:
             return
         self.away_since_seconds = now_seconds
-        self.log.write("dependency lost", dependency="key-value", detail=detail)
+        self.log.write(DependencyLost(dependency=KEY_VALUE, detail=detail))
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -36,6 +36,8 @@
         The newest version of each model that its trainer has named.
     targets : dict of str to Target
         Load, speed and health of the listed targets, by instance.
+    list_confirmed_at_seconds : float
+        When (monotonic) the service last vouched for the list of targets.
     connection_limits : ConnectionLimits
         How long callers' connections may rest and their heads may take, by the table.
     """
@@ -43,18 +45,23 @@
     settings: NodeSettings
     daemon: DaemonContext
     contact: StoreContact
-    log: DecisionLog
     routes: RouteIndex = field(default_factory=RouteIndex)
     directory: TargetDirectory = field(default_factory=TargetDirectory)
     named_versions: dict[str, int] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
     connection_limits: ConnectionLimits = field(default_factory=_first_connection_limits)
+    list_confirmed_at_seconds: float = float("-inf")
 
     @property
     def kv(self) -> KvClient:
         """The key-value service."""
         return self.daemon.kv
 
+    @property
+    def log(self) -> DecisionLog:
+        """Where decisions are logged."""
+        return self.daemon.log
+
     @property
     def rng(self) -> random.Random:
         """Source of random choices."""
@@ -70,6 +77,11 @@
         """This daemon's name."""
         return self.settings.daemon
 
+    def list_age_seconds(self) -> float:
+        """Return how old the service's word for the list of targets is; -1 if there is none."""
+        age_seconds = self.now_seconds() - self.list_confirmed_at_seconds
+        return round(age_seconds, 3) if age_seconds < float("inf") else -1.0
+
     def now_seconds(self) -> float:
         """Return the monotonic clock."""
         return self.daemon.now_seconds()
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -32,11 +32,20 @@
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.platform.store import PlatformKvClient
 from rackswitch.platform.target_calls import TargetClient
-from rackswitch.telemetry import DecisionLog
+from rackswitch.telemetry.events import (
+    HandOverGivenUp,
+    Reloaded,
+    Started,
+    Stopped,
+    Stopping,
+    StoreCalls,
+)
 
 __all__ = ["Gateway"]
 
-LOG_PUMP_SECONDS = 0.1
+LAST_LINES_SECONDS = 0.01
+"""Between tries to write the last lines while their reader is slow."""
+
 COUNTS_LOG_SECONDS = 10.0
 """Between log lines that tell how many calls the key-value service got so far."""
 
@@ -55,16 +64,16 @@
     ----------
     settings : NodeSettings
         Its settings.
-    log_descriptor : int
-        Where its decisions are logged; standard output by default.
+    log_descriptor : int or None
+        Where its decisions are logged: standard output by default, None for nowhere.
     """
 
-    def __init__(self, settings: NodeSettings, log_descriptor: int = 1):
+    def __init__(self, settings: NodeSettings, log_descriptor: int | None = 1):
         self.settings = settings
-        self.log = DecisionLog(settings.daemon, log_descriptor)
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
-        daemon = make_daemon_context(settings, rng)
-        self.context = GatewayContext(settings, daemon, StoreContact(self.log), self.log)
+        daemon = make_daemon_context(settings, rng, log_descriptor)
+        self.log = daemon.log
+        self.context = GatewayContext(settings, daemon, StoreContact(self.log))
         self._sessions = TargetSessions()
         self.state = StateKeeper(self.context)
         self.session = Session(self.context, settings.peer_ports[0], self._session_lost)
@@ -110,19 +119,18 @@
             self.versions.run(),
             self.jobs.run(),
             self._cleaner.run(),
-            self._pump_log(),
+            self.log.run(),
+            self._count_calls(),
         ):
             self.context.daemon.spawn_duty(duty)
-        self.log.write(
-            "started", zone=self.settings.zone, machine_class=self.settings.machine_class
-        )
+        self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
 
     async def stop(self) -> None:
         """Stop as planned: hand over, serve what still comes, finish, then end."""
         deadline_seconds = (
             self.context.now_seconds() + self.settings.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
-        self.log.write("stopping", requests_in_flight=self.context.daemon.in_flight.count)
+        self.log.write(Stopping(requests_in_flight=self.context.daemon.in_flight.count))
         self.context.daemon.stopping = True
         self.context.daemon.membership.leave()
         notice = asyncio.create_task(asyncio.sleep(BALANCER_NOTICE_SECONDS))
@@ -131,14 +139,14 @@
                 await asyncio.gather(self.roles.tend(), self.jobs.hand_over())
         except TimeoutError:
             # What was not handed over is taken over when this daemon's leases are over.
-            self.log.write("hand-over given up", jobs=len(self.jobs.owned))
+            self.log.write(HandOverGivenUp(jobs=list(self.jobs.owned)))
         await notice
         left_seconds = deadline_seconds - self.context.now_seconds()
         whole = await self.context.daemon.in_flight.wait_idle(max(0.0, left_seconds))
         await self.session.end()
-        self.log.write("stopped", whole=whole)
+        self.log.write(Stopped(whole=whole))
         while self.log.pump() and self.context.now_seconds() < deadline_seconds:
-            await asyncio.sleep(LOG_PUMP_SECONDS / 10)
+            await asyncio.sleep(LAST_LINES_SECONDS)
 
     async def crash(self) -> None:
         """End at once, as a killed process would (for tests)."""
@@ -168,7 +176,7 @@
         self.context.settings = settings
         if isinstance(self.context.kv, PlatformKvClient):
             self.context.kv.url = settings.kv_url
-        self.log.write("reloaded", applied=changes.applied, needs_restart=changes.needs_restart)
+        self.log.write(Reloaded(applied=changes.applied, needs_restart=changes.needs_restart))
 
     async def _hold_roles(self) -> None:
         await self.roles.end_predecessors()
@@ -180,12 +188,8 @@
     def _wanted_roles(self) -> list[str]:
         return self.versions.wanted_roles()
 
-    async def _pump_log(self) -> None:
-        next_count_seconds = self.context.now_seconds()
+    async def _count_calls(self) -> None:
         calls = getattr(self.context.kv, "calls_by_path", {})
         while True:
-            self.log.pump()
-            if self.context.now_seconds() >= next_count_seconds:
-                next_count_seconds += COUNTS_LOG_SECONDS
-                self.log.write("key-value calls", calls=dict(calls))
-            await asyncio.sleep(LOG_PUMP_SECONDS)
+            self.log.write(StoreCalls(calls=dict(calls)))
+            await asyncio.sleep(COUNTS_LOG_SECONDS)
--- a/rackswitch/gateway/daemon_context.py
+++ b/rackswitch/gateway/daemon_context.py
@@ -11,7 +11,7 @@
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.platform.store import PROTOCOL_NAME, PlatformKvClient
 from rackswitch.table import TableView
-from rackswitch.telemetry import Telemetry
+from rackswitch.telemetry import DecisionLog, Telemetry
 
 __all__ = ["make_daemon_context"]
 
@@ -20,12 +20,15 @@
 wants between two holders' orders."""
 
 
-def make_daemon_context(settings: NodeSettings, rng: random.Random) -> DaemonContext:
+def make_daemon_context(
+    settings: NodeSettings, rng: random.Random, log_descriptor: int | None
+) -> DaemonContext:
     """Return the context of a daemon that has not started.
 
     Services of the stand-alone deployment that the platform lacks have no address in it.
     """
     sessions = HttpSessions()
+    telemetry = Telemetry(settings.daemon)
     own = MemberUpdate(
         settings.daemon,
         settings.host,
@@ -52,6 +55,7 @@
         links=PeerLinks(""),
         view=TableView(),
         membership=Membership(own, 1.0, rng),
-        telemetry=Telemetry(settings.daemon),
+        telemetry=telemetry,
+        log=DecisionLog(settings.daemon, log_descriptor, telemetry.events.count),
         rng=rng,
     )
--- a/rackswitch/gateway/edge.py
+++ b/rackswitch/gateway/edge.py
@@ -83,7 +83,7 @@
         arrived_seconds = self._context.now_seconds()
         job_call = decode_job_call(exchange)
         if isinstance(job_call, MalformedRequest):
-            await refuse(exchange, self._context.log, Refusal(400, job_call.detail))
+            await refuse(exchange, self._context, Refusal(400, job_call.detail))
         elif job_call is not None:
             await self._jobs.serve(exchange, job_call, arrived_seconds)
         else:
@@ -93,7 +93,7 @@
         limits = self._limits()
         head = self._check_head(exchange, limits, arrived_seconds)
         if isinstance(head, Refusal):
-            await refuse(exchange, self._context.log, head)
+            await refuse(exchange, self._context, head)
             return
         body_deadline_seconds = head.deadline_seconds or arrived_seconds + BODY_PATIENCE_SECONDS
         body = await exchange.read_body(limits.most_body_bytes, body_deadline_seconds)
@@ -146,8 +146,8 @@
         if isinstance(fault, BodyTooLarge):
             await refuse(
                 exchange,
-                self._context.log,
+                self._context,
                 Refusal(413, f"the body is over {fault.most_bytes} bytes"),
             )
         elif isinstance(fault, BodyTooSlow):
-            await refuse(exchange, self._context.log, Refusal(408, "the body did not come in time"))
+            await refuse(exchange, self._context, Refusal(408, "the body did not come in time"))
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -12,6 +12,7 @@
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
 from rackswitch.requests import Call, TargetAnswer
 from rackswitch.routing import ListedTarget
+from rackswitch.telemetry import events
 
 __all__ = ["EnginePaces", "ItemRunner"]
 
@@ -79,17 +80,20 @@
         ended = await self._stream(ledger, progress, target)
         now_seconds = self._context.now_seconds()
         self._context.log.write(
-            "item run ended",
-            job=ledger.job.job_id,
-            item=progress.item.item_id,
-            run=progress.run_number,
-            target=target.instance,
-            first_piece=first_number,
-            pieces=progress.last_number,
-            versions=progress.versions,
-            run_seconds=round(now_seconds - began_seconds, 3),
-            outcome=ended.end.value,
-            detail=ended.detail,
+            events.ItemRunEnded(
+                job=ledger.job.job_id,
+                item=progress.item.item_id,
+                run=progress.run_number,
+                target=target.instance,
+                first_piece=first_number,
+                pieces=progress.last_number,
+                versions=list(progress.versions),
+                oldest_version=ledger.job.oldest_version,
+                run_seconds=round(now_seconds - began_seconds, 3),
+                list_age_seconds=self._context.list_age_seconds(),
+                outcome=ended.end.value,
+                detail=ended.detail,
+            )
         )
         self._note_end(ledger, progress, target, ended)
         return ended
@@ -165,14 +169,15 @@
             answer = await self._front.call(route, call, deadline_seconds, log)
             outcome = answer.outcome
             self._context.log.write(
-                "reward call ended",
-                job=ledger.job.job_id,
-                item=item.item_id,
-                request=reward.request_id,
-                target=answer.target,
-                attempts=answer.attempts,
-                failures=answer.failures,
-                outcome=outcome_label(outcome),
+                events.RewardCallEnded(
+                    job=ledger.job.job_id,
+                    item=item.item_id,
+                    request=reward.request_id,
+                    target=answer.target,
+                    attempts=answer.attempts,
+                    failures=answer.failures,
+                    outcome=outcome_label(outcome),
+                )
             )
             if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
                 ledger.scored(progress, stamp_of(outcome))
--- a/rackswitch/gateway/item_starter.py
+++ b/rackswitch/gateway/item_starter.py
@@ -9,6 +9,7 @@
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow, ServiceRow
+from rackswitch.telemetry.events import ItemGivenUp
 
 __all__ = ["ItemStarter"]
 
@@ -75,11 +76,12 @@
             if progress.phase is ItemPhase.WAITING:
                 owned.ledger.give_up(progress)
                 self._context.log.write(
-                    "item given up",
-                    job=owned.ledger.job.job_id,
-                    item=progress.item.item_id,
-                    reason=reason,
-                    table_revision=self._context.table_revision,
+                    ItemGivenUp(
+                        job=owned.ledger.job.job_id,
+                        item=progress.item.item_id,
+                        reason=reason,
+                        table_revision=self._context.table_revision,
+                    )
                 )
 
     def _engine_rooms(self, services: set[str], now_seconds: float) -> list[EngineRoom]:
--- a/rackswitch/gateway/job_cleaner.py
+++ b/rackswitch/gateway/job_cleaner.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.known_jobs import KnownJobs
 from rackswitch.jobs import is_forgettable
 from rackswitch.leases import rank_candidates
+from rackswitch.telemetry.events import JobForgotten
 
 __all__ = ["JobCleaner"]
 
@@ -67,4 +68,4 @@
     async def _forget(self, job_id: str) -> None:
         failure = await self._store.forget(job_id)
         outcome = failure.detail if isinstance(failure, KvUnavailable) else "forgotten"
-        self._context.log.write("job forgotten", job=job_id, outcome=outcome)
+        self._context.log.write(JobForgotten(job=job_id, outcome=outcome))
--- a/rackswitch/gateway/job_edge.py
+++ b/rackswitch/gateway/job_edge.py
@@ -26,6 +26,7 @@
     encode_results,
 )
 from rackswitch.table import RouteRow
+from rackswitch.telemetry.events import JobCallRefused, JobEnded, JobSubmitted, ResultsRead
 from rackswitch.web.exchange import Exchange
 
 __all__ = ["JobEdge"]
@@ -75,26 +76,27 @@
         outline = decode_job_outline(job_id, host, exchange.path, body, time.time())
         job = await _whole_job(outline)
         if isinstance(job, Refusal):
-            await refuse(exchange, self._context.log, job)
+            await refuse(exchange, self._context, job)
             return
         if self._context.daemon.stopping:
             await refuse(
                 exchange,
-                self._context.log,
+                self._context,
                 Refusal(503, "this daemon is stopping", COME_BACK_SECONDS),
             )
             return
         outcome = await self._keeper.submit(job)
         answered = await self._answer_submission(exchange, outcome)
         self._context.log.write(
-            "job submitted",
-            job=job_id,
-            route=route.name,
-            step=job.step,
-            items=len(job.items),
-            table_revision=self._context.table_revision,
-            outcome=answered.status,
-            detail=answered.detail,
+            JobSubmitted(
+                job=job_id,
+                route=route.name,
+                step=job.step,
+                items=len(job.items),
+                table_revision=self._context.table_revision,
+                outcome=answered.status,
+                detail=answered.detail,
+            )
         )
 
     async def _answer_submission(
@@ -110,7 +112,7 @@
             refusal = Refusal(413, outcome.detail)
         else:
             refusal = Refusal(503, outcome.detail, COME_BACK_SECONDS)
-        await refuse(exchange, self._context.log, refusal)
+        await refuse(exchange, self._context, refusal)
         return _Answered(refusal.status, refusal.detail)
 
     async def serve(self, exchange: Exchange, call: JobCall, arrived_seconds: float) -> None:
@@ -143,13 +145,14 @@
             await self._refuse_job_call(exchange, page, call)
             return
         self._context.log.write(
-            "results read",
-            job=call.job_id,
-            position=call.position,
-            count=len(page.results),
-            source=page.source,
-            listed=page.listed,
-            elapsed_seconds=round(self._context.now_seconds() - arrived_seconds, 4),
+            ResultsRead(
+                job=call.job_id,
+                position=call.position,
+                count=len(page.results),
+                source=page.source,
+                listed=page.listed,
+                elapsed_seconds=round(self._context.now_seconds() - arrived_seconds, 4),
+            )
         )
         body = encode_results(page.total, call.position, page.results)
         await exchange.respond(200, JSON, body)
@@ -161,32 +164,31 @@
             return
         failure = await self._keeper.end(marker)
         outcome = "ended" if failure is None else failure.detail
-        self._context.log.write("job ended", job=call.job_id, outcome=outcome)
+        self._context.log.write(JobEnded(job=call.job_id, outcome=outcome))
         if failure is None:
             await exchange.respond(200)
         else:
-            await refuse(
-                exchange, self._context.log, Refusal(503, failure.detail, COME_BACK_SECONDS)
-            )
+            await refuse(exchange, self._context, Refusal(503, failure.detail, COME_BACK_SECONDS))
 
     async def _refuse_job_call(
         self, exchange: Exchange, reason: JobUnknown | JobUnsure, call: JobCall
     ) -> None:
         self._context.log.write(
-            "job call refused",
-            job=call.job_id,
-            call=type(call).__name__,
-            outcome=type(reason).__name__,
-            detail=reason.detail if isinstance(reason, JobUnsure) else "",
+            JobCallRefused(
+                job=call.job_id,
+                call=type(call).__name__,
+                outcome=type(reason).__name__,
+                detail=reason.detail if isinstance(reason, JobUnsure) else "",
+            )
         )
         if isinstance(reason, JobUnsure):
             await refuse(
                 exchange,
-                self._context.log,
+                self._context,
                 Refusal(503, "the job cannot be read now", COME_BACK_SECONDS),
             )
         else:
-            await refuse(exchange, self._context.log, Refusal(404, "there is no such job or item"))
+            await refuse(exchange, self._context, Refusal(404, "there is no such job or item"))
 
 
 async def _whole_job(outline: JobOutline | MalformedRequest) -> Job | Refusal:
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -4,8 +4,6 @@
 import contextlib
 import time
 
-from loguru import logger
-
 from rackswitch.clients.kv import KvEntry, KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.item_runner import ItemRunner
@@ -24,6 +22,7 @@
 from rackswitch.gateway.session import Session
 from rackswitch.jobs import Job, JobLedger, JobOrphans, JobResult
 from rackswitch.table import RouteRow
+from rackswitch.telemetry.events import JobDropped, JobNotOwned, JobOwned
 
 __all__ = ["JobKeeper"]
 
@@ -178,14 +177,15 @@
         begun_seconds = self._context.now_seconds() - age_seconds
         self.owned[job.job_id] = _owned_job(job, owner_revision, listed, route, begun_seconds)
         self._context.log.write(
-            "job owned",
-            job=job.job_id,
-            step=job.step,
-            items=len(job.items),
-            listed=len(listed),
-            age_seconds=round(age_seconds, 3),
-            owner_revision=owner_revision,
-            oldest_version=job.oldest_version,
+            JobOwned(
+                job=job.job_id,
+                step=job.step,
+                items=len(job.items),
+                listed=len(listed),
+                age_seconds=round(age_seconds, 3),
+                owner_revision=owner_revision,
+                oldest_version=job.oldest_version,
+            )
         )
         self._wake.set()
 
@@ -198,12 +198,13 @@
             task.cancel()
         owned.tell_news()
         self._context.log.write(
-            "job dropped",
-            job=job_id,
-            reason=reason,
-            listed=len(owned.ledger.listed),
-            items=owned.ledger.total,
-            owner_revision=owned.owner_revision,
+            JobDropped(
+                job=job_id,
+                reason=reason,
+                listed=len(owned.ledger.listed),
+                items=owned.ledger.total,
+                owner_revision=owned.owner_revision,
+            )
         )
 
     def _claim_orphans(self) -> None:
@@ -256,12 +257,12 @@
             return
         owner = self.known.owner(key_part(job_id))
         if owner is not None and owner.revision > owner_revision:
-            self._context.log.write("job not owned", job=job_id, reason="taken over meanwhile")
+            self._context.log.write(JobNotOwned(job=job_id, reason="taken over meanwhile"))
             return
         if isinstance(job, Job) and not isinstance(results, KvUnavailable):
             self._own(job, owner_revision, results)
         else:
-            logger.warning("job {} claimed but not read", job_id)
+            self._context.log.write(JobNotOwned(job=job_id, reason="claimed but not read"))
             await self._store.release(job_id, owner_revision)
 
 
--- a/rackswitch/gateway/main.py
+++ b/rackswitch/gateway/main.py
@@ -10,6 +10,7 @@
 from rackswitch.platform.settings import NodeSettings, read_node_settings
 from rackswitch.settings import SettingsFault
 from rackswitch.telemetry import set_up_logs
+from rackswitch.telemetry.events import ReloadRefused
 
 __all__ = ["main"]
 
@@ -58,7 +59,7 @@
 def _reload(gateway: Gateway) -> None:
     settings = read_node_settings()
     if isinstance(settings, SettingsFault):
-        logger.error("settings kept as they were: {}", settings.line)
+        gateway.log.write(ReloadRefused(detail=settings.line))
     elif settings != gateway.settings:
         gateway.settings_changed(settings)
 
--- a/rackswitch/gateway/order_sender.py
+++ b/rackswitch/gateway/order_sender.py
@@ -8,6 +8,7 @@
 from rackswitch.platform.orders import EngineReport, OrderAnswer, OrderClient, VersionOrder
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow
+from rackswitch.telemetry.events import LoadOrdered
 from rackswitch.weights import LoadOrder, OrderTurns
 
 __all__ = ["OrderSender", "PlannedLoad", "version_role"]
@@ -146,12 +147,13 @@
         orders_taken: int | None = None,
     ) -> None:
         self._context.log.write(
-            "load ordered",
-            target=planned.target.instance,
-            model=planned.model,
-            version=planned.order.version,
-            version_listed=planned.target.versions.get(planned.model),
-            fencing=fencing,
-            orders_taken=orders_taken,
-            outcome=outcome,
+            LoadOrdered(
+                target=planned.target.instance,
+                model=planned.model,
+                version=planned.order.version,
+                version_listed=planned.target.versions.get(planned.model),
+                fencing=fencing,
+                orders_taken=orders_taken,
+                outcome=outcome,
+            )
         )
--- a/rackswitch/gateway/refusals.py
+++ b/rackswitch/gateway/refusals.py
@@ -2,14 +2,16 @@
 
 from dataclasses import dataclass
 
-from rackswitch.telemetry import DecisionLog
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.platform.ingress import request_identity
+from rackswitch.telemetry.events import RequestRefused
 from rackswitch.web.exchange import Exchange
 
 __all__ = ["TEXT", "Refusal", "refuse"]
 
 TEXT = (("content-type", "text/plain; charset=utf-8"),)
 
-LOGGED_STATUSES = (400, 404, 413, 431)
+LOGGED_STATUSES = (400, 404, 408, 413, 431)
 """Refusals that have a line of their own in the decision log."""
 
 
@@ -28,11 +30,19 @@
     retry_after_seconds: float | None = None
 
 
-async def refuse(exchange: Exchange, log: DecisionLog, refusal: Refusal) -> None:
+async def refuse(exchange: Exchange, context: GatewayContext, refusal: Refusal) -> None:
     """Answer a request with its refusal."""
     headers: tuple[tuple[str, str], ...] = TEXT
     if refusal.retry_after_seconds is not None:
         headers = (*TEXT, ("retry-after", f"{refusal.retry_after_seconds:.3f}"))
     if refusal.status in LOGGED_STATUSES:
-        log.write("request refused", status=refusal.status, detail=refusal.detail)
+        context.log.write(
+            RequestRefused(
+                request=request_identity(exchange),
+                path=exchange.path,
+                status=refusal.status,
+                detail=refusal.detail,
+                table_revision=context.table_revision,
+            )
+        )
     await exchange.respond(refusal.status, headers, refusal.detail.encode())
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -18,6 +18,7 @@
 )
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow
+from rackswitch.telemetry.events import AttemptFailed
 
 __all__ = ["FrontAnswer", "FrontOutcome", "RequestFront", "outcome_label"]
 
@@ -128,9 +129,11 @@
                 await asyncio.sleep(PAUSE_SECONDS)
                 continue
             log.begin()
+            began_seconds = self._context.now_seconds()
             result = await self._attempt(route, call, target, log, deadline_seconds, as_stream)
             if isinstance(result, TargetFailed):
                 self._chooser.note_failure(target, result)
+                self._log_failure(call, target, log, result, began_seconds)
                 log.note(AttemptEnd(target.instance, result.may_have_run, result.detail))
                 if not result.may_have_run and not result.silent:
                     await asyncio.sleep(PAUSE_SECONDS)
@@ -145,6 +148,33 @@
             return FrontAnswer(answer, len(log.ends), failures, instance)
         return FrontAnswer(self._give_up(log, service), len(log.ends), failures)
 
+    def usable_count(self, route: RouteRow) -> int:
+        """Return how many targets of a route's services could be used now."""
+        now_seconds = self._context.now_seconds()
+        directory = self._context.directory
+        return sum(len(directory.usable(choice.serves, now_seconds)) for choice in route.choices)
+
+    def _log_failure(
+        self,
+        call: Call,
+        target: ListedTarget,
+        log: AttemptLog,
+        failure: TargetFailed,
+        began_seconds: float,
+    ) -> None:
+        self._context.log.write(
+            AttemptFailed(
+                request=call.request_id,
+                service=target.service,
+                target=target.instance,
+                attempt=len(log.ends) + 1,
+                may_have_run=failure.may_have_run,
+                detail=failure.detail,
+                attempt_seconds=round(self._context.now_seconds() - began_seconds, 4),
+                list_age_seconds=self._context.list_age_seconds(),
+            )
+        )
+
     async def _attempt(
         self,
         route: RouteRow,
--- a/rackswitch/gateway/result_appender.py
+++ b/rackswitch/gateway/result_appender.py
@@ -9,6 +9,7 @@
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.jobs import JobOrphans
+from rackswitch.telemetry.events import ResultsAppended
 
 __all__ = ["ResultAppender"]
 
@@ -83,11 +84,12 @@
         else:
             owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
         self._context.log.write(
-            "results appended",
-            job=job_id,
-            position=position,
-            count=len(segment),
-            owner_revision=owned.owner_revision,
-            outcome=type(outcome).__name__,
+            ResultsAppended(
+                job=job_id,
+                position=position,
+                items=[result.item_id for result in segment],
+                owner_revision=owned.owner_revision,
+                outcome=type(outcome).__name__,
+            )
         )
         return isinstance(outcome, Appended)
--- a/rackswitch/gateway/session.py
+++ b/rackswitch/gateway/session.py
@@ -14,6 +14,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.leases import SessionLease
 from rackswitch.membership import VmEntry
+from rackswitch.telemetry.events import PredecessorEnded, SessionBegun, SessionEnded, SessionLost
 
 __all__ = ["MEMBERS_PREFIX", "MemberEntry", "Session", "decode_member"]
 
@@ -94,7 +95,7 @@
         except TimeoutError:
             # The lease runs out by itself; a stop does not wait for the service.
             outcome = "no answer in time"
-        self._context.log.write("session ended", lease=self.lease.lease_id, outcome=outcome)
+        self._context.log.write(SessionEnded(lease=self.lease.lease_id, outcome=outcome))
 
     @property
     def _key(self) -> str:
@@ -110,7 +111,7 @@
             return
         entry = msgspec.json.decode(read.entries[0].value, type=MemberEntry)
         await self._context.kv.revoke_lease(entry.lease_id)
-        self._context.log.write("predecessor's lease ended", lease=entry.lease_id)
+        self._context.log.write(PredecessorEnded(lease=entry.lease_id))
 
     async def _take(self) -> None:
         asked_at_seconds = self._context.now_seconds()
@@ -132,7 +133,7 @@
             return
         self._context.contact.answered(self._context.now_seconds())
         self.lease.taken(asked_at_seconds, granted.lease_id, granted.life_seconds)
-        self._context.log.write("session begun", lease=granted.lease_id)
+        self._context.log.write(SessionBegun(lease=granted.lease_id))
 
     async def _renew(self) -> None:
         asked_at_seconds = self._context.now_seconds()
@@ -146,7 +147,7 @@
             self.lease.renewed(asked_at_seconds)
             return
         self.lease.lost()
-        self._context.log.write("session lost", lease=lease_id)
+        self._context.log.write(SessionLost(lease=lease_id))
         self._on_lost()
 
     def _unanswered(self, failure: KvUnavailable | None) -> None:
--- a/rackswitch/gateway/state_keeper.py
+++ b/rackswitch/gateway/state_keeper.py
@@ -1,7 +1,5 @@
 """The desired state and the list of targets, as this daemon knows them."""
 
-from loguru import logger
-
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.watching import CopyHandlers
@@ -16,6 +14,14 @@
 from rackswitch.platform.servers import decode_target, target_instance
 from rackswitch.routing import ListedTarget, Target
 from rackswitch.table import LimitsRow, TableDocument, index_routes
+from rackswitch.telemetry.events import (
+    EntryUnreadable,
+    RetireAnswered,
+    TableInForce,
+    TargetGone,
+    TargetListed,
+    VersionNamed,
+)
 
 __all__ = ["StateKeeper"]
 
@@ -45,12 +51,12 @@
 
     def target_handlers(self) -> CopyHandlers:
         """Return what takes in the list of targets."""
-        return CopyHandlers(self._target_put, self._target_deleted)
+        return CopyHandlers(self._target_put, self._target_deleted, self._list_confirmed)
 
     def _operator_put(self, entry: KvEntry) -> None:
         decoded = decode_operator_entry(entry.key, entry.value)
         if isinstance(decoded, MalformedEntry):
-            logger.error("entry {} cannot be read: {}", entry.key, decoded.detail)
+            self._unreadable(entry, decoded)
         elif isinstance(decoded, TableDocument):
             self._take_table(decoded)
         elif isinstance(decoded, NamedVersion):
@@ -58,13 +64,21 @@
         elif isinstance(decoded, RetireOrder):
             self._context.daemon.spawn(self._answer_retire(decoded.vm))
 
+    def _list_confirmed(self, at_seconds: float) -> None:
+        self._context.list_confirmed_at_seconds = at_seconds
+
+    def _unreadable(self, entry: KvEntry, fault: MalformedEntry) -> None:
+        self._context.log.write(
+            EntryUnreadable(key=entry.key, revision=entry.mod_revision, detail=fault.detail)
+        )
+
     def _take_table(self, document: TableDocument) -> None:
         before = self._context.table_revision
         if self._context.daemon.view.offer(document):
             self._context.routes = index_routes(document)
             self._take_limits()
             self._context.log.write(
-                "table in force", revision=document.revision, revision_before=before
+                TableInForce(revision=document.revision, revision_before=before)
             )
 
     def _take_limits(self) -> None:
@@ -79,7 +93,7 @@
         if named.version > before:
             self._context.named_versions[named.model] = named.version
             self._context.log.write(
-                "version named", model=named.model, version=named.version, version_before=before
+                VersionNamed(model=named.model, version=named.version, version_before=before)
             )
 
     async def _answer_retire(self, vm: str) -> None:
@@ -91,24 +105,25 @@
         part = TxnPart((), (Operation(key, value),))
         done = await self._context.kv.txn([part])
         outcome = done.detail if isinstance(done, KvUnavailable) else "told"
-        self._context.log.write("retire", vm=vm, outcome=outcome)
+        self._context.log.write(RetireAnswered(vm=vm, outcome=outcome))
 
     def _target_put(self, entry: KvEntry) -> None:
         instance = target_instance(entry.key)
         target = decode_target(instance, entry.value)
         if isinstance(target, MalformedEntry):
-            logger.error("target entry cannot be read: {}", target.detail)
+            self._unreadable(entry, target)
             return
         before = self._context.directory.entries.get(instance)
         self._context.directory.put(target)
         self._learn(target)
         if before is None or before.draining != target.draining:
             self._context.log.write(
-                "target listed",
-                target=instance,
-                service=target.service,
-                draining=target.draining,
-                revision=entry.mod_revision,
+                TargetListed(
+                    target=instance,
+                    service=target.service,
+                    draining=target.draining,
+                    revision=entry.mod_revision,
+                )
             )
 
     def _target_deleted(self, key: str) -> None:
@@ -117,7 +132,7 @@
         back_seconds = self._context.contact.back_seconds
         self._context.directory.remove(instance, now_seconds, back_seconds)
         lapsed = instance in self._context.directory.lapsed
-        self._context.log.write("target gone", target=instance, still_used=lapsed)
+        self._context.log.write(TargetGone(target=instance, still_used=lapsed))
 
     def _learn(self, listed: ListedTarget) -> None:
         if listed.instance in self._context.targets:
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -1,6 +1,5 @@
 """Gateways without a network, on a clock that jumps."""
 
-import os
 import random
 
 from rackswitch.daemon.tests.support import make_context
@@ -9,12 +8,10 @@
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.standins.platform_fleet import stand_in_settings
-from rackswitch.telemetry import DecisionLog
 
 
 def make_gateway_context(
     name: str, store: KvStore, seed: int = 1, faults: KvFaults | None = None
 ) -> GatewayContext:
     daemon = make_context(name, store, random.Random(seed), faults)
-    log = DecisionLog(name, os.open(os.devnull, os.O_WRONLY))
-    return GatewayContext(stand_in_settings(name), daemon, StoreContact(log), log)
+    return GatewayContext(stand_in_settings(name), daemon, StoreContact(daemon.log))
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -11,6 +11,7 @@
 from rackswitch.gateway.order_sender import OrderSender, PlannedLoad, version_role
 from rackswitch.platform.orders import OrderClient
 from rackswitch.table import ServiceRow
+from rackswitch.telemetry.events import OrdersTakenOver
 from rackswitch.weights import (
     EngineView,
     OrderTurns,
@@ -137,10 +138,11 @@
         self._record_read_under[service] = fencing
         wait_seconds = self._may_order_from_seconds(service) - self._context.now_seconds()
         self._context.log.write(
-            "orders taken over",
-            service=service,
-            fencing=fencing,
-            wait_seconds=round(max(0.0, wait_seconds), 3),
+            OrdersTakenOver(
+                service=service,
+                fencing=fencing,
+                wait_seconds=round(max(0.0, wait_seconds), 3),
+            )
         )
         return True
 
--- a/rackswitch/gateway/watching.py
+++ b/rackswitch/gateway/watching.py
@@ -16,6 +16,7 @@
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
 from rackswitch.peers.links import PeerUnreachable
+from rackswitch.telemetry.events import CannotFollow, Follows
 
 __all__ = ["CopyHandlers", "CopyKeeper"]
 
@@ -36,10 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyHandlers:
-    """Who is told of changes under a prefix."""
+    """Who is told of changes under a prefix, and of when the service last vouched for it."""
 
     on_put: Callable[[KvEntry], None]
     on_deleted: Callable[[str], None]
+    on_confirmed: Callable[[float], None] = lambda at_seconds: None
 
 
 class CopyKeeper:
@@ -98,7 +100,7 @@
         if isinstance(read, KvUnavailable):
             return False
         self._tell(copy, copy.replace(read.entries, read.revision))
-        copy.confirmed_at_seconds = max(copy.confirmed_at_seconds, asked_at_seconds)
+        self._confirm(copy, asked_at_seconds)
         return True
 
     async def _watch_until_broken(self, copy: PrefixCopy) -> bool:
@@ -111,7 +113,7 @@
                 return True
             self._context.contact.answered(now_seconds)
             copy.apply(news)
-            copy.confirmed_at_seconds = now_seconds
+            self._confirm(copy, now_seconds)
             self._tell(copy, news)
             if self._choice.is_following:
                 return False
@@ -152,10 +154,10 @@
         if isinstance(reply, PeerUnreachable) or not self._take_reply(reply, now_seconds):
             reason = reply.detail if isinstance(reply, PeerUnreachable) else "not fresh"
             self._choice.failed(name, now_seconds)
-            self._context.log.write("cannot follow", daemon_asked=name, reason=reason)
+            self._context.log.write(CannotFollow(daemon_asked=name, reason=reason))
             return False
         if self._choice.succeeded(name):
-            self._context.log.write("follows", daemon_followed=name)
+            self._context.log.write(Follows(daemon_followed=name))
         return True
 
     def _take_reply(self, reply: pb.FollowReply, now_seconds: float) -> bool:
@@ -174,8 +176,7 @@
             # daemon has watched the service itself; its word counts if it is fresh.
             fresh = fresh and age_seconds <= FRESH_SECONDS
             if news.revision >= copy.revision:
-                confirmed_at_seconds = now_seconds - age_seconds
-                copy.confirmed_at_seconds = max(copy.confirmed_at_seconds, confirmed_at_seconds)
+                self._confirm(copy, now_seconds - age_seconds)
         return fresh
 
     def _take_news(self, copy: PrefixCopy, news: pb.CopyNews) -> None:
@@ -216,6 +217,10 @@
                 return True
         return False
 
+    def _confirm(self, copy: PrefixCopy, at_seconds: float) -> None:
+        copy.confirmed_at_seconds = max(copy.confirmed_at_seconds, at_seconds)
+        self._handlers[copy.prefix].on_confirmed(copy.confirmed_at_seconds)
+
     def _tell(self, copy: PrefixCopy, news: WatchNews) -> None:
         handlers = self._handlers[copy.prefix]
         for entry in news.entries:
--- a/rackswitch/load/campaign.py
+++ b/rackswitch/load/campaign.py
@@ -228,6 +228,8 @@
                 f"{name}: table {view.revision} confirmed={view.is_confirmed(now_seconds)} "
                 f"members={members} roles={roles} targets={targets}"
             )
+            lines.append(f"{name}: holds {daemon.ledgers.held_fencings()}")
+            lines.extend(f"{name}: {state}" for state in daemon.context.duty_states())
         return lines
 
     def _heal(self) -> None:
--- a/rackswitch/registry/core.py
+++ b/rackswitch/registry/core.py
@@ -60,6 +60,9 @@
             raise UnknownNameError(f"unknown {self._subject} {name!r}; known: {known}")
         return self._entries[name]
 
+    def __contains__(self, name: object) -> bool:
+        return name in self._entries
+
     def names(self) -> list[str]:
         """Return the known names, sorted."""
         return sorted(self._entries)
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -1,7 +1,6 @@
 """Gateways with stand-ins of the operator platform, all in one process."""
 
 import asyncio
-import os
 import socket
 from base64 import b64encode
 from collections.abc import Mapping
@@ -118,7 +117,6 @@
         self.gateways: dict[str, Gateway] = {}
         self._names = [f"d{number}" for number in range(daemons)]
         self._session: aiohttp.ClientSession | None = None
-        self._null = os.open(os.devnull, os.O_WRONLY)
 
     async def start(self) -> None:
         """Start everything and wait until every gateway is ready."""
@@ -148,7 +146,7 @@
             peer_ports=(port, port),
             order_turn_seconds=0.5,
         )
-        gateway = Gateway(settings, os.dup(self._null))
+        gateway = Gateway(settings, log_descriptor=None)
         await gateway.start()
         self.gateways[name] = gateway
         return gateway
--- a/rackswitch/telemetry/core.py
+++ b/rackswitch/telemetry/core.py
@@ -10,6 +10,8 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import CollectorRegistry, generate_latest
 
+from rackswitch.telemetry.meters import EventMeters
+
 __all__ = ["Telemetry", "set_up_logs"]
 
 LATENCY_BOUNDS_SECONDS = (
@@ -54,9 +56,14 @@
     ----------
     daemon : str
         The daemon's name, a label on all metrics.
+
+    Attributes
+    ----------
+    events : EventMeters
+        Metrics that follow from logged events.
     """
 
-    __slots__ = ("_daemon", "_latency", "_provider", "_registry", "_requests", "_tokens")
+    __slots__ = ("_daemon", "_latency", "_provider", "_registry", "_requests", "_tokens", "events")
 
     def __init__(self, daemon: str):
         self._daemon = daemon
@@ -79,6 +86,7 @@
         self._tokens = meter.create_counter(
             "rackswitch_tokens", description="Tokens passed on to callers or put into samples."
         )
+        self.events = EventMeters(meter, daemon, self.request_ended)
 
     def request_ended(
         self, tenant: str, caller_class: int, outcome: str, elapsed_seconds: float
--- /dev/null
+++ b/rackswitch/telemetry/tests/test_meters.py
@@ -0,0 +1,68 @@
+from rackswitch.telemetry import Telemetry
+from rackswitch.telemetry.events import (
+    DependencyLost,
+    DependencyRegained,
+    RequestRefused,
+    ResultsAppended,
+    TableInForce,
+)
+from rackswitch.telemetry.meters import MOST_LABEL_VALUES, OTHER, short_outcome
+from rackswitch.telemetry.tests.test_journal import served
+
+
+def exposed(*events) -> str:
+    telemetry = Telemetry("d")
+    for event in events:
+        telemetry.events.count(event)
+    try:
+        return telemetry.exposition().decode()
+    finally:
+        telemetry.close()
+
+
+def test_a_request_counts_by_route_class_and_outcome_with_its_time():
+    text = exposed(served(1), served(2, "not run: no target"))
+    assert 'rackswitch_requests_total{caller_class="2",daemon="d",outcome="200"' in text
+    assert 'outcome="not run"' in text
+    assert (
+        'rackswitch_request_seconds_count{caller_class="2",daemon="d",tenant="lookup"} 2.0' in text
+    )
+
+
+def test_a_dependency_is_up_again_once_it_answers():
+    lost = DependencyLost(dependency="key-value", detail="x")
+    back = DependencyRegained(dependency="key-value", away_seconds=1.0)
+    name = 'rackswitch_dependency_up{daemon="d",dependency="key-value"}'
+    assert f"{name} 0" in exposed(lost)
+    assert f"{name} 1" in exposed(lost, back)
+
+
+def test_only_results_that_are_kept_have_a_position():
+    def appended(outcome: str) -> ResultsAppended:
+        return ResultsAppended(
+            job="j", position=0, items=["a", "b"], owner_revision=1, outcome=outcome
+        )
+
+    text = exposed(appended("Appended"), appended("AppendConflict"))
+    assert 'rackswitch_positions_total{daemon="d"} 2.0' in text
+
+
+def test_the_table_in_force_is_told():
+    text = exposed(TableInForce(revision=9, revision_before=8))
+    assert 'rackswitch_table_revision{daemon="d"} 9.0' in text
+
+
+def test_labels_are_bounded():
+    refusals = [
+        RequestRefused(request="r", path="/", status=number, detail="", table_revision=1)
+        for number in range(2 * MOST_LABEL_VALUES)
+    ]
+    text = exposed(*refusals)
+    lines = [line for line in text.splitlines() if line.startswith("rackswitch_refusals_total{")]
+    assert len(lines) == MOST_LABEL_VALUES + 1
+    assert f'rackswitch_refusals_total{{daemon="d",status="{OTHER}"}} {MOST_LABEL_VALUES}' in text
+
+
+def test_an_outcome_is_cut_to_its_kind():
+    assert short_outcome("not run: no target of 's'") == "not run"
+    assert short_outcome("200, resumed 2 times") == "200"
