rackswitch explain and status: from a request's id to its cause, and what a daemon believes

Cause: on-call had to sort lines of machines whose clocks differ by hand. Change: explain reads logs of any daemons, places processes against each other by moments that all of them learn, and tells the story of a request, item or job with the decisive line marked; judges are a registry. Each gateway serves /status beside its metrics; the command asks them.

--- /dev/null
+++ b/rackswitch/explain/tests/support.py
@@ -0,0 +1,28 @@
+"""Log lines of daemons whose clocks differ."""
+
+import msgspec
+
+from rackswitch.telemetry import LineHead
+from rackswitch.telemetry.events import Event
+
+EPOCH_SECONDS = 1_700_000_000.0
+
+
+class LoggingDaemon:
+    """Writes lines as a daemon does; `ahead_seconds` is what its time of day is off by."""
+
+    def __init__(self, name: str, started_seconds: float = 0.0, ahead_seconds: float = 0.0):
+        self.name = name
+        self.ahead_seconds = ahead_seconds
+        self.lines: list[str] = []
+        self._started_seconds = started_seconds
+
+    def log(self, at_seconds: float, event: Event) -> None:
+        """Write a line at a true time."""
+        head = LineHead(
+            EPOCH_SECONDS + at_seconds + self.ahead_seconds,
+            at_seconds - self._started_seconds,
+            self.name,
+        )
+        line = msgspec.json.encode(head)[:-1] + b"," + msgspec.json.encode(event)[1:]
+        self.lines.append(line.decode())
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -4,6 +4,7 @@
 import random
 
 from rackswitch.daemon.roles import RoleKeeper
+from rackswitch.gateway.beliefs import Beliefs, beliefs_of
 from rackswitch.gateway.call_edge import CallEdge
 from rackswitch.gateway.contact import StoreContact
 from rackswitch.gateway.context import GatewayContext
@@ -105,7 +106,8 @@
             CallEdge(self.context, self.front),
             JobEdge(self.context, self.jobs, reader),
         )
-        self._servers = listeners(self.context, edge, OwnPages(self.context, self.copies))
+        pages = OwnPages(self.context, self.copies, self.beliefs)
+        self._servers = listeners(self.context, edge, pages)
 
     async def start(self) -> None:
         """Listen and begin all duties."""
@@ -164,6 +166,10 @@
         await self._sessions.close()
         self.context.daemon.telemetry.close()
 
+    def beliefs(self) -> Beliefs:
+        """Return what this daemon believes now."""
+        return beliefs_of(self.context, self.copies, self.session, self.roles, self.jobs)
+
     @property
     def url(self) -> str:
         """Where callers reach this daemon."""
--- a/rackswitch/gateway/followers.py
+++ b/rackswitch/gateway/followers.py
@@ -27,10 +27,13 @@
     is_following : bool
         Whether another daemon's copies are good at present, so that this one need not
         watch the service.
+    followed : str
+        The daemon that was followed last.
     """
 
     daemon: str
     is_following: bool = False
+    followed: str = ""
     avoided_until_seconds: dict[str, float] = field(default_factory=dict)
 
     def leader(self, live_zones: Iterable[tuple[str, str]], now_seconds: float) -> str | None:
@@ -63,10 +66,11 @@
 
     def succeeded(self, name: str) -> bool:
         """Note that a daemon can be followed; return whether that is new."""
-        before = self.is_following
+        is_new = not self.is_following or self.followed != name
         self.is_following = True
+        self.followed = name
         self.avoided_until_seconds.pop(name, None)
-        return not before
+        return is_new
 
     def failed(self, name: str, now_seconds: float) -> None:
         """Note that a daemon cannot be followed now."""
--- a/rackswitch/gateway/listeners.py
+++ b/rackswitch/gateway/listeners.py
@@ -3,6 +3,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
+
+from rackswitch.gateway.beliefs import Beliefs
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.edge import CallerEdge
 from rackswitch.gateway.watching import CopyKeeper
@@ -13,6 +16,10 @@
 __all__ = ["OwnPages", "listeners"]
 
 
+STATUS_PATH = "/status"
+JSON = (("content-type", "application/json"),)
+
+
 class OwnPages:
     """What a daemon tells about itself.
 
@@ -22,13 +29,16 @@
         The daemon.
     copies : CopyKeeper
         Whether the key-value service has been read.
+    beliefs : callable
+        Returns what the daemon believes now.
     """
 
-    __slots__ = ("_context", "_copies")
+    __slots__ = ("_beliefs", "_context", "_copies")
 
-    def __init__(self, context: GatewayContext, copies: CopyKeeper):
+    def __init__(self, context: GatewayContext, copies: CopyKeeper, beliefs: Callable[[], Beliefs]):
         self._context = context
         self._copies = copies
+        self._beliefs = beliefs
 
     async def ready(self, exchange: Exchange) -> None:
         """Answer the balancer whether this daemon serves callers."""
@@ -37,7 +47,10 @@
         await exchange.respond(200 if ready else 503)
 
     async def metrics(self, exchange: Exchange) -> None:
-        """Answer with the daemon's own figures."""
+        """Answer with the daemon's own figures, or with what it believes."""
+        if exchange.path == STATUS_PATH:
+            await exchange.respond(200, JSON, msgspec.json.encode(self._beliefs()))
+            return
         if exchange.path != METRICS_PATH:
             await exchange.respond(404)
             return
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -405,3 +405,18 @@
         assert await fleet.submit("d0", "j1", [2]) == 202
 
     play(scenario)
+
+
+def test_a_daemon_tells_what_it_believes():
+    async def scenario(fleet):
+        assert await fleet.submit("d0", "j1", [100, 100]) == 202
+        beliefs = fleet.gateways["d0"].beliefs()
+        assert beliefs.table_revision == 1
+        assert beliefs.session_sure
+        assert beliefs.members == ["d0", "d1"]
+        assert beliefs.targets == {"desk": 2, "engines": 2}
+        assert beliefs.jobs_owned["j1"].total == 2
+        assert all(age >= 0 for age in beliefs.copy_ages_seconds.values())
+        check_whole(await fleet.read_all("d0", "j1"), [100, 100], "j1")
+
+    play(scenario)
--- a/rackswitch/gateway/watching.py
+++ b/rackswitch/gateway/watching.py
@@ -69,6 +69,11 @@
         """Whether every prefix has been read."""
         return all(copy.revision > 0 for copy in self.copies.values())
 
+    @property
+    def followed(self) -> str:
+        """The daemon whose copies are taken over; empty if the service is watched itself."""
+        return self._choice.followed if self._choice.is_following else ""
+
     async def run(self) -> None:
         """Keep the copies current until cancelled."""
         await asyncio.gather(self._follow_peers(), *(self._watch(p) for p in self.copies))
