Samples: an order at a daemon that died without a word is given up

Change: while a sample runs elsewhere, the membership is looked at each half second; a dead, replaced or forgotten daemon fails the order, which is made again under a new attempt.

--- a/rackswitch/daemon/ledger_keeper.py
+++ b/rackswitch/daemon/ledger_keeper.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import itertools
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -19,6 +21,7 @@
 from rackswitch.daemon.roles import ROLE_PREFIX, RoleKeeper
 from rackswitch.daemon.sample_runner import SampleFailed, SampleRunner
 from rackswitch.leases import rank_candidates
+from rackswitch.membership import MemberUpdate
 from rackswitch.peers import peers_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
 from rackswitch.samples import (
@@ -41,6 +44,11 @@
 RETRY_SECONDS = 0.05
 FORWARD_TIMEOUT_SECONDS = 35.0
 RUN_TIMEOUT_SECONDS = 150.0
+PEER_LOOK_SECONDS = 0.5
+"""Between looks at whether a daemon that runs a sample still lives; a death is known after
+several heartbeats of a second."""
+
+T = TypeVar("T")
 
 
 class LedgerKeeper:
@@ -184,15 +192,33 @@
         if daemon == self._context.settings.daemon or peer is None:
             return await self._runner.run(order)
         message = pb.RunSampleRequest(order=msgspec.json.encode(order))
-        reply = await self._context.links.call(
+        call = self._context.links.call(
             peer, lambda stub: stub.RunSample, message, RUN_TIMEOUT_SECONDS
         )
+        reply = await self._unless_gone(peer, call)
         if isinstance(reply, PeerUnreachable):
             return SampleFailed(reply.detail)
         if reply.sample in (b"", b"unlabelled"):
             return SampleFailed("failed at a peer", unlabelled=reply.sample == b"unlabelled")
         return msgspec.json.decode(reply.sample, type=Sample)
 
+    async def _unless_gone(
+        self, peer: MemberUpdate, call: Coroutine[Any, Any, T | PeerUnreachable]
+    ) -> T | PeerUnreachable:
+        """Wait for a long call to another daemon; give it up once that daemon is dead.
+
+        A daemon that lost its power, or was cut off, closes no connection.
+        """
+        work = asyncio.create_task(call)
+        try:
+            while not work.done():
+                await asyncio.wait((work,), timeout=PEER_LOOK_SECONDS)
+                if not work.done() and self._context.membership.is_gone(peer):
+                    return PeerUnreachable(f"{peer.daemon} is dead")
+            return work.result()
+        finally:
+            work.cancel()
+
     async def _plan(self, trainer: str, held: HeldLedger, plan: StepPlan) -> LedgerAnswer:
         async with held.lock:
             refusal = held.ledger.learn_plan(plan)
--- a/rackswitch/daemon/tests/test_ledgers.py
+++ b/rackswitch/daemon/tests/test_ledgers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -9,8 +10,10 @@
 from rackswitch.daemon.ledger_keeper import LedgerKeeper
 from rackswitch.daemon.ledger_store import LedgerStore, ledger_role
 from rackswitch.daemon.roles import RoleKeeper
+from rackswitch.daemon.sample_runner import SampleFailed
 from rackswitch.daemon.tests.support import make_context, run_virtual
-from rackswitch.membership import VmEntry
+from rackswitch.membership import MemberState, MemberUpdate, VmEntry
+from rackswitch.peers.links import PeerUnreachable
 from rackswitch.samples import (
     Batch,
     Draw,
@@ -19,6 +22,7 @@
     Sample,
     SampleLabel,
     SampleLedger,
+    SampleOrder,
     StepPlan,
 )
 from rackswitch.standins.faulty_kv import KvFaults
@@ -277,3 +281,74 @@
         except (KeyError, TimeoutError):
             results.append([])
     assert any("too old" in line for result in results for line in result)
+
+
+class LinksThatTake:
+    """Links over which each call takes a time and then fails."""
+
+    def __init__(self, seconds: float):
+        self._seconds = seconds
+
+    async def call(self, *arguments: object) -> PeerUnreachable:
+        await asyncio.sleep(self._seconds)
+        return PeerUnreachable("the end")
+
+
+def make_order() -> SampleOrder:
+    return SampleOrder(
+        trainer="t",
+        model="m",
+        step=1,
+        index=0,
+        group=0,
+        attempt=1,
+        prompt="p",
+        seed=1,
+        max_tokens=3,
+    )
+
+
+@pytest.mark.parametrize("news", ["dead", "another process", "forgotten"])
+def test_an_order_at_a_daemon_that_died_without_a_word_is_given_up(news):
+    # Found in campaigns (association, seed 7514 beside five others): orders at a dead daemon
+    # held the step up until their time limit of 150 s.
+    async def scenario():
+        context = make_context("a", KvStore(), random.Random(1))
+        keeper = LedgerKeeper(context, RoleKeeper(context, lambda: []), None)
+        peer = MemberUpdate("b", "127.0.0.1", 1, "z", 5, MemberState.ALIVE)
+        context.membership.merge(peer, 0.0)
+
+        context.links = LinksThatTake(1e9)
+        # Orders go round the live daemons, of which b is the second.
+        next(keeper._turn)
+        task = asyncio.create_task(keeper._run_somewhere(make_order()))
+        await asyncio.sleep(5.0)
+        assert not task.done()
+        if news == "forgotten":
+            del context.membership.members["b"]
+        elif news == "dead":
+            context.membership.merge(replace(peer, state=MemberState.DEAD), 5.0)
+        else:
+            context.membership.merge(replace(peer, incarnation=6), 5.0)
+        await asyncio.sleep(2.0)
+        assert task.done()
+        assert isinstance(task.result(), SampleFailed)
+
+    run_virtual(scenario())
+
+
+def test_an_order_at_a_daemon_that_leaves_is_waited_for():
+    async def scenario():
+        context = make_context("a", KvStore(), random.Random(1))
+        keeper = LedgerKeeper(context, RoleKeeper(context, lambda: []), None)
+        peer = MemberUpdate("b", "127.0.0.1", 1, "z", 5, MemberState.ALIVE)
+        context.membership.merge(peer, 0.0)
+
+        context.links = LinksThatTake(20.0)
+        next(keeper._turn)
+        task = asyncio.create_task(keeper._run_somewhere(make_order()))
+        await asyncio.sleep(1.0)
+        context.membership.merge(replace(peer, state=MemberState.LEAVING), 1.0)
+        assert (await task).detail == "the end"
+
+    run_virtual(scenario())
--- a/rackswitch/load/campaign.py
+++ b/rackswitch/load/campaign.py
@@ -89,6 +89,7 @@
         self._profile = profile
         self._next_daemon = daemons
         self._calls: set[asyncio.Task[None]] = set()
+        self._replacements: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> CampaignReport:
         """Load the fleet and break it for a time, then heal it and count."""
@@ -116,6 +117,7 @@
             task.cancel()
         await asyncio.gather(*work, return_exceptions=True)
         self._heal()
+        await asyncio.gather(*self._replacements)
         await self._settle(training)
         await self._count(seconds)
         await self.caller.close()
@@ -128,7 +130,17 @@
         self.trainer.urls = self.fleet.urls()
 
     async def replace_daemon(self, planned: bool) -> None:
-        """Take a daemon away, planned or not, and bring another."""
+        """Take a daemon away, planned or not, and bring another.
+
+        What has begun is carried through although the campaign ends meanwhile: a daemon
+        that is stopped halfway is none that any fleet could have.
+        """
+        task = asyncio.create_task(self._replace_daemon(planned))
+        self._replacements.add(task)
+        task.add_done_callback(self._replacements.discard)
+        await asyncio.shield(task)
+
+    async def _replace_daemon(self, planned: bool) -> None:
         name = self.rng.choice(sorted(self.fleet.daemons))
         leaving = self.fleet.daemons.pop(name)
         self.renew_urls()
--- a/rackswitch/membership/core.py
+++ b/rackswitch/membership/core.py
@@ -112,6 +112,16 @@
         member = self.members.get(daemon)
         return member.update if member is not None else None
 
+    def is_gone(self, peer: MemberUpdate) -> bool:
+        """Return whether the process that was known as `peer` is believed dead.
+
+        One that is leaving still finishes what it has begun.
+        """
+        member = self.members.get(peer.daemon)
+        if member is None or member.update.state == MemberState.DEAD:
+            return True
+        return member.update.incarnation > peer.incarnation
+
     def learn_vms(self, entries: list[VmEntry], now_seconds: float) -> None:
         """Take in the platform's list: it introduces daemons and says who is leaving.
 
