--- a/rackswitch/daemon/tests/test_ledgers.py
+++ b/rackswitch/daemon/tests/test_ledgers.py
@@ -352,3 +352,26 @@
         assert (await task).detail == "the end"
 
     run_virtual(scenario())
+
+
+def test_a_former_holders_plan_is_not_kept():
+    async def scenario():
+        kv = KvStore()
+        contexts = [make_context(name, kv, random.Random(1)) for name in ("a", "b")]
+        role = ledger_role("t")
+        keepers = [RoleKeeper(context, lambda: [role]) for context in contexts]
+        stores = [LedgerStore(*pair) for pair in zip(contexts, keepers, strict=True)]
+        plan = StepPlan(step=1, groups=(GroupPlan(prompt="p", samples=1, max_tokens=3, seed=1),))
+        other = StepPlan(step=1, groups=(GroupPlan(prompt="q", samples=1, max_tokens=3, seed=1),))
+        await keepers[0].tend()
+        assert (await stores[0].put_plan("t", plan)).status == 200
+        # The service gives the role to another daemon; the former holder does not know.
+        kv.end_lease(keepers[0].roles[role].held.lease_id)
+        await keepers[1].tend()
+        assert keepers[0].may_act(role) and keepers[1].may_act(role)
+        assert (await stores[0].put_plan("t", other)).status != 200
+        loaded = await stores[1].load(TRAINER)
+        assert loaded.ledger.plans[1] == plan
+        assert not keepers[0].may_act(role)
+
+    run_virtual(scenario())
--- a/rackswitch/requests/tests/test_stream.py
+++ b/rackswitch/requests/tests/test_stream.py
@@ -61,5 +61,14 @@
     assert not judge(damaged)
 
 
+@given(LENGTHS, st.data())
+def test_a_foreign_chunk_that_fits_in_every_other_way_is_not_taken(lengths, data):
+    # The damage above changes the count of tokens as well; here only the identity differs.
+    chunks = make_stream(lengths)
+    index = data.draw(st.integers(0, len(chunks) - 1))
+    chunks[index] = make_stream(lengths, "other")[index]
+    assert not judge(chunks)
+
+
 def test_the_naive_judge_takes_a_cut_stream_for_whole():
     assert naive_judge(make_stream([1, 2, 3])[:1])
