--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -1,6 +1,8 @@
 """The whole path on loopback: gateways, the platform's store, engines and services."""
 
 import asyncio
+import contextlib
+import os
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -434,3 +436,20 @@
         assert all("s0" in gateway.context.directory.entries for gateway in gateways)
 
     play(scenario)
+
+
+def test_a_log_that_nobody_reads_delays_no_answer():
+    async def scenario(fleet):
+        _, writer = os.pipe()
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, b"x" * 4096)
+        gateway = await fleet.start_gateway("d9", writer)
+        await wait_for(lambda: gateway.copies.is_complete)
+        for number in range(100):
+            status, _, _ = await fleet.request("d9", "GET", "/look/1", request_id=f"r{number}")
+            assert status == 200
+        assert gateway.log.pump()
+
+    play(scenario)
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -136,7 +136,7 @@
         held = gateway.session.is_sure()
         return gateway.copies.is_complete and held and len(members) == len(self._names)
 
-    async def start_gateway(self, name: str) -> Gateway:
+    async def start_gateway(self, name: str, log_descriptor: int | None = None) -> Gateway:
         """Start one gateway, in place of an earlier one of the same name."""
         port = free_port()
         settings = replace(
@@ -146,7 +146,7 @@
             peer_ports=(port, port),
             order_turn_seconds=0.5,
         )
-        gateway = Gateway(settings, log_descriptor=None)
+        gateway = Gateway(settings, log_descriptor)
         await gateway.start()
         self.gateways[name] = gateway
         return gateway
--- a/rackswitch/telemetry/journal.py
+++ b/rackswitch/telemetry/journal.py
@@ -19,8 +19,9 @@
 """Lines beyond which routine ones are folded: half is kept for failures and changes."""
 
 ROUTINE_LINES_PER_SECOND = 200.0
-"""Routine lines written one by one. A line costs some 10 us, so this is 0.2 % of a core; a
-gateway of the largest expected fleet serves some 5 calls a second."""
+"""Routine lines written one by one. Counting and writing one takes some 40 us
+(benchmarks/bench_log.py), so this is 0.8 % of a core; a gateway of the largest expected fleet
+serves some 5 calls a second."""
 
 ROUTINE_BURST_LINES = 400.0
 """Two seconds' worth, so that a burst after a quiet time is told whole."""
