Jobs: a successor goes on with unfinished texts

Change: an owner keeps its unfinished texts, at a hand-over all and else the long ones each 1.5 s; a claim takes them over and away in one write. They are gone on with only where their former runs have surely ended: the former owner had stopped them, or its process is known to be another one now. Ruled out: going on after a mere lapse of the lease, since a former owner that was cut off still runs its items, and two engines would work on one.

--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -15,6 +15,7 @@
 JOB_EVENTS = (
     ev.JobSubmitted,
     ev.JobOwned,
+    ev.JobResumed,
     ev.JobDropped,
     ev.JobNotOwned,
     ev.JobEnded,
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -1,6 +1,7 @@
 """What the gateway's parts share."""
 
 import random
+import time
 from dataclasses import dataclass, field
 
 from rackswitch.clients.kv import KvClient
@@ -36,6 +37,10 @@
         The newest version of each model that its trainer has named.
     targets : dict of str to Target
         Load, speed and health of the listed targets, by instance.
+    process_started_unix_seconds : float
+        When this process began; with the daemon's name it tells processes apart.
+    process_starts : dict of str to float
+        The same of all members, by name.
     list_confirmed_at_seconds : float
         When (monotonic) the service last vouched for the list of targets.
     connection_limits : ConnectionLimits
@@ -51,6 +56,8 @@
     targets: dict[str, Target] = field(default_factory=dict)
     connection_limits: ConnectionLimits = field(default_factory=_first_connection_limits)
     list_confirmed_at_seconds: float = float("-inf")
+    process_started_unix_seconds: float = field(default_factory=time.time)
+    process_starts: dict[str, float] = field(default_factory=dict)
 
     @property
     def kv(self) -> KvClient:
--- a/rackswitch/gateway/control_entries.py
+++ b/rackswitch/gateway/control_entries.py
@@ -4,7 +4,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX
-from rackswitch.gateway.session import MEMBERS_PREFIX, decode_member
+from rackswitch.gateway.session import MEMBERS_PREFIX, decode_member, vm_entry
 from rackswitch.gateway.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.gateway.watching import CopyHandlers
 from rackswitch.membership import VmEntry
@@ -63,7 +63,9 @@
 
     def _take_member(self, entry: KvEntry) -> None:
         name = entry.key.removeprefix(MEMBERS_PREFIX)
-        self._members[name] = decode_member(name, entry.value)
+        member = decode_member(entry.value)
+        self._members[name] = vm_entry(name, member)
+        self._context.process_starts[name] = member.started_at_unix_seconds
 
     def _members_changed(self) -> None:
         membership = self._context.daemon.membership
--- a/rackswitch/gateway/item_starter.py
+++ b/rackswitch/gateway/item_starter.py
@@ -5,7 +5,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.owned_job import OwnedJob
-from rackswitch.jobs import EngineRoom, ItemPhase, ItemStart, plan_starts
+from rackswitch.jobs import EngineRoom, ItemPhase, ItemProgress, ItemStart, plan_starts
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow, ServiceRow
@@ -53,6 +53,8 @@
         ledgers = [owned.ledger for owned in owned_jobs.values()]
         for start in plan_starts(ledgers, rooms, services, due_seconds, now_seconds):
             self._start(owned_jobs[start.ledger.job.job_id], start)
+        for owned in owned_jobs.values():
+            self._score_restored(owned)
 
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
         """Return the service that runs each job; items that no engine may run are given up."""
@@ -117,6 +119,18 @@
         task = self._context.daemon.spawn(self._carry_out(owned, start))
         owned.runs[start.progress.item.item_id] = task
 
+    def _score_restored(self, owned: OwnedJob) -> None:
+        """Begin the reward calls of texts that a former owner made whole."""
+        for item_id, progress in owned.ledger.items.items():
+            if progress.phase is ItemPhase.SCORING and item_id not in owned.runs:
+                task = self._context.daemon.spawn(self._score(owned, progress))
+                owned.runs[item_id] = task
+
+    async def _score(self, owned: OwnedJob, progress: ItemProgress) -> None:
+        await self._runner.score(owned.ledger, progress)
+        self._wake.set()
+        owned.runs.pop(progress.item.item_id, None)
+
     async def _carry_out(self, owned: OwnedJob, start: ItemStart) -> None:
         ledger, progress = start.ledger, start.progress
         listed = self._context.directory.entries.get(start.instance)
@@ -133,6 +147,6 @@
             until_seconds = self._context.now_seconds() + FULL_PAUSE_SECONDS
             self._full_until_seconds[start.instance] = until_seconds
         if progress.phase is ItemPhase.SCORING:
-            await self._runner.score(ledger, progress)
-            self._wake.set()
-        owned.runs.pop(progress.item.item_id, None)
+            await self._score(owned, progress)
+        else:
+            owned.runs.pop(progress.item.item_id, None)
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -20,9 +20,19 @@
 from rackswitch.gateway.owned_job import OwnedJob
 from rackswitch.gateway.result_appender import ResultAppender
 from rackswitch.gateway.session import Session
-from rackswitch.jobs import Job, JobLedger, JobOrphans, JobResult
+from rackswitch.jobs import (
+    ItemCheckpoint,
+    Job,
+    JobCheckpoint,
+    JobLedger,
+    JobOrphans,
+    JobResult,
+    checkpoint_items,
+    may_resume_from,
+    restore_items,
+)
 from rackswitch.table import RouteRow
-from rackswitch.telemetry.events import JobDropped, JobNotOwned, JobOwned
+from rackswitch.telemetry.events import JobDropped, JobNotOwned, JobOwned, JobResumed
 
 __all__ = ["JobKeeper"]
 
@@ -32,6 +42,20 @@
 ADOPT_AFTER_SECONDS = 0.5
 """How long an answer may lag behind the watch that shows what was written."""
 
+LEAST_CHECKPOINT_PIECES = 24
+"""Shorter texts are made again: they are about a second of an engine's work, and a step's
+longest texts, which decide when it is whole, have more than a hundred."""
+
+LEAST_HANDED_OVER_PIECES = 1
+"""At a planned hand-over everything goes along: it is one call whatever its size."""
+
+RUNS_END_SECONDS = 0.2
+"""How long the cancelled runs of a job that is handed over may take to let their engines go."""
+
+CHECKPOINT_SECONDS = 1.5
+"""Between two checkpoints of a job: a call each, against at most so much work lost with an
+owner that dies."""
+
 UNROUTED_MOST_FAILURES = 3
 """Failures that end an item of a job whose route is unknown; the ledger's own default."""
 
@@ -160,6 +184,7 @@
                 continue
             self._claim_orphans()
             self._starter.start_items(self.owned)
+            self._keep_checkpoints()
             self._appender.append_due(self.owned.values())
 
     async def hand_over(self) -> None:
@@ -168,8 +193,35 @@
             *(self._appender.append_all(owned) for owned in list(self.owned.values()))
         )
         for job_id, owned in list(self.owned.items()):
+            # Taken before the drop, which ends the ledger; released after it, so that no
+            # run of this daemon goes on beside its successor's.
+            items = checkpoint_items(owned.ledger, LEAST_HANDED_OVER_PIECES)
+            runs = list(owned.runs.values())
             self._drop(job_id, "handed over")
-            await self._store.release(job_id, owned.owner_revision)
+            checkpoint = self._checkpoint(items, await _have_ended(runs))
+            await self._store.release(job_id, owned.owner_revision, checkpoint)
+
+    def _checkpoint(self, items: tuple[ItemCheckpoint, ...], runs_ended: bool) -> JobCheckpoint:
+        return JobCheckpoint(
+            daemon=self._context.daemon_name,
+            process_started_unix_seconds=self._context.process_started_unix_seconds,
+            runs_ended=runs_ended,
+            items=items,
+        )
+
+    def _keep_checkpoints(self) -> None:
+        """Keep the long unfinished texts of owned jobs now and then, for a successor."""
+        now_seconds = self._context.now_seconds()
+        for job_id, owned in self.owned.items():
+            if now_seconds < owned.next_checkpoint_seconds:
+                continue
+            items = checkpoint_items(owned.ledger, LEAST_CHECKPOINT_PIECES)
+            if any(len(item.pieces) >= LEAST_CHECKPOINT_PIECES for item in items):
+                owned.next_checkpoint_seconds = now_seconds + CHECKPOINT_SECONDS
+                checkpoint = self._checkpoint(items, runs_ended=False)
+                self._context.daemon.spawn(
+                    self._store.keep_checkpoint(job_id, owned.owner_revision, checkpoint)
+                )
 
     def _own(self, job: Job, owner_revision: int, listed: list[JobResult]) -> None:
         route = self._context.routes.find(job.host, job.path)
@@ -225,7 +277,10 @@
         lease_id = self._session.lease_id
         if lease_id is None:
             return
-        claimed = await self._store.claim(job_id, marker_revision, lease_id)
+        kept = await self._store.load_checkpoint(job_id)
+        if isinstance(kept, KvUnavailable):
+            return
+        claimed = await self._store.claim(job_id, marker_revision, lease_id, kept.revision)
         if isinstance(claimed, JobNotStored):
             return
         if claimed == 0:
@@ -236,7 +291,24 @@
         if held is not None:
             held.owner_revision = claimed
             return
-        await self._load(job_id, claimed)
+        await self._load(job_id, claimed, kept.checkpoint)
+
+    def _restore(self, job_id: str, checkpoint: JobCheckpoint | None) -> None:
+        """Go on with the texts of a former owner whose runs have surely ended."""
+        owned = self.owned.get(job_id)
+        if owned is None or checkpoint is None:
+            return
+        may_resume = may_resume_from(checkpoint, self._context.process_starts)
+        restored = restore_items(owned.ledger, checkpoint.items) if may_resume else 0
+        self._context.log.write(
+            JobResumed(
+                job=job_id,
+                former_owner=checkpoint.daemon,
+                runs_ended=checkpoint.runs_ended,
+                items_kept=len(checkpoint.items),
+                items_resumed=restored,
+            )
+        )
 
     async def _adopt(self, name: str, owner_revision: int) -> None:
         """Work on a job that is this daemon's by a write whose answer never came."""
@@ -247,9 +319,12 @@
             return
         for job_id, known in list(self.known.jobs.items()):
             if key_part(job_id) == name and job_id not in self.owned and not known.marker.ended:
-                await self._load(job_id, owner_revision)
+                # What a former owner had kept went with the claim that was not answered.
+                await self._load(job_id, owner_revision, None)
 
-    async def _load(self, job_id: str, owner_revision: int) -> None:
+    async def _load(
+        self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint | None
+    ) -> None:
         job = await self._store.load_items(job_id)
         results = await self._store.load_results(job_id, 0)
         marker = self.known.marker(job_id)
@@ -261,6 +336,7 @@
             return
         if isinstance(job, Job) and not isinstance(results, KvUnavailable):
             self._own(job, owner_revision, results)
+            self._restore(job_id, checkpoint)
         else:
             self._context.log.write(JobNotOwned(job=job_id, reason="claimed but not read"))
             await self._store.release(job_id, owner_revision)
@@ -290,3 +366,11 @@
         due_seconds=begun_seconds + route.due_seconds,
         keep_until_seconds=begun_seconds + route.keep_seconds,
     )
+
+
+async def _have_ended(runs: list[asyncio.Task[None]]) -> bool:
+    """Wait for cancelled runs; return whether all have ended."""
+    if not runs:
+        return True
+    _, pending = await asyncio.wait(runs, timeout=RUNS_END_SECONDS)
+    return not pending
--- a/rackswitch/gateway/job_outcomes.py
+++ b/rackswitch/gateway/job_outcomes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from rackswitch.jobs import JobResult
+from rackswitch.jobs import JobCheckpoint, JobResult
 
 __all__ = [
     "AppendConflict",
@@ -11,6 +11,7 @@
     "JobKnown",
     "JobNotStored",
     "JobTooLarge",
+    "KeptCheckpoint",
 ]
 
 
@@ -47,6 +48,14 @@
     effect_unknown: bool
 
 
+@dataclass(frozen=True, slots=True)
+class KeptCheckpoint:
+    """A job's checkpoint in the service, and its entry's revision; 0 if there is none."""
+
+    checkpoint: JobCheckpoint | None
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Appended:
     """A segment is kept: the one proposed, or an earlier proposal of this owner."""
--- a/rackswitch/gateway/job_records.py
+++ b/rackswitch/gateway/job_records.py
@@ -8,18 +8,21 @@
 import msgspec
 
 from rackswitch.clients.kv import KvEntry
-from rackswitch.jobs import Job, JobResult
+from rackswitch.jobs import Job, JobCheckpoint, JobResult
 
 __all__ = [
     "ITEMS_PREFIX",
     "JOBS_PREFIX",
     "OWNERS_PREFIX",
+    "PROGRESS_PREFIX",
     "RESULTS_PREFIX",
     "JobMarker",
     "key_part",
     "marker_of",
+    "pack_checkpoint",
     "pack_items",
     "pack_results",
+    "unpack_checkpoint",
     "unpack_items",
     "unpack_results",
 ]
@@ -28,6 +31,7 @@
 OWNERS_PREFIX = "control/owners/"
 ITEMS_PREFIX = "items/"
 RESULTS_PREFIX = "results/"
+PROGRESS_PREFIX = "progress/"
 
 VALUE_SHARE = 0.66
 """Part of the service's largest value that a chunk takes: as base64 it grows by a third."""
@@ -107,3 +111,13 @@
 def unpack_results(value: bytes) -> list[JobResult]:
     """Return the results that a value holds."""
     return msgspec.msgpack.decode(zlib.decompress(value), type=list[JobResult])
+
+
+def pack_checkpoint(checkpoint: JobCheckpoint) -> bytes:
+    """Return a checkpoint as one value."""
+    return zlib.compress(msgspec.msgpack.encode(checkpoint), COMPRESSION_LEVEL)
+
+
+def unpack_checkpoint(value: bytes) -> JobCheckpoint:
+    """Return the checkpoint that a value holds."""
+    return msgspec.msgpack.decode(zlib.decompress(value), type=JobCheckpoint)
--- a/rackswitch/gateway/job_store.py
+++ b/rackswitch/gateway/job_store.py
@@ -26,21 +26,25 @@
     JobKnown,
     JobNotStored,
     JobTooLarge,
+    KeptCheckpoint,
 )
 from rackswitch.gateway.job_records import (
     ITEMS_PREFIX,
     JOBS_PREFIX,
     OWNERS_PREFIX,
+    PROGRESS_PREFIX,
     RESULTS_PREFIX,
     JobMarker,
     key_part,
     marker_of,
+    pack_checkpoint,
     pack_items,
     pack_results,
+    unpack_checkpoint,
     unpack_items,
     unpack_results,
 )
-from rackswitch.jobs import Job, JobResult
+from rackswitch.jobs import Job, JobCheckpoint, JobResult
 
 __all__ = ["JobStore"]
 
@@ -93,25 +97,58 @@
             return JobNotStored("the job was not taken and is not there", effect_unknown=False)
         return JobKnown()
 
-    async def claim(self, job_id: str, marker_revision: int, lease_id: int) -> int | JobNotStored:
-        """Become the owner of a job that has none; return the owner revision, 0 if too late."""
+    async def claim(
+        self, job_id: str, marker_revision: int, lease_id: int, checkpoint_revision: int
+    ) -> int | JobNotStored:
+        """Become the owner of a job that has none; return the owner revision, 0 if too late.
+
+        The former owner's checkpoint, if there is one at `checkpoint_revision`, is taken
+        away in the same write: nobody else may go on with these texts, which this owner's
+        own runs make longer from now on.
+        """
         part_name = key_part(job_id)
-        part = TxnPart(
-            (
-                Compare(OWNERS_PREFIX + part_name, "mod", 0),
-                Compare(JOBS_PREFIX + part_name, "mod", marker_revision),
-            ),
-            (self._owner_put(part_name, lease_id),),
-        )
-        done = await self._txn(part)
+        compares = [
+            Compare(OWNERS_PREFIX + part_name, "mod", 0),
+            Compare(JOBS_PREFIX + part_name, "mod", marker_revision),
+            Compare(PROGRESS_PREFIX + part_name, "mod", checkpoint_revision),
+        ]
+        operations = [self._owner_put(part_name, lease_id)]
+        if checkpoint_revision:
+            operations.append(Operation(PROGRESS_PREFIX + part_name, None))
+        done = await self._txn(TxnPart(tuple(compares), tuple(operations)))
         if isinstance(done, JobNotStored):
             return done
         return done.revision if done.succeeded else 0
 
-    async def release(self, job_id: str, owner_revision: int) -> None:
-        """Stop owning a job, so that another daemon takes it at once."""
-        key = OWNERS_PREFIX + key_part(job_id)
-        await self._txn(TxnPart((Compare(key, "mod", owner_revision),), (Operation(key, None),)))
+    async def release(
+        self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint | None = None
+    ) -> None:
+        """Stop owning a job, so that another daemon takes it at once and goes on with it."""
+        part_name = key_part(job_id)
+        key = OWNERS_PREFIX + part_name
+        operations = [Operation(key, None)]
+        if checkpoint is not None:
+            operations.append(_progress_put(part_name, checkpoint))
+        await self._txn(TxnPart((Compare(key, "mod", owner_revision),), tuple(operations)))
+
+    async def keep_checkpoint(
+        self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint
+    ) -> None:
+        """Keep unfinished texts, under the owner's fence; that may fail, as it is only a help."""
+        part_name = key_part(job_id)
+        fence = Compare(OWNERS_PREFIX + part_name, "mod", owner_revision)
+        await self._txn(TxnPart((fence,), (_progress_put(part_name, checkpoint),)))
+
+    async def load_checkpoint(self, job_id: str) -> KeptCheckpoint | KvUnavailable:
+        """Read the unfinished texts that a former owner left."""
+        read = await self._context.kv.read(PROGRESS_PREFIX + key_part(job_id))
+        self._note(read)
+        if isinstance(read, KvUnavailable):
+            return read
+        if not read.entries:
+            return KeptCheckpoint(None, 0)
+        entry = read.entries[0]
+        return KeptCheckpoint(unpack_checkpoint(entry.value), entry.mod_revision)
 
     async def load_items(self, job_id: str) -> Job | None | KvUnavailable:
         """Read a job with its items; None if it is not there."""
@@ -196,6 +233,7 @@
             (
                 Operation(JOBS_PREFIX + part_name, msgspec.json.encode(ended)),
                 Operation(OWNERS_PREFIX + part_name, None),
+                Operation(PROGRESS_PREFIX + part_name, None),
             ),
         )
         done = await self._txn(part)
@@ -214,7 +252,8 @@
             failure = await self._delete([entry.key for entry in read.entries])
             if failure is not None:
                 return failure
-        return await self._delete([OWNERS_PREFIX + part_name, JOBS_PREFIX + part_name])
+        keys = [prefix + part_name for prefix in (PROGRESS_PREFIX, OWNERS_PREFIX, JOBS_PREFIX)]
+        return await self._delete(keys)
 
     async def _delete(self, keys: list[str]) -> KvUnavailable | None:
         for start in range(0, len(keys), MOST_DELETIONS):
@@ -246,3 +285,7 @@
 
     def _note(self, answer: object) -> None:
         self._context.contact.note(self._context.now_seconds(), answer)
+
+
+def _progress_put(part_name: str, checkpoint: JobCheckpoint) -> Operation:
+    return Operation(PROGRESS_PREFIX + part_name, pack_checkpoint(checkpoint))
--- a/rackswitch/gateway/owned_job.py
+++ b/rackswitch/gateway/owned_job.py
@@ -33,6 +33,7 @@
     runs: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     news: asyncio.Event = field(default_factory=asyncio.Event)
     next_append_seconds: float = 0.0
+    next_checkpoint_seconds: float = 0.0
     appending: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def tell_news(self) -> None:
--- a/rackswitch/gateway/session.py
+++ b/rackswitch/gateway/session.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -16,7 +15,7 @@
 from rackswitch.membership import VmEntry
 from rackswitch.telemetry.events import PredecessorEnded, SessionBegun, SessionEnded, SessionLost
 
-__all__ = ["MEMBERS_PREFIX", "MemberEntry", "Session", "decode_member"]
+__all__ = ["MEMBERS_PREFIX", "MemberEntry", "Session", "decode_member", "vm_entry"]
 
 MEMBERS_PREFIX = "control/members/"
 LIFE_SECONDS = 2.0
@@ -37,9 +36,13 @@
     started_at_unix_seconds: float
 
 
-def decode_member(name: str, value: bytes) -> VmEntry:
+def decode_member(value: bytes) -> MemberEntry:
+    """Return what a member tells about itself."""
+    return msgspec.json.decode(value, type=MemberEntry)
+
+
+def vm_entry(name: str, entry: MemberEntry) -> VmEntry:
     """Return a member's entry as the membership takes it."""
-    entry = msgspec.json.decode(value, type=MemberEntry)
     return VmEntry(name, entry.host, entry.peer_port, entry.zone, leaving=False)
 
 
@@ -56,13 +59,12 @@
         Told that the lease is over, and with it all that hung on it.
     """
 
-    __slots__ = ("_context", "_on_lost", "_peer_port", "_started_at_unix_seconds", "lease")
+    __slots__ = ("_context", "_on_lost", "_peer_port", "lease")
 
     def __init__(self, context: GatewayContext, peer_port: int, on_lost: Callable[[], None]):
         self._context = context
         self._peer_port = peer_port
         self._on_lost = on_lost
-        self._started_at_unix_seconds = time.time()
         self.lease = SessionLease(self._life_seconds())
 
     @property
@@ -124,7 +126,7 @@
             self._peer_port,
             self._context.settings.zone,
             granted.lease_id,
-            self._started_at_unix_seconds,
+            self._context.process_started_unix_seconds,
         )
         put = Operation(self._key, msgspec.json.encode(entry), granted.lease_id)
         done = await self._context.kv.txn([TxnPart((), (put,))])
--- a/rackswitch/gateway/tests/long_run.py
+++ b/rackswitch/gateway/tests/long_run.py
@@ -12,7 +12,7 @@
 from rackswitch.gateway.job_outcomes import Appended, JobCreated, JobKnown, JobNotStored
 from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX, RESULTS_PREFIX, pack_results
 from rackswitch.gateway.job_store import JobStore
-from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member
+from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member, vm_entry
 from rackswitch.gateway.tests.support import make_gateway_context
 from rackswitch.jobs import Job, JobItem, JobResult, TextPiece
 from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
@@ -168,7 +168,9 @@
     def _put(self, entry) -> None:
         if entry.key.startswith(MEMBERS_PREFIX):
             name = entry.key.removeprefix(MEMBERS_PREFIX)
-            self._members[name] = decode_member(name, entry.value)
+            member = decode_member(entry.value)
+            self._members[name] = vm_entry(name, member)
+            self.context.process_starts[name] = member.started_at_unix_seconds
             self._tell_members()
         elif entry.key.startswith(JOBS_PREFIX):
             self.keeper.marker_put(entry)
--- a/rackswitch/gateway/tests/test_job_keeper.py
+++ b/rackswitch/gateway/tests/test_job_keeper.py
@@ -55,7 +55,7 @@
         keeper.owner_deleted(OWNERS_PREFIX + "j")
         successor = JobStore(make_gateway_context("b", kv))
         marker = await successor.load_marker("j")
-        await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0))
+        await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0), 0)
         keeper.owner_put(owner_entry(kv))
         await asyncio.sleep(ADOPT_AFTER_SECONDS + 0.1)
         assert keeper.owned == {}
@@ -72,7 +72,7 @@
         kv.end_lease(keeper._session.lease_id)
         successor = JobStore(make_gateway_context("b", kv))
         marker = await successor.load_marker("j")
-        await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0))
+        await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0), 0)
         keeper.owner_put(owner_entry(kv))
         assert keeper.owned == {}
 
--- a/rackswitch/gateway/tests/test_job_store.py
+++ b/rackswitch/gateway/tests/test_job_store.py
@@ -11,7 +11,7 @@
 from rackswitch.gateway.job_records import JobMarker, key_part
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.tests.support import make_gateway_context
-from rackswitch.jobs import JobResult
+from rackswitch.jobs import JobCheckpoint, JobResult
 from rackswitch.jobs.tests.support import make_job
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
@@ -88,7 +88,7 @@
         created = await former.create(make_job(), lease)
         kv.end_lease(lease)
         marker = await successor.load_marker("j")
-        claimed = await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0))
+        claimed = await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0), 0)
         assert isinstance(claimed, int) and claimed > created.owner_revision
         assert isinstance(await successor.append("j", claimed, 0, FIRST), Appended)
         outcome = await former.append("j", created.owner_revision, 0, OTHER)
@@ -107,7 +107,7 @@
         marker = await make_store("b", kv).load_marker("j")
         own_lease = kv.grant(100.0, 0.0)
         claims = [
-            await make_store(name, kv).claim("j", marker.mod_revision, own_lease)
+            await make_store(name, kv).claim("j", marker.mod_revision, own_lease, 0)
             for name in ("b", "c")
         ]
         assert claims[0] > 0
@@ -125,7 +125,7 @@
         await store.end(msgspec.json.decode(known.value, type=JobMarker))
         outcome = await store.append("j", created.owner_revision, 0, FIRST)
         assert isinstance(outcome, AppendConflict)
-        assert await store.claim("j", known.mod_revision, kv.grant(100.0, 0.0)) == 0
+        assert await store.claim("j", known.mod_revision, kv.grant(100.0, 0.0), 0) == 0
 
     run_virtual(scenario())
 
@@ -134,3 +134,41 @@
     assert key_part("7c41e09b52d6a3f8") == "7c41e09b52d6a3f8"
     assert key_part("a/b").startswith(".")
     assert len(key_part("x" * 500)) < 64
+
+
+def test_a_claim_takes_the_former_owners_checkpoint_away():
+    # Else a third owner could go on with texts that the second one's runs make longer.
+    async def scenario():
+        kv = KvStore()
+        first, second, third = (make_store(name, kv) for name in ("a", "b", "c"))
+        created = await first.create(make_job(), kv.grant(100.0, 0.0))
+        checkpoint = JobCheckpoint(
+            daemon="a", process_started_unix_seconds=1.0, runs_ended=True, items=()
+        )
+        await first.release("j", created.owner_revision, checkpoint)
+        marker = await second.load_marker("j")
+        kept = await second.load_checkpoint("j")
+        assert kept.checkpoint == checkpoint
+        lease = kv.grant(100.0, 0.0)
+        stale = await second.claim("j", marker.mod_revision, lease, 0)
+        assert stale == 0
+        assert await second.claim("j", marker.mod_revision, lease, kept.revision) > 0
+        assert (await third.load_checkpoint("j")).checkpoint is None
+
+    run_virtual(scenario())
+
+
+def test_only_the_owner_keeps_checkpoints():
+    async def scenario():
+        kv = KvStore()
+        store = make_store("a", kv)
+        created = await store.create(make_job(), kv.grant(100.0, 0.0))
+        checkpoint = JobCheckpoint(
+            daemon="a", process_started_unix_seconds=1.0, runs_ended=False, items=()
+        )
+        await store.keep_checkpoint("j", created.owner_revision + 1, checkpoint)
+        assert (await store.load_checkpoint("j")).checkpoint is None
+        await store.keep_checkpoint("j", created.owner_revision, checkpoint)
+        assert (await store.load_checkpoint("j")).checkpoint == checkpoint
+
+    run_virtual(scenario())
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -335,12 +335,19 @@
     async def scenario(fleet):
         pieces = [1, 150, 150]
         assert await fleet.submit("d0", "j1", pieces) == 202
+        items = fleet.gateways["d0"].jobs.owned["j1"].ledger.items
+        await wait_for(lambda: sum(item.last_number > 5 for item in items.values()) == 2)
         stopping = asyncio.create_task(fleet.gateways["d0"].stop())
         await asyncio.sleep(0.1)
         status, _, _ = await fleet.request("d0", "GET", "/look/1")
         assert status == 200
         check_whole(await fleet.read_all("d1", "j1", 15.0), pieces, "j1")
         await stopping
+        # The texts go along: what was made is not made again.
+        runs = [run for engine in fleet.engines for run in engine.runs]
+        resumed = [run for run in runs if run.last_event_id]
+        assert len(resumed) == 2
+        assert all(int(run.last_event_id) > 1 for run in resumed)
 
     play(scenario)
 
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -1,5 +1,7 @@
 """Batch jobs: many requests submitted together, run later, their results read by position."""
 
+from rackswitch.jobs.checkpoints import *  # noqa: F403
+from rackswitch.jobs.checkpoints import __all__ as _checkpoints_all
 from rackswitch.jobs.ledger import *  # noqa: F403
 from rackswitch.jobs.ledger import __all__ as _ledger_all
 from rackswitch.jobs.messages import *  # noqa: F403
@@ -14,6 +16,7 @@
 from rackswitch.jobs.schedule import __all__ as _schedule_all
 
 __all__ = [
+    *_checkpoints_all,
     *_ledger_all,
     *_messages_all,
     *_orphans_all,
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -126,7 +126,7 @@
         """End an item without a text."""
         if progress.result is not None:
             return
-        self._take_result(progress, JobResult(item_id=progress.item.item_id, completed=False))
+        self.take_result(progress, JobResult(item_id=progress.item.item_id, completed=False))
 
     def next_segment(self) -> tuple[int, list[JobResult]]:
         """Return the results to append now, and the position of the first of them."""
@@ -169,9 +169,10 @@
             versions=tuple(progress.versions),
             score=score,
         )
-        self._take_result(progress, result)
+        self.take_result(progress, result)
 
-    def _take_result(self, progress: ItemProgress, result: JobResult) -> None:
+    def take_result(self, progress: ItemProgress, result: JobResult) -> None:
+        """Note the end of an item, which waits for a position from now on."""
         progress.result = result
         progress.phase = ItemPhase.FINISHED
         progress.begin_anew()
--- /dev/null
+++ b/rackswitch/jobs/tests/test_checkpoints.py
@@ -0,0 +1,108 @@
+import pytest
+
+from rackswitch.jobs import (
+    ItemPhase,
+    JobCheckpoint,
+    JobLedger,
+    JobResult,
+    TextPiece,
+    checkpoint_items,
+    may_resume_from,
+    restore_items,
+)
+from rackswitch.jobs.checkpoints import MOST_CHECKPOINT_CHARACTERS
+from rackswitch.jobs.tests.support import finish, make_job
+
+
+def run(ledger: JobLedger, item_id: str, count: int, text: str = "a") -> None:
+    """Let an item's run bring so many pieces, and go on."""
+    progress = ledger.items[item_id]
+    if progress.phase is ItemPhase.WAITING:
+        ledger.started(progress)
+    for _ in range(count):
+        assert progress.accept(TextPiece(progress.last_number + 1, text, 1), 0) is None
+
+
+def successor_of(ledger: JobLedger, least_pieces: int = 1) -> JobLedger:
+    after = JobLedger(ledger.job, list(ledger.listed))
+    restore_items(after, checkpoint_items(ledger, least_pieces))
+    return after
+
+
+def test_a_successor_goes_on_behind_the_last_piece():
+    ledger = JobLedger(make_job())
+    run(ledger, "i1", 3)
+    progress = successor_of(ledger).items["i1"]
+    assert progress.phase is ItemPhase.WAITING
+    assert progress.last_number == 3
+    assert progress.versions == [1]
+    assert progress.accept(TextPiece(4, "b", 2), 0) is None
+    assert progress.text() == "a\na\na\nb"
+
+
+def test_a_whole_text_that_waits_for_its_reward_call_is_not_made_again():
+    ledger = JobLedger(make_job(reward=True))
+    run(ledger, "i1", 3)
+    ledger.whole(ledger.items["i1"])
+    after = successor_of(ledger)
+    assert after.items["i1"].phase is ItemPhase.SCORING
+    after.scored(after.items["i1"], "s")
+    assert after.next_segment()[1][0].text == "a\na\na"
+
+
+def test_an_end_without_a_position_is_kept_and_listed_once():
+    ledger = JobLedger(make_job())
+    finish(ledger, "i0")
+    ledger.give_up(ledger.items["i1"])
+    after = successor_of(ledger)
+    position, segment = after.next_segment()
+    assert position == 0
+    assert {result.item_id: result.completed for result in segment} == {"i0": True, "i1": False}
+
+
+def test_what_is_listed_already_is_not_taken_back():
+    ledger = JobLedger(make_job())
+    run(ledger, "i1", 3)
+    kept = checkpoint_items(ledger, 1)
+    listed = [JobResult(item_id="i1", completed=True, text="a\na\na\na", versions=(1,))]
+    after = JobLedger(ledger.job, listed)
+    assert restore_items(after, kept) == 0
+    assert after.items["i1"].phase is ItemPhase.LISTED
+
+
+def test_counted_failures_go_along_although_there_is_no_text():
+    ledger = JobLedger(make_job())
+    progress = ledger.items["i2"]
+    ledger.started(progress)
+    ledger.failed(progress, 0.0)
+    assert successor_of(ledger, 24).items["i2"].failures == 1
+
+
+def test_short_texts_are_left_out_and_the_longest_go_first():
+    ledger = JobLedger(make_job())
+    run(ledger, "i0", 2)
+    run(ledger, "i1", 30, "x" * (MOST_CHECKPOINT_CHARACTERS // 50))
+    run(ledger, "i2", 31, "x" * (MOST_CHECKPOINT_CHARACTERS // 50))
+    kept = checkpoint_items(ledger, 24)
+    assert [item.item_id for item in kept] == ["i2"]
+    assert [item.item_id for item in checkpoint_items(JobLedger(make_job()), 0)] == [
+        "i0", "i1", "i2", "i3",
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("runs_ended", "starts", "may"),
+    [
+        (True, {}, True),
+        (False, {}, False),
+        # The process that wrote it may still run the items, cut off from the service.
+        (False, {"a": 5.0}, False),
+        (False, {"a": 6.0}, True),
+        (False, {"b": 6.0}, False),
+    ],
+)
+def test_texts_are_gone_on_with_only_where_their_runs_have_surely_ended(runs_ended, starts, may):
+    checkpoint = JobCheckpoint(
+        daemon="a", process_started_unix_seconds=5.0, runs_ended=runs_ended, items=()
+    )
+    assert may_resume_from(checkpoint, starts) is may
--- a/rackswitch/telemetry/events.py
+++ b/rackswitch/telemetry/events.py
@@ -30,6 +30,7 @@
     "JobForgotten",
     "JobNotOwned",
     "JobOwned",
+    "JobResumed",
     "JobSubmitted",
     "LedgerLoaded",
     "LinesFolded",
@@ -379,6 +380,17 @@
     oldest_version: int
 
 
+@_registered
+class JobResumed(Event, tag="job resumed", frozen=True):
+    """Unfinished texts of a former owner were gone on with; none if its runs may still go on."""
+
+    job: str
+    former_owner: str
+    runs_ended: bool
+    items_kept: int
+    items_resumed: int
+
+
 @_registered
 class JobDropped(Event, tag="job dropped", frozen=True):
     """This daemon works on a job no more."""
