--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -6,16 +6,7 @@
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.request_front import RequestFront, outcome_label
-from rackswitch.jobs import (
-    EngineLoad,
-    EngineOccupancy,
-    ItemProgress,
-    JobItem,
-    JobLedger,
-    LengthForecast,
-    PieceFault,
-    TextPiece,
-)
+from rackswitch.jobs import ItemProgress, JobItem, JobLedger, LengthForecast, PieceFault, TextPiece
 from rackswitch.outcomes import NotRun
 from rackswitch.platform.ingress import stamp_of
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
@@ -70,14 +61,9 @@
         Makes the calls.
     front : RequestFront
         Serves the reward calls.
-
-    Attributes
-    ----------
-    forecast, occupancy, paces : LengthForecast, EngineOccupancy, EnginePaces
-        What the runs have shown of texts and engines.
     """
 
-    __slots__ = ("_context", "_engines", "_front", "forecast", "occupancy", "paces")
+    __slots__ = ("_context", "_engines", "_front", "forecast", "paces")
 
     def __init__(self, context: GatewayContext, engines: ItemClient, front: RequestFront):
         self._context = context
@@ -85,7 +71,6 @@
         self._front = front
         self.paces = EnginePaces({})
         self.forecast = LengthForecast()
-        self.occupancy = EngineOccupancy()
 
     async def run(
         self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget
@@ -126,10 +111,6 @@
         last_seconds: float | None = None
         async with aclosing(pieces):  # type: ignore[type-var]
             async for piece in pieces:
-                if isinstance(piece, EngineLoad):
-                    now_seconds = self._context.now_seconds()
-                    self.occupancy.heard(target.instance, piece, now_seconds)
-                    continue
                 if isinstance(piece, ItemRunEnded):
                     return piece
                 fault = self._take_piece(ledger, progress, piece)
--- a/rackswitch/gateway/item_starter.py
+++ b/rackswitch/gateway/item_starter.py
@@ -33,12 +33,13 @@
         Set when a run or a reward call has ended, so that more may start.
     """
 
-    __slots__ = ("_context", "_full_until_seconds", "_runner", "_wake")
+    __slots__ = ("_context", "_engine_runs", "_full_until_seconds", "_runner", "_wake")
 
     def __init__(self, context: GatewayContext, runner: ItemRunner, wake: asyncio.Event):
         self._context = context
         self._runner = runner
         self._wake = wake
+        self._engine_runs: dict[str, int] = {}
         self._full_until_seconds: dict[str, float] = {}
 
     def start_items(self, owned_jobs: dict[str, OwnedJob]) -> None:
@@ -94,7 +95,7 @@
             row = self._context.daemon.view.row(ServiceRow, service)
             default_slots = (row.slots if row is not None else 0) or DEFAULT_SLOTS
             rooms.extend(
-                self._room(listed, default_slots, now_seconds)
+                self._room(listed, default_slots)
                 for listed in self._context.directory.usable(service, now_seconds)
                 if not self._is_left_alone(listed.instance, now_seconds)
             )
@@ -106,12 +107,12 @@
             return True
         return now_seconds < self._context.targets[instance].open_until_seconds
 
-    def _room(self, listed: ListedTarget, default_slots: int, now_seconds: float) -> EngineRoom:
+    def _room(self, listed: ListedTarget, default_slots: int) -> EngineRoom:
         slots = listed.slots or default_slots
         return EngineRoom(
             listed.instance,
             listed.service,
-            self._runner.occupancy.free_slots(listed.instance, slots, now_seconds),
+            slots - self._engine_runs.get(listed.instance, 0),
             self._runner.paces.get(listed.instance),
             listed.versions,
         )
@@ -139,11 +140,11 @@
         if listed is None:
             ledger.broke(progress, start.instance, self._context.now_seconds())
             return
-        self._runner.occupancy.began(start.instance)
+        self._engine_runs[start.instance] = self._engine_runs.get(start.instance, 0) + 1
         try:
             ended = await self._runner.run(ledger, progress, listed)
         finally:
-            self._runner.occupancy.ended(start.instance)
+            self._engine_runs[start.instance] -= 1
             self._wake.set()
         if ended.end is ItemRunEnd.NOT_RUN:
             until_seconds = self._context.now_seconds() + FULL_PAUSE_SECONDS
