Items: a run at an engine that has turned slow goes on at a faster one

Change: the median of a run's last gaps is held against the pace of the fastest engine with room that nothing waits for; 1.7 times slower, with ten events or more to come, it is ended and gone on with there, three times at most. What is known of an engine's pace is forgotten after 5 s without work there. Ruled out: the pause of a load of weights, which the median forgives.

--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -2,11 +2,21 @@
 
 import asyncio
 from contextlib import aclosing
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.request_front import RequestFront, outcome_label
-from rackswitch.jobs import ItemProgress, JobItem, JobLedger, LengthForecast, PieceFault, TextPiece
+from rackswitch.jobs import (
+    ItemProgress,
+    JobItem,
+    JobLedger,
+    LengthForecast,
+    PieceFault,
+    RunGaps,
+    SpareRoom,
+    TextPiece,
+    should_move,
+)
 from rackswitch.outcomes import NotRun
 from rackswitch.platform.ingress import stamp_of
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
@@ -27,6 +37,12 @@
 """Between tries of a reward call that found no target; a few times its usual work."""
 
 PACE_SMOOTHING = 0.1
+"""So that some ten events weigh in; a dozen streams bring them within a tenth of a second."""
+
+PACE_LIFE_SECONDS = 5.0
+"""An engine that was slow is given work again after so long without any: its trouble may be
+over, and only work shows that."""
+
 FIRST_PACE_SECONDS = 0.05
 """What an engine's time between events is taken for before one has been seen."""
 
@@ -34,20 +50,35 @@
 """The platform's middle urgency, which a run without any would have."""
 
 
+MOVED = "goes on at a faster engine"
+"""Why a run was ended that nothing was wrong with."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Pace:
+    seconds_per_piece: float
+    seen_seconds: float
+
+
 @dataclass(slots=True)
 class EnginePaces:
     """Smoothed time between the events of a stream, by engine."""
 
-    seconds_per_piece: dict[str, float]
+    _paces: dict[str, _Pace] = field(default_factory=dict)
 
-    def note(self, instance: str, gap_seconds: float) -> None:
+    def note(self, instance: str, gap_seconds: float, now_seconds: float) -> None:
         """Take in one gap."""
-        before = self.seconds_per_piece.get(instance, gap_seconds)
-        self.seconds_per_piece[instance] = before + PACE_SMOOTHING * (gap_seconds - before)
+        known = self._paces.get(instance)
+        before = known.seconds_per_piece if known is not None else gap_seconds
+        smoothed = before + PACE_SMOOTHING * (gap_seconds - before)
+        self._paces[instance] = _Pace(smoothed, now_seconds)
 
-    def get(self, instance: str) -> float:
-        """Return an engine's pace."""
-        return self.seconds_per_piece.get(instance, FIRST_PACE_SECONDS)
+    def get(self, instance: str, now_seconds: float) -> float:
+        """Return an engine's pace; what was seen too long ago says nothing any more."""
+        known = self._paces.get(instance)
+        if known is None or now_seconds >= known.seen_seconds + PACE_LIFE_SECONDS:
+            return FIRST_PACE_SECONDS
+        return known.seconds_per_piece
 
 
 class ItemRunner:
@@ -61,15 +92,23 @@
         Makes the calls.
     front : RequestFront
         Serves the reward calls.
+
+    Attributes
+    ----------
+    forecast, paces : LengthForecast, EnginePaces
+        What the runs have shown of texts and engines.
+    spare : dict of str to SpareRoom
+        By service, room that nothing waits for, as the starter last saw it.
     """
 
-    __slots__ = ("_context", "_engines", "_front", "forecast", "paces")
+    __slots__ = ("_context", "_engines", "_front", "forecast", "paces", "spare")
 
     def __init__(self, context: GatewayContext, engines: ItemClient, front: RequestFront):
         self._context = context
         self._engines = engines
         self._front = front
-        self.paces = EnginePaces({})
+        self.paces = EnginePaces()
+        self.spare: dict[str, SpareRoom] = {}
         self.forecast = LengthForecast()
 
     async def run(
@@ -108,6 +147,7 @@
         pieces = self._engines.run(
             target, request, FIRST_PIECE_PATIENCE_SECONDS, NEXT_PIECE_PATIENCE_SECONDS
         )
+        gaps = RunGaps()
         last_seconds: float | None = None
         async with aclosing(pieces):  # type: ignore[type-var]
             async for piece in pieces:
@@ -118,10 +158,35 @@
                     return ItemRunEnded(ItemRunEnd.BROKEN, fault.detail)
                 now_seconds = self._context.now_seconds()
                 if last_seconds is not None:
-                    self.paces.note(target.instance, now_seconds - last_seconds)
+                    gap_seconds = now_seconds - last_seconds
+                    gaps.note(gap_seconds)
+                    self.paces.note(target.instance, gap_seconds, now_seconds)
                 last_seconds = now_seconds
+                if not ledger.single_version and self._moves(ledger, progress, target, gaps):
+                    return ItemRunEnded(ItemRunEnd.BROKEN, MOVED)
         return ItemRunEnded(ItemRunEnd.BROKEN, "the stream told no end")
 
+    def _moves(
+        self,
+        ledger: JobLedger,
+        progress: ItemProgress,
+        target: ListedTarget,
+        gaps: RunGaps,
+    ) -> bool:
+        """Return whether a run ends here to go on elsewhere, and count that."""
+        spare = self.spare.get(target.service)
+        job = ledger.job
+        if spare is not None and spare.versions.get(job.model, 0) < job.oldest_version:
+            return False
+        remaining = self.forecast.remaining_pieces(progress)
+        pace = gaps.seconds_per_piece()
+        if not should_move(pace, spare, target.instance, remaining, progress.moves):
+            return False
+        progress.moves += 1
+        if spare is not None:
+            spare.free_slots -= 1
+        return True
+
     def _take_piece(
         self, ledger: JobLedger, progress: ItemProgress, piece: TextPiece
     ) -> PieceFault | None:
--- a/rackswitch/gateway/item_starter.py
+++ b/rackswitch/gateway/item_starter.py
@@ -5,7 +5,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.owned_job import OwnedJob
-from rackswitch.jobs import EngineRoom, ItemPhase, ItemProgress, ItemStart, plan_starts
+from rackswitch.jobs import EngineRoom, ItemPhase, ItemProgress, ItemStart, plan_starts, spare_rooms
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow, ServiceRow
@@ -58,6 +58,8 @@
             self._start(owned_jobs[start.ledger.job.job_id], start)
         for owned in owned_jobs.values():
             self._score_restored(owned)
+        waiting = any(ledger.waiting(now_seconds) for ledger in ledgers)
+        self._runner.spare = {} if waiting else spare_rooms(rooms)
 
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
         """Return the service that runs each job; items that no engine may run are given up."""
@@ -95,7 +97,7 @@
             row = self._context.daemon.view.row(ServiceRow, service)
             default_slots = (row.slots if row is not None else 0) or DEFAULT_SLOTS
             rooms.extend(
-                self._room(listed, default_slots)
+                self._room(listed, default_slots, now_seconds)
                 for listed in self._context.directory.usable(service, now_seconds)
                 if not self._is_left_alone(listed.instance, now_seconds)
             )
@@ -107,13 +109,13 @@
             return True
         return now_seconds < self._context.targets[instance].open_until_seconds
 
-    def _room(self, listed: ListedTarget, default_slots: int) -> EngineRoom:
+    def _room(self, listed: ListedTarget, default_slots: int, now_seconds: float) -> EngineRoom:
         slots = listed.slots or default_slots
         return EngineRoom(
             listed.instance,
             listed.service,
             slots - self._engine_runs.get(listed.instance, 0),
-            self._runner.paces.get(listed.instance),
+            self._runner.paces.get(listed.instance, now_seconds),
             listed.versions,
         )
 
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -14,6 +14,8 @@
 from rackswitch.jobs.retention import __all__ as _retention_all
 from rackswitch.jobs.schedule import *  # noqa: F403
 from rackswitch.jobs.schedule import __all__ as _schedule_all
+from rackswitch.jobs.stragglers import *  # noqa: F403
+from rackswitch.jobs.stragglers import __all__ as _stragglers_all
 
 __all__ = [
     *_checkpoints_all,
@@ -23,4 +25,5 @@
     *_progress_all,
     *_retention_all,
     *_schedule_all,
+    *_stragglers_all,
 ]
--- a/rackswitch/jobs/progress.py
+++ b/rackswitch/jobs/progress.py
@@ -56,6 +56,8 @@
         Reward calls that the service itself ended with a failure.
     run_number : int
         Counts runs, so that what a cancelled run still brings is told apart.
+    moves : int
+        Runs that were ended to go on at a faster engine.
     avoid : str
         Target of the last run that broke, if another one is to be tried.
     """
@@ -67,6 +69,7 @@
     failures: int = 0
     reward_failures: int = 0
     run_number: int = 0
+    moves: int = 0
     avoid: str = ""
     not_before_seconds: float = 0.0
     result: JobResult | None = None
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -6,8 +6,9 @@
 
 from rackswitch.jobs.ledger import JobLedger
 from rackswitch.jobs.progress import ItemProgress
+from rackswitch.jobs.stragglers import SpareRoom
 
-__all__ = ["EngineRoom", "ItemStart", "LengthForecast", "plan_starts"]
+__all__ = ["EngineRoom", "ItemStart", "LengthForecast", "plan_starts", "spare_rooms"]
 
 FIRST_PIECES_PER_TOKEN = 0.02
 """Before any text has become whole: some fifty tokens a piece."""
@@ -170,3 +171,17 @@
             -room.free_slots,
         ),
     )
+
+
+def spare_rooms(rooms: list[EngineRoom]) -> dict[str, SpareRoom]:
+    """Return, by service, the fastest engine that has room left."""
+    spare: dict[str, SpareRoom] = {}
+    for room in rooms:
+        if room.free_slots <= 0:
+            continue
+        known = spare.get(room.service)
+        if known is None or room.seconds_per_piece < known.seconds_per_piece:
+            spare[room.service] = SpareRoom(
+                room.instance, room.seconds_per_piece, room.free_slots, room.versions
+            )
+    return spare
--- /dev/null
+++ b/rackswitch/jobs/stragglers.py
@@ -0,0 +1,95 @@
+"""When a run is better gone on with at another engine.
+
+A step waits for its longest texts. One of them at an engine that has turned slow takes
+several times as long as it would elsewhere, and moving it costs little: the new engine
+reads the prompt and goes on behind the last piece.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from statistics import median
+
+__all__ = ["RunGaps", "SpareRoom", "should_move"]
+
+GAPS_SEEN = 9
+"""Gaps between pieces that are looked at; their median forgives the pause of a load."""
+
+LEAST_GAPS = 5
+"""Before so many gaps nothing is said of a run's pace: a fifth of a second at a usual one."""
+
+MOVE_RATIO = 1.7
+"""How many times slower than elsewhere a run must be. Engines of one service differ by up to
+1.3 on a calm day, and a faulty one is three times slower or more."""
+
+LEAST_REMAINING_PIECES = 10.0
+"""A move costs a few pieces' time (a new connection, the prompt, a slot), so a text that
+probably ends soon stays."""
+
+MOST_MOVES = 3
+"""Moves of one item, so that a wrong belief about paces does not send it round."""
+
+
+@dataclass(slots=True)
+class RunGaps:
+    """The last gaps between the pieces of one run."""
+
+    gaps_seconds: deque[float] = field(default_factory=lambda: deque(maxlen=GAPS_SEEN))
+
+    def note(self, gap_seconds: float) -> None:
+        """Take in one gap."""
+        self.gaps_seconds.append(gap_seconds)
+
+    def seconds_per_piece(self) -> float | None:
+        """Return the run's usual gap; None if too few were seen."""
+        if len(self.gaps_seconds) < LEAST_GAPS:
+            return None
+        return median(self.gaps_seconds)
+
+
+@dataclass(slots=True)
+class SpareRoom:
+    """Room at the fastest engine of a service that nothing waits for.
+
+    Attributes
+    ----------
+    free_slots : int
+        Moves that it still takes; counted down with each.
+    versions : dict of str to int
+        The weights it has, by model.
+    """
+
+    instance: str
+    seconds_per_piece: float
+    free_slots: int
+    versions: dict[str, int] = field(default_factory=dict)
+
+
+def should_move(
+    run_seconds_per_piece: float | None,
+    spare: SpareRoom | None,
+    instance: str,
+    remaining_pieces: float,
+    moves: int,
+) -> bool:
+    """Return whether a run should be gone on with at the spare engine.
+
+    Parameters
+    ----------
+    run_seconds_per_piece : float or None
+        The run's own pace.
+    spare : SpareRoom or None
+        Where it could go.
+    instance : str
+        Where it is.
+    remaining_pieces : float
+        What its text probably still lacks.
+    moves : int
+        How often the item has been moved.
+    """
+    if run_seconds_per_piece is None or spare is None or spare.free_slots <= 0:
+        return False
+    if spare.instance == instance or moves >= MOST_MOVES:
+        return False
+    if remaining_pieces < LEAST_REMAINING_PIECES:
+        return False
+    return run_seconds_per_piece > MOVE_RATIO * spare.seconds_per_piece
