--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -12,17 +12,14 @@
 """How long before the first line about the subject its surroundings are looked at: a lease's
 life, a take-over and the wait for a turn of orders fit in."""
 
-JOB_EVENTS = (
+OWNERSHIP_EVENTS = (
     ev.JobSubmitted,
     ev.JobOwned,
     ev.JobResumed,
     ev.JobDropped,
     ev.JobNotOwned,
-    ev.JobEnded,
-    ev.JobForgotten,
-    ev.JobCallRefused,
 )
-"""Lines about a job as a whole."""
+"""Lines about who works on a job."""
 
 DAEMON_EVENTS = (
     ev.Started,
@@ -97,12 +94,7 @@
     clocks = Clocks(log.events)
     own = [line for line in log.events if _is_about(line.event, subject)]
     if subject.kind == "item":
-        jobs = {job for line in own if (job := getattr(line.event, "job", ""))}
-        own += [
-            line
-            for line in log.events
-            if isinstance(line.event, JOB_EVENTS) and getattr(line.event, "job", "") in jobs
-        ]
+        own += _ownership(log, clocks, own)
     chosen = [_placed(line, clocks, True) for line in own]
     chosen += _surroundings(log, clocks, chosen)
     chosen.sort(key=lambda line: line.at_seconds)
@@ -139,6 +131,19 @@
     return not event.is_routine or isinstance(event, ev.ResultsAppended)
 
 
+def _ownership(log: ReadLog, clocks: Clocks, own: list[LoggedEvent]) -> list[LoggedEvent]:
+    """Return who worked on an item's job until the item's own last line."""
+    jobs = {job for line in own if (job := getattr(line.event, "job", ""))}
+    last_seconds = max(clocks.at_seconds(line) for line in own)
+    return [
+        line
+        for line in log.events
+        if isinstance(line.event, OWNERSHIP_EVENTS)
+        and line.event.job in jobs
+        and clocks.at_seconds(line) <= last_seconds
+    ]
+
+
 def _placed(line: LoggedEvent, clocks: Clocks, own: bool) -> StoryLine:
     return StoryLine(clocks.at_seconds(line), line.daemon, line.event, own)
 
