Every refusal has a line that names the request

Change: what is refused at the edge is always logged there; refusals of calls and jobs have their own lines. Measured: the new test fails without the change.

--- a/rackswitch/explain/main.py
+++ b/rackswitch/explain/main.py
@@ -55,8 +55,8 @@
         story = tell_story(log, identity)
         if story is None:
             print(
-                f"{identity}: named by none of {len(log.events)} lines"
-                f" ({log.unknown} lines were not understood)",
+                f"{identity}: named by none of {len(log.events)} lines, so no daemon whose log"
+                f" is here has read it ({log.unknown} lines were not understood)",
                 file=sys.stderr,
             )
             sys.exit(EXIT_UNKNOWN_IDENTITY)
--- a/rackswitch/gateway/call_edge.py
+++ b/rackswitch/gateway/call_edge.py
@@ -60,7 +60,7 @@
         elif isinstance(outcome, NotRun):
             retry_at_seconds = outcome.retry_at_seconds or self._context.now_seconds()
             left_seconds = max(0.0, retry_at_seconds - self._context.now_seconds())
-            await refuse(exchange, self._context, Refusal(503, outcome.detail, left_seconds))
+            await refuse(exchange, Refusal(503, outcome.detail, left_seconds))
         else:
             await self._fail(exchange, outcome, deadline_seconds)
         self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.target)
--- a/rackswitch/gateway/edge.py
+++ b/rackswitch/gateway/edge.py
@@ -9,7 +9,7 @@
 from rackswitch.gateway.call_edge import CallEdge
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.job_edge import JobEdge
-from rackswitch.gateway.refusals import Refusal, refuse
+from rackswitch.gateway.refusals import Refusal, refuse_at_the_edge
 from rackswitch.platform.desired_state import LIMITS_NAME
 from rackswitch.platform.ingress import (
     MalformedRequest,
@@ -83,7 +83,7 @@
         arrived_seconds = self._context.now_seconds()
         job_call = decode_job_call(exchange)
         if isinstance(job_call, MalformedRequest):
-            await refuse(exchange, self._context, Refusal(400, job_call.detail))
+            await refuse_at_the_edge(exchange, self._context, Refusal(400, job_call.detail))
         elif job_call is not None:
             await self._jobs.serve(exchange, job_call, arrived_seconds)
         else:
@@ -93,7 +93,7 @@
         limits = self._limits()
         head = self._check_head(exchange, limits, arrived_seconds)
         if isinstance(head, Refusal):
-            await refuse(exchange, self._context, head)
+            await refuse_at_the_edge(exchange, self._context, head)
             return
         body_deadline_seconds = head.deadline_seconds or arrived_seconds + BODY_PATIENCE_SECONDS
         body = await exchange.read_body(limits.most_body_bytes, body_deadline_seconds)
@@ -144,10 +144,12 @@
         self, exchange: Exchange, fault: BodyTooLarge | BodyTooSlow | CallerGone
     ) -> None:
         if isinstance(fault, BodyTooLarge):
-            await refuse(
+            await refuse_at_the_edge(
                 exchange,
                 self._context,
                 Refusal(413, f"the body is over {fault.most_bytes} bytes"),
             )
         elif isinstance(fault, BodyTooSlow):
-            await refuse(exchange, self._context, Refusal(408, "the body did not come in time"))
+            await refuse_at_the_edge(
+                exchange, self._context, Refusal(408, "the body did not come in time")
+            )
--- a/rackswitch/gateway/job_edge.py
+++ b/rackswitch/gateway/job_edge.py
@@ -12,7 +12,7 @@
 from rackswitch.gateway.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
 from rackswitch.gateway.job_reader import JobReader, JobUnknown, JobUnsure
 from rackswitch.gateway.job_records import JobMarker
-from rackswitch.gateway.refusals import TEXT, Refusal, refuse
+from rackswitch.gateway.refusals import TEXT, Refusal, refuse, refuse_at_the_edge
 from rackswitch.jobs import MOST_ITEMS, Job, JobItem, check_job
 from rackswitch.platform.ingress import MalformedRequest
 from rackswitch.platform.job_calls import (
@@ -76,10 +76,10 @@
         outline = decode_job_outline(job_id, host, exchange.path, body, time.time())
         job = await _whole_job(outline)
         if isinstance(job, Refusal):
-            await refuse(exchange, self._context, job)
+            await refuse_at_the_edge(exchange, self._context, job)
             return
         if self._context.daemon.stopping:
-            await refuse(
+            await refuse_at_the_edge(
                 exchange,
                 self._context,
                 Refusal(503, "this daemon is stopping", COME_BACK_SECONDS),
@@ -112,7 +112,7 @@
             refusal = Refusal(413, outcome.detail)
         else:
             refusal = Refusal(503, outcome.detail, COME_BACK_SECONDS)
-        await refuse(exchange, self._context, refusal)
+        await refuse(exchange, refusal)
         return _Answered(refusal.status, refusal.detail)
 
     async def serve(self, exchange: Exchange, call: JobCall, arrived_seconds: float) -> None:
@@ -168,7 +168,7 @@
         if failure is None:
             await exchange.respond(200)
         else:
-            await refuse(exchange, self._context, Refusal(503, failure.detail, COME_BACK_SECONDS))
+            await refuse(exchange, Refusal(503, failure.detail, COME_BACK_SECONDS))
 
     async def _refuse_job_call(
         self, exchange: Exchange, reason: JobUnknown | JobUnsure, call: JobCall
@@ -184,11 +184,10 @@
         if isinstance(reason, JobUnsure):
             await refuse(
                 exchange,
-                self._context,
                 Refusal(503, "the job cannot be read now", COME_BACK_SECONDS),
             )
         else:
-            await refuse(exchange, self._context, Refusal(404, "there is no such job or item"))
+            await refuse(exchange, Refusal(404, "there is no such job or item"))
 
 
 async def _whole_job(outline: JobOutline | MalformedRequest) -> Job | Refusal:
--- a/rackswitch/gateway/refusals.py
+++ b/rackswitch/gateway/refusals.py
@@ -7,13 +7,10 @@
 from rackswitch.telemetry.events import RequestRefused
 from rackswitch.web.exchange import Exchange
 
-__all__ = ["TEXT", "Refusal", "refuse"]
+__all__ = ["TEXT", "Refusal", "refuse", "refuse_at_the_edge"]
 
 TEXT = (("content-type", "text/plain; charset=utf-8"),)
 
-LOGGED_STATUSES = (400, 404, 408, 413, 431)
-"""Refusals that have a line of their own in the decision log."""
-
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -30,19 +27,23 @@
     retry_after_seconds: float | None = None
 
 
-async def refuse(exchange: Exchange, context: GatewayContext, refusal: Refusal) -> None:
-    """Answer a request with its refusal."""
+async def refuse(exchange: Exchange, refusal: Refusal) -> None:
+    """Answer a request with its refusal; the caller logs what decided."""
     headers: tuple[tuple[str, str], ...] = TEXT
     if refusal.retry_after_seconds is not None:
         headers = (*TEXT, ("retry-after", f"{refusal.retry_after_seconds:.3f}"))
-    if refusal.status in LOGGED_STATUSES:
-        context.log.write(
-            RequestRefused(
-                request=request_identity(exchange),
-                path=exchange.path,
-                status=refusal.status,
-                detail=refusal.detail,
-                table_revision=context.table_revision,
-            )
-        )
     await exchange.respond(refusal.status, headers, refusal.detail.encode())
+
+
+async def refuse_at_the_edge(exchange: Exchange, context: GatewayContext, refusal: Refusal) -> None:
+    """Refuse a request of which no other line tells, and log why."""
+    context.log.write(
+        RequestRefused(
+            request=request_identity(exchange),
+            path=exchange.path,
+            status=refusal.status,
+            detail=refusal.detail,
+            table_revision=context.table_revision,
+        )
+    )
+    await refuse(exchange, refusal)
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -10,8 +10,11 @@
 import aiohttp
 import pytest
 
+from rackswitch.explain import read_events
 from rackswitch.standins.platform_fleet import HOST, PlatformFleet, desired_state
 from rackswitch.standins.platform_target import PlatformTargetStandIn
+from rackswitch.table import TableDocument
+from rackswitch.telemetry.events import RequestRefused
 
 SCENARIO_SECONDS = 30.0
 
@@ -481,3 +484,24 @@
         assert not former.jobs.owned
 
     play(scenario)
+
+
+def test_every_refusal_has_a_line_that_names_the_request():
+    # Found by explaining requests of played days: the 503 of a daemon that knows no table
+    # yet had none.
+    async def scenario(fleet):
+        reader, writer = os.pipe()
+        gateway = await fleet.start_gateway("d9", writer)
+        await wait_for(lambda: gateway.context.table_revision == 1)
+        gateway.context.daemon.view.document = TableDocument()
+        assert (await fleet.request("d9", "GET", "/look/x", request_id="r1"))[0] == 503
+        gateway.context.daemon.view.offer(TableDocument(revision=1))
+        assert (await fleet.request("d9", "GET", "/look/x", host="other", request_id="r2"))[
+            0
+        ] == 404
+        assert not gateway.log.pump()
+        log = read_events(os.read(reader, 1 << 16).decode().splitlines())
+        refused = [line.event for line in log.events if isinstance(line.event, RequestRefused)]
+        assert [(event.request, event.status) for event in refused] == [("r1", 503), ("r2", 404)]
+
+    play(scenario)
