Proofs that can fail: tests for what a mutation pass left alive

Tests for attempts, spans of versions, the table's view and route index, ledger, checkpoints, orphans, the schedule's spare room, staggering and copies kill those that change behaviour. Left, as they change nothing that can be seen: the short cut for jobs that found no room, and the bound of remembered changes being off by one.

--- a/rackswitch/gateway/tests/test_copies.py
+++ b/rackswitch/gateway/tests/test_copies.py
@@ -44,6 +44,15 @@
     assert leader.changes_since(follower.revision) is None
 
 
+def test_a_follower_that_is_a_little_behind_gets_only_what_it_misses():
+    leader = PrefixCopy("p/")
+    leader.replace([entry("p/a", 1), entry("p/b", 2)], 5)
+    leader.apply(WatchNews((entry("p/c", 6),), 6))
+    changes = leader.changes_since(5)
+    assert changes is not None and not changes.whole
+    assert [item.key for item in changes.entries] == ["p/c"]
+
+
 step = st.tuples(st.sampled_from("abcd"), st.booleans(), st.booleans())
 
 
--- a/rackswitch/jobs/tests/test_checkpoints.py
+++ b/rackswitch/jobs/tests/test_checkpoints.py
@@ -75,7 +75,16 @@
     progress = ledger.items["i2"]
     ledger.started(progress)
     ledger.failed(progress, 0.0)
-    assert successor_of(ledger, 24).items["i2"].failures == 1
+    ledger.reward_failed(progress, 2, 4)
+    after = successor_of(ledger, 24).items["i2"]
+    assert after.failures == 1
+    assert after.reward_failures == 2
+
+
+def test_texts_that_fill_the_bound_to_the_last_character_are_kept():
+    ledger = JobLedger(make_job())
+    run(ledger, "i0", 2, "x" * (MOST_CHECKPOINT_CHARACTERS // 2))
+    assert [item.item_id for item in checkpoint_items(ledger, 1)] == ["i0"]
 
 
 def test_short_texts_are_left_out_and_the_longest_go_first():
--- a/rackswitch/jobs/tests/test_ledger.py
+++ b/rackswitch/jobs/tests/test_ledger.py
@@ -1,7 +1,9 @@
+import msgspec
 import pytest
 
-from rackswitch.jobs import ItemPhase, JobLedger, JobResult
-from rackswitch.jobs.tests.support import finish, make_job
+from rackswitch.jobs import ItemPhase, JobLedger, JobResult, TextPiece, check_job
+from rackswitch.jobs.ledger import RETRY_PAUSE_SECONDS
+from rackswitch.jobs.tests.support import finish, make_item, make_job
 from rackswitch.outcomes import BrokenInvariant
 
 
@@ -84,3 +86,68 @@
     ledger = JobLedger(make_job())
     ledger.end()
     assert ledger.waiting(100.0) == []
+
+
+def test_an_item_with_a_position_is_done_with():
+    ledger = JobLedger(make_job())
+    finish(ledger, "i0")
+    ledger.appended(*ledger.next_segment())
+    progress = ledger.items["i0"]
+    assert progress.phase is ItemPhase.LISTED
+    assert progress.pieces == []
+    assert "i0" not in [item.item.item_id for item in ledger.waiting(100.0)]
+
+
+def test_a_run_that_broke_or_failed_waits_a_moment():
+    for end in ("broke", "failed"):
+        ledger = JobLedger(make_job(1))
+        progress = ledger.items["i0"]
+        ledger.started(progress)
+        if end == "broke":
+            ledger.broke(progress, "e", 10.0)
+        else:
+            ledger.failed(progress, 10.0)
+        assert ledger.waiting(10.0) == []
+        assert ledger.waiting(10.0 + RETRY_PAUSE_SECONDS) == [progress]
+
+
+def test_an_item_that_has_ended_cannot_be_given_up():
+    ledger = JobLedger(make_job(1))
+    finish(ledger, "i0")
+    ledger.give_up(ledger.items["i0"])
+    [result] = ledger.next_segment()[1]
+    assert result.completed
+
+
+def test_a_piece_of_a_version_that_is_too_old_is_not_taken():
+    progress = JobLedger(make_job(1)).items["i0"]
+    assert progress.accept(TextPiece(1, "a", 3), 4) is not None
+    assert progress.pieces == []
+    assert progress.accept(TextPiece(1, "a", 4), 4) is None
+
+
+@pytest.mark.parametrize(
+    ("job", "words"),
+    [
+        (make_job(0), "`items` is empty"),
+        (msgspec.structs.replace(make_job(1), items=(make_item(0), make_item(0))), "stands twice"),
+        (
+            msgspec.structs.replace(
+                make_job(1), items=(msgspec.structs.replace(make_item(0), path="p"),)
+            ),
+            "must begin with a slash",
+        ),
+        (
+            msgspec.structs.replace(
+                make_job(1), items=(msgspec.structs.replace(make_item(0), item_id=""),)
+            ),
+            "is empty",
+        ),
+    ],
+)
+def test_a_job_that_cannot_be_taken_names_the_field(job, words):
+    assert words in check_job(job)
+
+
+def test_a_proper_job_is_taken():
+    assert check_job(make_job()) is None
--- a/rackswitch/jobs/tests/test_schedule.py
+++ b/rackswitch/jobs/tests/test_schedule.py
@@ -1,7 +1,15 @@
 import msgspec
 import pytest
 
-from rackswitch.jobs import EngineRoom, JobLedger, JobOrphans, LengthForecast, plan_starts
+from rackswitch.jobs import (
+    EngineRoom,
+    JobLedger,
+    JobOrphans,
+    LengthForecast,
+    SpareRoom,
+    plan_starts,
+    spare_rooms,
+)
 from rackswitch.jobs.tests.support import make_item, make_job
 from rackswitch.leases import rank_candidates
 
@@ -117,3 +125,27 @@
     item = ledger_of([100]).items["i0"]
     item.pieces = ["x"] * 60
     assert forecast.remaining_pieces(item) == pytest.approx(30.0)
+
+
+def test_after_a_claim_the_next_one_waits_and_an_owner_resets_that():
+    orphans = JobOrphans("a")
+    orphans.orphaned("j", 0.0)
+    assert orphans.may_claim("j", ["a"], True, 1.0)
+    assert not orphans.may_claim("j", ["a"], True, 1.1)
+    orphans.owned("j")
+    orphans.orphaned("j", 1.2)
+    assert orphans.may_claim("j", ["a"], True, 1.2)
+
+
+def test_the_spare_room_of_a_service_is_its_fastest_engine_with_a_free_slot():
+    rooms = [
+        room("full", 0, 0.01),
+        room("slow", 3, 0.09, 4),
+        room("fast", 2, 0.03, 5),
+        room("slower", 1, 0.2),
+        EngineRoom("b", "t", 1, 0.05, {"m": 1}),
+    ]
+    spare = spare_rooms(rooms)
+    assert spare["s"] == SpareRoom("fast", 0.03, 2, {"m": 5})
+    assert spare["t"].instance == "b"
+    assert spare_rooms([room("full", 0)]) == {}
--- a/rackswitch/requests/tests/test_stream.py
+++ b/rackswitch/requests/tests/test_stream.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rackswitch.requests import StreamCheck, StreamChunk
+from rackswitch.requests import StreamCheck, StreamChunk, VersionSpan
 
 LENGTHS = st.lists(st.integers(1, 4), min_size=2, max_size=20)
 
@@ -72,3 +72,14 @@
 
 def test_the_naive_judge_takes_a_cut_stream_for_whole():
     assert naive_judge(make_stream([1, 2, 3])[:1])
+
+
+def chunk_of(version: int | None, count: int, so_far: int) -> StreamChunk:
+    return StreamChunk("r", tuple(range(count)), "x" * count, so_far, version, None)
+
+
+def test_the_spans_say_which_version_made_which_tokens():
+    check = StreamCheck("r")
+    for chunk in (chunk_of(1, 2, 2), chunk_of(1, 3, 5), chunk_of(2, 0, 5), chunk_of(2, 4, 9)):
+        assert check.accept(chunk) is None
+    assert check.spans == [VersionSpan(1, 5), VersionSpan(2, 4)]
--- a/rackswitch/table/tests/test_view.py
+++ b/rackswitch/table/tests/test_view.py
@@ -3,7 +3,17 @@
 import hypothesis.strategies as st
 from hypothesis import given
 
-from rackswitch.table import TableDocument, TableView
+from rackswitch.table import (
+    FleetRow,
+    ModelRow,
+    Row,
+    StoredRow,
+    TableDocument,
+    TableView,
+    TargetRow,
+    choose_watchers,
+    row_key,
+)
 
 
 @given(st.lists(st.integers(1, 20), max_size=30))
@@ -29,3 +39,32 @@
     view.confirm(3, 5.0)
     assert view.is_confirmed(9.9)
     assert not view.is_confirmed(10.0)
+
+
+def view_of(*rows: Row) -> TableView:
+    view = TableView()
+    view.offer(TableDocument(1, {row_key(row): StoredRow(1, row) for row in rows}))
+    return view
+
+
+def test_rows_are_found_by_kind_and_name():
+    model, fleet = ModelRow(name="m"), FleetRow(name="m")
+    view = view_of(model, fleet)
+    assert view.row(ModelRow, "m") == model
+    assert view.row(FleetRow, "m") == fleet
+    assert view.row(ModelRow, "other") is None
+    assert list(view.rows(ModelRow)) == [model]
+
+
+def test_targets_that_drain_get_nothing_new():
+    rows = [
+        TargetRow(name=name, url="http://t", zone="z", serves=serves, draining=draining)
+        for name, serves, draining in (("a", "m", False), ("b", "m", True), ("c", "n", False))
+    ]
+    assert [row.name for row in view_of(*rows).targets("m")] == ["a"]
+
+
+def test_each_zone_has_its_watchers():
+    live = [("d3", "x"), ("d1", "x"), ("d2", "x"), ("e1", "y")]
+    assert choose_watchers(live, 2) == {"d1", "d2", "e1"}
+    assert choose_watchers(live, 1) == {"d1", "e1"}
--- a/rackswitch/weights/tests/test_staggering.py
+++ b/rackswitch/weights/tests/test_staggering.py
@@ -38,3 +38,8 @@
     after = [newest if engine.name in loaded else engine.version for engine in engines]
     assert all(version >= newest - 1 for version in after)
     assert 2 * sum(version == newest for version in after) >= len(after)
+
+
+def test_of_those_that_serve_on_the_oldest_load_first_then_by_name():
+    engines = [EngineView(name, version, False) for name, version in (("b", 4), ("a", 4), ("c", 3))]
+    assert names(engines_to_load(VersionNeed(5, 3), engines)) == ["c", "a"]
