Versions: the daemon that ordered last goes first for the role

Change: a role that is found vacant is left for 0.8 s to the daemon that ordered last by the record, if it is there, or may be starting too; roles are asked for once the copies are known. Ruled out: shortening the turn, which the platform wants.

--- a/rackswitch/daemon/roles.py
+++ b/rackswitch/daemon/roles.py
@@ -30,13 +30,21 @@
         The daemon.
     wanted_roles : callable
         Returns the names of the roles that the table in force calls for.
+    preferred : callable
+        Returns the daemon that should take a role if it is vacant, or None.
     """
 
-    __slots__ = ("_context", "_wanted_roles", "roles")
+    __slots__ = ("_context", "_preferred", "_wanted_roles", "roles")
 
-    def __init__(self, context: DaemonContext, wanted_roles: Callable[[], list[str]]):
+    def __init__(
+        self,
+        context: DaemonContext,
+        wanted_roles: Callable[[], list[str]],
+        preferred: Callable[[str], str | None] = lambda role: None,
+    ):
         self._context = context
         self._wanted_roles = wanted_roles
+        self._preferred = preferred
         self.roles: dict[str, RoleLease] = {}
 
     def may_act(self, role: str) -> bool:
@@ -88,7 +96,11 @@
         steps = []
         for lease in self.roles.values():
             now_seconds = self._context.now_seconds()
-            action = lease.next_action(now_seconds, live, self._context.stopping)
+            candidates = live
+            if self._preferred(lease.role) == self._context.settings.daemon:
+                # Whoever is preferred tries, whatever its place among the candidates.
+                candidates = [self._context.settings.daemon]
+            action = lease.next_action(now_seconds, candidates, self._context.stopping)
             if action is not LeaseAction.NOTHING:
                 steps.append(self._step(lease, action))
         await asyncio.gather(*steps)
@@ -110,6 +122,8 @@
         if read.entries:
             lease.lost(self._context.now_seconds(), self._context.rng.random())
             return
+        if not lease.may_take(self._context.now_seconds(), self._preferred(lease.role)):
+            return
         asked_at_seconds = self._context.now_seconds()
         granted = await self._context.kv.grant_lease(lease.life_seconds)
         if isinstance(granted, KvUnavailable):
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -54,6 +54,10 @@
 """How long a stopping daemon still takes connections: the balancer asks each second and
 leaves a daemon out that has said no twice."""
 
+FLEET_START_SECONDS = 1.0
+"""After a loss of all processes, how long another one may need more than this one to appear
+among the members: all start within some 0.3 s, and a session takes another 0.1 s."""
+
 STOP_MARGIN_SECONDS = 1.0
 """What is left of the grace when the last requests are given up."""
 
@@ -76,9 +80,10 @@
         self.log = daemon.log
         self.context = GatewayContext(settings, daemon, StoreContact(self.log))
         self._sessions = TargetSessions()
+        self._started_seconds = float("-inf")
         self.state = StateKeeper(self.context)
         self.session = Session(self.context, settings.peer_ports[0], self._session_lost)
-        self.roles = RoleKeeper(daemon, self._wanted_roles)
+        self.roles = RoleKeeper(daemon, self._wanted_roles, self._preferred_holder)
         self.front = RequestFront(
             self.context, TargetChooser(self.context), TargetClient(self._sessions)
         )
@@ -111,6 +116,7 @@
 
     async def start(self) -> None:
         """Listen and begin all duties."""
+        self._started_seconds = self.context.now_seconds()
         for server in self._servers:
             await server.start()
         await self._peers.start(self.settings.host, self.settings.peer_ports[0])
@@ -192,7 +198,17 @@
         self.jobs.session_lost()
 
     def _wanted_roles(self) -> list[str]:
-        return self.versions.wanted_roles()
+        # Who ordered last is known once the copies are.
+        return self.versions.wanted_roles() if self.copies.is_complete else []
+
+    def _preferred_holder(self, role: str) -> str | None:
+        """Return who ordered last if that daemon is there, or is probably just starting too."""
+        holder = self.versions.last_holder(role)
+        now_seconds = self.context.now_seconds()
+        starting = now_seconds < self._started_seconds + FLEET_START_SECONDS
+        if holder in self.context.daemon.membership.live() or starting:
+            return holder
+        return None
 
     async def _count_calls(self) -> None:
         calls = getattr(self.context.kv, "calls_by_path", {})
--- a/rackswitch/gateway/order_sender.py
+++ b/rackswitch/gateway/order_sender.py
@@ -11,7 +11,9 @@
 from rackswitch.telemetry.events import LoadOrdered
 from rackswitch.weights import LoadOrder, OrderTurns
 
-__all__ = ["OrderSender", "PlannedLoad", "version_role"]
+__all__ = ["OrderSender", "PlannedLoad", "service_of_role", "version_role"]
+
+VERSION_ROLE_PREFIX = "versions/"
 
 LOOK_SECONDS = 0.05
 """Between looks at the list of targets while a load is awaited: two in a keeper's tick."""
@@ -30,7 +32,12 @@
     One holder for all models of a service: an engine may carry several, and must not get
     orders from two daemons.
     """
-    return f"versions/{service}"
+    return VERSION_ROLE_PREFIX + service
+
+
+def service_of_role(role: str) -> str:
+    """Return the service whose engines a role's holder orders."""
+    return role.removeprefix(VERSION_ROLE_PREFIX)
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -505,3 +505,20 @@
         assert [(event.request, event.status) for event in refused] == [("r1", 503), ("r2", 404)]
 
     play(scenario)
+
+
+def test_after_a_loss_of_all_daemons_the_one_that_ordered_last_orders_again_at_once():
+    # Found on played days (association, trouble-1 seed 2): another daemon took the role and
+    # had to wait for the end of the former holder's turn.
+    async def scenario(fleet):
+        fleet.name_version(2)
+        await wait_for(lambda: any(engine.orders for engine in fleet.engines))
+        [holder] = {order.holder for engine in fleet.engines for order in engine.orders}
+        await asyncio.gather(*(gateway.crash() for gateway in fleet.gateways.values()))
+        for name in sorted(fleet.gateways, key=lambda name: name == holder):
+            await fleet.start_gateway(name)
+        fleet.name_version(3)
+        await wait_for(lambda: any(engine.versions["m0"] == 3 for engine in fleet.engines))
+        assert {order.holder for engine in fleet.engines for order in engine.orders} == {holder}
+
+    play(scenario, daemons=4)
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -8,7 +8,7 @@
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.order_sender import OrderSender, PlannedLoad, version_role
+from rackswitch.gateway.order_sender import OrderSender, PlannedLoad, service_of_role, version_role
 from rackswitch.platform.orders import OrderClient
 from rackswitch.table import ServiceRow
 from rackswitch.telemetry.events import OrdersTakenOver
@@ -83,6 +83,13 @@
         rows = self._context.daemon.view.rows(ServiceRow)
         return [version_role(row.name) for row in rows if row.models]
 
+    def last_holder(self, role: str) -> str | None:
+        """Return the daemon that ordered a role's engines last.
+
+        It may order again at once, where any other has to wait for the end of its turn.
+        """
+        return self._turns.last_holder(service_of_role(role))
+
     async def run(self) -> None:
         """Tend the services held here until cancelled."""
         while True:
--- a/rackswitch/leases/core.py
+++ b/rackswitch/leases/core.py
@@ -20,6 +20,12 @@
 
 RENEWALS_PER_LIFE = 3
 
+PREFERENCE_SECONDS = 0.8
+"""How long a vacant role is left to the daemon that is preferred: about three of its looks."""
+
+VACANT_LOOK_SECONDS = 0.25
+"""Between looks at a vacant role that another daemon should take."""
+
 
 def rank_candidates(role: str, daemons: list[str]) -> list[str]:
     """Order daemons by their claim to a role (rendezvous hashing).
@@ -84,6 +90,7 @@
     held: HeldLease | None = None
     next_try_seconds: float = 0.0
     highest_fencing: int = field(default=0)
+    vacant_since_seconds: float | None = None
 
     def may_act(self, now_seconds: float) -> bool:
         """Return whether an effect is allowed at this moment.
@@ -120,11 +127,31 @@
         best = rank_candidates(self.role, live)[: self.candidates]
         return LeaseAction.ACQUIRE if self.daemon in best else LeaseAction.NOTHING
 
+    def may_take(self, now_seconds: float, preferred: str | None) -> bool:
+        """Return whether a role that was found vacant may be taken now.
+
+        Parameters
+        ----------
+        now_seconds : float
+            Monotonic clock.
+        preferred : str or None
+            The daemon that should have it, if it is there; it goes first for a moment.
+        """
+        if preferred is None or preferred == self.daemon:
+            return True
+        if self.vacant_since_seconds is None:
+            self.vacant_since_seconds = now_seconds
+        if now_seconds >= self.vacant_since_seconds + PREFERENCE_SECONDS:
+            return True
+        self.next_try_seconds = now_seconds + VACANT_LOOK_SECONDS
+        return False
+
     def acquired(self, asked_at_seconds: float, lease_id: int, fencing: int) -> None:
         """Note that the service gave the role, asked for at `asked_at_seconds`."""
         check_invariant(fencing > self.highest_fencing, f"fencing of {self.role} grows")
         self.highest_fencing = fencing
         self.held = HeldLease(lease_id, fencing, self._deadline(asked_at_seconds))
+        self.vacant_since_seconds = None
         self.next_try_seconds = asked_at_seconds + self.life_seconds / RENEWALS_PER_LIFE
 
     def renewed(self, asked_at_seconds: float) -> None:
@@ -146,6 +173,7 @@
             A random number in [0, 1); spreads the tries after an outage.
         """
         self.held = None
+        self.vacant_since_seconds = None
         self.next_try_seconds = now_seconds + self.life_seconds * (0.2 + 0.3 * jitter)
 
     def unanswered(self, now_seconds: float, jitter: float) -> None:
--- a/rackswitch/weights/tests/test_turns.py
+++ b/rackswitch/weights/tests/test_turns.py
@@ -40,3 +40,11 @@
         turns.may_order_from_seconds("g", TURN_SECONDS)
         == 10.0 + ORDER_WINDOW_SECONDS + TURN_SECONDS
     )
+
+
+def test_the_last_entry_says_who_ordered_last():
+    turns = OrderTurns("a")
+    assert turns.last_holder("g") is None
+    turns.entered("g", "b", 5, 1.0)
+    turns.entered("g", "c", 4, 2.0)
+    assert turns.last_holder("g") == "b"
--- a/rackswitch/weights/turns.py
+++ b/rackswitch/weights/turns.py
@@ -45,6 +45,11 @@
         if known is None or revision > known.revision:
             self.entries[group] = _Entry(holder, revision, seen_seconds)
 
+    def last_holder(self, group: str) -> str | None:
+        """Return the daemon that last entered the record of a group's orders, if any did."""
+        entry = self.entries.get(group)
+        return entry.holder if entry is not None else None
+
     def may_order_from_seconds(self, group: str, turn_seconds: float) -> float:
         """Return from when on this daemon, once it holds the role, may order the group.
 
