Versions: loads at once grow with a service's engines

Cause: two loads at once whatever the number of engines; docs/CAPACITY.md named it as what breaks at 600. Change: two fifths of the engines, two at least: the number from which loads slow each other down is two of five or six engines and nine of twenty-two by the platform's sheets.

--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -18,6 +18,7 @@
     RolloutState,
     VersionNeed,
     engines_to_load,
+    loads_at_once,
     plan_load_orders,
 )
 
@@ -25,11 +26,8 @@
 
 ORDERS_PREFIX = "control/orders/"
 TICK_SECONDS = 0.1
-MOST_LOADING = 2
-"""Engines of one service that load at once; the platform's loads slow down beyond two."""
-
 UNAVAILABLE_SHARE = 0.34
-"""As in the stand-alone deployment; `MOST_LOADING` takes its place here."""
+"""As in the stand-alone deployment; `loads_at_once` takes its place here."""
 
 
 class OrdersRecord(msgspec.Struct, frozen=True):
@@ -195,7 +193,13 @@
             return []
         fit = [view for view in views if view.loading or view in stale]
         orders = plan_load_orders(
-            desired, UNAVAILABLE_SHARE, fit, (), state, now_seconds, most_loading=MOST_LOADING
+            desired,
+            UNAVAILABLE_SHARE,
+            fit,
+            (),
+            state,
+            now_seconds,
+            most_loading=loads_at_once(len(listed)),
         )
         for order in orders:
             # Noted here, so that the next model's plan of the same round sees it.
--- a/rackswitch/weights/staggering.py
+++ b/rackswitch/weights/staggering.py
@@ -4,7 +4,7 @@
 
 from rackswitch.weights.rollout import EngineView
 
-__all__ = ["VersionNeed", "engines_to_load"]
+__all__ = ["VersionNeed", "engines_to_load", "loads_at_once"]
 
 NEWEST_SHARE = 0.5
 """Share of the engines that have the newest version. With half, each engine loads every
@@ -12,6 +12,19 @@
 each new version half of the engines serve on without a pause."""
 
 
+LOADING_SHARE = 0.4
+"""Share of a service's engines that load at once. The platform's sheets name the number from
+which loads slow each other down: two of five or six engines, nine of twenty-two."""
+
+LEAST_LOADING = 2
+"""Loads at once however few the engines are."""
+
+
+def loads_at_once(engines: int) -> int:
+    """Return how many of a service's engines may load at the same time."""
+    return max(LEAST_LOADING, int(engines * LOADING_SHARE))
+
+
 @dataclass(frozen=True, slots=True)
 class VersionNeed:
     """What is known of a model's versions.
--- a/rackswitch/weights/tests/test_staggering.py
+++ b/rackswitch/weights/tests/test_staggering.py
@@ -1,7 +1,8 @@
 import hypothesis.strategies as st
+import pytest
 from hypothesis import given
 
-from rackswitch.weights import EngineView, VersionNeed, engines_to_load
+from rackswitch.weights import EngineView, VersionNeed, engines_to_load, loads_at_once
 
 
 def views(*versions: int) -> list[EngineView]:
@@ -43,3 +44,10 @@
 def test_of_those_that_serve_on_the_oldest_load_first_then_by_name():
     engines = [EngineView(name, version, False) for name, version in (("b", 4), ("a", 4), ("c", 3))]
     assert names(engines_to_load(VersionNeed(5, 3), engines)) == ["c", "a"]
+
+
+@pytest.mark.parametrize(
+    ("engines", "loads"), [(1, 2), (5, 2), (6, 2), (8, 3), (22, 8), (600, 240)]
+)
+def test_loads_at_once_grow_with_the_engines(engines, loads):
+    assert loads_at_once(engines) == loads
