--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable
 from rackswitch.gateway.context import GatewayContext
@@ -71,6 +74,20 @@
 """How long a job is kept whose route is unknown; as long as a route that does not say."""
 
 
+LEFT_SECONDS = 3.0
+"""How long the texts of a job are kept that another daemon was seen to own: that one asks for
+them within the time of a few calls, but a slow service may take a second for each."""
+
+
+@dataclass(frozen=True, slots=True)
+class _LeftJob:
+    """A job that this daemon worked on until another one claimed it."""
+
+    owner_revision: int
+    leaving: asyncio.Task[JobCheckpoint]
+    forget_at_seconds: float
+
+
 class JobKeeper:
     """Owns jobs: starts their items, keeps their results, takes over and hands over.
 
@@ -96,6 +113,7 @@
     __slots__ = (
         "_appender",
         "_context",
+        "_left",
         "_orphans",
         "_session",
         "_starter",
@@ -117,6 +135,7 @@
         self._appender = ResultAppender(context, store, self._orphans, self._wake)
         self.known = KnownJobs()
         self.owned: dict[str, OwnedJob] = {}
+        self._left: dict[str, _LeftJob] = {}
 
     # What the key-value service tells
 
@@ -141,7 +160,7 @@
             return
         for job_id, owned in list(self.owned.items()):
             if key_part(job_id) == name and owner.revision > owned.owner_revision:
-                self._drop(job_id, "taken over")
+                self._leave_behind(job_id, owned)
 
     def owner_deleted(self, key: str) -> None:
         """Note that a job has no owner."""
@@ -197,9 +216,12 @@
             None if this daemon does not work on the job, or by a later claim.
         """
         owned = self.owned.get(job_id)
-        if owned is None or owned.owner_revision >= owner_revision:
+        if owned is not None and owned.owner_revision < owner_revision:
+            self._leave_behind(job_id, owned)
+        left = self._left.get(job_id)
+        if left is None or left.owner_revision >= owner_revision:
             return None
-        return await self._leave(owned, "taken over")
+        return await asyncio.shield(left.leaving)
 
     # Work
 
@@ -212,6 +234,7 @@
             self._wake.clear()
             if self._context.daemon.stopping:
                 continue
+            self._forget_left()
             self._claim_orphans()
             self._starter.start_items(self.owned)
             self._keep_checkpoints()
@@ -226,8 +249,8 @@
             checkpoint = await self._leave(owned, "handed over")
             await self._store.release(job_id, owned.owner_revision, checkpoint)
 
-    async def _leave(self, owned: OwnedJob, reason: str) -> JobCheckpoint:
-        """Work on a job no more; return what its next owner goes on with.
+    def _leave(self, owned: OwnedJob, reason: str) -> Coroutine[Any, Any, JobCheckpoint]:
+        """Work on a job no more from now on; return what brings what its next owner goes on with.
 
         The texts are taken first, since the drop ends the ledger, and told only after the
         runs have ended, so that no run goes on here beside the next owner's.
@@ -235,7 +258,25 @@
         items = checkpoint_items(owned.ledger, LEAST_HANDED_OVER_PIECES)
         runs = list(owned.runs.values())
         self._drop(owned.ledger.job.job_id, reason)
-        return self._checkpoint(items, await _have_ended(runs))
+
+        async def checkpoint() -> JobCheckpoint:
+            return self._checkpoint(items, await _have_ended(runs))
+
+        return checkpoint()
+
+    def _leave_behind(self, job_id: str, owned: OwnedJob) -> None:
+        """Leave a job that another daemon owns now, and keep its texts until that one asks."""
+        now_seconds = self._context.now_seconds()
+        leaving = asyncio.create_task(self._leave(owned, "taken over"))
+        forget_at_seconds = now_seconds + LEFT_SECONDS
+        self._left[job_id] = _LeftJob(owned.owner_revision, leaving, forget_at_seconds)
+
+    def _forget_left(self) -> None:
+        now_seconds = self._context.now_seconds()
+        for job_id in [
+            j for j, left in self._left.items() if now_seconds >= left.forget_at_seconds
+        ]:
+            del self._left[job_id]
 
     def _checkpoint(self, items: tuple[ItemCheckpoint, ...], runs_ended: bool) -> JobCheckpoint:
         return JobCheckpoint(
@@ -320,7 +361,8 @@
         if isinstance(claimed, JobNotStored):
             return
         if claimed == 0:
-            self._drop(job_id, "taken over")
+            if job_id in self.owned:
+                self._leave_behind(job_id, self.owned[job_id])
             return
         self._orphans.owned(key_part(job_id))
         held = self.owned.get(job_id)
--- a/rackswitch/gateway/tests/test_job_keeper.py
+++ b/rackswitch/gateway/tests/test_job_keeper.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.tests.support import run_virtual
 from rackswitch.gateway.job_keeper import ADOPT_AFTER_SECONDS, JobKeeper
@@ -77,3 +79,33 @@
         assert keeper.owned == {}
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize("seen_first", [True, False])
+def test_a_former_owner_yields_its_texts_also_after_it_has_seen_the_new_owner(seen_first):
+    # Found in the register's incident inc-1bc0: the former owner saw the claim in its copy a
+    # tenth of a second before the new owner asked, and had dropped the texts by then.
+    async def scenario():
+        kv = KvStore()
+        keeper = make_keeper("a", kv)
+        job = make_job()
+        await keeper.submit(job)
+        progress = keeper.owned["j"].ledger.items["i1"]
+        progress.pieces, progress.versions = ["x"] * 5, [1]
+        before = keeper.owned["j"].owner_revision
+        kv.end_lease(keeper._session.lease_id)
+        successor = JobStore(make_gateway_context("b", kv))
+        marker = await successor.load_marker("j")
+        claimed = await successor.claim("j", marker.mod_revision, kv.grant(100.0, 0.0), 0)
+        if seen_first:
+            keeper.owner_put(owner_entry(kv))
+            assert "j" not in keeper.owned
+            await asyncio.sleep(0.1)
+        # A claim that is not later than its own is none.
+        assert await keeper.yield_job("j", before) is None
+        checkpoint = await keeper.yield_job("j", claimed)
+        assert "j" not in keeper.owned
+        assert checkpoint.runs_ended
+        assert [(item.item_id, len(item.pieces)) for item in checkpoint.items] == [("i1", 5)]
+
+    run_virtual(scenario())
