Items: paces of engines in a module of their own

Hard to read: `item_runner` opened with three constants and two classes about how fast engines are, which runs only feed and the starter reads. Change: `EnginePaces` stands in `engine_paces`, unchanged, with units and clocks in its docstrings.

--- /dev/null
+++ b/rackswitch/gateway/engine_paces.py
@@ -0,0 +1,60 @@
+"""How fast each engine has brought the pieces of its streams of late."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["EnginePaces"]
+
+PACE_SMOOTHING = 0.1
+"""So that some ten events weigh in; a dozen streams bring them within a tenth of a second."""
+
+PACE_LIFE_SECONDS = 5.0
+"""An engine that was slow is given work again after so long without any: its trouble may be
+over, and only work shows that."""
+
+FIRST_PACE_SECONDS = 0.05
+"""What an engine's time between events is taken for before one has been seen."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Pace:
+    seconds_per_piece: float
+    seen_seconds: float
+
+
+@dataclass(slots=True)
+class EnginePaces:
+    """Smoothed time between the events of a stream, by engine."""
+
+    _paces: dict[str, _Pace] = field(default_factory=dict)
+
+    def note(self, instance: str, gap_seconds: float, now_seconds: float) -> None:
+        """Take in one gap.
+
+        Parameters
+        ----------
+        instance : str
+            The engine.
+        gap_seconds : float
+            Between two events of one stream.
+        now_seconds : float
+            When the second of them came (monotonic).
+        """
+        known = self._paces.get(instance)
+        before = known.seconds_per_piece if known is not None else gap_seconds
+        smoothed = before + PACE_SMOOTHING * (gap_seconds - before)
+        self._paces[instance] = _Pace(smoothed, now_seconds)
+
+    def get(self, instance: str, now_seconds: float) -> float:
+        """Return an engine's seconds per piece; what was seen too long ago says nothing any more.
+
+        Parameters
+        ----------
+        instance : str
+            The engine.
+        now_seconds : float
+            The present (monotonic).
+        """
+        known = self._paces.get(instance)
+        if known is None or now_seconds >= known.seen_seconds + PACE_LIFE_SECONDS:
+            return FIRST_PACE_SECONDS
+        return known.seconds_per_piece
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from contextlib import aclosing
-from dataclasses import dataclass, field
 
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.engine_paces import EnginePaces
 from rackswitch.gateway.request_front import RequestFront, outcome_label
 from rackswitch.jobs import (
     ItemProgress,
@@ -24,7 +24,7 @@
 from rackswitch.routing import ListedTarget
 from rackswitch.telemetry import events
 
-__all__ = ["EnginePaces", "ItemRunner"]
+__all__ = ["ItemRunner"]
 
 FIRST_PIECE_PATIENCE_SECONDS = 2.0
 """A full engine queues a run for up to the time of another one, some 0.9 s; twice that is
@@ -36,51 +36,13 @@
 REWARD_PAUSE_SECONDS = 0.1
 """Between tries of a reward call that found no target; a few times its usual work."""
 
-PACE_SMOOTHING = 0.1
-"""So that some ten events weigh in; a dozen streams bring them within a tenth of a second."""
-
-PACE_LIFE_SECONDS = 5.0
-"""An engine that was slow is given work again after so long without any: its trouble may be
-over, and only work shows that."""
-
-FIRST_PACE_SECONDS = 0.05
-"""What an engine's time between events is taken for before one has been seen."""
-
 ITEM_URGENCY = 5
 """The platform's middle urgency, which a run without any would have."""
 
-
 MOVED = "goes on at a faster engine"
 """Why a run was ended that nothing was wrong with."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Pace:
-    seconds_per_piece: float
-    seen_seconds: float
-
-
-@dataclass(slots=True)
-class EnginePaces:
-    """Smoothed time between the events of a stream, by engine."""
-
-    _paces: dict[str, _Pace] = field(default_factory=dict)
-
-    def note(self, instance: str, gap_seconds: float, now_seconds: float) -> None:
-        """Take in one gap."""
-        known = self._paces.get(instance)
-        before = known.seconds_per_piece if known is not None else gap_seconds
-        smoothed = before + PACE_SMOOTHING * (gap_seconds - before)
-        self._paces[instance] = _Pace(smoothed, now_seconds)
-
-    def get(self, instance: str, now_seconds: float) -> float:
-        """Return an engine's pace; what was seen too long ago says nothing any more."""
-        known = self._paces.get(instance)
-        if known is None or now_seconds >= known.seen_seconds + PACE_LIFE_SECONDS:
-            return FIRST_PACE_SECONDS
-        return known.seconds_per_piece
-
-
 class ItemRunner:
     """Carries out what the schedule has decided for single items.
 
