Requests: waiting for a target is a step of its own

Hard to read: `RequestFront.call` mixed three loops in one: waiting for a target, attempts, and what follows from a failed one. Change: `_await_target` waits; `_note_failure` does all three things that a failed attempt calls for. The bound in time is looked at as often as before, the picks are drawn in the same order.

--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -114,31 +114,23 @@
         as_stream : bool
             Whether to return a success as soon as its head is there.
         """
-        repeatable = log.repeatable
         service = self._chooser.draw_choice(route).serves
         refuse_at_seconds = self._context.now_seconds() + route.goal_seconds * REFUSAL_GOAL_SHARE
         failures = 0
         last_failure: tuple[TargetAnswer, str] | None = None
-        while log.may_begin() and self._context.now_seconds() < deadline_seconds:
-            target = self._chooser.pick(service, log.tried_targets())
-            if target is None and log.ends and repeatable:
-                target = self._chooser.pick(service, set())
+        while log.may_begin():
+            target = await self._await_target(service, log, refuse_at_seconds, deadline_seconds)
             if target is None:
-                if self._context.now_seconds() >= refuse_at_seconds:
-                    break
-                await asyncio.sleep(PAUSE_SECONDS)
-                continue
+                break
             log.begin()
             began_seconds = self._context.now_seconds()
             result = await self._attempt(route, call, target, log, deadline_seconds, as_stream)
             if isinstance(result, TargetFailed):
-                self._chooser.note_failure(target, result)
-                self._log_failure(call, target, log, result, began_seconds)
-                log.note(AttemptEnd(target.instance, result.may_have_run, result.detail))
+                self._note_failure(call, target, log, result, began_seconds)
                 if not result.may_have_run and not result.silent:
                     await asyncio.sleep(PAUSE_SECONDS)
                 continue
-            if isinstance(result, TargetStream) or result.status < 500 or not repeatable:
+            if isinstance(result, TargetStream) or result.status < 500 or not log.repeatable:
                 return FrontAnswer(result, len(log.ends) + 1, failures, target.instance)
             failures += result.status == 500
             last_failure = (result, target.instance)
@@ -154,7 +146,23 @@
         directory = self._context.directory
         return sum(len(directory.usable(choice.serves, now_seconds)) for choice in route.choices)
 
-    def _log_failure(
+    async def _await_target(
+        self, service: str, log: AttemptLog, refuse_at_seconds: float, deadline_seconds: float
+    ) -> ListedTarget | None:
+        """Wait until a target can be had; None if the request is to be given up before."""
+        while self._context.now_seconds() < deadline_seconds:
+            target = self._chooser.pick(service, log.tried_targets())
+            if target is None and log.ends and log.repeatable:
+                # All usable ones have been tried: one of those again is better than none.
+                target = self._chooser.pick(service, set())
+            if target is not None:
+                return target
+            if self._context.now_seconds() >= refuse_at_seconds:
+                return None
+            await asyncio.sleep(PAUSE_SECONDS)
+        return None
+
+    def _note_failure(
         self,
         call: Call,
         target: ListedTarget,
@@ -162,6 +170,8 @@
         failure: TargetFailed,
         began_seconds: float,
     ) -> None:
+        """Learn from an attempt without an answer, log it and add it to the request's."""
+        self._chooser.note_failure(target, failure)
         self._context.log.write(
             AttemptFailed(
                 request=call.request_id,
@@ -174,6 +184,7 @@
                 list_age_seconds=self._context.list_age_seconds(),
             )
         )
+        log.note(AttemptEnd(target.instance, failure.may_have_run, failure.detail))
 
     async def _attempt(
         self,
