Jobs: what passes from owner to owner in a module of its own

Change: `job_checkpoints` makes, asks for and goes on with checkpoints; `owned_job` makes an owned job with its route's bounds. `_own` returns the job, so that the look-up for one just owned falls away.

--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -8,35 +8,16 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.item_starter import ItemStarter
+from rackswitch.gateway.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
-from rackswitch.gateway.job_records import (
-    OWNERS_PREFIX,
-    JobMarker,
-    key_part,
-    marker_of,
-    unpack_checkpoint,
-)
+from rackswitch.gateway.job_records import OWNERS_PREFIX, JobMarker, key_part, marker_of
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.known_jobs import KnownJobs
-from rackswitch.gateway.owned_job import OwnedJob
+from rackswitch.gateway.owned_job import OwnedJob, new_owned_job
 from rackswitch.gateway.result_appender import ResultAppender
 from rackswitch.gateway.session import Session
-from rackswitch.jobs import (
-    ItemCheckpoint,
-    Job,
-    JobCheckpoint,
-    JobLedger,
-    JobOrphans,
-    JobResult,
-    checkpoint_items,
-    may_resume_from,
-    restore_items,
-)
-from rackswitch.peers import gateway_pb2 as pb
-from rackswitch.peers.gateway_grpc import GatewayPeersStub
-from rackswitch.peers.links import PeerUnreachable
-from rackswitch.table import RouteRow
-from rackswitch.telemetry.events import JobDropped, JobNotOwned, JobOwned, JobResumed
+from rackswitch.jobs import Job, JobCheckpoint, JobOrphans, JobResult
+from rackswitch.telemetry.events import JobDropped, JobNotOwned, JobOwned
 
 __all__ = ["JobKeeper"]
 
@@ -46,30 +27,6 @@
 ADOPT_AFTER_SECONDS = 0.5
 """How long an answer may lag behind the watch that shows what was written."""
 
-LEAST_CHECKPOINT_PIECES = 24
-"""Shorter texts are made again: they are about a second of an engine's work, and a step's
-longest texts, which decide when it is whole, have more than a hundred."""
-
-LEAST_HANDED_OVER_PIECES = 1
-"""At a planned hand-over everything goes along: it is one call whatever its size."""
-
-YIELD_PATIENCE_SECONDS = 0.5
-"""How long a former owner may take to leave a job: it waits for its runs' ends, and the call
-crosses zones. One that is dead answers never, and the job must go on."""
-
-RUNS_END_SECONDS = 0.2
-"""How long the cancelled runs of a job that is handed over may take to let their engines go."""
-
-CHECKPOINT_SECONDS = 1.5
-"""Between two checkpoints of a job: a call each, against at most so much work lost with an
-owner that dies."""
-
-UNROUTED_MOST_FAILURES = 3
-"""Failures that end an item of a job whose route is unknown; the ledger's own default."""
-
-UNROUTED_KEEP_SECONDS = 3600.0
-"""How long a job is kept whose route is unknown; as long as a route that does not say."""
-
 
 class JobKeeper:
     """Owns jobs: starts their items, keeps their results, takes over and hands over.
@@ -95,6 +52,7 @@
 
     __slots__ = (
         "_appender",
+        "_checkpoints",
         "_context",
         "_orphans",
         "_session",
@@ -116,6 +74,7 @@
         self._starter = ItemStarter(context, runner, self._wake)
         self._appender = ResultAppender(context, store, self._orphans, self._wake)
         self.known = KnownJobs()
+        self._checkpoints = JobCheckpoints(context, store, self.known)
         self.owned: dict[str, OwnedJob] = {}
 
     # What the key-value service tells
@@ -214,7 +173,7 @@
                 continue
             self._claim_orphans()
             self._starter.start_items(self.owned)
-            self._keep_checkpoints()
+            self._checkpoints.keep_due(self.owned.values())
             self._appender.append_due(self.owned.values())
 
     async def hand_over(self) -> None:
@@ -232,38 +191,17 @@
         The texts are taken first, since the drop ends the ledger, and told only after the
         runs have ended, so that no run goes on here beside the next owner's.
         """
-        items = checkpoint_items(owned.ledger, LEAST_HANDED_OVER_PIECES)
+        items = self._checkpoints.items_to_leave(owned)
         runs = list(owned.runs.values())
         self._drop(owned.ledger.job.job_id, reason)
-        return self._checkpoint(items, await _have_ended(runs))
-
-    def _checkpoint(self, items: tuple[ItemCheckpoint, ...], runs_ended: bool) -> JobCheckpoint:
-        return JobCheckpoint(
-            daemon=self._context.daemon_name,
-            process_started_unix_seconds=self._context.process_started_unix_seconds,
-            runs_ended=runs_ended,
-            items=items,
-        )
+        return await self._checkpoints.after_runs(items, runs)
 
-    def _keep_checkpoints(self) -> None:
-        """Keep the long unfinished texts of owned jobs now and then, for a successor."""
-        now_seconds = self._context.now_seconds()
-        for job_id, owned in self.owned.items():
-            if now_seconds < owned.next_checkpoint_seconds:
-                continue
-            items = checkpoint_items(owned.ledger, LEAST_CHECKPOINT_PIECES)
-            if any(len(item.pieces) >= LEAST_CHECKPOINT_PIECES for item in items):
-                owned.next_checkpoint_seconds = now_seconds + CHECKPOINT_SECONDS
-                checkpoint = self._checkpoint(items, runs_ended=False)
-                self._context.daemon.spawn(
-                    self._store.keep_checkpoint(job_id, owned.owner_revision, checkpoint)
-                )
-
-    def _own(self, job: Job, owner_revision: int, listed: list[JobResult]) -> None:
+    def _own(self, job: Job, owner_revision: int, listed: list[JobResult]) -> OwnedJob:
         route = self._context.routes.find(job.host, job.path)
         age_seconds = max(0.0, time.time() - job.submitted_at_unix_seconds)
         begun_seconds = self._context.now_seconds() - age_seconds
-        self.owned[job.job_id] = _owned_job(job, owner_revision, listed, route, begun_seconds)
+        owned = new_owned_job(job, owner_revision, listed, route, begun_seconds)
+        self.owned[job.job_id] = owned
         self._context.log.write(
             JobOwned(
                 job=job.job_id,
@@ -276,6 +214,7 @@
             )
         )
         self._wake.set()
+        return owned
 
     def _drop(self, job_id: str, reason: str) -> None:
         owned = self.owned.pop(job_id, None)
@@ -329,40 +268,6 @@
             return
         await self._load(job_id, claimed, kept.checkpoint)
 
-    async def _yielded(self, job_id: str, owner_revision: int) -> JobCheckpoint | None:
-        """Ask a job's former owner, which the service may only have turned away, to leave it."""
-        former = self.known.former_owner(key_part(job_id))
-        peer = self._context.member_addresses.get(former) if former is not None else None
-        if peer is None or former == self._context.daemon_name:
-            return None
-        reply = await self._context.daemon.links.call(
-            peer,
-            lambda stub: stub.YieldJob,
-            pb.YieldJobRequest(job_id=job_id, owner_revision=owner_revision),
-            YIELD_PATIENCE_SECONDS,
-            GatewayPeersStub,
-        )
-        if isinstance(reply, PeerUnreachable) or not reply.worked_on:
-            return None
-        return unpack_checkpoint(reply.checkpoint)
-
-    def _restore(self, job_id: str, checkpoint: JobCheckpoint | None) -> None:
-        """Go on with the texts of a former owner whose runs have surely ended."""
-        owned = self.owned.get(job_id)
-        if owned is None or checkpoint is None:
-            return
-        may_resume = may_resume_from(checkpoint, self._context.process_starts)
-        restored = restore_items(owned.ledger, checkpoint.items) if may_resume else 0
-        self._context.log.write(
-            JobResumed(
-                job=job_id,
-                former_owner=checkpoint.daemon,
-                runs_ended=checkpoint.runs_ended,
-                items_kept=len(checkpoint.items),
-                items_resumed=restored,
-            )
-        )
-
     async def _adopt(self, name: str, owner_revision: int) -> None:
         """Work on a job that is this daemon's by a write whose answer never came."""
         await asyncio.sleep(ADOPT_AFTER_SECONDS)
@@ -378,7 +283,7 @@
     async def _load(
         self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint | None
     ) -> None:
-        asked = asyncio.create_task(self._yielded(job_id, owner_revision))
+        asked = asyncio.create_task(self._checkpoints.ask_former_owner(job_id, owner_revision))
         job = await self._store.load_items(job_id)
         results = await self._store.load_results(job_id, 0)
         checkpoint = await asked or checkpoint
@@ -390,42 +295,9 @@
             self._context.log.write(JobNotOwned(job=job_id, reason="taken over meanwhile"))
             return
         if isinstance(job, Job) and not isinstance(results, KvUnavailable):
-            self._own(job, owner_revision, results)
-            self._restore(job_id, checkpoint)
+            owned = self._own(job, owner_revision, results)
+            if checkpoint is not None:
+                self._checkpoints.go_on(owned, checkpoint)
         else:
             self._context.log.write(JobNotOwned(job=job_id, reason="claimed but not read"))
             await self._store.release(job_id, owner_revision)
-
-
-def _owned_job(
-    job: Job,
-    owner_revision: int,
-    listed: list[JobResult],
-    route: RouteRow | None,
-    begun_seconds: float,
-) -> OwnedJob:
-    """Return a job that was submitted at a moment (monotonic), with its route's bounds."""
-    if route is None:
-        ledger = JobLedger(job, listed, most_failures=UNROUTED_MOST_FAILURES)
-        keep_until_seconds = begun_seconds + UNROUTED_KEEP_SECONDS
-        return OwnedJob(ledger, owner_revision, begun_seconds, keep_until_seconds)
-    ledger = JobLedger(
-        job,
-        listed,
-        most_failures=route.most_attempts,
-        single_version=route.single_version,
-    )
-    return OwnedJob(
-        ledger,
-        owner_revision,
-        due_seconds=begun_seconds + route.due_seconds,
-        keep_until_seconds=begun_seconds + route.keep_seconds,
-    )
-
-
-async def _have_ended(runs: list[asyncio.Task[None]]) -> bool:
-    """Wait for cancelled runs; return whether all have ended."""
-    if not runs:
-        return True
-    _, pending = await asyncio.wait(runs, timeout=RUNS_END_SECONDS)
-    return not pending
--- a/rackswitch/gateway/owned_job.py
+++ b/rackswitch/gateway/owned_job.py
@@ -3,9 +3,16 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from rackswitch.jobs import JobLedger
+from rackswitch.jobs import Job, JobLedger, JobResult
+from rackswitch.table import RouteRow
 
-__all__ = ["OwnedJob"]
+__all__ = ["OwnedJob", "new_owned_job"]
+
+UNROUTED_MOST_FAILURES = 3
+"""Failures that end an item of a job whose route is unknown; the ledger's own default."""
+
+UNROUTED_KEEP_SECONDS = 3600.0
+"""How long a job is kept whose route is unknown; as long as a route that does not say."""
 
 
 @dataclass(slots=True)
@@ -40,3 +47,43 @@
         """Wake all who wait for results."""
         self.news.set()
         self.news = asyncio.Event()
+
+
+def new_owned_job(
+    job: Job,
+    owner_revision: int,
+    listed: list[JobResult],
+    route: RouteRow | None,
+    begun_seconds: float,
+) -> OwnedJob:
+    """Return a job with its route's bounds.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    owner_revision : int
+        Of this daemon's claim.
+    listed : list of JobResult
+        The results that have positions already.
+    route : RouteRow or None
+        The job's route; None if no table in force knows it.
+    begun_seconds : float
+        When the job was submitted (monotonic).
+    """
+    if route is None:
+        ledger = JobLedger(job, listed, most_failures=UNROUTED_MOST_FAILURES)
+        keep_until_seconds = begun_seconds + UNROUTED_KEEP_SECONDS
+        return OwnedJob(ledger, owner_revision, begun_seconds, keep_until_seconds)
+    ledger = JobLedger(
+        job,
+        listed,
+        most_failures=route.most_attempts,
+        single_version=route.single_version,
+    )
+    return OwnedJob(
+        ledger,
+        owner_revision,
+        due_seconds=begun_seconds + route.due_seconds,
+        keep_until_seconds=begun_seconds + route.keep_seconds,
+    )
