Tests: long runs share the scheduling of faults

Hard to read: `LongRun` and `OrderRun` each had the same loop that breaks things one or two at a time, and one of them named its kinds of fault at the end of its file. Change: `break_at_random` in the tests' support; the kinds stand with the other constants. Kinds, chances, calm times and the order of random draws stay.

--- a/rackswitch/gateway/tests/long_run.py
+++ b/rackswitch/gateway/tests/long_run.py
@@ -13,7 +13,7 @@
 from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX, RESULTS_PREFIX, pack_results
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member, vm_entry
-from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
 from rackswitch.jobs import Job, JobItem, JobResult, TextPiece
 from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
 from rackswitch.routing import ListedTarget, Target
@@ -36,6 +36,7 @@
 FAULT_SECONDS = (0.5, 7.0)
 CALM_SECONDS = (0.2, 2.0)
 READ_SECONDS = 0.4
+FAULTS = ("crash", "freeze", "cut off", "lapse", "lost_answer", "late_effect", "lost_request")
 
 ROUTE = RouteRow(
     name="samples",
@@ -222,7 +223,8 @@
     async def run(self, seconds: float) -> None:
         for name in ("a", "b", "c"):
             self._start(name)
-        work = [asyncio.create_task(duty) for duty in (self._submit(), self._read(), self._break())]
+        breaking = break_at_random(self.rng, CALM_SECONDS, FAULTS, self._fault)
+        work = [asyncio.create_task(duty) for duty in (self._submit(), self._read(), breaking)]
         await asyncio.sleep(seconds)
         work[2].cancel()
         await asyncio.gather(work[2], return_exceptions=True)
@@ -263,12 +265,6 @@
                 if not isinstance(kept, KvUnavailable):
                     self.seen.read(job.job_id, kept)
 
-    async def _break(self) -> None:
-        while True:
-            await asyncio.sleep(self.rng.uniform(*CALM_SECONDS))
-            count = 2 if self.rng.random() < 0.4 else 1
-            await asyncio.gather(*(self._fault(self.rng.choice(FAULTS)) for _ in range(count)))
-
     async def _fault(self, kind: str) -> None:
         name = self.rng.choice(list(self.nodes))
         node = self.nodes[name]
@@ -317,6 +313,3 @@
             if not missing:
                 return
         self.seen.violations.append(f"not whole after all faults were healed: {sorted(missing)}")
-
-
-FAULTS = ("crash", "freeze", "cut off", "lapse", "lost_answer", "late_effect", "lost_request")
--- a/rackswitch/gateway/tests/order_run.py
+++ b/rackswitch/gateway/tests/order_run.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from rackswitch.daemon.roles import RoleKeeper
-from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
 from rackswitch.gateway.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.platform.orders import EngineReport, NoReport, OrderAnswer, VersionOrder
 from rackswitch.routing import ListedTarget, Target
@@ -23,6 +23,7 @@
 FAULT_SECONDS = (0.5, 8.0)
 TURN_SECONDS = 3.0
 NAMES = ("a", "b", "c")
+FAULTS = ("crash", "cut off", "lapse", "slow")
 
 
 @dataclass(slots=True)
@@ -119,7 +120,7 @@
     async def run(self, seconds: float) -> None:
         for name in NAMES:
             self._start(name)
-        breaking = asyncio.create_task(self._break())
+        breaking = asyncio.create_task(break_at_random(self.rng, CALM_SECONDS, FAULTS, self._fault))
         naming = asyncio.create_task(self._name_versions())
         await asyncio.sleep(seconds)
         breaking.cancel()
@@ -173,13 +174,6 @@
             await asyncio.sleep(NAME_SECONDS)
             self.newest += 1
 
-    async def _break(self) -> None:
-        while True:
-            await asyncio.sleep(self.rng.uniform(*CALM_SECONDS))
-            count = 2 if self.rng.random() < 0.4 else 1
-            kinds = [self.rng.choice(("crash", "cut off", "lapse", "slow")) for _ in range(count)]
-            await asyncio.gather(*(self._fault(kind) for kind in kinds))
-
     async def _fault(self, kind: str) -> None:
         name = self.rng.choice(NAMES)
         seconds = self.rng.uniform(*FAULT_SECONDS)
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -1,6 +1,8 @@
 """Gateways without a network, on a clock that jumps."""
 
+import asyncio
 import random
+from collections.abc import Awaitable, Callable, Sequence
 
 from rackswitch.daemon.tests.support import make_context
 from rackswitch.gateway.contact import StoreContact
@@ -15,3 +17,17 @@
 ) -> GatewayContext:
     daemon = make_context(name, store, random.Random(seed), faults)
     return GatewayContext(stand_in_settings(name), daemon, StoreContact(daemon.log))
+
+
+async def break_at_random(
+    rng: random.Random,
+    calm_seconds: tuple[float, float],
+    kinds: Sequence[str],
+    fault: Callable[[str], Awaitable[None]],
+) -> None:
+    """Bring about faults of random kinds until cancelled, one or two at a time, calm between."""
+    while True:
+        await asyncio.sleep(rng.uniform(*calm_seconds))
+        count = 2 if rng.random() < 0.4 else 1
+        chosen = [rng.choice(kinds) for _ in range(count)]
+        await asyncio.gather(*(fault(kind) for kind in chosen))
