--- a/rackswitch/gateway/tests/test_watching.py
+++ b/rackswitch/gateway/tests/test_watching.py
@@ -31,7 +31,7 @@
 
 async def make_pair(told: list[str]) -> tuple[CopyKeeper, CopyKeeper, GatewayPeersService]:
     leader, follower = make_keeper("a", []), make_keeper("c", told)
-    service = GatewayPeersService(leader._context, leader, reader=None)
+    service = GatewayPeersService(leader._context, leader, reader=None, jobs=None)
     await service.start("127.0.0.1", 0)
     port = service._server._server.sockets[0].getsockname()[1]
     entries = [
