--- a/rackswitch/gateway/tests/long_run.py
+++ b/rackswitch/gateway/tests/long_run.py
@@ -10,11 +10,25 @@
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.job_keeper import JobKeeper
 from rackswitch.gateway.job_outcomes import Appended, JobCreated, JobKnown, JobNotStored
-from rackswitch.gateway.job_records import JOBS_PREFIX, OWNERS_PREFIX, RESULTS_PREFIX, pack_results
+from rackswitch.gateway.job_records import (
+    JOBS_PREFIX,
+    OWNERS_PREFIX,
+    RESULTS_PREFIX,
+    pack_checkpoint,
+    pack_results,
+)
 from rackswitch.gateway.job_store import JobStore
-from rackswitch.gateway.session import MEMBERS_PREFIX, Session, decode_member, vm_entry
+from rackswitch.gateway.session import (
+    MEMBERS_PREFIX,
+    Session,
+    decode_member,
+    member_address,
+    vm_entry,
+)
 from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
 from rackswitch.jobs import Job, JobItem, JobResult, TextPiece
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.links import PeerUnreachable
 from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
 from rackswitch.routing import ListedTarget, Target
 from rackswitch.standins.faulty_kv import FaultyKv, KvFaults
@@ -57,6 +71,10 @@
 )
 
 
+def piece_text(item_id: str, number: int) -> str:
+    return f"{item_id}:{number}"
+
+
 def make_jobs(rng: random.Random, count: int) -> list[Job]:
     return [
         Job(
@@ -105,15 +123,17 @@
     async def _stream(self, ledger, progress, target) -> ItemRunEnded:
         while True:
             await asyncio.sleep(self._rng.expovariate(4.0))
-            fault = progress.accept(TextPiece(progress.last_number + 1, "x", 1), 0)
+            number = progress.last_number + 1
+            text = piece_text(progress.item.item_id, number)
+            fault = progress.accept(TextPiece(number, text, 1), 0)
             if fault is not None:
                 return ItemRunEnded(ItemRunEnd.BROKEN, fault.detail)
             chance = self._rng.random()
-            if chance < 0.1:
+            if chance < 0.05:
                 return ItemRunEnded(ItemRunEnd.BROKEN, "broken off")
-            if chance < 0.13:
+            if chance < 0.06:
                 return ItemRunEnded(ItemRunEnd.FAILED, "status 500")
-            if chance < 0.6:
+            if chance < 0.2:
                 return ItemRunEnded(ItemRunEnd.WHOLE)
 
 
@@ -127,6 +147,24 @@
         return done if isinstance(done, JobNotStored) else Appended(results)
 
 
+class FleetLinks:
+    """Calls between the daemons of a run: a frozen or dead one does not answer."""
+
+    def __init__(self, nodes: dict[str, "Node"]):
+        self._nodes = nodes
+
+    async def call(self, peer, method, message, timeout_seconds, stub_kind):
+        assert isinstance(message, pb.YieldJobRequest)
+        node = self._nodes[peer.daemon]
+        if not node.kv.runs.is_set() or not node.context.daemon.has_tasks:
+            await asyncio.sleep(timeout_seconds)
+            return PeerUnreachable("no answer")
+        checkpoint = await node.keeper.yield_job(message.job_id, message.owner_revision)
+        if checkpoint is None:
+            return pb.YieldJobReply(worked_on=False)
+        return pb.YieldJobReply(worked_on=True, checkpoint=pack_checkpoint(checkpoint))
+
+
 class Node:
     """One process of a daemon: its session, its copy of the entries, its jobs."""
 
@@ -172,6 +210,7 @@
             member = decode_member(entry.value)
             self._members[name] = vm_entry(name, member)
             self.context.process_starts[name] = member.started_at_unix_seconds
+            self.context.member_addresses[name] = member_address(name, member)
             self._tell_members()
         elif entry.key.startswith(JOBS_PREFIX):
             self.keeper.marker_put(entry)
@@ -203,6 +242,10 @@
         if len(ids) != len(set(ids)):
             self.violations.append(f"{job_id}: an item stands twice")
         for position, result in enumerate(results):
+            lines = result.text.split("\n")
+            whole = [piece_text(result.item_id, n + 1) for n in range(len(lines))]
+            if result.completed and lines != whole:
+                self.violations.append(f"{job_id}: the text at {position} is not the item's own")
             before = self.positions.setdefault((job_id, position), result)
             if before != result:
                 self.violations.append(f"{job_id}: position {position} changed")
@@ -240,6 +283,7 @@
 
     def _start(self, name: str) -> None:
         self.nodes[name] = Node(name, self.kv, self.rng, self._store_kind)
+        self.nodes[name].context.daemon.links = FleetLinks(self.nodes)  # type: ignore[assignment]
         self.nodes[name].start()
 
     async def _submit(self) -> None:
