rackswitch losses: where the time of each training step went, from logs

Change: the time from a job's submission until its last item was listed is taken apart into death of an owner, hand-over, version, room, queue, text made again, slow engine, pause, text and listing; the parts sum to the whole (hypothesis). A step that was submitted late against its model's usual interval is told as behind. Sums by model and reason follow. Ruled out: a row for jobs whose lines were folded or lost; there is none.

--- a/rackswitch/explain/main.py
+++ b/rackswitch/explain/main.py
@@ -8,6 +8,8 @@
 
 from rackswitch.cli.client import AdminClient
 from rackswitch.explain.lines import read_events
+from rackswitch.explain.loss_page import format_losses
+from rackswitch.explain.losses import ledger_of
 from rackswitch.explain.page import format_story
 from rackswitch.explain.story import tell_story
 from rackswitch.explain.verdicts import judge_story
@@ -62,6 +64,16 @@
             sys.exit(EXIT_UNKNOWN_IDENTITY)
         print(format_story(story, judge_story(story)))
 
+    def losses(self, *files: str) -> None:
+        """Tell where the time of each training step went, over all jobs in the logs.
+
+        Parameters
+        ----------
+        files : str
+            Logs of any daemons, mixed or not; standard input if there are none.
+        """
+        print(format_losses(ledger_of(read_events(_lines(files)))))
+
     def status(self, *urls: str) -> None:
         """Show what each daemon believes, and how old that is.
 
