Requests that nobody can take are refused at once, with the time when somebody probably can

Cause: a request without a usable target was held for a quarter of its route's goal time, a window taken from what the platform counts as prompt, and sent away for a constant 0.2 s. Ruled out: waiting a little for a target that may come back. Nothing is known then that would make the wait end well, and the caller can go to another daemon meanwhile. Change: no usable target: refused in the same step. `OutageMemory` learns how long a service was missing before; the caller comes back when the present outage is as old, or after 15 % of its length so far where it is older. Targets that are there and full: the usual time of a call of that service, as seen. Times differ by class, urgent ones first, and by a draw, so that callers do not come back together. Refused trainers likewise, by the outages of the key-value service. A request that may not be repeated is now offered again to targets that said that they had not run it. `test_a_request_that_nobody_can_take_is_refused_at_once` steps the call by hand: its first step is its last.

--- a/rackswitch/gateway/contact.py
+++ b/rackswitch/gateway/contact.py
@@ -1,8 +1,9 @@
 """Whether the platform's key-value service answers this daemon."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rackswitch.clients.kv import KvUnavailable
+from rackswitch.requests import OutageMemory
 from rackswitch.telemetry import DecisionLog
 from rackswitch.telemetry.events import DependencyLost, DependencyRegained
 
@@ -22,11 +23,14 @@
         When the first of the calls that went unanswered was made; None while all is well.
     back_seconds : float
         When the service last answered again after being away; minus infinity if never.
+    outage : OutageMemory
+        How long the service was away before, and is now.
     """
 
     log: DecisionLog
     away_since_seconds: float | None = None
     back_seconds: float = float("-inf")
+    outage: OutageMemory = field(default_factory=OutageMemory)
 
     @property
     def is_away(self) -> bool:
@@ -46,6 +50,7 @@
             return
         away_seconds = now_seconds - self.away_since_seconds
         self.away_since_seconds = None
+        self.outage.there(now_seconds)
         self.back_seconds = now_seconds
         self.log.write(DependencyRegained(dependency=KEY_VALUE, away_seconds=away_seconds))
 
@@ -54,4 +59,5 @@
         if self.away_since_seconds is not None:
             return
         self.away_since_seconds = now_seconds
+        self.outage.missing(now_seconds)
         self.log.write(DependencyLost(dependency=KEY_VALUE, detail=detail))
--- a/rackswitch/gateway/job_edge.py
+++ b/rackswitch/gateway/job_edge.py
@@ -25,6 +25,7 @@
     decode_job_outline,
     encode_results,
 )
+from rackswitch.requests import return_delay_seconds
 from rackswitch.table import RouteRow
 from rackswitch.telemetry.events import JobCallRefused, JobEnded, JobSubmitted, ResultsRead
 from rackswitch.web.exchange import Exchange
@@ -32,7 +33,11 @@
 __all__ = ["JobEdge"]
 
 COME_BACK_SECONDS = 0.3
-"""When a refused trainer should come back: another daemon may take the job at once."""
+"""When a refused trainer should come back while the service is there: another daemon may take
+the job at once."""
+
+JOB_CLASS = 1
+"""Rank of trainers' calls among refused ones: behind callers, who have a person waiting."""
 
 ITEMS_PER_PIECE = 200
 """Items decoded before other work has its turn: some 200 kB, about a millisecond."""
@@ -82,7 +87,7 @@
             await refuse_at_the_edge(
                 exchange,
                 self._context,
-                Refusal(503, "this daemon is stopping", COME_BACK_SECONDS),
+                Refusal(503, "this daemon is stopping", self._come_back_seconds()),
             )
             return
         outcome = await self._keeper.submit(job)
@@ -99,6 +104,15 @@
             )
         )
 
+    def _come_back_seconds(self) -> float:
+        """Return when a refused trainer should come back, by what is known of the service."""
+        contact = self._context.contact
+        if not contact.is_away:
+            return COME_BACK_SECONDS
+        now_seconds = self._context.now_seconds()
+        left_seconds = contact.outage.remaining_seconds(now_seconds)
+        return return_delay_seconds(left_seconds, JOB_CLASS, self._context.rng.random())
+
     async def _answer_submission(
         self, exchange: Exchange, outcome: JobCreated | JobKnown | JobTooLarge | JobNotStored
     ) -> _Answered:
@@ -111,7 +125,7 @@
         if isinstance(outcome, JobTooLarge):
             refusal = Refusal(413, outcome.detail)
         else:
-            refusal = Refusal(503, outcome.detail, COME_BACK_SECONDS)
+            refusal = Refusal(503, outcome.detail, self._come_back_seconds())
         await refuse(exchange, refusal)
         return _Answered(refusal.status, refusal.detail)
 
@@ -168,7 +182,7 @@
         if failure is None:
             await exchange.respond(200)
         else:
-            await refuse(exchange, Refusal(503, failure.detail, COME_BACK_SECONDS))
+            await refuse(exchange, Refusal(503, failure.detail, self._come_back_seconds()))
 
     async def _refuse_job_call(
         self, exchange: Exchange, reason: JobUnknown | JobUnsure, call: JobCall
@@ -184,7 +198,7 @@
         if isinstance(reason, JobUnsure):
             await refuse(
                 exchange,
-                Refusal(503, "the job cannot be read now", COME_BACK_SECONDS),
+                Refusal(503, "the job cannot be read now", self._come_back_seconds()),
             )
         else:
             await refuse(exchange, Refusal(404, "there is no such job or item"))
--- a/rackswitch/gateway/request_front.py
+++ b/rackswitch/gateway/request_front.py
@@ -11,10 +11,12 @@
     AttemptEnd,
     AttemptLog,
     Call,
+    OutageMemory,
     TargetAnswer,
     TargetFailed,
     TargetStream,
     attempt_deadline_seconds,
+    return_delay_seconds,
 )
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow
@@ -25,15 +27,14 @@
 MOST_REFUSALS = 8
 """Targets that may refuse one request before it is refused itself."""
 
-REFUSAL_GOAL_SHARE = 0.25
-"""Part of a request's goal time within which it is refused if no target can be had; the
-platform counts a refusal in that time as prompt."""
-
 PAUSE_SECONDS = 0.02
 """Between tries while every target is full; about half a call's usual work."""
 
-COME_BACK_SECONDS = 0.2
-"""When a refused caller should come back: a few times a call's usual work."""
+CALL_SMOOTHING = 0.1
+"""Weight of one call's time in the usual time of its service: some ten calls count."""
+
+FIRST_CALL_SECONDS = 0.05
+"""A service's usual time before a call of it was served; about that of a look-up."""
 
 
 FrontOutcome = TargetAnswer | TargetStream | NotRun | MayHaveRun
@@ -77,12 +78,14 @@
         Makes the calls.
     """
 
-    __slots__ = ("_chooser", "_context", "_targets")
+    __slots__ = ("_call_seconds", "_chooser", "_context", "_outages", "_targets")
 
     def __init__(self, context: GatewayContext, chooser: TargetChooser, targets: TargetClient):
         self._context = context
         self._chooser = chooser
         self._targets = targets
+        self._call_seconds: dict[str, float] = {}
+        self._outages: dict[str, OutageMemory] = {}
 
     def new_log(self, route: RouteRow) -> AttemptLog:
         """Return the record of a request's attempts, which says how many there may be."""
@@ -115,11 +118,10 @@
             Whether to return a success as soon as its head is there.
         """
         service = self._chooser.draw_choice(route).serves
-        refuse_at_seconds = self._context.now_seconds() + route.goal_seconds * REFUSAL_GOAL_SHARE
         failures = 0
         last_failure: tuple[TargetAnswer, str] | None = None
         while log.may_begin():
-            target = await self._await_target(service, log, refuse_at_seconds, deadline_seconds)
+            target = self._pick(service, log, deadline_seconds)
             if target is None:
                 break
             log.begin()
@@ -138,7 +140,7 @@
         if last_failure is not None:
             answer, instance = last_failure
             return FrontAnswer(answer, len(log.ends), failures, instance)
-        return FrontAnswer(self._give_up(log, service), len(log.ends), failures)
+        return FrontAnswer(self._give_up(route, log, service), len(log.ends), failures)
 
     def usable_count(self, route: RouteRow) -> int:
         """Return how many targets of a route's services could be used now."""
@@ -146,21 +148,25 @@
         directory = self._context.directory
         return sum(len(directory.usable(choice.serves, now_seconds)) for choice in route.choices)
 
-    async def _await_target(
-        self, service: str, log: AttemptLog, refuse_at_seconds: float, deadline_seconds: float
-    ) -> ListedTarget | None:
-        """Wait until a target can be had; None if the request is to be given up before."""
-        while self._context.now_seconds() < deadline_seconds:
-            target = self._chooser.pick(service, log.tried_targets())
-            if target is None and log.ends and log.repeatable:
-                # All usable ones have been tried: one of those again is better than none.
-                target = self._chooser.pick(service, set())
-            if target is not None:
-                return target
-            if self._context.now_seconds() >= refuse_at_seconds:
-                return None
-            await asyncio.sleep(PAUSE_SECONDS)
-        return None
+    def _pick(self, service: str, log: AttemptLog, deadline_seconds: float) -> ListedTarget | None:
+        """Return a target; None if there is none or the request's time is over.
+
+        A caller whose request nobody can take is told so at once and comes back when somebody
+        probably can, in place of waiting here without an outcome.
+        """
+        now_seconds = self._context.now_seconds()
+        if now_seconds >= deadline_seconds:
+            return None
+        target = self._chooser.pick(service, log.tried_targets())
+        if target is None and log.ends and (log.repeatable or not log.may_have_run):
+            # All usable ones have been tried: one of those again is better than none.
+            target = self._chooser.pick(service, set())
+        outage = self._outages.setdefault(service, OutageMemory())
+        if target is None and not log.ends:
+            outage.missing(now_seconds)
+        elif target is not None:
+            outage.there(now_seconds)
+        return target
 
     def _note_failure(
         self,
@@ -200,6 +206,7 @@
             log, route.goal_seconds, deadline_seconds, self._context.now_seconds()
         )
         fresh_connection = not log.repeatable
+        began_seconds = self._context.now_seconds()
         load.begin(CALL_COST_TOKENS, ())
         try:
             send = self._targets.open_stream if as_stream else self._targets.forward
@@ -208,14 +215,26 @@
             load.end(CALL_COST_TOKENS)
         if not isinstance(result, TargetFailed) and result.status < 500:
             load.succeeded(0, 0.0)
+            self._note_call_time(target.service, self._context.now_seconds() - began_seconds)
         return result
 
-    def _give_up(self, log: AttemptLog, service: str) -> NotRun | MayHaveRun:
+    def _note_call_time(self, service: str, took_seconds: float) -> None:
+        usual_seconds = self._call_seconds.get(service, FIRST_CALL_SECONDS)
+        usual_seconds += CALL_SMOOTHING * (took_seconds - usual_seconds)
+        self._call_seconds[service] = usual_seconds
+
+    def _give_up(self, route: RouteRow, log: AttemptLog, service: str) -> NotRun | MayHaveRun:
         now_seconds = self._context.now_seconds()
-        if not log.ends:
+        if log.may_have_run:
+            return log.give_up(now_seconds)
+        if log.ends:
+            # Targets are there and full: one of them is through with a call after its usual time.
+            detail = log.ends[-1].detail
+            base_seconds = self._call_seconds.get(service, FIRST_CALL_SECONDS)
+        else:
             detail = f"no target of {service!r} can be had"
-            return NotRun(NotRunReason.NO_TARGET, detail, now_seconds + COME_BACK_SECONDS)
-        outcome = log.give_up(now_seconds)
-        if isinstance(outcome, NotRun):
-            return NotRun(outcome.reason, outcome.detail, now_seconds + COME_BACK_SECONDS)
-        return outcome
+            outage = self._outages.setdefault(service, OutageMemory())
+            base_seconds = outage.remaining_seconds(now_seconds)
+        draw = self._context.rng.random()
+        delay_seconds = return_delay_seconds(base_seconds, route.caller_class, draw)
+        return NotRun(NotRunReason.NO_TARGET, detail, now_seconds + delay_seconds)
--- a/rackswitch/gateway/tests/test_path.py
+++ b/rackswitch/gateway/tests/test_path.py
@@ -12,6 +12,8 @@
 
 from rackswitch.explain import read_events
 from rackswitch.gateway.policy import PolicySettings
+from rackswitch.outcomes import NotRunReason
+from rackswitch.requests import Call
 from rackswitch.standins.platform_fleet import HOST, PlatformFleet, desired_state
 from rackswitch.standins.platform_target import PlatformTargetStandIn
 from rackswitch.table import TableDocument
@@ -115,6 +117,28 @@
     play(scenario)
 
 
+def test_a_request_that_nobody_can_take_is_refused_at_once():
+    async def scenario(fleet):
+        for service in fleet.services:
+            await service.crash()
+        gateway = fleet.gateways["d0"]
+        listed = gateway.context.directory
+        await wait_for(lambda: not listed.usable("desk", gateway.context.now_seconds()))
+        now_seconds = gateway.context.now_seconds()
+        route = gateway.context.routes.find(HOST, "/look/x")
+        call = Call("r1", HOST, "GET", "/look/x", (), b"")
+        log = gateway.front.new_log(route)
+        serving = gateway.front.call(route, call, now_seconds + 5.0, log)
+        # It waits for nothing: the first step is the last.
+        with pytest.raises(StopIteration) as ended:
+            serving.send(None)
+        outcome = ended.value.value.outcome
+        assert outcome.reason is NotRunReason.NO_TARGET
+        assert outcome.retry_at_seconds > now_seconds
+
+    play(scenario)
+
+
 def test_a_repeatable_request_moves_on_from_a_mute_target():
     async def scenario(fleet):
         fleet.services[0].faults.mute = True
