Items: engines by the expected end of a text, with what other daemons know of engines

The owner of a new job has run nothing for some seconds: it takes all engines for equally fast and empty. Ruled out: loads that pause running texts (0.03 to 0.09 s each); occupancy as such (texts at fast engines run 3 % slower than best in the median). Switches for each in deploy/policy.json.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -11,6 +11,7 @@
 from rackswitch.gateway.control_entries import CONTROL_PREFIX, ControlEntries
 from rackswitch.gateway.daemon_context import make_daemon_context
 from rackswitch.gateway.edge import CallerEdge
+from rackswitch.gateway.engine_paces import EnginePaces
 from rackswitch.gateway.item_runner import ItemRunner
 from rackswitch.gateway.job_cleaner import JobCleaner
 from rackswitch.gateway.job_edge import JobEdge
@@ -18,6 +19,7 @@
 from rackswitch.gateway.job_reader import JobReader
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.listeners import OwnPages, listeners
+from rackswitch.gateway.load_looks import LoadLooks
 from rackswitch.gateway.peer_service import GatewayPeersService
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.reload import compare_settings
@@ -98,13 +100,17 @@
             self.context, TargetChooser(self.context), TargetClient(self._sessions)
         )
         job_store = JobStore(self.context)
-        runner = ItemRunner(self.context, ItemClient(self._sessions), self.front)
-        self.jobs = JobKeeper(self.context, self.session, job_store, runner)
+        paces = EnginePaces()
+        runner = ItemRunner(self.context, ItemClient(self._sessions), self.front, paces)
+        orders = OrderClient(self._sessions)
+        looks = LoadLooks(self.context, orders, runner.occupancy)
+        self.jobs = JobKeeper(self.context, self.session, job_store, runner, looks)
         self.versions = VersionKeeper(
             self.context,
             self.roles,
-            OrderClient(self._sessions),
+            orders,
             self.jobs.known.oldest_usable_version,
+            paces,
         )
         self._cleaner = JobCleaner(self.context, self.jobs.known, job_store)
         reader = JobReader(self.context, self.jobs, job_store, self.session)
@@ -114,7 +120,7 @@
             SERVERS_PREFIX: self.state.target_handlers(),
             CONTROL_PREFIX: control.handlers(),
         }
-        self.copies = CopyKeeper(self.context, handlers)
+        self.copies = CopyKeeper(self.context, handlers, paces)
         passed_on = PassedOnCalls(self.context, made.relay)
         self._peers = GatewayPeersService(self.context, self.copies, reader, self.jobs, passed_on)
         edge = CallerEdge(
--- a/rackswitch/gateway/engine_paces.py
+++ b/rackswitch/gateway/engine_paces.py
@@ -1,8 +1,11 @@
 """How fast each engine has brought the pieces of its streams of late."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["EnginePaces"]
+from rackswitch.peers import gateway_pb2 as pb
+
+__all__ = ["FIRST_PACE_SECONDS", "EnginePaces"]
 
 PACE_SMOOTHING = 0.1
 """So that some ten events weigh in; a dozen streams bring them within a tenth of a second."""
@@ -58,3 +61,32 @@
         if known is None or now_seconds >= known.seen_seconds + PACE_LIFE_SECONDS:
             return FIRST_PACE_SECONDS
         return known.seconds_per_piece
+
+    def seen_since(self, instance: str, at_seconds: float) -> bool:
+        """Return whether an engine has brought pieces of any run after a moment (monotonic)."""
+        known = self._paces.get(instance)
+        return known is not None and known.seen_seconds > at_seconds
+
+    def to_tell(self, now_seconds: float) -> list[pb.EnginePace]:
+        """Return the paces that still count, to be told to another daemon."""
+        return [
+            pb.EnginePace(
+                instance=instance,
+                us_per_piece=round(pace.seconds_per_piece * 1e6),
+                age_ms=round((now_seconds - pace.seen_seconds) * 1e3),
+            )
+            for instance, pace in self._paces.items()
+            if now_seconds < pace.seen_seconds + PACE_LIFE_SECONDS
+        ]
+
+    def hear(self, told: Iterable[pb.EnginePace], now_seconds: float) -> None:
+        """Take in what another daemon tells, where that is newer than what is known here.
+
+        The owner of a new job has often run nothing for some seconds. Without others' word it
+        takes all engines for equally fast and puts long texts on slow ones.
+        """
+        for pace in told:
+            seen_seconds = now_seconds - pace.age_ms / 1e3
+            known = self._paces.get(pace.instance)
+            if known is None or known.seen_seconds < seen_seconds:
+                self._paces[pace.instance] = _Pace(pace.us_per_piece / 1e6, seen_seconds)
--- a/rackswitch/gateway/item_runner.py
+++ b/rackswitch/gateway/item_runner.py
@@ -7,6 +7,8 @@
 from rackswitch.gateway.engine_paces import EnginePaces
 from rackswitch.gateway.request_front import RequestFront, outcome_label
 from rackswitch.jobs import (
+    EngineLoad,
+    EngineOccupancy,
     ItemProgress,
     JobItem,
     JobLedger,
@@ -27,8 +29,10 @@
 __all__ = ["ItemRunner"]
 
 FIRST_PIECE_PATIENCE_SECONDS = 2.0
-"""A full engine queues a run for up to the time of another one, some 0.9 s; twice that is
-more likely a fault."""
+"""A full engine queues a run for up to the time of another one, some 0.9 s; twice that is too
+long to wait there. It is a fault of the engine only if other runs there stand still too: of 493
+runs that never began, over 25 days, 442 were at engines that began others meanwhile, and each
+kept all new work away from that engine for 2 s."""
 
 NEXT_PIECE_PATIENCE_SECONDS = 1.2
 """Events come some 40 ms apart, but a load of weights, 0.9 s, may stand between two."""
@@ -54,24 +58,33 @@
         Makes the calls.
     front : RequestFront
         Serves the reward calls.
+    paces : EnginePaces
+        Told of the pace of each run.
 
     Attributes
     ----------
-    forecast, paces : LengthForecast, EnginePaces
-        What the runs have shown of texts and engines.
+    forecast, occupancy : LengthForecast, EngineOccupancy
+        What the runs have shown of texts, and of how full engines are.
     spare : dict of str to SpareRoom
         By service, room that nothing waits for, as the starter last saw it.
     """
 
-    __slots__ = ("_context", "_engines", "_front", "forecast", "paces", "spare")
+    __slots__ = ("_context", "_engines", "_front", "forecast", "occupancy", "paces", "spare")
 
-    def __init__(self, context: GatewayContext, engines: ItemClient, front: RequestFront):
+    def __init__(
+        self,
+        context: GatewayContext,
+        engines: ItemClient,
+        front: RequestFront,
+        paces: EnginePaces,
+    ):
         self._context = context
         self._engines = engines
         self._front = front
-        self.paces = EnginePaces()
+        self.paces = paces
         self.spare: dict[str, SpareRoom] = {}
         self.forecast = LengthForecast()
+        self.occupancy = EngineOccupancy()
 
     async def run(
         self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget
@@ -99,7 +112,7 @@
                 first_piece_seconds=_first_piece_seconds(gaps, began_seconds),
             )
         )
-        self._note_end(ledger, progress, target, ended)
+        self._note_end(ledger, progress, target, ended, gaps.first_at_seconds is None)
         return ended
 
     async def _stream(
@@ -113,6 +126,9 @@
         )
         async with aclosing(pieces):  # type: ignore[type-var]
             async for piece in pieces:
+                if isinstance(piece, EngineLoad):
+                    self.occupancy.heard(target.instance, piece, self._context.now_seconds())
+                    continue
                 if isinstance(piece, ItemRunEnded):
                     return piece
                 fault = self._take_piece(ledger, progress, piece)
@@ -134,6 +150,8 @@
         gaps: RunGaps,
     ) -> bool:
         """Return whether a run ends here to go on elsewhere, and count that."""
+        if not self._context.policy.runs_move:
+            return False
         spare = self.spare.get(target.service)
         job = ledger.job
         if spare is not None and spare.versions.get(job.model, 0) < job.oldest_version:
@@ -161,6 +179,7 @@
         progress: ItemProgress,
         target: ListedTarget,
         ended: ItemRunEnded,
+        never_began: bool,
     ) -> None:
         now_seconds = self._context.now_seconds()
         load = self._context.targets[target.instance]
@@ -174,7 +193,10 @@
             ledger.failed(progress, now_seconds)
         else:
             if ended.end is ItemRunEnd.SILENT:
-                load.went_silent(now_seconds)
+                since_seconds = now_seconds - FIRST_PIECE_PATIENCE_SECONDS / 2
+                is_alive = self.paces.seen_since(target.instance, since_seconds)
+                if not (never_began and is_alive):
+                    load.went_silent(now_seconds)
             elif ended.end is ItemRunEnd.NOT_THERE:
                 self._context.directory.disown(target.instance)
             ledger.broke(progress, target.instance, now_seconds)
--- a/rackswitch/gateway/item_starter.py
+++ b/rackswitch/gateway/item_starter.py
@@ -33,13 +33,12 @@
         Set when a run or a reward call has ended, so that more may start.
     """
 
-    __slots__ = ("_context", "_engine_runs", "_full_until_seconds", "_runner", "_wake")
+    __slots__ = ("_context", "_full_until_seconds", "_runner", "_wake")
 
     def __init__(self, context: GatewayContext, runner: ItemRunner, wake: asyncio.Event):
         self._context = context
         self._runner = runner
         self._wake = wake
-        self._engine_runs: dict[str, int] = {}
         self._full_until_seconds: dict[str, float] = {}
 
     def start_items(self, owned_jobs: dict[str, OwnedJob]) -> None:
@@ -52,7 +51,13 @@
         due_seconds = {job_id: owned.due_seconds for job_id, owned in owned_jobs.items()}
         ledgers = [owned.ledger for owned in owned_jobs.values()]
         starts = plan_starts(
-            ledgers, rooms, services, due_seconds, now_seconds, self._runner.forecast
+            ledgers,
+            rooms,
+            services,
+            due_seconds,
+            now_seconds,
+            self._runner.forecast,
+            self._context.policy.longest_first,
         )
         for start in starts:
             self._start(owned_jobs[start.ledger.job.job_id], start)
@@ -111,12 +116,16 @@
 
     def _room(self, listed: ListedTarget, default_slots: int, now_seconds: float) -> EngineRoom:
         slots = listed.slots or default_slots
+        occupancy = self._runner.occupancy
+        own = occupancy.own.get(listed.instance, 0)
         return EngineRoom(
             listed.instance,
             listed.service,
-            slots - self._engine_runs.get(listed.instance, 0),
+            slots - own,
             self._runner.paces.get(listed.instance, now_seconds),
             listed.versions,
+            slots,
+            own + occupancy.others(listed.instance, now_seconds),
         )
 
     def _start(self, owned: OwnedJob, start: ItemStart) -> None:
@@ -142,11 +151,11 @@
         if listed is None:
             ledger.broke(progress, start.instance, self._context.now_seconds())
             return
-        self._engine_runs[start.instance] = self._engine_runs.get(start.instance, 0) + 1
+        self._runner.occupancy.began(start.instance)
         try:
             ended = await self._runner.run(ledger, progress, listed)
         finally:
-            self._engine_runs[start.instance] -= 1
+            self._runner.occupancy.ended(start.instance)
             self._wake.set()
         if ended.end is ItemRunEnd.NOT_RUN:
             until_seconds = self._context.now_seconds() + FULL_PAUSE_SECONDS
--- a/rackswitch/gateway/job_keeper.py
+++ b/rackswitch/gateway/job_keeper.py
@@ -13,9 +13,15 @@
 from rackswitch.gateway.item_starter import ItemStarter
 from rackswitch.gateway.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
-from rackswitch.gateway.job_records import OWNERS_PREFIX, JobMarker, key_part, marker_of
+from rackswitch.gateway.job_records import (
+    OWNERS_PREFIX,
+    JobMarker,
+    key_part,
+    marker_of,
+)
 from rackswitch.gateway.job_store import JobStore
 from rackswitch.gateway.known_jobs import KnownJobs
+from rackswitch.gateway.load_looks import LoadLooks
 from rackswitch.gateway.owned_job import OwnedJob, new_owned_job
 from rackswitch.gateway.result_appender import ResultAppender
 from rackswitch.gateway.session import Session
@@ -58,6 +64,8 @@
         Jobs in the key-value service.
     runner : ItemRunner
         Runs items.
+    looks : LoadLooks
+        Asks engines how full they are.
 
     Attributes
     ----------
@@ -72,6 +80,7 @@
         "_checkpoints",
         "_context",
         "_left",
+        "_looks",
         "_orphans",
         "_session",
         "_starter",
@@ -82,8 +91,14 @@
     )
 
     def __init__(
-        self, context: GatewayContext, session: Session, store: JobStore, runner: ItemRunner
+        self,
+        context: GatewayContext,
+        session: Session,
+        store: JobStore,
+        runner: ItemRunner,
+        looks: LoadLooks,
     ):
+        self._looks = looks
         self._context = context
         self._session = session
         self._store = store
@@ -141,6 +156,9 @@
         lease_id = self._session.lease_id
         if lease_id is None:
             return JobNotStored("no session with the key-value service", effect_unknown=False)
+        route = self._context.routes.find(job.host, job.path)
+        if route is not None and self._context.policy.loads_asked:
+            self._context.daemon.spawn(self._looks.look(route.choices[0].serves))
         outcome = await self._store.create(job, lease_id)
         if isinstance(outcome, JobCreated):
             self.known.created(marker_of(job), outcome.owner_revision)
--- /dev/null
+++ b/rackswitch/gateway/load_looks.py
@@ -0,0 +1,45 @@
+"""Asking a service's engines how full they are, right before a job is spread over them."""
+
+import asyncio
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.jobs import EngineLoad, EngineOccupancy
+from rackswitch.platform.orders import EngineReport, OrderClient
+from rackswitch.routing import ListedTarget
+
+__all__ = ["LoadLooks"]
+
+
+class LoadLooks:
+    """Reads engines' reports, which take no slot.
+
+    The owner of a new job often ran nothing for some seconds and cannot know what other owners
+    run. The reports come while the job is being kept, so nobody waits for them.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    engines : OrderClient
+        Makes the calls.
+    occupancy : EngineOccupancy
+        Told of what the engines say.
+    """
+
+    __slots__ = ("_context", "_engines", "_occupancy")
+
+    def __init__(self, context: GatewayContext, engines: OrderClient, occupancy: EngineOccupancy):
+        self._context = context
+        self._engines = engines
+        self._occupancy = occupancy
+
+    async def look(self, service: str) -> None:
+        """Ask all engines of a service that get work."""
+        targets = self._context.directory.usable(service, self._context.now_seconds())
+        await asyncio.gather(*(self._ask(target) for target in targets))
+
+    async def _ask(self, target: ListedTarget) -> None:
+        report = await self._engines.report(target)
+        if isinstance(report, EngineReport):
+            load = EngineLoad(report.running, report.waiting)
+            self._occupancy.heard(target.instance, load, self._context.now_seconds())
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -17,9 +17,30 @@
     ----------
     calls_through_peers : bool
         Whether a daemon that cannot reach the key-value service asks peers to pass its calls on.
+    leaving_announced : bool
+        Whether a stopping daemon says so, so that its jobs are taken over at once.
+    texts_kept : bool
+        Whether the unfinished long texts of a job are kept for the owner's successor.
+    paces_told : bool
+        Whether daemons tell each other how fast engines are.
+    loads_asked : bool
+        Whether the owner of a new job asks the engines how full they are.
+    fast_engine_first : bool
+        Whether the first engine that loads a version is one of the fast ones.
+    runs_move : bool
+        Whether a run goes on at a faster engine if that gains time.
+    longest_first : bool
+        Whether items start by when they must start; by their order in the job otherwise.
     """
 
     calls_through_peers: bool = True
+    leaving_announced: bool = True
+    texts_kept: bool = True
+    paces_told: bool = True
+    loads_asked: bool = True
+    fast_engine_first: bool = True
+    runs_move: bool = True
+    longest_first: bool = True
 
 
 def read_policy(path: str = POLICY_FILE) -> PolicySettings | SettingsFault:
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -19,6 +19,13 @@
     return GatewayContext(stand_in_settings(name), daemon, StoreContact(daemon.log))
 
 
+class NoLooks:
+    """Asks no engine how full it is."""
+
+    async def look(self, service: str) -> None:
+        return
+
+
 async def break_at_random(
     rng: random.Random,
     calm_seconds: tuple[float, float],
--- a/rackswitch/gateway/version_keeper.py
+++ b/rackswitch/gateway/version_keeper.py
@@ -9,6 +9,7 @@
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.engine_paces import FIRST_PACE_SECONDS, EnginePaces
 from rackswitch.gateway.order_sender import OrderSender, PlannedLoad, service_of_role, version_role
 from rackswitch.platform.orders import OrderClient
 from rackswitch.table import ServiceRow
@@ -79,6 +80,8 @@
         Makes the calls.
     oldest_usable_version : callable
         Returns the oldest version of a model that all open jobs may use.
+    paces : EnginePaces
+        Which engines are slow at present.
     """
 
     __slots__ = (
@@ -86,6 +89,7 @@
         "_loads",
         "_named_at_seconds",
         "_oldest_usable_version",
+        "_paces",
         "_record_read_under",
         "_roles",
         "_sender",
@@ -98,7 +102,9 @@
         roles: RoleKeeper,
         engines: OrderClient,
         oldest_usable_version: Callable[[str], int],
+        paces: EnginePaces,
     ):
+        self._paces = paces
         self._oldest_usable_version = oldest_usable_version
         self._context = context
         self._roles = roles
@@ -214,7 +220,10 @@
             target.instance: target
             for target in self._context.directory.usable(row.name, now_seconds)
         }
-        carriers = [CarrierView(target.instance, target.versions) for target in listed.values()]
+        carriers = [
+            CarrierView(name, target.versions, self._pace_seconds(name))
+            for name, target in listed.items()
+        ]
         loads = self._loads.setdefault(row.name, _ServiceLoads())
         under_way = loads.loading(now_seconds)
         planned = plan_service_loads(needs, carriers, loads.state, under_way, now_seconds)
@@ -225,6 +234,12 @@
             for load in planned
         ]
 
+    def _pace_seconds(self, instance: str) -> float:
+        """Return an engine's pace, the same for all where it is not to be looked at."""
+        if not self._context.policy.fast_engine_first:
+            return FIRST_PACE_SECONDS
+        return self._paces.get(instance, self._context.now_seconds())
+
     def _need(self, model: str) -> ModelNeed | None:
         """Return what is known of a model's versions; None if none was named."""
         newest = self._context.named_versions.get(model, 0)
--- a/rackswitch/gateway/watching.py
+++ b/rackswitch/gateway/watching.py
@@ -12,6 +12,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.copies import PrefixCopy
 from rackswitch.gateway.copy_messages import add_news, changes_in
+from rackswitch.gateway.engine_paces import EnginePaces
 from rackswitch.gateway.followers import FollowChoice
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
@@ -53,11 +54,16 @@
         The daemon.
     handlers : dict of str to CopyHandlers
         Who is told, by prefix.
+    paces : EnginePaces
+        Told along with the copies, both ways.
     """
 
-    __slots__ = ("_choice", "_context", "_handlers", "_wake", "copies")
+    __slots__ = ("_choice", "_context", "_handlers", "_paces", "_wake", "copies")
 
-    def __init__(self, context: GatewayContext, handlers: dict[str, CopyHandlers]):
+    def __init__(
+        self, context: GatewayContext, handlers: dict[str, CopyHandlers], paces: EnginePaces
+    ):
+        self._paces = paces
         self._context = context
         self._handlers = handlers
         self._choice = FollowChoice(context.settings.daemon)
@@ -147,7 +153,11 @@
             pb.CopyPosition(prefix=copy.prefix, revision=copy.revision)
             for copy in self.copies.values()
         ]
-        request = pb.FollowRequest(positions=positions, wait_ms=round(FOLLOW_WAIT_SECONDS * 1000))
+        request = pb.FollowRequest(
+            positions=positions,
+            wait_ms=round(FOLLOW_WAIT_SECONDS * 1000),
+            paces=self._paces_to_tell(),
+        )
         reply = await self._context.daemon.links.call(
             peer,
             lambda stub: stub.Follow,
@@ -161,6 +171,7 @@
             self._choice.failed(name, now_seconds)
             self._context.log.write(CannotFollow(daemon_asked=name, reason=reason))
             return False
+        self._paces.hear(reply.paces, now_seconds)
         if self._choice.succeeded(name):
             self._context.log.write(Follows(daemon_followed=name))
         return True
@@ -192,10 +203,16 @@
         copy.apply(changes)
         self._tell(copy, changes)
 
+    def _paces_to_tell(self) -> list[pb.EnginePace]:
+        if not self._context.policy.paces_told:
+            return []
+        return self._paces.to_tell(self._context.now_seconds())
+
     # For other daemons
 
     async def serve(self, request: pb.FollowRequest) -> pb.FollowReply:
         """Answer a follower: at once if it misses something, else after its wait."""
+        self._paces.hear(request.paces, self._context.now_seconds())
         if self._choice.is_following or not self.is_complete:
             return pb.FollowReply(refused=True)
         revisions = {position.prefix: position.revision for position in request.positions}
@@ -207,7 +224,7 @@
             except TimeoutError:
                 break
         now_seconds = self._context.now_seconds()
-        reply = pb.FollowReply()
+        reply = pb.FollowReply(paces=self._paces_to_tell())
         for prefix, revision in revisions.items():
             if prefix in self.copies:
                 add_news(reply, self.copies[prefix], revision, now_seconds)
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -6,6 +6,8 @@
 from rackswitch.jobs.ledger import __all__ as _ledger_all
 from rackswitch.jobs.messages import *  # noqa: F403
 from rackswitch.jobs.messages import __all__ as _messages_all
+from rackswitch.jobs.occupancy import *  # noqa: F403
+from rackswitch.jobs.occupancy import __all__ as _occupancy_all
 from rackswitch.jobs.orphans import *  # noqa: F403
 from rackswitch.jobs.orphans import __all__ as _orphans_all
 from rackswitch.jobs.progress import *  # noqa: F403
@@ -21,6 +23,7 @@
     *_checkpoints_all,
     *_ledger_all,
     *_messages_all,
+    *_occupancy_all,
     *_orphans_all,
     *_progress_all,
     *_retention_all,
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -20,6 +20,14 @@
 """Part of its length so far that a text is taken to still lack once it is longer than
 expected: lengths have a heavy tail."""
 
+RUN_COST_SHARE = 0.01
+"""By how much each run at an engine slows the others there. An engine's step takes 0.52 % more
+with each request of a batch, by its data sheet, and about as much again for the text that a
+usual request has read and made."""
+
+USUAL_RUN_SECONDS = 0.9
+"""How long a run takes on average; a full engine is through with one each slot's share of it."""
+
 USUAL_SECONDS_PER_PIECE = 0.04
 """Pace of an engine that is neither slow nor overfull; only weighs lengths against deadlines."""
 
@@ -32,6 +40,10 @@
     ----------
     free_slots : int
         Runs that may begin there now.
+    slots : int
+        Runs that it works on at once.
+    runs : int
+        Runs that are there already, of all daemons, as far as the owner knows.
     seconds_per_piece : float
         Smoothed time between the events of one stream there.
     versions : dict of str to int
@@ -43,6 +55,23 @@
     free_slots: int
     seconds_per_piece: float
     versions: dict[str, int]
+    slots: int = 0
+    runs: int = 0
+
+    def begin(self) -> None:
+        """Count one more run in."""
+        self.free_slots -= 1
+        self.runs += 1
+
+    def expected_seconds_per_piece(self) -> float:
+        """Return the pace that one more run would have there."""
+        return self.seconds_per_piece * (1 + RUN_COST_SHARE * self.runs)
+
+    def expected_seconds(self, pieces: float) -> float:
+        """Return how long one more run would take there, with its wait for a slot."""
+        queued = max(0, self.runs + 1 - self.slots) if self.slots else 0
+        wait_seconds = queued * USUAL_RUN_SECONDS / max(1, self.slots)
+        return wait_seconds + pieces * self.expected_seconds_per_piece()
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,14 +121,16 @@
     due_seconds: dict[str, float],
     now_seconds: float,
     forecast: LengthForecast | None = None,
+    longest_first: bool = True,
 ) -> list[ItemStart]:
     """Decide which waiting items start at which engines.
 
     An item whose run broke goes on before others begin. Then goes the one that must start
     earliest to be whole when its job is due, over all jobs: what a step waits for in the end
     is its longest texts, and a long text of a later job cannot wait for the short ones of an
-    earlier job. Each goes to the fastest engine that has room, since an engine's pace hardly
-    depends on how many run there.
+    earlier job. Each goes to the engine that has room and will probably be through with it
+    first: a long text to a fast engine, also if it has to wait there, a short one to one that
+    is not full.
 
     Parameters
     ----------
@@ -113,6 +144,8 @@
         Monotonic clock.
     forecast : LengthForecast, optional
         How long texts become; a fresh one by default.
+    longest_first : bool, optional
+        Whether an item's length counts in when it must start.
 
     Returns
     -------
@@ -121,7 +154,11 @@
     """
     lengths = forecast or LengthForecast()
     waiting = [
-        (_rank(progress, due_seconds[ledger.job.job_id], lengths), ledger, progress)
+        (
+            _rank(progress, due_seconds[ledger.job.job_id], lengths if longest_first else None),
+            ledger,
+            progress,
+        )
         for ledger in ledgers
         if ledger.job.job_id in service_of
         for progress in ledger.waiting(now_seconds)
@@ -134,25 +171,31 @@
         wanted = (service, ledger.job.model, ledger.job.oldest_version)
         if wanted in full:
             continue
-        engine = _best_engine(engines, service, ledger, progress)
+        pieces = lengths.remaining_pieces(progress)
+        engine = _best_engine(engines, service, ledger, progress, pieces)
         if engine is None:
             full.add(wanted)
             continue
-        engine.free_slots -= 1
+        engine.begin()
         starts.append(ItemStart(ledger, progress, engine.instance))
     return starts
 
 
 def _rank(
-    progress: ItemProgress, due_seconds: float, forecast: LengthForecast
+    progress: ItemProgress, due_seconds: float, forecast: LengthForecast | None
 ) -> tuple[bool, float]:
     """Return an item's place: whether it is new, and when it must start at the latest."""
-    work_seconds = forecast.remaining_pieces(progress) * USUAL_SECONDS_PER_PIECE
+    pieces = forecast.remaining_pieces(progress) if forecast is not None else 0.0
+    work_seconds = pieces * USUAL_SECONDS_PER_PIECE
     return (progress.run_number == 0, due_seconds - work_seconds)
 
 
 def _best_engine(
-    rooms: list[EngineRoom], service: str, ledger: JobLedger, progress: ItemProgress
+    rooms: list[EngineRoom],
+    service: str,
+    ledger: JobLedger,
+    progress: ItemProgress,
+    pieces: float,
 ) -> EngineRoom | None:
     fit = [
         room
@@ -167,7 +210,7 @@
         fit,
         key=lambda room: (
             room.instance == progress.avoid,
-            room.seconds_per_piece,
+            room.expected_seconds(pieces),
             -room.free_slots,
         ),
     )
@@ -180,8 +223,9 @@
         if room.free_slots <= 0:
             continue
         known = spare.get(room.service)
-        if known is None or room.seconds_per_piece < known.seconds_per_piece:
+        pace_seconds = room.expected_seconds_per_piece()
+        if known is None or pace_seconds < known.seconds_per_piece:
             spare[room.service] = SpareRoom(
-                room.instance, room.seconds_per_piece, room.free_slots, room.versions
+                room.instance, pace_seconds, room.free_slots, room.versions
             )
     return spare
--- a/rackswitch/jobs/stragglers.py
+++ b/rackswitch/jobs/stragglers.py
@@ -17,13 +17,13 @@
 LEAST_GAPS = 5
 """Before so many gaps nothing is said of a run's pace: a fifth of a second at a usual one."""
 
-MOVE_RATIO = 1.7
-"""How many times slower than elsewhere a run must be. Engines of one service differ by up to
-1.3 on a calm day, and a faulty one is three times slower or more."""
+MOVE_RATIO = 1.15
+"""How many times slower than elsewhere a run must be at least. Engines of one service differ by
+up to 1.3 on a calm day; less than half of that may be chance."""
 
-LEAST_REMAINING_PIECES = 10.0
-"""A move costs a few pieces' time (a new connection, the prompt, a slot), so a text that
-probably ends soon stays."""
+MOVE_COST_SECONDS = 0.2
+"""What a move takes: a new connection, the prompt and the text so far read once more, and a
+place in a batch. A run stays unless it gains more than that."""
 
 MOST_MOVES = 3
 """Moves of one item, so that a wrong belief about paces does not send it round."""
@@ -99,6 +99,7 @@
         return False
     if spare.instance == instance or moves >= MOST_MOVES:
         return False
-    if remaining_pieces < LEAST_REMAINING_PIECES:
+    if run_seconds_per_piece <= MOVE_RATIO * spare.seconds_per_piece:
         return False
-    return run_seconds_per_piece > MOVE_RATIO * spare.seconds_per_piece
+    gain_seconds = remaining_pieces * (run_seconds_per_piece - spare.seconds_per_piece)
+    return gain_seconds > MOVE_COST_SECONDS
--- a/rackswitch/jobs/tests/test_schedule.py
+++ b/rackswitch/jobs/tests/test_schedule.py
@@ -10,6 +10,7 @@
     plan_starts,
     spare_rooms,
 )
+from rackswitch.jobs.schedule import FIRST_PIECES_PER_TOKEN
 from rackswitch.jobs.tests.support import make_item, make_job
 from rackswitch.leases import rank_candidates
 
@@ -38,6 +39,26 @@
     assert starts == [("i1", "fast"), ("i2", "slow"), ("i0", "slow")]
 
 
+def test_long_texts_are_spread_over_engines_of_one_speed():
+    starts = plan([ledger_of([900] * 6)], [room("a", 12), room("b", 12), room("slow", 12, 0.065)])
+    assert sorted(instance for _, instance in starts) == ["a", "a", "a", "b", "b", "b"]
+
+
+def test_a_fast_engine_that_is_well_filled_still_goes_before_a_slow_one():
+    starts = plan(
+        [ledger_of([900])],
+        [room("slow", 12, 0.065), EngineRoom("fast", "s", 1, 0.05, {"m": 1}, runs=11)],
+    )
+    assert starts == [("i0", "fast")]
+
+
+def test_a_full_engine_gets_a_text_only_if_waiting_there_is_faster():
+    full = EngineRoom("full", "s", 12, 0.04, {"m": 1}, slots=12, runs=18)
+    slower = EngineRoom("slower", "s", 12, 0.05, {"m": 1}, slots=12)
+    lengths = [20 / FIRST_PIECES_PER_TOKEN, 200 / FIRST_PIECES_PER_TOKEN]
+    assert plan([ledger_of(lengths)], [full, slower]) == [("i1", "full"), ("i0", "slower")]
+
+
 def test_no_engine_gets_more_than_it_has_room_for():
     starts = plan([ledger_of([1] * 10)], [room("a", 2), room("b", 3)])
     assert len(starts) == 5
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -10,7 +10,7 @@
 from yarl import URL
 
 from rackswitch.clients.http import NOT_SENT_ERRORS
-from rackswitch.jobs import JobItem, TextPiece
+from rackswitch.jobs import EngineLoad, JobItem, TextPiece
 from rackswitch.platform.answers import refusal_or_fault
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.events import EventParser
@@ -18,6 +18,7 @@
     EXPECT_INSTANCE_HEADER,
     LAST_EVENT_HEADER,
     REQUEST_ID_HEADER,
+    SERVER_LOAD_HEADER,
     URGENCY_HEADER,
     VERSIONS_HEADER,
 )
@@ -95,7 +96,7 @@
         request: ItemRequest,
         first_patience_seconds: float,
         next_patience_seconds: float,
-    ) -> AsyncIterator[TextPiece | ItemRunEnded]:
+    ) -> AsyncIterator[EngineLoad | TextPiece | ItemRunEnded]:
         """Run an item; closing the iterator ends the engine's work.
 
         Parameters
@@ -110,8 +111,8 @@
 
         Yields
         ------
-        TextPiece or ItemRunEnded
-            The pieces in order, then how the run ended.
+        EngineLoad, TextPiece or ItemRunEnded
+            The engine's load, if it tells it, the pieces in order, then how the run ended.
         """
         headers = _run_headers(target, request)
         url = URL(target.url + request.item.path, encoded=True)
@@ -123,6 +124,9 @@
                     url, data=request.item.body, headers=headers, allow_redirects=False
                 ) as answer,
             ):
+                load = _load_of(answer)
+                if load is not None:
+                    yield load
                 parser = _event_parser(answer, request.item.item_id)
                 if isinstance(parser, ItemRunEnded):
                     # What may still come on the connection belongs to nobody.
@@ -157,6 +161,14 @@
     return headers
 
 
+def _load_of(answer: aiohttp.ClientResponse) -> EngineLoad | None:
+    """Return the load that an engine tells with an answer, or None."""
+    numbers = answer.headers.get(SERVER_LOAD_HEADER, "").split(",")
+    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+        return None
+    return EngineLoad(running=int(numbers[0]), waiting=int(numbers[1]))
+
+
 def _event_parser(answer: aiohttp.ClientResponse, item_id: str) -> EventParser | ItemRunEnded:
     """Return what reads an answer's events, or why it brings none."""
     ended = _item_refusal(answer, item_id)
--- a/rackswitch/platform/names.py
+++ b/rackswitch/platform/names.py
@@ -12,6 +12,7 @@
     "RETIRE_PREFIX",
     "RETIRE_STATUS_PREFIX",
     "SERVERS_PREFIX",
+    "SERVER_LOAD_HEADER",
     "SETTINGS_VARIABLE",
     "STAMP_HEADER",
     "URGENCY_HEADER",
@@ -31,6 +32,8 @@
 VERSIONS_HEADER = "X-Rackswitch-Weight-Versions"
 """One number in spite of its name: the version that makes the answer's first event."""
 URGENCY_HEADER = "X-Rackswitch-Request-Urgency"
+SERVER_LOAD_HEADER = "X-Rackswitch-Server-Load"
+"""Three numbers: requests running, requests waiting, slots."""
 LENGTH_HINT_HEADER = "X-Rackswitch-Length-Hint"
 LAST_EVENT_HEADER = "Last-Event-Id"
 WAIT_HEADER = "X-Rackswitch-Wait-Ms"
--- a/rackswitch/platform/tests/test_item_runs.py
+++ b/rackswitch/platform/tests/test_item_runs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rackswitch.jobs import JobItem, TextPiece
+from rackswitch.jobs import EngineLoad, JobItem, TextPiece
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
 from rackswitch.platform.tests.support import raw_target
@@ -96,3 +96,19 @@
     pieces, ended, _ = asyncio.run(run_with(answer, after_piece=after_piece))
     assert ended.end is end, ended
     assert pieces == []
+
+
+@pytest.mark.parametrize(
+    ("header", "load"),
+    [
+        (b"X-Rackswitch-Server-Load: 3,1,8\r\n", EngineLoad(3, 1)),
+        (b"X-Rackswitch-Server-Load: 3, 1, 8\r\n", EngineLoad(3, 1)),
+        (b"X-Rackswitch-Server-Load: 3,1\r\n", None),
+        (b"X-Rackswitch-Server-Load: a,b,c\r\n", None),
+        (b"", None),
+    ],
+)
+def test_an_engines_load_comes_with_its_answer(header, load):
+    answer = HEAD + header + b"\r\n" + EVENT
+    pieces, _, _ = asyncio.run(run_with(answer))
+    assert [piece for piece in pieces if isinstance(piece, EngineLoad)] == ([load] if load else [])
--- a/rackswitch/weights/service_plan.py
+++ b/rackswitch/weights/service_plan.py
@@ -33,6 +33,15 @@
 others serve on."""
 
 
+FAULTY_FACTOR = 1.7
+"""How many times slower than the fastest an engine is that has a fault: it loads last. Engines
+of one service differ by up to 1.3 on a calm day, and a faulty one is three times slower."""
+
+SLOWER_FACTOR = 1.15
+"""From how many times slower on an engine is not one of the fast ones: half of what engines of
+one service differ by."""
+
+
 def loads_at_once(engines: int) -> int:
     """Return how many of a service's engines may load at the same time."""
     return max(LEAST_LOADING, int(engines * LOADING_SHARE))
@@ -76,13 +85,13 @@
 
     Attributes
     ----------
-    is_slow : bool
-        Whether it was seen to be much slower than others; it loads last.
+    seconds_per_piece : float
+        How fast it makes texts, in any unit that all engines share.
     """
 
     name: str
     versions: dict[str, int]
-    is_slow: bool = False
+    seconds_per_piece: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +110,18 @@
     versions: dict[str, dict[str, int]]
     busy: set[str]
 
+    def times_slower(self, engine: CarrierView) -> float:
+        """Return how many times slower than the fastest an engine is."""
+        return engine.seconds_per_piece / min(e.seconds_per_piece for e in self.engines)
+
+    def has_fast(self, model: str, version: int) -> bool:
+        """Return whether a fast engine has or will have a version."""
+        having = set(self.having(model, version))
+        return any(
+            engine.name in having and self.times_slower(engine) <= SLOWER_FACTOR
+            for engine in self.engines
+        )
+
     def having(self, model: str, version: int) -> list[str]:
         """Return the engines that have or will have a version, or a newer one."""
         return [name for name, has in self.versions.items() if has.get(model, 0) >= version]
@@ -214,10 +235,13 @@
     """Return the engine that should load a model's newest version, or None.
 
     One that cannot run the model's open jobs goes before one that can, as an engine that
-    loads refuses new runs; of those that can, one must stay.
+    loads refuses new runs; of those that can, one must stay. The first one of a version is a
+    fast one, as a step is whole with its longest text: with engines that differ by 1.3 the last
+    text of every fourth step ran at a slow one and took 0.4 s a step longer on average.
     """
     usable = [e for e in fleet.having(need.model, need.usable_from) if e not in fleet.busy]
-    best: tuple[tuple[bool, bool, int, int, str], str] | None = None
+    wants_fast = not fleet.has_fast(need.model, need.newest)
+    best: tuple[tuple[bool, bool, bool, int, int, str], str] | None = None
     for engine in fleet.engines:
         name = engine.name
         has = fleet.versions[name].get(need.model, 0)
@@ -229,7 +253,9 @@
         if serves and len(usable) == 1 and len(fleet.engines) > 1:
             continue
         current = sum(fleet.versions[name].get(n.model, 0) >= n.newest for n in needs)
-        place = (serves, engine.is_slow, current, has, name)
+        slower = fleet.times_slower(engine)
+        passed_over = wants_fast and slower > SLOWER_FACTOR
+        place = (serves, slower > FAULTY_FACTOR, passed_over, current, has, name)
         if best is None or place < best[0]:
             best = (place, name)
     return best[1] if best is not None else None
