Jobs: left jobs in a module of their own; a move asks once whether there is room

Change: `LeftJobs` keeps what is there of jobs that another daemon claimed; `_moves` looks at the spare room once; a job without a route takes the ledger's own default of failures.

--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -154,15 +154,14 @@
             return False
         spare = self.spare.get(target.service)
         job = ledger.job
-        if spare is not None and spare.versions.get(job.model, 0) < job.oldest_version:
+        if spare is None or spare.versions.get(job.model, 0) < job.oldest_version:
             return False
         remaining = self.forecast.remaining_pieces(progress)
         pace = gaps.seconds_per_piece()
         if not should_move(pace, spare, target.instance, remaining, progress.moves):
             return False
         progress.moves += 1
-        if spare is not None:
-            spare.free_slots -= 1
+        spare.free_slots -= 1
         return True
 
     def _take_piece(
--- a/rackswitch/gateway/jobs/job_keeper.py
+++ b/rackswitch/gateway/jobs/job_keeper.py
@@ -4,7 +4,6 @@
 import contextlib
 import time
 from collections.abc import Coroutine
-from dataclasses import dataclass
 from typing import Any
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable
@@ -23,6 +22,7 @@
 )
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
+from rackswitch.gateway.jobs.left_jobs import LeftJobs
 from rackswitch.gateway.jobs.owned_job import OwnedJob, new_owned_job
 from rackswitch.gateway.jobs.result_appender import ResultAppender
 from rackswitch.gateway.store.session import Session
@@ -38,20 +38,6 @@
 """How long an answer may lag behind the watch that shows what was written."""
 
 
-LEFT_SECONDS = 3.0
-"""How long the texts of a job are kept that another daemon was seen to own: that one asks for
-them within the time of a few calls, but a slow service may take a second for each."""
-
-
-@dataclass(frozen=True, slots=True)
-class _LeftJob:
-    """A job that this daemon worked on until another one claimed it."""
-
-    owner_revision: int
-    leaving: asyncio.Task[JobCheckpoint]
-    forget_at_seconds: float
-
-
 class JobKeeper:
     """Owns jobs: starts their items, keeps their results, takes over and hands over.
 
@@ -111,7 +97,7 @@
         self.known = KnownJobs()
         self._checkpoints = JobCheckpoints(context, store, self.known)
         self.owned: dict[str, OwnedJob] = {}
-        self._left: dict[str, _LeftJob] = {}
+        self._left = LeftJobs()
         self._owner_starts: dict[str, float | None] = {}
 
     # What the key-value service tells
@@ -201,10 +187,7 @@
         owned = self.owned.get(job_id)
         if owned is not None and owned.owner_revision < owner_revision:
             self._leave_behind(job_id, owned)
-        left = self._left.get(job_id)
-        if left is None or left.owner_revision >= owner_revision:
-            return None
-        return await asyncio.shield(left.leaving)
+        return await self._left.texts_for(job_id, owner_revision)
 
     # Work
 
@@ -217,7 +200,7 @@
             self._wake.clear()
             if self._context.daemon.stopping:
                 continue
-            self._forget_left()
+            self._left.expire(self._context.now_seconds())
             self._claim_orphans()
             self._starter.start_items(self.owned)
             self._checkpoints.keep_due(self.owned.values())
@@ -245,17 +228,8 @@
 
     def _leave_behind(self, job_id: str, owned: OwnedJob) -> None:
         """Leave a job that another daemon owns now, and keep its texts until that one asks."""
-        now_seconds = self._context.now_seconds()
         leaving = self._context.daemon.spawn(self._leave(owned, "taken over"))
-        forget_at_seconds = now_seconds + LEFT_SECONDS
-        self._left[job_id] = _LeftJob(owned.owner_revision, leaving, forget_at_seconds)
-
-    def _forget_left(self) -> None:
-        now_seconds = self._context.now_seconds()
-        for job_id in [
-            j for j, left in self._left.items() if now_seconds >= left.forget_at_seconds
-        ]:
-            del self._left[job_id]
+        self._left.left(job_id, owned.owner_revision, leaving, self._context.now_seconds())
 
     def _own(self, job: Job, owner_revision: int, listed: list[JobResult]) -> OwnedJob:
         route = self._context.routes.find(job.host, job.path)
--- /dev/null
+++ b/rackswitch/gateway/jobs/left_jobs.py
@@ -0,0 +1,63 @@
+"""Texts of jobs that this daemon worked on until another one claimed them."""
+
+import asyncio
+from dataclasses import dataclass
+
+from rackswitch.jobs import JobCheckpoint
+
+__all__ = ["LeftJobs"]
+
+LEFT_SECONDS = 3.0
+"""How long the texts of a job are kept that another daemon was seen to own: that one asks for
+them within the time of a few calls, but a slow service may take a second for each."""
+
+
+@dataclass(frozen=True, slots=True)
+class _LeftJob:
+    owner_revision: int
+    leaving: asyncio.Task[JobCheckpoint]
+    forget_at_seconds: float
+
+
+class LeftJobs:
+    """Keeps what was there of each left job until its new owner has had time to ask."""
+
+    __slots__ = ("_left",)
+
+    def __init__(self) -> None:
+        self._left: dict[str, _LeftJob] = {}
+
+    def left(
+        self,
+        job_id: str,
+        owner_revision: int,
+        leaving: asyncio.Task[JobCheckpoint],
+        now_seconds: float,
+    ) -> None:
+        """Note that a job is being left.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        owner_revision : int
+            Of the claim under which this daemon worked on it.
+        leaving : asyncio.Task
+            Brings what is there of the job once its runs have ended.
+        now_seconds : float
+            Monotonic clock.
+        """
+        self._left[job_id] = _LeftJob(owner_revision, leaving, now_seconds + LEFT_SECONDS)
+
+    async def texts_for(self, job_id: str, owner_revision: int) -> JobCheckpoint | None:
+        """Return what is there of a job, for the owner by a later claim; None for others."""
+        left = self._left.get(job_id)
+        if left is None or left.owner_revision >= owner_revision:
+            return None
+        return await asyncio.shield(left.leaving)
+
+    def expire(self, now_seconds: float) -> None:
+        """Forget jobs whose new owner has had its time."""
+        over = [job for job, left in self._left.items() if now_seconds >= left.forget_at_seconds]
+        for job_id in over:
+            del self._left[job_id]
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -8,9 +8,6 @@
 
 __all__ = ["OwnedJob", "new_owned_job"]
 
-UNROUTED_MOST_FAILURES = 3
-"""Failures that end an item of a job whose route is unknown; the ledger's own default."""
-
 UNROUTED_KEEP_SECONDS = 3600.0
 """How long a job is kept whose route is unknown; as long as a route that does not say."""
 
@@ -72,7 +69,7 @@
         When the job was submitted (monotonic).
     """
     if route is None:
-        ledger = JobLedger(job, listed, most_failures=UNROUTED_MOST_FAILURES)
+        ledger = JobLedger(job, listed)
         keep_until_seconds = begun_seconds + UNROUTED_KEEP_SECONDS
         return OwnedJob(ledger, owner_revision, begun_seconds, keep_until_seconds)
     ledger = JobLedger(
