Spreading: one daemon watches the service, the others follow it along a tree

Cause: two daemons, the first by name, watched the key-value service, and every other one followed one of these: at 165 daemons 163 followed the same one (0.34 of a core at the most, mean 0.033).

Ruled out: one watch over all prefixes (there is no common prefix without the jobs' results), longer watches (a silent one shows only by its end, and a change must be in force within 2 s).

Change: `rackswitch.spread` decides who follows whom (zones first, room before a hash of the name, FAN_OUT followers, a second source known beforehand) and when a daemon watches by itself. The age of the service's word is told truly at every step, and each round of the root's watches passes down at once. A watch that broke goes on from its revision; only lost history is read anew. Changes are gathered for 0.05 s. A daemon learns who is there from a reading that may be old (a tenth of a call), and gets the rest from its source. While the service is away one prefix is tried, not three.

A test that passes on the age of what is passed on, one of daemons that follow each other in a ring, and one in which the root dies.

--- a/rackswitch/clients/kv.py
+++ b/rackswitch/clients/kv.py
@@ -179,9 +179,25 @@
     calls: int
 
     async def read(
-        self, key: str, is_prefix: bool = False, keys_only: bool = False
+        self,
+        key: str,
+        is_prefix: bool = False,
+        keys_only: bool = False,
+        may_be_stale: bool = False,
     ) -> KvRead | KvUnavailable:
-        """Read one key, or all under a prefix; with `keys_only` revisions without values."""
+        """Read one key, or all under a prefix.
+
+        Parameters
+        ----------
+        key : str
+            The key or prefix.
+        is_prefix : bool
+            Whether all keys under a prefix are meant.
+        keys_only : bool
+            Whether revisions without values are enough.
+        may_be_stale : bool
+            Whether the state of some seconds ago is good enough, which costs the service less.
+        """
         ...
 
     async def read_from(self, prefix: str, after_key: str) -> KvRead | KvUnavailable:
@@ -315,12 +331,18 @@
         self.calls = 0
 
     async def read(
-        self, key: str, is_prefix: bool = False, keys_only: bool = False
+        self,
+        key: str,
+        is_prefix: bool = False,
+        keys_only: bool = False,
+        may_be_stale: bool = False,
     ) -> KvRead | KvUnavailable:
         """Read one key, or all under a prefix; with `keys_only` revisions without values."""
         body: dict[str, Any] = {"key": _text(key)}
         if keys_only:
             body["keys_only"] = True
+        if may_be_stale:
+            body["serializable"] = True
         if is_prefix:
             body["range_end"] = _text(prefix_end(key))
         return await self._range(body)
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -47,6 +47,8 @@
         The same of all members, by name.
     member_addresses : dict of str to MemberUpdate
         Where each daemon was last heard of, also after its entry has gone.
+    member_rooms : dict of str to float
+        Share of a processor that each daemon's VM has, as far as it tells.
     list_confirmed_at_seconds : float
         When (monotonic) the service last vouched for the list of targets.
     connection_limits : ConnectionLimits
@@ -66,6 +68,7 @@
     process_started_unix_seconds: float = field(default_factory=time.time)
     process_starts: dict[str, float] = field(default_factory=dict)
     member_addresses: dict[str, MemberUpdate] = field(default_factory=dict)
+    member_rooms: dict[str, float] = field(default_factory=dict)
 
     @property
     def kv(self) -> KvClient:
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -120,9 +120,11 @@
             SERVERS_PREFIX: self.state.target_handlers(),
             CONTROL_PREFIX: control.handlers(),
         }
-        self.copies = CopyKeeper(self.context, handlers, paces)
+        self.copies = CopyKeeper(self.context, handlers, paces, CONTROL_PREFIX)
         passed_on = PassedOnCalls(self.context, made.relay)
-        self._peers = GatewayPeersService(self.context, self.copies, reader, self.jobs, passed_on)
+        self._peers = GatewayPeersService(
+            self.context, self.copies.server, reader, self.jobs, passed_on
+        )
         edge = CallerEdge(
             self.context,
             CallEdge(self.context, self.front),
--- a/rackswitch/gateway/peer_service.py
+++ b/rackswitch/gateway/peer_service.py
@@ -8,8 +8,8 @@
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
 from rackswitch.gateway.jobs.job_reader import JobReader, ResultsPage
 from rackswitch.gateway.jobs.job_records import pack_checkpoint, pack_results
+from rackswitch.gateway.store.peer_copies import CopyServer
 from rackswitch.gateway.store.store_relay import PassedOnCalls
-from rackswitch.gateway.store.watching import CopyKeeper
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersBase
 
@@ -23,7 +23,7 @@
     ----------
     context : GatewayContext
         The daemon.
-    copies : CopyKeeper
+    copies : CopyServer
         What followers ask for.
     reader : JobReader
         Results of the jobs owned here.
@@ -36,7 +36,7 @@
     def __init__(
         self,
         context: GatewayContext,
-        copies: CopyKeeper,
+        copies: CopyServer,
         reader: JobReader,
         jobs: JobKeeper,
         passed_on: PassedOnCalls,
--- a/rackswitch/gateway/store/control_entries.py
+++ b/rackswitch/gateway/store/control_entries.py
@@ -4,8 +4,8 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
 from rackswitch.gateway.jobs.job_records import JOBS_PREFIX, OWNERS_PREFIX
+from rackswitch.gateway.store.copy_set import CopyHandlers
 from rackswitch.gateway.store.session import MEMBERS_PREFIX, decode_member, member_address, vm_entry
-from rackswitch.gateway.store.watching import CopyHandlers
 from rackswitch.gateway.versions.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.membership import VmEntry
 
@@ -67,6 +67,7 @@
         self._members[name] = vm_entry(name, member)
         self._context.process_starts[name] = member.started_at_unix_seconds
         self._context.member_addresses[name] = member_address(name, member)
+        self._context.member_rooms[name] = member.processor_share
 
     def _members_changed(self) -> None:
         membership = self._context.daemon.membership
--- /dev/null
+++ b/rackswitch/gateway/store/copy_set.py
@@ -0,0 +1,94 @@
+"""The copies of all followed prefixes, and the signals by which others learn of changes."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from rackswitch.clients.kv import KvEntry, WatchNews
+from rackswitch.gateway.store.copies import PrefixCopy
+
+__all__ = ["CopyHandlers", "CopySet"]
+
+CONFIRMED_STEP_SECONDS = 0.5
+"""By how much newer the service's word must be before daemons that wait for news are told it
+without any: somewhat less than a watch's time, so that they hear of each round of watches once,
+and the word is hardly older at the last step of the tree than at the first."""
+
+
+@dataclass(frozen=True, slots=True)
+class CopyHandlers:
+    """Who is told of changes under a prefix, and of when the service last vouched for it."""
+
+    on_put: Callable[[KvEntry], None]
+    on_deleted: Callable[[str], None]
+    on_confirmed: Callable[[float], None] = lambda at_seconds: None
+
+
+class CopySet:
+    """The copies of one daemon.
+
+    Parameters
+    ----------
+    handlers : dict of str to CopyHandlers
+        Who is told, by prefix.
+
+    Attributes
+    ----------
+    by_prefix : dict of str to PrefixCopy
+        The copies.
+    told : asyncio.Event
+        Set when there is news for others, and replaced then.
+    rounds : int
+        How often the service's word for all copies became newer by a step.
+    """
+
+    __slots__ = ("_handlers", "_round_seconds", "by_prefix", "rounds", "told")
+
+    def __init__(self, handlers: dict[str, CopyHandlers]):
+        self._handlers = handlers
+        self.by_prefix = {prefix: PrefixCopy(prefix) for prefix in handlers}
+        self.told = asyncio.Event()
+        self.rounds = 0
+        self._round_seconds = float("-inf")
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the service has vouched for every copy, directly or through others."""
+        return self.oldest_confirmed_seconds() > float("-inf")
+
+    def oldest_confirmed_seconds(self) -> float:
+        """Return when (monotonic) the service vouched for the copy that it did longest ago."""
+        return min(copy.confirmed_at_seconds for copy in self.by_prefix.values())
+
+    def take_reading(self, prefix: str, entries: Iterable[KvEntry], revision: int) -> None:
+        """Take in all entries under a prefix."""
+        self._tell(prefix, self.by_prefix[prefix].replace(entries, revision))
+
+    def take_news(self, prefix: str, news: WatchNews) -> None:
+        """Take in changes under a prefix."""
+        self.by_prefix[prefix].apply(news)
+        self._tell(prefix, news)
+
+    def confirm(self, prefix: str, at_seconds: float) -> None:
+        """Note that the service vouched for a copy at a moment (monotonic)."""
+        copy = self.by_prefix[prefix]
+        copy.confirmed_at_seconds = max(copy.confirmed_at_seconds, at_seconds)
+        self._handlers[prefix].on_confirmed(copy.confirmed_at_seconds)
+        oldest_seconds = self.oldest_confirmed_seconds()
+        if oldest_seconds >= self._round_seconds + CONFIRMED_STEP_SECONDS:
+            self._round_seconds = oldest_seconds
+            self.rounds += 1
+            self._wake_all()
+
+    def _tell(self, prefix: str, news: WatchNews) -> None:
+        handlers = self._handlers[prefix]
+        for entry in news.entries:
+            handlers.on_put(entry)
+        for key in news.deleted:
+            handlers.on_deleted(key)
+        if news.entries or news.deleted:
+            self._wake_all()
+
+    def _wake_all(self) -> None:
+        self.told.set()
+        self.told = asyncio.Event()
--- /dev/null
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -0,0 +1,261 @@
+"""Keeping copies current from another daemon, and serving those that do so here."""
+
+import asyncio
+
+from rackswitch.clients.kv import KvUnavailable
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.store.copy_messages import add_news, changes_in
+from rackswitch.gateway.store.copy_set import CopySet
+from rackswitch.gateway.store.service_watch import ServiceWatch
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.gateway_grpc import GatewayPeersStub
+from rackswitch.peers.links import PeerUnreachable
+from rackswitch.spread import FollowChoice, SpreadTree, TreeMember, fresh_seconds
+from rackswitch.telemetry.events import CannotFollow, Follows
+
+__all__ = ["CopyServer", "PeerFollower"]
+
+FOLLOW_WAIT_SECONDS = 0.8
+"""How long a follower's question is held open: somewhat longer than a watch of the service, whose
+round answers it otherwise."""
+
+FOLLOW_SLACK_SECONDS = 0.3
+"""How much later than that an answer may come before the other daemon counts as silent."""
+
+PAUSE_SECONDS = 0.1
+"""Between looks of a daemon that has nobody to ask now: as long as a daemon that is not ready
+is left alone."""
+
+START_LOOKS = 5
+"""Readings of the members, a tenth of a call each, by which a daemon looks for others at its
+start before it takes itself for the only one."""
+
+
+class PeerFollower:
+    """Follows the daemon that the tree names, and has the service watched where it must be.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    copies : CopySet
+        What is kept current.
+    watch : ServiceWatch
+        Switched on while this daemon must watch the service by itself.
+    paces : EnginePaces
+        Told along with the copies, both ways.
+    members_prefix : str
+        The prefix that tells of the other daemons.
+    """
+
+    __slots__ = (
+        "_context",
+        "_copies",
+        "_live",
+        "_members_prefix",
+        "_paces",
+        "_tree",
+        "_watch",
+        "choice",
+        "looked",
+    )
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        copies: CopySet,
+        watch: ServiceWatch,
+        paces: EnginePaces,
+        members_prefix: str,
+    ):
+        self._context = context
+        self._copies = copies
+        self._watch = watch
+        self._paces = paces
+        self._members_prefix = members_prefix
+        self._live: list[tuple[str, str]] = []
+        self._tree = SpreadTree(())
+        self.choice = FollowChoice(float("-inf"))
+        self.looked = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow or watch until cancelled."""
+        await self._look_for_members()
+        self.choice.lost_since_seconds = self._context.now_seconds()
+        while True:
+            await self._step()
+
+    async def _look_for_members(self) -> None:
+        """Learn who else is there, from a reading that may be old: it costs a tenth."""
+        members = self._context.daemon.membership
+        for _ in range(START_LOOKS):
+            read = await self._context.kv.read(
+                self._members_prefix, is_prefix=True, may_be_stale=True
+            )
+            if not isinstance(read, KvUnavailable):
+                self._copies.take_reading(self._members_prefix, read.entries, read.revision)
+            self.looked.set()
+            if len(members.live_zones()) > 1:
+                return
+            await asyncio.sleep(PAUSE_SECONDS * (0.5 + self._context.rng.random()))
+
+    async def _step(self) -> None:
+        """Decide whom to follow now, and ask that daemon once."""
+        tree = self._present_tree()
+        own = self._context.daemon_name
+        sources, level = tree.sources(own), tree.level(own)
+        now_seconds = self._context.now_seconds()
+        if self.choice.followed not in sources:
+            self.choice.stop_following(now_seconds)
+        self._watch.switch(self.choice.must_watch(sources, level, now_seconds))
+        name = self.choice.next_source(sources, now_seconds)
+        if name is None:
+            await self._pause()
+        else:
+            await self.ask(name, level)
+
+    async def _pause(self) -> None:
+        try:
+            async with asyncio.timeout(PAUSE_SECONDS):
+                await self._copies.told.wait()
+        except TimeoutError:
+            return
+
+    def _present_tree(self) -> SpreadTree:
+        live = self._context.daemon.membership.live_zones()
+        if live != self._live:
+            rooms = self._context.member_rooms
+            self._live = live
+            self._tree = SpreadTree(
+                TreeMember(name, zone, rooms.get(name, 0.0)) for name, zone in live
+            )
+        return self._tree
+
+    async def ask(self, name: str, level: int) -> None:
+        """Ask another daemon for what changed, and note how that went.
+
+        One that is followed already holds the question open; a new one answers at once.
+        """
+        peer = self._context.daemon.membership.address(name)
+        if peer is None:
+            self._failed(name, "no address")
+            return
+        wait_seconds = FOLLOW_WAIT_SECONDS if name == self.choice.followed else 0.0
+        reply = await self._context.daemon.links.call(
+            peer,
+            lambda stub: stub.Follow,
+            self._request(wait_seconds),
+            wait_seconds + FOLLOW_SLACK_SECONDS,
+            GatewayPeersStub,
+        )
+        now_seconds = self._context.now_seconds()
+        if isinstance(reply, PeerUnreachable):
+            self._failed(name, reply.detail)
+        elif reply.refused or len(reply.news) < len(self._copies.by_prefix):
+            self.choice.not_ready(name, now_seconds)
+        elif self._take(reply, now_seconds) > fresh_seconds(level):
+            self._failed(name, "not fresh")
+        elif self.choice.succeeded(name):
+            self._context.log.write(Follows(daemon_followed=name))
+
+    def _request(self, wait_seconds: float) -> pb.FollowRequest:
+        positions = [
+            pb.CopyPosition(prefix=copy.prefix, revision=copy.revision)
+            for copy in self._copies.by_prefix.values()
+        ]
+        wait_ms = round(wait_seconds * 1000)
+        return pb.FollowRequest(positions=positions, wait_ms=wait_ms, paces=self._paces_to_tell())
+
+    def _failed(self, name: str, reason: str) -> None:
+        self.choice.failed(name, self._context.now_seconds())
+        self._context.log.write(CannotFollow(daemon_asked=name, reason=reason))
+
+    def _take(self, reply: pb.FollowReply, now_seconds: float) -> float:
+        """Take in a reply; return how old (seconds) the oldest word of the service in it is."""
+        oldest_seconds = 0.0
+        for news in reply.news:
+            copy = self._copies.by_prefix.get(news.prefix)
+            if copy is None:
+                continue
+            if news.revision > copy.revision:
+                self._take_news(news)
+            age_seconds = news.age_ms / 1000
+            # The other daemon's revision may be behind this copy's for a moment, after this
+            # daemon has watched the service itself; its word counts if it is fresh.
+            oldest_seconds = max(oldest_seconds, age_seconds)
+            if news.revision >= copy.revision:
+                self._copies.confirm(news.prefix, now_seconds - age_seconds)
+        self._paces.hear(reply.paces, now_seconds)
+        return oldest_seconds
+
+    def _take_news(self, news: pb.CopyNews) -> None:
+        changes = changes_in(news)
+        if news.whole:
+            self._copies.take_reading(news.prefix, changes.entries, news.revision)
+        else:
+            self._copies.take_news(news.prefix, changes)
+
+    def _paces_to_tell(self) -> list[pb.EnginePace]:
+        return paces_to_tell(self._context, self._paces)
+
+
+class CopyServer:
+    """Answers daemons that follow this one.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    copies : CopySet
+        What is told.
+    paces : EnginePaces
+        Told along with the copies, both ways.
+    """
+
+    __slots__ = ("_context", "_copies", "_paces")
+
+    def __init__(self, context: GatewayContext, copies: CopySet, paces: EnginePaces):
+        self._context = context
+        self._copies = copies
+        self._paces = paces
+
+    async def serve(self, request: pb.FollowRequest) -> pb.FollowReply:
+        """Answer at once if the follower misses something, else with the service's next word."""
+        self._paces.hear(request.paces, self._context.now_seconds())
+        if not self._copies.is_complete:
+            return pb.FollowReply(refused=True)
+        revisions = {position.prefix: position.revision for position in request.positions}
+        await self._wait_for_news(revisions, request.wait_ms / 1000)
+        now_seconds = self._context.now_seconds()
+        reply = pb.FollowReply(paces=paces_to_tell(self._context, self._paces))
+        for prefix, revision in revisions.items():
+            if prefix in self._copies.by_prefix:
+                add_news(reply, self._copies.by_prefix[prefix], revision, now_seconds)
+        return reply
+
+    async def _wait_for_news(self, revisions: dict[str, int], wait_seconds: float) -> None:
+        deadline_seconds = self._context.now_seconds() + wait_seconds
+        rounds = self._copies.rounds
+        while self._copies.rounds == rounds and not self._has_news(revisions):
+            if self._context.now_seconds() >= deadline_seconds:
+                return
+            try:
+                async with asyncio.timeout_at(deadline_seconds):
+                    await self._copies.told.wait()
+            except TimeoutError:
+                return
+
+    def _has_news(self, revisions: dict[str, int]) -> bool:
+        """Return whether a follower misses entries; a mere rise of the revision can wait."""
+        for prefix, revision in revisions.items():
+            copy = self._copies.by_prefix.get(prefix)
+            changes = copy.changes_since(revision) if copy is not None else None
+            if changes is not None and (changes.whole or changes.entries or changes.deleted):
+                return True
+        return False
+
+
+def paces_to_tell(context: GatewayContext, paces: EnginePaces) -> list[pb.EnginePace]:
+    """Return the paces of engines that go along with copies."""
+    return paces.to_tell(context.now_seconds()) if context.policy.paces_told else []
--- /dev/null
+++ b/rackswitch/gateway/store/service_watch.py
@@ -0,0 +1,128 @@
+"""Keeping copies current from the key-value service itself, while nobody can be followed."""
+
+import asyncio
+
+from rackswitch.clients.kv import KvUnavailable
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.store.copy_set import CopySet
+from rackswitch.telemetry.events import WatchesService
+
+__all__ = ["ServiceWatch"]
+
+FIRST_RETRY_SECONDS = 0.1
+"""Pause after a broken watch; a change must be in force within 2 s, most of which a silent
+watch may have used up already."""
+
+MOST_RETRY_SECONDS = 0.4
+"""The pause doubles up to this while tries fail: each try is a call that counts, and who waits
+for the service's return gains less than half of it by asking more often."""
+
+GATHER_SECONDS = 0.05
+"""How long changes are gathered before the next question: a fleet of 165 daemons that starts
+writes as many entries within half a second, each of which would be a call of its own."""
+
+
+class ServiceWatch:
+    """The watches of one daemon.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    copies : CopySet
+        What is kept current.
+    members_prefix : str
+        The prefix that tells of the other daemons. It is read before the others, since it may
+        show that there is somebody to follow; and it alone is tried while the service is away.
+    """
+
+    __slots__ = ("_context", "_copies", "_members_prefix", "_on")
+
+    def __init__(self, context: GatewayContext, copies: CopySet, members_prefix: str):
+        self._context = context
+        self._copies = copies
+        self._members_prefix = members_prefix
+        self._on = asyncio.Event()
+
+    @property
+    def is_on(self) -> bool:
+        """Whether the service is watched."""
+        return self._on.is_set()
+
+    def switch(self, on: bool) -> None:
+        """Begin or cease to watch."""
+        if on == self.is_on:
+            return
+        self._context.log.write(WatchesService(watches=on))
+        if on:
+            self._on.set()
+        else:
+            self._on.clear()
+
+    async def run(self) -> None:
+        """Watch all prefixes, while switched on, until cancelled."""
+        await asyncio.gather(*(self._keep(prefix) for prefix in self._copies.by_prefix))
+
+    async def _keep(self, prefix: str) -> None:
+        must_read = False
+        failures = 0
+        while True:
+            await self._on.wait()
+            if self._leaves_it_to_another(prefix):
+                await self._pause(1)
+                continue
+            if must_read or self._copies.by_prefix[prefix].revision == 0:
+                must_read = not await self._read(prefix)
+                broken = must_read
+            else:
+                # A watch that goes on from its revision misses nothing, unless history is gone.
+                broken, must_read = await self._watch(prefix)
+            failures = failures + 1 if broken else 0
+            if broken:
+                await self._pause(failures)
+
+    def _leaves_it_to_another(self, prefix: str) -> bool:
+        """Return whether a prefix waits for what the members' prefix brings."""
+        if prefix == self._members_prefix:
+            return False
+        members = self._copies.by_prefix[self._members_prefix]
+        return members.confirmed_at_seconds == float("-inf") or self._context.contact.is_away
+
+    async def _pause(self, failures: int) -> None:
+        pause_seconds = min(MOST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** (failures - 1))
+        await asyncio.sleep(pause_seconds * (0.5 + self._context.rng.random()))
+
+    async def _read(self, prefix: str) -> bool:
+        """Read a whole prefix; return whether the service answered."""
+        asked_at_seconds = self._context.now_seconds()
+        read = await self._context.kv.read(prefix, is_prefix=True)
+        self._context.contact.note(self._context.now_seconds(), read)
+        if isinstance(read, KvUnavailable):
+            return False
+        self._copies.take_reading(prefix, read.entries, read.revision)
+        self._copies.confirm(prefix, asked_at_seconds)
+        return True
+
+    async def _watch(self, prefix: str) -> tuple[bool, bool]:
+        """Take in the service's changes while switched on.
+
+        Returns
+        -------
+        (bool, bool)
+            Whether the watch broke, and whether the prefix must be read anew.
+        """
+        revision = self._copies.by_prefix[prefix].revision
+        async for news in self._context.kv.watch(prefix, revision):
+            now_seconds = self._context.now_seconds()
+            if isinstance(news, KvUnavailable):
+                if not news.history_lost:
+                    self._context.contact.failed(now_seconds, f"watch: {news.detail}")
+                return True, news.history_lost
+            self._context.contact.answered(now_seconds)
+            self._copies.take_news(prefix, news)
+            self._copies.confirm(prefix, now_seconds)
+            if not self.is_on:
+                break
+            if news.entries or news.deleted:
+                await asyncio.sleep(GATHER_SECONDS)
+        return False, False
--- a/rackswitch/gateway/store/session.py
+++ b/rackswitch/gateway/store/session.py
@@ -47,6 +47,8 @@
     ----------
     leaving : bool
         Whether it is stopping as planned: it takes no jobs and no roles, and gives its own away.
+    processor_share : float
+        Part of a processor that its VM has; 0 if that is not known.
     """
 
     host: str
@@ -55,6 +57,7 @@
     lease_id: int
     started_at_unix_seconds: float
     leaving: bool = False
+    processor_share: float = 0.0
 
 
 def decode_member(value: bytes) -> MemberEntry:
@@ -134,6 +137,7 @@
             lease_id,
             self._context.process_started_unix_seconds,
             self._context.daemon.stopping,
+            self._context.settings.processor_share,
         )
         put = Operation(self._key, msgspec.json.encode(entry), lease_id)
         return await self._context.kv.txn([TxnPart((), (put,))])
--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -2,7 +2,7 @@
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.store.watching import CopyHandlers
+from rackswitch.gateway.store.copy_set import CopyHandlers
 from rackswitch.platform.desired_state import (
     LIMITS_NAME,
     MalformedEntry,
--- a/rackswitch/gateway/store/tests/test_path_store.py
+++ b/rackswitch/gateway/store/tests/test_path_store.py
@@ -23,8 +23,9 @@
 
 def test_a_daemon_that_the_store_turns_away_learns_from_the_others():
     async def scenario(fleet):
-        follower = fleet.gateways["d2"]
-        await wait_for(lambda: follower.copies._choice.is_following)
+        gateways = fleet.gateways.values()
+        await wait_for(lambda: sum(bool(g.copies.followed) for g in gateways) == 2)
+        follower = next(gateway for gateway in gateways if gateway.copies.followed)
         # Its own calls fail from here on; what it follows does not.
         follower.direct.url = "http://127.0.0.1:9"
         fleet.store.put("op/config", desired_state(9, routes=[]))
--- a/rackswitch/gateway/store/tests/test_watching.py
+++ b/rackswitch/gateway/store/tests/test_watching.py
@@ -1,108 +1,226 @@
-"""Copies that follow another daemon over a real connection."""
+"""Copies that follow other daemons, over a real connection."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
 
 from rackswitch.clients.kv import KvEntry, WatchNews
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.peer_service import GatewayPeersService
-from rackswitch.gateway.store.watching import CopyHandlers, CopyKeeper
+from rackswitch.gateway.store.copy_set import CopyHandlers
+from rackswitch.gateway.store.watching import CopyKeeper
 from rackswitch.gateway.tests.support import make_gateway_context
 from rackswitch.membership import VmEntry
 from rackswitch.peers.links import PeerLinks
+from rackswitch.spread import fresh_seconds
+from rackswitch.standins.faulty_kv import FaultyKv, KvFaults
 from rackswitch.standins.kv_store import KvStore
 
 PREFIX = "p/"
 
 
-def make_keeper(name: str, told: list[str]) -> CopyKeeper:
-    context = make_gateway_context(name, KvStore())
-    handlers = CopyHandlers(
-        lambda entry: told.append(entry.key), lambda key: told.append("-" + key)
-    )
-    return CopyKeeper(context, {PREFIX: handlers}, EnginePaces())
-
-
-def put(keeper: CopyKeeper, key: str, revision: int) -> None:
-    copy = keeper.copies[PREFIX]
-    news = WatchNews((KvEntry(key, b"v", revision, revision),), revision)
-    copy.apply(news)
-    copy.confirmed_at_seconds = keeper._context.now_seconds()
-    keeper._tell(copy, news)
-
-
-async def make_pair(told: list[str]) -> tuple[CopyKeeper, CopyKeeper, GatewayPeersService]:
-    leader, follower = make_keeper("a", []), make_keeper("c", told)
-    service = GatewayPeersService(leader._context, leader, reader=None, jobs=None, passed_on=None)
-    await service.start("127.0.0.1", 0)
-    port = service._server._server.sockets[0].getsockname()[1]
-    entries = [
-        VmEntry("a", "127.0.0.1", port, "z", False),
-        VmEntry("b", "127.0.0.1", 1, "z", False),
-    ]
-    follower._context.daemon.links = PeerLinks("")
-    follower._context.daemon.membership.learn_listed(entries, 0.0)
-    return leader, follower, service
-
-
-def test_a_follower_is_told_of_what_its_leader_learns():
-    async def scenario():
-        told: list[str] = []
-        leader, follower, service = await make_pair(told)
-        put(leader, "p/x", 5)
-        follower.copies[PREFIX].replace([], 4)
-        assert await follower._follow("a")
-        assert told == ["p/x"]
-        waiting = asyncio.create_task(follower._follow("a"))
+class WatchedKv(FaultyKv):
+    """Tells now and then that nothing has changed."""
+
+    async def watch(self, key, from_revision):
+        while True:
+            await asyncio.sleep(0.2)
+            yield WatchNews((), from_revision)
+
+
+class Daemon:
+    """The copies of one daemon, and where it serves those that follow it."""
+
+    def __init__(self, name: str):
+        self.told: list[str] = []
+        self.context = make_gateway_context(name, KvStore())
+        self.context.daemon.links = PeerLinks("")
+        self.paces = EnginePaces()
+        handlers = CopyHandlers(
+            lambda entry: self.told.append(entry.key), lambda key: self.told.append("-" + key)
+        )
+        self.keeper = CopyKeeper(self.context, {PREFIX: handlers}, self.paces, PREFIX)
+        self.copies = self.keeper._copies
+        self.follower = self.keeper._follower
+        self.service = GatewayPeersService(
+            self.context, self.keeper.server, reader=None, jobs=None, passed_on=None
+        )
+
+    async def start(self) -> VmEntry:
+        await self.service.start("127.0.0.1", 0)
+        port = self.service._server._server.sockets[0].getsockname()[1]
+        return VmEntry(self.context.daemon_name, "127.0.0.1", port, "z", False)
+
+    async def stop(self) -> None:
+        self.context.daemon.links.close()
+        await self.service.stop()
+
+    def put(self, key: str, revision: int, age_seconds: float = 0.0) -> None:
+        """Take a change in as if the service had told it so long ago."""
+        news = WatchNews((KvEntry(key, b"v", revision, revision),), revision)
+        self.copies.take_news(PREFIX, news)
+        self.copies.confirm(PREFIX, self.now_seconds() - age_seconds)
+
+    def now_seconds(self) -> float:
+        return self.context.now_seconds()
+
+    def age_seconds(self) -> float:
+        return self.now_seconds() - self.copies.by_prefix[PREFIX].confirmed_at_seconds
+
+
+def play(scenario: Callable[..., Awaitable[None]], count: int = 2) -> None:
+    """Run a scenario on daemons that know each other."""
+
+    async def whole() -> None:
+        daemons = [Daemon(name) for name in "abcd"[:count]]
+        entries = [await daemon.start() for daemon in daemons]
+        for daemon in daemons:
+            daemon.context.daemon.membership.learn_listed(entries, 0.0)
+        try:
+            await scenario(*daemons)
+        finally:
+            for daemon in daemons:
+                await daemon.stop()
+
+    asyncio.run(whole())
+
+
+def test_a_follower_is_told_of_what_its_source_learns():
+    async def scenario(source, follower):
+        source.put("p/x", 5)
+        await follower.follower.ask("a", 1)
+        assert follower.told == ["p/x"]
+        waiting = asyncio.create_task(follower.follower.ask("a", 1))
         await asyncio.sleep(0.05)
-        put(leader, "p/y", 6)
-        assert await waiting
-        assert told == ["p/x", "p/y"]
-        assert follower._choice.is_following
-        follower._context.daemon.links.close()
-        await service.stop()
-
-    asyncio.run(scenario())
-
-
-def test_leader_and_follower_tell_each_other_which_engines_are_slow():
-    async def scenario():
-        leader, follower, service = await make_pair([])
-        put(leader, "p/x", 5)
-        follower.copies[PREFIX].replace([], 4)
-        now_seconds = follower._context.now_seconds()
-        leader._paces.note("e1", 0.12, now_seconds)
-        follower._paces.note("e2", 0.13, now_seconds)
-        assert await follower._follow("a")
-        assert follower._paces.get("e1", now_seconds) == 0.12
-        assert leader._paces.get("e2", now_seconds) == 0.13
-        follower._context.daemon.links.close()
-        await service.stop()
-
-    asyncio.run(scenario())
-
-
-def test_a_leader_whose_copy_nobody_vouches_for_is_not_followed():
-    async def scenario():
-        leader, follower, service = await make_pair([])
-        put(leader, "p/x", 5)
-        leader.copies[PREFIX].confirmed_at_seconds -= 10.0
-        follower.copies[PREFIX].replace([], 4)
-        assert not await follower._follow("a")
-        assert not follower._choice.is_following
-        follower._context.daemon.links.close()
-        await service.stop()
-
-    asyncio.run(scenario())
-
-
-def test_a_daemon_that_follows_another_refuses_followers():
-    async def scenario():
-        leader, follower, service = await make_pair([])
-        put(leader, "p/x", 5)
-        leader._choice.succeeded("b")
-        follower.copies[PREFIX].replace([], 4)
-        assert not await follower._follow("a")
-        follower._context.daemon.links.close()
-        await service.stop()
-
-    asyncio.run(scenario())
+        source.put("p/y", 6)
+        await waiting
+        assert follower.told == ["p/x", "p/y"]
+        assert follower.keeper.followed == "a"
+
+    play(scenario)
+
+
+def test_the_age_of_the_services_word_is_passed_on_and_never_made_younger():
+    # A follower that took each answer for fresh as of its arrival would follow for ever a
+    # daemon that has lost the service, and nobody below would notice.
+    async def scenario(source, middle, last):
+        source.put("p/x", 5, age_seconds=0.9)
+        await middle.follower.ask("a", 1)
+        assert middle.keeper.is_complete
+        assert middle.age_seconds() >= 0.9
+        await last.follower.ask("b", 2)
+        assert last.age_seconds() >= 0.9
+        assert last.told == ["p/x"]
+
+    play(scenario, 3)
+
+
+def test_daemons_that_follow_each_other_in_a_ring_find_out():
+    async def scenario(one, other):
+        one.put("p/x", 5, age_seconds=fresh_seconds(1) - 0.3)
+        await other.follower.ask("a", 1)
+        assert other.keeper.followed == "a"
+        for _ in range(3):
+            await one.follower.ask("b", 1)
+            await other.follower.ask("a", 1)
+        assert not one.keeper.followed
+        assert not other.keeper.followed
+
+    play(scenario)
+
+
+def test_a_source_and_its_follower_tell_each_other_which_engines_are_slow():
+    async def scenario(source, follower):
+        source.put("p/x", 5)
+        now_seconds = follower.now_seconds()
+        source.paces.note("e1", 0.12, now_seconds)
+        follower.paces.note("e2", 0.13, now_seconds)
+        await follower.follower.ask("a", 1)
+        assert follower.paces.get("e1", now_seconds) == 0.12
+        assert source.paces.get("e2", now_seconds) == 0.13
+
+    play(scenario)
+
+
+def test_a_source_whose_copy_nobody_vouches_for_is_not_followed():
+    async def scenario(source, follower):
+        source.put("p/x", 5, age_seconds=10.0)
+        await follower.follower.ask("a", 1)
+        assert not follower.keeper.followed
+
+    play(scenario)
+
+
+def test_a_daemon_that_knows_nothing_yet_is_not_taken_for_a_dead_one():
+    async def scenario(source, follower):
+        await follower.follower.ask("a", 1)
+        assert not follower.keeper.followed
+        assert not follower.follower.choice._failed
+        source.put("p/x", 5)
+        await follower.follower.ask("a", 1)
+        assert follower.keeper.followed == "a"
+
+    play(scenario)
+
+
+def test_a_waiting_follower_hears_of_each_round_of_the_services_word():
+    async def scenario(source, follower):
+        source.put("p/x", 5)
+        await follower.follower.ask("a", 1)
+        waiting = asyncio.create_task(follower.follower.ask("a", 1))
+        await asyncio.sleep(0.1)
+        before_seconds = follower.age_seconds()
+        # The service said once more that nothing has changed.
+        source.copies._round_seconds -= 1.0
+        source.copies.confirm(PREFIX, source.now_seconds())
+        await waiting
+        assert follower.age_seconds() < before_seconds
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("first_dies", [False, True])
+def test_a_fleet_agrees_on_one_daemon_that_watches(first_dies):
+    async def scenario(*daemons):
+        kv = KvStore()
+        for daemon in daemons:
+            daemon.context.daemon.kv = WatchedKv(kv, daemon.context.rng, KvFaults())
+        duties = [asyncio.create_task(daemon.keeper.run()) for daemon in daemons]
+        async with asyncio.timeout(8.0):
+            await settled(daemons)
+            if first_dies:
+                root = next(n for n, d in enumerate(daemons) if not d.keeper.followed)
+                duties[root].cancel()
+                await daemons[root].stop()
+                left = [daemon for daemon in daemons if daemon is not daemons[root]]
+                await settled(left, without=daemons[root].context.daemon_name)
+        for duty in duties:
+            duty.cancel()
+        await asyncio.gather(*duties, return_exceptions=True)
+
+    async def settled(daemons, without: str = "") -> None:
+        """Wait until one daemon has no other to follow, and the others follow live ones."""
+        while True:
+            followed = [daemon.keeper.followed for daemon in daemons]
+            whole = all(daemon.keeper.is_complete for daemon in daemons)
+            if whole and followed.count("") == 1 and without not in set(followed) - {""}:
+                return
+            await asyncio.sleep(0.02)
+
+    play(scenario, 4)
+
+
+def test_a_daemon_learns_that_a_restarted_source_has_more_room():
+    async def scenario(source, follower):
+        rooms = follower.context.member_rooms
+        rooms["a"], rooms["b"] = 0.5, 0.7
+        tree = follower.follower._present_tree()
+        assert tree.root == "b"
+        members = follower.context.daemon.membership
+        entry = VmEntry("e", "127.0.0.1", 1, "z", False)
+        rooms["e"] = 0.9
+        members.learn_listed([entry], 0.0)
+        assert follower.follower._present_tree().root == "e"
+
+    play(scenario)
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -48,6 +48,8 @@
         Largest value that the key-value service takes.
     keep_results_seconds : float
         How long after its submission a batch job can be read.
+    processor_share : float
+        Part of a processor that the VM has; 0 if the file does not say.
     """
 
     daemon: str
@@ -64,6 +66,7 @@
     stop_grace_seconds: float
     order_turn_seconds: float
     keep_results_seconds: float
+    processor_share: float = 0.0
 
 
 class _WireListen(msgspec.Struct):
@@ -83,6 +86,10 @@
     ttl_min_ms: float = 1000.0
 
 
+class _WireLimits(msgspec.Struct):
+    cpu_share: float = 0.0
+
+
 class _WireSettings(msgspec.Struct):
     node: str
     ip: str
@@ -93,6 +100,7 @@
     # The first and the last of a range, not a list of ports.
     internal_ports: list[int] = msgspec.field(default_factory=list)
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
 
 
 def read_node_settings(path: str | None = None) -> NodeSettings | SettingsFault:
@@ -144,6 +152,7 @@
         stop_grace_seconds=wire.bounds.grace_s,
         order_turn_seconds=wire.bounds.lease_ms / 1000,
         keep_results_seconds=wire.bounds.status_s,
+        processor_share=wire.limits.cpu_share,
     )
 
 
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -51,6 +51,9 @@
 WATCH_SLACK_SECONDS = 0.15
 """How much later than its time a watch may answer before it counts as cut."""
 
+STALE = {"stale_ok": "1"}
+"""Asks for a reading that may be some seconds old, which costs a tenth."""
+
 WATCH_PATH = "/rackswitch/kv-watch"
 """The one call that the service answers only when there is news, or its time is over."""
 
@@ -75,15 +78,20 @@
         self.calls_by_path: Counter[str] = Counter()
 
     async def read(
-        self, key: str, is_prefix: bool = False, keys_only: bool = False
+        self,
+        key: str,
+        is_prefix: bool = False,
+        keys_only: bool = False,
+        may_be_stale: bool = False,
     ) -> KvRead | KvUnavailable:
         """Read one key, or all under a prefix.
 
         The service knows no reading of revisions alone, so `keys_only` changes nothing.
         """
         if is_prefix:
-            return await self.read_from(key, "")
-        answer = await self._call("GET", "/rackswitch/kv-key", {"key": key})
+            return await self._read_pages(key, "", may_be_stale)
+        query = {"key": key, **(STALE if may_be_stale else {})}
+        answer = await self._call("GET", "/rackswitch/kv-key", query)
         if isinstance(answer, KvUnavailable):
             return without_effect(answer)
         if answer.status == 404:
@@ -102,12 +110,18 @@
         The revision is that of the first page, so a watch from there misses nothing that
         changed between the pages.
         """
+        return await self._read_pages(prefix, after_key, may_be_stale=False)
+
+    async def _read_pages(
+        self, prefix: str, after_key: str, may_be_stale: bool
+    ) -> KvRead | KvUnavailable:
         entries: dict[str, KvEntry] = {}
         first_revision = 0
         start = after_key
         for _ in range(MOST_PAGES):
             # The service takes the key to go on from under the name of a revision.
             query = {"path_prefix": prefix, **({"since_rev": start} if start else {})}
+            query.update(STALE if may_be_stale else {})
             answer = await self._call("GET", "/rackswitch/kv-range", query)
             if isinstance(answer, KvUnavailable):
                 return without_effect(answer)
@@ -174,15 +188,21 @@
         return answer if isinstance(answer, KvUnavailable) else None
 
     async def watch(self, key: str, from_revision: int) -> AsyncIterator[WatchNews | KvUnavailable]:
-        """Yield changes under a prefix after a revision until the watch breaks."""
+        """Yield changes under a prefix after a revision until the watch breaks.
+
+        The first question is answered at once, so that who begins to watch knows at once how
+        things are; the others are held open until there is news.
+        """
         revision = from_revision
+        wait_seconds = 0.0
         while True:
             query = {
                 "path_prefix": key,
                 "since_rev": str(revision),
-                "wait_ms": str(round(WATCH_WAIT_SECONDS * 1000)),
+                "wait_ms": str(round(wait_seconds * 1000)),
             }
-            limit_seconds = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
+            limit_seconds = wait_seconds + WATCH_SLACK_SECONDS
+            wait_seconds = WATCH_WAIT_SECONDS
             answer = await self._call("GET", WATCH_PATH, query, None, limit_seconds)
             if isinstance(answer, KvUnavailable):
                 yield without_effect(answer)
@@ -226,5 +246,7 @@
 def _call_name(path: str, query: dict[str, str] | None) -> str:
     """Return a call's name for counting: its verb, and the prefix that it is about."""
     verb = path.split("/")[2]
-    prefix = (query or {}).get("path_prefix", "").partition("/")[0]
-    return f"{verb} {prefix}" if prefix else verb
+    asked = query or {}
+    prefix = asked.get("path_prefix", "").partition("/")[0]
+    words = [verb, prefix, "stale" if STALE.items() <= asked.items() else ""]
+    return " ".join(word for word in words if word)
--- /dev/null
+++ b/rackswitch/spread/tests/test_tree.py
@@ -0,0 +1,78 @@
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+
+from rackswitch.spread import FAN_OUT, SpreadTree, TreeMember
+
+ZONES = 6
+
+
+def fleet(count: int, zones: int = ZONES) -> list[TreeMember]:
+    return [TreeMember(f"d{n}", f"z{n % zones}", 0.7 if n < zones else 0.5) for n in range(count)]
+
+
+def naive_sources(members: list[TreeMember], daemon: str) -> tuple[str, ...]:
+    """The first two by name for everybody, as a fleet of a few can afford."""
+    first = sorted(member.daemon for member in members)[:2]
+    return () if daemon in first else tuple(first)
+
+
+def most_followers(members, sources_of) -> int:
+    first = [sources_of(member.daemon)[:1] for member in members]
+    return max(first.count((member.daemon,)) for member in members)
+
+
+@pytest.mark.parametrize("count", [3, 30, 165, 330])
+def test_nobody_serves_many_and_each_zone_is_entered_once(count):
+    members = fleet(count)
+    tree = SpreadTree(members)
+    zones = {member.daemon: member.zone for member in members}
+    crossing = [
+        name
+        for name in zones
+        if (first := tree.sources(name)[:1]) and zones[first[0]] != zones[name]
+    ]
+    assert len(crossing) <= ZONES - 1
+    assert most_followers(members, tree.sources) <= FAN_OUT + ZONES - 1
+    assert max(tree.level(name) for name in zones) <= 3
+    if count > 100:
+        naive = most_followers(members, lambda name: naive_sources(members, name))
+        assert naive == count - 2
+
+
+def test_the_root_and_its_standby_have_the_most_room_and_lie_in_different_zones():
+    tree = SpreadTree(fleet(40))
+    roomy = {f"d{n}" for n in range(ZONES)}
+    assert {tree.root, tree.standby} <= roomy
+    assert tree.root != tree.standby
+    assert tree.sources(tree.standby) == (tree.root,)
+
+
+def test_names_that_sort_first_are_not_preferred():
+    roots = {SpreadTree(TreeMember(f"{s}{n}", "z") for n in range(5)).root[1:] for s in "abcdefgh"}
+    assert len(roots) > 2
+
+
+members_drawn = st.lists(
+    st.builds(
+        TreeMember, st.text("abcd", min_size=1), st.sampled_from("xyz"), st.sampled_from([0.5, 0.7])
+    ),
+    unique_by=lambda member: member.daemon,
+    max_size=60,
+)
+
+
+@given(members_drawn)
+def test_all_ways_lead_to_the_root_and_a_second_one_is_known(members):
+    tree = SpreadTree(members)
+    for member in members:
+        seen, name = set(), member.daemon
+        while sources := tree.sources(name):
+            assert name not in seen
+            assert name not in sources
+            seen.add(name)
+            name = sources[-1]
+        assert name == tree.root
+        sources = tree.sources(member.daemon)
+        if len(members) > 2 and member.daemon not in (tree.root, tree.standby):
+            assert len(sources) >= 2
--- a/rackswitch/standins/faulty_kv.py
+++ b/rackswitch/standins/faulty_kv.py
@@ -72,7 +72,11 @@
         self._late: set[asyncio.Task[None]] = set()
 
     async def read(
-        self, key: str, is_prefix: bool = False, keys_only: bool = False
+        self,
+        key: str,
+        is_prefix: bool = False,
+        keys_only: bool = False,
+        may_be_stale: bool = False,
     ) -> KvRead | KvUnavailable:
         """Read one key, or all under a prefix; values always come along here."""
         if not await self._answers():
--- a/rackswitch/telemetry/events/dependencies.py
+++ b/rackswitch/telemetry/events/dependencies.py
@@ -15,6 +15,7 @@
     "SessionLost",
     "StoreCalls",
     "StorePathChanged",
+    "WatchesService",
 ]
 
 
@@ -114,3 +115,10 @@
 
     daemon_asking: str
     detail: str
+
+
+@registered
+class WatchesService(Event, tag="watches the service", frozen=True):
+    """The daemon begins, or ceases, to watch the key-value service by itself."""
+
+    watches: bool
