Spreading: a word of the service ages on its way too

Cause: a follower took the age that its source told for the age at its own arrival, so each step of the tree made the service's word younger by the time of the way, up to 0.3 s on a slow link. Ruled out: the time of the whole call as the way (a held call would look 0.8 s older than it is). Change: the reply tells how long the question was held; the rest of the call's time is added.

--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -145,6 +145,7 @@
             self._failed(name, "no address")
             return
         wait_seconds = FOLLOW_WAIT_SECONDS if name == self.choice.followed else 0.0
+        asked_at_seconds = self._context.now_seconds()
         reply = await self._context.daemon.links.call(
             peer,
             lambda stub: stub.Follow,
@@ -157,7 +158,7 @@
             self._failed(name, reply.detail)
         elif reply.refused or len(reply.news) < len(self._copies.by_prefix):
             self.choice.not_ready(name, now_seconds)
-        elif self._take(reply, now_seconds) > fresh_seconds(level):
+        elif self._take(reply, asked_at_seconds, now_seconds) > fresh_seconds(level):
             self._failed(name, "not fresh")
         elif self.choice.succeeded(name):
             self._context.log.write(Follows(daemon_followed=name))
@@ -174,8 +175,13 @@
         self.choice.failed(name, self._context.now_seconds())
         self._context.log.write(CannotFollow(daemon_asked=name, reason=reason))
 
-    def _take(self, reply: pb.FollowReply, now_seconds: float) -> float:
-        """Take in a reply; return how old (seconds) the oldest word of the service in it is."""
+    def _take(self, reply: pb.FollowReply, asked_at_seconds: float, now_seconds: float) -> float:
+        """Take in a reply; return how old (seconds) the oldest word of the service in it is.
+
+        A word has also aged on its way, which took the time of the call but for that which the
+        other daemon held it: without that each slow link on the tree makes it younger.
+        """
+        way_seconds = max(0.0, now_seconds - asked_at_seconds - reply.held_ms / 1000)
         oldest_seconds = 0.0
         for news in reply.news:
             copy = self._copies.by_prefix.get(news.prefix)
@@ -183,7 +189,7 @@
                 continue
             if news.revision > copy.revision:
                 self._take_news(news)
-            age_seconds = news.age_ms / 1000
+            age_seconds = news.age_ms / 1000 + way_seconds
             # The other daemon's revision may be behind this copy's for a moment, after this
             # daemon has watched the service itself; its word counts if it is fresh.
             oldest_seconds = max(oldest_seconds, age_seconds)
@@ -231,9 +237,13 @@
         if not self._copies.is_complete:
             return pb.FollowReply(refused=True)
         revisions = {position.prefix: position.revision for position in request.positions}
+        came_seconds = self._context.now_seconds()
         await self._wait_for_news(revisions, request.wait_ms / 1000)
         now_seconds = self._context.now_seconds()
-        reply = pb.FollowReply(paces=paces_to_tell(self._context, self._paces))
+        reply = pb.FollowReply(
+            paces=paces_to_tell(self._context, self._paces),
+            held_ms=int((now_seconds - came_seconds) * 1000),
+        )
         for prefix, revision in revisions.items():
             if prefix in self._copies.by_prefix:
                 add_news(reply, self._copies.by_prefix[prefix], revision, now_seconds)
--- a/rackswitch/gateway/store/tests/test_watching.py
+++ b/rackswitch/gateway/store/tests/test_watching.py
@@ -29,6 +29,16 @@
             yield WatchNews((), from_revision)
 
 
+class SlowLinks(PeerLinks):
+    """Takes a tenth of a second each way."""
+
+    async def call(self, *args):
+        await asyncio.sleep(0.1)
+        reply = await super().call(*args)
+        await asyncio.sleep(0.1)
+        return reply
+
+
 class Daemon:
     """The copies of one daemon, and where it serves those that follow it."""
 
@@ -116,6 +126,16 @@
     play(scenario, 3)
 
 
+def test_a_word_ages_on_its_way_too():
+    async def scenario(source, follower):
+        source.put("p/x", 5)
+        follower.context.daemon.links = SlowLinks("")
+        await follower.follower.ask("a", 1)
+        assert follower.age_seconds() >= 0.2
+
+    play(scenario)
+
+
 def test_daemons_that_follow_each_other_in_a_ring_find_out():
     async def scenario(one, other):
         one.put("p/x", 5, age_seconds=fresh_seconds(1) - 0.3)
