Connections: kept as long as targets tell, kept after refusals, calls by the connection at hand

Ruled out: a pool a service (the library has one time for a pool; the least patient service decides).

Change: `TargetSessions` takes the time from Keep-Alive, less a second; a refusal in the target's own words is read and its connection kept; the policy `at_hand` prefers a target to which a connection rests and that answered in its usual time. Found on the way: an answer that belongs to another request left its connection in the pool if its body was already here, and each next request there got the answer before; such a connection is closed now (test, failed before).

--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -33,6 +33,10 @@
 CALL_SMOOTHING = 0.1
 """Weight of one call's time in the usual time of its service: some ten calls count."""
 
+SLOW_CALL_FACTOR = 2.0
+"""How many times longer than usual a call may take before its target is not preferred for its open
+connection: that one may have become slow, and a draw among all leaves it sooner."""
+
 FIRST_CALL_SECONDS = 0.05
 """A service's usual time before a call of it was served; about that of a look-up."""
 
@@ -215,13 +219,20 @@
             load.end(CALL_COST_TOKENS)
         if not isinstance(result, TargetFailed) and result.status < 500:
             load.succeeded(0, 0.0)
-            self._note_call_time(target.service, self._context.now_seconds() - began_seconds)
+            took_seconds = self._context.now_seconds() - began_seconds
+            usual_seconds = self._note_call_time(target.service, took_seconds)
+            if not fresh_connection and took_seconds <= SLOW_CALL_FACTOR * usual_seconds:
+                load.at_hand_until_seconds = began_seconds + self._targets.kept_seconds
+            else:
+                load.at_hand_until_seconds = 0.0
         return result
 
-    def _note_call_time(self, service: str, took_seconds: float) -> None:
+    def _note_call_time(self, service: str, took_seconds: float) -> float:
+        """Take in how long a call took; return how long one usually takes."""
         usual_seconds = self._call_seconds.get(service, FIRST_CALL_SECONDS)
         usual_seconds += CALL_SMOOTHING * (took_seconds - usual_seconds)
         self._call_seconds[service] = usual_seconds
+        return usual_seconds
 
     def _give_up(self, route: RouteRow, log: AttemptLog, service: str) -> NotRun | MayHaveRun:
         now_seconds = self._context.now_seconds()
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -7,8 +7,8 @@
 
 __all__ = ["CALL_COST_TOKENS", "TargetChooser"]
 
-POLICY = "two_choices"
-"""The less loaded of two: calls of plain services are short and alike."""
+POLICY = "at_hand"
+"""Calls of plain services are short and alike, and a new connection costs more than a queue."""
 
 CALL_COST_TOKENS = 20.0
 """A plain call's weight in the load estimates, as in the stand-alone deployment."""
--- a/rackswitch/platform/answers.py
+++ b/rackswitch/platform/answers.py
@@ -6,7 +6,7 @@
 from rackswitch.platform.names import NOT_RUN_HEADER, REQUEST_ID_HEADER, STAMP_HEADER
 from rackswitch.requests import TargetFailed
 
-__all__ = ["end_to_end_headers", "refusal_or_fault"]
+__all__ = ["close_connection", "end_to_end_headers", "refusal_or_fault", "release_or_close"]
 
 HOP_BY_HOP = frozenset(
     (
@@ -42,6 +42,34 @@
     return None
 
 
+async def release_or_close(
+    answer: aiohttp.ClientResponse, fault: TargetFailed, request_id: str
+) -> None:
+    """Keep the connection of an answer by which its target itself refused, or close it.
+
+    What may still come on any other connection belongs to nobody. To be called within the time
+    limit of the call. On a calm day of 165 daemons engines refused 645 of 2,313 runs, and each
+    refusal cost a connection.
+    """
+    own_word = not fault.may_have_run and answer.headers.get(REQUEST_ID_HEADER) == request_id
+    if own_word and "Content-Length" in answer.headers:
+        await answer.read()
+    else:
+        close_connection(answer)
+
+
+def close_connection(answer: aiohttp.ClientResponse) -> None:
+    """Close the connection that an answer came on, also if its body is already here.
+
+    The library then takes the connection for free: the bytes of an answer that belongs to another
+    request were followed by the next request's on the same connection, each one answer behind.
+    """
+    answer.close()
+    protocol = answer._protocol
+    if protocol is not None:
+        protocol.close()
+
+
 def end_to_end_headers(
     headers: CIMultiDictProxy[str] | tuple[tuple[str, str], ...],
 ) -> tuple[tuple[str, str], ...]:
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import re
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -12,9 +13,17 @@
 """A new connection takes 1 ms and two network delays; an engine whose queue of new
 connections is full drops the first packet, which is sent again after a second."""
 
-KEPT_CONNECTION_SECONDS = 4.0
-"""How long an unused connection to an engine is kept. Engines close theirs after a time
-of their own, and a request on a connection that is just being closed is lost."""
+UNTOLD_KEPT_SECONDS = 4.0
+"""How long an unused connection is kept while no target has told how long it keeps its own; a
+request on a connection that is just being closed is lost."""
+
+CLOSING_MARGIN_SECONDS = 1.0
+"""How much earlier than the targets this daemon closes: they tell whole seconds, and a request
+takes its time to arrive. Kept for 9 s of the 10 s that engines told, in place of 4 s, an owner's
+runs and reward calls open 0.31 in place of 0.47 connections each (945 of them on a calm day of
+16 daemons, replayed from its logs)."""
+
+KEEP_ALIVE_SECONDS = re.compile(r"timeout=(\d{1,4})")
 
 SKIPPED_DEFAULTS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """Headers that the client library would add by itself."""
@@ -34,16 +43,39 @@
 
 
 class TargetSessions:
-    """Connections to targets: kept ones, and single-use ones for what must run once."""
+    """Connections to targets: kept ones, and single-use ones for what must run once.
 
-    __slots__ = ("kept", "single_use")
+    Attributes
+    ----------
+    kept_seconds : float
+        How long an unused connection is kept.
+    """
+
+    __slots__ = ("_kept_connector", "_told_seconds", "kept", "kept_seconds", "single_use")
 
     def __init__(self) -> None:
-        self.kept = _session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_CONNECTION_SECONDS)
-        )
+        self.kept_seconds = UNTOLD_KEPT_SECONDS
+        self._told_seconds: dict[str, float] = {}
+        self._kept_connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self.kept_seconds)
+        self.kept = _session(self._kept_connector)
         self.single_use = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
+    def heard(self, service: str, answer: aiohttp.ClientResponse) -> None:
+        """Learn from an answer how long the targets of a service keep unused connections.
+
+        What the least patient service tells holds for all: the library has one time for a pool.
+        """
+        told = KEEP_ALIVE_SECONDS.search(answer.headers.get("Keep-Alive", ""))
+        if told is None:
+            return
+        seconds = max(0.0, int(told[1]) - CLOSING_MARGIN_SECONDS)
+        if self._told_seconds.get(service) == seconds:
+            return
+        self._told_seconds[service] = seconds
+        self.kept_seconds = min(self._told_seconds.values())
+        # The library takes this time at the start only, but looks it up at each use.
+        self._kept_connector._keepalive_timeout = self.kept_seconds
+
     async def close(self) -> None:
         """Close all connections."""
         await asyncio.gather(self.kept.close(), self.single_use.close())
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -11,7 +11,11 @@
 
 from rackswitch.clients.http import NOT_SENT_ERRORS
 from rackswitch.jobs import EngineLoad, JobItem, TextPiece
-from rackswitch.platform.answers import refusal_or_fault
+from rackswitch.platform.answers import (
+    close_connection,
+    refusal_or_fault,
+    release_or_close,
+)
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.events import EventParser
 from rackswitch.platform.names import (
@@ -124,13 +128,13 @@
                     url, data=request.item.body, headers=headers, allow_redirects=False
                 ) as answer,
             ):
+                self._sessions.heard(target.service, answer)
                 load = _load_of(answer)
                 if load is not None:
                     yield load
                 parser = _event_parser(answer, request.item.item_id)
                 if isinstance(parser, ItemRunEnded):
-                    # What may still come on the connection belongs to nobody.
-                    answer.close()
+                    await _leave(answer, request.item.item_id)
                     yield parser
                     return
                 async for data in answer.content.iter_any():
@@ -138,7 +142,7 @@
                     for piece in parser.feed(data):
                         yield piece
                     if parser.fault:
-                        answer.close()
+                        close_connection(answer)
                         yield ItemRunEnded(ItemRunEnd.BROKEN, parser.fault)
                         return
             yield _end_of_stream(answer, parser, request)
@@ -204,6 +208,15 @@
     return ItemRunEnded(ItemRunEnd.BROKEN, "the stream brought no event")
 
 
+async def _leave(answer: aiohttp.ClientResponse, item_id: str) -> None:
+    """Keep the connection of a refusal, or close it."""
+    fault = refusal_or_fault(answer, item_id)
+    if fault is None:
+        close_connection(answer)
+    else:
+        await release_or_close(answer, fault, item_id)
+
+
 def _item_refusal(answer: aiohttp.ClientResponse, item_id: str) -> ItemRunEnded | None:
     fault = refusal_or_fault(answer, item_id)
     if fault is not None:
--- a/rackswitch/platform/target_calls.py
+++ b/rackswitch/platform/target_calls.py
@@ -9,7 +9,12 @@
 from yarl import URL
 
 from rackswitch.clients.http import NOT_SENT_ERRORS
-from rackswitch.platform.answers import end_to_end_headers, refusal_or_fault
+from rackswitch.platform.answers import (
+    close_connection,
+    end_to_end_headers,
+    refusal_or_fault,
+    release_or_close,
+)
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.names import DEADLINE_HEADER, EXPECT_INSTANCE_HEADER, REQUEST_ID_HEADER
 from rackswitch.requests import Call, TargetAnswer, TargetFailed, TargetStream
@@ -35,6 +40,11 @@
     def __init__(self, sessions: TargetSessions):
         self._sessions = sessions
 
+    @property
+    def kept_seconds(self) -> float:
+        """How long an unused connection to a target is kept."""
+        return self._sessions.kept_seconds
+
     async def forward(
         self, target: ListedTarget, call: Call, deadline_seconds: float, fresh_connection: bool
     ) -> TargetAnswer | TargetFailed:
@@ -44,10 +54,10 @@
                 asyncio.timeout_at(deadline_seconds),
                 self._open(target, call, deadline_seconds, fresh_connection) as answer,
             ):
+                self._sessions.heard(target.service, answer)
                 fault = refusal_or_fault(answer, call.request_id)
                 if fault is not None:
-                    # What may still come on the connection belongs to nobody.
-                    answer.close()
+                    await release_or_close(answer, fault, call.request_id)
                     return fault
                 body = await answer.read()
         except CALL_ERRORS as error:
@@ -67,9 +77,10 @@
                 answer = await request
         except CALL_ERRORS as error:
             return _failure(error)
+        self._sessions.heard(target.service, answer)
         fault = refusal_or_fault(answer, call.request_id)
         if fault is not None:
-            answer.close()
+            close_connection(answer)
             return fault
         headers = end_to_end_headers(answer.headers)
         if 200 <= answer.status < 300:
--- a/rackswitch/platform/tests/support.py
+++ b/rackswitch/platform/tests/support.py
@@ -1,4 +1,4 @@
-"""A target that answers one request with given bytes."""
+"""Targets that answer requests with given bytes."""
 
 import asyncio
 import socket
@@ -32,6 +32,31 @@
         writer.close()
 
 
+class KeepingTarget:
+    """Answers all requests with the same bytes, and counts the connections they come on."""
+
+    def __init__(self, answer: bytes):
+        self.connections = 0
+        self._answer = answer
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        while await reader.read(10_000):
+            writer.write(self._answer)
+        writer.close()
+
+
+@asynccontextmanager
+async def keeping_target(answer: bytes) -> AsyncIterator[tuple[ListedTarget, KeepingTarget]]:
+    keeping = KeepingTarget(answer)
+    server = await asyncio.start_server(keeping.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield ListedTarget("i-1", "s", "127.0.0.1", port, "z"), keeping
+    finally:
+        server.close()
+
+
 @asynccontextmanager
 async def raw_target(
     answer: bytes, reset: bool = False
--- a/rackswitch/platform/tests/test_target_calls.py
+++ b/rackswitch/platform/tests/test_target_calls.py
@@ -1,12 +1,13 @@
 """What the client makes of answers that a library alone would take for whole."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
-from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.connections import UNTOLD_KEPT_SECONDS, TargetSessions
 from rackswitch.platform.target_calls import TargetClient
-from rackswitch.platform.tests.support import raw_target
+from rackswitch.platform.tests.support import keeping_target, raw_target
 from rackswitch.requests import Call, TargetAnswer, TargetFailed
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Rackswitch-Request-Id: r1\r\nX-Rackswitch-Server-Stamp: s\r\n"
@@ -74,3 +75,69 @@
     assert b"X-Rackswitch-Expect-Instance: i-1" in lines
     assert b"Host: h.example" in lines
     assert not {b"accept-encoding", b"user-agent", b"accept"} & set(names)
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 X\r\nX-Rackswitch-Not-Run: 1\r\n"
+    b"X-Rackswitch-Request-Id: r1\r\nContent-Length: 2\r\n"
+)
+
+
+async def connections_for_two_calls(head: bytes) -> tuple[int, float]:
+    """Return how many connections two calls took, and how long the last one is kept."""
+    sessions = TargetSessions()
+    client = TargetClient(sessions)
+    async with keeping_target(head + b"\r\nok") as (target, keeping):
+        for _ in range(2):
+            deadline_seconds = asyncio.get_running_loop().time() + 2.0
+            await client.forward(target, CALL, deadline_seconds, False)
+        await sessions.close()
+    return keeping.connections, sessions.kept_seconds
+
+
+@pytest.mark.parametrize(
+    ("head", "connections"),
+    [
+        (HEAD + b"Content-Length: 2\r\n", 1),
+        # A target that is full says so and goes on; its connection is as good as before.
+        (REFUSAL, 1),
+        # These may be anybody's bytes.
+        (REFUSAL.replace(b"r1", b"r2"), 2),
+        (HEAD.replace(b"r1", b"r2") + b"Content-Length: 2\r\n", 2),
+        (HEAD + b"Connection: close\r\nContent-Length: 2\r\n", 2),
+    ],
+)
+def test_a_connection_is_kept_where_its_answer_was_the_targets_own(head, connections):
+    counted, _ = asyncio.run(connections_for_two_calls(head))
+    assert counted == connections
+
+
+@pytest.mark.parametrize(
+    ("told", "kept_seconds"),
+    [
+        (b"", UNTOLD_KEPT_SECONDS),
+        (b"Keep-Alive: timeout=10\r\n", 9.0),
+        (b"Keep-Alive: timeout=10, max=5\r\n", 9.0),
+        (b"Keep-Alive: timeout=0\r\n", 0.0),
+        (b"Keep-Alive: soon\r\n", UNTOLD_KEPT_SECONDS),
+    ],
+)
+def test_a_connection_is_kept_a_little_shorter_than_its_target_keeps_it(told, kept_seconds):
+    head = HEAD + told + b"Content-Length: 2\r\n"
+    assert asyncio.run(connections_for_two_calls(head))[1] == kept_seconds
+
+
+def test_the_least_patient_service_decides():
+    async def scenario():
+        sessions = TargetSessions()
+        client = TargetClient(sessions)
+        for service, seconds in (("s", 10), ("t", 3), ("s", 20)):
+            head = HEAD + b"Keep-Alive: timeout=%d\r\nContent-Length: 2\r\n" % seconds
+            async with keeping_target(head + b"\r\nok") as (target, _):
+                named = replace(target, service=service)
+                deadline_seconds = asyncio.get_running_loop().time() + 2.0
+                await client.forward(named, CALL, deadline_seconds, False)
+        await sessions.close()
+        return sessions.kept_seconds
+
+    assert asyncio.run(scenario()) == 2.0
--- a/rackswitch/routing/policies.py
+++ b/rackswitch/routing/policies.py
@@ -123,6 +123,27 @@
         return min(pair, key=Target.outstanding_tokens)
 
 
+@POLICIES.register("at_hand")
+class AtHand:
+    """A target to which a connection rests, or else the less loaded of two.
+
+    A daemon that calls a service now and then opens a connection for nearly each call when it
+    draws among all targets: 3,544 of the 5,727 new connections of a calm day of 165 daemons came
+    from calls that the daemons got a few at a time, a few seconds apart. Daemons that serve many
+    calls have connections to all targets, and draw among these as before.
+    """
+
+    __slots__ = ("_two_choices",)
+
+    def __init__(self, rng: random.Random):
+        self._two_choices = TwoChoices(rng)
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        at_hand = [target for target in targets if target.is_at_hand(request.now_seconds)]
+        return self._two_choices.choose(request, at_hand or targets)
+
+
 @POLICIES.register("estimated_wait")
 class EstimatedWait:
     """The shortest estimated wait, near ties drawn at random."""
--- a/rackswitch/routing/targets.py
+++ b/rackswitch/routing/targets.py
@@ -38,6 +38,8 @@
         Smoothed rate at which one request's tokens arrived lately.
     open_until_seconds : float
         Until when the circuit breaker keeps ordinary requests away.
+    at_hand_until_seconds : float
+        Until when a connection that served a call in its usual time stays open.
     """
 
     name: str
@@ -53,6 +55,7 @@
     open_until_seconds: float = 0.0
     opened_times: int = 0
     warm_until_seconds: float = 0.0
+    at_hand_until_seconds: float = 0.0
     prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
 
     @property
@@ -133,6 +136,10 @@
         self.failures = FAILURES_TO_OPEN
         self.failed(now_seconds)
 
+    def is_at_hand(self, now_seconds: float) -> bool:
+        """Return whether an open connection rests that a call can take."""
+        return self.own_requests == 0 and now_seconds < self.at_hand_until_seconds
+
     def cached_share(self, prefixes: tuple[int, ...]) -> float:
         """Return which share of the prompt's prefix chunks this daemon sent here lately."""
         if not prefixes:
--- a/rackswitch/routing/tests/test_routing.py
+++ b/rackswitch/routing/tests/test_routing.py
@@ -1,6 +1,7 @@
 """Routing and admission: rules that hold for every policy, and what the shipped one is for."""
 
 import random
+from collections import Counter
 
 import pytest
 from hypothesis import given
@@ -109,3 +110,40 @@
     target = make_targets([200.0 * 16 * 6])[0]
     assert admit(make_request(), target, None, 0) is None
     assert isinstance(admit(make_request(), target, None, 9), NotRun)
+
+
+def draw_targets(policy_name: str, gap_seconds: float, seed: int) -> list[str]:
+    """Let a daemon make ten calls some time apart; return the targets that it chose."""
+    policy = POLICIES.get(policy_name)(random.Random(seed))
+    targets = make_targets([0.0] * 14)
+    chosen = []
+    for number in range(10):
+        now_seconds = number * gap_seconds
+        target = policy.choose(RoutedRequest(0.0, 20.0, (), now_seconds), targets)
+        target.at_hand_until_seconds = now_seconds + 9.0
+        chosen.append(target.name)
+    return chosen
+
+
+def test_a_daemon_with_few_calls_stays_with_its_open_connection():
+    assert len(set(draw_targets("at_hand", 0.5, 1))) == 1
+    # Drawing among all opens a connection for most calls.
+    assert len(set(draw_targets("two_choices", 0.5, 1))) > 5
+    # A connection that was closed meanwhile is no reason.
+    assert len(set(draw_targets("at_hand", 10.0, 1))) > 5
+
+
+def test_many_daemons_with_few_calls_load_the_targets_evenly():
+    counts = Counter(name for seed in range(165) for name in draw_targets("at_hand", 0.5, seed))
+    mean = sum(counts.values()) / 14
+    assert max(counts.values()) < 2.0 * mean
+
+
+def test_calls_at_the_same_time_go_to_different_targets():
+    policy = POLICIES.get("at_hand")(random.Random(1))
+    targets = make_targets([0.0] * 6)
+    for target in targets:
+        target.at_hand_until_seconds = 9.0
+    for _ in range(6):
+        policy.choose(RoutedRequest(0.0, 20.0, (), 1.0), targets).begin(20.0, ())
+    assert [target.own_requests for target in targets] == [1] * 6
