Versions: whoever orders loads tells all daemons, and owners send no items there meanwhile

Owners did not know of loads; the record of orders, which the holder writes before each batch of orders and every daemon follows, named only the holder.

Change: the record names the loads under way; `EngineLoads` keeps them until the engine lists the version or the usual time of a load is over, which is learnt from the loads seen. No further call.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -14,6 +14,7 @@
 from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
 from rackswitch.web.connection_limits import ConnectionLimits
+from rackswitch.weights import EngineLoads
 
 __all__ = ["GatewayContext"]
 
@@ -45,6 +46,8 @@
         When this process began; with the daemon's name it tells processes apart.
     member_entries : dict of str to MemberEntry
         What each daemon last told of itself, also after its entry has gone.
+    loads : EngineLoads
+        Which engines load weights at present.
     list_confirmed_at_seconds : float
         When (monotonic) the service last vouched for the list of targets.
     connection_limits : ConnectionLimits
@@ -58,6 +61,7 @@
     routes: RouteIndex = field(default_factory=RouteIndex)
     directory: TargetDirectory = field(default_factory=TargetDirectory)
     named_versions: dict[str, int] = field(default_factory=dict)
+    loads: EngineLoads = field(default_factory=EngineLoads)
     targets: dict[str, Target] = field(default_factory=dict)
     connection_limits: ConnectionLimits = field(default_factory=_first_connection_limits)
     list_confirmed_at_seconds: float = float("-inf")
@@ -94,6 +98,13 @@
         entry = self.member_entries.get(daemon)
         return entry.started_at_unix_seconds if entry is not None else None
 
+    def room_of(self, daemon: str) -> float:
+        """Return the share of a processor that a daemon's VM has; 0 if it is not known."""
+        if daemon == self.daemon_name:
+            return self.settings.processor_share
+        entry = self.member_entries.get(daemon)
+        return entry.processor_share if entry is not None else 0.0
+
     def list_age_seconds(self) -> float:
         """Return how old the service's word for the list of targets is; -1 if there is none."""
         age_seconds = self.now_seconds() - self.list_confirmed_at_seconds
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -118,12 +118,17 @@
         slots = listed.slots or default_slots
         occupancy = self._runner.occupancy
         own = occupancy.own.get(listed.instance, 0)
+        versions = {
+            model: version
+            for model, version in listed.versions.items()
+            if not self._context.loads.is_loading(listed.instance, model, now_seconds)
+        }
         return EngineRoom(
             listed.instance,
             listed.service,
             slots - own,
             self._runner.paces.get(listed.instance, now_seconds),
-            listed.versions,
+            versions,
             slots,
             own + occupancy.others(listed.instance, now_seconds),
         )
--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -126,15 +126,11 @@
         live = self._context.daemon.membership.live_zones()
         if live != self._live:
             self._live = live
-            self._tree = SpreadTree(TreeMember(name, zone, self._room(name)) for name, zone in live)
+            self._tree = SpreadTree(
+                TreeMember(name, zone, self._context.room_of(name)) for name, zone in live
+            )
         return self._tree
 
-    def _room(self, name: str) -> float:
-        entry = self._context.member_entries.get(name)
-        if entry is None and name == self._context.daemon_name:
-            return self._context.settings.processor_share
-        return entry.processor_share if entry is not None else 0.0
-
     async def ask(self, name: str, level: int) -> None:
         """Ask another daemon for what changed, and note how that went.
 
--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -115,6 +115,7 @@
             return
         before = self._context.directory.entries.get(instance)
         self._context.directory.put(target)
+        self._context.loads.listed(instance, target.versions, self._context.now_seconds())
         self._learn(target)
         if before is None or before.draining != target.draining:
             self._context.log.write(
@@ -132,6 +133,8 @@
         back_seconds = self._context.contact.back_seconds
         self._context.directory.remove(instance, now_seconds, back_seconds)
         lapsed = instance in self._context.directory.lapsed
+        if not lapsed:
+            self._context.loads.gone(instance)
         self._context.log.write(TargetGone(target=instance, still_used=lapsed))
 
     def _learn(self, listed: ListedTarget) -> None:
--- a/rackswitch/gateway/versions/tests/test_version_keeper.py
+++ b/rackswitch/gateway/versions/tests/test_version_keeper.py
@@ -50,6 +50,29 @@
     return keeper, sender
 
 
+def test_whoever_orders_tells_what_is_loaded_where():
+    async def scenario():
+        kv = KvStore()
+        keeper, sender = make_keeper("a", kv)
+        await asyncio.sleep(2.0)
+        assert sender.sent
+        owner = make_keeper("b", kv)[0]
+        (entry,) = kv.read(ORDERS_PREFIX + "s").entries
+        owner.orders_put(entry)
+        loads = owner._context.loads
+        now_seconds = owner._context.now_seconds()
+        told = {
+            (load.target.instance, load.model)
+            for _, load in sender.sent
+            if loads.is_loading(load.target.instance, load.model, now_seconds)
+        }
+        assert told
+        for context in (keeper._context, owner._context):
+            await context.daemon.cancel_all()
+
+    run_virtual(scenario())
+
+
 def enter(kv: KvStore, holder: str) -> None:
     record = msgspec.json.encode({"holder": holder})
     kv.txn([TxnPart((), (Operation(ORDERS_PREFIX + "s", record),))])
--- a/rackswitch/gateway/versions/version_keeper.py
+++ b/rackswitch/gateway/versions/version_keeper.py
@@ -66,10 +66,25 @@
         }
 
 
+class OrderedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """A load that is ordered, or about to be."""
+
+    engine: str
+    model: str
+    version: int
+
+
 class OrdersRecord(msgspec.Struct, frozen=True):
-    """Who orders a service's engines."""
+    """Who orders a service's engines.
+
+    Attributes
+    ----------
+    loads : tuple of OrderedLoad
+        What is under way and what is ordered next, for the owners of jobs.
+    """
 
     holder: str
+    loads: tuple[OrderedLoad, ...] = ()
 
 
 class VersionKeeper:
@@ -145,6 +160,11 @@
         service = entry.key.removeprefix(ORDERS_PREFIX)
         now_seconds = self._context.now_seconds()
         self._turns.entered(service, record.holder, entry.mod_revision, now_seconds)
+        for load in record.loads:
+            listed = self._context.directory.entries.get(load.engine)
+            # The holder may not have noticed yet that a load has ended.
+            if listed is not None and listed.versions.get(load.model, 0) < load.version:
+                self._context.loads.told(load.engine, load.model, load.version, now_seconds)
 
     async def _tend(self, row: ServiceRow) -> None:
         role = version_role(row.name)
@@ -206,7 +226,9 @@
 
     async def _enter(self, service: str) -> bool:
         """Enter this daemon in the record of a service's orders, under the role's fence."""
-        record = OrdersRecord(self._context.settings.daemon)
+        under_way = self._loads[service].loading(self._context.now_seconds())
+        loads = tuple(OrderedLoad(engine, *what) for engine, what in under_way.items())
+        record = OrdersRecord(self._context.settings.daemon, loads)
         put = Operation(ORDERS_PREFIX + service, msgspec.json.encode(record))
         fence = self._roles.fence(version_role(service))
         done = await self._context.kv.txn([TxnPart((fence,), (put,))])
--- a/rackswitch/weights/__init__.py
+++ b/rackswitch/weights/__init__.py
@@ -1,5 +1,7 @@
 """Versions of weights: which engines load what, when, and by whose order."""
 
+from rackswitch.weights.engine_loads import *  # noqa: F403
+from rackswitch.weights.engine_loads import __all__ as _engine_loads_all
 from rackswitch.weights.rollout import *  # noqa: F403
 from rackswitch.weights.rollout import __all__ as _rollout_all
 from rackswitch.weights.service_plan import *  # noqa: F403
@@ -7,4 +9,4 @@
 from rackswitch.weights.turns import *  # noqa: F403
 from rackswitch.weights.turns import __all__ as _turns_all
 
-__all__ = [*_rollout_all, *_service_plan_all, *_turns_all]
+__all__ = [*_engine_loads_all, *_rollout_all, *_service_plan_all, *_turns_all]
