Jobs: those that come to one availability zone gather at a daemon that owns jobs there already

Ruled out: one owner for the fleet (results would cross zones to their readers, which is dear).

Change: `OwnerChoice` gives a job to the fullest owner of the zone that has room for it (ITEMS_A_SHARE), `JobPlacer` passes it there and takes it itself if that daemon does not say that it has it; a job that may have been kept elsewhere is never called refused. Switch `jobs_gathered`.

Tests: choices at 3, 30, 165 and 330 daemons against owning where it came; lost answers; a whole fleet. Also: `SpreadRun` plays whole fleets' copies on a clock that jumps, with the real keepers: starts, changes and deaths of the watching daemon at 3, 30, 40, 60 and 165 daemons.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -17,6 +17,7 @@
 from rackswitch.gateway.jobs.job_cleaner import JobCleaner
 from rackswitch.gateway.jobs.job_edge import JobEdge
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
+from rackswitch.gateway.jobs.job_placer import JobPlacer, TakenJobs
 from rackswitch.gateway.jobs.job_reader import JobReader
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.listeners import OwnPages, listeners
@@ -135,12 +136,17 @@
         self.presence = Presence(self.context, settings.peer_ports[0], self.copies.looked)
         passed_on = PassedOnCalls(self.context, made.relay)
         self._peers = GatewayPeersService(
-            self.context, self.copies.server, reader, self.jobs, passed_on
+            self.context,
+            self.copies.server,
+            reader,
+            self.jobs,
+            passed_on,
+            TakenJobs(self.context, self.jobs),
         )
         edge = CallerEdge(
             self.context,
             CallEdge(self.context, self.front),
-            JobEdge(self.context, self.jobs, reader),
+            JobEdge(self.context, self.jobs, reader, JobPlacer(self.context, self.jobs)),
         )
         pages = OwnPages(self.context, self.copies, self.beliefs)
         self._servers = listeners(self.context, edge, pages)
--- a/rackswitch/gateway/jobs/job_edge.py
+++ b/rackswitch/gateway/jobs/job_edge.py
@@ -11,6 +11,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
 from rackswitch.gateway.jobs.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
+from rackswitch.gateway.jobs.job_placer import JobPlacer
 from rackswitch.gateway.jobs.job_reader import JobReader, JobUnknown, JobUnsure
 from rackswitch.gateway.jobs.job_records import JobMarker
 from rackswitch.jobs import MOST_ITEMS, Job, JobItem, check_job
@@ -62,14 +63,19 @@
     context : GatewayContext
         The daemon.
     keeper : JobKeeper
-        Takes and ends jobs.
+        Ends jobs.
     reader : JobReader
         Reads jobs.
+    placer : JobPlacer
+        Takes jobs, here or at another daemon.
     """
 
-    __slots__ = ("_context", "_keeper", "_reader")
+    __slots__ = ("_context", "_keeper", "_placer", "_reader")
 
-    def __init__(self, context: GatewayContext, keeper: JobKeeper, reader: JobReader):
+    def __init__(
+        self, context: GatewayContext, keeper: JobKeeper, reader: JobReader, placer: JobPlacer
+    ):
+        self._placer = placer
         self._context = context
         self._keeper = keeper
         self._reader = reader
@@ -90,7 +96,7 @@
                 Refusal(503, "this daemon is stopping", self._come_back_seconds()),
             )
             return
-        outcome = await self._keeper.submit(job)
+        outcome = await self._placer.submit(job)
         answered = await self._answer_submission(exchange, outcome)
         self._context.log.write(
             JobSubmitted(
--- a/rackswitch/gateway/jobs/job_records.py
+++ b/rackswitch/gateway/jobs/job_records.py
@@ -23,9 +23,11 @@
     "marker_of",
     "pack_checkpoint",
     "pack_items",
+    "pack_job",
     "pack_results",
     "unpack_checkpoint",
     "unpack_items",
+    "unpack_job",
     "unpack_results",
 ]
 
@@ -116,6 +118,22 @@
     return msgspec.msgpack.decode(zlib.decompress(b"".join(chunks)), type=Job)
 
 
+def pack_job(job: Job) -> bytes:
+    """Return a job with its items as daemons pass it on."""
+    return msgspec.msgpack.encode(job)
+
+
+def unpack_job(data: bytes) -> Job:
+    """Return a job that a daemon passed on.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the bytes are no job.
+    """
+    return msgspec.msgpack.decode(data, type=Job)
+
+
 def pack_results(results: list[JobResult]) -> bytes:
     """Return results as one value."""
     return zlib.compress(msgspec.msgpack.encode(results), COMPRESSION_LEVEL)
--- a/rackswitch/gateway/jobs/known_jobs.py
+++ b/rackswitch/gateway/jobs/known_jobs.py
@@ -1,5 +1,6 @@
 """All batch jobs and their owners, as the key-value service last told them."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 import msgspec
@@ -76,6 +77,21 @@
         """Note a job that was just created, unless the service has told of it already."""
         self.jobs.setdefault(marker.job_id, KnownJob(marker, revision))
 
+    def owned_by(self, name: str, owner: JobOwner) -> None:
+        """Note an owner that another daemon told of, unless the service told a later one."""
+        known = self._owners.get(name)
+        if known is None or known.revision < owner.revision:
+            self._owners[name] = owner
+
+    def open_items(self) -> Counter[str]:
+        """Return how many items of jobs that have not ended each daemon owns."""
+        counts: Counter[str] = Counter()
+        for job_id, known in self.jobs.items():
+            owner = self._owners.get(key_part(job_id))
+            if owner is not None and not known.marker.ended:
+                counts[owner.daemon] += known.marker.total
+        return counts
+
     def ended(self, marker: JobMarker) -> None:
         """Note that a job was just ended."""
         known = self.jobs.get(marker.job_id)
--- /dev/null
+++ b/rackswitch/gateway/jobs/tests/test_job_placer.py
@@ -0,0 +1,131 @@
+"""Jobs that are passed to another daemon: kept once, and never called refused wrongly."""
+
+import pytest
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.jobs.job_outcomes import JobCreated, JobKnown, JobNotStored
+from rackswitch.gateway.jobs.job_placer import JobPlacer, TakenJobs
+from rackswitch.gateway.jobs.job_records import marker_of, pack_job
+from rackswitch.gateway.jobs.known_jobs import JobOwner
+from rackswitch.gateway.jobs.tests.test_job_keeper import make_keeper
+from rackswitch.gateway.tests.path import check_whole, play, wait_for
+from rackswitch.jobs.tests.support import make_job
+from rackswitch.membership import VmEntry
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.links import PeerUnreachable
+from rackswitch.standins.kv_store import KvStore
+
+
+class FixedLinks:
+    """Brings one reply, whatever is asked; `before` runs at the other daemon first."""
+
+    def __init__(self, reply, before=None):
+        self.reply = reply
+        self.before = before
+        self.asked: list[str] = []
+
+    async def call(self, peer, method, message, timeout_seconds, stub_kind):
+        self.asked.append(peer.daemon)
+        if self.before is not None:
+            await self.before(message)
+        return self.reply
+
+
+def make_placer(kv: KvStore, links: FixedLinks) -> JobPlacer:
+    """Return the placer of `a`, which knows that `b` owns a job."""
+    keeper = make_keeper("a", kv)
+    context = keeper._context
+    context.daemon.links = links
+    context.daemon.membership.learn_listed([VmEntry("b", "h", 1, "z", False)], 0.0)
+    other = make_job(job_id="other")
+    keeper.known.created(marker_of(other), 1)
+    keeper.known.owned_by("other", JobOwner("b", 1, 0))
+    return JobPlacer(context, keeper)
+
+
+def test_a_job_is_owned_by_the_daemon_that_owns_others():
+    async def scenario():
+        links = FixedLinks(pb.TakeJobReply(kept=True, owner_revision=7))
+        placer = make_placer(KvStore(), links)
+        assert await placer.submit(make_job()) == JobCreated(7)
+        assert links.asked == ["b"]
+        assert placer._keeper.known.owner("j").daemon == "b"
+        assert not placer._keeper.owned
+        assert await placer.submit(make_job()) == JobKnown()
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("reply", [PeerUnreachable("silent"), pb.TakeJobReply(detail="no")])
+def test_a_job_that_the_other_daemon_does_not_take_is_owned_here(reply):
+    async def scenario():
+        links = FixedLinks(reply)
+        placer = make_placer(KvStore(), links)
+        assert isinstance(await placer.submit(make_job()), JobCreated)
+        assert "j" in placer._keeper.owned
+        # It is left alone for a while.
+        await placer.submit(make_job(job_id="k"))
+        assert links.asked == ["b"]
+
+    run_virtual(scenario())
+
+
+def test_a_job_that_the_other_daemon_kept_without_a_word_is_kept_once():
+    async def scenario():
+        kv = KvStore()
+        taken = TakenJobs(make_keeper("b", kv)._context, make_keeper("b", kv))
+        links = FixedLinks(PeerUnreachable("its answer was lost"), taken.take)
+        placer = make_placer(kv, links)
+        assert await placer.submit(make_job()) == JobKnown()
+        assert not placer._keeper.owned
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("reply", "unknown"),
+    [
+        (PeerUnreachable("silent"), True),
+        (pb.TakeJobReply(detail="no answer", effect_unknown=True), True),
+        (pb.TakeJobReply(detail="stopping"), False),
+    ],
+)
+def test_a_job_that_may_be_kept_elsewhere_is_not_called_refused(reply, unknown):
+    async def scenario():
+        placer = make_placer(KvStore(), FixedLinks(reply))
+        placer._keeper._session.lease.lost()
+        placer._context.daemon.kv.faults.down = True
+        outcome = await placer.submit(make_job())
+        assert isinstance(outcome, JobNotStored)
+        assert outcome.effect_unknown is unknown
+
+    run_virtual(scenario())
+
+
+def test_what_is_no_job_is_not_taken():
+    async def scenario():
+        keeper = make_keeper("b", KvStore())
+        taken = TakenJobs(keeper._context, keeper)
+        reply = await taken.take(pb.TakeJobRequest(job=b"\xff\x00"))
+        assert not reply.kept
+        assert "`job`" in reply.detail
+        keeper._context.daemon.stopping = True
+        assert not (await taken.take(pb.TakeJobRequest(job=pack_job(make_job())))).kept
+
+    run_virtual(scenario())
+
+
+def test_jobs_that_come_anywhere_gather_at_one_daemon_and_are_read_everywhere():
+    async def scenario(fleet):
+        gateways = fleet.gateways
+        assert await fleet.submit("d0", "j0", [3000]) == 202
+        await wait_for(lambda: all(g.jobs.known.owner("j0") for g in gateways.values()))
+        for number, name in enumerate(("d1", "d2", "d1")):
+            assert await fleet.submit(name, f"k{number}", [2, 3]) == 202
+        assert set(gateways["d0"].jobs.owned) >= {"j0"}
+        assert not gateways["d1"].jobs.owned
+        assert not gateways["d2"].jobs.owned
+        for number, name in enumerate(("d2", "d1", "d0")):
+            check_whole(await fleet.read_all(name, f"k{number}"), [2, 3], f"k{number}")
+
+    play(scenario, daemons=3)
--- a/rackswitch/gateway/peer_service.py
+++ b/rackswitch/gateway/peer_service.py
@@ -6,6 +6,7 @@
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
+from rackswitch.gateway.jobs.job_placer import TakenJobs
 from rackswitch.gateway.jobs.job_reader import JobReader, ResultsPage
 from rackswitch.gateway.jobs.job_records import pack_checkpoint, pack_results
 from rackswitch.gateway.store.peer_copies import CopyServer
@@ -31,6 +32,8 @@
         The jobs themselves.
     passed_on : PassedOnCalls
         Calls to the key-value service for daemons that cannot reach it.
+    taken : TakenJobs
+        Jobs that other daemons accepted.
     """
 
     def __init__(
@@ -40,7 +43,9 @@
         reader: JobReader,
         jobs: JobKeeper,
         passed_on: PassedOnCalls,
+        taken: TakenJobs,
     ):
+        self._taken = taken
         self._passed_on = passed_on
         self._context = context
         self._copies = copies
@@ -91,6 +96,12 @@
             reply = pb.YieldJobReply(worked_on=True, checkpoint=pack_checkpoint(checkpoint))
         await stream.send_message(reply)
 
+    async def TakeJob(self, stream: Stream[pb.TakeJobRequest, pb.TakeJobReply]) -> None:
+        """Own a job that another daemon accepted."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._taken.take(request))
+
     async def PassOn(self, stream: Stream[pb.PassOnRequest, pb.PassOnReply]) -> None:
         """Make a call to the key-value service for a daemon that cannot."""
         request = await stream.recv_message()
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -19,6 +19,8 @@
         Whether a daemon that cannot reach the key-value service asks peers to pass its calls on.
     texts_kept : bool
         Whether the unfinished long texts of a job are kept for the owner's successor.
+    jobs_gathered : bool
+        Whether a job that comes to a zone goes to a daemon there that owns jobs already.
     paces_told : bool
         Whether daemons tell each other how fast engines are.
     loads_asked : bool
@@ -33,6 +35,7 @@
 
     calls_through_peers: bool = True
     texts_kept: bool = True
+    jobs_gathered: bool = True
     paces_told: bool = True
     loads_asked: bool = True
     fast_engine_first: bool = True
--- /dev/null
+++ b/rackswitch/gateway/store/tests/test_spread_runs.py
@@ -0,0 +1,65 @@
+"""What a change, a start and the death of the watching daemon cost fleets of several sizes."""
+
+import pytest
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.store.tests.spread_run import SpreadRun
+from rackswitch.spread import FAN_OUT
+
+ZONES = 6
+CONFIG_SECONDS = 2.0
+"""Within which a change must be in force at the strictest deployment."""
+
+
+@pytest.mark.parametrize("daemons", [3, 30, 165])
+def test_a_fleet_starts_with_few_calls_and_a_change_reaches_all_at_once(daemons):
+    async def scenario():
+        run = SpreadRun(daemons)
+        await run.start()
+        assert await run.settled() < 2.5
+        # A lease, an entry and some old readings each; the rest is the watching daemon's.
+        assert run.service.priced < 3.0 * daemons + 100
+        assert (await run.spread("second"))[-1] < 0.3
+        before = {name: node.served for name, node in run.nodes.items()}
+        calls = run.service.priced
+        for number in range(10):
+            await run.spread(f"change {number}")
+        assert run.service.priced - calls < 30 + 0.1 * daemons
+        served = max(node.served - before[name] for name, node in run.nodes.items())
+        assert served <= 10 * (FAN_OUT + ZONES) * 2
+        await run.stop()
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_death_of_the_watching_daemon_is_mended_while_changes_come(seed):
+    async def scenario():
+        run = SpreadRun(40, seed=seed)
+        await run.start()
+        await run.settled()
+        (root,) = run.watchers()
+        root.alive = False
+        for duty in run._duties:
+            if root.context.daemon_name in repr(duty):
+                duty.cancel()
+        taken_seconds = (await run.spread("after its death"))[-1]
+        assert taken_seconds < CONFIG_SECONDS
+        assert len(run.watchers()) <= 3
+        await run.stop()
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_sixth_of_the_fleet_may_go_at_once(seed):
+    async def scenario():
+        run = SpreadRun(60, seed=seed)
+        await run.start()
+        await run.settled()
+        for node in run.rng.sample(run.living(), 10):
+            node.alive = False
+        assert (await run.spread("without them"))[-1] < CONFIG_SECONDS
+        await run.stop()
+
+    run_virtual(scenario())
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -10,6 +10,8 @@
 from rackswitch.jobs.occupancy import __all__ as _occupancy_all
 from rackswitch.jobs.orphans import *  # noqa: F403
 from rackswitch.jobs.orphans import __all__ as _orphans_all
+from rackswitch.jobs.placement import *  # noqa: F403
+from rackswitch.jobs.placement import __all__ as _placement_all
 from rackswitch.jobs.progress import *  # noqa: F403
 from rackswitch.jobs.progress import __all__ as _progress_all
 from rackswitch.jobs.retention import *  # noqa: F403
@@ -25,6 +27,7 @@
     *_messages_all,
     *_occupancy_all,
     *_orphans_all,
+    *_placement_all,
     *_progress_all,
     *_retention_all,
     *_schedule_all,
--- a/rackswitch/jobs/tests/support.py
+++ b/rackswitch/jobs/tests/support.py
@@ -17,9 +17,11 @@
     )
 
 
-def make_job(items: int = 4, reward: bool = False, oldest_version: int = 0) -> Job:
+def make_job(
+    items: int = 4, reward: bool = False, oldest_version: int = 0, job_id: str = "j"
+) -> Job:
     return Job(
-        job_id="j",
+        job_id=job_id,
         host="h",
         path="/p",
         items=tuple(make_item(number, reward) for number in range(items)),
--- /dev/null
+++ b/rackswitch/jobs/tests/test_placement.py
@@ -0,0 +1,60 @@
+import random
+
+import pytest
+
+from rackswitch.jobs import OwnerCandidate, OwnerChoice
+from rackswitch.jobs.placement import AVOID_SECONDS, ITEMS_A_SHARE, LEAST_ITEMS
+
+
+def candidates(**open_items: int) -> list[OwnerCandidate]:
+    return [OwnerCandidate(name, 0.5, items) for name, items in open_items.items()]
+
+
+def test_a_job_goes_to_the_daemon_that_owns_most_and_else_stays():
+    choice = OwnerChoice("a")
+    assert choice.owner(candidates(a=0, b=0, c=0), 100, 0.0) == "a"
+    assert choice.owner(candidates(a=0, b=100, c=300), 100, 0.0) == "c"
+    # Both sides of a tie choose alike.
+    assert OwnerChoice("b").owner(candidates(b=100, c=100), 100, 0.0) == "c"
+    assert OwnerChoice("c").owner(candidates(b=100, c=100), 100, 0.0) == "c"
+
+
+def test_nobody_gets_more_than_it_has_room_for():
+    choice = OwnerChoice("a")
+    most = int(0.5 * ITEMS_A_SHARE)
+    assert choice.owner(candidates(a=0, b=most - 100), 100, 0.0) == "b"
+    assert choice.owner(candidates(a=0, b=most - 99), 100, 0.0) == "a"
+    unknown = OwnerCandidate("b", 0.0, int(LEAST_ITEMS))
+    assert choice.owner([unknown], 1, 0.0) == "a"
+
+
+def test_a_daemon_that_took_no_job_is_left_alone_for_a_while():
+    choice = OwnerChoice("a")
+    choice.failed("b", 10.0)
+    assert choice.owner(candidates(a=0, b=100), 10, 10.0) == "a"
+    assert choice.owner(candidates(a=0, b=100), 10, 10.0 + AVOID_SECONDS) == "b"
+
+
+@pytest.mark.parametrize(("daemons", "trainers"), [(3, 2), (30, 2), (165, 12), (330, 60)])
+def test_steps_that_come_anywhere_gather_at_few_owners_that_all_have_room(daemons, trainers):
+    """Each trainer has two open steps of 130 items, which reach any daemon of a zone."""
+    rng = random.Random(1)
+    names = [f"d{number}" for number in range(daemons)]
+    choices = {name: OwnerChoice(name) for name in names}
+    owners: dict[tuple[int, int], str] = {}
+    naive: dict[tuple[int, int], str] = {}
+    for step in range(12):
+        for trainer in range(trainers):
+            owners.pop((trainer, step - 2), None)
+            naive.pop((trainer, step - 2), None)
+            accepting = rng.choice(names)
+            held = list(owners.values())
+            known = [OwnerCandidate(name, 0.5, 130 * held.count(name)) for name in names]
+            owners[trainer, step] = choices[accepting].owner(known, 130, float(step))
+            naive[trainer, step] = accepting
+    held = list(owners.values())
+    assert max(held.count(name) for name in set(held)) * 130 <= 0.5 * ITEMS_A_SHARE
+    # Four steps fit; an owner more than needed may be there after jobs came together.
+    assert len(set(held)) <= -(-2 * trainers // 4) + 1
+    if daemons > 3:
+        assert len(set(naive.values())) > len(set(held))
--- a/rackswitch/peers/gateway_grpc.py
+++ b/rackswitch/peers/gateway_grpc.py
@@ -26,6 +26,10 @@
     async def YieldJob(self, stream: 'grpclib.server.Stream[gateway_pb2.YieldJobRequest, gateway_pb2.YieldJobReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TakeJob(self, stream: 'grpclib.server.Stream[gateway_pb2.TakeJobRequest, gateway_pb2.TakeJobReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def PassOn(self, stream: 'grpclib.server.Stream[gateway_pb2.PassOnRequest, gateway_pb2.PassOnReply]') -> None:
         pass
@@ -50,6 +54,12 @@
                 gateway_pb2.YieldJobRequest,
                 gateway_pb2.YieldJobReply,
             ),
+            '/rackswitch.gateway.GatewayPeers/TakeJob': grpclib.const.Handler(
+                self.TakeJob,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                gateway_pb2.TakeJobRequest,
+                gateway_pb2.TakeJobReply,
+            ),
             '/rackswitch.gateway.GatewayPeers/PassOn': grpclib.const.Handler(
                 self.PassOn,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -80,6 +90,12 @@
             gateway_pb2.YieldJobRequest,
             gateway_pb2.YieldJobReply,
         )
+        self.TakeJob = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rackswitch.gateway.GatewayPeers/TakeJob',
+            gateway_pb2.TakeJobRequest,
+            gateway_pb2.TakeJobReply,
+        )
         self.PassOn = grpclib.client.UnaryUnaryMethod(
             channel,
             '/rackswitch.gateway.GatewayPeers/PassOn',
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -11,6 +11,7 @@
     "JobForgotten",
     "JobNotOwned",
     "JobOwned",
+    "JobPlaced",
     "JobResumed",
     "JobSubmitted",
     "ResultsAppended",
@@ -48,6 +49,16 @@
     wanted_groups: int = 0
 
 
+@registered
+class JobPlaced(Event, tag="job placed", frozen=True):
+    """A job that came here was passed to the daemon that should own it."""
+
+    job: str
+    owner: str
+    elapsed_seconds: float
+    outcome: str
+
+
 @registered
 class JobResumed(Event, tag="job resumed", frozen=True):
     """Unfinished texts of a former owner were gone on with; none if its runs may still go on."""
