Start: a daemon that comes back serves callers at once, and word passes down the tree at once

Cause: with one reading a fleet, a daemon that starts knew no table until its source had one: three steps of the tree, each asked every 0.1 s. After a loss of all daemons callers got 503 meanwhile.

Ruled out: full readings by everybody (three calls a daemon at each start); asking more often (a source with twelve followers would spend half a core on it).

Change: the readings at the start that may be old (a tenth of a call) cover all prefixes, and nobody vouches for them, so the daemon is not ready by them alone; a daemon that knows nothing yet holds a follower's question up to 0.25 s and answers it with the service's first word.

--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -31,6 +31,10 @@
 """Readings of the members, a tenth of a call each, by which a daemon looks for others at its
 start before it takes itself for the only one."""
 
+START_HOLD_SECONDS = 0.25
+"""How long a daemon that knows nothing yet holds a follower's question, so that after a loss of all
+daemons what the first one reads passes down the tree at once: shorter than the follower's slack."""
+
 
 class PeerFollower:
     """Follows the daemon that the tree names, and has the service watched where it must be.
@@ -81,25 +85,37 @@
 
     async def run(self) -> None:
         """Follow or watch until cancelled."""
-        await self._look_for_members()
+        await self._look_around()
         self.choice.lost_since_seconds = self._context.now_seconds()
         while True:
             await self._step()
 
+    async def _look_around(self) -> None:
+        """Learn how things were lately, from readings that may be old: they cost a tenth.
+
+        So a daemon that comes back serves callers at once. What it follows then tells what has
+        changed since.
+        """
+        others = [prefix for prefix in self._copies.by_prefix if prefix != self._members_prefix]
+        await asyncio.gather(
+            self._look_for_members(), *(self._read_old(prefix) for prefix in others)
+        )
+
     async def _look_for_members(self) -> None:
-        """Learn who else is there, from a reading that may be old: it costs a tenth."""
         members = self._context.daemon.membership
         for _ in range(START_LOOKS):
-            read = await self._context.kv.read(
-                self._members_prefix, is_prefix=True, may_be_stale=True
-            )
-            if not isinstance(read, KvUnavailable):
-                self._copies.take_reading(self._members_prefix, read.entries, read.revision)
+            await self._read_old(self._members_prefix)
             self.looked.set()
             if len(members.live_zones()) > 1:
                 return
             await asyncio.sleep(PAUSE_SECONDS * (0.5 + self._context.rng.random()))
 
+    async def _read_old(self, prefix: str) -> None:
+        """Take in a reading of a prefix that may be old; nobody vouches for it."""
+        read = await self._context.kv.read(prefix, is_prefix=True, may_be_stale=True)
+        if not isinstance(read, KvUnavailable):
+            self._copies.take_reading(prefix, read.entries, read.revision)
+
     async def _step(self) -> None:
         """Decide whom to follow now, and ask that daemon once."""
         tree = self._present_tree()
@@ -230,7 +246,7 @@
     async def serve(self, request: pb.FollowRequest) -> pb.FollowReply:
         """Answer at once if the follower misses something, else with the service's next word."""
         self._paces.hear(request.paces, self._context.now_seconds())
-        if not self._copies.is_complete:
+        if not await self._becomes_complete():
             return pb.FollowReply(refused=True)
         revisions = {position.prefix: position.revision for position in request.positions}
         came_seconds = self._context.now_seconds()
@@ -245,6 +261,17 @@
                 add_news(reply, self._copies.by_prefix[prefix], revision, now_seconds)
         return reply
 
+    async def _becomes_complete(self) -> bool:
+        """Wait a little for the first word of the service; return whether it is there."""
+        deadline_seconds = self._context.now_seconds() + START_HOLD_SECONDS
+        while not self._copies.is_complete:
+            try:
+                async with asyncio.timeout_at(deadline_seconds):
+                    await self._copies.told.wait()
+            except TimeoutError:
+                return False
+        return True
+
     async def _wait_for_news(self, revisions: dict[str, int], wait_seconds: float) -> None:
         deadline_seconds = self._context.now_seconds() + wait_seconds
         rounds = self._copies.rounds
