--- a/rackswitch/gateway/jobs/tests/test_job_placer.py
+++ b/rackswitch/gateway/jobs/tests/test_job_placer.py
@@ -1,5 +1,7 @@
 """Jobs that are passed to another daemon: kept once, and never called refused wrongly."""
 
+import asyncio
+
 import pytest
 
 from rackswitch.daemon.tests.support import run_virtual
@@ -102,6 +104,22 @@
     run_virtual(scenario())
 
 
+def test_a_job_whose_submitter_gave_up_is_worked_on_all_the_same():
+    # Found on the association's rolling day (trouble-2, seed 1): the service was slow, the asking
+    # daemon gave up, and the job lay for 3 s with an owner that did not know that it was its own.
+    async def scenario():
+        keeper = make_keeper("b", KvStore())
+        keeper._context.daemon.kv.faults.delay_seconds = 0.2
+        taken = TakenJobs(keeper._context, keeper)
+        asked = asyncio.create_task(taken.take(pb.TakeJobRequest(job=pack_job(make_job()))))
+        await asyncio.sleep(0.05)
+        asked.cancel()
+        await asyncio.sleep(1.0)
+        assert "j" in keeper.owned
+
+    run_virtual(scenario())
+
+
 def test_what_is_no_job_is_not_taken():
     async def scenario():
         keeper = make_keeper("b", KvStore())
