--- a/rackswitch/platform/answers.py
+++ b/rackswitch/platform/answers.py
@@ -61,8 +61,8 @@
 def close_connection(answer: aiohttp.ClientResponse) -> None:
     """Close the connection that an answer came on, also if its body is already here.
 
-    The library then takes the connection for free: the bytes of an answer that belongs to another
-    request were followed by the next request's on the same connection, each one answer behind.
+    Once the body is here the library takes the connection for free, whatever the answer was. Where
+    that belonged to another request, each further request would get the answer of the one before.
     """
     answer.close()
     protocol = answer._protocol
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -210,7 +210,11 @@
                 "wait_ms": str(round(wait_seconds * 1000)),
             }
             answer = await self._call(
-                "GET", WATCH_PATH, query, limit_seconds=self._watch_limit(wait_seconds)
+                "GET",
+                WATCH_PATH,
+                query,
+                limit_seconds=self._watch_limit(wait_seconds),
+                held=wait_seconds > 0,
             )
             wait_seconds = WATCH_WAIT_SECONDS
             if isinstance(answer, KvUnavailable):
@@ -230,10 +234,10 @@
     def _watch_limit(self, wait_seconds: float) -> float:
         """Return how long a watch's answer may take.
 
-        A question that is not held is a reading like others. One that is held may be late by
-        what other calls take of late: with a bound for calm days alone no watch holds while the
-        service is slow, and every daemon that asks takes it for lost (a store 31 times slower than
-        usual, for 5 s: the whole fleet watched by itself, a step came 5 s late).
+        A question that is not held is a reading like others. One that is held may be as late as
+        other answers of late, and twice that. A bound that fits calm days alone breaks every watch
+        of a slow service: while the service took 31 times as long as usual, for 5 s, all daemons
+        of a fleet of nine watched by themselves, and a step came 5 s late.
         """
         if not wait_seconds:
             return CALL_TIMEOUT_SECONDS
@@ -252,6 +256,7 @@
         body: Any = None,
         limit_seconds: float = CALL_TIMEOUT_SECONDS,
         repeatable: bool = False,
+        held: bool = False,
     ) -> StoreAnswer | KvUnavailable:
         self.calls += 1
         self.calls_by_path[_call_name(path, query)] += 1
@@ -261,7 +266,7 @@
             content=msgspec.json.encode(body) if body is not None else b"",
             limit_seconds=limit_seconds,
             repeatable=repeatable or method == "GET",
-            held=path == WATCH_PATH and limit_seconds != CALL_TIMEOUT_SECONDS,
+            held=held,
         )
         began_seconds = asyncio.get_running_loop().time()
         answer = await self._transport.send(call)
