--- a/rackswitch/gateway/peer_service.py
+++ b/rackswitch/gateway/peer_service.py
@@ -9,7 +9,7 @@
 from rackswitch.gateway.jobs.job_placer import TakenJobs
 from rackswitch.gateway.jobs.job_reader import JobReader, ResultsPage
 from rackswitch.gateway.jobs.job_records import pack_checkpoint, pack_results
-from rackswitch.gateway.store.peer_copies import CopyServer
+from rackswitch.gateway.store.copy_server import CopyServer
 from rackswitch.gateway.store.store_relay import PassedOnCalls
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersBase
--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -1,11 +1,12 @@
-"""Keeping copies current from another daemon, and serving those that do so here."""
+"""Keeping copies current from another daemon."""
 
 import asyncio
 
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
-from rackswitch.gateway.store.copy_messages import add_news, changes_in
+from rackswitch.gateway.store.copy_messages import changes_in
+from rackswitch.gateway.store.copy_server import paces_to_tell
 from rackswitch.gateway.store.copy_set import CopySet
 from rackswitch.gateway.store.service_watch import ServiceWatch
 from rackswitch.peers import gateway_pb2 as pb
@@ -14,7 +15,7 @@
 from rackswitch.spread import FollowChoice, SpreadTree, TreeMember, fresh_seconds
 from rackswitch.telemetry.events import CannotFollow, Follows
 
-__all__ = ["CopyServer", "PeerFollower"]
+__all__ = ["PeerFollower"]
 
 FOLLOW_WAIT_SECONDS = 0.8
 """How long a follower's question is held open: somewhat longer than a watch of the service, whose
@@ -31,10 +32,6 @@
 """Readings of the members, a tenth of a call each, by which a daemon looks for others at its
 start before it takes itself for the only one."""
 
-START_HOLD_SECONDS = 0.25
-"""How long a daemon that knows nothing yet holds a follower's question, so that after a loss of all
-daemons what the first one reads passes down the tree at once: shorter than the follower's slack."""
-
 
 class PeerFollower:
     """Follows the daemon that the tree names, and has the service watched where it must be.
@@ -221,79 +218,3 @@
 
     def _paces_to_tell(self) -> list[pb.EnginePace]:
         return paces_to_tell(self._context, self._paces)
-
-
-class CopyServer:
-    """Answers daemons that follow this one.
-
-    Parameters
-    ----------
-    context : GatewayContext
-        The daemon.
-    copies : CopySet
-        What is told.
-    paces : EnginePaces
-        Told along with the copies, both ways.
-    """
-
-    __slots__ = ("_context", "_copies", "_paces")
-
-    def __init__(self, context: GatewayContext, copies: CopySet, paces: EnginePaces):
-        self._context = context
-        self._copies = copies
-        self._paces = paces
-
-    async def serve(self, request: pb.FollowRequest) -> pb.FollowReply:
-        """Answer at once if the follower misses something, else with the service's next word."""
-        self._paces.hear(request.paces, self._context.now_seconds())
-        if not await self._becomes_complete():
-            return pb.FollowReply(refused=True)
-        revisions = {position.prefix: position.revision for position in request.positions}
-        came_seconds = self._context.now_seconds()
-        await self._wait_for_news(revisions, request.wait_ms / 1000)
-        now_seconds = self._context.now_seconds()
-        reply = pb.FollowReply(
-            paces=paces_to_tell(self._context, self._paces),
-            held_ms=int((now_seconds - came_seconds) * 1000),
-        )
-        for prefix, revision in revisions.items():
-            if prefix in self._copies.by_prefix:
-                add_news(reply, self._copies.by_prefix[prefix], revision, now_seconds)
-        return reply
-
-    async def _becomes_complete(self) -> bool:
-        """Wait a little for the first word of the service; return whether it is there."""
-        deadline_seconds = self._context.now_seconds() + START_HOLD_SECONDS
-        while not self._copies.is_complete:
-            try:
-                async with asyncio.timeout_at(deadline_seconds):
-                    await self._copies.told.wait()
-            except TimeoutError:
-                return False
-        return True
-
-    async def _wait_for_news(self, revisions: dict[str, int], wait_seconds: float) -> None:
-        deadline_seconds = self._context.now_seconds() + wait_seconds
-        rounds = self._copies.rounds
-        while self._copies.rounds == rounds and not self._has_news(revisions):
-            if self._context.now_seconds() >= deadline_seconds:
-                return
-            try:
-                async with asyncio.timeout_at(deadline_seconds):
-                    await self._copies.told.wait()
-            except TimeoutError:
-                return
-
-    def _has_news(self, revisions: dict[str, int]) -> bool:
-        """Return whether a follower misses entries; a mere rise of the revision can wait."""
-        for prefix, revision in revisions.items():
-            copy = self._copies.by_prefix.get(prefix)
-            changes = copy.changes_since(revision) if copy is not None else None
-            if changes is not None and (changes.whole or changes.entries or changes.deleted):
-                return True
-        return False
-
-
-def paces_to_tell(context: GatewayContext, paces: EnginePaces) -> list[pb.EnginePace]:
-    """Return the paces of engines that go along with copies."""
-    return paces.to_tell(context.now_seconds()) if context.policy.paces_told else []
--- a/rackswitch/gateway/store/presence.py
+++ b/rackswitch/gateway/store/presence.py
@@ -10,13 +10,13 @@
 
 from rackswitch.clients.kv import KvUnavailable, LeaseGranted, Operation, TxnPart, TxnPartDone
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.store.lease_renewal import note_unanswered, renew_lease
 from rackswitch.gateway.store.member_entries import MEMBERS_PREFIX, MemberEntry
 from rackswitch.leases import SessionLease
 from rackswitch.telemetry.events import (
     EntryContinued,
     LeavingTold,
     SessionBegun,
-    SessionLost,
 )
 
 __all__ = ["Presence"]
@@ -65,7 +65,7 @@
         while True:
             now_seconds = self._context.now_seconds()
             if self.lease.is_due(now_seconds):
-                await (self._take() if self.lease.lease_id is None else self._renew())
+                await self._take_or_renew()
                 now_seconds = self._context.now_seconds()
             left_seconds = self.lease.next_try_seconds - now_seconds
             await asyncio.sleep(max(SHORTEST_PAUSE_SECONDS, left_seconds))
@@ -122,36 +122,23 @@
         put = Operation(self._key, msgspec.json.encode(entry), lease_id)
         return await self._context.kv.txn([TxnPart((), (put,))])
 
+    async def _take_or_renew(self) -> None:
+        if self.lease.lease_id is None:
+            await self._take()
+        else:
+            await renew_lease(self._context, self.lease)
+
     async def _take(self) -> None:
         asked_at_seconds = self._context.now_seconds()
         granted = await self._context.kv.grant_lease(self.lease.life_seconds)
         if not isinstance(granted, LeaseGranted):
-            self._unanswered(granted)
+            note_unanswered(self._context, self.lease, granted)
             return
         done = await self._put_entry(granted.lease_id)
         if isinstance(done, KvUnavailable) or not done[0].succeeded:
-            self._unanswered(done if isinstance(done, KvUnavailable) else None)
+            failure = done if isinstance(done, KvUnavailable) else None
+            note_unanswered(self._context, self.lease, failure)
             return
         self._context.contact.answered(self._context.now_seconds())
         self.lease.taken(asked_at_seconds, granted.lease_id, granted.life_seconds)
         self._context.log.write(SessionBegun(lease=granted.lease_id))
-
-    async def _renew(self) -> None:
-        asked_at_seconds = self._context.now_seconds()
-        lease_id = self.lease.lease_id or 0
-        kept = await self._context.kv.keep_lease(lease_id)
-        if isinstance(kept, KvUnavailable):
-            self._unanswered(kept)
-            return
-        self._context.contact.answered(self._context.now_seconds())
-        if kept:
-            self.lease.renewed(asked_at_seconds)
-            return
-        self.lease.lost()
-        self._context.log.write(SessionLost(lease=lease_id))
-
-    def _unanswered(self, failure: KvUnavailable | None) -> None:
-        now_seconds = self._context.now_seconds()
-        if failure is not None:
-            self._context.contact.failed(now_seconds, failure.detail)
-        self.lease.unanswered(now_seconds, self._context.rng.random())
--- a/rackswitch/gateway/store/session.py
+++ b/rackswitch/gateway/store/session.py
@@ -7,10 +7,11 @@
 import asyncio
 from collections.abc import Callable
 
-from rackswitch.clients.kv import KvUnavailable, LeaseGranted
+from rackswitch.clients.kv import LeaseGranted
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.store.lease_renewal import renew_lease
 from rackswitch.leases import SessionLease
-from rackswitch.telemetry.events import PredecessorEnded, SessionBegun, SessionEnded, SessionLost
+from rackswitch.telemetry.events import PredecessorEnded, SessionBegun, SessionEnded
 
 __all__ = ["Session"]
 
@@ -94,7 +95,8 @@
             if self.lease.lease_id is None or not self.lease.is_due(now_seconds):
                 continue
             if self._is_needed() or now_seconds < self._needed_until_seconds:
-                await self._renew()
+                if not await renew_lease(self._context, self.lease):
+                    self._on_lost()
             else:
                 # It runs out by itself, which costs no call.
                 self._ended(self.lease.lease_id, "not needed")
@@ -140,20 +142,3 @@
         self._own_leases.add(granted.lease_id)
         self.lease.taken(asked_at_seconds, granted.lease_id, granted.life_seconds)
         self._context.log.write(SessionBegun(lease=granted.lease_id))
-
-    async def _renew(self) -> None:
-        asked_at_seconds = self._context.now_seconds()
-        lease_id = self.lease.lease_id or 0
-        kept = await self._context.kv.keep_lease(lease_id)
-        now_seconds = self._context.now_seconds()
-        if isinstance(kept, KvUnavailable):
-            self._context.contact.failed(now_seconds, kept.detail)
-            self.lease.unanswered(now_seconds, self._context.rng.random())
-            return
-        self._context.contact.answered(now_seconds)
-        if kept:
-            self.lease.renewed(asked_at_seconds)
-            return
-        self.lease.lost()
-        self._context.log.write(SessionLost(lease=lease_id))
-        self._on_lost()
--- a/rackswitch/gateway/store/watching.py
+++ b/rackswitch/gateway/store/watching.py
@@ -9,8 +9,9 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.store.copies import PrefixCopy
+from rackswitch.gateway.store.copy_server import CopyServer
 from rackswitch.gateway.store.copy_set import CopyHandlers, CopySet
-from rackswitch.gateway.store.peer_copies import CopyServer, PeerFollower
+from rackswitch.gateway.store.peer_copies import PeerFollower
 from rackswitch.gateway.store.service_watch import ServiceWatch
 
 __all__ = ["CopyKeeper"]
