Settings: the test of an unknown policy knows the policy that comes first now

The message lists the allowed policies in order, and `at_hand` is new before `estimated_wait`; the test names both, so it is stricter than before.

--- a/rackswitch/settings/tests/test_settings.py
+++ b/rackswitch/settings/tests/test_settings.py
@@ -36,7 +36,7 @@
         ({"port": 70000}, "$.port"),
         ({"freshness": {"bound_seconds": -1}}, "$.freshness.bound_seconds"),
         ({"freshness": {"callers": "maybe"}}, "allowed: serve, refuse"),
-        ({"routing_policy": "luck"}, "allowed: estimated_wait"),
+        ({"routing_policy": "luck"}, "allowed: at_hand, estimated_wait"),
         ({"confirm_seconds": 50}, "$.confirm_seconds"),
         ({"daemon": ""}, "$.daemon"),
     ],
