Keys and tenants: who sends a request is decided once, by the table in force, and carried as a type

Cause: no key was read on the operator platform, so engines were named no tenant and got the callers' keys, and a key taken away went on serving.

Ruled out: a tenant field in each job's marker that each reader checks (a second tenant's submission under the same identity could only be refused, which tells that the job is there). Jobs are named by tenant and identity instead, joined by a line break, which neither header nor path can hold; another tenant's job is simply not found, and both may use one identity.

Change: `rackswitch/tenants` reads and looks up keys (digests only; one dictionary look-up whatever the number of tenants), tells a key that was taken away from one that never was, and gives a `Caller` that calls, streams and jobs carry; 401 for a key nobody holds, 503 while no table is known, nothing asked on a public route. Towards targets no Authorization and only the decided tenant, from callers' and items' headers alike; an item's header that no message can carry is refused with its job. One TenantRow with the stand-alone table: `key_sha256` holds several digests (was `token_sha256`, one). A table in which two tenants have one key is refused by their names.

--- a/rackswitch/daemon/access.py
+++ b/rackswitch/daemon/access.py
@@ -13,12 +13,17 @@
 BEARER = b"Bearer "
 BOOTSTRAP_OPERATOR = "bootstrap"
 
-RowT = TypeVar("RowT", TenantRow, TrainerRow, OperatorRow)
+RowT = TypeVar("RowT", TrainerRow, OperatorRow)
 
 
 def find_tenant(view: TableView, request: Request) -> TenantRow | None:
     """Return the caller whose token the request carries, or None."""
-    return _find(view, request, TenantRow)
+    digest = _token_digest(request)
+    found = None
+    for row in view.rows(TenantRow):
+        if digest is not None and any(hmac.compare_digest(digest, own) for own in row.key_sha256):
+            found = row
+    return found
 
 
 def find_trainer(view: TableView, request: Request) -> TrainerRow | None:
--- a/rackswitch/daemon/admin_edge.py
+++ b/rackswitch/daemon/admin_edge.py
@@ -251,6 +251,8 @@
     row = msgspec.to_builtins(stored.row)
     if "token_sha256" in row:
         row["token_sha256"] = HIDDEN
+    if "key_sha256" in row:
+        row["key_sha256"] = [HIDDEN] * len(row["key_sha256"])
     return {"revision": stored.revision, "row": row}
 
 
--- a/rackswitch/daemon/caller_edge.py
+++ b/rackswitch/daemon/caller_edge.py
@@ -155,7 +155,7 @@
             return NotRun(NotRunReason.UNAUTHORIZED, "unknown bearer token")
         refusal = self._limits.try_enter(tenant)
         if refusal is not None:
-            self._context.telemetry.request_ended(tenant.name, tenant.caller_class, "not_run", 0.0)
+            self._context.telemetry.request_ended(tenant.name, tenant.rank, "not_run", 0.0)
             return refusal
         self._context.in_flight.begin()
         return tenant
@@ -172,9 +172,7 @@
         self._limits.leave(tenant)
         now_seconds = self._context.now_seconds()
         elapsed_seconds = 0.0 if arrived_seconds is None else now_seconds - arrived_seconds
-        self._context.telemetry.request_ended(
-            tenant.name, tenant.caller_class, outcome, elapsed_seconds
-        )
+        self._context.telemetry.request_ended(tenant.name, tenant.rank, outcome, elapsed_seconds)
         return response
 
     def _route(self, tenant: TenantRow, name: str) -> RouteRow | NotRun:
--- a/rackswitch/daemon/completions.py
+++ b/rackswitch/daemon/completions.py
@@ -105,7 +105,7 @@
             )
         routed = self._routed(call, progress)
         row, target = self._chooser.pick(routed, candidates)
-        refusal = admit(routed, target, call.deadline_seconds, call.tenant.caller_class)
+        refusal = admit(routed, target, call.deadline_seconds, call.tenant.rank)
         return refusal if refusal is not None else (row, target)
 
     def _routed(self, call: CompletionCall, progress: _Progress) -> RoutedRequest:
@@ -163,7 +163,7 @@
             prompt=call.prompt,
             max_tokens=call.max_tokens,
             seed=call.seed,
-            priority=call.tenant.caller_class,
+            priority=call.tenant.rank,
             deadline_seconds=call.deadline_seconds,
             first_chunk_deadline_seconds=routed.now_seconds + patience_seconds,
             resume_token_ids=tuple(progress.token_ids),
--- a/rackswitch/daemon/tests/test_claims.py
+++ b/rackswitch/daemon/tests/test_claims.py
@@ -21,7 +21,7 @@
 
 DAEMONS = 3
 KEYS = 30
-TENANT = TenantRow(name="t", token_sha256="")
+TENANT = TenantRow(name="t")
 ROUTE = RouteRow(name="jobs", choices=(RouteChoice(serves="jobs"),))
 ROWS = [TargetRow(name=f"s{n}", url=f"u{n}", zone="z", serves="jobs") for n in range(2)]
 
--- a/rackswitch/demo/fleet.py
+++ b/rackswitch/demo/fleet.py
@@ -278,7 +278,7 @@
         *(RouteRow(name=name, choices=(RouteChoice(serves=name),)) for name in served),
         TenantRow(
             name="counter",
-            token_sha256=sha256_hex(CALLER_TOKEN),
+            key_sha256=(sha256_hex(CALLER_TOKEN),),
             caller_class=2,
             rate_per_second=5000,
             concurrency=5000,
--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -5,6 +5,7 @@
 from rackswitch.explain.clocks import Clocks
 from rackswitch.explain.lines import LoggedEvent, ReadLog
 from rackswitch.telemetry import events as ev
+from rackswitch.tenants import JOB_SEPARATOR
 
 __all__ = ["Story", "StoryLine", "Subject", "tell_story"]
 
@@ -101,6 +102,11 @@
     return Story(subject, chosen)
 
 
+def tenants_own(job: str) -> str:
+    """Return a job's identity as its tenant chose it."""
+    return job.rpartition(JOB_SEPARATOR)[2]
+
+
 def _subject(log: ReadLog, identity: str) -> Subject | None:
     """Find out what an identity names."""
     for line in log.events:
@@ -109,8 +115,9 @@
             # A reward call is part of its item's story.
             return Subject("item", event.item)
         for kind in ("job", "item", "request"):
-            if getattr(event, kind, None) == identity:
-                return Subject(kind, identity)
+            named: str = getattr(event, kind, "")
+            if named == identity or (kind == "job" and tenants_own(named) == identity):
+                return Subject(kind, named)
         if isinstance(event, ev.ResultsAppended) and identity in event.items:
             return Subject("item", identity)
     return None
--- a/rackswitch/gateway/callers/call_edge.py
+++ b/rackswitch/gateway/callers/call_edge.py
@@ -93,7 +93,8 @@
             RequestEnded(
                 request=call.request_id,
                 route=route.name,
-                caller_class=route.caller_class,
+                caller_class=call.caller.rank(route.caller_class),
+                tenant=call.caller.tenant,
                 table_revision=self._context.table_revision,
                 list_age_seconds=self._context.list_age_seconds(),
                 targets_known=self._front.usable_count(route),
--- a/rackswitch/gateway/callers/edge.py
+++ b/rackswitch/gateway/callers/edge.py
@@ -1,24 +1,26 @@
 """The HTTP edge: what is checked of each request before it is served."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from loguru import logger
 
 from rackswitch.gateway.callers.call_edge import CallEdge
-from rackswitch.gateway.callers.refusals import Refusal, refuse_at_the_edge
+from rackswitch.gateway.callers.refusals import Refusal, key_refusal, refuse_at_the_edge
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.jobs.job_edge import JobEdge
+from rackswitch.gateway.jobs.job_edge import JobEdge, Submission
 from rackswitch.platform.desired_state import LIMITS_NAME
 from rackswitch.platform.ingress import (
     MalformedRequest,
     request_deadline_seconds,
     request_identity,
 )
-from rackswitch.platform.job_calls import decode_job_call
+from rackswitch.platform.job_calls import JobCall, decode_job_call
+from rackswitch.platform.names import AUTHORIZATION_HEADER
 from rackswitch.requests import Call
 from rackswitch.table import Handling, LimitsRow, RouteRow
+from rackswitch.tenants import Caller, KeyFault
 from rackswitch.web.exchange import BodyTooLarge, BodyTooSlow, CallerGone, Exchange
 
 __all__ = ["CallerEdge"]
@@ -29,12 +31,16 @@
 STATE_COME_BACK_SECONDS = 0.2
 """When to come back to a daemon that has just started and knows no table yet."""
 
+NO_TABLE = Refusal(503, "no table in force yet", STATE_COME_BACK_SECONDS)
+"""A key that is not found is no news as long as nothing is known at all: never a 401."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Head:
     """What a request's head says; the deadline (event loop time) is the caller's own."""
 
     route: RouteRow
+    caller: Caller
     host: str
     request_id: str
     deadline_seconds: float | None
@@ -85,10 +91,24 @@
         if isinstance(job_call, MalformedRequest):
             await refuse_at_the_edge(exchange, self._context, Refusal(400, job_call.detail))
         elif job_call is not None:
-            await self._jobs.serve(exchange, job_call, arrived_seconds)
+            await self._serve_job_call(exchange, job_call, arrived_seconds)
         else:
             await self._serve_request(exchange, arrived_seconds)
 
+    async def _serve_job_call(
+        self, exchange: Exchange, job_call: JobCall, arrived_seconds: float
+    ) -> None:
+        """Serve a call about a job for the job's own tenant; to others the job is not there."""
+        if self._context.table_revision == 0:
+            await refuse_at_the_edge(exchange, self._context, NO_TABLE)
+            return
+        caller = self._context.tenants.identify(exchange.header_values(AUTHORIZATION_HEADER))
+        identity = self._jobs.identity_for(caller, job_call.job_id)
+        if isinstance(identity, KeyFault):
+            await refuse_at_the_edge(exchange, self._context, key_refusal(identity))
+            return
+        await self._jobs.serve(exchange, replace(job_call, job_id=identity), arrived_seconds)
+
     async def _serve_request(self, exchange: Exchange, arrived_seconds: float) -> None:
         limits = self._limits()
         head = self._check_head(exchange, limits, arrived_seconds)
@@ -100,7 +120,8 @@
         if not isinstance(body, bytes):
             await self._refuse_body(exchange, body)
         elif head.route.handling is Handling.BATCH:
-            await self._jobs.submit(exchange, head.route, head.request_id, head.host, body)
+            submission = Submission(head.route, head.caller, head.request_id, head.host)
+            await self._jobs.submit(exchange, submission, body)
         else:
             await self._serve_call(exchange, head, body, arrived_seconds)
 
@@ -109,7 +130,7 @@
     ) -> _Head | Refusal:
         """Return what a request's head says, or why it is refused."""
         if self._context.table_revision == 0:
-            return Refusal(503, "no table in force yet", STATE_COME_BACK_SECONDS)
+            return NO_TABLE
         if exchange.header_bytes > limits.most_header_bytes:
             exchange.close_connection = True
             return Refusal(431, f"over {limits.most_header_bytes} header bytes")
@@ -117,19 +138,35 @@
         route = self._context.routes.find(host, exchange.path)
         if route is None:
             return Refusal(404, f"no route for {host}{exchange.path}")
+        caller = self._caller(exchange, route)
+        if isinstance(caller, KeyFault):
+            return key_refusal(caller)
         request_id = request_identity(exchange)
         if not request_id:
             return Refusal(400, "the request has no identity")
         deadline_seconds = request_deadline_seconds(exchange, arrived_seconds)
         if isinstance(deadline_seconds, MalformedRequest):
             return Refusal(400, deadline_seconds.detail)
-        return _Head(route, host, request_id, deadline_seconds)
+        return _Head(route, caller, host, request_id, deadline_seconds)
+
+    def _caller(self, exchange: Exchange, route: RouteRow) -> Caller | KeyFault:
+        """Return who sends a request on a route, by the table in force."""
+        tenants = self._context.tenants
+        if route.is_public:
+            return tenants.anybody()
+        return tenants.identify(exchange.header_values(AUTHORIZATION_HEADER))
 
     async def _serve_call(
         self, exchange: Exchange, head: _Head, body: bytes, arrived_seconds: float
     ) -> None:
         call = Call(
-            head.request_id, head.host, exchange.method, exchange.target, exchange.headers, body
+            head.request_id,
+            head.host,
+            exchange.method,
+            exchange.target,
+            exchange.headers,
+            body,
+            head.caller,
         )
         deadline_seconds = arrived_seconds + head.route.timeout_seconds
         if head.deadline_seconds is not None:
--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -144,7 +144,8 @@
         if last_failure is not None:
             answer, instance = last_failure
             return FrontAnswer(answer, len(log.ends), failures, instance)
-        return FrontAnswer(self._give_up(route, log, service), len(log.ends), failures)
+        rank = call.caller.rank(route.caller_class)
+        return FrontAnswer(self._give_up(rank, log, service), len(log.ends), failures)
 
     def usable_count(self, route: RouteRow) -> int:
         """Return how many targets of a route's services could be used now."""
@@ -234,7 +235,7 @@
         self._call_seconds[service] = usual_seconds
         return usual_seconds
 
-    def _give_up(self, route: RouteRow, log: AttemptLog, service: str) -> NotRun | MayHaveRun:
+    def _give_up(self, rank: int, log: AttemptLog, service: str) -> NotRun | MayHaveRun:
         now_seconds = self._context.now_seconds()
         if log.may_have_run:
             return log.give_up(now_seconds)
@@ -247,5 +248,5 @@
             outage = self._outages.setdefault(service, OutageMemory())
             base_seconds = outage.remaining_seconds(now_seconds)
         draw = self._context.rng.random()
-        delay_seconds = return_delay_seconds(base_seconds, route.caller_class, draw)
+        delay_seconds = return_delay_seconds(base_seconds, rank, draw)
         return NotRun(NotRunReason.NO_TARGET, detail, now_seconds + delay_seconds)
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -13,6 +13,7 @@
 from rackswitch.routing import Target, TargetDirectory
 from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
+from rackswitch.tenants import TenantIndex
 from rackswitch.web.connection_limits import ConnectionLimits
 from rackswitch.weights import EngineLoads
 
@@ -38,6 +39,8 @@
         members, clock, tasks and work in flight.
     routes : RouteIndex
         The routes of the table in force.
+    tenants : TenantIndex
+        Who holds which key by the table in force.
     named_versions : dict of str to int
         The newest version of each model that its trainer has named.
     targets : dict of str to Target
@@ -60,6 +63,7 @@
     policy: PolicySettings = field(default_factory=PolicySettings)
     routes: RouteIndex = field(default_factory=RouteIndex)
     directory: TargetDirectory = field(default_factory=TargetDirectory)
+    tenants: TenantIndex = field(default_factory=TenantIndex)
     named_versions: dict[str, int] = field(default_factory=dict)
     loads: EngineLoads = field(default_factory=EngineLoads)
     targets: dict[str, Target] = field(default_factory=dict)
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -120,7 +120,9 @@
     ) -> ItemRunEnded:
         if ledger.single_version:
             progress.begin_anew()
-        request = ItemRequest(ledger.job.host, progress.item, progress.last_number, ITEM_URGENCY)
+        job = ledger.job
+        caller = self._context.tenants.of_tenant(job.tenant)
+        request = ItemRequest(job.host, progress.item, progress.last_number, ITEM_URGENCY, caller)
         pieces = self._engines.run(
             target, request, FIRST_PIECE_PATIENCE_SECONDS, NEXT_PIECE_PATIENCE_SECONDS
         )
@@ -206,6 +208,7 @@
         reward = item.reward
         if reward is None:
             return
+        # It needs no key, and names no tenant.
         call = Call(reward.request_id, reward.host, "POST", reward.path, (), reward.body)
         while not ledger.ended:
             route = self._context.routes.find(reward.host, reward.path.partition("?")[0])
--- a/rackswitch/gateway/jobs/job_edge.py
+++ b/rackswitch/gateway/jobs/job_edge.py
@@ -29,9 +29,10 @@
 from rackswitch.requests import return_delay_seconds
 from rackswitch.table import RouteRow
 from rackswitch.telemetry.events import JobCallRefused, JobEnded, JobSubmitted, ResultsRead
+from rackswitch.tenants import Caller, KeyFault
 from rackswitch.web.exchange import Exchange
 
-__all__ = ["JobEdge"]
+__all__ = ["JobEdge", "Submission"]
 
 COME_BACK_SECONDS = 0.3
 """When a refused trainer should come back while the service is there: another daemon may take
@@ -55,6 +56,22 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """What the head of a submission says.
+
+    Attributes
+    ----------
+    identity : str
+        The job's identity as its tenant chose it.
+    """
+
+    route: RouteRow
+    caller: Caller
+    identity: str
+    host: str
+
+
 class JobEdge:
     """Answers trainers.
 
@@ -80,12 +97,21 @@
         self._keeper = keeper
         self._reader = reader
 
-    async def submit(
-        self, exchange: Exchange, route: RouteRow, job_id: str, host: str, body: bytes
-    ) -> None:
+    def identity_for(self, caller: Caller | KeyFault, identity: str) -> str | KeyFault:
+        """Return the identity of a job that a caller asks for, or why it may not ask.
+
+        A job that was taken without a key is anybody's to read, also once keys are asked for.
+        """
+        if identity in self._keeper.known.jobs:
+            return identity
+        return caller if isinstance(caller, KeyFault) else caller.job_identity(identity)
+
+    async def submit(self, exchange: Exchange, submission: Submission, body: bytes) -> None:
         """Take a batch job, or say why not."""
-        outline = decode_job_outline(job_id, host, exchange.path, body, time.time())
-        job = await _whole_job(outline)
+        caller = submission.caller
+        job_id = caller.job_identity(submission.identity)
+        outline = decode_job_outline(job_id, submission.host, exchange.path, body, time.time())
+        job = await _whole_job(outline, caller.tenant)
         if isinstance(job, Refusal):
             await refuse_at_the_edge(exchange, self._context, job)
             return
@@ -101,7 +127,7 @@
         self._context.log.write(
             JobSubmitted(
                 job=job_id,
-                route=route.name,
+                route=submission.route.name,
                 step=job.step,
                 items=len(job.items),
                 table_revision=self._context.table_revision,
@@ -210,7 +236,7 @@
             await refuse(exchange, Refusal(404, "there is no such job or item"))
 
 
-async def _whole_job(outline: JobOutline | MalformedRequest) -> Job | Refusal:
+async def _whole_job(outline: JobOutline | MalformedRequest, tenant: str) -> Job | Refusal:
     """Return a job with its items, or why it is not taken; other work has its turn meanwhile."""
     if isinstance(outline, MalformedRequest):
         return Refusal(400, outline.detail)
@@ -224,6 +250,6 @@
             return Refusal(400, piece.detail)
         items.extend(piece)
         await asyncio.sleep(0)
-    job = msgspec.structs.replace(outline.job, items=tuple(items))
+    job = msgspec.structs.replace(outline.job, items=tuple(items), tenant=tenant)
     fault = check_job(job)
     return job if fault is None else Refusal(400, fault)
--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -22,6 +22,7 @@
     TargetListed,
     VersionNamed,
 )
+from rackswitch.tenants import index_tenants
 
 __all__ = ["StateKeeper"]
 
@@ -76,6 +77,7 @@
         before = self._context.table_revision
         if self._context.daemon.view.offer(document):
             self._context.routes = index_routes(document)
+            self._context.tenants = index_tenants(document, self._context.tenants)
             self._take_limits()
             self._context.log.write(
                 TableInForce(revision=document.revision, revision_before=before)
--- a/rackswitch/jobs/messages.py
+++ b/rackswitch/jobs/messages.py
@@ -57,6 +57,8 @@
     submitted_at_unix_seconds : float
         When the job was first received; deadlines of the job count from here, on any
         daemon.
+    tenant : str
+        Who submitted it; empty if nobody was asked for a key.
     """
 
     job_id: str
@@ -68,6 +70,7 @@
     oldest_version: int = 0
     wanted_groups: int = 0
     submitted_at_unix_seconds: float = 0.0
+    tenant: str = ""
 
 
 class JobResult(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/rackswitch/platform/desired_state.py
+++ b/rackswitch/platform/desired_state.py
@@ -19,8 +19,11 @@
     ServiceRow,
     StoredRow,
     TableDocument,
+    TenantRow,
     row_key,
+    shared_key,
 )
+from rackswitch.tenants import key_digest
 
 __all__ = [
     "LIMITS_NAME",
@@ -92,6 +95,7 @@
     streaming: bool = False
     resumable: bool = False
     single_version: bool = False
+    public: bool = False
 
 
 class _WireModel(msgspec.Struct):
@@ -116,11 +120,19 @@
     idle_timeout_ms: float = 15_000
 
 
+class _WireTenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    # Absent where the routes' own holds.
+    priority: int | None = None
+
+
 class _WireConfig(msgspec.Struct):
     version: int
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] = []
 
 
 class _WireVersion(msgspec.Struct):
@@ -137,6 +149,12 @@
     rows: list[Row] = [_limits_row(wire.limits)]
     rows.extend(_service_row(service) for service in wire.services)
     rows.extend(_route_row(route) for route in wire.routes)
+    tenants = [_tenant_row(tenant) for tenant in wire.tenants]
+    holders = shared_key(tenants)
+    if holders is not None:
+        # The key itself must not show up in a log line.
+        return MalformedEntry(f"`tenants`: {holders[0]!r} and {holders[1]!r} have one key")
+    rows.extend(tenants)
     stored = {row_key(row): StoredRow(wire.version, row) for row in rows}
     return TableDocument(revision=wire.version, rows=stored)
 
@@ -175,6 +193,14 @@
     )
 
 
+def _tenant_row(wire: _WireTenant) -> TenantRow:
+    return TenantRow(
+        name=wire.name,
+        key_sha256=tuple(key_digest(key) for key in wire.api_keys),
+        caller_class=None if wire.priority is None else max(0, wire.priority),
+    )
+
+
 def _service_row(wire: _WireService) -> ServiceRow:
     engine = wire.engine or _WireEngine()
     return ServiceRow(
@@ -204,6 +230,7 @@
         streams=wire.streaming or wire.kind == "streaming",
         resumable=wire.resumable,
         single_version=wire.single_version,
+        is_public=wire.public,
         due_seconds=wire.run_target_ms / 1000,
         keep_seconds=wire.keep_s,
     )
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -16,6 +16,7 @@
     refusal_or_fault,
     release_or_close,
 )
+from rackswitch.platform.caller_headers import headers_for_target
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.events import EventParser
 from rackswitch.platform.names import (
@@ -27,6 +28,7 @@
     VERSIONS_HEADER,
 )
 from rackswitch.routing import ListedTarget
+from rackswitch.tenants import ANYBODY, Caller
 
 __all__ = ["ItemClient", "ItemRequest", "ItemRunEnd", "ItemRunEnded"]
 
@@ -72,12 +74,15 @@
         Number of the last piece that is there already; 0 for a run from the beginning.
     urgency : int
         Rank among the engine's runs, on the platform's scale.
+    caller : Caller
+        Whose item it is.
     """
 
     host: str
     item: JobItem
     after_piece: int
     urgency: int
+    caller: Caller = ANYBODY
 
 
 class ItemClient:
@@ -155,7 +160,7 @@
 
 
 def _run_headers(target: ListedTarget, request: ItemRequest) -> CIMultiDict[str]:
-    headers = CIMultiDict(request.item.headers)
+    headers = headers_for_target(request.item.headers, request.caller)
     headers["Host"] = request.host
     headers[REQUEST_ID_HEADER] = request.item.item_id
     headers[EXPECT_INSTANCE_HEADER] = target.instance
--- a/rackswitch/platform/job_calls.py
+++ b/rackswitch/platform/job_calls.py
@@ -1,5 +1,6 @@
 """What trainers send about batch jobs, and how they are answered."""
 
+import re
 from dataclasses import dataclass
 from urllib.parse import parse_qs
 
@@ -28,6 +29,11 @@
 """Longest time that a read may ask to be held for."""
 
 
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+HEADER_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+"""What a header's name and value may hold (RFC 9110, sections 5.1 and 5.5)."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadResults:
     """Read a job's results from a position on; wait for some if there are none yet."""
@@ -181,6 +187,7 @@
 
 
 def _item(wire: _WireItem) -> JobItem:
+    _check_headers(wire.headers)
     reward = None
     if wire.scorer is not None:
         scorer = wire.scorer
@@ -199,6 +206,19 @@
     )
 
 
+def _check_headers(headers: dict[str, str]) -> None:
+    """Raise ValueError for a header that no HTTP message can carry.
+
+    Sent on, it would be a header of another name or a second request; taken and kept, its item
+    would fail at each run.
+    """
+    for name, value in headers.items():
+        if not HEADER_NAME.fullmatch(name):
+            raise ValueError(f"`headers` names {name!r}, which is no header")
+        if not HEADER_VALUE.fullmatch(value):
+            raise ValueError(f"`headers` holds a value of {name!r} with control characters")
+
+
 def _length_hint(headers: dict[str, str]) -> float:
     for name, value in headers.items():
         if name.lower() == LENGTH_HINT_HEADER.lower():
--- a/rackswitch/platform/names.py
+++ b/rackswitch/platform/names.py
@@ -1,6 +1,7 @@
 """Headers, paths and keys of the platform."""
 
 __all__ = [
+    "AUTHORIZATION_HEADER",
     "CONFIG_KEY",
     "DEADLINE_HEADER",
     "EXPECT_INSTANCE_HEADER",
@@ -15,6 +16,7 @@
     "SERVER_LOAD_HEADER",
     "SETTINGS_VARIABLE",
     "STAMP_HEADER",
+    "TENANT_HEADER",
     "URGENCY_HEADER",
     "VERSION_PREFIX",
     "VERSIONS_HEADER",
@@ -28,6 +30,9 @@
 """Not a point in time: the milliseconds that are left."""
 EXPECT_INSTANCE_HEADER = "X-Rackswitch-Expect-Instance"
 STAMP_HEADER = "X-Rackswitch-Server-Stamp"
+AUTHORIZATION_HEADER = "Authorization"
+TENANT_HEADER = "X-Rackswitch-Tenant"
+"""The tenant that holds a request's key; a caller's own word for it counts for nothing."""
 NOT_RUN_HEADER = "X-Rackswitch-Not-Run"
 VERSIONS_HEADER = "X-Rackswitch-Weight-Versions"
 """One number in spite of its name: the version that makes the answer's first event."""
--- a/rackswitch/platform/target_calls.py
+++ b/rackswitch/platform/target_calls.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import aiohttp
-from multidict import CIMultiDict
 from yarl import URL
 
 from rackswitch.clients.http import NOT_SENT_ERRORS
@@ -15,6 +14,7 @@
     refusal_or_fault,
     release_or_close,
 )
+from rackswitch.platform.caller_headers import headers_for_target
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.names import DEADLINE_HEADER, EXPECT_INSTANCE_HEADER, REQUEST_ID_HEADER
 from rackswitch.requests import Call, TargetAnswer, TargetFailed, TargetStream
@@ -96,7 +96,7 @@
     ) -> Any:
         session = self._sessions.single_use if fresh_connection else self._sessions.kept
         left_seconds = deadline_seconds - asyncio.get_running_loop().time()
-        headers = CIMultiDict(end_to_end_headers(call.headers))
+        headers = headers_for_target(call.headers, call.caller)
         headers["Host"] = call.host
         headers[REQUEST_ID_HEADER] = call.request_id
         headers[EXPECT_INSTANCE_HEADER] = target.instance
--- /dev/null
+++ b/rackswitch/platform/tests/test_caller_headers.py
@@ -0,0 +1,31 @@
+"""No key and no tenant of a caller's own choice reaches an engine."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rackswitch.platform.caller_headers import headers_for_target
+from rackswitch.tenants import Caller
+
+cases = st.sampled_from([str.lower, str.upper, str.title, str.swapcase])
+names = st.sampled_from(["Authorization", "X-Rackswitch-Tenant", "X-Own", "Transfer-Encoding"])
+headers = st.lists(
+    st.builds(lambda name, case, value: (case(name), value), names, cases, st.text(max_size=5))
+)
+
+
+@given(headers, st.sampled_from(["", "a"]))
+def test_where_keys_are_in_force_only_the_decided_tenant_is_named(sent, tenant):
+    passed = headers_for_target(tuple(sent), Caller(tenant, keys_in_force=True))
+    assert "authorization" not in passed
+    assert passed.getall("X-Rackswitch-Tenant", []) == ([tenant] if tenant else [])
+    own = [value for name, value in sent if name.lower() == "x-own"]
+    assert passed.getall("X-Own", []) == own
+    assert "Transfer-Encoding" not in passed
+
+
+@given(headers)
+def test_without_tenants_an_authorization_is_the_callers_and_engines_own_affair(sent):
+    passed = headers_for_target(tuple(sent), Caller())
+    own = [value for name, value in sent if name.lower() == "authorization"]
+    assert passed.getall("Authorization", []) == own
+    assert "X-Rackswitch-Tenant" not in passed
--- a/rackswitch/requests/calls.py
+++ b/rackswitch/requests/calls.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
+from rackswitch.tenants import ANYBODY, Caller
+
 __all__ = ["Call", "TargetAnswer", "TargetFailed", "TargetStream"]
 
 
@@ -18,6 +20,8 @@
         Path and query, byte for byte.
     headers : tuple of (str, str)
         All of the caller's headers.
+    caller : Caller
+        Who sent it, by the table in force when it came.
     """
 
     request_id: str
@@ -26,6 +30,7 @@
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    caller: Caller = ANYBODY
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -106,6 +106,11 @@
         How many gateways, engines and plain services.
     policy : PolicySettings, optional
         Mechanisms of the gateways that are switched on; all by default.
+
+    Attributes
+    ----------
+    key : str
+        What callers and trainers show from now on; nothing if it is empty.
     """
 
     def __init__(
@@ -117,6 +122,7 @@
     ):
         self._policy = policy
         self.store = PlatformStoreStandIn()
+        self.key = ""
         self.engines = [
             PlatformTargetStandIn(f"e{number}", "engines", self.store, (MODEL,))
             for number in range(engines)
@@ -188,6 +194,7 @@
             "Host": host,
             "X-Rackswitch-Deadline-Ms": str(deadline_ms),
             **({"X-Rackswitch-Request-Id": request_id} if request_id else {}),
+            **({"Authorization": f"Bearer {self.key}"} if self.key else {}),
             **(headers or {}),
         }
         url = self.gateways[daemon].url + path
@@ -226,6 +233,13 @@
         status, _, _ = await self.request(daemon, "POST", "/jobs/new", body, job_id)
         return status
 
+    async def operate(self, state: dict[str, Any]) -> None:
+        """Write a desired state, and wait until every gateway has it in force."""
+        self.store.put("op/config", state)
+        async with asyncio.timeout(READY_PATIENCE_SECONDS):
+            while any(g.context.table_revision < state["version"] for g in self.gateways.values()):
+                await asyncio.sleep(0.01)
+
     def name_version(self, version: int) -> None:
         """Name a version of the model, as its trainer does."""
         self.store.put(VERSION_PREFIX + MODEL, {"model": MODEL, "version": version})
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -68,6 +68,11 @@
     body: bytes
     version: int
     last_event_id: str | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def values(self, name: str) -> list[str]:
+        """Return the values of all headers of a name."""
+        return [value for own, value in self.headers if own == name.lower()]
 
 
 @dataclass(slots=True)
@@ -192,6 +197,7 @@
             body,
             self.versions.get(model, 0),
             exchange.header("Last-Event-Id"),
+            exchange.headers,
         )
         self.runs.append(run)
         if self.faults.mute:
--- a/rackswitch/table/__init__.py
+++ b/rackswitch/table/__init__.py
@@ -8,7 +8,9 @@
 from rackswitch.table.matching import __all__ as _matching_all
 from rackswitch.table.rows import *  # noqa: F403
 from rackswitch.table.rows import __all__ as _rows_all
+from rackswitch.table.shared_keys import *  # noqa: F403
+from rackswitch.table.shared_keys import __all__ as _shared_keys_all
 from rackswitch.table.view import *  # noqa: F403
 from rackswitch.table.view import __all__ as _view_all
 
-__all__ = [*_delta_all, *_edits_all, *_matching_all, *_rows_all, *_view_all]
+__all__ = [*_delta_all, *_edits_all, *_matching_all, *_rows_all, *_shared_keys_all, *_view_all]
--- a/rackswitch/table/edits.py
+++ b/rackswitch/table/edits.py
@@ -14,9 +14,11 @@
     Row,
     RowKey,
     TargetRow,
+    TenantRow,
     TrainerRow,
     row_key,
 )
+from rackswitch.table.shared_keys import shared_key
 
 __all__ = [
     "REMEMBERED_EDITS",
@@ -182,6 +184,9 @@
         fault = _check_row(row, served, models)
         if fault is not None:
             return fault
+    holders = shared_key(row for row in rows if isinstance(row, TenantRow))
+    if holders is not None:
+        return EditInvalid(f"tenant/{holders[1]}", "key_sha256", f"a key of {holders[0]!r} too")
     return None
 
 
--- a/rackswitch/table/rows.py
+++ b/rackswitch/table/rows.py
@@ -29,6 +29,9 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 RowKey = str
 
+MIDDLE_CLASS = 5
+"""Rank of requests of which nothing says a rank: that of the platform's engines."""
+
 
 class _Row(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, tag_field="kind"):
     """Fields that every row has."""
@@ -95,6 +98,8 @@
         Whether answers are event streams, and whether another target may go on with one.
     single_version : bool
         Whether all of a sample must be made by one version.
+    is_public : bool
+        Whether nobody is asked for a key.
     due_seconds, keep_seconds : float
         For batch jobs, counted from the submission: when all results are due, and from
         when an item may be given up.
@@ -112,6 +117,7 @@
     streams: bool = False
     resumable: bool = False
     single_version: bool = False
+    is_public: bool = False
     due_seconds: Positive = 600.0
     keep_seconds: Positive = 3600.0
 
@@ -144,13 +150,26 @@
 
 
 class TenantRow(_Row, tag="tenant", frozen=True, kw_only=True):
-    """A caller: its token's hash, class and limits."""
+    """A customer whose callers share limits.
 
-    token_sha256: str
-    caller_class: Annotated[int, msgspec.Meta(ge=0, le=9)] = 5
+    Attributes
+    ----------
+    key_sha256 : tuple of str
+        Digests of its keys; a request carries any of them.
+    caller_class : int or None
+        Rank of its requests, 0 first; None to go by the route's.
+    """
+
+    key_sha256: tuple[str, ...] = ()
+    caller_class: Annotated[int, msgspec.Meta(ge=0)] | None = None
     rate_per_second: Positive = 100.0
     concurrency: Positive = 100.0
 
+    @property
+    def rank(self) -> int:
+        """Rank of its requests where no route says one."""
+        return MIDDLE_CLASS if self.caller_class is None else self.caller_class
+
 
 class TrainerRow(_Row, tag="trainer", frozen=True, kw_only=True):
     """A trainer: what it may draw and how old a sample may be."""
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -64,6 +64,7 @@
     attempts: int
     elapsed_seconds: float
     outcome: str
+    tenant: str = ""
 
     @property
     def is_routine(self) -> bool:
--- /dev/null
+++ b/rackswitch/tenants/keys.py
@@ -0,0 +1,49 @@
+"""Reading the key that a request carries; keys are kept and logged as digests only."""
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+__all__ = ["KeyFault", "bearer_key", "key_digest"]
+
+SCHEME = "bearer"
+
+MOST_KEY_CHARACTERS = 512
+"""Longer ones are refused unread; usual keys have 20 to 200 characters."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFault:
+    """Why no key can be read, without the key."""
+
+    detail: str
+
+
+def key_digest(key: str) -> str:
+    """Return what stands for a key wherever it is kept or logged (SHA-256, hexadecimal)."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def bearer_key(values: Sequence[str]) -> str | KeyFault:
+    """Return the key in a request's ``Authorization`` headers (RFC 6750, section 2.1).
+
+    Parameters
+    ----------
+    values : sequence of str
+        The values of all headers of that name.
+    """
+    if not values:
+        return KeyFault("no key: the request has no Authorization header")
+    if len(values) > 1:
+        return KeyFault(f"{len(values)} Authorization headers, one is allowed")
+    scheme, _, key = values[0].strip().partition(" ")
+    if scheme.lower() != SCHEME:
+        return KeyFault("the Authorization header's scheme is not Bearer")
+    key = key.strip()
+    if not key:
+        return KeyFault("the Authorization header holds no key")
+    if len(key) > MOST_KEY_CHARACTERS:
+        return KeyFault(f"the key has over {MOST_KEY_CHARACTERS} characters")
+    if not key.isascii() or not key.isprintable() or " " in key:
+        return KeyFault("the key holds characters that no key has")
+    return key
--- a/rackswitch/web/exchange.py
+++ b/rackswitch/web/exchange.py
@@ -87,6 +87,13 @@
                 return value.decode("latin-1")
         return None
 
+    def header_values(self, name: str) -> tuple[str, ...]:
+        """Return the values of all headers of a name, in order."""
+        wanted = name.lower().encode("latin-1")
+        return tuple(
+            value.decode("latin-1") for key, value in self._scope["headers"] if key == wanted
+        )
+
     @property
     def header_bytes(self) -> int:
         """Size of the request's head, without its first line."""
