Usage: each tenant's requests by window of the wall clock, gathered, fixed and reported by one holder

Cause: no report of usage was ever sent.

Ruled out: each daemon writing its counts to the service (up to 64 calls in each window of 5 s, for 35 requests); a report that is gathered anew by a successor (two contents for one window: the test's twin that does so is caught).

Change: `rackswitch/usage` decides (windows, counts, which report when), `gateway/duties` carries it out. A request counts once, by its first beginning at a target. The holder asks every daemon after the last requests of a window have begun, writes the report in the same conditional write as its entry in the record of turns, and then sends it; from then on it is only repeated. A stopping daemon leaves its counts to one that goes on. The keeper of order records became `gateway/turns.py`, which versions of weights and these calls share; `OrderTurns` moved to `leases`.

Whole path on loopback: sums by tenant, jobs left out, a stopping daemon, an API that is down or silent.

--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -1,6 +1,7 @@
 """Serving callers: a target's whole answer to their own request, or the truth about it."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 from rackswitch.gateway.callers.target_choice import CALL_COST_TOKENS, TargetChooser
@@ -130,7 +131,16 @@
                 break
             log.begin()
             began_seconds = self._context.now_seconds()
-            result = await self._attempt(route, call, target, log, deadline_seconds, as_stream)
+            sent_at_unix_seconds = time.time()
+            try:
+                result = await self._attempt(route, call, target, log, deadline_seconds, as_stream)
+            except asyncio.CancelledError:
+                # The caller has left, and the target was probably at work.
+                self._note_begin(call, log, sent_at_unix_seconds)
+                raise
+            if not isinstance(result, TargetFailed) or result.may_have_run:
+                streams = isinstance(result, TargetStream)
+                self._note_begin(call, log, time.time() if streams else sent_at_unix_seconds)
             if isinstance(result, TargetFailed):
                 self._note_failure(call, target, log, result, began_seconds)
                 if not result.may_have_run and not result.silent:
@@ -147,6 +157,16 @@
         rank = call.caller.rank(route.caller_class)
         return FrontAnswer(self._give_up(rank, log, service), len(log.ends), failures)
 
+    def _note_begin(self, call: Call, log: AttemptLog, at_unix_seconds: float) -> None:
+        """Count a request once, by its first beginning at a target, whatever is repeated of it.
+
+        An attempt without an answer counts: it has more probably begun than not.
+        """
+        if log.began_at_unix_seconds is None:
+            log.began_at_unix_seconds = at_unix_seconds
+            if call.caller.tenant:
+                self._context.usage.began(call.caller.tenant, at_unix_seconds)
+
     def usable_count(self, route: RouteRow) -> int:
         """Return how many targets of a route's services could be used now."""
         now_seconds = self._context.now_seconds()
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -14,6 +14,7 @@
 from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
+from rackswitch.usage import UsageCounts, UsageWindows
 from rackswitch.web.connection_limits import ConnectionLimits
 from rackswitch.weights import EngineLoads
 
@@ -26,6 +27,11 @@
     return ConnectionLimits(row.header_timeout_seconds, row.idle_timeout_seconds)
 
 
+def _first_usage_counts() -> UsageCounts:
+    """Return counts for a deployment that wants no reports: nobody asks for them."""
+    return UsageCounts(UsageWindows(5.0, 10.0), time.time())
+
+
 @dataclass(slots=True)
 class GatewayContext:
     """State and connections that several parts of one gateway use.
@@ -41,6 +47,8 @@
         The routes of the table in force.
     tenants : TenantIndex
         Who holds which key by the table in force.
+    usage : UsageCounts
+        Requests of tenants that began here.
     named_versions : dict of str to int
         The newest version of each model that its trainer has named.
     targets : dict of str to Target
@@ -64,6 +72,7 @@
     routes: RouteIndex = field(default_factory=RouteIndex)
     directory: TargetDirectory = field(default_factory=TargetDirectory)
     tenants: TenantIndex = field(default_factory=TenantIndex)
+    usage: UsageCounts = field(default_factory=_first_usage_counts)
     named_versions: dict[str, int] = field(default_factory=dict)
     loads: EngineLoads = field(default_factory=EngineLoads)
     targets: dict[str, Target] = field(default_factory=dict)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -11,6 +11,7 @@
 from rackswitch.gateway.callers.target_choice import TargetChooser
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.daemon_context import make_daemon_context
+from rackswitch.gateway.duties.duties import Duties
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.load_looks import LoadLooks
@@ -124,8 +125,14 @@
         )
         self._cleaner = JobCleaner(self.context, self.jobs.known, job_store)
         reader = JobReader(self.context, self.jobs, job_store, self.session)
+        self._duties = Duties(self.context, self.roles)
         control = ControlEntries(
-            self.context, self.jobs, self.versions, self._role_entries, self.roles
+            self.context,
+            self.jobs,
+            self.versions,
+            self._role_entries,
+            self.roles,
+            self._duties.turns,
         )
         handlers = {
             OPERATOR_PREFIX: self.state.operator_handlers(),
@@ -142,6 +149,7 @@
             self.jobs,
             passed_on,
             TakenJobs(self.context, self.jobs),
+            self._duties.usage,
         )
         edge = CallerEdge(
             self.context,
@@ -165,6 +173,7 @@
             self.versions.run(),
             self.jobs.run(),
             self._cleaner.run(),
+            *self._duties.runs(),
             self.log.run(),
             self._count_calls(),
         ):
@@ -190,6 +199,7 @@
         await notice
         left_seconds = deadline_seconds - self.context.now_seconds()
         whole = await self.context.daemon.in_flight.wait_idle(max(0.0, left_seconds))
+        await self._duties.hand_over()
         await self.session.end()
         self.log.write(Stopped(whole=whole))
         while self.log.pump() and self.context.now_seconds() < deadline_seconds:
@@ -239,11 +249,13 @@
 
     def _wanted_roles(self) -> list[str]:
         # Who ordered last is known once the copies are.
-        return self.versions.wanted_roles() if self.copies.is_complete else []
+        if not self.copies.is_complete:
+            return []
+        return [*self.versions.wanted_roles(), *self._duties.wanted_roles()]
 
     def _preferred_holder(self, role: str) -> str | None:
         """Return who ordered last if that daemon is there, or is probably just starting too."""
-        holder = self.versions.last_holder(role)
+        holder = self._duties.last_holder(role) or self.versions.last_holder(role)
         now_seconds = self.context.now_seconds()
         starting = now_seconds < self._started_seconds + FLEET_START_SECONDS
         if holder in self.context.daemon.membership.live() or starting:
--- /dev/null
+++ b/rackswitch/gateway/duties/__init__.py
@@ -0,0 +1,1 @@
+"""What the fleet does towards the operators' API, by one daemon at a time."""
--- /dev/null
+++ b/rackswitch/gateway/duties/duties.py
@@ -0,0 +1,75 @@
+"""Everything that a gateway does towards the operators' API, put together."""
+
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from rackswitch.daemon.roles import RoleKeeper
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.duties.duty_turn import DUTIES_ROLE, DUTIES_TURN
+from rackswitch.gateway.duties.usage_gathering import UsageGathering
+from rackswitch.gateway.duties.usage_keeper import UsageKeeper
+from rackswitch.gateway.duties.usage_service import UsageService
+from rackswitch.gateway.turns import TurnKeeper
+from rackswitch.platform.duty_calls import DutyClient
+from rackswitch.usage import UsageCounts, UsageWindows
+
+__all__ = ["Duties"]
+
+
+class Duties:
+    """One daemon's part in the duties of one holder.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon; it counts usage from now on as the settings cut time.
+    roles : RoleKeeper
+        Leases on roles.
+
+    Attributes
+    ----------
+    turns : TurnKeeper
+        Who calls the operators' API.
+    usage : UsageService
+        What was counted here.
+    """
+
+    __slots__ = ("_context", "_roles", "turns", "usage")
+
+    def __init__(self, context: GatewayContext, roles: RoleKeeper):
+        self._context = context
+        self._roles = roles
+        self.turns = TurnKeeper(context, roles)
+        settings = context.settings.duties
+        if settings is not None:
+            windows = UsageWindows(settings.window_seconds, settings.late_seconds)
+            context.usage = UsageCounts(windows, time.time())
+        self.usage = UsageService(context, context.usage)
+
+    def wanted_roles(self) -> list[str]:
+        """Return the roles that the settings call for."""
+        return [DUTIES_ROLE] if self._context.settings.duties is not None else []
+
+    def last_holder(self, role: str) -> str | None:
+        """Return the daemon that held the role last; None if it is another role."""
+        return self.turns.last_holder(DUTIES_TURN.group) if role == DUTIES_ROLE else None
+
+    def runs(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what is to be run until the daemon ends."""
+        settings = self._context.settings.duties
+        if settings is None or not settings.reports_usage:
+            return []
+        client = DutyClient(settings.url, self._context.daemon.sessions)
+        gathering = UsageGathering(self._context, self._context.usage)
+        windows = self._context.usage.windows
+        return [UsageKeeper(self._context, self.turns, client, gathering, windows).run()]
+
+    async def hand_over(self) -> None:
+        """Leave what was counted to a daemon that goes on."""
+        settings = self._context.settings.duties
+        if settings is None or not settings.reports_usage:
+            return
+        windows = self._context.usage.windows
+        oldest = windows.number_at(time.time() - windows.allowed_late_seconds)
+        await self.usage.hand_over(oldest)
--- /dev/null
+++ b/rackswitch/gateway/duties/duty_turn.py
@@ -0,0 +1,25 @@
+"""The role whose holder calls the operators' API, and its record."""
+
+import msgspec
+
+from rackswitch.clients.kv import KvEntry
+from rackswitch.gateway.turns import Turn, TurnKeeper
+
+__all__ = ["DUTIES_KEY", "DUTIES_ROLE", "DUTIES_TURN", "DutyRecord", "note_record"]
+
+DUTIES_ROLE = "duties"
+DUTIES_KEY = "control/duties"
+DUTIES_TURN = Turn("duties", DUTIES_ROLE, DUTIES_KEY)
+"""One role for all of these calls: they are few, and each role costs a renewal each 0.67 s."""
+
+
+class DutyRecord(msgspec.Struct, frozen=True):
+    """Who calls the operators' API."""
+
+    holder: str
+
+
+def note_record(turns: TurnKeeper, entry: KvEntry) -> None:
+    """Take in the record, as it was read or told."""
+    record = msgspec.json.decode(entry.value, type=DutyRecord)
+    turns.entered(DUTIES_TURN.group, record.holder, entry.mod_revision)
--- /dev/null
+++ b/rackswitch/gateway/duties/usage_keeper.py
@@ -0,0 +1,190 @@
+"""Reports the fleet's usage, as the single holder that may."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from rackswitch.clients.kv import Compare, KvUnavailable, Operation
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.duties.duty_turn import DUTIES_TURN, DutyRecord, note_record
+from rackswitch.gateway.duties.usage_gathering import UsageGathering
+from rackswitch.gateway.turns import TurnKeeper
+from rackswitch.platform.duty_calls import DutyClient, DutyOutcome, Holder
+from rackswitch.table import Handling, RouteRow
+from rackswitch.telemetry.events import UsageFixed, UsageSent
+from rackswitch.usage import UsageReport, UsageReports, UsageWindows
+
+__all__ = ["UsageKeeper"]
+
+REPORTS_KEY = "usage/reports"
+"""Not among the entries that every daemon follows: only the holder needs it."""
+
+TICK_SECONDS = 0.2
+
+RETRY_SECONDS = 1.0
+"""Between tries of a report that was not surely taken; each needs an entry in the record, a
+call of its own."""
+
+SETTLE_MARGIN_SECONDS = 0.3
+"""How much longer than their time limit the last requests of a window may take to be counted."""
+
+MOST_SETTLE_SECONDS = 4.0
+"""A report must be in time even if its holder dies right after the window: 2.5 s until the role is
+free, and 3.5 s until the former holder's turn is over, of the 10 s that there are."""
+
+
+class UsageKeeper:
+    """Gathers, fixes and sends each window's usage while this daemon holds the role.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        The daemon.
+    turns : TurnKeeper
+        This daemon's turns in the role.
+    client : DutyClient
+        Makes the calls.
+    gathering : UsageGathering
+        Asks the other daemons.
+    windows : UsageWindows
+        How time is cut.
+    wall_clock : callable
+        Returns the time of day.
+    """
+
+    __slots__ = (
+        "_client",
+        "_context",
+        "_gathering",
+        "_next_try_seconds",
+        "_reports",
+        "_revision",
+        "_turns",
+        "_wall_clock",
+        "_windows",
+    )
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        turns: TurnKeeper,
+        client: DutyClient,
+        gathering: UsageGathering,
+        windows: UsageWindows,
+        wall_clock: Callable[[], float] = time.time,
+    ):
+        self._wall_clock = wall_clock
+        self._context = context
+        self._turns = turns
+        self._client = client
+        self._gathering = gathering
+        self._windows = windows
+        # What the service holds under its key at a revision; None while this is not known.
+        self._reports: UsageReports | None = None
+        self._revision = 0
+        self._next_try_seconds = float("-inf")
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            await self._tend()
+
+    async def _tend(self) -> None:
+        if not await self._turns.is_open(
+            DUTIES_TURN, lambda entry: note_record(self._turns, entry)
+        ):
+            # Whoever acts meanwhile writes the reports.
+            self._reports = None
+            return
+        reports = self._reports or await self._read_reports()
+        if reports is None:
+            return
+        settle_seconds = self._settle_seconds()
+        window = reports.next_to_gather(self._windows, settle_seconds, self._wall_clock())
+        if window is not None:
+            report = await self._gather(window)
+            await self._enter_and_send(reports.with_fixed(report))
+        elif reports.open and self._context.now_seconds() >= self._next_try_seconds:
+            await self._enter_and_send(reports)
+
+    def _settle_seconds(self) -> float:
+        """Return how long after a window its last requests have begun, or never will."""
+        limits = [
+            route.timeout_seconds
+            for route in self._context.daemon.view.rows(RouteRow)
+            if route.handling is not Handling.BATCH and not route.is_public
+        ]
+        longest_seconds = max(limits, default=0.0) + SETTLE_MARGIN_SECONDS
+        return min(longest_seconds, MOST_SETTLE_SECONDS)
+
+    async def _read_reports(self) -> UsageReports | None:
+        """Learn what the service holds; return None if it does not answer."""
+        read = await self._context.kv.read(REPORTS_KEY)
+        if isinstance(read, KvUnavailable):
+            self._context.contact.failed(self._context.now_seconds(), read.detail)
+            return None
+        reports, self._revision = UsageReports(), 0
+        for entry in read.entries:
+            reports = msgspec.json.decode(entry.value, type=UsageReports)
+            self._revision = entry.mod_revision
+        self._reports = reports
+        return reports
+
+    async def _gather(self, window: int) -> UsageReport:
+        gathered = await self._gathering.gather(window)
+        counts = {tenant: number for tenant, number in gathered.counts.items() if number}
+        late_seconds = self._wall_clock() - self._windows.ends_at_unix_seconds(window)
+        self._context.log.write(
+            UsageFixed(
+                window=window,
+                requests=sum(counts.values()),
+                tenants=len(counts),
+                daemons=gathered.answered,
+                daemons_silent=gathered.silent,
+                daemons_partial=gathered.partial,
+                after_end_seconds=round(late_seconds, 3),
+            )
+        )
+        return UsageReport(window, counts)
+
+    async def _enter_and_send(self, reports: UsageReports) -> None:
+        """Fix reports in the service, and send those that the platform may not have."""
+        now_seconds = self._context.now_seconds()
+        self._next_try_seconds = now_seconds + RETRY_SECONDS
+        record = msgspec.json.encode(DutyRecord(self._context.daemon_name))
+        content = msgspec.json.encode(reports)
+        # An earlier write without an answer may still take effect: it must not undo a later one.
+        unchanged = Compare(REPORTS_KEY, "mod", self._revision)
+        entry = await self._turns.enter(
+            DUTIES_TURN, record, (Operation(REPORTS_KEY, content),), (unchanged,)
+        )
+        if entry is None:
+            # It may have been written all the same: what is there must be read again.
+            self._reports = None
+            return
+        self._reports, self._revision = reports, entry.revision
+        for report in list(reports.open):
+            await self._send(report, entry.began_seconds)
+
+    async def _send(self, report: UsageReport, entered_at_seconds: float) -> None:
+        fencing = self._turns.fencing_to_send(DUTIES_TURN, entered_at_seconds)
+        if fencing is None or self._reports is None:
+            return
+        holder = Holder(self._context.daemon_name, fencing)
+        answer = await self._client.report_usage(holder, report.window, report.counts)
+        if answer.outcome in (DutyOutcome.TAKEN, DutyOutcome.REFUSED):
+            self._reports.taken(report.window)
+        late_seconds = self._wall_clock() - self._windows.ends_at_unix_seconds(report.window)
+        self._context.log.write(
+            UsageSent(
+                window=report.window,
+                requests=sum(report.counts.values()),
+                fencing=fencing,
+                after_end_seconds=round(late_seconds, 3),
+                in_time=late_seconds <= self._windows.allowed_late_seconds,
+                outcome=f"{answer.outcome.value}: {answer.detail}",
+            )
+        )
--- a/rackswitch/gateway/peer_service.py
+++ b/rackswitch/gateway/peer_service.py
@@ -5,6 +5,7 @@
 from grpclib.server import Server, Stream
 
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.duties.usage_service import UsageService
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
 from rackswitch.gateway.jobs.job_placer import TakenJobs
 from rackswitch.gateway.jobs.job_reader import JobReader, ResultsPage
@@ -34,6 +35,8 @@
         Calls to the key-value service for daemons that cannot reach it.
     taken : TakenJobs
         Jobs that other daemons accepted.
+    usage : UsageService
+        What was counted of tenants' requests.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         jobs: JobKeeper,
         passed_on: PassedOnCalls,
         taken: TakenJobs,
+        usage: UsageService,
     ):
+        self._usage = usage
         self._taken = taken
         self._passed_on = passed_on
         self._context = context
@@ -107,3 +112,15 @@
         request = await stream.recv_message()
         if request is not None:
             await stream.send_message(await self._passed_on.serve(request))
+
+    async def CountUsage(self, stream: Stream[pb.CountUsageRequest, pb.CountUsageReply]) -> None:
+        """Tell what was counted in a window."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._usage.counted(request))
+
+    async def AddUsage(self, stream: Stream[pb.AddUsageRequest, pb.AddUsageReply]) -> None:
+        """Take over what a stopping daemon has counted."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._usage.add(request))
--- a/rackswitch/gateway/store/control_entries.py
+++ b/rackswitch/gateway/store/control_entries.py
@@ -3,11 +3,13 @@
 from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.duties.duty_turn import DUTIES_KEY, note_record
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
 from rackswitch.gateway.jobs.job_records import JOBS_PREFIX, OWNERS_PREFIX
 from rackswitch.gateway.store.copy_set import CopyHandlers
 from rackswitch.gateway.store.member_entries import MEMBERS_PREFIX, decode_member, vm_entry
 from rackswitch.gateway.store.role_entries import ROLES_PREFIX, RoleEntries
+from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.gateway.versions.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.membership import VmEntry
 
@@ -33,9 +35,11 @@
         Told which roles have a holder.
     keeper : RoleKeeper
         Told of holders, of whom an earlier process of this daemon may be one.
+    duty_turns : TurnKeeper
+        Told who calls the operators' API.
     """
 
-    __slots__ = ("_context", "_jobs", "_keeper", "_members", "_roles", "_versions")
+    __slots__ = ("_context", "_duty_turns", "_jobs", "_keeper", "_members", "_roles", "_versions")
 
     def __init__(
         self,
@@ -44,7 +48,9 @@
         versions: VersionKeeper,
         roles: RoleEntries,
         keeper: RoleKeeper,
+        duty_turns: TurnKeeper,
     ):
+        self._duty_turns = duty_turns
         self._roles = roles
         self._keeper = keeper
         self._context = context
@@ -66,6 +72,8 @@
             self._jobs.owner_put(entry)
         elif entry.key.startswith(ORDERS_PREFIX):
             self._versions.orders_put(entry)
+        elif entry.key == DUTIES_KEY:
+            note_record(self._duty_turns, entry)
         elif entry.key.startswith(ROLES_PREFIX):
             self._roles.put(entry.key.removeprefix(ROLES_PREFIX))
             self._context.daemon.spawn(self._keeper.end_predecessors_lease(entry.value))
--- a/rackswitch/gateway/store/tests/test_watching.py
+++ b/rackswitch/gateway/store/tests/test_watching.py
@@ -60,6 +60,7 @@
             jobs=None,
             passed_on=None,
             taken=None,
+            usage=None,
         )
 
     async def start(self) -> VmEntry:
--- a/rackswitch/gateway/versions/order_sender.py
+++ b/rackswitch/gateway/versions/order_sender.py
@@ -3,17 +3,25 @@
 import asyncio
 from dataclasses import dataclass
 
-from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.turns import Turn, TurnKeeper
 from rackswitch.platform.orders import EngineReport, OrderAnswer, OrderClient, VersionOrder
 from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow
 from rackswitch.telemetry.events import LoadOrdered
-from rackswitch.weights import LoadOrder, OrderTurns
+from rackswitch.weights import LoadOrder
 
-__all__ = ["OrderSender", "PlannedLoad", "service_of_role", "version_role"]
+__all__ = [
+    "ORDERS_PREFIX",
+    "OrderSender",
+    "PlannedLoad",
+    "service_of_role",
+    "version_role",
+    "version_turn",
+]
 
 VERSION_ROLE_PREFIX = "versions/"
+ORDERS_PREFIX = "control/orders/"
 
 LOOK_SECONDS = 0.05
 """Between looks at the list of targets while a load is awaited: two in a keeper's tick."""
@@ -35,6 +43,11 @@
     return VERSION_ROLE_PREFIX + service
 
 
+def version_turn(service: str) -> Turn:
+    """Return the turn in which a service's engines are ordered."""
+    return Turn(service, version_role(service), ORDERS_PREFIX + service)
+
+
 def service_of_role(role: str) -> str:
     """Return the service whose engines a role's holder orders."""
     return role.removeprefix(VERSION_ROLE_PREFIX)
@@ -63,21 +76,16 @@
     ----------
     context : GatewayContext
         The daemon.
-    roles : RoleKeeper
-        Leases on roles.
     engines : OrderClient
         Makes the calls.
-    turns : OrderTurns
+    turns : TurnKeeper
         Until when after its entry an order may leave.
     """
 
-    __slots__ = ("_context", "_engines", "_roles", "_turns")
+    __slots__ = ("_context", "_engines", "_turns")
 
-    def __init__(
-        self, context: GatewayContext, roles: RoleKeeper, engines: OrderClient, turns: OrderTurns
-    ):
+    def __init__(self, context: GatewayContext, engines: OrderClient, turns: TurnKeeper):
         self._context = context
-        self._roles = roles
         self._engines = engines
         self._turns = turns
 
@@ -98,13 +106,11 @@
             return False
         if report.versions.get(planned.model, 0) >= order.version:
             return True
-        role = version_role(planned.service)
-        # After the last wait, right before the effect.
-        in_time = self._turns.may_send(entered_at_seconds, self._context.now_seconds())
-        if not in_time or not self._roles.may_act(role):
+        turn = version_turn(planned.service)
+        fencing = self._turns.fencing_to_send(turn, entered_at_seconds)
+        if fencing is None:
             self._log_order(planned, 0, "not sent: too late after the entry")
             return False
-        fencing = self._roles.fencing(role)
         sent = VersionOrder(
             planned.model,
             order.version,
--- a/rackswitch/gateway/versions/tests/order_run.py
+++ b/rackswitch/gateway/versions/tests/order_run.py
@@ -8,12 +8,12 @@
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
 from rackswitch.gateway.versions.version_keeper import ORDERS_PREFIX, VersionKeeper
+from rackswitch.leases import OrderTurns
 from rackswitch.platform.orders import EngineReport, NoReport, OrderAnswer, VersionOrder
 from rackswitch.routing import ListedTarget, Target
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.table import ServiceRow, StoredRow, TableDocument
-from rackswitch.weights import OrderTurns
 
 TABLE = TableDocument(1, {"service/s": StoredRow(1, ServiceRow(name="s", models=("m",)))})
 ENGINES = ("e0", "e1", "e2")
@@ -152,8 +152,7 @@
         client = SlowOrderClient(self)
         keeper = VersionKeeper(context, roles, client, lambda model: self.newest, EnginePaces())
         if self._naive:
-            keeper._turns = NaiveTurns(name)
-            keeper._sender._turns = keeper._turns
+            keeper._turns.order_turns = NaiveTurns(name)
         self.keepers[name] = keeper
         context.daemon.spawn_duty(roles.run())
         context.daemon.spawn_duty(keeper.run())
--- a/rackswitch/gateway/versions/version_keeper.py
+++ b/rackswitch/gateway/versions/version_keeper.py
@@ -6,23 +6,24 @@
 
 import msgspec
 
-from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
+from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import FIRST_PACE_SECONDS, EnginePaces
+from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.gateway.versions.order_sender import (
+    ORDERS_PREFIX,
     OrderSender,
     PlannedLoad,
     service_of_role,
     version_role,
+    version_turn,
 )
 from rackswitch.platform.orders import OrderClient
 from rackswitch.table import ServiceRow
-from rackswitch.telemetry.events import OrdersTakenOver
 from rackswitch.weights import (
     CarrierView,
     ModelNeed,
-    OrderTurns,
     RolloutState,
     ServiceLoad,
     plan_service_loads,
@@ -30,7 +31,6 @@
 
 __all__ = ["ORDERS_PREFIX", "VersionKeeper"]
 
-ORDERS_PREFIX = "control/orders/"
 TICK_SECONDS = 0.1
 
 
@@ -110,8 +110,6 @@
         "_named_at_seconds",
         "_oldest_usable_version",
         "_paces",
-        "_record_read_under",
-        "_roles",
         "_sender",
         "_turns",
     )
@@ -127,10 +125,8 @@
         self._paces = paces
         self._oldest_usable_version = oldest_usable_version
         self._context = context
-        self._roles = roles
-        self._turns = OrderTurns(context.settings.daemon)
-        self._sender = OrderSender(context, roles, engines, self._turns)
-        self._record_read_under: dict[str, int] = {}
+        self._turns = TurnKeeper(context, roles)
+        self._sender = OrderSender(context, engines, self._turns)
         self._loads: dict[str, _ServiceLoads] = {}
         self._named_at_seconds: dict[tuple[str, int], float] = {}
 
@@ -140,10 +136,7 @@
         return [version_role(row.name) for row in rows if row.models]
 
     def last_holder(self, role: str) -> str | None:
-        """Return the daemon that ordered a role's engines last.
-
-        It may order again at once, where any other has to wait for the end of its turn.
-        """
+        """Return the daemon that ordered a role's engines last."""
         return self._turns.last_holder(service_of_role(role))
 
     async def run(self) -> None:
@@ -159,7 +152,7 @@
         record = msgspec.json.decode(entry.value, type=OrdersRecord)
         service = entry.key.removeprefix(ORDERS_PREFIX)
         now_seconds = self._context.now_seconds()
-        self._turns.entered(service, record.holder, entry.mod_revision, now_seconds)
+        self._turns.entered(service, record.holder, entry.mod_revision)
         for load in record.loads:
             listed = self._context.directory.entries.get(load.engine)
             # The holder may not have noticed yet that a load has ended.
@@ -167,51 +160,19 @@
                 self._context.loads.told(load.engine, load.model, load.version, now_seconds)
 
     async def _tend(self, row: ServiceRow) -> None:
-        role = version_role(row.name)
-        if not self._roles.may_act(role) or not await self._knows_record(row.name, role):
-            return
-        if self._context.now_seconds() < self._may_order_from_seconds(row.name):
+        turn = version_turn(row.name)
+        if not await self._turns.is_open(turn, self.orders_put):
             return
         planned = self._plan(row)
         if not planned:
             return
-        entered_at_seconds = self._context.now_seconds()
-        if not await self._enter(row.name):
+        entry = await self._turns.enter(turn, self._record(row.name))
+        if entry is None:
             for load in planned:
                 self._note_end(load, False)
             return
         for load in planned:
-            self._context.daemon.spawn(self._send(load, entered_at_seconds))
-
-    def _may_order_from_seconds(self, service: str) -> float:
-        turn_seconds = self._context.settings.order_turn_seconds
-        return self._turns.may_order_from_seconds(service, turn_seconds)
-
-    async def _knows_record(self, service: str, role: str) -> bool:
-        """Read the record once after the role was acquired; return whether it is known.
-
-        The former holder may have entered itself right before it lost the role, and this
-        daemon's copy may lag. No entry of it can follow, as entries are fenced by the role.
-        """
-        fencing = self._roles.fencing(role)
-        if self._record_read_under.get(service) == fencing:
-            return True
-        read = await self._context.kv.read(ORDERS_PREFIX + service)
-        if isinstance(read, KvUnavailable):
-            self._context.contact.failed(self._context.now_seconds(), read.detail)
-            return False
-        for entry in read.entries:
-            self.orders_put(entry)
-        self._record_read_under[service] = fencing
-        wait_seconds = self._may_order_from_seconds(service) - self._context.now_seconds()
-        self._context.log.write(
-            OrdersTakenOver(
-                service=service,
-                fencing=fencing,
-                wait_seconds=round(max(0.0, wait_seconds), 3),
-            )
-        )
-        return True
+            self._context.daemon.spawn(self._send(load, entry.began_seconds))
 
     async def _send(self, load: PlannedLoad, entered_at_seconds: float) -> None:
         loaded = False
@@ -224,20 +185,11 @@
         loads = self._loads[load.service]
         loads.ended(load.target.instance, loaded, self._context.now_seconds())
 
-    async def _enter(self, service: str) -> bool:
-        """Enter this daemon in the record of a service's orders, under the role's fence."""
+    def _record(self, service: str) -> bytes:
+        """Return the record of a service's orders as this daemon enters it."""
         under_way = self._loads[service].loading(self._context.now_seconds())
         loads = tuple(OrderedLoad(engine, *what) for engine, what in under_way.items())
-        record = OrdersRecord(self._context.settings.daemon, loads)
-        put = Operation(ORDERS_PREFIX + service, msgspec.json.encode(record))
-        fence = self._roles.fence(version_role(service))
-        done = await self._context.kv.txn([TxnPart((fence,), (put,))])
-        if isinstance(done, KvUnavailable):
-            self._context.contact.failed(self._context.now_seconds(), done.detail)
-            return False
-        if not done[0].succeeded:
-            self._roles.lose(version_role(service))
-        return done[0].succeeded
+        return msgspec.json.encode(OrdersRecord(self._context.settings.daemon, loads))
 
     def _plan(self, row: ServiceRow) -> list[PlannedLoad]:
         """Return the loads to order now; they count as under way from here on."""
--- a/rackswitch/weights/tests/test_turns.py
+++ b/rackswitch/leases/tests/test_turns.py
@@ -1,4 +1,4 @@
-from rackswitch.weights import ORDER_WINDOW_SECONDS, OrderTurns
+from rackswitch.leases import ORDER_WINDOW_SECONDS, OrderTurns
 
 TURN_SECONDS = 3.0
 
--- a/rackswitch/weights/turns.py
+++ b/rackswitch/leases/turns.py
@@ -1,4 +1,4 @@
-"""When a new holder may order engines that do not check fencing numbers.
+"""When a new holder may act where nobody checks fencing numbers: engines, the operator's API.
 
 Before a holder orders, it enters itself in a record under its role's fence, and
 it orders only within a short window after that. All daemons follow the record,
--- a/rackswitch/peers/gateway_grpc.py
+++ b/rackswitch/peers/gateway_grpc.py
@@ -34,6 +34,14 @@
     async def PassOn(self, stream: 'grpclib.server.Stream[gateway_pb2.PassOnRequest, gateway_pb2.PassOnReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def CountUsage(self, stream: 'grpclib.server.Stream[gateway_pb2.CountUsageRequest, gateway_pb2.CountUsageReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def AddUsage(self, stream: 'grpclib.server.Stream[gateway_pb2.AddUsageRequest, gateway_pb2.AddUsageReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/rackswitch.gateway.GatewayPeers/Follow': grpclib.const.Handler(
@@ -66,6 +74,18 @@
                 gateway_pb2.PassOnRequest,
                 gateway_pb2.PassOnReply,
             ),
+            '/rackswitch.gateway.GatewayPeers/CountUsage': grpclib.const.Handler(
+                self.CountUsage,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                gateway_pb2.CountUsageRequest,
+                gateway_pb2.CountUsageReply,
+            ),
+            '/rackswitch.gateway.GatewayPeers/AddUsage': grpclib.const.Handler(
+                self.AddUsage,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                gateway_pb2.AddUsageRequest,
+                gateway_pb2.AddUsageReply,
+            ),
         }
 
 
@@ -102,3 +122,15 @@
             gateway_pb2.PassOnRequest,
             gateway_pb2.PassOnReply,
         )
+        self.CountUsage = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rackswitch.gateway.GatewayPeers/CountUsage',
+            gateway_pb2.CountUsageRequest,
+            gateway_pb2.CountUsageReply,
+        )
+        self.AddUsage = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rackswitch.gateway.GatewayPeers/AddUsage',
+            gateway_pb2.AddUsageRequest,
+            gateway_pb2.AddUsageReply,
+        )
--- a/rackswitch/platform/names.py
+++ b/rackswitch/platform/names.py
@@ -4,7 +4,9 @@
     "AUTHORIZATION_HEADER",
     "CONFIG_KEY",
     "DEADLINE_HEADER",
+    "DUTY_HOLDER_HEADER",
     "EXPECT_INSTANCE_HEADER",
+    "FENCING_HEADER",
     "LAST_EVENT_HEADER",
     "LENGTH_HINT_HEADER",
     "NOT_RUN_HEADER",
@@ -33,6 +35,8 @@
 AUTHORIZATION_HEADER = "Authorization"
 TENANT_HEADER = "X-Rackswitch-Tenant"
 """The tenant that holds a request's key; a caller's own word for it counts for nothing."""
+DUTY_HOLDER_HEADER = "X-Rackswitch-Duty-Holder"
+FENCING_HEADER = "X-Rackswitch-Fence-Token"
 NOT_RUN_HEADER = "X-Rackswitch-Not-Run"
 VERSIONS_HEADER = "X-Rackswitch-Weight-Versions"
 """One number in spite of its name: the version that makes the answer's first event."""
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -9,7 +9,11 @@
 from rackswitch.platform.names import SETTINGS_VARIABLE
 from rackswitch.settings import SettingsFault
 
-__all__ = ["METRICS_PATH", "Address", "NodeSettings", "read_node_settings"]
+__all__ = ["METRICS_PATH", "Address", "DutySettings", "NodeSettings", "read_node_settings"]
+
+USAGE_DUTY = "usage"
+SCALE_DUTY = "autoscale"
+"""How the settings file names the calls that one daemon is to make."""
 
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
@@ -25,6 +29,28 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """The operators' API, and what one daemon of the fleet does there.
+
+    Attributes
+    ----------
+    reports_usage, orders_engines : bool
+        Which of the calls are wanted.
+    calls_per_second : float
+        Calls that the API takes from all daemons together.
+    window_seconds, late_seconds : float
+        Length of a window of usage, and how long after its end a report is in time.
+    """
+
+    url: str
+    reports_usage: bool
+    orders_engines: bool
+    calls_per_second: float
+    window_seconds: float
+    late_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
     """What a process learns of its VM and of the bounds that hold.
@@ -50,6 +76,8 @@
         How long after its submission a batch job can be read.
     processor_share : float
         Part of a processor that the VM has; 0 if the file does not say.
+    duties : DutySettings or None
+        What is to be done towards the operators' API; None for nothing.
     """
 
     daemon: str
@@ -67,6 +95,7 @@
     order_turn_seconds: float
     keep_results_seconds: float
     processor_share: float = 0.0
+    duties: DutySettings | None = None
 
 
 class _WireListen(msgspec.Struct):
@@ -78,6 +107,8 @@
     grace_s: float = 8.0
     lease_ms: float = 3000.0
     status_s: float = 120.0
+    report_window_s: float = 5.0
+    usage_late_s: float = 10.0
 
 
 class _WirePlatform(msgspec.Struct):
@@ -86,6 +117,12 @@
     ttl_min_ms: float = 1000.0
 
 
+class _WireCloud(msgspec.Struct):
+    address: str
+    duties: list[str] = []
+    duty_per_s: float = 10.0
+
+
 class _WireLimits(msgspec.Struct):
     cpu_share: float = 0.0
 
@@ -101,6 +138,7 @@
     internal_ports: list[int] = msgspec.field(default_factory=list)
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    cloud: _WireCloud | None = None
 
 
 def read_node_settings(path: str | None = None) -> NodeSettings | SettingsFault:
@@ -153,6 +191,23 @@
         order_turn_seconds=wire.bounds.lease_ms / 1000,
         keep_results_seconds=wire.bounds.status_s,
         processor_share=wire.limits.cpu_share,
+        duties=_duty_settings(wire),
+    )
+
+
+def _duty_settings(wire: _WireSettings) -> DutySettings | None:
+    cloud = wire.cloud
+    if cloud is None or not {USAGE_DUTY, SCALE_DUTY}.intersection(cloud.duties):
+        return None
+    if wire.bounds.report_window_s <= 0:
+        raise ValueError("`$.bounds.report_window_s` must be above 0")
+    return DutySettings(
+        url=f"http://{cloud.address}",
+        reports_usage=USAGE_DUTY in cloud.duties,
+        orders_engines=SCALE_DUTY in cloud.duties,
+        calls_per_second=cloud.duty_per_s,
+        window_seconds=wire.bounds.report_window_s,
+        late_seconds=wire.bounds.usage_late_s,
     )
 
 
--- a/rackswitch/requests/attempts.py
+++ b/rackswitch/requests/attempts.py
@@ -64,12 +64,15 @@
         Targets that may run the request.
     most_refusals : int
         Attempts, besides those, that a target may end by saying that it did not begin.
+    began_at_unix_seconds : float or None
+        When the request first began at a target, as far as this is known; None if it has not.
     """
 
     repeatable: bool
     ends: list[AttemptEnd] = field(default_factory=list)
     most_attempts: int = MOST_ATTEMPTS
     most_refusals: int = 0
+    began_at_unix_seconds: float | None = None
 
     @property
     def may_have_run(self) -> bool:
--- /dev/null
+++ b/rackswitch/standins/platform_api.py
@@ -0,0 +1,92 @@
+"""Stand-in of the operators' API that one daemon at a time calls."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from rackswitch.web import WebServer
+from rackswitch.web.exchange import Exchange
+
+__all__ = ["ApiCall", "ApiFaults", "PlatformApiStandIn"]
+
+MOST_BODY_BYTES = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class ApiCall:
+    """A call as it arrived."""
+
+    path: str
+    holder: str
+    fencing: int
+    body: dict[str, Any]
+    answered: int
+
+
+@dataclass(slots=True)
+class ApiFaults:
+    """What goes wrong from now on.
+
+    Attributes
+    ----------
+    status : int
+        What every call is answered without effect; 0 for none.
+    lost_answers : int
+        So many of the next calls are taken and not answered.
+    """
+
+    status: int = 0
+    lost_answers: int = 0
+
+
+@dataclass(slots=True)
+class PlatformApiStandIn:
+    """Takes reports of usage and orders of engines, and keeps them in order."""
+
+    faults: ApiFaults = field(default_factory=ApiFaults)
+    calls: list[ApiCall] = field(default_factory=list)
+    _server: WebServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._server = WebServer(self._serve, "127.0.0.1", 0)
+
+    @property
+    def url(self) -> str:
+        """Where it listens."""
+        return self._server.url
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Drop all connections."""
+        await self._server.crash()
+
+    def usage(self) -> dict[int, dict[str, int]]:
+        """Return the reports that were taken, by window."""
+        taken = [call for call in self.calls if call.path == "/usage" and call.answered == 200]
+        return {call.body["window"]: call.body["counts"] for call in taken}
+
+    async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send)
+        body = await exchange.read_body(MOST_BODY_BYTES, asyncio.get_running_loop().time() + 5.0)
+        status = self.faults.status or 200
+        self.calls.append(
+            ApiCall(
+                exchange.path,
+                exchange.header("X-Rackswitch-Duty-Holder") or "",
+                int(exchange.header("X-Rackswitch-Fence-Token") or 0),
+                msgspec.json.decode(body if isinstance(body, bytes) else b"{}"),
+                status,
+            )
+        )
+        if self.faults.lost_answers and status == 200:
+            self.faults.lost_answers -= 1
+            await exchange.wait_gone()
+            return
+        await exchange.respond(status)
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -12,7 +12,8 @@
 
 from rackswitch.gateway.core import Gateway
 from rackswitch.gateway.policy import PolicySettings
-from rackswitch.platform.settings import Address, NodeSettings
+from rackswitch.platform.settings import Address, DutySettings, NodeSettings
+from rackswitch.standins.platform_api import PlatformApiStandIn
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.standins.platform_target import PlatformTargetStandIn
 
@@ -106,6 +107,8 @@
         How many gateways, engines and plain services.
     policy : PolicySettings, optional
         Mechanisms of the gateways that are switched on; all by default.
+    usage_window_seconds : float
+        Length of the windows in which usage is reported; 0 for no reports.
 
     Attributes
     ----------
@@ -119,8 +122,11 @@
         engines: int = 2,
         services: int = 2,
         policy: PolicySettings | None = None,
+        usage_window_seconds: float = 0.0,
     ):
         self._policy = policy
+        self._window_seconds = usage_window_seconds
+        self.api = PlatformApiStandIn()
         self.store = PlatformStoreStandIn()
         self.key = ""
         self.engines = [
@@ -138,6 +144,7 @@
         """Start everything and wait until every gateway is ready."""
         self._session = aiohttp.ClientSession(auto_decompress=False)
         await self.store.start()
+        await self.api.start()
         self.store.put("op/config", desired_state(1))
         for target in (*self.engines, *self.services):
             await target.start()
@@ -161,12 +168,25 @@
             readiness=Address("127.0.0.1", 0),
             peer_ports=(port, port),
             order_turn_seconds=0.5,
+            duties=self._duties(),
         )
         gateway = Gateway(settings, log_descriptor, self._policy)
         await gateway.start()
         self.gateways[name] = gateway
         return gateway
 
+    def _duties(self) -> DutySettings | None:
+        if not self._window_seconds:
+            return None
+        return DutySettings(
+            url=self.api.url,
+            reports_usage=True,
+            orders_engines=False,
+            calls_per_second=50.0,
+            window_seconds=self._window_seconds,
+            late_seconds=2 * self._window_seconds,
+        )
+
     async def stop(self) -> None:
         """End everything."""
         for gateway in self.gateways.values():
@@ -174,6 +194,7 @@
         for target in (*self.engines, *self.services):
             await target.crash()
         await self.store.stop()
+        await self.api.stop()
         if self._session is not None:
             await self._session.close()
 
--- a/rackswitch/telemetry/events/__init__.py
+++ b/rackswitch/telemetry/events/__init__.py
@@ -11,6 +11,8 @@
 from rackswitch.telemetry.events.beliefs import __all__ as _beliefs_all
 from rackswitch.telemetry.events.dependencies import *  # noqa: F403
 from rackswitch.telemetry.events.dependencies import __all__ as _dependencies_all
+from rackswitch.telemetry.events.duties import *  # noqa: F403
+from rackswitch.telemetry.events.duties import __all__ as _duties_all
 from rackswitch.telemetry.events.jobs import *  # noqa: F403
 from rackswitch.telemetry.events.jobs import __all__ as _jobs_all
 from rackswitch.telemetry.events.process import *  # noqa: F403
@@ -26,6 +28,7 @@
     *_base_all,
     *_beliefs_all,
     *_dependencies_all,
+    *_duties_all,
     *_jobs_all,
     *_process_all,
     *_requests_all,
--- a/rackswitch/weights/__init__.py
+++ b/rackswitch/weights/__init__.py
@@ -6,7 +6,5 @@
 from rackswitch.weights.rollout import __all__ as _rollout_all
 from rackswitch.weights.service_plan import *  # noqa: F403
 from rackswitch.weights.service_plan import __all__ as _service_plan_all
-from rackswitch.weights.turns import *  # noqa: F403
-from rackswitch.weights.turns import __all__ as _turns_all
 
-__all__ = [*_engine_loads_all, *_rollout_all, *_service_plan_all, *_turns_all]
+__all__ = [*_engine_loads_all, *_rollout_all, *_service_plan_all]
