On call: why a key was refused and what became of a usage window; an unknown key at a daemon cut off is sent elsewhere

Cause: a daemon that the service does not answer cannot know a key made since, and a caller does not come back after a 401. `rackswitch explain` knew neither refused keys nor windows of usage.

Change: an unknown key is answered 503 with the time to come back while the service does not answer this daemon; one that an earlier table had stays a 401. `explain WINDOW` tells who gathered, fixed and sent a window's usage, and judges reports that came late, were not taken or lack daemons.

Tests: on loopback with the service busy; the story of a window in four cases.

--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     kind : str
-        ``request``, ``item`` or ``job``.
+        ``request``, ``item``, ``job`` or ``window`` (of usage).
     """
 
     kind: str
@@ -114,6 +114,8 @@
         if isinstance(event, ev.RewardCallEnded) and event.request == identity:
             # A reward call is part of its item's story.
             return Subject("item", event.item)
+        if isinstance(event, ev.UsageFixed | ev.UsageSent) and str(event.window) == identity:
+            return Subject("window", identity)
         for kind in ("job", "item", "request"):
             named: str = getattr(event, kind, "")
             if named == identity or (kind == "job" and tenants_own(named) == identity):
@@ -128,7 +130,7 @@
         return _is_about_job(event, subject.identity)
     if subject.kind == "item" and isinstance(event, ev.ResultsAppended):
         return subject.identity in event.items
-    return getattr(event, subject.kind, None) == subject.identity
+    return str(getattr(event, subject.kind, None)) == subject.identity
 
 
 def _is_about_job(event: ev.Event, job: str) -> bool:
--- a/rackswitch/explain/tests/test_story.py
+++ b/rackswitch/explain/tests/test_story.py
@@ -194,3 +194,43 @@
     after.log(10.5, ev.Started(zone="z"))
     log = read_events([*before.lines, *after.lines])
     assert [line.life for line in log.events] == [0, 1]
+
+
+def usage_fixed(silent: int = 0) -> ev.UsageFixed:
+    return ev.UsageFixed(
+        window=355610033,
+        requests=35,
+        tenants=20,
+        daemons=64,
+        daemons_silent=silent,
+        daemons_partial=0,
+        after_end_seconds=1.9,
+    )
+
+
+def usage_sent(after: float, outcome: str) -> ev.UsageSent:
+    return ev.UsageSent(
+        window=355610033,
+        requests=35,
+        fencing=12,
+        after_end_seconds=after,
+        in_time=after <= 10,
+        outcome=outcome,
+    )
+
+
+@pytest.mark.parametrize(
+    ("events", "cause"),
+    [
+        ([usage_fixed(), usage_sent(2.0, "taken: status 200")], None),
+        ([usage_fixed()], "never sent it"),
+        ([usage_fixed(), usage_sent(11.5, "taken: status 200")], "11.5 s after its end"),
+        ([usage_fixed(3), usage_sent(2.0, "taken: status 200")], "of 67 daemons 3 did not tell"),
+    ],
+)
+def test_what_became_of_a_window_of_usage(events, cause):
+    daemon = LoggingDaemon("d1")
+    for number, event in enumerate(events):
+        daemon.log(1.0 + number, event)
+    verdict = judge_story(tell_story(read_events(daemon.lines), "355610033"))
+    assert (verdict is None) if cause is None else (cause in verdict.cause)
--- a/rackswitch/explain/verdicts.py
+++ b/rackswitch/explain/verdicts.py
@@ -237,3 +237,34 @@
         return None
     cause = f"{line.event.call} at {line.daemon}: {line.event.outcome} {line.event.detail}".strip()
     return Verdict(line, cause + _away_before(story, line), 20)
+
+
+@JUDGES.register("usage not reported in time")
+def _usage_late(story: Story) -> Verdict | None:
+    sent = _last(story, ev.UsageSent)
+    if sent is None or not isinstance(sent.event, ev.UsageSent):
+        fixed = _last(story, ev.UsageFixed)
+        if fixed is None:
+            return None
+        cause = f"{fixed.daemon} gathered it and never sent it"
+        return Verdict(fixed, cause + _away_before(story, fixed), 60)
+    event = sent.event
+    if event.in_time and event.outcome.startswith("taken"):
+        return None
+    cause = f"its last report, {event.after_end_seconds:.1f} s after its end, was {event.outcome}"
+    return Verdict(sent, cause, 60)
+
+
+@JUDGES.register("usage incomplete")
+def _usage_incomplete(story: Story) -> Verdict | None:
+    fixed = _last(story, ev.UsageFixed)
+    if fixed is None or not isinstance(fixed.event, ev.UsageFixed):
+        return None
+    event = fixed.event
+    if not event.daemons_silent and not event.daemons_partial:
+        return None
+    cause = (
+        f"of {event.daemons + event.daemons_silent} daemons {event.daemons_silent} did not tell "
+        f"their counts, and {event.daemons_partial} had counted for a part of the window only"
+    )
+    return Verdict(fixed, cause, 50)
--- a/rackswitch/gateway/callers/edge.py
+++ b/rackswitch/gateway/callers/edge.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from rackswitch.gateway.callers.call_edge import CallEdge
-from rackswitch.gateway.callers.refusals import Refusal, key_refusal, refuse_at_the_edge
+from rackswitch.gateway.callers.refusals import Refusal, refuse_at_the_edge
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_edge import JobEdge, Submission
 from rackswitch.platform.desired_state import LIMITS_NAME
@@ -105,7 +105,7 @@
         caller = self._context.tenants.identify(exchange.header_values(AUTHORIZATION_HEADER))
         identity = self._jobs.identity_for(caller, job_call.job_id)
         if isinstance(identity, KeyFault):
-            await refuse_at_the_edge(exchange, self._context, key_refusal(identity))
+            await refuse_at_the_edge(exchange, self._context, self._key_refusal(identity))
             return
         await self._jobs.serve(exchange, replace(job_call, job_id=identity), arrived_seconds)
 
@@ -140,7 +140,7 @@
             return Refusal(404, f"no route for {host}{exchange.path}")
         caller = self._caller(exchange, route)
         if isinstance(caller, KeyFault):
-            return key_refusal(caller)
+            return self._key_refusal(caller)
         request_id = request_identity(exchange)
         if not request_id:
             return Refusal(400, "the request has no identity")
@@ -149,6 +149,18 @@
             return Refusal(400, deadline_seconds.detail)
         return _Head(route, caller, host, request_id, deadline_seconds)
 
+    def _key_refusal(self, fault: KeyFault) -> Refusal:
+        """Return the refusal of a request whose key nobody holds by the table in force.
+
+        A daemon that the service does not answer may lack a key that is new: its caller would
+        not come back after a 401, and another daemon may know the key.
+        """
+        contact = self._context.contact
+        if not fault.may_be_new or not contact.is_away:
+            return Refusal(401, fault.detail)
+        left_seconds = contact.outage.remaining_seconds(self._context.now_seconds())
+        return Refusal(503, f"{fault.detail}, by a table that may be old", left_seconds)
+
     def _caller(self, exchange: Exchange, route: RouteRow) -> Caller | KeyFault:
         """Return who sends a request on a route, by the table in force."""
         tenants = self._context.tenants
--- a/rackswitch/gateway/callers/refusals.py
+++ b/rackswitch/gateway/callers/refusals.py
@@ -5,10 +5,9 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.platform.ingress import request_identity
 from rackswitch.telemetry.events import RequestRefused
-from rackswitch.tenants import KeyFault
 from rackswitch.web.exchange import Exchange
 
-__all__ = ["TEXT", "Refusal", "key_refusal", "refuse", "refuse_at_the_edge"]
+__all__ = ["TEXT", "Refusal", "refuse", "refuse_at_the_edge"]
 
 TEXT = (("content-type", "text/plain; charset=utf-8"),)
 
@@ -28,11 +27,6 @@
     retry_after_seconds: float | None = None
 
 
-def key_refusal(fault: KeyFault) -> Refusal:
-    """Return the refusal of a request whose key nobody holds."""
-    return Refusal(401, fault.detail)
-
-
 async def refuse(exchange: Exchange, refusal: Refusal) -> None:
     """Answer a request with its refusal; the caller logs what decided."""
     headers: tuple[tuple[str, str], ...] = TEXT
--- a/rackswitch/gateway/tests/test_path_tenants.py
+++ b/rackswitch/gateway/tests/test_path_tenants.py
@@ -78,6 +78,22 @@
     play(scenario)
 
 
+def test_a_daemon_without_the_service_sends_a_key_it_does_not_know_elsewhere():
+    async def scenario(fleet):
+        await fleet.operate(state(2, ACME))
+        await fleet.operate(state(3, {**ACME, "api_keys": ["acme-key-1"]}))
+        fleet.store.faults.down = "busy"
+        await wait_for(lambda: fleet.gateways["d0"].context.contact.is_away)
+        fleet.key = "made-since"
+        status, headers, _ = await fleet.request("d0", "GET", "/look/x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        fleet.key = "acme-key-2"
+        assert (await fleet.request("d0", "GET", "/look/x"))[0] == 401
+
+    play(scenario)
+
+
 def test_a_table_in_which_two_tenants_have_one_key_is_not_taken(tmp_path):
     async def scenario(fleet):
         await fleet.operate(state(2, ACME))
--- a/rackswitch/tenants/index.py
+++ b/rackswitch/tenants/index.py
@@ -57,7 +57,7 @@
         digest = key_digest(key)
         row = self.by_digest.get(digest)
         if row is None:
-            return KeyFault(self._why_unknown(digest))
+            return self._unknown(digest)
         return Caller(row.name, row.caller_class, keys_in_force=True)
 
     def anybody(self) -> Caller:
@@ -68,12 +68,13 @@
         """Return a tenant as the owner of work that it submitted earlier, whatever its keys."""
         return Caller(tenant, keys_in_force=self.in_force or bool(tenant))
 
-    def _why_unknown(self, digest: str) -> str:
+    def _unknown(self, digest: str) -> KeyFault:
         told = digest[:DIGEST_CHARACTERS_TOLD]
         former = self.former.get(digest)
         if former is None:
-            return f"key {told} is not known"
-        return f"key {told} of {former.tenant} was taken away with table {former.revision}"
+            return KeyFault(f"key {told} is not known", may_be_new=True)
+        taken_away = f"was taken away with table {former.revision}"
+        return KeyFault(f"key {told} of {former.tenant} {taken_away}")
 
 
 def index_tenants(document: TableDocument, before: TenantIndex) -> TenantIndex:
--- a/rackswitch/tenants/keys.py
+++ b/rackswitch/tenants/keys.py
@@ -14,9 +14,16 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyFault:
-    """Why no key can be read, without the key."""
+    """Why nobody is known to hold a request's key, without the key.
+
+    Attributes
+    ----------
+    may_be_new : bool
+        Whether a newer table may have the key: it can be read, and no known table had it.
+    """
 
     detail: str
+    may_be_new: bool = False
 
 
 def key_digest(key: str) -> str:
