Engines ordered: how many a service should have, of which kind and where, as decisions of their own

Cause: a service whose size is ours to order was never sized.

Change: `rackswitch/capacity` decides without I/O: wanted slots from each trainer's largest recent job and the time in which its last item should begin; policies by name (standing, utilisation, forecast) and kinds (none, added); a planner that orders up at once for a large lack, after 3 s for a small one, spread over zones and the cheaper first, leaves a dry place alone for 10 s, and gives back a lasting surplus two at a time. `gateway/duties/scale_keeper.py` carries it out under the role's fence; what was ordered is written before, for a successor. The platform's terms are rows; nonsense in them is refused by field. A job's marker tells how long its texts probably take.

Switched off by default (`standing`) until it is measured. Tests: a platform that boots, reclaims, runs dry and loses engines; bounds and flapping by hypothesis.

--- /dev/null
+++ b/rackswitch/capacity/__init__.py
@@ -0,0 +1,20 @@
+"""How many engines a service is to have, of which kind and where."""
+
+from rackswitch.capacity.demand import JobLoad, wanted_slots
+from rackswitch.capacity.engines import Capacity, EngineCounts, EngineKind, Place
+from rackswitch.capacity.planner import CapacityPlanner, EngineOrder, ServiceState
+from rackswitch.capacity.policies import CAPACITY_POLICIES, KIND_POLICIES
+
+__all__ = [
+    "CAPACITY_POLICIES",
+    "KIND_POLICIES",
+    "Capacity",
+    "CapacityPlanner",
+    "EngineCounts",
+    "EngineKind",
+    "EngineOrder",
+    "JobLoad",
+    "Place",
+    "ServiceState",
+    "wanted_slots",
+]
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -125,7 +125,7 @@
         )
         self._cleaner = JobCleaner(self.context, self.jobs.known, job_store)
         reader = JobReader(self.context, self.jobs, job_store, self.session)
-        self._duties = Duties(self.context, self.roles)
+        self._duties = Duties(self.context, self.roles, self.jobs.known)
         control = ControlEntries(
             self.context,
             self.jobs,
--- a/rackswitch/gateway/duties/duties.py
+++ b/rackswitch/gateway/duties/duties.py
@@ -7,9 +7,11 @@
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.duties.duty_turn import DUTIES_ROLE, DUTIES_TURN
+from rackswitch.gateway.duties.scale_keeper import ScaleKeeper
 from rackswitch.gateway.duties.usage_gathering import UsageGathering
 from rackswitch.gateway.duties.usage_keeper import UsageKeeper
 from rackswitch.gateway.duties.usage_service import UsageService
+from rackswitch.gateway.jobs.known_jobs import KnownJobs
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.platform.duty_calls import DutyClient
 from rackswitch.usage import UsageCounts, UsageWindows
@@ -26,6 +28,8 @@
         The daemon; it counts usage from now on as the settings cut time.
     roles : RoleKeeper
         Leases on roles.
+    known : KnownJobs
+        All jobs of the fleet.
 
     Attributes
     ----------
@@ -35,11 +39,11 @@
         What was counted here.
     """
 
-    __slots__ = ("_context", "_roles", "turns", "usage")
+    __slots__ = ("_context", "_known", "turns", "usage")
 
-    def __init__(self, context: GatewayContext, roles: RoleKeeper):
+    def __init__(self, context: GatewayContext, roles: RoleKeeper, known: KnownJobs):
         self._context = context
-        self._roles = roles
+        self._known = known
         self.turns = TurnKeeper(context, roles)
         settings = context.settings.duties
         if settings is not None:
@@ -58,12 +62,19 @@
     def runs(self) -> list[Coroutine[Any, Any, None]]:
         """Return what is to be run until the daemon ends."""
         settings = self._context.settings.duties
-        if settings is None or not settings.reports_usage:
+        if settings is None:
             return []
         client = DutyClient(settings.url, self._context.daemon.sessions)
-        gathering = UsageGathering(self._context, self._context.usage)
-        windows = self._context.usage.windows
-        return [UsageKeeper(self._context, self.turns, client, gathering, windows).run()]
+        work: list[Coroutine[Any, Any, None]] = []
+        if settings.reports_usage:
+            gathering = UsageGathering(self._context, self._context.usage)
+            windows = self._context.usage.windows
+            usage = UsageKeeper(self._context, self.turns, client, gathering, windows)
+            work.append(usage.run())
+        if settings.orders_engines:
+            scale = ScaleKeeper(self._context, self.turns, client, self._known)
+            work.append(scale.run())
+        return work
 
     async def hand_over(self) -> None:
         """Leave what was counted to a daemon that goes on."""
--- a/rackswitch/gateway/jobs/job_records.py
+++ b/rackswitch/gateway/jobs/job_records.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rackswitch.clients.kv import KvEntry
-from rackswitch.jobs import Job, JobCheckpoint, JobResult
+from rackswitch.jobs import Job, JobCheckpoint, JobResult, expected_work_seconds
 
 __all__ = [
     "ITEMS_PREFIX",
@@ -54,6 +54,8 @@
     ----------
     model, oldest_version : str, int
         The model whose engines run it, and the oldest version that may.
+    work_seconds : float
+        How long its texts probably take, added up.
     """
 
     job_id: str
@@ -62,6 +64,7 @@
     model: str = ""
     oldest_version: int = 0
     ended: bool = False
+    work_seconds: float = 0.0
 
 
 def marker_of(job: Job) -> JobMarker:
@@ -72,6 +75,7 @@
         job.submitted_at_unix_seconds,
         job.model,
         job.oldest_version,
+        work_seconds=round(expected_work_seconds(job), 1),
     )
 
 
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+from rackswitch.capacity import CAPACITY_POLICIES, KIND_POLICIES
 from rackswitch.settings import Settings, SettingsFault, load_settings
 
 __all__ = ["POLICY_FILE", "PolicySettings", "read_policy"]
@@ -27,6 +28,10 @@
         Whether the owner of a new job asks the engines how full they are.
     fast_engine_first : bool
         Whether the first engine that loads a version is one of the fast ones.
+    engines_wanted : str
+        How many engines a service should have, by name (`rackswitch.capacity.policies`).
+    engine_kinds : str
+        How many of them may be ones that the platform takes away, by name.
     runs_move : bool
         Whether a run goes on at a faster engine if that gains time.
     longest_first : bool
@@ -39,6 +44,8 @@
     paces_told: bool = True
     loads_asked: bool = True
     fast_engine_first: bool = True
+    engines_wanted: str = "standing"
+    engine_kinds: str = "added"
     runs_move: bool = True
     longest_first: bool = True
 
@@ -58,4 +65,15 @@
     """
     if not Path(path).exists():
         return PolicySettings()
-    return load_settings(path, PolicySettings)
+    policy = load_settings(path, PolicySettings)
+    if isinstance(policy, SettingsFault):
+        return policy
+    for field, registry in (
+        ("engines_wanted", CAPACITY_POLICIES),
+        ("engine_kinds", KIND_POLICIES),
+    ):
+        name = getattr(policy, field)
+        if name not in registry:
+            known = ", ".join(registry.names())
+            return SettingsFault(f"{path}: `$.{field}` {name!r} is none of {known}")
+    return policy
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -5,10 +5,18 @@
 from dataclasses import dataclass
 
 from rackswitch.jobs.ledger import JobLedger
+from rackswitch.jobs.messages import Job
 from rackswitch.jobs.progress import ItemProgress
 from rackswitch.jobs.stragglers import SpareRoom
 
-__all__ = ["EngineRoom", "ItemStart", "LengthForecast", "plan_starts", "spare_rooms"]
+__all__ = [
+    "EngineRoom",
+    "ItemStart",
+    "LengthForecast",
+    "expected_work_seconds",
+    "plan_starts",
+    "spare_rooms",
+]
 
 FIRST_PIECES_PER_TOKEN = 0.02
 """Before any text has become whole: some fifty tokens a piece."""
@@ -114,6 +122,18 @@
         return max(expected - done, TAIL_SHARE * done)
 
 
+def expected_work_seconds(job: Job) -> float:
+    """Return how long a job's texts probably take, added up, before any of them is begun.
+
+    An item without a guess of its submitter's counts as a usual run.
+    """
+    seconds_per_token = FIRST_PIECES_PER_TOKEN * USUAL_SECONDS_PER_PIECE
+    return sum(
+        item.expected_tokens * seconds_per_token if item.expected_tokens else USUAL_RUN_SECONDS
+        for item in job.items
+    )
+
+
 def plan_starts(
     ledgers: Iterable[JobLedger],
     engines: list[EngineRoom],
--- a/rackswitch/platform/desired_state.py
+++ b/rackswitch/platform/desired_state.py
@@ -16,6 +16,7 @@
     RouteChoice,
     RouteRow,
     Row,
+    ScalingTerms,
     ServiceRow,
     StoredRow,
     TableDocument,
@@ -107,9 +108,20 @@
     models: list[_WireModel] = []
 
 
+class _WireScaling(msgspec.Struct):
+    # Both count for each zone by itself, and for both kinds of engines together.
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0.0
+    # A share of the zone's price, not a price.
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class _WireService(msgspec.Struct):
     name: str
     max_conns: int = 0
+    scaling: _WireScaling | None = None
     engine: _WireEngine | None = None
 
 
@@ -146,6 +158,9 @@
         wire = msgspec.json.decode(value, type=_WireConfig)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return MalformedEntry(str(error))
+    fault = _scaling_fault(wire.services)
+    if fault is not None:
+        return MalformedEntry(fault)
     rows: list[Row] = [_limits_row(wire.limits)]
     rows.extend(_service_row(service) for service in wire.services)
     rows.extend(_route_row(route) for route in wire.routes)
@@ -208,9 +223,37 @@
         most_connections=wire.max_conns,
         slots=engine.slots,
         models=tuple(model.name for model in engine.models),
+        scaling=_scaling_terms(wire.scaling) if wire.scaling is not None else None,
+    )
+
+
+def _scaling_terms(wire: _WireScaling) -> ScalingTerms:
+    return ScalingTerms(
+        least=wire.min,
+        most=wire.max,
+        boot_seconds=wire.boot_s,
+        reclaimable_price=wire.spot_price,
+        zone_prices=wire.zone_prices,
     )
 
 
+def _scaling_fault(services: list[_WireService]) -> str | None:
+    """Return why terms of scaling make no sense, naming the field, or None."""
+    for service in services:
+        scaling = service.scaling
+        if scaling is None:
+            continue
+        at = f"`scaling` of {service.name!r}: "
+        if not 0 <= scaling.min <= scaling.max:
+            return f"{at}`min` {scaling.min} and `max` {scaling.max} are no bounds"
+        if scaling.spot_price < 0 or scaling.boot_s < 0:
+            return f"{at}`spot_price` and `boot_s` must not be negative"
+        for zone, price in scaling.zone_prices.items():
+            if price < 0:
+                return f"{at}`zone_prices` of {zone!r} is negative"
+    return None
+
+
 def _route_row(wire: _WireRoute) -> RouteRow:
     if wire.split:
         choices = [RouteChoice(serves=part.service, weight=part.weight) for part in wire.split]
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -10,6 +10,10 @@
 __all__ = ["decode_target", "target_instance"]
 
 
+SERVING_STATES = ("ready", "spot")
+"""An engine that may be taken away says so; where it does that in place of `ready`, it serves."""
+
+
 class _WireServer(msgspec.Struct):
     service: str
     address: str
@@ -17,6 +21,8 @@
     slots: int = 0
     state: str = "ready"
     models: list[WireLoadedModel] = []
+    # An engine that the platform may take away at short notice.
+    spot: bool = False
     # `version` is that of the engine's software and `seq` counts heartbeats; neither says
     # anything about weights or orders, so they are not read.
 
@@ -38,8 +44,9 @@
             port=int(port),
             zone=wire.zone,
             slots=wire.slots,
-            draining=wire.state != "ready",
+            draining=wire.state not in SERVING_STATES,
             versions=versions_of(wire.models),
+            reclaimable=wire.spot or wire.state == "spot",
         )
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
         return MalformedEntry(f"{instance}: {error}")
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -30,6 +30,8 @@
         Whether it is leaving and must get no new work.
     versions : dict of str to int
         The weights it has loaded, by model.
+    reclaimable : bool
+        Whether the platform may take it away at short notice.
     """
 
     instance: str
@@ -40,6 +42,7 @@
     slots: int = 0
     draining: bool = False
     versions: dict[str, int] = field(default_factory=dict)
+    reclaimable: bool = False
 
     @property
     def url(self) -> str:
--- a/rackswitch/table/rows.py
+++ b/rackswitch/table/rows.py
@@ -16,6 +16,7 @@
     "RouteRow",
     "Row",
     "RowKey",
+    "ScalingTerms",
     "ServiceRow",
     "TargetRow",
     "TenantRow",
@@ -122,6 +123,28 @@
     keep_seconds: Positive = 3600.0
 
 
+class ScalingTerms(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Terms on which a service's targets can be ordered.
+
+    Attributes
+    ----------
+    least, most : int
+        Targets in each availability zone, of all kinds together.
+    boot_seconds : float
+        From an order until a new target serves.
+    reclaimable_price : float
+        Price of a target that may be taken away, as a share of a kept one's.
+    zone_prices : dict of str to float
+        Price of a kept target's second in each zone where targets can be had.
+    """
+
+    least: NonNegativeInt = 0
+    most: NonNegativeInt = 0
+    boot_seconds: NonNegative = 0.0
+    reclaimable_price: NonNegative = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class ServiceRow(_Row, tag="service", frozen=True, kw_only=True):
     """Facts about the targets of one service that do not differ between them.
 
@@ -133,11 +156,14 @@
         Requests that a target works on at once; 0 if that is not known here.
     models : tuple of str
         Models whose versions the targets load; none for a plain service.
+    scaling : ScalingTerms or None
+        Terms on which targets can be ordered; None if they cannot.
     """
 
     most_connections: NonNegativeInt = 0
     slots: NonNegativeInt = 0
     models: tuple[str, ...] = ()
+    scaling: ScalingTerms | None = None
 
 
 class LimitsRow(_Row, tag="limits", frozen=True, kw_only=True):
--- a/rackswitch/telemetry/events/duties.py
+++ b/rackswitch/telemetry/events/duties.py
@@ -2,7 +2,7 @@
 
 from rackswitch.telemetry.events.base import Event, registered
 
-__all__ = ["UsageFixed", "UsageHandedOver", "UsageSent"]
+__all__ = ["EnginesOrdered", "UsageFixed", "UsageHandedOver", "UsageSent"]
 
 
 @registered
@@ -45,3 +45,26 @@
 
     requests: int
     outcome: str
+
+
+@registered
+class EnginesOrdered(Event, tag="engines ordered", frozen=True):
+    """Engines were ordered in a place, and how the operators' API answered.
+
+    Attributes
+    ----------
+    count, added : int
+        What the place is to have, and how many of these are new.
+    wanted, present : int
+        Engines that the service should have in all, and those that served.
+    """
+
+    service: str
+    zone: str
+    engine_kind: str
+    count: int
+    added: int
+    wanted: int
+    present: int
+    fencing: int
+    outcome: str
