Jobs: one that comes when no other is open goes to the zone's last owner, which still has connections

Change: a daemon is a candidate also for 9 s after its last job came, behind those with open items.

Figures: the played trainer of short steps keeps one owner of 17 daemons (fails before: several).

--- a/rackswitch/gateway/jobs/job_placer.py
+++ b/rackswitch/gateway/jobs/job_placer.py
@@ -76,9 +76,15 @@
         if not self._context.policy.jobs_gathered or self._context.contact.is_away:
             return self._context.daemon_name
         open_items = self._keeper.known.open_items()
+        newest = self._keeper.known.newest_jobs()
         zone = self._context.settings.zone
         candidates = [
-            OwnerCandidate(name, self._context.room_of(name), open_items[name])
+            OwnerCandidate(
+                name,
+                self._context.room_of(name),
+                open_items[name],
+                idle_seconds=job.submitted_at_unix_seconds - newest.get(name, float("-inf")),
+            )
             for name, its_zone in self._context.daemon.membership.live_zones()
             if its_zone == zone
         ]
--- a/rackswitch/gateway/jobs/known_jobs.py
+++ b/rackswitch/gateway/jobs/known_jobs.py
@@ -92,6 +92,18 @@
                 counts[owner.daemon] += known.marker.total
         return counts
 
+    def newest_jobs(self) -> dict[str, float]:
+        """Return when (Unix time) the last job was submitted that each daemon owns or owned."""
+        newest: dict[str, float] = {}
+        for job_id, known in self.jobs.items():
+            name = key_part(job_id)
+            owner = self._owners.get(name)
+            daemon = owner.daemon if owner is not None else self._former.get(name)
+            if daemon is not None:
+                at_seconds = known.marker.submitted_at_unix_seconds
+                newest[daemon] = max(newest.get(daemon, 0.0), at_seconds)
+        return newest
+
     def ended(self, marker: JobMarker) -> None:
         """Note that a job was just ended."""
         known = self.jobs.get(marker.job_id)
--- a/rackswitch/jobs/placement.py
+++ b/rackswitch/jobs/placement.py
@@ -2,7 +2,8 @@
 
 The owner of several jobs knows all of their runs, so that these do not meet at a full engine, and
 goes on using the connections of one job's items for the next one's. So the jobs that come to one
-availability zone gather at few daemons, as far as these have room.
+availability zone gather at few daemons, as far as these have room; and one that comes when no other
+is open goes to the daemon that owned the last.
 """
 
 from collections.abc import Iterable
@@ -17,6 +18,11 @@
 LEAST_ITEMS = 600.0
 """What is taken by a daemon that does not tell its room: as one with half a processor."""
 
+WARM_SECONDS = 9.0
+"""How long after a job came its owner still has the connections of its items: as long as the users'
+engines let them rest. A trainer whose short steps end before it asks for the next had 12 owners for
+16 steps on a day of 64 daemons, each with connections of its own."""
+
 AVOID_SECONDS = 3.0
 """How long no jobs are sent to a daemon that did not take one."""
 
@@ -31,11 +37,19 @@
         Share of a processor that its VM has; 0 if it is not known.
     open_items : int
         Items of the jobs that it owns and that have not ended.
+    idle_seconds : float
+        How long ago the last of its jobs was submitted, open or not.
     """
 
     daemon: str
     room: float
     open_items: int
+    idle_seconds: float = float("inf")
+
+    @property
+    def is_warm(self) -> bool:
+        """Whether it has connections for a job's items."""
+        return self.open_items > 0 or self.idle_seconds < WARM_SECONDS
 
     def has_room(self, items: int) -> bool:
         """Return whether so many more items would not be too many."""
@@ -57,7 +71,7 @@
     _avoided_until_seconds: dict[str, float] = field(default_factory=dict)
 
     def owner(self, candidates: Iterable[OwnerCandidate], items: int, now_seconds: float) -> str:
-        """Return who should own a job: the fullest owner that has room for it.
+        """Return who should own a job: the fullest owner that has room for it, else the last one.
 
         Parameters
         ----------
@@ -71,14 +85,19 @@
         fit = [
             candidate
             for candidate in candidates
-            if candidate.open_items
+            if candidate.is_warm
             and candidate.has_room(items)
             and now_seconds >= self._avoided_until_seconds.get(candidate.daemon, float("-inf"))
         ]
         if not fit:
             return self.daemon
-        return max(fit, key=lambda candidate: (candidate.open_items, candidate.daemon)).daemon
+        return max(fit, key=_place).daemon
 
     def failed(self, daemon: str, now_seconds: float) -> None:
         """Note that a daemon did not take a job."""
         self._avoided_until_seconds[daemon] = now_seconds + AVOID_SECONDS
+
+
+def _place(candidate: OwnerCandidate) -> tuple[int, float, str]:
+    """Return the order of candidates, the same at every daemon."""
+    return candidate.open_items, -candidate.idle_seconds, candidate.daemon
--- a/rackswitch/jobs/tests/test_placement.py
+++ b/rackswitch/jobs/tests/test_placement.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rackswitch.jobs import OwnerCandidate, OwnerChoice
-from rackswitch.jobs.placement import AVOID_SECONDS, ITEMS_A_SHARE, LEAST_ITEMS
+from rackswitch.jobs.placement import AVOID_SECONDS, ITEMS_A_SHARE, LEAST_ITEMS, WARM_SECONDS
 
 
 def candidates(**open_items: int) -> list[OwnerCandidate]:
@@ -58,3 +58,35 @@
     assert len(set(held)) <= -(-2 * trainers // 4) + 1
     if daemons > 3:
         assert len(set(naive.values())) > len(set(held))
+
+
+def test_a_job_that_comes_when_none_is_open_goes_to_the_last_owner_while_that_is_warm():
+    known = [
+        OwnerCandidate("a", 0.5, 0),
+        OwnerCandidate("b", 0.5, 0, idle_seconds=8.0),
+        OwnerCandidate("c", 0.5, 0, idle_seconds=4.0),
+    ]
+    assert OwnerChoice("a").owner(known, 100, 0.0) == "c"
+    busy = OwnerCandidate("d", 0.5, 10, idle_seconds=8.0)
+    assert OwnerChoice("a").owner([*known, busy], 100, 0.0) == "d"
+    assert OwnerChoice("a").owner([OwnerCandidate("b", 0.5, 0, WARM_SECONDS)], 1, 0.0) == "a"
+
+
+@pytest.mark.parametrize("warm", [True, False])
+def test_a_trainer_with_short_steps_keeps_its_owner(warm):
+    """Its step is over after 3 s, and the next comes a second later, to any of 17 daemons."""
+    rng = random.Random(2)
+    names = [f"d{number}" for number in range(17)]
+    choices = {name: OwnerChoice(name) for name in names}
+    owned_at: dict[str, float] = {}
+    owners = []
+    for step in range(16):
+        now = 4.0 * step
+        known = [
+            OwnerCandidate(name, 0.5, 0, now - owned_at.get(name, float("-inf")) if warm else 99.0)
+            for name in names
+        ]
+        owner = choices[rng.choice(names)].owner(known, 80, now)
+        owned_at[owner] = now
+        owners.append(owner)
+    assert (len(set(owners)) == 1) is warm
