Engines ordered: what stood before any order is what was seen, not what was listed when the role came

Change: nothing is ordered until 3 s after the first engine is listed, and a place without an order of ours counts as ordered what was most seen there.

--- a/rackswitch/gateway/duties/scale_keeper.py
+++ b/rackswitch/gateway/duties/scale_keeper.py
@@ -4,7 +4,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -42,8 +42,10 @@
 """How long a job that has ended still tells what its trainer asks next: some seven steps."""
 
 LIST_SETTLES_SECONDS = 3.0
-"""How long after an outage of the service its list of engines is not gone by: a live engine lists
-itself again within some 2 s."""
+"""How long after an outage of the service, and after the first engine is seen, the list of engines
+is not gone by: a live engine lists itself again within some 2 s, and a fleet that starts knows its
+holder before its engines. Ordered by the engines seen at that moment, none, two of six were given
+back by orders that meant to add some."""
 
 USUAL_DUE_SECONDS = 7.5
 """For a service without a route of batch jobs; as on the users' sheets."""
@@ -72,6 +74,28 @@
     revision: int
 
 
+@dataclass(slots=True)
+class _Watched:
+    """What this daemon has seen of a service's engines since it holds the role.
+
+    Attributes
+    ----------
+    listed_since_seconds : float
+        When the first of them was listed (monotonic).
+    most_present : EngineCounts
+        The most that were there at a time, by place: what stood before anything was ordered.
+        An order that names fewer would take engines away.
+    """
+
+    planner: CapacityPlanner
+    listed_since_seconds: float
+    most_present: EngineCounts = field(default_factory=Counter)
+
+    def saw(self, present: EngineCounts) -> None:
+        """Take in which engines are there now."""
+        self.most_present |= present
+
+
 class ScaleKeeper:
     """Decides on engines and orders them while this daemon holds the role.
 
@@ -94,9 +118,9 @@
         "_context",
         "_kept",
         "_known",
-        "_planners",
         "_turns",
         "_wall_clock",
+        "_watched",
     )
 
     def __init__(
@@ -112,7 +136,7 @@
         self._client = client
         self._known = known
         self._wall_clock = wall_clock
-        self._planners: dict[str, CapacityPlanner] = {}
+        self._watched: dict[str, _Watched] = {}
         self._kept: _Kept | None = None
 
     async def run(self) -> None:
@@ -127,6 +151,7 @@
             DUTIES_TURN, lambda entry: note_record(self._turns, entry)
         ):
             self._kept = None
+            self._watched.clear()
             return
         kept = self._kept or await self._read_kept()
         if kept is None or not self._knows_engines():
@@ -138,16 +163,19 @@
         capacity = _capacity(row)
         now_seconds = self._context.now_seconds()
         present = self._present(row.name, now_seconds)
-        ordered = kept.by_service.setdefault(row.name, Counter(present))
         wanted = self._wanted(row, capacity)
-        if wanted is None or not present:
+        if not present:
+            return
+        watched = self._watched.get(row.name)
+        if watched is None:
+            planner = CapacityPlanner(KIND_POLICIES.get(self._context.policy.engine_kinds))
+            watched = self._watched[row.name] = _Watched(planner, now_seconds)
+        watched.saw(present)
+        if wanted is None or now_seconds < watched.listed_since_seconds + LIST_SETTLES_SECONDS:
             return
-        planner = self._planners.get(row.name)
-        if planner is None:
-            kinds = KIND_POLICIES.get(self._context.policy.engine_kinds)
-            planner = self._planners[row.name] = CapacityPlanner(kinds)
+        ordered = watched.most_present | kept.by_service.setdefault(row.name, Counter())
         state = ServiceState(present, ordered)
-        orders = planner.orders(state, capacity, wanted, now_seconds)
+        orders = watched.planner.orders(state, capacity, wanted, now_seconds)
         if orders:
             await self._enter_and_order(row.name, capacity, state, wanted, orders)
 
@@ -226,7 +254,6 @@
         kept = self._kept
         if kept is None:
             return
-        before = Counter(kept.by_service[service])
         for order in orders:
             kept.by_service[service][order.place] = order.count
         record = msgspec.json.encode(DutyRecord(self._context.daemon_name))
@@ -242,7 +269,7 @@
             return
         kept.revision = entry.revision
         for order in orders:
-            added = order.count - before[order.place]
+            added = order.count - state.ordered[order.place]
             await self._order(service, capacity, state, wanted, order, added, entry.began_seconds)
 
     async def _order(
@@ -265,7 +292,7 @@
             order.count,
             order.place.kind is EngineKind.RECLAIMABLE,
         )
-        planner = self._planners[service]
+        planner = self._watched[service].planner
         now_seconds = self._context.now_seconds()
         if answer.outcome in (DutyOutcome.TAKEN, DutyOutcome.UNKNOWN):
             planner.taken(added, capacity, now_seconds)
@@ -273,6 +300,9 @@
             planner.refused(order.place, now_seconds)
             if self._kept is not None:
                 self._kept.by_service[service][order.place] = order.count - added
+        if added < 0:
+            # What was given back is no engine that is lost.
+            self._watched[service].most_present[order.place] = order.count
         self._context.log.write(
             EnginesOrdered(
                 service=service,
