--- a/rackswitch/gateway/duties/usage_gathering.py
+++ b/rackswitch/gateway/duties/usage_gathering.py
@@ -63,8 +63,8 @@
     async def gather(self, window: int) -> GatheredUsage:
         """Return what all daemons that can be reached have counted in a window."""
         gathered = GatheredUsage(Counter(self._counts.of(window)), answered=1)
-        own = self._context.daemon_name
-        asked = [name for name in self._context.daemon.membership.live() if name != own]
+        # A daemon that stops hands its counts over at its end only, which may be after this.
+        asked = self._context.daemon.membership.others_reachable()
         silent = await self._ask(asked, window, gathered)
         if silent:
             await asyncio.sleep(SECOND_ROUND_SECONDS)
--- a/rackswitch/membership/core.py
+++ b/rackswitch/membership/core.py
@@ -101,6 +101,11 @@
             names.append(self.own.daemon)
         return sorted(names)
 
+    def others_reachable(self) -> list[str]:
+        """Return the other daemons whose process is believed to run, leaving ones included."""
+        states = {name: member.update.state for name, member in self.members.items()}
+        return sorted(name for name, state in states.items() if state != MemberState.DEAD)
+
     def live_zones(self) -> list[tuple[str, str]]:
         """Return (daemon, zone) of the daemons believed live."""
         zones = {name: member.update.zone for name, member in self.members.items()}
