Duties: one record under the holder's fence, used by usage and by orders of engines

What the holder keeps for a successor (read once, written along with its entry on the condition that nobody else has written) stood twice; it is `FencedRecord` now. What was ordered has a type of its own, and a decision on engines is one value in place of six arguments.

--- a/rackswitch/gateway/duties/scale_keeper.py
+++ b/rackswitch/gateway/duties/scale_keeper.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from rackswitch.capacity import (
     CAPACITY_POLICIES,
     KIND_POLICIES,
@@ -21,9 +19,10 @@
     ServiceState,
     wanted_slots,
 )
-from rackswitch.clients.kv import Compare, KvUnavailable, Operation
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.duties.duty_turn import DUTIES_TURN, DutyRecord, note_record
+from rackswitch.gateway.duties.duty_turn import DUTIES_TURN
+from rackswitch.gateway.duties.fenced_record import FencedRecord
+from rackswitch.gateway.duties.ordered_counts import OrderedCounts
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.platform.duty_calls import DutyClient, DutyOutcome, Holder
@@ -33,8 +32,7 @@
 __all__ = ["ScaleKeeper"]
 
 ORDERED_KEY = "capacity/ordered"
-"""What was last ordered, for a successor: the platform does not tell. Not among the entries that
-every daemon follows."""
+"""What was last ordered, for a successor: the platform does not tell."""
 
 TICK_SECONDS = 0.5
 
@@ -51,29 +49,6 @@
 """For a service without a route of batch jobs; as on the users' sheets."""
 
 
-class OrderedCount(msgspec.Struct, frozen=True, array_like=True):
-    """What was last ordered for a place."""
-
-    service: str
-    zone: str
-    kind: str
-    count: int
-
-
-class OrderedCounts(msgspec.Struct, frozen=True):
-    """What was last ordered, for all places."""
-
-    orders: tuple[OrderedCount, ...] = ()
-
-
-@dataclass(slots=True)
-class _Kept:
-    """What the service holds of orders, at a revision."""
-
-    by_service: dict[str, EngineCounts]
-    revision: int
-
-
 @dataclass(slots=True)
 class _Watched:
     """What this daemon has seen of a service's engines since it holds the role.
@@ -96,6 +71,16 @@
         self.most_present |= present
 
 
+@dataclass(frozen=True, slots=True)
+class _Decision:
+    """What orders for a service follow from."""
+
+    service: str
+    capacity: Capacity
+    state: ServiceState
+    wanted: int
+
+
 class ScaleKeeper:
     """Decides on engines and orders them while this daemon holds the role.
 
@@ -137,7 +122,7 @@
         self._known = known
         self._wall_clock = wall_clock
         self._watched: dict[str, _Watched] = {}
-        self._kept: _Kept | None = None
+        self._kept = FencedRecord(context, turns, ORDERED_KEY, OrderedCounts())
 
     async def run(self) -> None:
         """Order until cancelled."""
@@ -147,19 +132,18 @@
 
     async def _tend(self) -> None:
         rows = [row for row in self._context.daemon.view.rows(ServiceRow) if row.scaling]
-        if not rows or not await self._turns.is_open(
-            DUTIES_TURN, lambda entry: note_record(self._turns, entry)
-        ):
-            self._kept = None
+        if not rows:
+            return
+        ordered = await self._kept.present()
+        if ordered is None:
             self._watched.clear()
             return
-        kept = self._kept or await self._read_kept()
-        if kept is None or not self._knows_engines():
+        if not self._knows_engines():
             return
         for row in rows:
-            await self._tend_service(row, kept)
+            await self._tend_service(row, ordered)
 
-    async def _tend_service(self, row: ServiceRow, kept: _Kept) -> None:
+    async def _tend_service(self, row: ServiceRow, ordered: OrderedCounts) -> None:
         capacity = _capacity(row)
         now_seconds = self._context.now_seconds()
         present = self._present(row.name, now_seconds)
@@ -173,11 +157,11 @@
         watched.saw(present)
         if wanted is None or now_seconds < watched.listed_since_seconds + LIST_SETTLES_SECONDS:
             return
-        ordered = watched.most_present | kept.by_service.setdefault(row.name, Counter())
-        state = ServiceState(present, ordered)
+        state = ServiceState(present, watched.most_present | ordered.of(row.name))
         orders = watched.planner.orders(state, capacity, wanted, now_seconds)
         if orders:
-            await self._enter_and_order(row.name, capacity, state, wanted, orders)
+            decision = _Decision(row.name, capacity, state, wanted)
+            await self._enter_and_order(decision, ordered, orders)
 
     def _knows_engines(self) -> bool:
         """Return whether engines that are not listed are gone, and did not lapse with the list."""
@@ -224,99 +208,67 @@
         ]
         return min(dues, default=USUAL_DUE_SECONDS)
 
-    async def _read_kept(self) -> _Kept | None:
-        read = await self._context.kv.read(ORDERED_KEY)
-        if isinstance(read, KvUnavailable):
-            self._context.contact.failed(self._context.now_seconds(), read.detail)
-            return None
-        kept = _Kept({}, 0)
-        for entry in read.entries:
-            kept.revision = entry.mod_revision
-            for order in msgspec.json.decode(entry.value, type=OrderedCounts).orders:
-                place = Place(order.zone, EngineKind(order.kind))
-                kept.by_service.setdefault(order.service, Counter())[place] = order.count
-        self._kept = kept
-        return kept
-
     async def _enter_and_order(
-        self,
-        service: str,
-        capacity: Capacity,
-        state: ServiceState,
-        wanted: int,
-        orders: list[EngineOrder],
+        self, decision: _Decision, ordered: OrderedCounts, orders: list[EngineOrder]
     ) -> None:
         """Write what is ordered, and order it.
 
         What is written first may not be ordered any more. Then the next holder finds fewer engines
         than were ordered, and orders more than that; so nothing is ordered twice by itself.
         """
-        kept = self._kept
-        if kept is None:
-            return
-        for order in orders:
-            kept.by_service[service][order.place] = order.count
-        record = msgspec.json.encode(DutyRecord(self._context.daemon_name))
-        content = msgspec.json.encode(_ordered_counts(kept))
-        entry = await self._turns.enter(
-            DUTIES_TURN,
-            record,
-            (Operation(ORDERED_KEY, content),),
-            (Compare(ORDERED_KEY, "mod", kept.revision),),
-        )
+        entry = await self._kept.enter_with(ordered.with_orders(decision.service, orders))
         if entry is None:
-            self._kept = None
             return
-        kept.revision = entry.revision
         for order in orders:
-            added = order.count - state.ordered[order.place]
-            await self._order(service, capacity, state, wanted, order, added, entry.began_seconds)
+            await self._order(decision, order, entry.began_seconds)
 
     async def _order(
-        self,
-        service: str,
-        capacity: Capacity,
-        state: ServiceState,
-        wanted: int,
-        order: EngineOrder,
-        added: int,
-        entered_at_seconds: float,
+        self, decision: _Decision, order: EngineOrder, entered_at_seconds: float
     ) -> None:
         fencing = self._turns.fencing_to_send(DUTIES_TURN, entered_at_seconds)
         if fencing is None:
             return
+        place = order.place
         answer = await self._client.order_engines(
             Holder(self._context.daemon_name, fencing),
-            service,
-            order.place.zone,
+            decision.service,
+            place.zone,
             order.count,
-            order.place.kind is EngineKind.RECLAIMABLE,
+            place.kind is EngineKind.RECLAIMABLE,
         )
-        planner = self._watched[service].planner
-        now_seconds = self._context.now_seconds()
-        if answer.outcome in (DutyOutcome.TAKEN, DutyOutcome.UNKNOWN):
-            planner.taken(added, capacity, now_seconds)
-        else:
-            planner.refused(order.place, now_seconds)
-            if self._kept is not None:
-                self._kept.by_service[service][order.place] = order.count - added
-        if added < 0:
-            # What was given back is no engine that is lost.
-            self._watched[service].most_present[order.place] = order.count
+        added = order.count - decision.state.ordered[place]
+        self._note_answer(decision, order, added, answer.outcome)
         self._context.log.write(
             EnginesOrdered(
-                service=service,
-                zone=order.place.zone,
-                engine_kind=order.place.kind.value,
+                service=decision.service,
+                zone=place.zone,
+                engine_kind=place.kind.value,
                 count=order.count,
                 added=added,
-                wanted=wanted,
-                present=sum(state.present.values()),
+                wanted=decision.wanted,
+                present=sum(decision.state.present.values()),
                 fencing=fencing,
                 outcome=f"{answer.outcome.value}: {answer.detail}",
             )
         )
 
+    def _note_answer(
+        self, decision: _Decision, order: EngineOrder, added: int, outcome: DutyOutcome
+    ) -> None:
+        """Learn from the answer to an order that adds so many engines."""
+        watched = self._watched[decision.service]
+        now_seconds = self._context.now_seconds()
+        if outcome in (DutyOutcome.TAKEN, DutyOutcome.UNKNOWN):
+            watched.planner.taken(added, decision.capacity, now_seconds)
+        else:
+            watched.planner.refused(order.place, now_seconds)
+            before = EngineOrder(order.place, order.count - added)
+            if self._kept.value is not None:
+                self._kept.value = self._kept.value.with_orders(decision.service, [before])
+        if added < 0:
+            # What was given back is no engine that is lost.
+            watched.most_present[order.place] = order.count
+
 
 def _capacity(row: ServiceRow) -> Capacity:
     """Return the terms of a service that has some."""
@@ -330,13 +282,3 @@
         terms.zone_prices,
         terms.reclaimable_price,
     )
-
-
-def _ordered_counts(kept: _Kept) -> OrderedCounts:
-    return OrderedCounts(
-        tuple(
-            OrderedCount(service, place.zone, place.kind.value, count)
-            for service, counts in kept.by_service.items()
-            for place, count in counts.items()
-        )
-    )
--- a/rackswitch/gateway/duties/tests/usage_run.py
+++ b/rackswitch/gateway/duties/tests/usage_run.py
@@ -7,8 +7,9 @@
 
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.duties.duty_turn import DUTIES_KEY, DUTIES_ROLE, note_record
+from rackswitch.gateway.duties.fenced_record import FencedRecord
 from rackswitch.gateway.duties.usage_gathering import GatheredUsage
-from rackswitch.gateway.duties.usage_keeper import UsageKeeper
+from rackswitch.gateway.duties.usage_keeper import REPORTS_KEY, UsageKeeper
 from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.leases import OrderTurns
@@ -80,15 +81,23 @@
         return True
 
 
-class ForgetfulKeeper(UsageKeeper):
-    """Gathers again what it is not sure to have sent, in place of repeating it."""
+class ForgetfulRecord(FencedRecord):
+    """Forgets, when it is read, what was fixed and is not surely sent."""
 
-    async def _read_reports(self):
-        reports = await super()._read_reports()
+    async def _read(self):
+        reports = await super()._read()
         if reports is not None:
             first = reports.open[0].window - 1 if reports.open else reports.last_fixed
-            self._reports = UsageReports(first, [])
-        return self._reports
+            self.value = UsageReports(first, [])
+        return self.value
+
+
+class ForgetfulKeeper(UsageKeeper):
+    """Gathers again what it is not sure to have sent, in place of repeating it."""
+
+    def __init__(self, context, turns, *others):
+        super().__init__(context, turns, *others)
+        self._kept = ForgetfulRecord(context, turns, REPORTS_KEY, UsageReports())
 
 
 class UsageRun:
--- a/rackswitch/gateway/duties/usage_keeper.py
+++ b/rackswitch/gateway/duties/usage_keeper.py
@@ -4,11 +4,9 @@
 import time
 from collections.abc import Callable
 
-import msgspec
-
-from rackswitch.clients.kv import Compare, KvUnavailable, Operation
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.duties.duty_turn import DUTIES_TURN, DutyRecord, note_record
+from rackswitch.gateway.duties.duty_turn import DUTIES_TURN
+from rackswitch.gateway.duties.fenced_record import FencedRecord
 from rackswitch.gateway.duties.usage_gathering import UsageGathering
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.platform.duty_calls import DutyClient, DutyOutcome, Holder
@@ -19,7 +17,6 @@
 __all__ = ["UsageKeeper"]
 
 REPORTS_KEY = "usage/reports"
-"""Not among the entries that every daemon follows: only the holder needs it."""
 
 TICK_SECONDS = 0.2
 
@@ -58,9 +55,8 @@
         "_client",
         "_context",
         "_gathering",
+        "_kept",
         "_next_try_seconds",
-        "_reports",
-        "_revision",
         "_turns",
         "_wall_clock",
         "_windows",
@@ -81,9 +77,7 @@
         self._client = client
         self._gathering = gathering
         self._windows = windows
-        # What the service holds under its key at a revision; None while this is not known.
-        self._reports: UsageReports | None = None
-        self._revision = 0
+        self._kept = FencedRecord(context, turns, REPORTS_KEY, UsageReports())
         self._next_try_seconds = float("-inf")
 
     async def run(self) -> None:
@@ -93,13 +87,7 @@
             await self._tend()
 
     async def _tend(self) -> None:
-        if not await self._turns.is_open(
-            DUTIES_TURN, lambda entry: note_record(self._turns, entry)
-        ):
-            # Whoever acts meanwhile writes the reports.
-            self._reports = None
-            return
-        reports = self._reports or await self._read_reports()
+        reports = await self._kept.present()
         if reports is None:
             return
         settle_seconds = self._settle_seconds()
@@ -120,19 +108,6 @@
         longest_seconds = max(limits, default=0.0) + SETTLE_MARGIN_SECONDS
         return min(longest_seconds, MOST_SETTLE_SECONDS)
 
-    async def _read_reports(self) -> UsageReports | None:
-        """Learn what the service holds; return None if it does not answer."""
-        read = await self._context.kv.read(REPORTS_KEY)
-        if isinstance(read, KvUnavailable):
-            self._context.contact.failed(self._context.now_seconds(), read.detail)
-            return None
-        reports, self._revision = UsageReports(), 0
-        for entry in read.entries:
-            reports = msgspec.json.decode(entry.value, type=UsageReports)
-            self._revision = entry.mod_revision
-        self._reports = reports
-        return reports
-
     async def _gather(self, window: int) -> UsageReport:
         gathered = await self._gathering.gather(window)
         counts = {tenant: number for tenant, number in gathered.counts.items() if number}
@@ -154,29 +129,21 @@
         """Fix reports in the service, and send those that the platform may not have."""
         now_seconds = self._context.now_seconds()
         self._next_try_seconds = now_seconds + RETRY_SECONDS
-        record = msgspec.json.encode(DutyRecord(self._context.daemon_name))
-        content = msgspec.json.encode(reports)
-        # An earlier write without an answer may still take effect: it must not undo a later one.
-        unchanged = Compare(REPORTS_KEY, "mod", self._revision)
-        entry = await self._turns.enter(
-            DUTIES_TURN, record, (Operation(REPORTS_KEY, content),), (unchanged,)
-        )
+        entry = await self._kept.enter_with(reports)
         if entry is None:
-            # It may have been written all the same: what is there must be read again.
-            self._reports = None
             return
-        self._reports, self._revision = reports, entry.revision
         for report in list(reports.open):
             await self._send(report, entry.began_seconds)
 
     async def _send(self, report: UsageReport, entered_at_seconds: float) -> None:
         fencing = self._turns.fencing_to_send(DUTIES_TURN, entered_at_seconds)
-        if fencing is None or self._reports is None:
+        reports = self._kept.value
+        if fencing is None or reports is None:
             return
         holder = Holder(self._context.daemon_name, fencing)
         answer = await self._client.report_usage(holder, report.window, report.counts)
         if answer.outcome in (DutyOutcome.TAKEN, DutyOutcome.REFUSED):
-            self._reports.taken(report.window)
+            reports.taken(report.window)
         late_seconds = self._wall_clock() - self._windows.ends_at_unix_seconds(report.window)
         self._context.log.write(
             UsageSent(
