--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -44,7 +44,7 @@
     paces_told: bool = True
     loads_asked: bool = True
     fast_engine_first: bool = True
-    engines_wanted: str = "standing"
+    engines_wanted: str = "forecast"
     engine_kinds: str = "added"
     runs_move: bool = True
     longest_first: bool = True
