--- a/rackswitch/demo/main.py
+++ b/rackswitch/demo/main.py
@@ -1,9 +1,11 @@
 """The program ``rackswitch-demo``: callers and a trainer on an embedded fleet."""
 
 import asyncio
+import contextlib
 import json
 import random
 import sys
+from collections import Counter
 
 import fire
 
@@ -17,7 +19,7 @@
     FleetProfile,
 )
 from rackswitch.standins.callers import CallerStandIn
-from rackswitch.standins.platform_fleet import PlatformFleet
+from rackswitch.standins.platform_fleet import PlatformFleet, desired_state
 from rackswitch.standins.trainer import TrainerStandIn, false_labels
 from rackswitch.telemetry import set_up_logs
 
@@ -29,6 +31,14 @@
 PLATFORM_JOBS = 4
 READY_PATIENCE_SECONDS = 10.0
 ARRIVALS_PER_SECOND = 40.0
+DEMO_WINDOW_SECONDS = 1.0
+"""Length of a window of usage in the demonstration; 5 s on the users' sheets."""
+
+USAGE_PATIENCE_SECONDS = 8.0
+"""A report comes some 2 s after its window's end; one whose answer is lost a second later."""
+
+OWN_TENANT = "members"
+OTHER_TENANT = "archive"
 
 
 async def wait_ready(fleet: EmbeddedFleet) -> None:
@@ -105,10 +115,28 @@
     return summary
 
 
+async def _reported_usage(fleet: PlatformFleet) -> dict[str, int]:
+    """Wait until all requests are reported or no report can bring more; return them by tenant."""
+    counts: Counter[str] = Counter()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(USAGE_PATIENCE_SECONDS):
+            while counts.total() < REQUESTS:
+                await asyncio.sleep(0.1)
+                counts = Counter()
+                for report in fleet.api.usage().values():
+                    counts.update(report)
+    return dict(counts)
+
+
 async def run_platform_demo(jobs: int = PLATFORM_JOBS) -> dict[str, object]:
     """Run callers and a trainer against gateways on the platform's stand-ins."""
-    fleet = PlatformFleet(daemons=3, engines=3)
+    fleet = PlatformFleet(daemons=3, engines=3, usage_window_seconds=DEMO_WINDOW_SECONDS)
     await fleet.start()
+    tenants = [{"name": name, "api_keys": [f"{name}-key"]} for name in (OWN_TENANT, OTHER_TENANT)]
+    await fleet.operate(desired_state(2, tenants=tenants))
+    fleet.key = "a key nobody holds"
+    bad_key_status, _, _ = await fleet.request("d0", "POST", "/look/x", b"form", "bad")
+    fleet.key = f"{OWN_TENANT}-key"
     lookups = [
         fleet.request(f"d{number % 3}", "POST", "/look/x", b"form", f"r{number}")
         for number in range(REQUESTS)
@@ -127,16 +155,26 @@
         )
         versions.update(number for result in results for number in result["versions"])
         await fleet.end_job("d0", f"job{number}")
+    fleet.key = f"{OTHER_TENANT}-key"
+    foreign_job_status = (await fleet.read("d0", "job0")).status
+    reported = await _reported_usage(fleet)
     completed = sum(status == 200 for status, _, _ in answers)
     violations = [] if whole == jobs else [f"{jobs - whole} jobs with a text that is not whole"]
     if completed < REQUESTS:
         violations.append(f"{REQUESTS - completed} requests not completed")
+    if (bad_key_status, foreign_job_status) != (401, 404):
+        violations.append("a key or a job was answered that is not the caller's")
+    if reported != {OWN_TENANT: REQUESTS}:
+        violations.append(f"usage reported as {reported}")
     summary: dict[str, object] = {
         "gateways": len(fleet.gateways),
         "engines": len(fleet.engines),
         "requests_completed": completed,
         "jobs_whole": whole,
         "weight_versions_seen": sorted(versions),
+        "status_with_a_bad_key": bad_key_status,
+        "status_of_a_foreign_job": foreign_job_status,
+        "usage_reported": reported,
         "load_orders": sum(len(engine.orders) for engine in fleet.engines),
         "kv_calls": fleet.store.calls,
         "violations": violations,
