Engines ordered: what the API takes a second bounds the orders of one round

The setting was read and used by nothing. Half of what the API takes may go into orders, the rest follows half a second later. The terms of scaling are passed on as what they are, without an assertion.

--- a/rackswitch/gateway/duties/duties.py
+++ b/rackswitch/gateway/duties/duties.py
@@ -72,7 +72,9 @@
             usage = UsageKeeper(self._context, self.turns, client, gathering, windows)
             work.append(usage.run())
         if settings.orders_engines:
-            scale = ScaleKeeper(self._context, self.turns, client, self._known)
+            scale = ScaleKeeper(
+                self._context, self.turns, client, self._known, settings.calls_per_second
+            )
             work.append(scale.run())
         return work
 
--- a/rackswitch/gateway/duties/scale_keeper.py
+++ b/rackswitch/gateway/duties/scale_keeper.py
@@ -26,7 +26,7 @@
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.platform.duty_calls import DutyClient, DutyOutcome, Holder
-from rackswitch.table import Handling, RouteRow, ServiceRow
+from rackswitch.table import Handling, RouteRow, ScalingTerms, ServiceRow
 from rackswitch.telemetry.events import EnginesOrdered
 
 __all__ = ["ScaleKeeper"]
@@ -36,6 +36,10 @@
 
 TICK_SECONDS = 0.5
 
+CALLS_SHARE = 0.5
+"""Part of the calls that the operators' API takes which orders may use; what is over follows half
+a second later, and reports of usage are never in their way."""
+
 RECENT_SECONDS = 30.0
 """How long a job that has ended still tells what its trainer asks next: some seven steps."""
 
@@ -94,6 +98,8 @@
         Makes the calls.
     known : KnownJobs
         All jobs of the fleet, by which the need is worked out.
+    calls_per_second : float
+        What the operators' API takes from all daemons together.
     wall_clock : callable
         Returns the time of day.
     """
@@ -103,6 +109,7 @@
         "_context",
         "_kept",
         "_known",
+        "_most_orders",
         "_turns",
         "_wall_clock",
         "_watched",
@@ -114,8 +121,10 @@
         turns: TurnKeeper,
         client: DutyClient,
         known: KnownJobs,
+        calls_per_second: float,
         wall_clock: Callable[[], float] = time.time,
     ):
+        self._most_orders = max(1, int(calls_per_second * TICK_SECONDS * CALLS_SHARE))
         self._context = context
         self._turns = turns
         self._client = client
@@ -141,10 +150,13 @@
         if not self._knows_engines():
             return
         for row in rows:
-            await self._tend_service(row, ordered)
+            if row.scaling is not None:
+                await self._tend_service(row, row.scaling, ordered)
 
-    async def _tend_service(self, row: ServiceRow, ordered: OrderedCounts) -> None:
-        capacity = _capacity(row)
+    async def _tend_service(
+        self, row: ServiceRow, terms: ScalingTerms, ordered: OrderedCounts
+    ) -> None:
+        capacity = _capacity(row, terms)
         now_seconds = self._context.now_seconds()
         present = self._present(row.name, now_seconds)
         wanted = self._wanted(row, capacity)
@@ -216,10 +228,11 @@
         What is written first may not be ordered any more. Then the next holder finds fewer engines
         than were ordered, and orders more than that; so nothing is ordered twice by itself.
         """
-        entry = await self._kept.enter_with(ordered.with_orders(decision.service, orders))
+        now = orders[: self._most_orders]
+        entry = await self._kept.enter_with(ordered.with_orders(decision.service, now))
         if entry is None:
             return
-        for order in orders:
+        for order in now:
             await self._order(decision, order, entry.began_seconds)
 
     async def _order(
@@ -270,10 +283,8 @@
             watched.most_present[order.place] = order.count
 
 
-def _capacity(row: ServiceRow) -> Capacity:
-    """Return the terms of a service that has some."""
-    terms = row.scaling
-    assert terms is not None
+def _capacity(row: ServiceRow, terms: ScalingTerms) -> Capacity:
+    """Return the terms on which a service's engines are had."""
     return Capacity(
         terms.least,
         terms.most,
--- a/rackswitch/gateway/duties/tests/test_scale_keeper.py
+++ b/rackswitch/gateway/duties/tests/test_scale_keeper.py
@@ -74,7 +74,7 @@
     marker = JobMarker("j", 10, 0.0, model="m", work_seconds=work_seconds)
     known.created(marker, 1)
     roles = RoleKeeper(context.daemon, lambda: [DUTIES_ROLE])
-    keeper = ScaleKeeper(context, TurnKeeper(context, roles), platform, known, lambda: 1.0)
+    keeper = ScaleKeeper(context, TurnKeeper(context, roles), platform, known, 50.0, lambda: 1.0)
     context.daemon.spawn_duty(roles.run())
     context.daemon.spawn_duty(keeper.run())
     return context
