--- a/rackswitch/platform/tests/test_decoding.py
+++ b/rackswitch/platform/tests/test_decoding.py
@@ -12,7 +12,15 @@
 from rackswitch.platform.job_calls import encode_results
 from rackswitch.platform.servers import decode_target, target_instance
 from rackswitch.standins.platform_fleet import desired_state
-from rackswitch.table import Handling, LimitsRow, RouteRow, ServiceRow, TableDocument, index_routes
+from rackswitch.table import (
+    Handling,
+    LimitsRow,
+    RouteRow,
+    ServiceRow,
+    TableDocument,
+    TenantRow,
+    index_routes,
+)
 
 
 def encode(value: object) -> bytes:
@@ -106,3 +114,48 @@
             {"id": "b", "state": "dead"},
         ],
     }
+
+
+def with_scaling(**terms: object) -> bytes:
+    state = desired_state(2)
+    good = {"min": 1, "max": 4, "boot_s": 4.0, "spot_price": 0.15, "zone_prices": {"a": 1.0}}
+    state["services"][1]["scaling"] = {**good, **terms}
+    return encode(state)
+
+
+def test_terms_on_which_engines_are_had_are_read_and_nonsense_is_refused_by_its_field():
+    scaling = rows(decode_desired_state(with_scaling()), ServiceRow)["engines"].scaling
+    assert (scaling.least, scaling.most, scaling.reclaimable_price) == (1, 4, 0.15)
+    assert rows(decode_desired_state(with_scaling()), ServiceRow)["desk"].scaling is None
+    for field, bad in (
+        ("min", {"min": 5}),
+        ("spot_price", {"spot_price": -1}),
+        ("zone_prices", {"zone_prices": {"a": -1.0}}),
+    ):
+        fault = decode_desired_state(with_scaling(**bad))
+        assert isinstance(fault, MalformedEntry)
+        assert f"`{field}`" in fault.detail
+        assert "'engines'" in fault.detail
+
+
+def test_tenants_become_rows_that_hold_digests_only():
+    state = desired_state(2, tenants=[{"name": "t", "api_keys": ["secret-key"], "priority": 0}])
+    document = decode_desired_state(encode(state))
+    assert rows(document, TenantRow)["t"].caller_class == 0
+    assert b"secret-key" not in encode(document)
+    shared = desired_state(3, tenants=[{"name": n, "api_keys": ["secret-key"]} for n in "tu"])
+    fault = decode_desired_state(encode(shared))
+    assert "'t' and 'u'" in fault.detail
+    assert "secret-key" not in fault.detail
+
+
+def test_an_engine_that_may_be_taken_away_serves_until_it_drains():
+    entry = {"service": "s", "address": "10.0.0.1:8080", "zone": "a"}
+    for said, reclaimable, draining in (
+        ({"state": "ready"}, False, False),
+        ({"state": "ready", "spot": True}, True, False),
+        ({"state": "spot"}, True, False),
+        ({"state": "draining", "spot": True, "leaves_ms": 2500}, True, True),
+    ):
+        target = decode_target("i", encode({**entry, **said}))
+        assert (target.reclaimable, target.draining) == (reclaimable, draining)
--- a/rackswitch/platform/tests/test_settings.py
+++ b/rackswitch/platform/tests/test_settings.py
@@ -70,3 +70,28 @@
 
 def test_a_file_that_is_not_there_is_a_fault():
     assert isinstance(read_node_settings("/nowhere/node.yaml"), SettingsFault)
+
+
+CLOUD = """
+cloud:
+  address: "10.200.0.68:8380"
+  duties: [usage, autoscale]
+  duty_per_s: 50.0
+"""
+
+
+def test_what_one_daemon_does_at_the_operators_api(tmp_path):
+    assert read(tmp_path, GOOD).duties is None
+    assert read(tmp_path, GOOD + CLOUD.replace("usage, autoscale", "something")).duties is None
+    duties = read(tmp_path, GOOD.replace("bounds:", "bounds:\n  usage_late_s: 9") + CLOUD).duties
+    assert duties.url == "http://10.200.0.68:8380"
+    assert (duties.reports_usage, duties.orders_engines) == (True, True)
+    assert (duties.window_seconds, duties.late_seconds) == (5.0, 9.0)
+    only = read(tmp_path, GOOD + CLOUD.replace("usage, autoscale", "usage")).duties
+    assert (only.reports_usage, only.orders_engines) == (True, False)
+
+
+def test_a_window_without_length_is_refused_by_its_field(tmp_path):
+    fault = read(tmp_path, GOOD.replace("bounds:", "bounds:\n  report_window_s: 0") + CLOUD)
+    assert isinstance(fault, SettingsFault)
+    assert "report_window_s" in str(fault)
