Revert "Items: a run that waits at its engine begins at an idle one instead"

A run that had been told to leave stayed in the list of waiting runs until its task had ended, so the next look, a tick later, told it again; setting an expired limit raises, which ended the duty and with it the process.

Leaving a queue wants knowledge that owners do not have; what is idle must be told by the engines before. Not tried: leaving only for engines whose own word is younger than the wait.

--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from contextlib import aclosing
-from dataclasses import dataclass
 
 from rackswitch.gateway.callers.request_front import RequestFront, outcome_label
 from rackswitch.gateway.context import GatewayContext
@@ -10,17 +9,14 @@
 from rackswitch.jobs import (
     EngineLoad,
     EngineOccupancy,
-    IdleRoom,
     ItemProgress,
     JobItem,
     JobLedger,
     LengthForecast,
     PieceFault,
-    QueuedRun,
     RunGaps,
     SpareRoom,
     TextPiece,
-    leaves_queue,
     should_move,
 )
 from rackswitch.outcomes import NotRun
@@ -48,18 +44,9 @@
 """The platform's middle urgency, which a run without any would have."""
 
 MOVED = "goes on at a faster engine"
-LEFT_QUEUE = "begins at an idle engine"
 """Why a run was ended that nothing was wrong with."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    """A run that has not begun, and what ends it."""
-
-    run: QueuedRun
-    limit: asyncio.Timeout
-
-
 class ItemRunner:
     """Carries out what the schedule has decided for single items.
 
@@ -82,16 +69,7 @@
         By service, room that nothing waits for, as the starter last saw it.
     """
 
-    __slots__ = (
-        "_context",
-        "_engines",
-        "_front",
-        "_queued",
-        "forecast",
-        "occupancy",
-        "paces",
-        "spare",
-    )
+    __slots__ = ("_context", "_engines", "_front", "forecast", "occupancy", "paces", "spare")
 
     def __init__(
         self,
@@ -105,7 +83,6 @@
         self._front = front
         self.paces = paces
         self.spare: dict[str, SpareRoom] = {}
-        self._queued: dict[str, _Waiting] = {}
         self.forecast = LengthForecast()
         self.occupancy = EngineOccupancy()
 
@@ -116,7 +93,7 @@
         began_seconds = self._context.now_seconds()
         first_number = progress.last_number + 1
         gaps = RunGaps()
-        ended = await self._stream_or_leave(ledger, progress, target, gaps)
+        ended = await self._stream(ledger, progress, target, gaps)
         now_seconds = self._context.now_seconds()
         self._context.log.write(
             events.ItemRunEnded(
@@ -138,36 +115,6 @@
         self._note_end(ledger, progress, target, ended, gaps.first_at_seconds is None)
         return ended
 
-    def leave_queues(self, idle: list[IdleRoom]) -> None:
-        """End runs that wait at their engines while others are idle, so that they begin there."""
-        now_seconds = self._context.now_seconds()
-        for waiting in list(self._queued.values()):
-            if leaves_queue(waiting.run, idle, now_seconds):
-                waiting.limit.reschedule(now_seconds)
-
-    async def _stream_or_leave(
-        self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget, gaps: RunGaps
-    ) -> ItemRunEnded:
-        """Stream a run, which may be told to leave its engine's queue until it begins."""
-        item_id, job = progress.item.item_id, ledger.job
-        run = QueuedRun(
-            target.instance,
-            target.service,
-            job.model,
-            job.oldest_version,
-            self._context.now_seconds(),
-            progress.moves,
-        )
-        try:
-            async with asyncio.timeout(None) as limit:
-                self._queued[item_id] = _Waiting(run, limit)
-                return await self._stream(ledger, progress, target, gaps)
-        except TimeoutError:
-            progress.moves += 1
-            return ItemRunEnded(ItemRunEnd.BROKEN, LEFT_QUEUE)
-        finally:
-            self._queued.pop(item_id, None)
-
     async def _stream(
         self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget, gaps: RunGaps
     ) -> ItemRunEnded:
@@ -181,8 +128,6 @@
         )
         async with aclosing(pieces):  # type: ignore[type-var]
             async for piece in pieces:
-                # The head of the answer comes with the run's first step.
-                self._queued.pop(progress.item.item_id, None)
                 if isinstance(piece, EngineLoad):
                     self.occupancy.heard(target.instance, piece, self._context.now_seconds())
                     continue
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -5,15 +5,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.jobs.owned_job import OwnedJob
-from rackswitch.jobs import (
-    EngineRoom,
-    ItemPhase,
-    ItemProgress,
-    ItemStart,
-    idle_rooms,
-    plan_starts,
-    spare_rooms,
-)
+from rackswitch.jobs import EngineRoom, ItemPhase, ItemProgress, ItemStart, plan_starts, spare_rooms
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow, ServiceRow
@@ -73,8 +65,6 @@
             self._score_restored(owned)
         waiting = any(ledger.waiting(now_seconds) for ledger in ledgers)
         self._runner.spare = {} if waiting else spare_rooms(rooms)
-        if not waiting and self._context.policy.queues_left:
-            self._runner.leave_queues(idle_rooms(rooms))
 
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
         """Return the service that runs each job; items that no engine may run are given up."""
--- a/rackswitch/gateway/items/tests/test_item_runner.py
+++ b/rackswitch/gateway/items/tests/test_item_runner.py
@@ -9,15 +9,7 @@
 from rackswitch.gateway.items.item_runner import FIRST_PIECE_PATIENCE_SECONDS, ItemRunner
 from rackswitch.gateway.items.load_looks import LoadLooks
 from rackswitch.gateway.tests.support import make_gateway_context
-from rackswitch.jobs import (
-    EngineLoad,
-    EngineOccupancy,
-    IdleRoom,
-    JobLedger,
-    SpareRoom,
-    TextPiece,
-)
-from rackswitch.jobs.queues import QUEUE_PATIENCE_SECONDS
+from rackswitch.jobs import EngineLoad, EngineOccupancy, JobLedger, SpareRoom, TextPiece
 from rackswitch.jobs.tests.support import make_job
 from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
 from rackswitch.platform.orders import EngineReport, NoReport
@@ -130,30 +122,3 @@
         return occupancy.others("e1", now_seconds), occupancy.others("e2", now_seconds)
 
     assert run_virtual(scenario()) == (15, 0)
-
-
-@pytest.mark.parametrize("idle_slots", [0, 1])
-def test_a_run_that_has_not_begun_leaves_for_an_idle_engine(idle_slots):
-    async def scenario():
-        runner, ledger = make_runner(ScriptedEngine([], ItemRunEnd.SILENT, 2.0))
-        work = asyncio.create_task(run_first(runner, ledger))
-        await asyncio.sleep(QUEUE_PATIENCE_SECONDS + 0.05)
-        runner.leave_queues([IdleRoom("e2", "s", idle_slots, {"m": 1})])
-        ended = await work
-        assert ended.end is (ItemRunEnd.BROKEN if idle_slots else ItemRunEnd.SILENT)
-        assert ledger.items["i0"].moves == idle_slots
-        assert not runner._queued
-
-    run_virtual(scenario())
-
-
-def test_a_run_that_has_begun_stays_however_idle_others_are():
-    async def scenario():
-        texts = [TextPiece(number, "a", 1) for number in range(1, 4)]
-        runner, ledger = make_runner(ScriptedEngine(texts, ItemRunEnd.WHOLE, 1.0))
-        work = asyncio.create_task(run_first(runner, ledger))
-        await asyncio.sleep(QUEUE_PATIENCE_SECONDS + 0.05)
-        runner.leave_queues([IdleRoom("e2", "s", 8, {"m": 1})])
-        assert (await work).end is ItemRunEnd.WHOLE
-
-    run_virtual(scenario())
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -32,8 +32,6 @@
         How many engines a service should have, by name (`rackswitch.capacity.policies`).
     engine_kinds : str
         How many of them may be ones that the platform takes away, by name.
-    queues_left : bool
-        Whether a run that waits at its engine begins at an idle one instead.
     runs_move : bool
         Whether a run goes on at a faster engine if that gains time.
     longest_first : bool
@@ -49,7 +47,6 @@
     engines_wanted: str = "forecast"
     engine_kinds: str = "added"
     runs_move: bool = True
-    queues_left: bool = True
     longest_first: bool = True
 
 
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -16,8 +16,6 @@
 from rackswitch.jobs.placement import __all__ as _placement_all
 from rackswitch.jobs.progress import *  # noqa: F403
 from rackswitch.jobs.progress import __all__ as _progress_all
-from rackswitch.jobs.queues import *  # noqa: F403
-from rackswitch.jobs.queues import __all__ as _queues_all
 from rackswitch.jobs.retention import *  # noqa: F403
 from rackswitch.jobs.retention import __all__ as _retention_all
 from rackswitch.jobs.schedule import *  # noqa: F403
@@ -34,7 +32,6 @@
     *_orphans_all,
     *_placement_all,
     *_progress_all,
-    *_queues_all,
     *_retention_all,
     *_schedule_all,
     *_stragglers_all,
