Keys: the caller of a refused key reads one general line, the log tells the rest

Cause (reading): the 401 told whoever showed a former key the name of its tenant, and the table that took it away. That is for the log and `explain`. A header that is malformed is still told what is wrong with it. Test: the body of the 401 on loopback (fails before). Also two names of the planner that read backwards.

--- a/rackswitch/capacity/planner.py
+++ b/rackswitch/capacity/planner.py
@@ -104,9 +104,9 @@
         bounded = self._bounded(wanted, capacity)
         present = sum(state.present.values())
         missing = bounded - present - self._booting(state, now_seconds)
-        if self._lasts_lack(missing, present, bounded, now_seconds):
+        if self._lack_lasts(missing, present, bounded, now_seconds):
             return self._orders_up(state, capacity, bounded, missing, now_seconds)
-        if self._lasts_surplus(present, bounded, now_seconds):
+        if self._surplus_lasts(present, bounded, now_seconds):
             self._surplus_since_seconds = now_seconds
             return self._orders_down(state, capacity, present - bounded)
         return []
@@ -123,7 +123,7 @@
         not_there = sum((state.ordered - state.present).values())
         return min(len(self._booting_until_seconds), not_there)
 
-    def _lasts_lack(self, missing: int, present: int, wanted: int, now_seconds: float) -> bool:
+    def _lack_lasts(self, missing: int, present: int, wanted: int, now_seconds: float) -> bool:
         if missing <= 0:
             self._lack_since_seconds = None
             return False
@@ -132,7 +132,7 @@
         is_urgent = present < URGENT_SHARE * wanted
         return is_urgent or now_seconds >= self._lack_since_seconds + LACK_SECONDS
 
-    def _lasts_surplus(self, present: int, wanted: int, now_seconds: float) -> bool:
+    def _surplus_lasts(self, present: int, wanted: int, now_seconds: float) -> bool:
         if present <= SURPLUS_SHARE * wanted:
             self._surplus_since_seconds = None
             return False
--- a/rackswitch/gateway/callers/edge.py
+++ b/rackswitch/gateway/callers/edge.py
@@ -157,9 +157,10 @@
         """
         contact = self._context.contact
         if not fault.may_be_new or not contact.is_away:
-            return Refusal(401, fault.detail)
+            return Refusal(401, fault.detail, told=fault.told)
         left_seconds = contact.outage.remaining_seconds(self._context.now_seconds())
-        return Refusal(503, f"{fault.detail}, by a table that may be old", left_seconds)
+        detail = f"{fault.detail}, by a table that may be old"
+        return Refusal(503, detail, left_seconds, "the key cannot be checked now")
 
     def _caller(self, exchange: Exchange, route: RouteRow) -> Caller | KeyFault:
         """Return who sends a request on a route, by the table in force."""
--- a/rackswitch/gateway/callers/refusals.py
+++ b/rackswitch/gateway/callers/refusals.py
@@ -18,13 +18,18 @@
 
     Attributes
     ----------
+    detail : str
+        Why, for the log.
     retry_after_seconds : float or None
         When the caller should come back, counted from the answer; None if it need not.
+    told : str
+        What the caller reads in place of the detail, if that is not for everybody.
     """
 
     status: int
     detail: str
     retry_after_seconds: float | None = None
+    told: str = ""
 
 
 async def refuse(exchange: Exchange, refusal: Refusal) -> None:
@@ -34,7 +39,7 @@
         headers = (*TEXT, ("www-authenticate", "Bearer"))
     if refusal.retry_after_seconds is not None:
         headers = (*TEXT, ("retry-after", f"{refusal.retry_after_seconds:.3f}"))
-    await exchange.respond(refusal.status, headers, refusal.detail.encode())
+    await exchange.respond(refusal.status, headers, (refusal.told or refusal.detail).encode())
 
 
 async def refuse_at_the_edge(exchange: Exchange, context: GatewayContext, refusal: Refusal) -> None:
--- a/rackswitch/gateway/tests/test_path_tenants.py
+++ b/rackswitch/gateway/tests/test_path_tenants.py
@@ -64,7 +64,8 @@
         await wait_for(lambda: gateway.context.table_revision == 2)
         await fleet.operate(state(3, {**ACME, "api_keys": ["acme-key-1"]}))
         fleet.key = "acme-key-2"
-        assert (await fleet.request("d0", "GET", "/look/x"))[0] == 401
+        status, _, body = await fleet.request("d0", "GET", "/look/x")
+        assert (status, body) == (401, b"the key is not valid")
         await wait_for(lambda: "taken away with table 3" in path.read_text())
         assert "acme-key" not in path.read_text()
         [refused] = [
--- a/rackswitch/tenants/keys.py
+++ b/rackswitch/tenants/keys.py
@@ -18,12 +18,22 @@
 
     Attributes
     ----------
+    detail : str
+        For the log: it may name a tenant.
     may_be_new : bool
         Whether a newer table may have the key: it can be read, and no known table had it.
+    is_form : bool
+        Whether the header itself is at fault, whatever key it may hold.
     """
 
     detail: str
     may_be_new: bool = False
+    is_form: bool = False
+
+    @property
+    def told(self) -> str:
+        """One line that gives nothing away of keys and tenants that the caller need not know."""
+        return self.detail if self.is_form else "the key is not valid"
 
 
 def key_digest(key: str) -> str:
@@ -40,17 +50,17 @@
         The values of all headers of that name.
     """
     if not values:
-        return KeyFault("no key: the request has no Authorization header")
+        return KeyFault("no key: the request has no Authorization header", is_form=True)
     if len(values) > 1:
-        return KeyFault(f"{len(values)} Authorization headers, one is allowed")
+        return KeyFault(f"{len(values)} Authorization headers, one is allowed", is_form=True)
     scheme, _, key = values[0].strip().partition(" ")
     if scheme.lower() != SCHEME:
-        return KeyFault("the Authorization header's scheme is not Bearer")
+        return KeyFault("the Authorization header's scheme is not Bearer", is_form=True)
     key = key.strip()
     if not key:
-        return KeyFault("the Authorization header holds no key")
+        return KeyFault("the Authorization header holds no key", is_form=True)
     if len(key) > MOST_KEY_CHARACTERS:
-        return KeyFault(f"the key has over {MOST_KEY_CHARACTERS} characters")
+        return KeyFault(f"the key has over {MOST_KEY_CHARACTERS} characters", is_form=True)
     if not key.isascii() or not key.isprintable() or " " in key:
-        return KeyFault("the key holds characters that no key has")
+        return KeyFault("the key holds characters that no key has", is_form=True)
     return key
