Spreading: only the daemon that watches for the fleet tells that it is cut off

Change: a daemon that watches because it could follow nobody does not say that it is cut off; those behind it go by the age of its word, as before.

The new test fails before.

--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -121,7 +121,8 @@
         now_seconds = self._context.now_seconds()
         if self.choice.followed not in sources:
             self.choice.stop_following(now_seconds)
-        self._watch.switch(self.choice.must_watch(sources, level, now_seconds))
+        must_watch = self.choice.must_watch(sources, level, now_seconds)
+        self._watch.switch(must_watch, for_all=not sources)
         name = self.choice.next_source(sources, now_seconds)
         if name is None:
             await self._copies.told_before(now_seconds + PAUSE_SECONDS)
--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -40,7 +40,7 @@
         show that there is somebody to follow; and it alone is tried while the service is away.
     """
 
-    __slots__ = ("_context", "_copies", "_failures", "_members_prefix", "_on")
+    __slots__ = ("_context", "_copies", "_failures", "_for_all", "_members_prefix", "_on")
 
     def __init__(self, context: GatewayContext, copies: CopySet, members_prefix: str):
         self._context = context
@@ -48,19 +48,25 @@
         self._members_prefix = members_prefix
         self._on = asyncio.Event()
         self._failures = 0
+        self._for_all = False
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether the service is watched, or tried, and has left several calls unanswered."""
-        return self.is_on and self._failures >= CUT_OFF_FAILURES
+        """Whether this daemon watches for the fleet and gets no answer.
+
+        One that watches because it could follow nobody does not say so: in an outage for all, each
+        would send those behind it to the service too.
+        """
+        return self.is_on and self._for_all and self._failures >= CUT_OFF_FAILURES
 
     @property
     def is_on(self) -> bool:
         """Whether the service is watched."""
         return self._on.is_set()
 
-    def switch(self, on: bool) -> None:
-        """Begin or cease to watch."""
+    def switch(self, on: bool, for_all: bool = False) -> None:
+        """Begin or cease to watch; `for_all` if this daemon is the one that all others follow."""
+        self._for_all = for_all
         if on == self.is_on:
             return
         self._context.log.write(WatchesService(watches=on))
--- a/rackswitch/gateway/store/tests/test_spread_runs.py
+++ b/rackswitch/gateway/store/tests/test_spread_runs.py
@@ -96,3 +96,25 @@
         await run.stop()
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize(("outage_seconds", "most_calls"), [(1.0, 60), (2.5, 700)])
+def test_a_short_outage_for_all_does_not_send_the_whole_fleet_to_the_service(
+    outage_seconds, most_calls
+):
+    async def scenario():
+        run = SpreadRun(64, zones=4)
+        await run.start()
+        await run.settled()
+        calls = run.service.priced
+        for node in run.living():
+            run.turn_away(node)
+        await asyncio.sleep(outage_seconds)
+        for node in run.living():
+            node.context.kv.faults.refused = 0.0
+        await asyncio.sleep(3.0)
+        assert run.service.priced - calls < most_calls
+        assert (await run.spread("after it"))[-1] < 0.3
+        await run.stop()
+
+    run_virtual(scenario())
