Tests: the clock that jumps no longer turns the loop 42 times before each jump

A profile of one run of usage reports: 524,086 turns of the loop for 22,874 callbacks. The library waits 42 empty turns before each jump for input and output, of which runs without a network have none.

No test is changed.

--- a/rackswitch/daemon/tests/support.py
+++ b/rackswitch/daemon/tests/support.py
@@ -25,9 +25,15 @@
         pass
 
 
+IDLE_CYCLES = 1
+"""Empty turns of the loop before its clock jumps, by which the library lets real input and output
+come in (42 by its default). Nothing here has any: two runs of reports, one of orders and one of
+spreading bring the same to the byte with 42, 4, 1 and 0, and take 14.2, 3.3, 2.5 and 2.1 s."""
+
+
 def run_virtual(work: Coroutine[Any, Any, Any]) -> Any:
     """Run on an event loop whose clock jumps over waits."""
-    loop = looptime.new_event_loop()
+    loop = looptime.new_event_loop(noop_cycles=IDLE_CYCLES)
     try:
         return loop.run_until_complete(work)
     finally:
