--- a/rackswitch/gateway/duties/tests/usage_run.py
+++ b/rackswitch/gateway/duties/tests/usage_run.py
@@ -10,7 +10,11 @@
 from rackswitch.gateway.duties.fenced_record import FencedRecord
 from rackswitch.gateway.duties.usage_gathering import GatheredUsage
 from rackswitch.gateway.duties.usage_keeper import REPORTS_KEY, UsageKeeper
-from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
+from rackswitch.gateway.tests.support import (
+    break_at_random,
+    make_gateway_context,
+    turn_violations,
+)
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.leases import OrderTurns
 from rackswitch.platform.duty_calls import DutyAnswer, DutyOutcome, Holder
@@ -180,9 +184,7 @@
 
     def violations(self) -> list[str]:
         """Return what an API that checks no fencing number must not see."""
-        found: list[str] = []
-        for before, after in zip(self.reports, self.reports[1:], strict=False):
-            found.extend(_judge(before, after))
+        found = turn_violations(self.reports, TURN_SECONDS)
         contents: dict[int, set] = {}
         for report in self.reports:
             if report.taken:
@@ -192,16 +194,3 @@
 
     def windows_taken(self) -> set[int]:
         return {report.window for report in self.reports if report.taken}
-
-
-def _judge(before: Report, after: Report) -> list[str]:
-    if after.fencing < before.fencing:
-        return [f"fencing {after.fencing} after {before.fencing}"]
-    if before.holder == after.holder:
-        return []
-    if after.fencing == before.fencing:
-        return [f"two holders with fencing {after.fencing}"]
-    gap_seconds = after.sent_seconds - before.sent_seconds
-    if gap_seconds < TURN_SECONDS:
-        return [f"{before.holder}, then {after.holder} after {gap_seconds:.2f} s"]
-    return []
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
 
 from rackswitch.daemon.tests.support import make_context
 from rackswitch.gateway.context import GatewayContext
@@ -43,3 +44,25 @@
         count = 2 if rng.random() < 0.4 else 1
         chosen = [rng.choice(kinds) for _ in range(count)]
         await asyncio.gather(*(fault(kind) for kind in chosen))
+
+
+class HolderCall(Protocol):
+    """A call of a role's holder, as it left; whoever got it checks no fencing number."""
+
+    sent_seconds: float
+    holder: str
+    fencing: int
+
+
+def turn_violations(calls: Sequence[HolderCall], turn_seconds: float) -> list[str]:
+    """Return what must not be seen of calls, in the order in which they were sent."""
+    found: list[str] = []
+    for before, after in zip(calls, calls[1:], strict=False):
+        gap_seconds = after.sent_seconds - before.sent_seconds
+        if after.fencing < before.fencing:
+            found.append(f"fencing {after.fencing} after {before.fencing}")
+        elif before.holder != after.holder and after.fencing == before.fencing:
+            found.append(f"two holders with fencing {after.fencing}")
+        elif before.holder != after.holder and gap_seconds < turn_seconds:
+            found.append(f"{before.holder}, then {after.holder} after {gap_seconds:.2f} s")
+    return found
--- a/rackswitch/gateway/versions/tests/order_run.py
+++ b/rackswitch/gateway/versions/tests/order_run.py
@@ -6,7 +6,11 @@
 
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.items.engine_paces import EnginePaces
-from rackswitch.gateway.tests.support import break_at_random, make_gateway_context
+from rackswitch.gateway.tests.support import (
+    break_at_random,
+    make_gateway_context,
+    turn_violations,
+)
 from rackswitch.gateway.versions.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.leases import OrderTurns
 from rackswitch.platform.orders import EngineReport, NoReport, OrderAnswer, VersionOrder
@@ -201,18 +205,5 @@
         found: list[str] = []
         for name, engine in self.engines.items():
             arrivals = sorted(engine.arrivals, key=lambda arrival: arrival.sent_seconds)
-            for before, after in zip(arrivals, arrivals[1:], strict=False):
-                found.extend(self._judge(name, before, after))
+            found += [f"{name}: {line}" for line in turn_violations(arrivals, TURN_SECONDS)]
         return found
-
-    def _judge(self, engine: str, before: Arrival, after: Arrival) -> list[str]:
-        if after.fencing < before.fencing:
-            return [f"{engine}: fencing {after.fencing} after {before.fencing}"]
-        if before.holder == after.holder:
-            return []
-        if after.fencing == before.fencing:
-            return [f"{engine}: two holders with fencing {after.fencing}"]
-        gap_seconds = after.sent_seconds - before.sent_seconds
-        if gap_seconds < TURN_SECONDS:
-            return [f"{engine}: {before.holder}, then {after.holder} after {gap_seconds:.2f} s"]
-        return []
