Access: tenants are found by the search that trainers and operators are found by

The look-up of a tenant by any of its keys wrote the loop of `_find` again; that takes a row's digests now, one or several. No change of behaviour; linter, types and the daemon's tests pass.

--- a/rackswitch/daemon/access.py
+++ b/rackswitch/daemon/access.py
@@ -13,17 +13,12 @@
 BEARER = b"Bearer "
 BOOTSTRAP_OPERATOR = "bootstrap"
 
-RowT = TypeVar("RowT", TrainerRow, OperatorRow)
+RowT = TypeVar("RowT", TenantRow, TrainerRow, OperatorRow)
 
 
 def find_tenant(view: TableView, request: Request) -> TenantRow | None:
     """Return the caller whose token the request carries, or None."""
-    digest = _token_digest(request)
-    found = None
-    for row in view.rows(TenantRow):
-        if digest is not None and any(hmac.compare_digest(digest, own) for own in row.key_sha256):
-            found = row
-    return found
+    return _find(view, request, TenantRow)
 
 
 def find_trainer(view: TableView, request: Request) -> TrainerRow | None:
@@ -49,11 +44,15 @@
     found = None
     # All rows are compared, so that the time taken does not tell which one matched.
     for row in view.rows(kind):
-        if hmac.compare_digest(digest, row.token_sha256):
+        if any(hmac.compare_digest(digest, own) for own in _digests(row)):
             found = row
     return found
 
 
+def _digests(row: TenantRow | TrainerRow | OperatorRow) -> tuple[str, ...]:
+    return row.key_sha256 if isinstance(row, TenantRow) else (row.token_sha256,)
+
+
 def _token_digest(request: Request) -> str | None:
     header = request.get_first_header(b"authorization")
     if header is None or not header.startswith(BEARER):
