--- a/rackswitch/explain/verdicts.py
+++ b/rackswitch/explain/verdicts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Generic, TypeVar
 
 from rackswitch.explain.story import Story, StoryLine
 from rackswitch.registry import Registry
@@ -32,6 +33,7 @@
     weight: int
 
 
+EventT = TypeVar("EventT", bound=ev.Event)
 Judge = Callable[[Story], Verdict | None]
 JUDGES: Registry[Judge] = Registry("judge")
 
@@ -43,9 +45,20 @@
     return max(found, key=lambda verdict: verdict.weight, default=None)
 
 
-def _last(story: Story, *kinds: type[ev.Event]) -> StoryLine | None:
-    lines = [line for line in story.own if isinstance(line.event, kinds)]
-    return lines[-1] if lines else None
+@dataclass(frozen=True, slots=True)
+class _Told(Generic[EventT]):
+    """A line of a story, with its event by its own type."""
+
+    line: StoryLine
+    event: EventT
+
+
+def _last(story: Story, kind: type[EventT]) -> _Told[EventT] | None:
+    """Return the last line of a kind among the story's own."""
+    for line in reversed(story.own):
+        if isinstance(line.event, kind):
+            return _Told(line, line.event)
+    return None
 
 
 def _away_before(story: Story, line: StoryLine) -> str:
@@ -69,75 +82,75 @@
 
 @JUDGES.register("request refused by the daemon")
 def _request_refused(story: Story) -> Verdict | None:
-    line = _last(story, ev.RequestRefused)
-    if line is None or not isinstance(line.event, ev.RequestRefused):
+    told = _last(story, ev.RequestRefused)
+    if told is None:
         return None
-    event = line.event
+    event = told.event
     cause = (
-        f"{line.daemon} refused it with {event.status} before any target was chosen: "
+        f"{told.line.daemon} refused it with {event.status} before any target was chosen: "
         f"{event.detail} (table revision {event.table_revision})"
     )
-    return Verdict(line, cause, 80)
+    return Verdict(told.line, cause, 80)
 
 
 @JUDGES.register("request not served")
 def _request_not_served(story: Story) -> Verdict | None:
     ended = _last(story, ev.RequestEnded)
-    if ended is None or not isinstance(ended.event, ev.RequestEnded):
+    if ended is None:
         return None
     event = ended.event
     if event.outcome.startswith("2"):
         return None
     if event.outcome == "caller left":
         cause = f"the caller left after {event.elapsed_seconds:.3f} s"
-        return Verdict(ended, cause, 70)
+        return Verdict(ended.line, cause, 70)
     failed = _last(story, ev.AttemptFailed)
-    if failed is None or not isinstance(failed.event, ev.AttemptFailed):
+    if failed is None:
         cause = (
             f"no target was tried: {event.targets_known} of the route's targets could be used, "
             f"by a list {event.list_age_seconds:.1f} s old ({event.outcome})"
         )
-        return Verdict(ended, cause + _away_before(story, ended), 75)
+        return Verdict(ended.line, cause + _away_before(story, ended.line), 75)
     attempt = failed.event
     cause = (
         f"target {attempt.target} did not serve attempt {attempt.attempt} "
         f"({attempt.detail}, after {attempt.attempt_seconds:.3f} s); the last answer was: "
         f"{event.outcome}"
     )
-    return Verdict(failed, cause, 75)
+    return Verdict(failed.line, cause, 75)
 
 
 @JUDGES.register("request slow")
 def _request_slow(story: Story) -> Verdict | None:
     failed = _last(story, ev.AttemptFailed)
     ended = _last(story, ev.RequestEnded)
-    if failed is None or ended is None or not isinstance(failed.event, ev.AttemptFailed):
+    if failed is None or ended is None:
         return None
     cause = (
         f"it was served after a failed attempt at {failed.event.target} that took "
         f"{failed.event.attempt_seconds:.3f} s ({failed.event.detail})"
     )
-    return Verdict(failed, cause, 30)
+    return Verdict(failed.line, cause, 30)
 
 
 @JUDGES.register("job not taken")
 def _job_not_taken(story: Story) -> Verdict | None:
-    line = _last(story, ev.JobSubmitted)
-    if line is None or not isinstance(line.event, ev.JobSubmitted) or line.event.outcome == 202:
+    told = _last(story, ev.JobSubmitted)
+    if told is None or told.event.outcome == 202:
         return None
-    cause = f"{line.daemon} answered {line.event.outcome}: {line.event.detail}"
-    return Verdict(line, cause + _away_before(story, line), 60)
+    cause = f"{told.line.daemon} answered {told.event.outcome}: {told.event.detail}"
+    return Verdict(told.line, cause + _away_before(story, told.line), 60)
 
 
 @JUDGES.register("item given up")
 def _item_given_up(story: Story) -> Verdict | None:
     if story.subject.kind != "item":
         return None
-    line = _last(story, ev.ItemGivenUp)
-    if line is not None and isinstance(line.event, ev.ItemGivenUp):
-        return Verdict(line, f"the item was given up: {line.event.reason}", 90)
+    told = _last(story, ev.ItemGivenUp)
+    if told is not None:
+        return Verdict(told.line, f"the item was given up: {told.event.reason}", 90)
     reward = _last(story, ev.RewardCallEnded)
-    if reward is None or not isinstance(reward.event, ev.RewardCallEnded):
+    if reward is None:
         return None
     if reward.event.outcome.startswith("2"):
         return None
@@ -145,17 +158,17 @@
         f"its text was whole, but the reward call ended with {reward.event.outcome!r} after "
         f"{reward.event.failures} failures"
     )
-    return Verdict(reward, cause, 85)
+    return Verdict(reward.line, cause, 85)
 
 
 @JUDGES.register("item impossible")
 def _item_impossible(story: Story) -> Verdict | None:
-    line = _last(story, ev.ItemRunEnded)
-    if line is None or not isinstance(line.event, ev.ItemRunEnded):
+    told = _last(story, ev.ItemRunEnded)
+    if told is None:
         return None
-    if story.subject.kind != "item" or line.event.outcome != "impossible":
+    if story.subject.kind != "item" or told.event.outcome != "impossible":
         return None
-    return Verdict(line, f"engine {line.event.target} says that it can never be done", 90)
+    return Verdict(told.line, f"engine {told.event.target} says that it can never be done", 90)
 
 
 @JUDGES.register("item begun anew")
@@ -182,14 +195,14 @@
 
 @JUDGES.register("item long")
 def _item_long(story: Story) -> Verdict | None:
-    line = _last(story, ev.ItemRunEnded)
-    if line is None or not isinstance(line.event, ev.ItemRunEnded):
+    told = _last(story, ev.ItemRunEnded)
+    if told is None:
         return None
-    event = line.event
+    event = told.event
     if story.subject.kind != "item" or event.run_seconds < LONG_RUN_SECONDS:
         return None
     cause = f"its text of {event.pieces} pieces took {event.run_seconds:.1f} s at {event.target}"
-    return Verdict(line, cause, 35)
+    return Verdict(told.line, cause, 35)
 
 
 @JUDGES.register("job changed hands")
@@ -232,33 +245,35 @@
 
 @JUDGES.register("call about a job refused")
 def _job_call_refused(story: Story) -> Verdict | None:
-    line = _last(story, ev.JobCallRefused)
-    if line is None or not isinstance(line.event, ev.JobCallRefused):
+    told = _last(story, ev.JobCallRefused)
+    if told is None:
         return None
-    cause = f"{line.event.call} at {line.daemon}: {line.event.outcome} {line.event.detail}".strip()
-    return Verdict(line, cause + _away_before(story, line), 20)
+    cause = (
+        f"{told.event.call} at {told.line.daemon}: {told.event.outcome} {told.event.detail}".strip()
+    )
+    return Verdict(told.line, cause + _away_before(story, told.line), 20)
 
 
 @JUDGES.register("usage not reported in time")
 def _usage_late(story: Story) -> Verdict | None:
     sent = _last(story, ev.UsageSent)
-    if sent is None or not isinstance(sent.event, ev.UsageSent):
+    if sent is None:
         fixed = _last(story, ev.UsageFixed)
         if fixed is None:
             return None
-        cause = f"{fixed.daemon} gathered it and never sent it"
-        return Verdict(fixed, cause + _away_before(story, fixed), 60)
+        cause = f"{fixed.line.daemon} gathered it and never sent it"
+        return Verdict(fixed.line, cause + _away_before(story, fixed.line), 60)
     event = sent.event
     if event.in_time and event.outcome.startswith("taken"):
         return None
     cause = f"its last report, {event.after_end_seconds:.1f} s after its end, was {event.outcome}"
-    return Verdict(sent, cause, 60)
+    return Verdict(sent.line, cause, 60)
 
 
 @JUDGES.register("usage incomplete")
 def _usage_incomplete(story: Story) -> Verdict | None:
     fixed = _last(story, ev.UsageFixed)
-    if fixed is None or not isinstance(fixed.event, ev.UsageFixed):
+    if fixed is None:
         return None
     event = fixed.event
     if not event.daemons_silent and not event.daemons_partial:
@@ -267,4 +282,4 @@
         f"of {event.daemons + event.daemons_silent} daemons {event.daemons_silent} did not tell "
         f"their counts, and {event.daemons_partial} had counted for a part of the window only"
     )
-    return Verdict(fixed, cause, 50)
+    return Verdict(fixed.line, cause, 50)
