Explain: a tenant's own identity of a job is read where it is made; nothing matches a missing field

`explain` took the fleet's identity of a job apart by the separator, while `tenants` puts it together: the inverse stands beside it now.

--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -5,7 +5,7 @@
 from rackswitch.explain.clocks import Clocks
 from rackswitch.explain.lines import LoggedEvent, ReadLog
 from rackswitch.telemetry import events as ev
-from rackswitch.tenants import JOB_SEPARATOR
+from rackswitch.tenants import chosen_identity
 
 __all__ = ["Story", "StoryLine", "Subject", "tell_story"]
 
@@ -102,11 +102,6 @@
     return Story(subject, chosen)
 
 
-def tenants_own(job: str) -> str:
-    """Return a job's identity as its tenant chose it."""
-    return job.rpartition(JOB_SEPARATOR)[2]
-
-
 def _subject(log: ReadLog, identity: str) -> Subject | None:
     """Find out what an identity names."""
     for line in log.events:
@@ -117,8 +112,10 @@
         if isinstance(event, ev.UsageFixed | ev.UsageSent) and str(event.window) == identity:
             return Subject("window", identity)
         for kind in ("job", "item", "request"):
-            named: str = getattr(event, kind, "")
-            if named == identity or (kind == "job" and tenants_own(named) == identity):
+            named = getattr(event, kind, None)
+            if named == identity or (
+                kind == "job" and named and chosen_identity(named) == identity
+            ):
                 return Subject(kind, named)
         if isinstance(event, ev.ResultsAppended) and identity in event.items:
             return Subject("item", identity)
@@ -130,7 +127,9 @@
         return _is_about_job(event, subject.identity)
     if subject.kind == "item" and isinstance(event, ev.ResultsAppended):
         return subject.identity in event.items
-    return str(getattr(event, subject.kind, None)) == subject.identity
+    named = getattr(event, subject.kind, None)
+    # A window's number is looked for as text.
+    return named is not None and str(named) == subject.identity
 
 
 def _is_about_job(event: ev.Event, job: str) -> bool:
--- a/rackswitch/explain/tests/test_story.py
+++ b/rackswitch/explain/tests/test_story.py
@@ -234,3 +234,13 @@
         daemon.log(1.0 + number, event)
     verdict = judge_story(tell_story(read_events(daemon.lines), "355610033"))
     assert (verdict is None) if cause is None else (cause in verdict.cause)
+
+
+@pytest.mark.parametrize("identity", ["", "None"])
+def test_what_no_line_names_has_no_story(identity):
+    daemon = LoggingDaemon("d1")
+    daemon.log(1.0, ended("r1", "200"))
+    daemon.log(2.0, owned("acme\nj1"))
+    log = read_events(daemon.lines)
+    assert tell_story(log, identity) is None
+    assert tell_story(log, "j1").subject.identity == "acme\nj1"
--- a/rackswitch/tenants/callers.py
+++ b/rackswitch/tenants/callers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ANYBODY", "JOB_SEPARATOR", "Caller"]
+__all__ = ["ANYBODY", "Caller", "chosen_identity"]
 
 JOB_SEPARATOR = "\n"
 """Between a tenant and its own identity of a job. Neither a header nor a path can hold a line
@@ -41,5 +41,10 @@
         return f"{self.tenant}{JOB_SEPARATOR}{identity}" if self.tenant else identity
 
 
+def chosen_identity(job_id: str) -> str:
+    """Return a job's identity as its tenant chose it: what `Caller.job_identity` was given."""
+    return job_id.rpartition(JOB_SEPARATOR)[2]
+
+
 ANYBODY = Caller()
 """The sender where the table has no tenants."""
--- a/rackswitch/tenants/tests/test_tenants.py
+++ b/rackswitch/tenants/tests/test_tenants.py
@@ -10,6 +10,7 @@
     KeyFault,
     TenantIndex,
     bearer_key,
+    chosen_identity,
     index_tenants,
     key_digest,
 )
@@ -88,3 +89,11 @@
     wanted = Caller("a").job_identity(identity)
     assert Caller().job_identity(sent) != wanted
     assert Caller("b").job_identity(sent) != wanted
+
+
+@given(
+    st.sampled_from(["", "a"]),
+    st.text(max_size=20).filter(lambda text: "\n" not in text),
+)
+def test_an_identity_is_found_again_in_the_fleets_own(tenant, identity):
+    assert chosen_identity(Caller(tenant).job_identity(identity)) == identity
