Tidying: a dead field, the due time worked out once, one way to note an unfollowable daemon

* JobLoad.submitted_at_unix_seconds was read by nobody: the keeper picks recent jobs by the marker's own field.
Gone, with its three uses in the test, whose assertions are unchanged.
* The keeper worked out the due time of a service twice for one decision, and what is wanted even while the list of engines had not settled and the answer was thrown away.
Now once, and after that check.
* A refusal's headers are put on top of each other, so that a status with two of them would keep both.
* PeerFollower._failed and ._stale were the same two lines but for the choice's method: one, which is given that method.

Ruled out: lowering the interval of the keeper, which changes behaviour.

--- a/rackswitch/capacity/demand.py
+++ b/rackswitch/capacity/demand.py
@@ -18,13 +18,10 @@
     ----------
     work_seconds : float
         How long its texts take, added up over its items.
-    submitted_at_unix_seconds : float
-        When it was submitted.
     """
 
     model: str
     work_seconds: float
-    submitted_at_unix_seconds: float
     is_open: bool
 
 
@@ -37,7 +34,7 @@
     Parameters
     ----------
     jobs : iterable of JobLoad
-        The jobs that are known, ended ones included.
+        The recent jobs, ended ones included.
     due_seconds : float
         Time within which a job is to be whole.
     """
--- a/rackswitch/capacity/tests/test_capacity.py
+++ b/rackswitch/capacity/tests/test_capacity.py
@@ -63,9 +63,9 @@
 
 def test_the_wanted_slots_follow_each_trainers_largest_recent_job():
     jobs = [
-        JobLoad("m", 60.0, 1.0, is_open=False),
-        JobLoad("m", 75.0, 2.0, is_open=True),
-        JobLoad("n", 25.0, 2.0, is_open=False),
+        JobLoad("m", 60.0, is_open=False),
+        JobLoad("m", 75.0, is_open=True),
+        JobLoad("n", 25.0, is_open=False),
     ]
     assert wanted_slots(jobs, 7.5) == pytest.approx(40.0)
     assert wanted_slots([], 7.5) == 0
--- a/rackswitch/gateway/callers/refusals.py
+++ b/rackswitch/gateway/callers/refusals.py
@@ -36,9 +36,9 @@
     """Answer a request with its refusal; the caller logs what decided."""
     headers: tuple[tuple[str, str], ...] = TEXT
     if refusal.status == 401:
-        headers = (*TEXT, ("www-authenticate", "Bearer"))
+        headers = (*headers, ("www-authenticate", "Bearer"))
     if refusal.retry_after_seconds is not None:
-        headers = (*TEXT, ("retry-after", f"{refusal.retry_after_seconds:.3f}"))
+        headers = (*headers, ("retry-after", f"{refusal.retry_after_seconds:.3f}"))
     await exchange.respond(refusal.status, headers, (refusal.told or refusal.detail).encode())
 
 
--- a/rackswitch/gateway/duties/scale_keeper.py
+++ b/rackswitch/gateway/duties/scale_keeper.py
@@ -159,7 +159,6 @@
         capacity = _capacity(row, terms)
         now_seconds = self._context.now_seconds()
         present = self._present(row.name, now_seconds)
-        wanted = self._wanted(row, capacity)
         if not present:
             return
         watched = self._watched.get(row.name)
@@ -167,7 +166,10 @@
             planner = CapacityPlanner(KIND_POLICIES.get(self._context.policy.engine_kinds))
             watched = self._watched[row.name] = _Watched(planner, now_seconds)
         watched.saw(present)
-        if wanted is None or now_seconds < watched.listed_since_seconds + LIST_SETTLES_SECONDS:
+        if now_seconds < watched.listed_since_seconds + LIST_SETTLES_SECONDS:
+            return
+        wanted = self._wanted(row, capacity)
+        if wanted is None:
             return
         state = ServiceState(present, watched.most_present | ordered.of(row.name))
         orders = watched.planner.orders(state, capacity, wanted, now_seconds)
@@ -191,8 +193,9 @@
     def _wanted(self, row: ServiceRow, capacity: Capacity) -> int | None:
         """Return how many engines a service should have, or None to leave them as they are."""
         jobs = self._recent_jobs(row)
-        slots = wanted_slots(jobs, self._due_seconds(row.name))
-        busy = sum(job.work_seconds for job in jobs if job.is_open) / self._due_seconds(row.name)
+        due_seconds = self._due_seconds(row.name)
+        slots = wanted_slots(jobs, due_seconds)
+        busy = sum(job.work_seconds for job in jobs if job.is_open) / due_seconds
         policy = CAPACITY_POLICIES.get(self._context.policy.engines_wanted)
         return policy(slots, busy, capacity.slots)
 
@@ -200,12 +203,7 @@
         oldest_unix_seconds = self._wall_clock() - RECENT_SECONDS
         markers = [known.marker for known in self._known.jobs.values()]
         return [
-            JobLoad(
-                marker.model,
-                marker.work_seconds,
-                marker.submitted_at_unix_seconds,
-                is_open=not marker.ended,
-            )
+            JobLoad(marker.model, marker.work_seconds, is_open=not marker.ended)
             for marker in markers
             if marker.model in row.models
             and marker.submitted_at_unix_seconds >= oldest_unix_seconds
--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -1,6 +1,7 @@
 """Keeping copies current from another daemon."""
 
 import asyncio
+from collections.abc import Callable
 
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
@@ -145,7 +146,7 @@
         """
         peer = self._context.daemon.membership.address(name)
         if peer is None:
-            self._failed(name, "no address")
+            self._cannot_follow(self.choice.failed, name, "no address")
             return
         wait_seconds = FOLLOW_WAIT_SECONDS if name == self.choice.followed else 0.0
         asked_at_seconds = self._context.now_seconds()
@@ -158,13 +159,13 @@
         )
         now_seconds = self._context.now_seconds()
         if isinstance(reply, PeerUnreachable):
-            self._failed(name, reply.detail)
+            self._cannot_follow(self.choice.failed, name, reply.detail)
         elif reply.refused or len(reply.news) < len(self._copies.by_prefix):
             self.choice.not_ready(name, now_seconds)
         elif self._take(reply, asked_at_seconds, now_seconds) > fresh_seconds(level):
-            self._stale(name, "not fresh")
+            self._cannot_follow(self.choice.stale, name, "not fresh")
         elif reply.cut_off:
-            self._stale(name, "cut off from the service")
+            self._cannot_follow(self.choice.stale, name, "cut off from the service")
         elif self.choice.succeeded(name):
             self._context.log.write(Follows(daemon_followed=name))
 
@@ -177,12 +178,9 @@
         paces = paces_to_tell(self._context, self._paces)
         return pb.FollowRequest(positions=positions, wait_ms=wait_ms, paces=paces)
 
-    def _failed(self, name: str, reason: str) -> None:
-        self.choice.failed(name, self._context.now_seconds())
-        self._context.log.write(CannotFollow(daemon_asked=name, reason=reason))
-
-    def _stale(self, name: str, reason: str) -> None:
-        self.choice.stale(name, self._context.now_seconds())
+    def _cannot_follow(self, note: Callable[[str, float], None], name: str, reason: str) -> None:
+        """Note with the choice that a daemon cannot be followed, and log why."""
+        note(name, self._context.now_seconds())
         self._context.log.write(CannotFollow(daemon_asked=name, reason=reason))
 
     def _take(self, reply: pb.FollowReply, asked_at_seconds: float, now_seconds: float) -> float:
