Tests: the one read that learns of a job's end, in both orders, each brought about on purpose

Cause: the test took the reading daemon's first read after the end for the one that asks the service. Ruled out: a second read of the service; it is one in both orders. Change: both orders are cases; links that never answer, or answer however long it takes, decide which. Stricter: the count of reads is checked after each read, not only at the end.

--- a/rackswitch/gateway/jobs/tests/test_path_jobs.py
+++ b/rackswitch/gateway/jobs/tests/test_path_jobs.py
@@ -2,8 +2,13 @@
 
 import asyncio
 
+import pytest
+
+from rackswitch.gateway.jobs.job_records import key_part
 from rackswitch.gateway.policy import PolicySettings
-from rackswitch.gateway.tests.path import check_whole, play, wait_for
+from rackswitch.gateway.tests.path import SCENARIO_SECONDS, check_whole, play, wait_for
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.links import PeerUnreachable
 
 
 def test_a_job_is_run_scored_and_read_alike_at_every_daemon():
@@ -164,22 +169,55 @@
     play(scenario)
 
 
-def test_the_end_of_an_ended_job_is_read_from_the_service_once():
+class LinksToOwners:
+    """Links over which owners of jobs never answer, or answer however long that takes."""
+
+    def __init__(self, links, owners_answer):
+        self._links = links
+        self._owners_answer = owners_answer
+
+    async def call(self, peer, method, request, timeout_seconds, *rest):
+        if isinstance(request, pb.ReadJobRequest):
+            if not self._owners_answer:
+                return PeerUnreachable("not answered on order")
+            timeout_seconds = SCENARIO_SECONDS
+        return await self._links.call(peer, method, request, timeout_seconds, *rest)
+
+    def close(self):
+        self._links.close()
+
+
+@pytest.mark.parametrize("kept_before_the_end", [True, False])
+def test_the_end_of_an_ended_job_is_read_from_the_service_once(kept_before_the_end):
+    """The one read after the end comes with the first read of any position if the daemon has kept
+    nothing of the job, and with the first read at the end if it had kept all there was."""
+
     async def scenario(fleet):
+        reading = fleet.gateways["d1"]
+        links = LinksToOwners(reading.context.daemon.links, not kept_before_the_end)
+        reading.context.daemon.links = links
         assert await fleet.submit("d0", "j1", [1, 1, 4000]) == 202
-        while len((before := await fleet.read("d1", "j1", 0, 500)).results) < 2:
+        await wait_for(lambda: reading.jobs.known.owner(key_part("j1")) is not None)
+        while not (await fleet.read("d1", "j1", 1, 500)).results:
             pass
+        before = await fleet.read("d1", "j1")
+        assert len(before.results) == 2
         assert await fleet.end_job("d0", "j1") == 200
         await wait_for(lambda: not fleet.gateways["d0"].jobs.owned)
-        await wait_for(lambda: fleet.gateways["d1"].jobs.known.marker("j1").ended)
+        await wait_for(lambda: reading.jobs.known.marker("j1").ended)
+
+        def range_reads():
+            return reading.context.kv.calls_by_path.get("kv-range results", 0)
+
+        reads = range_reads()
         first = await fleet.read("d1", "j1")
         assert first.results[: len(before.results)] == before.results
-        reads = fleet.gateways["d1"].context.kv.calls_by_path.copy()
+        assert range_reads() == reads + (not kept_before_the_end)
         for _ in range(5):
             end = await fleet.read("d1", "j1", len(first.results))
             assert (end.status, end.results) == (200, [])
-        after = fleet.gateways["d1"].context.kv.calls_by_path
-        assert after.get("kv-range results") == reads.get("kv-range results")
+            assert range_reads() == reads + 1
         assert (await fleet.read("d1", "j1")).results == first.results
+        assert range_reads() == reads + 1
 
     play(scenario)
