Sight: which requests are alike, and whether a target has ended under them

Change: lines of broken runs carry a fingerprint of tenant, host, method, path and body, for calls, streams, reward calls and items; a target at which a run broke is looked at (a TCP connect, three refusals in 0.4 s) or known by the list to have ended, and 'target ended' tells its evidence and what broke there. A failed background task is logged with the line that raised. No decision depends on any of it yet.

--- a/rackswitch/gateway/callers/call_edge.py
+++ b/rackswitch/gateway/callers/call_edge.py
@@ -4,11 +4,12 @@
 
 from rackswitch.gateway.callers.departures import done_before_gone
 from rackswitch.gateway.callers.refusals import TEXT, Refusal, refuse
-from rackswitch.gateway.callers.request_front import RequestFront, outcome_label
+from rackswitch.gateway.callers.request_front import FrontAnswer, RequestFront, outcome_label
 from rackswitch.gateway.callers.stream_relay import StreamRelay
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.outcomes import MayHaveRun, NotRun
+from rackswitch.outcomes import BrokenInvariant, MayHaveRun, NotRun
 from rackswitch.requests import Call, TargetAnswer, TargetStream
+from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow
 from rackswitch.telemetry.events import RequestEnded
 from rackswitch.web.exchange import Exchange
@@ -56,17 +57,17 @@
             await exchange.respond(outcome.status, outcome.headers, outcome.body)
         elif isinstance(outcome, TargetStream):
             relay = StreamRelay(self._front, route, call, deadline_seconds, log)
-            label = await self._relay(exchange, relay, outcome, answer.target)
+            label = await self._relay(exchange, relay, outcome, _streaming(answer))
         elif isinstance(outcome, NotRun):
             retry_at_seconds = outcome.retry_at_seconds or self._context.now_seconds()
             left_seconds = max(0.0, retry_at_seconds - self._context.now_seconds())
             await refuse(exchange, Refusal(503, outcome.detail, left_seconds))
         else:
             await self._fail(exchange, outcome, deadline_seconds)
-        self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.target)
+        self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.instance)
 
     async def _relay(
-        self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: str
+        self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: ListedTarget
     ) -> str:
         """Pass a stream on as it comes; return how that ended."""
         pieces = relay.pieces(stream, target)
@@ -109,3 +110,10 @@
         """Answer without a promise whether the request has run."""
         late = self._context.now_seconds() >= deadline_seconds
         await exchange.respond(504 if late else 502, TEXT, outcome.detail.encode())
+
+
+def _streaming(answer: FrontAnswer) -> ListedTarget:
+    """Return the target whose stream an answer is."""
+    if answer.target is None:
+        raise BrokenInvariant("a stream comes from a target")
+    return answer.target
--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -6,6 +6,7 @@
 
 from rackswitch.gateway.callers.target_choice import CALL_COST_TOKENS, TargetChooser
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.outcomes import MayHaveRun, NotRun, NotRunReason
 from rackswitch.platform.target_calls import TargetClient
 from rackswitch.requests import (
@@ -67,7 +68,12 @@
     outcome: FrontOutcome
     attempts: int
     failures: int
-    target: str = ""
+    target: ListedTarget | None = None
+
+    @property
+    def instance(self) -> str:
+        """The target whose answer it is; empty if there is none."""
+        return self.target.instance if self.target is not None else ""
 
 
 class RequestFront:
@@ -81,11 +87,20 @@
         Picks targets.
     targets : TargetClient
         Makes the calls.
+    quarantine : QuarantineKeeper
+        Told of runs that broke off.
     """
 
-    __slots__ = ("_call_seconds", "_chooser", "_context", "_outages", "_targets")
+    __slots__ = ("_call_seconds", "_chooser", "_context", "_outages", "_quarantine", "_targets")
 
-    def __init__(self, context: GatewayContext, chooser: TargetChooser, targets: TargetClient):
+    def __init__(
+        self,
+        context: GatewayContext,
+        chooser: TargetChooser,
+        targets: TargetClient,
+        quarantine: QuarantineKeeper,
+    ):
+        self._quarantine = quarantine
         self._context = context
         self._chooser = chooser
         self._targets = targets
@@ -124,7 +139,7 @@
         """
         service = self._chooser.draw_choice(route).serves
         failures = 0
-        last_failure: tuple[TargetAnswer, str] | None = None
+        last_failure: tuple[TargetAnswer, ListedTarget] | None = None
         while log.may_begin():
             target = self._pick(service, log, deadline_seconds)
             if target is None:
@@ -147,13 +162,13 @@
                     await asyncio.sleep(PAUSE_SECONDS)
                 continue
             if isinstance(result, TargetStream) or result.status < 500 or not log.repeatable:
-                return FrontAnswer(result, len(log.ends) + 1, failures, target.instance)
+                return FrontAnswer(result, len(log.ends) + 1, failures, target)
             failures += result.status == 500
-            last_failure = (result, target.instance)
+            last_failure = (result, target)
             log.note(AttemptEnd(target.instance, True, f"status {result.status}"))
         if last_failure is not None:
-            answer, instance = last_failure
-            return FrontAnswer(answer, len(log.ends), failures, instance)
+            answer, target = last_failure
+            return FrontAnswer(answer, len(log.ends), failures, target)
         rank = call.caller.rank(route.caller_class)
         return FrontAnswer(self._give_up(rank, log, service), len(log.ends), failures)
 
@@ -167,6 +182,10 @@
             if call.caller.tenant:
                 self._context.usage.began(call.caller.tenant, at_unix_seconds)
 
+    def stream_broke(self, call: Call, target: ListedTarget) -> None:
+        """Note that a stream broke off after its head."""
+        self._quarantine.broke(call.fingerprint(), target)
+
     def usable_count(self, route: RouteRow) -> int:
         """Return how many targets of a route's services could be used now."""
         now_seconds = self._context.now_seconds()
@@ -203,6 +222,9 @@
     ) -> None:
         """Learn from an attempt without an answer, log it and add it to the request's."""
         self._chooser.note_failure(target, failure)
+        fingerprint = call.fingerprint() if failure.may_have_run else ""
+        if fingerprint:
+            self._quarantine.broke(fingerprint, target)
         self._context.log.write(
             AttemptFailed(
                 request=call.request_id,
@@ -213,6 +235,7 @@
                 detail=failure.detail,
                 attempt_seconds=round(self._context.now_seconds() - began_seconds, 4),
                 list_age_seconds=self._context.list_age_seconds(),
+                fingerprint=fingerprint,
             )
         )
         log.note(AttemptEnd(target.instance, failure.may_have_run, failure.detail))
--- a/rackswitch/gateway/callers/stream_relay.py
+++ b/rackswitch/gateway/callers/stream_relay.py
@@ -6,6 +6,7 @@
 from rackswitch.platform.events import EventCutter
 from rackswitch.platform.ingress import resumed_after
 from rackswitch.requests import AttemptEnd, AttemptLog, Call, TargetStream
+from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow
 
 __all__ = ["StreamRelay"]
@@ -54,7 +55,9 @@
         self._log = log
         self.resumed = 0
 
-    async def pieces(self, stream: TargetStream, target: str) -> AsyncGenerator[bytes, None]:
+    async def pieces(
+        self, stream: TargetStream, target: ListedTarget
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the stream's bytes in order.
 
         Raises
@@ -63,8 +66,12 @@
             If it breaks off and cannot go on; the caller must not take it for whole.
         """
         if not self._route.resumable:
-            async for data in stream.pieces:
-                yield data
+            try:
+                async for data in stream.pieces:
+                    yield data
+            except ConnectionError:
+                self._front.stream_broke(self._call, target)
+                raise
             return
         cutter = EventCutter()
         while True:
@@ -80,10 +87,11 @@
             finally:
                 stream.close()
             cutter.drop_part()
-            self._log.note(AttemptEnd(target, True, detail))
+            self._front.stream_broke(self._call, target)
+            self._log.note(AttemptEnd(target.instance, True, detail))
             stream, target = await self._go_on(cutter.last_number, detail)
 
-    async def _go_on(self, last_number: str, detail: str) -> tuple[TargetStream, str]:
+    async def _go_on(self, last_number: str, detail: str) -> tuple[TargetStream, ListedTarget]:
         answer = await self._front.call(
             self._route,
             resumed_after(self._call, last_number),
@@ -91,7 +99,7 @@
             self._log,
             as_stream=True,
         )
-        if not isinstance(answer.outcome, TargetStream):
+        if not isinstance(answer.outcome, TargetStream) or answer.target is None:
             raise ConnectionError(f"{detail}, and it cannot go on elsewhere")
         self.resumed += 1
         return answer.outcome, answer.target
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -24,6 +24,7 @@
 from rackswitch.gateway.listeners import OwnPages, listeners
 from rackswitch.gateway.peer_service import GatewayPeersService
 from rackswitch.gateway.policy import PolicySettings
+from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.gateway.reload import compare_settings
 from rackswitch.gateway.store.contact import StoreContact
 from rackswitch.gateway.store.control_entries import CONTROL_PREFIX, ControlEntries
@@ -107,12 +108,18 @@
             ROLES_PREFIX,
             self._vacant_seconds,
         )
+        self.quarantine = QuarantineKeeper(self.context)
         self.front = RequestFront(
-            self.context, TargetChooser(self.context), TargetClient(self._sessions)
+            self.context,
+            TargetChooser(self.context),
+            TargetClient(self._sessions),
+            self.quarantine,
         )
         job_store = JobStore(self.context)
         paces = EnginePaces()
-        runner = ItemRunner(self.context, ItemClient(self._sessions), self.front, paces)
+        runner = ItemRunner(
+            self.context, ItemClient(self._sessions), self.front, paces, self.quarantine
+        )
         orders = OrderClient(self._sessions)
         looks = LoadLooks(self.context, orders, runner.occupancy)
         self.jobs = JobKeeper(self.context, self.session, job_store, runner, looks)
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -6,10 +6,12 @@
 from rackswitch.gateway.callers.request_front import RequestFront, outcome_label
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.jobs import (
     EngineLoad,
     EngineOccupancy,
     ItemProgress,
+    Job,
     JobItem,
     JobLedger,
     LengthForecast,
@@ -22,6 +24,7 @@
 from rackswitch.outcomes import NotRun
 from rackswitch.platform.ingress import stamp_of
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
+from rackswitch.quarantine import request_fingerprint
 from rackswitch.requests import Call, TargetAnswer
 from rackswitch.routing import ListedTarget
 from rackswitch.telemetry import events
@@ -46,6 +49,9 @@
 MOVED = "goes on at a faster engine"
 """Why a run was ended that nothing was wrong with."""
 
+ENDS_WITHOUT_WORD = (ItemRunEnd.BROKEN, ItemRunEnd.SILENT)
+"""Ends of a run that the engine's own end may explain."""
+
 
 class ItemRunner:
     """Carries out what the schedule has decided for single items.
@@ -60,6 +66,8 @@
         Serves the reward calls.
     paces : EnginePaces
         Told of the pace of each run.
+    quarantine : QuarantineKeeper
+        Told of runs that broke off.
 
     Attributes
     ----------
@@ -69,7 +77,16 @@
         By service, room that nothing waits for, as the starter last saw it.
     """
 
-    __slots__ = ("_context", "_engines", "_front", "forecast", "occupancy", "paces", "spare")
+    __slots__ = (
+        "_context",
+        "_engines",
+        "_front",
+        "_quarantine",
+        "forecast",
+        "occupancy",
+        "paces",
+        "spare",
+    )
 
     def __init__(
         self,
@@ -77,7 +94,9 @@
         engines: ItemClient,
         front: RequestFront,
         paces: EnginePaces,
+        quarantine: QuarantineKeeper,
     ):
+        self._quarantine = quarantine
         self._context = context
         self._engines = engines
         self._front = front
@@ -95,6 +114,10 @@
         gaps = RunGaps()
         ended = await self._stream(ledger, progress, target, gaps)
         now_seconds = self._context.now_seconds()
+        fingerprint = ""
+        if ended.end in ENDS_WITHOUT_WORD and ended.detail != MOVED:
+            fingerprint = item_fingerprint(ledger.job, progress.item)
+            self._quarantine.broke(fingerprint, target)
         self._context.log.write(
             events.ItemRunEnded(
                 job=ledger.job.job_id,
@@ -110,6 +133,7 @@
                 outcome=ended.end.value,
                 detail=ended.detail,
                 first_piece_seconds=_first_piece_seconds(gaps, began_seconds),
+                fingerprint=fingerprint,
             )
         )
         self._note_end(ledger, progress, target, ended, gaps.first_at_seconds is None)
@@ -224,7 +248,7 @@
                     job=ledger.job.job_id,
                     item=item.item_id,
                     request=reward.request_id,
-                    target=answer.target,
+                    target=answer.instance,
                     attempts=answer.attempts,
                     failures=answer.failures,
                     outcome=outcome_label(outcome),
@@ -239,6 +263,11 @@
                 await asyncio.sleep(REWARD_PAUSE_SECONDS)
 
 
+def item_fingerprint(job: Job, item: JobItem) -> str:
+    """Return what an item has in common with other sends of the same request."""
+    return request_fingerprint(job.tenant, job.host, "POST", item.path, item.body)
+
+
 def _first_piece_seconds(gaps: RunGaps, began_seconds: float) -> float:
     """Return how long a run waited for its first piece, as it is logged: -1 for none."""
     if gaps.first_at_seconds is None:
--- a/rackswitch/gateway/items/tests/test_item_runner.py
+++ b/rackswitch/gateway/items/tests/test_item_runner.py
@@ -8,7 +8,7 @@
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import FIRST_PIECE_PATIENCE_SECONDS, ItemRunner
 from rackswitch.gateway.items.load_looks import LoadLooks
-from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.gateway.tests.support import NoQuarantine, make_gateway_context
 from rackswitch.jobs import EngineLoad, EngineOccupancy, JobLedger, SpareRoom, TextPiece
 from rackswitch.jobs.tests.support import make_job
 from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
@@ -39,7 +39,8 @@
 def make_runner(engine) -> tuple[ItemRunner, JobLedger]:
     context = make_gateway_context("a", KvStore())
     context.targets[ENGINE.instance] = Target(ENGINE.instance, ENGINE.url, "z")
-    return ItemRunner(context, engine, None, EnginePaces()), JobLedger(make_job())
+    runner = ItemRunner(context, engine, None, EnginePaces(), NoQuarantine())
+    return runner, JobLedger(make_job())
 
 
 async def run_first(runner: ItemRunner, ledger: JobLedger) -> ItemRunEnded:
--- a/rackswitch/gateway/jobs/tests/long_run.py
+++ b/rackswitch/gateway/jobs/tests/long_run.py
@@ -22,7 +22,12 @@
 from rackswitch.gateway.store.member_entries import MEMBERS_PREFIX, decode_member, vm_entry
 from rackswitch.gateway.store.presence import Presence
 from rackswitch.gateway.store.session import Session
-from rackswitch.gateway.tests.support import NoLooks, break_at_random, make_gateway_context
+from rackswitch.gateway.tests.support import (
+    NoLooks,
+    NoQuarantine,
+    break_at_random,
+    make_gateway_context,
+)
 from rackswitch.jobs import Job, JobItem, JobResult, TextPiece
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
@@ -114,7 +119,7 @@
     """Makes texts without engines: some runs break, some fail, all are the item's own."""
 
     def __init__(self, context, rng: random.Random):
-        super().__init__(context, engines=None, front=None, paces=EnginePaces())
+        super().__init__(context, None, None, EnginePaces(), NoQuarantine())
         self._rng = rng
 
     async def _stream(self, ledger, progress, target, gaps) -> ItemRunEnded:
--- /dev/null
+++ b/rackswitch/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Holding back requests that end the targets that run them."""
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -9,6 +9,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.store.contact import StoreContact
 from rackswitch.gateway.store.member_entries import MemberEntry
+from rackswitch.routing import ListedTarget
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.standins.platform_fleet import stand_in_settings
@@ -32,6 +33,13 @@
         return
 
 
+class NoQuarantine:
+    """Asks after no target, and holds nothing back."""
+
+    def broke(self, fingerprint: str, target: ListedTarget) -> None:
+        return
+
+
 async def break_at_random(
     rng: random.Random,
     calm_seconds: tuple[float, float],
--- a/rackswitch/requests/calls.py
+++ b/rackswitch/requests/calls.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
+from rackswitch.quarantine import request_fingerprint
 from rackswitch.tenants import ANYBODY, Caller
 
 __all__ = ["Call", "TargetAnswer", "TargetFailed", "TargetStream"]
@@ -32,6 +33,11 @@
     body: bytes
     caller: Caller = ANYBODY
 
+    def fingerprint(self) -> str:
+        """Return what this call has in common with other sends of the same request."""
+        tenant = self.caller.tenant
+        return request_fingerprint(tenant, self.host, self.method, self.path, self.body)
+
 
 @dataclass(frozen=True, slots=True)
 class TargetAnswer:
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -32,6 +32,8 @@
         The weights it has loaded, by model.
     reclaimable : bool
         Whether the platform may take it away at short notice.
+    started_at_unix_ms : int
+        When it started; 0 if it does not say.
     """
 
     instance: str
@@ -43,6 +45,12 @@
     draining: bool = False
     versions: dict[str, int] = field(default_factory=dict)
     reclaimable: bool = False
+    started_at_unix_ms: int = 0
+
+    @property
+    def start(self) -> str:
+        """Which start of the target this is: one may come back under the same identity."""
+        return f"{self.instance}@{self.started_at_unix_ms}"
 
     @property
     def url(self) -> str:
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -39,6 +39,9 @@
         Breaks streams off inside the event after so many; 0 for never.
     status : int
         Status of its answers.
+    end_on : bytes
+        Ends as soon as it begins a request with this body, and starts again after
+        `back_after_seconds` at the same address; nothing if it is empty.
     """
 
     refuse: bool = False
@@ -47,6 +50,8 @@
     encoded: bool = False
     break_after: int = 0
     status: int = 200
+    end_on: bytes = b""
+    back_after_seconds: float = 0.6
 
 
 @dataclass(slots=True)
@@ -110,6 +115,9 @@
         self._store = store
         self._state = _State({model: 1 for model in models})
         self._server = WebServer(self._serve, "127.0.0.1", 0)
+        self._restarts: set[asyncio.Task[None]] = set()
+        self.ended_at_seconds: list[float] = []
+        """When its process ended under a request (event loop time)."""
 
     @property
     def versions(self) -> dict[str, int]:
@@ -123,9 +131,22 @@
 
     async def crash(self) -> None:
         """Drop all connections and vanish."""
+        for restart in self._restarts:
+            restart.cancel()
         await self._server.crash()
         self._store.delete(f"servers/{self.instance}")
 
+    async def end_and_start_again(self) -> None:
+        """End without a word, and come back at the same address as another start."""
+        self.ended_at_seconds.append(asyncio.get_running_loop().time())
+        port = self._server.port
+        await self._server.crash()
+        await asyncio.sleep(self.faults.back_after_seconds)
+        self._store.delete(f"servers/{self.instance}")
+        self.instance = f"{self.instance.partition('.')[0]}.{len(self.ended_at_seconds)}"
+        self._server = WebServer(self._serve, "127.0.0.1", port)
+        await self.start()
+
     def list_itself(self, state: str = "ready") -> None:
         """Write the entry that the platform lists."""
         models = [
@@ -200,6 +221,12 @@
             exchange.headers,
         )
         self.runs.append(run)
+        if self.faults.end_on and self.faults.end_on == body:
+            restart = asyncio.create_task(self.end_and_start_again())
+            self._restarts.add(restart)
+            restart.add_done_callback(self._restarts.discard)
+            await exchange.wait_gone()
+            return
         if self.faults.mute:
             await exchange.wait_gone()
             return
--- a/rackswitch/telemetry/core.py
+++ b/rackswitch/telemetry/core.py
@@ -3,6 +3,8 @@
 import json
 import logging
 import sys
+import traceback
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -14,6 +16,8 @@
 
 __all__ = ["Telemetry", "set_up_logs"]
 
+PROGRAM_FOLDER = "rackswitch/"
+
 LATENCY_BOUNDS_SECONDS = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0,
 )  # fmt: skip
@@ -46,9 +50,21 @@
     }
     if record["exception"] is not None:
         line["error"] = repr(record["exception"].value)
+        line["raised_at"] = _raised_at(record["exception"].value)
     sys.stderr.write(json.dumps(line) + "\n")
 
 
+def _raised_at(error: BaseException | None) -> str:
+    """Return the last line of this program that an error passed; empty if it passed none.
+
+    A traceback would be many lines; without a place, 98 failed tasks of one daemon could not be
+    told from any others.
+    """
+    frames = traceback.extract_tb(error.__traceback__) if error is not None else []
+    own = [frame for frame in frames if PROGRAM_FOLDER in frame.filename]
+    return f"{Path(own[-1].filename).name}:{own[-1].lineno}" if own else ""
+
+
 class Telemetry:
     """The metrics of one daemon.
 
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -134,6 +134,9 @@
     first_piece_seconds: float = -1.0
     """From the run's start to its first piece; -1 if none came."""
 
+    fingerprint: str = ""
+    """What the item has in common with other sends of the same request, if the run broke."""
+
     @property
     def is_routine(self) -> bool:
         """Whether the run brought the whole text at once."""
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -6,6 +6,7 @@
     "AttemptFailed",
     "RequestEnded",
     "RequestRefused",
+    "TargetEnded",
 ]
 
 
@@ -30,6 +31,8 @@
         False only if the target cannot have begun, or said that it did not.
     list_age_seconds : float
         How old the list of targets was that the target was chosen from.
+    fingerprint : str
+        What it has in common with other sends of the same request, if the run broke.
     """
 
     request: str
@@ -40,6 +43,27 @@
     detail: str
     attempt_seconds: float
     list_age_seconds: float
+    fingerprint: str = ""
+
+
+@registered
+class TargetEnded(Event, tag="target ended", frozen=True):
+    """The process of a target has ended under runs of this daemon.
+
+    Attributes
+    ----------
+    target : str
+        The start that ended.
+    evidence : str
+        How this is known.
+    runs : list of str
+        Fingerprints of the requests whose runs broke there.
+    """
+
+    target: str
+    evidence: str
+    runs: list[str]
+    list_age_seconds: float
 
 
 @registered
