--- a/rackswitch/routing/tests/test_routing.py
+++ b/rackswitch/routing/tests/test_routing.py
@@ -17,6 +17,7 @@
     admit,
     usable_targets,
 )
+from rackswitch.routing.targets import OPEN_SECONDS_MOST
 
 
 def make_targets(loads):
@@ -147,3 +148,17 @@
     for _ in range(6):
         policy.choose(RoutedRequest(0.0, 20.0, (), 1.0), targets).begin(20.0, ())
     assert [target.own_requests for target in targets] == [1] * 6
+
+
+def test_a_target_that_stays_silent_for_long_can_still_be_noted():
+    """Story: the owner of all open jobs made no progress any more; its logs held 98 lines of a
+    background task that had failed with "int too large to convert to float". While all targets of
+    a plain service were down, each reward call tried them every few milliseconds, and the life of
+    a breaker was two seconds times two to the power of its openings, worked out before it was
+    bounded: after a thousand of them that is no float any more. Evidence: 2,177 refused
+    connections on that day, and this.
+    """
+    target = Target("t", "http://t", "z")
+    for number in range(3000):
+        target.went_silent(float(number))
+    assert target.open_until_seconds == 2999.0 + OPEN_SECONDS_MOST
