Pauses that double: one function, bounded before it is worked out, for breakers and for watches

Cause: the same overflow elsewhere: a daemon that watches the key-value service pauses 2**failures; the 1,025th failure in a row, some nine minutes into an outage, raises, and since watching is a duty it ends the process. Ruled out: other places (a search for powers of two finds these two).

--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -5,6 +5,7 @@
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.store.copy_set import CopySet
+from rackswitch.requests import backoff_seconds
 from rackswitch.telemetry.events import WatchesService
 
 __all__ = ["ServiceWatch"]
@@ -114,7 +115,7 @@
         return members.confirmed_at_seconds == float("-inf") or self._context.contact.is_away
 
     async def _pause(self, failures: int) -> None:
-        pause_seconds = min(MOST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** (failures - 1))
+        pause_seconds = backoff_seconds(FIRST_RETRY_SECONDS, MOST_RETRY_SECONDS, failures - 1)
         await asyncio.sleep(pause_seconds * (0.5 + self._context.rng.random()))
 
     async def _read(self, prefix: str) -> bool:
--- a/rackswitch/routing/targets.py
+++ b/rackswitch/routing/targets.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from rackswitch.requests import StreamChunk
+from rackswitch.requests import StreamChunk, backoff_seconds
 
 __all__ = ["LoadReport", "Target", "usable_targets"]
 
@@ -11,11 +11,6 @@
 FAILURES_TO_OPEN = 3
 OPEN_SECONDS = 2.0
 OPEN_SECONDS_MOST = 30.0
-MOST_DOUBLINGS = 4
-"""Openings that count: 2 s doubled so often are over the longest life. Counted on, the life of a
-target tried every few milliseconds for seconds is past what a float holds, and whoever tries it
-fails: an owner's jobs stood still for 9 s of a day with 2,177 refused connections."""
-
 PREFIXES_REMEMBERED = 4096
 WARM_UP_SECONDS = 1.0
 LEAST_CLOSED_SHARE = 0.5
@@ -126,8 +121,7 @@
         """Note a failed attempt; enough of them in a row open the breaker for a while."""
         self.failures += 1
         if self.failures >= FAILURES_TO_OPEN:
-            doublings = min(MOST_DOUBLINGS, self.opened_times)
-            life_seconds = min(OPEN_SECONDS_MOST, OPEN_SECONDS * 2**doublings)
+            life_seconds = backoff_seconds(OPEN_SECONDS, OPEN_SECONDS_MOST, self.opened_times)
             self.open_until_seconds = now_seconds + life_seconds
             self.opened_times += 1
             # One further failure, of the probe that follows, opens it again.
