Quarantine: a request under which three targets ended is sent on three trials at most, by any daemon

Change: each daemon tells, in a record of its own in the key-value service, which requests (by fingerprint) were present when targets ended; all follow it by the copies they keep anyway, and hear it directly while the service does not take it. Calls, streams, reward calls and items ask before each send. Present at three ends, a request is sent only on trials, claimed one at a time in the service. Two broken runs make the next wait until it is known whether their targets ended (0.4 s). An answer by a target ends all suspicion, so requests that were merely present go on. What is held back is refused at once with the time of its next trial; items wait for it.

--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -144,6 +144,12 @@
             target = self._pick(service, log, deadline_seconds)
             if target is None:
                 break
+            held = await self._quarantine.admit(call.fingerprint, deadline_seconds)
+            if held is not None:
+                if not log.may_have_run:
+                    outcome = NotRun(NotRunReason.HELD_BACK, held.detail, held.until_seconds)
+                    return FrontAnswer(outcome, len(log.ends), failures)
+                break
             log.begin()
             began_seconds = self._context.now_seconds()
             sent_at_unix_seconds = time.time()
@@ -156,6 +162,8 @@
             if not isinstance(result, TargetFailed) or result.may_have_run:
                 streams = isinstance(result, TargetStream)
                 self._note_begin(call, log, time.time() if streams else sent_at_unix_seconds)
+            if isinstance(result, TargetAnswer):
+                self._quarantine.answered(call.fingerprint)
             if isinstance(result, TargetFailed):
                 self._note_failure(call, target, log, result, began_seconds)
                 if not result.may_have_run and not result.silent:
@@ -182,6 +190,10 @@
             if call.caller.tenant:
                 self._context.usage.began(call.caller.tenant, at_unix_seconds)
 
+    def stream_ended(self, call: Call) -> None:
+        """Note that a stream came to its end."""
+        self._quarantine.answered(call.fingerprint)
+
     def stream_broke(self, call: Call, target: ListedTarget) -> None:
         """Note that a stream broke off after its head."""
         self._quarantine.broke(call.fingerprint(), target)
@@ -225,6 +237,8 @@
         fingerprint = call.fingerprint() if failure.may_have_run else ""
         if fingerprint:
             self._quarantine.broke(fingerprint, target)
+        else:
+            self._quarantine.not_run(call.fingerprint)
         self._context.log.write(
             AttemptFailed(
                 request=call.request_id,
--- a/rackswitch/gateway/callers/stream_relay.py
+++ b/rackswitch/gateway/callers/stream_relay.py
@@ -72,6 +72,7 @@
             except ConnectionError:
                 self._front.stream_broke(self._call, target)
                 raise
+            self._front.stream_ended(self._call)
             return
         cutter = EventCutter()
         while True:
@@ -81,6 +82,7 @@
                     for event in cutter.feed(data):
                         yield event
                 if cutter.is_between_events:
+                    self._front.stream_ended(self._call)
                     return
             except ConnectionError as error:
                 detail = str(error)
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -123,6 +123,10 @@
         age_seconds = self.now_seconds() - self.list_confirmed_at_seconds
         return round(age_seconds, 3) if age_seconds < float("inf") else -1.0
 
+    def unix_seconds(self) -> float:
+        """Return the time of day, which daemons compare; they differ a little."""
+        return time.time()
+
     def now_seconds(self) -> float:
         """Return the monotonic clock."""
         return self.daemon.now_seconds()
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -108,7 +108,7 @@
             ROLES_PREFIX,
             self._vacant_seconds,
         )
-        self.quarantine = QuarantineKeeper(self.context)
+        self.quarantine = QuarantineKeeper(self.context, lambda: self.copies.is_complete)
         self.front = RequestFront(
             self.context,
             TargetChooser(self.context),
@@ -140,6 +140,7 @@
             self._role_entries,
             self.roles,
             self._duties.turns,
+            self.quarantine,
         )
         handlers = {
             OPERATOR_PREFIX: self.state.operator_handlers(),
@@ -157,6 +158,7 @@
             passed_on,
             TakenJobs(self.context, self.jobs),
             self._duties.usage,
+            self.quarantine,
         )
         edge = CallerEdge(
             self.context,
@@ -180,6 +182,7 @@
             self.versions.run(),
             self.jobs.run(),
             self._cleaner.run(),
+            self.quarantine.run(),
             *self._duties.runs(),
             self.log.run(),
             self._count_calls(),
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from contextlib import aclosing
+from functools import partial
 
-from rackswitch.gateway.callers.request_front import RequestFront, outcome_label
+from rackswitch.gateway.callers.request_front import FrontOutcome, RequestFront, outcome_label
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
@@ -21,7 +22,7 @@
     TextPiece,
     should_move,
 )
-from rackswitch.outcomes import NotRun
+from rackswitch.outcomes import NotRun, NotRunReason
 from rackswitch.platform.ingress import stamp_of
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
 from rackswitch.quarantine import request_fingerprint
@@ -49,8 +50,14 @@
 MOVED = "goes on at a faster engine"
 """Why a run was ended that nothing was wrong with."""
 
-ENDS_WITHOUT_WORD = (ItemRunEnd.BROKEN, ItemRunEnd.SILENT)
-"""Ends of a run that the engine's own end may explain."""
+ENDS_WITH_ANSWER = (ItemRunEnd.WHOLE, ItemRunEnd.FAILED, ItemRunEnd.IMPOSSIBLE)
+"""Ends of a run that the engine has outlived."""
+
+ENDS_WITHOUT_RUN = (ItemRunEnd.NOT_RUN, ItemRunEnd.NOT_THERE)
+
+ADMISSION_PATIENCE_SECONDS = 1.0
+"""How long an item waits to learn what became of engines where it broke, which takes 0.4 s; the
+room at its engine is kept for it meanwhile."""
 
 
 class ItemRunner:
@@ -114,10 +121,7 @@
         gaps = RunGaps()
         ended = await self._stream(ledger, progress, target, gaps)
         now_seconds = self._context.now_seconds()
-        fingerprint = ""
-        if ended.end in ENDS_WITHOUT_WORD and ended.detail != MOVED:
-            fingerprint = item_fingerprint(ledger.job, progress.item)
-            self._quarantine.broke(fingerprint, target)
+        fingerprint = self._tell_quarantine(ledger.job, progress.item, target, ended)
         self._context.log.write(
             events.ItemRunEnded(
                 job=ledger.job.job_id,
@@ -139,6 +143,28 @@
         self._note_end(ledger, progress, target, ended, gaps.first_at_seconds is None)
         return ended
 
+    async def held_back(self, job: Job, item: JobItem) -> float | None:
+        """Return until when (monotonic) an item must not be sent; None if it may be now."""
+        deadline_seconds = self._context.now_seconds() + ADMISSION_PATIENCE_SECONDS
+        fingerprint_of = partial(item_fingerprint, job, item)
+        held = await self._quarantine.admit(fingerprint_of, deadline_seconds)
+        return held.until_seconds if held is not None else None
+
+    def _tell_quarantine(
+        self, job: Job, item: JobItem, target: ListedTarget, ended: ItemRunEnded
+    ) -> str:
+        """Tell how a run ended; return the item's fingerprint if the run broke."""
+        fingerprint_of = partial(item_fingerprint, job, item)
+        if ended.end in ENDS_WITH_ANSWER:
+            self._quarantine.answered(fingerprint_of)
+        elif ended.end in ENDS_WITHOUT_RUN:
+            self._quarantine.not_run(fingerprint_of)
+        elif ended.detail != MOVED:
+            fingerprint = fingerprint_of()
+            self._quarantine.broke(fingerprint, target)
+            return fingerprint
+        return ""
+
     async def _stream(
         self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget, gaps: RunGaps
     ) -> ItemRunEnded:
@@ -260,7 +286,14 @@
             if not ledger.reward_failed(progress, answer.failures, route.most_attempts):
                 return
             if isinstance(outcome, NotRun) or answer.failures == 0:
-                await asyncio.sleep(REWARD_PAUSE_SECONDS)
+                await asyncio.sleep(self._reward_pause_seconds(outcome))
+
+    def _reward_pause_seconds(self, outcome: FrontOutcome) -> float:
+        """Return when to make a reward call again; one that is held back waits for its time."""
+        if not isinstance(outcome, NotRun) or outcome.reason is not NotRunReason.HELD_BACK:
+            return REWARD_PAUSE_SECONDS
+        held_until_seconds = outcome.retry_at_seconds or 0.0
+        return max(REWARD_PAUSE_SECONDS, held_until_seconds - self._context.now_seconds())
 
 
 def item_fingerprint(job: Job, item: JobItem) -> str:
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -156,6 +156,11 @@
         if listed is None:
             ledger.broke(progress, start.instance, self._context.now_seconds())
             return
+        held_until_seconds = await self._runner.held_back(ledger.job, progress.item)
+        if held_until_seconds is not None:
+            ledger.postponed(progress, held_until_seconds)
+            owned.runs.pop(progress.item.item_id, None)
+            return
         self._runner.occupancy.began(start.instance)
         try:
             ended = await self._runner.run(ledger, progress, listed)
--- a/rackswitch/gateway/peer_service.py
+++ b/rackswitch/gateway/peer_service.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.jobs.job_placer import TakenJobs
 from rackswitch.gateway.jobs.job_reader import JobReader, ResultsPage
 from rackswitch.gateway.jobs.job_records import pack_checkpoint, pack_results
+from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.gateway.store.copy_server import CopyServer
 from rackswitch.gateway.store.store_relay import PassedOnCalls
 from rackswitch.peers import gateway_pb2 as pb
@@ -37,6 +38,8 @@
         Jobs that other daemons accepted.
     usage : UsageService
         What was counted of tenants' requests.
+    quarantine : QuarantineKeeper
+        Told of targets that ended.
     """
 
     def __init__(
@@ -48,7 +51,9 @@
         passed_on: PassedOnCalls,
         taken: TakenJobs,
         usage: UsageService,
+        quarantine: QuarantineKeeper,
     ):
+        self._quarantine = quarantine
         self._usage = usage
         self._taken = taken
         self._passed_on = passed_on
@@ -124,3 +129,9 @@
         request = await stream.recv_message()
         if request is not None:
             await stream.send_message(self._usage.add(request))
+
+    async def TellEnds(self, stream: Stream[pb.TellEndsRequest, pb.TellEndsReply]) -> None:
+        """Take in which targets ended under runs of another daemon."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._quarantine.told(request))
--- a/rackswitch/gateway/store/control_entries.py
+++ b/rackswitch/gateway/store/control_entries.py
@@ -6,6 +6,8 @@
 from rackswitch.gateway.duties.duty_turn import DUTIES_KEY, note_record
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
 from rackswitch.gateway.jobs.job_records import JOBS_PREFIX, OWNERS_PREFIX
+from rackswitch.gateway.quarantine.end_teller import ENDS_PREFIX
+from rackswitch.gateway.quarantine.quarantine_keeper import TRIALS_PREFIX, QuarantineKeeper
 from rackswitch.gateway.store.copy_set import CopyHandlers
 from rackswitch.gateway.store.member_entries import MEMBERS_PREFIX, decode_member, vm_entry
 from rackswitch.gateway.store.role_entries import ROLES_PREFIX, RoleEntries
@@ -37,6 +39,8 @@
         Told of holders, of whom an earlier process of this daemon may be one.
     duty_turns : TurnKeeper
         Told who calls the operators' API.
+    quarantine : QuarantineKeeper
+        Told of targets that ended, and of requests on trial.
     """
 
     __slots__ = (
@@ -46,6 +50,7 @@
         "_keeper",
         "_members",
         "_members_changed",
+        "_quarantine",
         "_roles",
         "_versions",
     )
@@ -58,7 +63,9 @@
         roles: RoleEntries,
         keeper: RoleKeeper,
         duty_turns: TurnKeeper,
+        quarantine: QuarantineKeeper,
     ):
+        self._quarantine = quarantine
         self._duty_turns = duty_turns
         self._roles = roles
         self._keeper = keeper
@@ -81,6 +88,10 @@
             self._jobs.owner_put(entry)
         elif entry.key.startswith(ORDERS_PREFIX):
             self._versions.orders_put(entry)
+        elif entry.key.startswith(ENDS_PREFIX):
+            self._quarantine.record_put(entry)
+        elif entry.key.startswith(TRIALS_PREFIX):
+            self._quarantine.trial_put(entry)
         elif entry.key == DUTIES_KEY:
             note_record(self._duty_turns, entry)
         elif entry.key.startswith(ROLES_PREFIX):
@@ -95,6 +106,10 @@
             self._jobs.marker_deleted(key)
         elif key.startswith(OWNERS_PREFIX):
             self._jobs.owner_deleted(key)
+        elif key.startswith(ENDS_PREFIX):
+            self._quarantine.record_deleted(key)
+        elif key.startswith(TRIALS_PREFIX):
+            self._quarantine.trial_deleted(key)
         elif key.startswith(ROLES_PREFIX):
             self._roles.deleted(key.removeprefix(ROLES_PREFIX))
 
--- a/rackswitch/gateway/store/tests/test_watching.py
+++ b/rackswitch/gateway/store/tests/test_watching.py
@@ -61,6 +61,7 @@
             passed_on=None,
             taken=None,
             usage=None,
+            quarantine=None,
         )
 
     async def start(self) -> VmEntry:
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -39,6 +39,15 @@
     def broke(self, fingerprint: str, target: ListedTarget) -> None:
         return
 
+    def answered(self, fingerprint_of: Callable[[], str]) -> None:
+        return
+
+    def not_run(self, fingerprint_of: Callable[[], str]) -> None:
+        return
+
+    async def admit(self, fingerprint_of: Callable[[], str], deadline_seconds: float) -> None:
+        return
+
 
 async def break_at_random(
     rng: random.Random,
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -83,6 +83,11 @@
         progress.phase = ItemPhase.RUNNING
         progress.run_number += 1
 
+    def postponed(self, progress: ItemProgress, until_seconds: float) -> None:
+        """Note that an item was not sent and must not be before a moment."""
+        progress.phase = ItemPhase.WAITING
+        progress.not_before_seconds = until_seconds
+
     def broke(self, progress: ItemProgress, target: str, now_seconds: float) -> None:
         """Note that a run ended before the text was whole, through no fault of the item."""
         progress.phase = ItemPhase.WAITING
--- a/rackswitch/outcomes/core.py
+++ b/rackswitch/outcomes/core.py
@@ -45,6 +45,7 @@
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_MODEL = "unknown-model"
     NO_TARGET = "no-target"
+    HELD_BACK = "held-back"
     OVER_LIMIT = "over-limit"
     OVERLOADED = "overloaded"
     DEADLINE_TOO_NEAR = "deadline-too-near"
--- a/rackswitch/peers/gateway_grpc.py
+++ b/rackswitch/peers/gateway_grpc.py
@@ -42,6 +42,10 @@
     async def AddUsage(self, stream: 'grpclib.server.Stream[gateway_pb2.AddUsageRequest, gateway_pb2.AddUsageReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TellEnds(self, stream: 'grpclib.server.Stream[gateway_pb2.TellEndsRequest, gateway_pb2.TellEndsReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/rackswitch.gateway.GatewayPeers/Follow': grpclib.const.Handler(
@@ -86,6 +90,12 @@
                 gateway_pb2.AddUsageRequest,
                 gateway_pb2.AddUsageReply,
             ),
+            '/rackswitch.gateway.GatewayPeers/TellEnds': grpclib.const.Handler(
+                self.TellEnds,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                gateway_pb2.TellEndsRequest,
+                gateway_pb2.TellEndsReply,
+            ),
         }
 
 
@@ -134,3 +144,9 @@
             gateway_pb2.AddUsageRequest,
             gateway_pb2.AddUsageReply,
         )
+        self.TellEnds = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rackswitch.gateway.GatewayPeers/TellEnds',
+            gateway_pb2.TellEndsRequest,
+            gateway_pb2.TellEndsReply,
+        )
--- a/rackswitch/quarantine/inquiries.py
+++ b/rackswitch/quarantine/inquiries.py
@@ -118,10 +118,20 @@
     def ended(self, target: str, evidence: EndEvidence) -> TargetEnd | None:
         """Note that a target has ended; return what broke there, None if nothing did."""
         inquiry = self._open.pop(target, None)
-        if inquiry is None:
+        if inquiry is None or not inquiry.fingerprints:
             return None
         return TargetEnd(target, tuple(inquiry.fingerprints), evidence)
 
+    @property
+    def any_open(self) -> bool:
+        """Whether any target is inquired after."""
+        return bool(self._open)
+
+    def acquit(self, fingerprint: str) -> None:
+        """Note that a request has been answered by a target: it does not end targets."""
+        for inquiry in self._open.values():
+            inquiry.fingerprints.pop(fingerprint, None)
+
     def is_open(self, target: str) -> bool:
         """Return whether a target is still inquired after."""
         return target in self._open
--- a/rackswitch/telemetry/events/__init__.py
+++ b/rackswitch/telemetry/events/__init__.py
@@ -17,6 +17,8 @@
 from rackswitch.telemetry.events.jobs import __all__ as _jobs_all
 from rackswitch.telemetry.events.process import *  # noqa: F403
 from rackswitch.telemetry.events.process import __all__ as _process_all
+from rackswitch.telemetry.events.quarantine import *  # noqa: F403
+from rackswitch.telemetry.events.quarantine import __all__ as _quarantine_all
 from rackswitch.telemetry.events.requests import *  # noqa: F403
 from rackswitch.telemetry.events.requests import __all__ as _requests_all
 from rackswitch.telemetry.events.samples import *  # noqa: F403
@@ -31,6 +33,7 @@
     *_duties_all,
     *_jobs_all,
     *_process_all,
+    *_quarantine_all,
     *_requests_all,
     *_samples_all,
     *_weights_all,
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -6,7 +6,6 @@
     "AttemptFailed",
     "RequestEnded",
     "RequestRefused",
-    "TargetEnded",
 ]
 
 
@@ -46,26 +45,6 @@
     fingerprint: str = ""
 
 
-@registered
-class TargetEnded(Event, tag="target ended", frozen=True):
-    """The process of a target has ended under runs of this daemon.
-
-    Attributes
-    ----------
-    target : str
-        The start that ended.
-    evidence : str
-        How this is known.
-    runs : list of str
-        Fingerprints of the requests whose runs broke there.
-    """
-
-    target: str
-    evidence: str
-    runs: list[str]
-    list_age_seconds: float
-
-
 @registered
 class RequestEnded(Event, tag="request ended", frozen=True):
     """A request's final answer.
