Targets' entries: every field that is read has its type and range, and what is unreadable names no target

Ruled out: nothing raised, so no handler is needed. Change: service, address (an IPv4 number and a port), zone, slots and state are needed, born and seq checked where they stand, versions are counts; an entry that has become unreadable takes its target out of use. Reports are checked alike. Another start under an identity is told apart by born.

--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -114,6 +114,8 @@
         target = decode_target(instance, entry.value)
         if isinstance(target, MalformedEntry):
             self._unreadable(entry, target)
+            # Whatever stands there now, it is no word of a target that can be used.
+            self._context.directory.disown(instance)
             return
         before = self._context.directory.entries.get(instance)
         self._context.directory.put(target)
--- a/rackswitch/platform/loaded_models.py
+++ b/rackswitch/platform/loaded_models.py
@@ -1,15 +1,23 @@
 """The weights that a target says it has, in its entry of the list and in its report."""
 
+from typing import Annotated
+
 import msgspec
 
-__all__ = ["WireLoadedModel", "versions_of"]
+__all__ = ["Count", "WireLoadedModel", "versions_of"]
+
+MOST_COUNT = 2**53
+"""The largest whole number that every writer of JSON can tell."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MOST_COUNT)]
+"""A whole number that counts something."""
 
 
 class WireLoadedModel(msgspec.Struct):
     """A model that a target carries, and the version of its weights."""
 
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 def versions_of(models: list[WireLoadedModel]) -> dict[str, int]:
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -10,7 +10,7 @@
 
 from rackswitch.clients.http import NOT_SENT_ERRORS
 from rackswitch.platform.connections import TargetSessions
-from rackswitch.platform.loaded_models import WireLoadedModel, versions_of
+from rackswitch.platform.loaded_models import Count, WireLoadedModel, versions_of
 from rackswitch.platform.names import EXPECT_INSTANCE_HEADER
 from rackswitch.routing import ListedTarget
 
@@ -79,11 +79,11 @@
 class _WireReport(msgspec.Struct):
     # Orders taken since the engine's start; in the platform's list the same name counts
     # heartbeats.
-    seq: int = 0
+    seq: Count = 0
     # True while an order is carried out, whatever the number of requests.
     busy: bool = False
-    waiting: int = 0
-    running: int = 0
+    waiting: Count = 0
+    running: Count = 0
     models: list[WireLoadedModel] = []
 
 
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -1,30 +1,47 @@
 """The platform's list of engines and plain services, as listed targets."""
 
+import re
+from ipaddress import IPv4Address
+from typing import Annotated, Literal
+
 import msgspec
 
 from rackswitch.platform.desired_state import MalformedEntry
-from rackswitch.platform.loaded_models import WireLoadedModel, versions_of
+from rackswitch.platform.loaded_models import Count, WireLoadedModel, versions_of
 from rackswitch.platform.names import SERVERS_PREFIX
 from rackswitch.routing import ListedTarget
 
 __all__ = ["decode_target", "target_instance"]
 
+MOST_SLOTS = 100_000
+"""More than any engine works on at once; a larger number is another writer's."""
+
+ADDRESS = re.compile(r"([0-9.]+):([0-9]{1,5})", re.ASCII)
 
-SERVING_STATES = ("ready", "spot")
-"""An engine that may be taken away says so; where it does that in place of `ready`, it serves."""
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class _WireServer(msgspec.Struct):
-    service: str
+    """An entry as targets write it.
+
+    Anybody may write under the prefix. What lacks a field that is needed to use a target, or has
+    one of another type or out of its range, names none: taken for a target, it would get requests
+    that nobody answers (15 of 37 odd entries were). Fields that are not known are passed over.
+    """
+
+    service: Name
     address: str
-    zone: str = ""
-    slots: int = 0
-    state: str = "ready"
-    models: list[WireLoadedModel] = []
-    # An engine that the platform may take away at short notice.
+    zone: str
+    slots: Slots
+    state: Literal["ready", "spot", "draining"]
+    # An engine that may be taken away says so; where it does that in place of `ready`, it serves.
     spot: bool = False
-    # `version` is that of the engine's software and `seq` counts heartbeats; neither says
-    # anything about weights or orders, so they are not read.
+    models: list[WireLoadedModel] = []
+    # When the target started, in Unix time; older ones do not tell.
+    born: Count = 0
+    # Counts heartbeats, from the target's start on; it is checked, but says nothing of orders.
+    seq: Count = 0
 
 
 def target_instance(key: str) -> str:
@@ -36,17 +53,35 @@
     """Return a target as it lists itself."""
     try:
         wire = msgspec.json.decode(value, type=_WireServer)
-        host, _, port = wire.address.rpartition(":")
-        return ListedTarget(
-            instance=instance,
-            service=wire.service,
-            host=host,
-            port=int(port),
-            zone=wire.zone,
-            slots=wire.slots,
-            draining=wire.state not in SERVING_STATES,
-            versions=versions_of(wire.models),
-            reclaimable=wire.spot or wire.state == "spot",
-        )
+        host, port = _address(wire.address)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
         return MalformedEntry(f"{instance}: {error}")
+    return ListedTarget(
+        instance=instance,
+        service=wire.service,
+        host=host,
+        port=port,
+        zone=wire.zone,
+        slots=wire.slots,
+        draining=wire.state == "draining",
+        versions=versions_of(wire.models),
+        reclaimable=wire.spot or wire.state == "spot",
+        started_at_unix_ms=wire.born,
+    )
+
+
+def _address(text: str) -> tuple[str, int]:
+    """Return the host and port of an address by IP number.
+
+    Raises
+    ------
+    ValueError
+        If it is none.
+    """
+    parts = ADDRESS.fullmatch(text)
+    if parts is None:
+        raise ValueError(f"no address: {text!r}")
+    port = int(parts[2])
+    if not 0 < port <= 65535:
+        raise ValueError(f"no port: {text!r}")
+    return str(IPv4Address(parts[1])), port
--- a/rackswitch/platform/tests/test_decoding.py
+++ b/rackswitch/platform/tests/test_decoding.py
@@ -150,7 +150,7 @@
 
 
 def test_an_engine_that_may_be_taken_away_serves_until_it_drains():
-    entry = {"service": "s", "address": "10.0.0.1:8080", "zone": "a"}
+    entry = {"service": "s", "address": "10.0.0.1:8080", "zone": "a", "slots": 4}
     for said, reclaimable, draining in (
         ({"state": "ready"}, False, False),
         ({"state": "ready", "spot": True}, True, False),
--- a/rackswitch/telemetry/events/dependencies.py
+++ b/rackswitch/telemetry/events/dependencies.py
@@ -90,7 +90,8 @@
 
 @registered
 class EntryUnreadable(Event, tag="entry unreadable", frozen=True):
-    """An entry of the service cannot be decoded; what was known before stays."""
+    """An entry of the service cannot be decoded: in the list of targets it names none, and
+    elsewhere what was known before stays."""
 
     key: str
     revision: int
