Engines back under their identity: what was learnt goes by the start, and the list shows ends

Ruled out: kept connections (they break with the process). Change: breaker, load, speed, prompts and loads under way are learnt anew when an entry names another start; paces are filed, and told to other daemons, by start; a report of another start is none; an order's effect is not awaited at another start.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -98,7 +98,8 @@
         self.context = GatewayContext(settings, made.context, StoreContact(self.log), policy)
         self._sessions = TargetSessions()
         self._started_seconds = float("-inf")
-        self.state = StateKeeper(self.context)
+        self.quarantine = QuarantineKeeper(self.context, lambda: self.copies.is_complete)
+        self.state = StateKeeper(self.context, self.quarantine.watch)
         self.session = Session(self.context, self._session_lost, self._owns_jobs)
         self._role_entries = RoleEntries()
         self.roles = RoleKeeper(
@@ -108,7 +109,6 @@
             ROLES_PREFIX,
             self._vacant_seconds,
         )
-        self.quarantine = QuarantineKeeper(self.context, lambda: self.copies.is_complete)
         self.front = RequestFront(
             self.context,
             TargetChooser(self.context),
--- a/rackswitch/gateway/items/engine_paces.py
+++ b/rackswitch/gateway/items/engine_paces.py
@@ -30,52 +30,52 @@
 
     _paces: dict[str, _Pace] = field(default_factory=dict)
 
-    def note(self, instance: str, gap_seconds: float, now_seconds: float) -> None:
+    def note(self, start: str, gap_seconds: float, now_seconds: float) -> None:
         """Take in one gap.
 
         Parameters
         ----------
-        instance : str
-            The engine.
+        start : str
+            The start of the engine: another one under its identity may be on another machine.
         gap_seconds : float
             Between two events of one stream.
         now_seconds : float
             When the second of them came (monotonic).
         """
-        known = self._paces.get(instance)
+        known = self._paces.get(start)
         before = known.seconds_per_piece if known is not None else gap_seconds
         smoothed = before + PACE_SMOOTHING * (gap_seconds - before)
-        self._paces[instance] = _Pace(smoothed, now_seconds)
+        self._paces[start] = _Pace(smoothed, now_seconds)
 
-    def get(self, instance: str, now_seconds: float) -> float:
+    def get(self, start: str, now_seconds: float) -> float:
         """Return an engine's seconds per piece; what was seen too long ago says nothing any more.
 
         Parameters
         ----------
-        instance : str
-            The engine.
+        start : str
+            The start of the engine: another one under its identity may be on another machine.
         now_seconds : float
             The present (monotonic).
         """
-        known = self._paces.get(instance)
+        known = self._paces.get(start)
         if known is None or now_seconds >= known.seen_seconds + PACE_LIFE_SECONDS:
             return FIRST_PACE_SECONDS
         return known.seconds_per_piece
 
-    def seen_since(self, instance: str, at_seconds: float) -> bool:
+    def seen_since(self, start: str, at_seconds: float) -> bool:
         """Return whether an engine has brought pieces of any run after a moment (monotonic)."""
-        known = self._paces.get(instance)
+        known = self._paces.get(start)
         return known is not None and known.seen_seconds > at_seconds
 
     def to_tell(self, now_seconds: float) -> list[pb.EnginePace]:
         """Return the paces that still count, to be told to another daemon."""
         return [
             pb.EnginePace(
-                instance=instance,
+                instance=start,
                 us_per_piece=round(pace.seconds_per_piece * 1e6),
                 age_ms=round((now_seconds - pace.seen_seconds) * 1e3),
             )
-            for instance, pace in self._paces.items()
+            for start, pace in self._paces.items()
             if now_seconds < pace.seen_seconds + PACE_LIFE_SECONDS
         ]
 
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -189,7 +189,7 @@
                 now_seconds = self._context.now_seconds()
                 gap_seconds = gaps.piece_came(now_seconds)
                 if gap_seconds is not None:
-                    self.paces.note(target.instance, gap_seconds, now_seconds)
+                    self.paces.note(target.start, gap_seconds, now_seconds)
                 if not ledger.single_version and self._moves(ledger, progress, target, gaps):
                     return ItemRunEnded(ItemRunEnd.BROKEN, MOVED)
         return ItemRunEnded(ItemRunEnd.BROKEN, "the stream told no end")
@@ -245,7 +245,7 @@
         else:
             if ended.end is ItemRunEnd.SILENT:
                 since_seconds = now_seconds - FIRST_PIECE_PATIENCE_SECONDS / 2
-                is_alive = self.paces.seen_since(target.instance, since_seconds)
+                is_alive = self.paces.seen_since(target.start, since_seconds)
                 if not (never_began and is_alive):
                     load.went_silent(now_seconds)
             elif ended.end is ItemRunEnd.NOT_THERE:
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -127,7 +127,7 @@
             listed.instance,
             listed.service,
             slots - own,
-            self._runner.paces.get(listed.instance, now_seconds),
+            self._runner.paces.get(listed.start, now_seconds),
             versions,
             slots,
             own + occupancy.others(listed.instance, now_seconds),
--- a/rackswitch/gateway/items/tests/test_item_runner.py
+++ b/rackswitch/gateway/items/tests/test_item_runner.py
@@ -67,7 +67,7 @@
         await asyncio.sleep(FIRST_PIECE_PATIENCE_SECONDS * 0.9)
         now_seconds = runner._context.now_seconds()
         if others_go_on:
-            runner.paces.note(ENGINE.instance, 0.04, now_seconds)
+            runner.paces.note(ENGINE.start, 0.04, now_seconds)
         await work
         return runner._context.targets[ENGINE.instance].open_until_seconds > now_seconds
 
--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -2,6 +2,7 @@
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.quarantine.end_watch import EndWatch
 from rackswitch.gateway.store.copy_set import CopyHandlers
 from rackswitch.platform.desired_state import (
     LIMITS_NAME,
@@ -12,6 +13,7 @@
     encode_retired,
 )
 from rackswitch.platform.servers import decode_target, target_instance
+from rackswitch.quarantine import EndEvidence
 from rackswitch.routing import ListedTarget, Target
 from rackswitch.table import LimitsRow, TableDocument, index_routes
 from rackswitch.telemetry.events import (
@@ -38,12 +40,15 @@
     ----------
     context : GatewayContext
         The daemon.
+    ends : EndWatch
+        Told of targets that the list shows to have ended.
     """
 
-    __slots__ = ("_context",)
+    __slots__ = ("_context", "_ends")
 
-    def __init__(self, context: GatewayContext):
+    def __init__(self, context: GatewayContext, ends: EndWatch):
         self._context = context
+        self._ends = ends
 
     def operator_handlers(self) -> CopyHandlers:
         """Return what takes in the operators' and trainers' entries."""
@@ -118,9 +123,10 @@
             self._context.directory.disown(instance)
             return
         before = self._context.directory.entries.get(instance)
+        self._tell_of_ends(before, target)
         self._context.directory.put(target)
-        self._context.loads.listed(instance, target.versions, self._context.now_seconds())
         self._learn(target)
+        self._context.loads.listed(instance, target.versions, self._context.now_seconds())
         if before is None or before.draining != target.draining:
             self._context.log.write(
                 TargetListed(
@@ -131,21 +137,39 @@
                 )
             )
 
+    def _tell_of_ends(self, before: ListedTarget | None, target: ListedTarget) -> None:
+        """Tell of starts that cannot be there any more, now that another one is listed."""
+        if before is not None and before.start != target.start:
+            self._ends.ended(before.start, EndEvidence.REPLACED)
+        for other in self._context.directory.at_address(target.host, target.port):
+            if other.instance != target.instance:
+                self._ends.ended(other.start, EndEvidence.REPLACED)
+
     def _target_deleted(self, key: str) -> None:
         instance = target_instance(key)
+        before = self._context.directory.entries.get(instance)
         now_seconds = self._context.now_seconds()
         back_seconds = self._context.contact.back_seconds
         self._context.directory.remove(instance, now_seconds, back_seconds)
         lapsed = instance in self._context.directory.lapsed
         if not lapsed:
             self._context.loads.gone(instance)
+            if before is not None and not before.draining:
+                self._ends.ended(before.start, EndEvidence.UNLISTED)
         self._context.log.write(TargetGone(target=instance, still_used=lapsed))
 
     def _learn(self, listed: ListedTarget) -> None:
-        if listed.instance in self._context.targets:
+        """Begin to learn of a start of a target.
+
+        What was learnt of an earlier one under the same identity goes: its breaker, its load and
+        speed, the prompts that it kept and the loads that it was ordered.
+        """
+        known = self._context.targets.get(listed.instance)
+        if known is not None and known.start == listed.start:
             return
+        self._context.loads.gone(listed.instance)
         same_zone = listed.zone == self._context.settings.zone
         distance_seconds = SAME_ZONE_SECONDS if same_zone else OTHER_ZONE_SECONDS
         self._context.targets[listed.instance] = Target(
-            listed.instance, listed.url, listed.zone, distance_seconds
+            listed.instance, listed.url, listed.zone, distance_seconds, start=listed.start
         )
--- a/rackswitch/gateway/store/tests/test_target_list.py
+++ b/rackswitch/gateway/store/tests/test_target_list.py
@@ -18,7 +18,7 @@
     def __init__(self):
         self.context = make_gateway_context("a", KvStore())
         self.quarantine = QuarantineKeeper(self.context, lambda: True)
-        self.handlers = StateKeeper(self.context).target_handlers()
+        self.handlers = StateKeeper(self.context, self.quarantine.watch).target_handlers()
         self._revision = 0
 
     def put(self, instance, born=BORN_UNIX_MS, **changes):
--- a/rackswitch/gateway/versions/order_sender.py
+++ b/rackswitch/gateway/versions/order_sender.py
@@ -140,7 +140,8 @@
         while self._context.now_seconds() < deadline_seconds:
             await asyncio.sleep(LOOK_SECONDS)
             listed = self._context.directory.entries.get(target.instance)
-            if listed is None:
+            if listed is None or listed.start != target.start:
+                # A start that is back under the identity has neither the order nor its weights.
                 return False
             if listed.versions.get(model, 0) >= version:
                 return True
--- a/rackswitch/gateway/versions/version_keeper.py
+++ b/rackswitch/gateway/versions/version_keeper.py
@@ -200,7 +200,7 @@
             for target in self._context.directory.usable(row.name, now_seconds)
         }
         carriers = [
-            CarrierView(name, target.versions, self._pace_seconds(name))
+            CarrierView(name, target.versions, self._pace_seconds(target.start))
             for name, target in listed.items()
         ]
         loads = self._loads.setdefault(row.name, _ServiceLoads())
@@ -213,11 +213,11 @@
             for load in planned
         ]
 
-    def _pace_seconds(self, instance: str) -> float:
+    def _pace_seconds(self, start: str) -> float:
         """Return an engine's pace, the same for all where it is not to be looked at."""
         if not self._context.policy.fast_engine_first:
             return FIRST_PACE_SECONDS
-        return self._paces.get(instance, self._context.now_seconds())
+        return self._paces.get(start, self._context.now_seconds())
 
     def _need(self, model: str) -> ModelNeed | None:
         """Return what is known of a model's versions; None if none was named."""
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -85,6 +85,8 @@
     waiting: Count = 0
     running: Count = 0
     models: list[WireLoadedModel] = []
+    # When the engine started, in Unix time; older ones do not tell.
+    born: Count = 0
 
 
 class OrderClient:
@@ -119,6 +121,9 @@
             wire = msgspec.json.decode(content, type=_WireReport)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return NoReport(f"cannot read the report: {error}")
+        if wire.born and target.started_at_unix_ms and wire.born != target.started_at_unix_ms:
+            # Its orders are counted anew, and its weights are others than the listed ones.
+            return NoReport("another start has its identity")
         return EngineReport(
             versions=versions_of(wire.models),
             is_loading=wire.busy,
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -100,6 +100,12 @@
         else:
             self._forget(instance)
 
+    def at_address(self, host: str, port: int) -> list[ListedTarget]:
+        """Return the targets that are listed at an address."""
+        return [
+            target for target in self.entries.values() if (target.host, target.port) == (host, port)
+        ]
+
     def disown(self, instance: str) -> None:
         """Note that another target answered at this one's address."""
         self._forget(instance)
--- a/rackswitch/routing/targets.py
+++ b/rackswitch/routing/targets.py
@@ -40,6 +40,8 @@
         Until when the circuit breaker keeps ordinary requests away.
     at_hand_until_seconds : float
         Until when a connection that served a call in its usual time stays open.
+    start : str
+        Which start of the target all this is about.
     """
 
     name: str
@@ -57,6 +59,7 @@
     warm_until_seconds: float = 0.0
     at_hand_until_seconds: float = 0.0
     prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    start: str = ""
 
     @property
     def version(self) -> int | None:
