Failing tests: a suspended machine's deadlines do not pass

Cause: the event loop's clock is the steady one, which stands still meanwhile; leases, turns, sessions and requests' deadlines all go by it. Ruled out: single places that read another clock (none decides by one).

--- a/rackswitch/gateway/tests/path.py
+++ b/rackswitch/gateway/tests/path.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from rackswitch.clocks import run_on_boot_clock
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.standins.platform_fleet import PlatformFleet
 from rackswitch.standins.platform_target import PlatformTargetStandIn
@@ -26,7 +27,7 @@
         finally:
             await fleet.stop()
 
-    asyncio.run(whole())
+    run_on_boot_clock(whole())
 
 
 def runs_of(targets: list[PlatformTargetStandIn], request_id: str) -> int:
