Clocks: programs go by the time since the machine's start, which counts a suspension

Cause: see the failing tests. Ruled out: patching single deadlines; there are dozens, all by the loop's clock. Change: an event loop on CLOCK_BOOTTIME for both daemons; resting connections to targets are closed after a suspension, as the client library counts their rest by the steady clock.

--- a/rackswitch/daemon/main.py
+++ b/rackswitch/daemon/main.py
@@ -7,6 +7,7 @@
 import fire
 from loguru import logger
 
+from rackswitch.clocks import run_on_boot_clock
 from rackswitch.daemon.core import Daemon
 from rackswitch.daemon.settings import DaemonSettings
 from rackswitch.settings import SettingsFault, load_settings
@@ -48,7 +49,7 @@
     if isinstance(loaded, SettingsFault):
         print(loaded.line, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    sys.exit(asyncio.run(_run(loaded)))
+    sys.exit(run_on_boot_clock(_run(loaded)))
 
 
 def main() -> None:
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from rackswitch.clocks import suspended_seconds
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.beliefs import Beliefs, beliefs_of
 from rackswitch.gateway.callers.call_edge import CallEdge
@@ -43,6 +44,7 @@
 from rackswitch.platform.target_calls import TargetClient
 from rackswitch.telemetry.events import (
     HandOverGivenUp,
+    MachineSuspended,
     Reloaded,
     Started,
     Stopped,
@@ -66,6 +68,9 @@
 """After a loss of all processes, how long another one may need more than this one to appear
 among the members: all start within some 0.3 s, and a session takes another 0.1 s."""
 
+NOTICED_SUSPENSION_SECONDS = 0.5
+"""Shorter ones are as good as a pause of the processor; connections rest for 4 s and more."""
+
 STOP_MARGIN_SECONDS = 1.0
 """What is left of the grace when the last requests are given up."""
 
@@ -98,6 +103,7 @@
         self.context = GatewayContext(settings, made.context, StoreContact(self.log), policy)
         self._sessions = TargetSessions()
         self._started_seconds = float("-inf")
+        self._suspended_seconds = suspended_seconds()
         self.quarantine = QuarantineKeeper(self.context, lambda: self.copies.is_complete)
         self.state = StateKeeper(self.context, self.quarantine.watch)
         self.session = Session(self.context, self._session_lost, self._owns_jobs)
@@ -248,6 +254,15 @@
         self.direct.url = settings.kv_url
         self.log.write(Reloaded(applied=changes.applied, needs_restart=changes.needs_restart))
 
+    def look_at_clocks(self) -> None:
+        """Take in that the machine was suspended, if it was since the last look."""
+        before_seconds = self._suspended_seconds
+        self._suspended_seconds = suspended_seconds()
+        for_seconds = self._suspended_seconds - before_seconds
+        if for_seconds >= NOTICED_SUSPENSION_SECONDS:
+            self.log.write(MachineSuspended(for_seconds=round(for_seconds, 3)))
+            self._sessions.drop_unused()
+
     def _session_lost(self) -> None:
         self.jobs.session_lost()
 
--- a/rackswitch/gateway/main.py
+++ b/rackswitch/gateway/main.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from rackswitch.clocks import run_on_boot_clock
 from rackswitch.gateway.core import Gateway
 from rackswitch.gateway.policy import PolicySettings, read_policy
 from rackswitch.platform.settings import NodeSettings, read_node_settings
@@ -47,6 +48,7 @@
             logger.critical("stopping on a broken invariant")
             gateway.log.pump()
             return EXIT_BROKEN
+        gateway.look_at_clocks()
         if signals.reload.is_set() or loop.time() >= next_reload_seconds:
             signals.reload.clear()
             next_reload_seconds = loop.time() + RELOAD_SECONDS
@@ -76,4 +78,4 @@
     if isinstance(policy, SettingsFault):
         print(policy.line, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    sys.exit(asyncio.run(_run(settings, policy)))
+    sys.exit(run_on_boot_clock(_run(settings, policy)))
--- a/rackswitch/gateway/tests/test_suspension.py
+++ b/rackswitch/gateway/tests/test_suspension.py
@@ -40,3 +40,21 @@
 
     with suspendable_machine() as machine:
         play(scenario)
+
+
+def test_connections_that_rested_meanwhile_are_not_used_again():
+    async def scenario(fleet):
+        gateway = fleet.gateways["d0"]
+        status, _, _ = await fleet.request("d0", "POST", "/look/1", b"b", "r1")
+        assert status == 200
+        [[(kept, _)]] = gateway._sessions._kept_connector._conns.values()
+        gateway.look_at_clocks()
+        assert kept.is_connected()
+        machine.suspended_seconds = SUSPENDED_SECONDS
+        gateway.look_at_clocks()
+        assert not kept.is_connected()
+        status, _, _ = await fleet.request("d0", "POST", "/look/1", b"b", "r2")
+        assert status == 200
+
+    with suspendable_machine() as machine:
+        play(scenario)
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -76,6 +76,16 @@
         # The library takes this time at the start only, but looks it up at each use.
         self._kept_connector._keepalive_timeout = self.kept_seconds
 
+    def drop_unused(self) -> None:
+        """Close the connections that rest.
+
+        The library counts their rest by the steady clock, so after a suspension of the machine it
+        would send on connections that the targets have closed long since.
+        """
+        for kept in self._kept_connector._conns.values():
+            for protocol, _ in kept:
+                protocol.close()
+
     async def close(self) -> None:
         """Close all connections."""
         await asyncio.gather(self.kept.close(), self.single_use.close())
--- a/rackswitch/telemetry/events/process.py
+++ b/rackswitch/telemetry/events/process.py
@@ -5,6 +5,7 @@
 __all__ = [
     "HandOverGivenUp",
     "LinesFolded",
+    "MachineSuspended",
     "Reloaded",
     "ReloadRefused",
     "Started",
@@ -21,6 +22,13 @@
     machine_class: str = ""
 
 
+@registered
+class MachineSuspended(Event, tag="machine suspended", frozen=True):
+    """The machine has slept; deadlines that passed meanwhile have passed."""
+
+    for_seconds: float
+
+
 @registered
 class Stopping(Event, tag="stopping", frozen=True):
     """A planned stop has begun."""
