Quarantine: proofs of its decisions, over restarts and outages; entries that nobody of the fleet wrote end no daemon

Cause: the mend's promises were shown on the path alone; an entry under control/ that cannot be read would have ended every daemon that follows the service. Ruled out: two more holes, by the proofs: a target that leaves as planned is no evidence; a suspect answered between.

--- a/rackswitch/gateway/quarantine/end_watch.py
+++ b/rackswitch/gateway/quarantine/end_watch.py
@@ -36,7 +36,13 @@
         """Set when an inquiry is over, and replaced then."""
 
     def broke(self, fingerprint: str, target: ListedTarget) -> None:
-        """Note that a run of a request broke off at a target."""
+        """Note that a run of a request broke off at a target.
+
+        One that is leaving ends as planned, with whatever it still runs, and nobody is to blame.
+        """
+        listed = self._context.directory.entries.get(target.instance)
+        if listed is None or listed.draining:
+            return
         now_seconds = self._context.now_seconds()
         if self.inquiries.broke(target.start, fingerprint, now_seconds):
             self._context.daemon.spawn(self._inquire(target))
--- a/rackswitch/gateway/quarantine/tests/test_path_quarantine.py
+++ b/rackswitch/gateway/quarantine/tests/test_path_quarantine.py
@@ -102,6 +102,46 @@
     play(scenario, daemons=2, services=2)
 
 
+def test_what_is_held_back_stays_so_when_all_daemons_start_anew():
+    async def scenario(fleet):
+        for target in fleet.services:
+            target.faults.end_on = ENDING_BODY
+        await end_three(fleet, fleet.services)
+        await asyncio.sleep(TIME_TO_HEAR_SECONDS)
+        for gateway in fleet.gateways.values():
+            await gateway.crash()
+        for name in list(fleet.gateways):
+            await fleet.start_gateway(name)
+        await wait_for(lambda: all(g.copies.is_complete for g in fleet.gateways.values()))
+        before = runs(fleet.services)
+        answers = await come_back(fleet, fleet.services, 6)
+        assert runs(fleet.services) == before
+        assert all(status == 503 for status, _ in answers)
+
+    play(scenario, daemons=2, services=4)
+
+
+def test_while_the_service_is_away_daemons_tell_each_other_directly():
+    async def scenario(fleet):
+        for target in fleet.services:
+            target.faults.end_on = ENDING_BODY
+            target.faults.keeps_identity = True
+        fleet.store.faults.down = "silent"
+        for number in range(2):
+            await fleet.request("d0", "POST", "/look/1", ENDING_BODY, f"first-{number}")
+        assert ends(fleet.services) >= 3
+        await asyncio.sleep(TIME_TO_HEAR_SECONDS + 0.5)
+        before = runs(fleet.services)
+        for number in range(6):
+            status, _, _ = await fleet.request("d1", "POST", "/look/1", ENDING_BODY, f"r{number}")
+            assert status == 503
+        assert runs(fleet.services) == before
+        status, _, _ = await fleet.request("d1", "POST", "/look/1", b"another", "healthy")
+        assert status == 200
+
+    play(scenario, daemons=2, services=4)
+
+
 def test_an_item_that_ended_three_engines_leaves_the_others_theirs():
     async def scenario(fleet):
         ending = b"77"
--- a/rackswitch/gateway/store/control_entries.py
+++ b/rackswitch/gateway/store/control_entries.py
@@ -1,5 +1,7 @@
 """Handing on what daemons write for each other: members, jobs, owners and orders."""
 
+import msgspec
+
 from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.roles import RoleKeeper
 from rackswitch.gateway.context import GatewayContext
@@ -14,6 +16,7 @@
 from rackswitch.gateway.turns import TurnKeeper
 from rackswitch.gateway.versions.version_keeper import ORDERS_PREFIX, VersionKeeper
 from rackswitch.membership import VmEntry
+from rackswitch.telemetry.events import EntryUnreadable
 
 __all__ = ["CONTROL_PREFIX", "ControlEntries"]
 
@@ -80,6 +83,18 @@
         return CopyHandlers(self._put, self._deleted, on_told=self._tell_members)
 
     def _put(self, entry: KvEntry) -> None:
+        """Hand an entry on; one that nobody of this fleet wrote changes nothing.
+
+        Raised here, it would end the daemon: following the service is a duty.
+        """
+        try:
+            self._hand_on(entry)
+        except msgspec.DecodeError as error:
+            self._context.log.write(
+                EntryUnreadable(key=entry.key, revision=entry.mod_revision, detail=str(error))
+            )
+
+    def _hand_on(self, entry: KvEntry) -> None:
         if entry.key.startswith(MEMBERS_PREFIX):
             self._take_member(entry)
         elif entry.key.startswith(JOBS_PREFIX):
--- a/rackswitch/gateway/store/tests/test_path_store.py
+++ b/rackswitch/gateway/store/tests/test_path_store.py
@@ -61,3 +61,20 @@
         assert all("s0" in gateway.context.directory.entries for gateway in gateways)
 
     play(scenario)
+
+
+def test_entries_that_no_daemon_wrote_end_no_daemon():
+    async def scenario(fleet):
+        for number, prefix in enumerate(
+            ("members/", "jobs/", "owners/", "orders/", "roles/", "ends/", "trials/", "duties")
+        ):
+            for value in (7, "x", [], {"odd": number}):
+                fleet.store.put(f"control/{prefix}" + "odd" * (prefix != "duties"), value)
+                fleet.store.put("op/config", desired_state(2 + 10 * number))
+        await wait_for(lambda: all(g.context.table_revision == 72 for g in fleet.gateways.values()))
+        for name, gateway in fleet.gateways.items():
+            assert gateway.context.daemon.broken is None
+            status, _, _ = await fleet.request(name, "POST", "/look/1", b"b")
+            assert status == 200
+
+    play(scenario)
--- a/rackswitch/gateway/store/tests/test_target_list.py
+++ b/rackswitch/gateway/store/tests/test_target_list.py
@@ -24,7 +24,7 @@
     def put(self, instance, born=BORN_UNIX_MS, **changes):
         entry = {
             "service": "engines",
-            "address": "10.1.2.3:80",
+            "address": "127.0.0.3:80",
             "zone": "z",
             "slots": 4,
             "state": "ready",
@@ -86,7 +86,7 @@
     async def scenario():
         listed = TargetList()
         listed.put("i-1")
-        listed.put("i-2", address="10.1.2.4:80")
+        listed.put("i-2", address="127.0.0.4:80")
         listed.put_bytes("i-3", b"\xff\x00")
         listed.put("i-4", state="zombie")
         assert listed.usable() == ["i-1", "i-2"]
@@ -96,3 +96,35 @@
         assert set(listed.usable()) == {"i-1", "i-2"}
 
     run_virtual(scenario())
+
+
+def test_an_engine_whose_entry_goes_has_ended_under_what_broke_there_unless_it_was_leaving():
+    async def scenario():
+        listed = TargetList()
+        watch = listed.quarantine.watch
+        for instance, host in (("i-1", "127.0.0.3"), ("i-2", "127.0.0.4"), ("i-3", "127.0.0.5")):
+            listed.put(instance, address=f"{host}:80")
+        listed.put("i-2", address="127.0.0.4:80", state="draining")
+        targets = dict(listed.context.directory.entries)
+        for target in targets.values():
+            # The first is asked after, the second is leaving, the third runs on.
+            if target.instance != "i-3":
+                watch.broke(f"under {target.instance}", target)
+        for instance in ("i-1", "i-2", "i-3"):
+            listed.handlers.on_deleted(f"servers/{instance}")
+        evidence = listed.quarantine._evidence
+        assert evidence.count("under i-1") == 1
+        assert evidence.count("under i-2") == 0
+
+    run_virtual(scenario())
+
+
+def test_another_start_at_an_engines_address_shows_its_end():
+    async def scenario():
+        listed = TargetList()
+        listed.put("i-1")
+        listed.quarantine.watch.broke("f", listed.context.directory.entries["i-1"])
+        listed.put("i-9", BORN_UNIX_MS + 3000)
+        assert listed.quarantine._evidence.count("f") == 1
+
+    run_virtual(scenario())
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -19,12 +19,14 @@
     JobSubmitted,
     LoadOrdered,
     RequestEnded,
+    RequestHeldBack,
     RequestRefused,
     ResultsAppended,
     RewardCallEnded,
     SessionBegun,
     SessionLost,
     TableInForce,
+    TargetEnded,
     VersionNamed,
 )
 
@@ -83,8 +85,10 @@
         "positions",
         "refusals",
         "request_ended",
+        "requests_held_back",
         "reward_calls",
         "table_revision",
+        "targets_ended",
     )
 
     def __init__(
@@ -100,6 +104,13 @@
         self.refusals = meter.create_counter(
             "rackswitch_refusals", description="Requests refused before a target was chosen."
         )
+        self.targets_ended = meter.create_counter(
+            "rackswitch_targets_ended", description="Targets that ended under runs of this daemon."
+        )
+        self.requests_held_back = meter.create_counter(
+            "rackswitch_requests_held_back",
+            description="Sends that did not take place, as targets had ended under the request.",
+        )
         self.dependency_up = meter.create_gauge(
             "rackswitch_dependency_up", description="1 while the dependency answers, else 0."
         )
@@ -180,6 +191,16 @@
     meters.attempts_failed.add(1, labels)
 
 
+@_counts(TargetEnded)
+def _target_ended(meters: EventMeters, event: TargetEnded) -> None:
+    meters.targets_ended.add(1, meters.labels(reason=event.evidence))
+
+
+@_counts(RequestHeldBack)
+def _request_held_back(meters: EventMeters, event: RequestHeldBack) -> None:
+    meters.requests_held_back.add(1)
+
+
 @_counts(DependencyLost)
 def _dependency_lost(meters: EventMeters, event: DependencyLost) -> None:
     meters.dependency_up.set(0, meters.labels(dependency=event.dependency))
