--- a/rackswitch/gateway/quarantine/end_teller.py
+++ b/rackswitch/gateway/quarantine/end_teller.py
@@ -99,7 +99,9 @@
 
     def changed(self, urgency: Urgency) -> None:
         """Note that there is something to tell."""
-        self._number += 1
+        # A process that knows nothing of its predecessor's records, as the service was away when
+        # it told of them, must not count from the start again: its own would pass for older ones.
+        self._number = max(self._number + 1, int(self._context.unix_seconds() * 1000))
         self._on_record(self._record())
         if urgency is Urgency.WITH_THE_NEXT:
             return
@@ -130,8 +132,7 @@
     async def run(self) -> None:
         """Tell what there is to tell, and keep it, until cancelled."""
         while True:
-            await self._sleep()
-            now_seconds = self._context.now_seconds()
+            now_seconds = await self._sleep()
             if now_seconds >= self._due_seconds:
                 self._due_seconds = float("inf")
                 await self._tell()
@@ -140,7 +141,11 @@
                 if not is_kept:
                     self.lost()
 
-    async def _sleep(self) -> None:
+    async def _sleep(self) -> float:
+        """Wait until something is due or has changed; return the present (monotonic).
+
+        A timer may fire by the clock's resolution too early; what it was set for is due then.
+        """
         until_seconds = self._due_seconds
         if self.lease.lease_id is not None:
             until_seconds = min(until_seconds, self.lease.next_try_seconds)
@@ -148,8 +153,9 @@
             async with asyncio.timeout_at(None if until_seconds == float("inf") else until_seconds):
                 await self._wake.wait()
         except TimeoutError:
-            return
+            return max(until_seconds, self._context.now_seconds())
         self._wake.clear()
+        return self._context.now_seconds()
 
     async def _tell(self) -> None:
         self._own.expire(self._context.unix_seconds())
--- /dev/null
+++ b/rackswitch/gateway/quarantine/tests/test_quarantine_runs.py
@@ -0,0 +1,59 @@
+"""Long seeded runs of a fleet under which targets end."""
+
+from dataclasses import replace
+
+import pytest
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
+from rackswitch.gateway.quarantine.tests.quarantine_run import QuarantineRun
+from rackswitch.quarantine.verdicts import ENDS_TO_HOLD, MOST_TRIALS
+
+SECONDS = 90.0
+
+
+class Forgetful(QuarantineKeeper):
+    """Keeps what it knows of ends and of trials to itself."""
+
+    async def run(self):
+        return
+
+    def trial_put(self, entry):
+        return
+
+    async def _claim(self, fingerprint, due):
+        return True
+
+
+class Harsh(QuarantineKeeper):
+    """Holds back whatever was present at one end, and sends it on no trial."""
+
+    def _suspicion(self, fingerprint):
+        known = super()._suspicion(fingerprint)
+        return replace(known, ends=known.ends * ENDS_TO_HOLD)
+
+    async def _claim(self, fingerprint, due):
+        return False
+
+
+def played(seed, kind=QuarantineKeeper):
+    run = QuarantineRun(seed, kind)
+    run_virtual(run.play(SECONDS))
+    return run
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_what_ends_targets_is_held_back_and_all_else_is_served(seed):
+    run = played(seed)
+    assert len(run.ends_under_it) >= 3
+    assert run.late_sends() <= MOST_TRIALS
+    assert run.served > 100
+    assert run.unserved == []
+
+
+def test_daemons_that_tell_each_other_nothing_are_found_out():
+    assert any(played(seed, Forgetful).late_sends() > MOST_TRIALS for seed in range(3))
+
+
+def test_holding_back_whatever_was_present_is_found_out():
+    assert any(played(seed, Harsh).unserved for seed in range(3))
--- a/rackswitch/quarantine/records.py
+++ b/rackswitch/quarantine/records.py
@@ -38,7 +38,7 @@
     Attributes
     ----------
     number : int
-        Counts the daemon's records, also over its restarts: a higher one replaces a lower one.
+        Rises with the daemon's records, also over its restarts: a higher one replaces a lower one.
     lease_id : int
         The lease that the record hangs on, so that the daemon's next process can go on with it.
     """
