--- a/rackswitch/gateway/quarantine/quarantine_keeper.py
+++ b/rackswitch/gateway/quarantine/quarantine_keeper.py
@@ -255,8 +255,9 @@
         put = Operation(key, msgspec.json.encode(due.claim), self._teller.lease.lease_id or 0)
         done = await self._context.kv.txn([TxnPart((unchanged,), (put,), (key,))])
         self._context.contact.note(self._context.now_seconds(), done)
-        is_claimed = not isinstance(done, KvUnavailable) and done[0].succeeded
+        is_claimed = False
         if not isinstance(done, KvUnavailable) and done[0].succeeded:
+            is_claimed = True
             self._trials[fingerprint] = _Trials(due.claim, done[0].revision)
         self._context.log.write(
             TrialClaimed(fingerprint=fingerprint, trial=due.claim.trials, claimed=is_claimed)
