--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -15,6 +15,9 @@
 SCALE_DUTY = "autoscale"
 """How the settings file names the calls that one daemon is to make."""
 
+CROWDED_CONTRACT = "pressure"
+"""Among the parts of the platform's rules: callers may press beyond the room there is."""
+
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 """As `deploy/system.toml` tells the platform; the port is the usual one of OpenTelemetry's
@@ -78,6 +81,9 @@
         Part of a processor that the VM has; 0 if the file does not say.
     duties : DutySettings or None
         What is to be done towards the operators' API; None for nothing.
+    queues_calls : bool
+        Whether callers may want more than there is room for, so that calls wait in order here and
+        those that cannot be served are refused at once.
     """
 
     daemon: str
@@ -96,6 +102,7 @@
     keep_results_seconds: float
     processor_share: float = 0.0
     duties: DutySettings | None = None
+    queues_calls: bool = False
 
 
 class _WireListen(msgspec.Struct):
@@ -138,6 +145,7 @@
     internal_ports: list[int] = msgspec.field(default_factory=list)
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    contracts: list[str] = msgspec.field(default_factory=list)
     cloud: _WireCloud | None = None
 
 
@@ -192,6 +200,7 @@
         keep_results_seconds=wire.bounds.status_s,
         processor_share=wire.limits.cpu_share,
         duties=_duty_settings(wire),
+        queues_calls=CROWDED_CONTRACT in wire.contracts,
     )
 
 
--- a/rackswitch/platform/tests/test_settings.py
+++ b/rackswitch/platform/tests/test_settings.py
@@ -95,3 +95,11 @@
     fault = read(tmp_path, GOOD.replace("bounds:", "bounds:\n  report_window_s: 0") + CLOUD)
     assert isinstance(fault, SettingsFault)
     assert "report_window_s" in str(fault)
+
+
+@pytest.mark.parametrize("parts", ["", 'contracts: ["base", "drain"]'])
+def test_calls_wait_in_order_only_where_callers_may_press(tmp_path, parts):
+    settings = read(tmp_path, GOOD + parts)
+    assert isinstance(settings, NodeSettings) and not settings.queues_calls
+    settings = read(tmp_path, GOOD + 'contracts: ["base", "pressure"]')
+    assert isinstance(settings, NodeSettings) and settings.queues_calls
