Tests of hand-overs: one failure each, a state machine, seeded runs with stops and outages

Change: what is held through an outage waits for the service's return by a cheap call each 0.15 s that no hanging call holds up; appends are left out meanwhile. A renewal whose lease was found to be over by another call drops no later lease.

Found by the tests: with calls that hang for their whole second, the return was seen up to 1.3 s late.

--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -29,8 +29,9 @@
 LEASES_TRIED = 2
 """A lease that is over shows by the first write on it."""
 
-PROBE_SECONDS = 0.2
-"""Between tries to claim a job that waits for the service's return, which shows by them."""
+PROBE_SECONDS = 0.15
+"""Between two looks for the service's return while jobs wait for it, and between two claims of a
+held job: what is ready is to be listed within 0.3 s of the return."""
 
 
 class JobClaims:
@@ -150,14 +151,13 @@
             self._context.daemon.spawn(self.claim(job_id, marker_revision))
 
     def _probe(self) -> None:
-        """Try to claim one job that waits for the service, whose return is seen by that."""
-        waiting = [owned for owned in self._jobs.by_id.values() if owned.awaits_claim]
+        """Ask the service now and then whether it is back, while jobs wait for that."""
         now_seconds = self._context.now_seconds()
-        if not waiting or now_seconds < self._next_probe_seconds:
+        if not self._jobs.by_id or now_seconds < self._next_probe_seconds:
             return
-        self._next_probe_seconds = now_seconds + PROBE_SECONDS
-        first = order_jobs(owned.ledger for owned in waiting)[0]
-        self._context.daemon.spawn(self._claim_held(self._jobs.by_id[first.job.job_id]))
+        if self._context.policy.jobs_handed_over:
+            self._next_probe_seconds = now_seconds + PROBE_SECONDS
+            self._context.daemon.spawn(self._session.probe())
 
     def _is_released(self, name: str) -> bool:
         """Return whether no former owner of a job need be waited for.
--- a/rackswitch/gateway/jobs/job_reader.py
+++ b/rackswitch/gateway/jobs/job_reader.py
@@ -120,7 +120,7 @@
     ) -> ResultsPage | None:
         """Return results of a job that is owned here; None if that is not sure."""
         owned = self._keeper.owned.get(job_id)
-        if owned is None or owned.awaits_claim or not self._session.is_sure():
+        if owned is None or not owned.may_tell or not self._session.is_sure():
             return None
         return await self._owned_results(owned, position, deadline_seconds)
 
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -53,8 +53,8 @@
     awaits_claim: bool = False
 
     @property
-    def may_append(self) -> bool:
-        """Whether results may be listed: not without a claim, nor behind a successor's back."""
+    def may_tell(self) -> bool:
+        """Whether results may be listed and read here: not without a claim or beside another."""
         return not self.awaits_claim and not self.successor
 
     def claimed(self, owner_revision: int) -> None:
--- a/rackswitch/gateway/jobs/result_appender.py
+++ b/rackswitch/gateway/jobs/result_appender.py
@@ -44,9 +44,13 @@
 
     def append_due(self, owned_jobs: Iterable[OwnedJob]) -> None:
         """Begin to append the results that are ready, where the last segment is past."""
+        if self._context.policy.jobs_handed_over and self._context.contact.is_away:
+            # An append would hang until its time is up, also when the service is back: that is
+            # looked for by other calls.
+            return
         now_seconds = self._context.now_seconds()
         for owned in owned_jobs:
-            if not owned.may_append:
+            if not owned.may_tell:
                 continue
             if not owned.ledger.has_pending or owned.appending.locked():
                 continue
--- /dev/null
+++ b/rackswitch/gateway/jobs/tests/hand_over_fleet.py
@@ -0,0 +1,162 @@
+"""A few job keepers whose engines make texts steadily, so that every pause and repetition shows."""
+
+import asyncio
+import random
+import time
+from collections import defaultdict
+from itertools import pairwise
+
+from rackswitch.clients.kv import KvUnavailable
+from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.items.item_runner import ItemRunner
+from rackswitch.gateway.jobs.job_outcomes import JobCreated
+from rackswitch.gateway.jobs.job_store import JobStore
+from rackswitch.gateway.jobs.tests.long_run import ENGINES, SLOTS, FleetLinks, Node, piece_text
+from rackswitch.gateway.policy import PolicySettings
+from rackswitch.gateway.tests.support import NoQuarantine, make_gateway_context
+from rackswitch.jobs import Job, JobItem, TextPiece
+from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
+from rackswitch.standins.kv_store import KvStore
+
+PIECE_SECONDS = 0.04
+FULL_LOAD_ITEMS = ENGINES * SLOTS
+
+
+class Engines:
+    """What all engines made: when each piece of each item appeared, and who had it made."""
+
+    def __init__(self, pieces: int):
+        self.pieces = pieces
+        self.made: dict[str, list[tuple[int, float, str]]] = defaultdict(list)
+        self.running: dict[str, int] = defaultdict(int)
+        self.most_at_once = 0
+
+    def made_again(self) -> int:
+        """Return how many pieces were made more than once."""
+        return sum(
+            len(made) - len({number for number, _, _ in made}) for made in self.made.values()
+        )
+
+    def longest_pause_seconds(self) -> float:
+        """Return the longest time between two pieces of one item, beyond an engine's pace."""
+        pauses = [
+            later - earlier - PIECE_SECONDS
+            for made in self.made.values()
+            for (_, earlier, _), (_, later, _) in pairwise(made)
+        ]
+        return max(pauses, default=0.0)
+
+
+class SteadyRunner(ItemRunner):
+    """Makes a piece of each running item at a steady pace."""
+
+    def __init__(self, context, engines: Engines):
+        super().__init__(context, None, None, EnginePaces(), NoQuarantine())
+        self._steady = engines
+
+    async def _stream(self, ledger, progress, target, gaps) -> ItemRunEnded:
+        item_id = progress.item.item_id
+        engines = self._steady
+        engines.running[item_id] += 1
+        engines.most_at_once = max(engines.most_at_once, engines.running[item_id])
+        try:
+            while progress.last_number < engines.pieces:
+                await asyncio.sleep(PIECE_SECONDS)
+                number = progress.last_number + 1
+                at_seconds = asyncio.get_running_loop().time()
+                engines.made[item_id].append((number, at_seconds, self._context.daemon_name))
+                progress.accept(TextPiece(number, piece_text(item_id, number), 1), 0)
+        finally:
+            engines.running[item_id] -= 1
+        return ItemRunEnded(ItemRunEnd.WHOLE)
+
+
+def make_batch(job_id: str = "j", items: int = FULL_LOAD_ITEMS) -> Job:
+    return Job(
+        job_id=job_id,
+        host="h",
+        path="/",
+        items=tuple(
+            JobItem(item_id=f"{job_id}-{n}", path="/", headers=(), body=b"", tokens=1)
+            for n in range(items)
+        ),
+        model="m",
+        submitted_at_unix_seconds=time.time(),
+    )
+
+
+class HandOverFleet:
+    """Daemons, a key-value service and engines."""
+
+    def __init__(self, names: str = "abc", pieces: int = 100, policy: PolicySettings | None = None):
+        self.kv = KvStore()
+        self.rng = random.Random(7)
+        self.engines = Engines(pieces)
+        self.nodes: dict[str, Node] = {}
+        self._policy = policy or PolicySettings()
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> Node:
+        """Start a process of a daemon."""
+        node = Node(
+            name,
+            self.kv,
+            self.rng,
+            runner_kind=lambda context, rng: SteadyRunner(context, self.engines),
+        )
+        node.context.policy = self._policy
+        node.context.daemon.links = FleetLinks(self.nodes)
+        self.nodes[name] = node
+        node.start()
+        return node
+
+    def silence(self, silent: bool) -> None:
+        """Have the key-value service answer nobody, or everybody again."""
+        for node in self.nodes.values():
+            node.faults.down = silent
+
+    async def submit(self, name: str, job: Job) -> None:
+        assert isinstance(await self.nodes[name].keeper.submit(job), JobCreated)
+
+    def owners(self, job_id: str = "j") -> list[str]:
+        """Return the daemons that work on a job and own it, as far as they know."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.context.daemon.has_tasks
+            and job_id in node.keeper.owned
+            and not node.keeper.owned[job_id].awaits_claim
+        ]
+
+    def workers(self, job_id: str = "j") -> list[str]:
+        """Return the daemons that work on a job."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.context.daemon.has_tasks and job_id in node.keeper.owned
+        ]
+
+    async def listed(self, job_id: str = "j") -> list[str]:
+        """Return the items that have positions, as the service keeps them, their texts whole."""
+        reader = JobStore(make_gateway_context("reader", self.kv))
+        kept = await reader.load_results(job_id, 0)
+        assert not isinstance(kept, KvUnavailable)
+        for result in kept:
+            pieces = [piece_text(result.item_id, n + 1) for n in range(self.engines.pieces)]
+            assert result.completed
+            assert result.text.split("\n") == pieces
+        return [result.item_id for result in kept]
+
+    async def wait_whole(self, job: Job, seconds: float = 60.0) -> None:
+        """Wait until every item of a job is listed, each once."""
+        async with asyncio.timeout(seconds):
+            while len(await self.listed(job.job_id)) < len(job.items):
+                await asyncio.sleep(0.05)
+        listed = await self.listed(job.job_id)
+        assert sorted(listed) == sorted(item.item_id for item in job.items)
+
+    async def end(self) -> None:
+        for node in self.nodes.values():
+            assert node.context.daemon.broken is None
+            await node.context.daemon.cancel_all()
--- a/rackswitch/gateway/jobs/tests/long_run.py
+++ b/rackswitch/gateway/jobs/tests/long_run.py
@@ -1,11 +1,14 @@
 """Gateways' job keepers on one clock that jumps, with faults two at a time, seen from outside."""
 
 import asyncio
+import contextlib
 import random
 import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from rackswitch.clients.kv import KvUnavailable, Operation, TxnPart
+from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.jobs.job_keeper import JobKeeper
@@ -53,6 +56,8 @@
 CALM_SECONDS = (0.2, 2.0)
 READ_SECONDS = 0.4
 FAULTS = ("crash", "freeze", "cut off", "lapse", "lost_answer", "late_effect", "lost_request")
+STOPS = (*FAULTS, "stop", "stop", "stop", "outage")
+STOP_GRACE_SECONDS = 6.0
 
 ROUTE = RouteRow(
     name="samples",
@@ -156,12 +161,27 @@
         self._nodes = nodes
 
     async def call(self, peer, method, message, timeout_seconds, stub_kind):
-        assert isinstance(message, pb.YieldJobRequest)
         node = self._nodes[peer.daemon]
         if not node.kv.runs.is_set() or not node.context.daemon.has_tasks:
             await asyncio.sleep(timeout_seconds)
             return PeerUnreachable("no answer")
-        checkpoint = await node.keeper.yield_job(message.job_id, message.owner_revision)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._answer(node, message)
+        except TimeoutError:
+            return PeerUnreachable("no answer in time")
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return PeerUnreachable("its process has ended")
+
+    async def _answer(self, node: "Node", message):
+        if isinstance(message, pb.HandOverRequest):
+            return await node.keeper.receive(message)
+        assert isinstance(message, pb.YieldJobRequest)
+        checkpoint = await node.keeper.yield_job(
+            message.job_id, message.owner_revision, message.daemon
+        )
         if checkpoint is None:
             return pb.YieldJobReply(worked_on=False)
         return pb.YieldJobReply(worked_on=True, checkpoint=pack_checkpoint(checkpoint))
@@ -170,7 +190,14 @@
 class Node:
     """One process of a daemon: its session, its copy of the entries, its jobs."""
 
-    def __init__(self, name: str, kv: KvStore, rng: random.Random, store_kind: type[JobStore]):
+    def __init__(
+        self,
+        name: str,
+        kv: KvStore,
+        rng: random.Random,
+        store_kind: type[JobStore] = JobStore,
+        runner_kind: Callable[[GatewayContext, random.Random], ItemRunner] | None = None,
+    ):
         self.faults = KvFaults()
         self.context = make_gateway_context(name, kv, rng.randrange(1 << 30), self.faults)
         self.kv = StallingKv(kv, rng, self.faults)
@@ -186,7 +213,7 @@
         self.session = Session(
             self.context, lambda: self.keeper.session_lost(), lambda: bool(self.keeper.owned)
         )
-        runner = RandomRunner(self.context, rng)
+        runner = (runner_kind or RandomRunner)(self.context, rng)
         store = store_kind(self.context)
         self.keeper = JobKeeper(self.context, self.session, store, runner, NoLooks())
         self._copy = PrefixCopy(CONTROL)
@@ -197,6 +224,17 @@
         for duty in duties:
             self.context.daemon.spawn_duty(duty)
 
+    async def stop(self) -> None:
+        """Stop as planned: tell, hand over, give the lease back, end."""
+        self.context.daemon.stopping = True
+        self.context.daemon.membership.leave()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_GRACE_SECONDS):
+                await self.presence.tell_leaving()
+                await self.keeper.hand_over()
+        await self.session.end()
+        await self.context.daemon.cancel_all()
+
     async def _follow(self) -> None:
         """Keep the copy, some time behind the service."""
         while True:
@@ -261,7 +299,10 @@
 class LongRun:
     """A fleet of daemons that take, run and hand over jobs while it is broken at random."""
 
-    def __init__(self, seed: int, store_kind: type[JobStore] = JobStore):
+    def __init__(
+        self, seed: int, store_kind: type[JobStore] = JobStore, faults: Sequence[str] = FAULTS
+    ):
+        self._faults = faults
         self.rng = random.Random(seed)
         self.kv = KvStore()
         self.seen = Seen()
@@ -273,7 +314,7 @@
     async def run(self, seconds: float) -> None:
         for name in ("a", "b", "c"):
             self._start(name)
-        breaking = break_at_random(self.rng, CALM_SECONDS, FAULTS, self._fault)
+        breaking = break_at_random(self.rng, CALM_SECONDS, self._faults, self._fault)
         work = [asyncio.create_task(duty) for duty in (self._submit(), self._read(), breaking)]
         await asyncio.sleep(seconds)
         work[2].cancel()
@@ -325,6 +366,13 @@
             await asyncio.sleep(seconds)
             if self.nodes[name] is node:
                 self._start(name)
+        elif kind == "stop":
+            await node.stop()
+            await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+            if self.nodes[name] is node:
+                self._start(name)
+        elif kind == "outage":
+            await self._outage(seconds)
         elif kind == "freeze":
             node.kv.runs.clear()
             await asyncio.sleep(seconds)
@@ -342,6 +390,16 @@
             for other in self.nodes.values():
                 setattr(other.faults, kind, 0.0)
 
+    async def _outage(self, seconds: float) -> None:
+        """Have the service answer nobody; daemons that start meanwhile get no answer either."""
+        until_seconds = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < until_seconds:
+            for node in self.nodes.values():
+                node.faults.down = True
+            await asyncio.sleep(0.05)
+        for node in self.nodes.values():
+            node.faults.down = False
+
     def _heal(self) -> None:
         for name, node in list(self.nodes.items()):
             node.kv.runs.set()
--- /dev/null
+++ b/rackswitch/gateway/jobs/tests/test_hand_over.py
@@ -0,0 +1,403 @@
+"""Stops, outages and what may go wrong between an owner and its successor."""
+
+import asyncio
+
+import pytest
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.jobs.tests.hand_over_fleet import HandOverFleet, make_batch
+from rackswitch.gateway.policy import PolicySettings
+from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.links import PeerUnreachable
+
+MOST_PAUSE_SECONDS = 0.3
+
+
+def play(scenario, **sizes):
+    async def whole():
+        fleet = HandOverFleet(**sizes)
+        await asyncio.sleep(1.0)
+        try:
+            async with asyncio.timeout(300.0):
+                return await scenario(fleet)
+        finally:
+            await fleet.end()
+
+    return run_virtual(whole())
+
+
+def test_a_planned_stop_under_full_load_makes_no_text_again_and_pauses_no_job():
+    async def scenario(fleet):
+        jobs = [make_batch(name, items=4) for name in ("j", "k", "l")]
+        for job in jobs:
+            await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        await fleet.nodes["a"].stop()
+        for job in jobs:
+            assert fleet.owners(job.job_id) in (["b"], ["c"])
+        for job in jobs:
+            await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+        assert fleet.engines.longest_pause_seconds() <= MOST_PAUSE_SECONDS
+
+    play(scenario)
+
+
+def test_daemons_stopped_one_after_the_other_make_no_text_again():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        for name in "abcd":
+            await asyncio.sleep(0.5)
+            await fleet.nodes[name].stop()
+            fleet.start(name)
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+        assert fleet.engines.longest_pause_seconds() <= MOST_PAUSE_SECONDS
+
+    play(scenario, names="abcd")
+
+
+def test_switched_off_a_job_goes_through_the_key_value_service():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        asked = []
+        links = fleet.nodes["a"].context.daemon.links
+        call = links.call
+
+        async def note(peer, method, message, timeout_seconds, stub_kind):
+            asked.append(message)
+            return await call(peer, method, message, timeout_seconds, stub_kind)
+
+        links.call = note
+        await fleet.nodes["a"].stop()
+        assert fleet.workers() == []
+        assert not any(isinstance(message, pb.HandOverRequest) for message in asked)
+        # The successor finds the job without an owner, and the texts in a checkpoint.
+        assert "control/owners/j" not in fleet.kv.keys
+        assert "progress/j" in fleet.kv.keys
+        await fleet.wait_whole(job)
+
+    play(scenario, policy=PolicySettings(jobs_handed_over=False))
+
+
+@pytest.mark.parametrize("phase_seconds", [0.0, 0.04, 0.08, 0.12])
+@pytest.mark.parametrize("leases_end", [True, False])
+def test_a_stop_while_the_service_is_silent_costs_no_text_and_tells_nothing_early(
+    phase_seconds, leases_end
+):
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.silence(True)
+        await asyncio.sleep(2.0)
+        await fleet.nodes["a"].stop()
+        assert fleet.owners() == []
+        (worker,) = fleet.workers()
+        held = fleet.nodes[worker].keeper.owned["j"]
+        await asyncio.sleep(3.0 + phase_seconds)
+        # All texts are there by now, and none is listed.
+        assert held.ledger.has_pending
+        assert held.ledger.listed == []
+        assert await fleet.listed() == []
+        # Leases may end in an outage, or wait.
+        for lease_id in list(fleet.kv.leases):
+            if leases_end:
+                fleet.kv.end_lease(lease_id)
+            else:
+                fleet.kv.leases[lease_id].deadline_seconds = float("inf")
+        fleet.silence(False)
+        await asyncio.sleep(0.3)
+        assert fleet.owners() == [worker]
+        assert len(await fleet.listed()) == len(job.items)
+        assert fleet.engines.made_again() == 0
+        assert fleet.engines.longest_pause_seconds() <= MOST_PAUSE_SECONDS
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("phase_seconds", [0.0, 0.04, 0.08, 0.12])
+def test_an_owner_that_stays_lists_what_is_ready_at_once_when_the_service_is_back(phase_seconds):
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.silence(True)
+        await asyncio.sleep(6.0 + phase_seconds)
+        for lease_id in list(fleet.kv.leases):
+            fleet.kv.end_lease(lease_id)
+        assert await fleet.listed() == []
+        fleet.silence(False)
+        await asyncio.sleep(0.3)
+        assert fleet.owners() == ["a"]
+        assert len(await fleet.listed()) == len(job.items)
+
+    play(scenario)
+
+
+def test_a_process_that_began_in_the_outage_leaves_a_job_to_its_owner():
+    # Found in the trace of a day with a roll: a process that had never seen an owner took the job
+    # of one that lived, and had its texts made again.
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.silence(True)
+        for name in "bc":
+            await fleet.nodes[name].context.daemon.cancel_all()
+            fleet.start(name).faults.down = True
+        await asyncio.sleep(2.0)
+        for lease_id in list(fleet.kv.leases):
+            fleet.kv.end_lease(lease_id)
+        fleet.silence(False)
+        await fleet.wait_whole(job)
+        assert fleet.owners() == ["a"]
+        assert fleet.engines.made_again() == 0
+
+    play(scenario)
+
+
+def test_the_service_is_back_for_a_moment_and_gone_again():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.silence(True)
+        await fleet.nodes["a"].stop()
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            for lease_id in list(fleet.kv.leases):
+                fleet.kv.end_lease(lease_id)
+            fleet.silence(False)
+            await asyncio.sleep(0.2)
+            fleet.silence(True)
+            await asyncio.sleep(1.0)
+        fleet.silence(False)
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+        assert fleet.engines.most_at_once == 1
+
+    play(scenario)
+
+
+class DeadlyLinks:
+    """Ends the daemon that takes a job over, as it gets, makes or ends a call."""
+
+    def __init__(self, fleet, dies):
+        self._fleet = fleet
+        self._links = fleet.nodes["a"].context.daemon.links
+        self._dies = dies
+        self.dead = ""
+
+    async def call(self, peer, method, message, timeout_seconds, stub_kind):
+        if isinstance(message, pb.HandOverRequest) and self._dies == "before it claims":
+            self._end(peer.daemon)
+        if isinstance(message, pb.YieldJobRequest) and self._dies == "after it claims":
+            self._end(message.daemon)
+        if self.dead and message_sender(message) == self.dead:
+            await asyncio.sleep(3600.0)
+        answer = await self._links.call(peer, method, message, timeout_seconds, stub_kind)
+        if isinstance(message, pb.YieldJobRequest) and not self.dead:
+            self._end(message.daemon)
+            await asyncio.sleep(3600.0)
+        return answer
+
+    def _end(self, name):
+        if not self.dead:
+            self.dead = name
+            self._ending = asyncio.create_task(self._fleet.nodes[name].context.daemon.cancel_all())
+
+
+def message_sender(message):
+    return message.daemon if isinstance(message, pb.YieldJobRequest) else ""
+
+
+@pytest.mark.parametrize("dies", ["before it claims", "after it claims", "after it has the texts"])
+def test_a_successor_that_dies_in_the_middle_of_a_hand_over(dies):
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        links = DeadlyLinks(fleet, dies)
+        for node in fleet.nodes.values():
+            node.context.daemon.links = links
+        await fleet.nodes["a"].stop()
+        (survivor,) = set("bc") - {links.dead}
+        await fleet.wait_whole(job)
+        assert fleet.owners() == [survivor]
+        if dies == "before it claims":
+            assert fleet.engines.made_again() == 0
+
+    play(scenario)
+
+
+def test_two_daemons_that_stop_at_once_do_not_choose_each_other():
+    async def scenario(fleet):
+        jobs = [make_batch("j", items=6), make_batch("k", items=6)]
+        await fleet.submit("a", jobs[0])
+        await fleet.submit("b", jobs[1])
+        await asyncio.sleep(1.0)
+        await asyncio.gather(fleet.nodes["a"].stop(), fleet.nodes["b"].stop())
+        assert fleet.owners("j") == ["c"]
+        assert fleet.owners("k") == ["c"]
+        for job in jobs:
+            await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario)
+
+
+def test_a_daemon_told_to_stop_while_it_takes_a_job_passes_it_on():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        first = asyncio.create_task(fleet.nodes["a"].stop())
+        while not any(node.keeper._jobs.arriving for node in fleet.nodes.values()):
+            await asyncio.sleep(0.001)
+        taker = next(name for name, node in fleet.nodes.items() if node.keeper._jobs.arriving)
+        await asyncio.gather(first, fleet.nodes[taker].stop())
+        (third,) = set("bc") - {taker}
+        assert fleet.owners() == [third]
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario)
+
+
+def test_where_all_stop_the_checkpoint_in_the_service_counts():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(node.stop() for node in fleet.nodes.values()))
+        assert fleet.workers() == []
+        for name in "ab":
+            fleet.start(name)
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario, names="ab")
+
+
+def test_a_hand_over_that_crosses_an_orphans_claim_leaves_one_owner():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        # The owner is cut off, its lease ends, and another daemon claims the job.
+        fleet.nodes["a"].faults.down = True
+        fleet.kv.end_lease(fleet.nodes["a"].session.lease_id)
+        await asyncio.sleep(0.25)
+        stopping = asyncio.create_task(fleet.nodes["a"].stop())
+        await stopping
+        await asyncio.sleep(3.0)
+        assert len(fleet.owners()) == 1
+        assert fleet.workers() == fleet.owners()
+        await fleet.wait_whole(job)
+
+    play(scenario)
+
+
+def test_an_owner_that_wakes_from_a_suspension_lists_nothing_of_a_job_it_has_lost():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        former = fleet.nodes["a"]
+        former.kv.runs.clear()
+        await asyncio.sleep(4.0)
+        (owner,) = set(fleet.owners()) - {"a"}
+        before = fleet.kv.keys["control/owners/j"].entry.mod_revision
+        former.kv.runs.set()
+        await asyncio.sleep(2.0)
+        assert fleet.owners() == [owner]
+        assert fleet.kv.keys["control/owners/j"].entry.mod_revision == before
+        await fleet.wait_whole(job)
+
+    play(scenario)
+
+
+def test_an_owner_that_wakes_in_its_own_hand_over_does_not_go_on():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        former = fleet.nodes["a"]
+        stopping = asyncio.create_task(former.stop())
+        while former.keeper.owned:
+            await asyncio.sleep(0.001)
+        former.kv.runs.clear()
+        await asyncio.sleep(4.0)
+        former.kv.runs.set()
+        await stopping
+        assert "a" not in fleet.workers()
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario)
+
+
+def test_a_job_that_may_not_wait_is_not_taken_without_the_service():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        for name in "bc":
+            fleet.nodes[name].faults.down = True
+        giving = fleet.nodes["a"].keeper._giving
+        owned = fleet.nodes["a"].keeper.owned["j"]
+        reply = await giving._offer(owned, "b", service_away=False)
+        assert not reply.taken
+        assert reply.service_away
+        assert fleet.owners() == ["a"]
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario)
+
+
+def test_a_job_that_is_ended_during_its_hand_over_is_worked_on_by_nobody():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        stopping = asyncio.create_task(fleet.nodes["a"].stop())
+        marker = fleet.nodes["b"].keeper.known.marker("j")
+        ending = fleet.nodes["b"].keeper.end(marker)
+        await asyncio.gather(stopping, ending)
+        await asyncio.sleep(1.0)
+        assert fleet.workers() == []
+
+    play(scenario)
+
+
+def test_what_is_no_job_is_not_taken_over():
+    async def scenario(fleet):
+        reply = await fleet.nodes["a"].keeper.receive(pb.HandOverRequest(job=b"\xff\x00"))
+        assert not reply.taken
+
+    play(scenario)
+
+
+def test_an_offer_without_an_answer_ends_in_a_release():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+
+        class NoLinks:
+            async def call(self, peer, method, message, timeout_seconds, stub_kind):
+                await asyncio.sleep(timeout_seconds)
+                return PeerUnreachable("silent")
+
+        fleet.nodes["a"].context.daemon.links = NoLinks()
+        await fleet.nodes["a"].stop()
+        assert "control/owners/j" not in fleet.kv.keys
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario)
--- /dev/null
+++ b/rackswitch/gateway/jobs/tests/test_hand_over_machine.py
@@ -0,0 +1,182 @@
+"""Owner, successor, service and engines in any order of faults, seen by a reader.
+
+A state machine stops, ends and suspends daemons, and silences the service, while jobs are worked
+on. What a reader is told must never go or change, and in the end everything is listed once.
+"""
+
+import asyncio
+
+import hypothesis.strategies as st
+import looptime
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from rackswitch.clients.kv import KvUnavailable
+from rackswitch.gateway.jobs.job_store import JobStore
+from rackswitch.gateway.jobs.tests.hand_over_fleet import HandOverFleet, make_batch
+from rackswitch.gateway.jobs.tests.long_run import Seen
+from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.jobs import JobResult
+
+DAEMONS = "abc"
+PIECES = 40
+ITEMS = 5
+JOBS = ("j", "k")
+SETTLE_SECONDS = 60.0
+
+
+class HandOverMachine(RuleBasedStateMachine):
+    """Faults around hand-overs."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.loop = looptime.new_event_loop(noop_cycles=1)
+        asyncio.set_event_loop(self.loop)
+        self.fleet = self.run(self._start())
+        self.seen = Seen()
+        self.stopping: set[str] = set()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.silent = False
+
+    async def _start(self) -> HandOverFleet:
+        fleet = HandOverFleet(DAEMONS, PIECES)
+        await asyncio.sleep(1.0)
+        for name, job_id in zip(DAEMONS, JOBS, strict=False):
+            await fleet.submit(name, make_batch(job_id, ITEMS))
+        return fleet
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    @rule(seconds=st.sampled_from([0.01, 0.05, 0.3, 1.0, 2.5]))
+    def time_passes(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    @rule(name=st.sampled_from(DAEMONS))
+    def daemon_is_told_to_stop(self, name: str) -> None:
+        if name in self.stopping:
+            return
+        self.stopping.add(name)
+        self.tasks.append(self.loop.create_task(self._stop(name)))
+        self.run(asyncio.sleep(0.0))
+
+    async def _stop(self, name: str) -> None:
+        node = self.fleet.nodes[name]
+        await node.stop()
+        if self.fleet.nodes[name] is node:
+            self._restart(name)
+            self.stopping.discard(name)
+
+    def _restart(self, name: str) -> None:
+        self.fleet.start(name).faults.down = self.silent
+
+    @rule(name=st.sampled_from(DAEMONS))
+    def daemon_dies_and_is_started_again(self, name: str) -> None:
+        self.run(self._die(name))
+        self.stopping.discard(name)
+
+    async def _die(self, name: str) -> None:
+        await self.fleet.nodes[name].context.daemon.cancel_all()
+        self._restart(name)
+
+    @rule(name=st.sampled_from(DAEMONS), suspended=st.booleans())
+    def daemon_is_suspended_or_wakes(self, name: str, suspended: bool) -> None:
+        runs = self.fleet.nodes[name].kv.runs
+        runs.clear() if suspended else runs.set()
+
+    @rule(silent=st.booleans(), leases_end=st.booleans())
+    def service_is_silent_or_back(self, silent: bool, leases_end: bool) -> None:
+        self.silent = silent
+        self.fleet.silence(silent)
+        if leases_end:
+            for lease_id in list(self.fleet.kv.leases):
+                self.fleet.kv.end_lease(lease_id)
+
+    def told(self, name: str, job_id: str) -> list[JobResult]:
+        """Return what a daemon tells a reader from its memory."""
+        node = self.fleet.nodes[name]
+        owned = node.keeper.owned.get(job_id)
+        if owned is None or not owned.may_tell or not node.session.is_sure():
+            return []
+        return list(owned.ledger.listed)
+
+    @invariant()
+    def what_is_read_neither_goes_nor_changes(self) -> None:
+        if not hasattr(self, "fleet"):
+            return
+        self.run(self._read())
+        assert self.seen.violations == []
+
+    async def _read(self) -> None:
+        for job_id in JOBS:
+            for name, node in self.fleet.nodes.items():
+                if node.kv.runs.is_set():
+                    self.seen.read(job_id, self.told(name, job_id))
+
+    @invariant()
+    def no_daemon_breaks_its_own_rules(self) -> None:
+        if not hasattr(self, "fleet"):
+            return
+        for node in self.fleet.nodes.values():
+            assert node.context.daemon.broken is None
+
+    def teardown(self) -> None:
+        if not hasattr(self, "fleet"):
+            return
+        try:
+            self.run(self._settle())
+        finally:
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.run(asyncio.sleep(0))
+            self.loop.close()
+
+    async def _settle(self) -> None:
+        self.silent = False
+        for node in self.fleet.nodes.values():
+            node.kv.runs.set()
+            node.faults.down = False
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for job_id in JOBS:
+            await self.fleet.wait_whole(make_batch(job_id, ITEMS), SETTLE_SECONDS)
+            reader = JobStore(make_gateway_context("reader", self.fleet.kv))
+            kept = await reader.load_results(job_id, 0)
+            assert not isinstance(kept, KvUnavailable)
+            self.seen.read(job_id, kept)
+        assert self.seen.violations == []
+        await self.fleet.end()
+
+
+class TalkativeMachine(HandOverMachine):
+    """The naive twin: whoever works on a job tells what is ready, claimed and listed or not."""
+
+    def told(self, name: str, job_id: str) -> list[JobResult]:
+        owned = self.fleet.nodes[name].keeper.owned.get(job_id)
+        if owned is None:
+            return []
+        return [*owned.ledger.listed, *owned.ledger.next_segment()[1]]
+
+
+CHECKS = settings(
+    max_examples=25,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+TestHandOvers = HandOverMachine.TestCase
+TestHandOvers.settings = CHECKS
+
+
+def test_owners_that_tell_what_is_not_listed_are_found_out():
+    once = settings(CHECKS, phases=(Phase.generate,), max_examples=60)
+    with pytest.raises(AssertionError, match="changed|stands twice"):
+        run_state_machine_as_test(TalkativeMachine, settings=once)
--- a/rackswitch/gateway/store/lease_renewal.py
+++ b/rackswitch/gateway/store/lease_renewal.py
@@ -17,6 +17,9 @@
         note_unanswered(context, lease, kept)
         return True
     context.contact.answered(context.now_seconds())
+    if lease_id != (lease.lease_id or 0):
+        # Another call has shown meanwhile that this one was over.
+        return True
     if kept:
         lease.renewed(asked_at_seconds)
         return True
--- a/rackswitch/gateway/store/session.py
+++ b/rackswitch/gateway/store/session.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from rackswitch.clients.kv import LeaseGranted
+from rackswitch.clients.kv import KvUnavailable, LeaseGranted
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.store.lease_renewal import renew_lease
 from rackswitch.leases import SessionLease
@@ -28,6 +28,9 @@
 """How long the lease is kept though nothing is owned: a daemon that took a trainer's job often
 gets the next one some 4 s later, and a lease costs as much as ten renewals, 7 s of them."""
 
+NO_LEASE = 0
+"""A lease that the service never gives."""
+
 TICK_SECONDS = 0.1
 PLANNED_END_TIMEOUT_SECONDS = 0.4
 
@@ -100,6 +103,23 @@
         self._context.log.write(SessionLost(lease=lease_id))
         self._on_lost()
 
+    async def probe(self) -> None:
+        """Find out whether the service answers again, and whether it still knows the lease.
+
+        Unlike a renewal that is due, this waits for no earlier call, which may hang until its time
+        is up though the service is back.
+        """
+        asked_at_seconds = self._context.now_seconds()
+        lease_id = self.lease.lease_id
+        kept = await self._context.kv.keep_lease(lease_id or NO_LEASE)
+        self._context.contact.note(self._context.now_seconds(), kept)
+        if isinstance(kept, KvUnavailable) or lease_id is None:
+            return
+        if not kept:
+            self.over(lease_id)
+        elif self.lease.lease_id == lease_id:
+            self.lease.renewed(asked_at_seconds)
+
     async def run(self) -> None:
         """Renew the lease while it is needed."""
         while True:
