While daemons are stopped in turn, jobs go to those restarted already; no job to a process that knows no engine

Change: hand-overs and new jobs prefer daemons whose process began after the oldest one's, which the members' entries tell; a process of the last second does not count. A successor refuses a job for whose route it knows no engine.

--- a/rackswitch/gateway/jobs/job_giving.py
+++ b/rackswitch/gateway/jobs/job_giving.py
@@ -127,9 +127,13 @@
                     context.room_of(name),
                     open_items[name],
                     now_unix_seconds - newest.get(name, float("-inf")),
+                    is_renewed(
+                        context.process_start(name),
+                        context.process_started_unix_seconds,
+                        now_unix_seconds,
+                    ),
                 ),
                 zone == context.settings.zone,
-                is_renewed(context.process_start(name), context.process_started_unix_seconds),
             )
             for name, zone in context.daemon.membership.live_zones()
             if name != context.daemon_name
--- a/rackswitch/gateway/jobs/job_placer.py
+++ b/rackswitch/gateway/jobs/job_placer.py
@@ -9,7 +9,7 @@
 from rackswitch.gateway.jobs.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
 from rackswitch.gateway.jobs.job_records import key_part, marker_of, pack_job, unpack_job
 from rackswitch.gateway.jobs.known_jobs import JobOwner
-from rackswitch.jobs import Job, OwnerCandidate, OwnerChoice
+from rackswitch.jobs import Job, OwnerCandidate, OwnerChoice, is_renewed
 from rackswitch.membership import MemberUpdate
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
@@ -77,6 +77,7 @@
             return self._context.daemon_name
         open_items = self._keeper.known.open_items()
         newest = self._keeper.known.newest_jobs()
+        renewed = self._renewed()
         zone = self._context.settings.zone
         candidates = [
             OwnerCandidate(
@@ -84,12 +85,32 @@
                 self._context.room_of(name),
                 open_items[name],
                 idle_seconds=job.submitted_at_unix_seconds - newest.get(name, float("-inf")),
+                is_renewed=name in renewed,
             )
             for name, its_zone in self._context.daemon.membership.live_zones()
             if its_zone == zone
         ]
         return self._choice.owner(candidates, len(job.items), self._context.now_seconds())
 
+    def _renewed(self) -> set[str]:
+        """Return the daemons that have been restarted while daemons are stopped in turn."""
+        context = self._context
+        live = context.daemon.membership.live()
+        leaving = set(context.daemon.membership.others_reachable()) - set(live)
+        if not leaving or not context.policy.jobs_handed_over:
+            return set()
+        starts = {name: self._start(name) for name in live}
+        oldest = min((start for start in starts.values() if start is not None), default=0.0)
+        now_unix_seconds = context.unix_seconds()
+        return {
+            name for name, start in starts.items() if is_renewed(start, oldest, now_unix_seconds)
+        }
+
+    def _start(self, daemon: str) -> float | None:
+        if daemon == self._context.daemon_name:
+            return self._context.process_started_unix_seconds
+        return self._context.process_start(daemon)
+
     async def _pass_to(self, peer: MemberUpdate, job: Job) -> JobCreated | JobKnown | JobNotStored:
         """Have another daemon own a job."""
         packed = pack_job(job)
--- a/rackswitch/gateway/jobs/job_receiving.py
+++ b/rackswitch/gateway/jobs/job_receiving.py
@@ -65,12 +65,22 @@
             return pb.HandOverReply(detail=f"not a job: {error}")
         if job.job_id in self._jobs.by_id or job.job_id in self._jobs.arriving:
             return pb.HandOverReply(detail="this daemon works on the job")
+        if not self._can_run(job):
+            return pb.HandOverReply(detail="this daemon knows no engine for the job yet")
         # Who hands over may give up; a job that is claimed by then is worked on all the same.
         taking = self._context.daemon.spawn(self._take(request, job, listed, snapshot))
         self._takings.add(taking)
         taking.add_done_callback(self._takings.discard)
         return await asyncio.shield(taking)
 
+    def _can_run(self, job: Job) -> bool:
+        """Return whether an engine is known for a job: a process that has just begun has none."""
+        route = self._context.routes.find(job.host, job.path)
+        if route is None:
+            return False
+        now_seconds = self._context.now_seconds()
+        return any(self._context.directory.usable(route.choices[0].serves, now_seconds))
+
     async def settle(self) -> None:
         """Wait for the jobs that are just being handed over, which this daemon must pass on."""
         if self._takings:
--- a/rackswitch/gateway/jobs/tests/test_hand_over.py
+++ b/rackswitch/gateway/jobs/tests/test_hand_over.py
@@ -401,3 +401,17 @@
         assert fleet.engines.made_again() == 0
 
     play(scenario)
+
+
+def test_a_process_that_knows_no_engine_yet_takes_no_job_over():
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.nodes["b"].context.directory.entries.clear()
+        owned = fleet.nodes["a"].keeper.owned["j"]
+        reply = await fleet.nodes["a"].keeper._giving._offer(owned, "b", service_away=False)
+        assert not reply.taken
+        assert fleet.owners() == ["a"]
+
+    play(scenario)
--- a/rackswitch/gateway/jobs/tests/test_job_placer.py
+++ b/rackswitch/gateway/jobs/tests/test_job_placer.py
@@ -10,7 +10,9 @@
 from rackswitch.gateway.jobs.job_records import marker_of, pack_job
 from rackswitch.gateway.jobs.known_jobs import JobOwner
 from rackswitch.gateway.jobs.tests.test_job_keeper import make_keeper
+from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.tests.path import check_whole, play, wait_for
+from rackswitch.gateway.tests.support import make_member
 from rackswitch.jobs.tests.support import make_job
 from rackswitch.membership import VmEntry
 from rackswitch.peers import gateway_pb2 as pb
@@ -133,6 +135,29 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize(("handed_over", "asked"), [(True, ["c"]), (False, ["b"])])
+def test_while_a_daemon_leaves_a_job_goes_to_one_that_was_restarted(handed_over, asked):
+    async def scenario():
+        links = FixedLinks(pb.TakeJobReply(kept=True, owner_revision=7))
+        placer = make_placer(KvStore(), links)
+        context = placer._context
+        context.policy = PolicySettings(jobs_handed_over=handed_over)
+        now_unix_seconds = context.unix_seconds()
+        context.process_started_unix_seconds = now_unix_seconds - 100.0
+        context.member_entries["b"] = make_member(now_unix_seconds - 100.0)
+        context.member_entries["c"] = make_member(now_unix_seconds - 5.0)
+        entries = [
+            VmEntry("b", "h", 1, "z", False),
+            VmEntry("c", "h", 1, "z", False),
+            VmEntry("d", "h", 1, "z", True),
+        ]
+        context.daemon.membership.learn_listed(entries, 0.0)
+        await placer.submit(make_job())
+        assert links.asked == asked
+
+    run_virtual(scenario())
+
+
 def test_what_is_no_job_is_not_taken():
     async def scenario():
         keeper = make_keeper("b", KvStore())
--- a/rackswitch/jobs/hand_over.py
+++ b/rackswitch/jobs/hand_over.py
@@ -27,28 +27,33 @@
         What it owns, and its room.
     in_zone : bool
         Whether it is in the stopping owner's availability zone.
-    is_renewed : bool
-        Whether it has been restarted already, and so is not stopped next.
     """
 
     owner: OwnerCandidate
     in_zone: bool
-    is_renewed: bool
 
 
-def is_renewed(started_unix_seconds: float | None, own_started_unix_seconds: float) -> bool:
-    """Return whether a daemon has been restarted since this one began, as far as it has told.
+def is_renewed(
+    started_unix_seconds: float | None, oldest_unix_seconds: float, now_unix_seconds: float
+) -> bool:
+    """Return whether a daemon has been restarted already, and so is not stopped next.
+
+    One that has only just begun knows no engines yet, and does not count.
 
     Parameters
     ----------
     started_unix_seconds : float or None
         When its latest known process began.
-    own_started_unix_seconds : float
-        When this process began.
+    oldest_unix_seconds : float
+        When the process began that is compared with: the oldest one, or the one that stops.
+    now_unix_seconds : float
+        The time of day.
     """
     if started_unix_seconds is None:
         return False
-    return started_unix_seconds > own_started_unix_seconds + FLEET_START_SECONDS
+    since_seconds = started_unix_seconds - oldest_unix_seconds
+    age_seconds = now_unix_seconds - started_unix_seconds
+    return since_seconds > FLEET_START_SECONDS and age_seconds > FLEET_START_SECONDS
 
 
 def order_successors(
@@ -75,7 +80,7 @@
 
 def _misfit(candidate: SuccessorCandidate, items: int) -> tuple[bool, ...]:
     return (
-        not candidate.is_renewed,
+        not candidate.owner.is_renewed,
         not candidate.in_zone,
         not candidate.owner.has_room(items),
         not candidate.owner.is_warm,
--- a/rackswitch/jobs/placement.py
+++ b/rackswitch/jobs/placement.py
@@ -39,12 +39,15 @@
         Items of the jobs that it owns and that have not ended.
     idle_seconds : float
         How long ago the last of its jobs was submitted, open or not.
+    is_renewed : bool
+        Whether daemons are being stopped in turn, and this one has been restarted already.
     """
 
     daemon: str
     room: float
     open_items: int
     idle_seconds: float = float("inf")
+    is_renewed: bool = False
 
     @property
     def is_warm(self) -> bool:
@@ -73,6 +76,9 @@
     def owner(self, candidates: Iterable[OwnerCandidate], items: int, now_seconds: float) -> str:
         """Return who should own a job: the fullest owner that has room for it, else the last one.
 
+        While daemons are stopped in turn it is one that has been restarted already, if there is
+        one with room: any other may have to hand the job over next.
+
         Parameters
         ----------
         candidates : iterable of OwnerCandidate
@@ -82,13 +88,16 @@
         now_seconds : float
             Monotonic clock.
         """
-        fit = [
+        usable = [
             candidate
             for candidate in candidates
-            if candidate.is_warm
-            and candidate.has_room(items)
+            if candidate.has_room(items)
             and now_seconds >= self._avoided_until_seconds.get(candidate.daemon, float("-inf"))
         ]
+        renewed = [candidate for candidate in usable if candidate.is_renewed]
+        if renewed:
+            return max(renewed, key=_place).daemon
+        fit = [candidate for candidate in usable if candidate.is_warm]
         if not fit:
             return self.daemon
         return max(fit, key=_place).daemon
--- /dev/null
+++ b/rackswitch/jobs/tests/test_hand_over.py
@@ -0,0 +1,90 @@
+import itertools
+import random
+
+from rackswitch.jobs import (
+    JobCheckpoint,
+    JobLedger,
+    OwnerCandidate,
+    SuccessorCandidate,
+    checkpoint_items,
+    is_renewed,
+    merge_checkpoints,
+    order_jobs,
+    order_successors,
+)
+from rackswitch.jobs.tests.support import finish, make_job
+
+
+def candidate(name: str, renewed=False, in_zone=True, items=0, idle=0.0) -> SuccessorCandidate:
+    owner = OwnerCandidate(name, 0.5, items, idle, renewed)
+    return SuccessorCandidate(owner, in_zone)
+
+
+def test_those_restarted_already_come_first_then_the_zone_then_room_then_warmth():
+    ordered = [
+        candidate("e", renewed=True),
+        candidate("d", renewed=True, in_zone=False),
+        candidate("c"),
+        candidate("b", idle=60.0),
+        candidate("f", items=10_000),
+        candidate("a", in_zone=False),
+    ]
+    names = [one.owner.daemon for one in ordered]
+    for seed in range(20):
+        shuffled = random.Random(seed).sample(ordered, len(ordered))
+        assert order_successors("j", 10, shuffled) == names
+
+
+def test_jobs_of_one_owner_go_to_different_daemons_where_these_are_alike():
+    alike = [candidate(name) for name in "abcdef"]
+    first = {order_successors(f"j{number}", 10, alike)[0] for number in range(40)}
+    assert first == set("abcdef")
+
+
+def test_nobody_is_a_successor_of_a_lone_daemon():
+    assert order_successors("j", 10, []) == []
+
+
+def test_a_process_counts_as_renewed_once_it_is_later_than_a_start_of_the_fleet_and_settled():
+    assert not is_renewed(None, 100.0, 200.0)
+    # All processes of a fleet that is started at once begin within a second.
+    assert not is_renewed(100.4, 100.0, 200.0)
+    assert is_renewed(150.0, 100.0, 200.0)
+    # It has begun a moment ago, and knows no engines.
+    assert not is_renewed(199.5, 100.0, 200.0)
+
+
+def test_jobs_whose_results_decide_a_step_come_first_then_those_that_miss_least():
+    deciding = JobLedger(make_job(2, job_id="deciding"))
+    finish(deciding, "i0")
+    finish(deciding, "i1")
+    long = JobLedger(make_job(6, job_id="long"))
+    short = JobLedger(make_job(4, job_id="short"))
+    for order in itertools.permutations((long, deciding, short)):
+        assert [one.job.job_id for one in order_jobs(order)] == ["deciding", "short", "long"]
+
+
+def test_a_result_that_was_being_listed_meanwhile_comes_along():
+    ledger = JobLedger(make_job(3))
+    finish(ledger, "i0")
+    ledger.items["i1"].pieces, ledger.items["i1"].versions = ["x"], [1]
+    earlier = JobCheckpoint(
+        daemon="a",
+        process_started_unix_seconds=1.0,
+        runs_ended=False,
+        items=checkpoint_items(ledger, 1),
+    )
+    ledger.appended(*ledger.next_segment())
+    ledger.items["i1"].pieces.append("y")
+    later = JobCheckpoint(
+        daemon="a",
+        process_started_unix_seconds=1.0,
+        runs_ended=True,
+        items=checkpoint_items(ledger, 1),
+    )
+    merged = merge_checkpoints(earlier, later)
+    assert merged.runs_ended
+    by_id = {item.item_id: item for item in merged.items}
+    assert by_id["i0"].result is not None
+    assert by_id["i1"].pieces == ("x", "y")
+    assert len(merged.items) == 2
--- a/rackswitch/jobs/tests/test_placement.py
+++ b/rackswitch/jobs/tests/test_placement.py
@@ -90,3 +90,18 @@
         owned_at[owner] = now
         owners.append(owner)
     assert (len(set(owners)) == 1) is warm
+
+
+def test_while_daemons_are_stopped_in_turn_a_job_goes_to_one_that_is_not_stopped_next():
+    choice = OwnerChoice("a")
+    others = candidates(a=0, b=300)
+    renewed = OwnerCandidate("c", 0.5, 0, is_renewed=True)
+    assert choice.owner([*others, renewed], 100, 0.0) == "c"
+    fuller = OwnerCandidate("d", 0.5, 100, is_renewed=True)
+    assert choice.owner([*others, renewed, fuller], 100, 0.0) == "d"
+    # None of them has room: as if none was known.
+    full = OwnerCandidate("c", 0.5, int(LEAST_ITEMS), is_renewed=True)
+    assert choice.owner([*others, full], 100, 0.0) == "b"
+    # It did not take a job just now.
+    choice.failed("c", 0.0)
+    assert choice.owner([*others, renewed], 100, 0.0) == "b"
