List of targets: an entry is looked for at its address only while a target is asked after

Cause: each entry of a first reading was compared with all entries before it, to find another start at the same address, although only an open inquiry wants to know.

Change: nothing is looked for while no target is asked after.

--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -138,7 +138,13 @@
             )
 
     def _tell_of_ends(self, before: ListedTarget | None, target: ListedTarget) -> None:
-        """Tell of starts that cannot be there any more, now that another one is listed."""
+        """Tell of starts that cannot be there any more, now that another one is listed.
+
+        Only while any target is asked after: nobody else wants to know, and looking through the
+        whole list for each of its entries makes the first reading of a long list quadratic.
+        """
+        if not self._ends.inquiries.any_open:
+            return
         if before is not None and before.start != target.start:
             self._ends.ended(before.start, EndEvidence.REPLACED)
         for other in self._context.directory.at_address(target.host, target.port):
--- a/rackswitch/gateway/store/tests/test_target_list.py
+++ b/rackswitch/gateway/store/tests/test_target_list.py
@@ -7,6 +7,7 @@
 from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.gateway.store.state_keeper import StateKeeper
 from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.routing import TargetDirectory
 from rackswitch.standins.kv_store import KvStore
 
 BORN_UNIX_MS = 1_770_155_892_736
@@ -128,3 +129,22 @@
         assert listed.quarantine._evidence.count("f") == 1
 
     run_virtual(scenario())
+
+
+def test_the_list_is_not_looked_through_while_no_engine_is_asked_after(monkeypatch):
+    """The first reading of a long list must not look through it once for each entry."""
+
+    async def scenario():
+        listed = TargetList()
+        looked_for = []
+        monkeypatch.setattr(
+            TargetDirectory, "at_address", lambda self, host, port: looked_for.append(host) or []
+        )
+        listed.put("i-1")
+        listed.put("i-2", address="127.0.0.4:80")
+        assert not looked_for
+        listed.quarantine.watch.broke("f", listed.context.directory.entries["i-1"])
+        listed.put("i-3", address="127.0.0.5:80")
+        assert looked_for == ["127.0.0.5"]
+
+    run_virtual(scenario())
