--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -235,10 +235,9 @@
         self, held: OwnedJob, fence: int, position: int, results: list[JobResult]
     ) -> int | None:
         job_id = held.ledger.job.job_id
-        known = self._known.jobs.get(job_id)
-        if known is None and not fence:
+        marker_revision = self._known.marker_revision(job_id)
+        if not marker_revision and not fence:
             return None
-        marker_revision = known.revision if known is not None else 0
         claimed = await self._claim_on_lease(
             lambda lease_id: self._store.claim_held(
                 job_id, fence, marker_revision, lease_id, position, results
--- a/rackswitch/gateway/jobs/job_giving.py
+++ b/rackswitch/gateway/jobs/job_giving.py
@@ -98,17 +98,19 @@
         until_seconds = self._context.now_seconds() + OFFERS_SECONDS
         service_away = self._context.contact.is_away
         for successor in self._successors(owned):
-            if self._context.now_seconds() >= until_seconds:
-                return
+            if self._context.now_seconds() >= until_seconds or not self._is_here(owned):
+                break
             reply = await self._offer(owned, successor, service_away)
             if reply.taken:
                 self._jobs.drop(job_id, "handed over")
                 return
-            if self._jobs.by_id.get(job_id) is not owned:
-                # It was left meanwhile: to a daemon whose answer is lost, or to a claim.
-                await self._release_left(owned)
-                return
             service_away = service_away or reply.service_away
+        if not self._is_here(owned):
+            # It was left meanwhile: to a daemon whose answer is lost, to a claim, or at its end.
+            await self._release_left(owned)
+
+    def _is_here(self, owned: OwnedJob) -> bool:
+        return self._jobs.by_id.get(owned.ledger.job.job_id) is owned
 
     def _successors(self, owned: OwnedJob) -> list[str]:
         job = owned.ledger.job
@@ -149,7 +151,7 @@
             owner_revision=owned.owner_revision,
             listed=pack_results(owned.ledger.listed),
             checkpoint=pack_checkpoint(snapshot),
-            marker_revision=self._known.jobs[owned.ledger.job.job_id].revision,
+            marker_revision=self._known.marker_revision(owned.ledger.job.job_id),
             may_wait=service_away or owned.awaits_claim,
         )
         reply = await self._call(owned, successor, request)
--- a/rackswitch/gateway/jobs/known_jobs.py
+++ b/rackswitch/gateway/jobs/known_jobs.py
@@ -58,6 +58,11 @@
         known = self.jobs.get(job_id)
         return known.marker if known is not None else None
 
+    def marker_revision(self, job_id: str) -> int:
+        """Return the revision of a job's marker; 0 if it is not known."""
+        known = self.jobs.get(job_id)
+        return known.revision if known is not None else 0
+
     def job_of(self, name: str) -> str | None:
         """Return the job that a key's part stands for, if it is known."""
         return next((job_id for job_id in self.jobs if key_part(job_id) == name), None)
