Hand-over: a lone successor is offered the job again once the service is known to be gone for both

Change: the giver asks the service itself; without an answer it offers the job again, to be run unclaimed.

--- a/rackswitch/gateway/jobs/job_giving.py
+++ b/rackswitch/gateway/jobs/job_giving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.jobs.job_records import pack_checkpoint, pack_job, pack_results
@@ -101,14 +102,20 @@
             if self._context.now_seconds() >= until_seconds or not self._is_here(owned):
                 break
             reply = await self._offer(owned, successor, service_away)
+            if reply.service_away and not service_away and await self._is_away(job_id):
+                service_away = True
+                reply = await self._offer(owned, successor, service_away)
             if reply.taken:
                 self._jobs.drop(job_id, "handed over")
                 return
-            service_away = service_away or reply.service_away
         if not self._is_here(owned):
             # It was left meanwhile: to a daemon whose answer is lost, to a claim, or at its end.
             await self._release_left(owned)
 
+    async def _is_away(self, job_id: str) -> bool:
+        """Return whether the key-value service answers this daemon no more than the other one."""
+        return isinstance(await self._store.load_owner(job_id), KvUnavailable)
+
     def _is_here(self, owned: OwnedJob) -> bool:
         return self._jobs.by_id.get(owned.ledger.job.job_id) is owned
 
--- a/rackswitch/gateway/jobs/tests/test_hand_over.py
+++ b/rackswitch/gateway/jobs/tests/test_hand_over.py
@@ -456,3 +456,21 @@
             await fleet.wait_whole(job)
 
     play(scenario)
+
+
+def test_a_lone_successor_takes_a_job_when_the_service_has_just_gone():
+    # Found by the path test beside load: neither daemon had noticed the outage yet.
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.silence(True)
+        assert not fleet.nodes["a"].context.contact.is_away
+        await fleet.nodes["a"].keeper.hand_over()
+        assert fleet.nodes["b"].keeper.owned["j"].awaits_claim
+        await fleet.nodes["a"].context.daemon.cancel_all()
+        fleet.silence(False)
+        await fleet.wait_whole(job)
+        assert fleet.engines.made_again() == 0
+
+    play(scenario, names="ab")
--- a/rackswitch/gateway/jobs/tests/test_path_jobs.py
+++ b/rackswitch/gateway/jobs/tests/test_path_jobs.py
@@ -120,6 +120,26 @@
     play(scenario)
 
 
+def test_a_planned_stop_while_the_store_is_down_hands_the_jobs_over_and_tells_nothing():
+    async def scenario(fleet):
+        pieces = [300, 300]
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        items = fleet.gateways["d0"].jobs.owned["j1"].ledger.items
+        await wait_for(lambda: all(item.last_number > 5 for item in items.values()))
+        fleet.store.faults.down = "busy"
+        stopping = asyncio.create_task(fleet.gateways["d0"].stop())
+        received = fleet.gateways["d1"].jobs.owned
+        await wait_for(lambda: "j1" in received)
+        assert received["j1"].awaits_claim
+        assert all(item.last_number > 5 for item in received["j1"].ledger.items.values())
+        await stopping
+        fleet.store.faults.down = ""
+        check_whole(await fleet.read_all("d1", "j1", 15.0), pieces, "j1")
+        assert not received["j1"].awaits_claim
+
+    play(scenario)
+
+
 def test_a_daemon_that_the_store_turns_away_leaves_its_job_to_the_next_owner_with_its_texts():
     # Found on the association's site (trouble-1 seed 3): two whole texts of a daemon that the
     # store had turned away were made again, and the step ran out of time.
