--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -118,8 +118,10 @@
 
     def claim_due(self) -> None:
         """Begin the claims that are due, in the order in which steps wait for them."""
-        if self._context.contact.is_away:
+        is_away = self._context.contact.is_away
+        if is_away or (self._session.lease_id is not None and not self._session.is_sure()):
             self._probe()
+        if is_away:
             return
         now_seconds = self._context.now_seconds()
         for job_id in self._claim_order():
@@ -151,7 +153,7 @@
             self._context.daemon.spawn(self.claim(job_id, marker_revision))
 
     def _probe(self) -> None:
-        """Ask the service now and then whether it is back, while jobs wait for that."""
+        """Ask the service now and then whether it is back and knows the lease, while jobs wait."""
         now_seconds = self._context.now_seconds()
         if not self._jobs.by_id or now_seconds < self._next_probe_seconds:
             return
--- a/rackswitch/gateway/jobs/job_keeper.py
+++ b/rackswitch/gateway/jobs/job_keeper.py
@@ -84,7 +84,7 @@
         orphans = JobOrphans(context.settings.daemon)
         checkpoints = JobCheckpoints(context, store, self.known)
         jobs = OwnedJobs(context, checkpoints, self._wake)
-        appender = ResultAppender(context, store, orphans, self._wake)
+        appender = ResultAppender(context, session, store, orphans, self._wake)
         claims = JobClaims(
             context, session, store, self.known, jobs, checkpoints, orphans, appender
         )
--- a/rackswitch/gateway/jobs/result_appender.py
+++ b/rackswitch/gateway/jobs/result_appender.py
@@ -8,6 +8,7 @@
 from rackswitch.gateway.jobs.job_records import key_part
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.owned_job import OwnedJob
+from rackswitch.gateway.store.session import Session
 from rackswitch.jobs import JobOrphans, JobResult, listing_pause_seconds
 from rackswitch.telemetry.events import ResultsAppended
 
@@ -24,6 +25,8 @@
     ----------
     context : GatewayContext
         The daemon.
+    session : Session
+        Whether this daemon can be sure that it owns what it owns.
     store : JobStore
         Jobs in the key-value service.
     orphans : JobOrphans
@@ -32,11 +35,17 @@
         Set after each try.
     """
 
-    __slots__ = ("_context", "_orphans", "_store", "_wake")
+    __slots__ = ("_context", "_orphans", "_session", "_store", "_wake")
 
     def __init__(
-        self, context: GatewayContext, store: JobStore, orphans: JobOrphans, wake: asyncio.Event
+        self,
+        context: GatewayContext,
+        session: Session,
+        store: JobStore,
+        orphans: JobOrphans,
+        wake: asyncio.Event,
     ):
+        self._session = session
         self._context = context
         self._store = store
         self._orphans = orphans
@@ -44,9 +53,9 @@
 
     def append_due(self, owned_jobs: Iterable[OwnedJob]) -> None:
         """Begin to append the results that are ready, where the last segment is past."""
-        if self._context.policy.jobs_handed_over and self._context.contact.is_away:
-            # An append would hang until its time is up, also when the service is back: that is
-            # looked for by other calls.
+        if self._context.policy.jobs_handed_over and not self._session.is_sure():
+            # An append would hang until its time is up, or be refused as the lease is over, and
+            # the claim that lists the same results would wait for it.
             return
         now_seconds = self._context.now_seconds()
         for owned in owned_jobs:
