Following: after an outage for all, daemons follow again before they watch

Cause: in an outage for all everybody watches the service, and for a second after its return nobody asked again who had only old word before.

Ruled out: fewer tries in the outage itself, by which owners learn of the return.

Change: the service's return lets all sources be asked again, at short intervals for a second; who watches only because nobody could be followed waits for them before it watches more than the members' prefix.

--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -29,6 +29,10 @@
 """Between looks of a daemon that has nobody to ask now: as long as a daemon that is not ready
 is left alone."""
 
+SETTLING_SECONDS = 1.0
+"""How long after the service's return daemons are asked again and again whose word is still old: as
+long as one with old word is left alone otherwise."""
+
 START_LOOKS = 5
 """Readings of the members, a tenth of a call each, by which a daemon looks for others at its
 start before it takes itself for the only one."""
@@ -57,6 +61,7 @@
         "_live",
         "_members_prefix",
         "_paces",
+        "_settling_since_seconds",
         "_tree",
         "_watch",
         "choice",
@@ -78,6 +83,7 @@
         self._members_prefix = members_prefix
         self._live: list[tuple[str, str]] = []
         self._tree = SpreadTree(())
+        self._settling_since_seconds = float("-inf")
         self.choice = FollowChoice(float("-inf"))
         self.looked = asyncio.Event()
 
@@ -120,6 +126,7 @@
         own = self._context.daemon_name
         sources, level = tree.sources(own), tree.level(own)
         now_seconds = self._context.now_seconds()
+        self._note_return()
         if self.choice.followed not in sources:
             self.choice.stop_following(now_seconds)
         must_watch = self.choice.must_watch(sources, level, now_seconds)
@@ -130,6 +137,17 @@
         else:
             await self.ask(name, level)
 
+    def _note_return(self) -> None:
+        """Ask all sources again at once when the service is back.
+
+        After an outage for all, every daemon that waited to ask again would watch the service by
+        itself meanwhile, when everything in it changes.
+        """
+        back_seconds = self._context.contact.back_seconds
+        if back_seconds > self._settling_since_seconds:
+            self._settling_since_seconds = back_seconds
+            self.choice.ask_all_again()
+
     def _present_tree(self) -> SpreadTree:
         live = self._context.daemon.membership.live_zones()
         if live != self._live:
@@ -163,12 +181,19 @@
         elif reply.refused or len(reply.news) < len(self._copies.by_prefix):
             self.choice.not_ready(name, now_seconds)
         elif self._take(reply, asked_at_seconds, now_seconds) > fresh_seconds(level):
-            self._cannot_follow(self.choice.stale, name, "not fresh")
+            self._cannot_follow(self._leave_stale, name, "not fresh")
         elif reply.cut_off:
-            self._cannot_follow(self.choice.stale, name, "cut off from the service")
+            self._cannot_follow(self._leave_stale, name, "cut off from the service")
         elif self.choice.succeeded(name):
             self._context.log.write(Follows(daemon_followed=name))
 
+    def _leave_stale(self, name: str, now_seconds: float) -> None:
+        """Leave a daemon alone that has only old word, shortly while the service is just back."""
+        if now_seconds < self._settling_since_seconds + SETTLING_SECONDS:
+            self.choice.not_ready(name, now_seconds)
+        else:
+            self.choice.stale(name, now_seconds)
+
     def _request(self, wait_seconds: float) -> pb.FollowRequest:
         positions = [
             pb.CopyPosition(prefix=copy.prefix, revision=copy.revision)
--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -22,6 +22,10 @@
 """How long changes are gathered before the next question: a fleet of 165 daemons that starts
 writes as many entries within half a second, each of which would be a call of its own."""
 
+RETURN_PATIENCE_SECONDS = 0.4
+"""How long after the service's return the root's word may take to reach everybody; who watches
+only because nobody could be followed reads no more than it needs until then."""
+
 CUT_OFF_FAILURES = 2
 """Calls in a row without an answer after which followers are told to look elsewhere. One alone may
 be a lost answer or a watch that the service has ended; the second follows 0.1 s later."""
@@ -109,8 +113,11 @@
         """Return whether a prefix waits for what the members' prefix brings."""
         if prefix == self._members_prefix:
             return False
-        members = self._copies.by_prefix[self._members_prefix]
-        return members.confirmed_at_seconds == float("-inf") or self._context.contact.is_away
+        contact = self._context.contact
+        settled_seconds = contact.back_seconds + RETURN_PATIENCE_SECONDS
+        if contact.is_away or (not self._for_all and self._context.now_seconds() < settled_seconds):
+            return True
+        return self._copies.by_prefix[self._members_prefix].confirmed_at_seconds == float("-inf")
 
     async def _pause(self, failures: int) -> None:
         pause_seconds = backoff_seconds(FIRST_RETRY_SECONDS, MOST_RETRY_SECONDS, failures - 1)
--- a/rackswitch/gateway/store/tests/test_spread_runs.py
+++ b/rackswitch/gateway/store/tests/test_spread_runs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rackswitch.daemon.tests.support import run_virtual
-from rackswitch.gateway.store.tests.spread_run import SpreadRun
+from rackswitch.gateway.store.tests.spread_run import STATE, SpreadRun
 from rackswitch.spread import FAN_OUT
 
 ZONES = 6
@@ -118,3 +118,29 @@
         await run.stop()
 
     run_virtual(scenario())
+
+
+def test_after_a_long_outage_for_all_daemons_follow_again_before_they_watch():
+    """Everything in the service changes as it comes back; who watches then pays for each change.
+
+    Three calls each are a watch that learns of the return and what a daemon's own entry needs.
+    """
+
+    async def scenario():
+        run = SpreadRun(64, zones=4)
+        await run.start()
+        await run.settled()
+        for node in run.living():
+            run.turn_away(node)
+        await asyncio.sleep(6.0)
+        for node in run.living():
+            node.context.kv.faults.refused = 0.0
+        calls = run.service.priced
+        for number in range(40):
+            run.service.put(f"{STATE}{number}", b"changed")
+            await asyncio.sleep(0.05)
+        assert run.service.priced - calls < 3 * 64
+        assert len(run.watchers()) == 1
+        await run.stop()
+
+    run_virtual(scenario())
--- a/rackswitch/spread/choice.py
+++ b/rackswitch/spread/choice.py
@@ -111,6 +111,10 @@
         """Note that a daemon has nothing to pass on yet."""
         self._leave(name, now_seconds, NOT_READY_SECONDS)
 
+    def ask_all_again(self) -> None:
+        """Note that whoever was left alone may have fresh word of the service now."""
+        self._avoided_until_seconds.clear()
+
     def stop_following(self, now_seconds: float) -> None:
         """Note that nobody is followed any more."""
         if self.followed:
