--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -16,6 +16,8 @@
 OWNERSHIP_EVENTS = (
     ev.JobSubmitted,
     ev.JobOwned,
+    ev.JobHandedOver,
+    ev.JobReceived,
     ev.JobResumed,
     ev.JobDropped,
     ev.JobNotOwned,
--- a/rackswitch/explain/tests/test_story.py
+++ b/rackswitch/explain/tests/test_story.py
@@ -180,6 +180,34 @@
     ]
 
 
+def test_a_jobs_story_tells_of_its_hand_over_on_both_sides():
+    giver, taker = LoggingDaemon("a"), LoggingDaemon("b")
+    giver.log(1.0, owned("j1"))
+    taker.log(
+        2.0,
+        ev.JobReceived(
+            job="j1",
+            former_owner="a",
+            outcome="not owned yet",
+            owner_revision=0,
+            elapsed_seconds=0.01,
+        ),
+    )
+    giver.log(
+        2.1,
+        ev.JobHandedOver(
+            job="j1",
+            successor="b",
+            outcome="not owned yet",
+            owner_revision=0,
+            elapsed_seconds=0.02,
+            items_kept=3,
+        ),
+    )
+    kinds = [type(line.event) for line in story_of("j1", giver, taker).lines]
+    assert kinds == [ev.JobOwned, ev.JobReceived, ev.JobHandedOver]
+
+
 @pytest.mark.parametrize("line", ["", "no json", "{", '{"a":1}', '{"event":"x","daemon":"d"}'])
 def test_lines_that_are_no_events_are_passed_over(line):
     daemon = LoggingDaemon("a")
