Tests: the write whose answer is lost is the job's own

Cause: the stand-in lost the answer of the next write of any daemon, so that another daemon's (its entry, a role) could take the loss in place of the job's; the test was seen red once, with 202 in place of 504.

Ruled out: a job that is answered 202 without its write's answer: brought about on purpose, another daemon's write in between gives the same 202, and the job's own write was answered then.

Change: the stand-in can be told whose answers it loses; the test has another daemon write first, so that the order is always the one that failed. Its checks are unchanged.

--- a/rackswitch/gateway/jobs/tests/test_path_jobs.py
+++ b/rackswitch/gateway/jobs/tests/test_path_jobs.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from rackswitch.gateway.jobs.job_records import key_part
+from rackswitch.clients.kv import Operation, TxnPart
+from rackswitch.gateway.jobs.job_records import JOBS_PREFIX, key_part
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.tests.path import SCENARIO_SECONDS, check_whole, play, wait_for
 from rackswitch.peers import gateway_pb2 as pb
@@ -75,7 +76,11 @@
 
 def test_a_job_whose_acceptance_went_unanswered_is_not_called_refused_and_runs_once_listed():
     async def scenario(fleet):
+        # Another daemon's write, of its entry or a role, may come first.
+        fleet.store.faults.lost_about = JOBS_PREFIX
         fleet.store.faults.lost_answers = 1
+        part = TxnPart((), (Operation("other", b"of another daemon"),))
+        assert await fleet.gateways["d1"].context.kv.txn([part])
         status = await fleet.submit("d0", "j1", [2, 3])
         assert status == 504
         assert await fleet.submit("d1", "j1", [2, 3]) == 202
--- a/rackswitch/standins/platform_store.py
+++ b/rackswitch/standins/platform_store.py
@@ -31,12 +31,15 @@
         Empty, ``silent`` (never answers) or ``busy`` (503).
     lost_answers : int
         So many of the next transactions are done and not answered.
+    lost_about : str
+        Only transactions that name this key or prefix lose their answers.
     turned_away : set of str
         Addresses of clients that get 503.
     """
 
     down: str = ""
     lost_answers: int = 0
+    lost_about: str = ""
     turned_away: set[str] = field(default_factory=set)
 
 
@@ -125,13 +128,19 @@
             await exchange.respond(503)
             return
         body = await exchange.read_body(MOST_BODY_BYTES, asyncio.get_running_loop().time() + 5.0)
-        status, answer = await self._answer(exchange, body if isinstance(body, bytes) else b"")
-        if self.faults.lost_answers and exchange.path.endswith("/kv-txn"):
+        content = body if isinstance(body, bytes) else b""
+        status, answer = await self._answer(exchange, content)
+        if self._loses_answer(exchange.path, content):
             self.faults.lost_answers -= 1
             await exchange.wait_gone()
             return
         await exchange.respond(status, (), msgspec.json.encode(answer))
 
+    def _loses_answer(self, path: str, body: bytes) -> bool:
+        if not self.faults.lost_answers or not path.endswith("/kv-txn"):
+            return False
+        return self.faults.lost_about.encode() in body
+
     async def _answer(self, exchange: Exchange, body: bytes) -> tuple[int, Any]:
         query = {name: values[0] for name, values in parse_qs(exchange.query).items()}
         verb, _, argument = exchange.path.removeprefix("/rackswitch/").partition("/")
