--- a/rackswitch/gateway/jobs/tests/test_hand_over.py
+++ b/rackswitch/gateway/jobs/tests/test_hand_over.py
@@ -84,6 +84,34 @@
     play(scenario, policy=PolicySettings(jobs_handed_over=False))
 
 
+@pytest.mark.parametrize("handed_over", [True, False])
+def test_switched_off_appends_are_tried_through_an_outage(handed_over):
+    async def scenario(fleet):
+        job = make_batch()
+        await fleet.submit("a", job)
+        await asyncio.sleep(1.0)
+        fleet.silence(True)
+        tried = []
+        store = fleet.nodes["a"].keeper._store
+        append = store.append
+
+        class NotingStore(type(store)):
+            __slots__ = ()
+
+            async def append(self, *args):
+                tried.append(args)
+                return await append(*args)
+
+        store.__class__ = NotingStore
+        await asyncio.sleep(6.0)
+        # All texts are whole by now; the first may have been so before the lease was unsure.
+        assert (len(tried) > 1) is not handed_over
+        fleet.silence(False)
+        await fleet.wait_whole(job)
+
+    play(scenario, policy=PolicySettings(jobs_handed_over=handed_over))
+
+
 @pytest.mark.parametrize("phase_seconds", [0.0, 0.04, 0.08, 0.12])
 @pytest.mark.parametrize("leases_end", [True, False])
 def test_a_stop_while_the_service_is_silent_costs_no_text_and_tells_nothing_early(
