--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -1,21 +1,18 @@
 """Becoming the owner of jobs that have none, or whose owner gave them to this daemon."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.jobs.held_claims import HeldClaims
 from rackswitch.gateway.jobs.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.jobs.job_outcomes import JobNotStored
 from rackswitch.gateway.jobs.job_records import JOBS_PREFIX, OWNERS_PREFIX, key_part, marker_of
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.known_jobs import JobOwner, KnownJobs
-from rackswitch.gateway.jobs.owned_job import OwnedJob
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
-from rackswitch.gateway.jobs.result_appender import ResultAppender
 from rackswitch.gateway.store.session import Session
-from rackswitch.jobs import Job, JobCheckpoint, JobOrphans, JobResult, order_jobs
-from rackswitch.leases import decode_holder
+from rackswitch.jobs import Job, JobCheckpoint, JobOrphans, order_jobs
 from rackswitch.telemetry.events import JobNotOwned
 
 __all__ = ["JobClaims"]
@@ -26,12 +23,9 @@
 RETURN_SECONDS = 1.0
 """How long after the service's return a daemon that saw no owner waits for one that lives."""
 
-LEASES_TRIED = 2
-"""A lease that is over shows by the first write on it."""
-
 PROBE_SECONDS = 0.15
-"""Between two looks for the service's return while jobs wait for it, and between two claims of a
-held job: what is ready is to be listed within 0.3 s of the return."""
+"""Between two looks for the service's return while jobs wait for it: what is ready is to be listed
+within 0.3 s of the return."""
 
 
 class JobClaims:
@@ -53,14 +47,14 @@
         Brings former owners' texts.
     orphans : JobOrphans
         When an orphan may be claimed.
-    appender : ResultAppender
-        Told of results that were kept by a claim.
+    held : HeldClaims
+        Claims what is worked on here.
     """
 
     __slots__ = (
-        "_appender",
         "_checkpoints",
         "_context",
+        "_held",
         "_jobs",
         "_known",
         "_next_probe_seconds",
@@ -79,9 +73,9 @@
         jobs: OwnedJobs,
         checkpoints: JobCheckpoints,
         orphans: JobOrphans,
-        appender: ResultAppender,
+        held: HeldClaims,
     ):
-        self._appender = appender
+        self._held = held
         self._context = context
         self._session = session
         self._store = store
@@ -184,7 +178,7 @@
         """Try once to own a job."""
         held = self._jobs.by_id.get(job_id)
         if held is not None and self._context.policy.jobs_handed_over:
-            await self._claim_held(held)
+            await self._held.claim(held)
             return
         lease_id, kept = await asyncio.gather(
             self._session.hold(), self._store.load_checkpoint(job_id)
@@ -195,7 +189,7 @@
         if isinstance(claimed, JobNotStored):
             return
         if claimed == 0:
-            await self._owned_already(job_id)
+            await self._held.settle(job_id)
             return
         self._orphans.owned(key_part(job_id))
         held = self._jobs.by_id.get(job_id)
@@ -204,117 +198,14 @@
             return
         await self._load(job_id, claimed, kept.checkpoint)
 
-    async def _claim_held(self, held: OwnedJob) -> None:
-        """Own a job whose state is at hand, and list what is ready, in one write.
-
-        Its owner key may be there still, on the lease of the daemon that handed it over, or be
-        gone with that lease or this daemon's own.
-        """
-        fences = (held.owner_revision, 0) if held.awaits_claim else (0,)
-        for fence in fences:
-            if await self._write_claim(held, fence) != 0:
-                return
-        await self._owned_already(held.ledger.job.job_id)
-
-    async def _write_claim(
-        self, held: OwnedJob, fence: int, with_results: bool = True
-    ) -> int | None:
-        """Claim a held job once; return the owner revision, 0 if too late, None if unanswered."""
-        if not with_results or held.appending.locked():
-            claimed = await self._claim_with(held, fence, 0, [])
-        else:
-            async with held.appending:
-                position, results = held.ledger.next_segment()
-                claimed = await self._claim_with(held, fence, position, results)
-                if claimed and results:
-                    self._appender.kept(held, position, results)
-        if claimed is None:
-            retry_seconds = self._context.now_seconds() + PROBE_SECONDS
-            self._orphans.retry(key_part(held.ledger.job.job_id), retry_seconds)
-        return claimed
-
-    async def _claim_with(
-        self, held: OwnedJob, fence: int, position: int, results: list[JobResult]
-    ) -> int | None:
-        job_id = held.ledger.job.job_id
-        marker_revision = self._known.marker_revision(job_id)
-        if not marker_revision and not fence:
-            return None
-        claimed = await self._claim_on_lease(
-            lambda lease_id: self._store.claim_held(
-                job_id, fence, marker_revision, lease_id, position, results
-            )
-        )
-        if not isinstance(claimed, int):
-            return None
-        if claimed:
-            self._orphans.owned(key_part(job_id))
-            held.claimed(claimed)
-        return claimed
-
     def introduce(self, job: Job, marker_revision: int) -> None:
         """Note a job of which another daemon tells, unless the service has told of it already."""
         self._known.created(marker_of(job), marker_revision)
 
-    def has_ended(self, job_id: str) -> bool:
-        """Return whether a job is over, as far as is known."""
+    def is_open(self, job_id: str) -> bool:
+        """Return whether a job is known and has not been ended."""
         marker = self._known.marker(job_id)
-        return marker is None or marker.ended
-
-    async def claim_offered(self, job_id: str, owner_revision: int) -> int | JobNotStored:
-        """Take over a job whose owner hands it over; return the owner revision, 0 if too late."""
-        claimed = await self._claim_on_lease(
-            lambda lease_id: self._store.claim_held(job_id, owner_revision, 0, lease_id)
-        )
-        if isinstance(claimed, int) and claimed:
-            self._orphans.owned(key_part(job_id))
-        return claimed
-
-    async def _claim_on_lease(
-        self, write: Callable[[int], Awaitable[int | JobNotStored]]
-    ) -> int | JobNotStored:
-        """Make a write on the session's lease, and once more on a new one if that is over."""
-        claimed: int | JobNotStored = JobNotStored("no session", effect_unknown=False)
-        for _ in range(LEASES_TRIED):
-            lease_id = await self._session.hold()
-            if lease_id is None:
-                return JobNotStored("no session with the key-value service", effect_unknown=False)
-            claimed = await write(lease_id)
-            if not isinstance(claimed, JobNotStored) or not claimed.lease_gone:
-                return claimed
-            self._session.over(lease_id)
-        return claimed
-
-    async def _owned_already(self, job_id: str) -> None:
-        """Leave a job that another daemon owns, after a claim that was refused.
-
-        This daemon may own it all the same: a copy that lags tells of the former owner's end after
-        this daemon's own claim was answered, and a claim that was not answered may have been done.
-        """
-        if job_id not in self._jobs.by_id:
-            return
-        entry = await self._store.load_owner(job_id)
-        held = self._jobs.by_id.get(job_id)
-        if held is None or isinstance(entry, KvUnavailable):
-            return
-        revision = entry.mod_revision if entry is not None else 0
-        lease_id = decode_holder(entry.value)[1] if entry is not None else 0
-        if revision == held.owner_revision and not held.awaits_claim:
-            self._orphans.owned(key_part(job_id))
-        elif self._session.is_own(lease_id):
-            self._orphans.owned(key_part(job_id))
-            held.claimed(revision)
-        elif self._is_free(held, revision):
-            # Results of an earlier try stand in the way: the next append takes them in.
-            await self._write_claim(held, revision, with_results=False)
-        else:
-            self._jobs.leave_behind(held)
-
-    def _is_free(self, held: OwnedJob, owner_revision: int) -> bool:
-        """Return whether a held job may be claimed: it has no owner, or one that gave it away."""
-        if not self._context.policy.jobs_handed_over:
-            return False
-        return owner_revision == 0 or (held.awaits_claim and owner_revision == held.owner_revision)
+        return marker is not None and not marker.ended
 
     async def take_back(self, name: str, owner: JobOwner) -> None:
         """Own a job of an earlier process of this daemon, which can no longer act, in one write.
@@ -337,7 +228,7 @@
         is_free = job_id not in self._jobs.by_id and job_id not in self._jobs.arriving
         return (
             is_free
-            and not self.has_ended(job_id)
+            and self.is_open(job_id)
             and not self._is_just_back()
             and self._context.policy.jobs_handed_over
         )
--- a/rackswitch/gateway/jobs/job_keeper.py
+++ b/rackswitch/gateway/jobs/job_keeper.py
@@ -8,6 +8,7 @@
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.item_starter import ItemStarter
 from rackswitch.gateway.items.load_looks import LoadLooks
+from rackswitch.gateway.jobs.held_claims import HeldClaims
 from rackswitch.gateway.jobs.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.jobs.job_claims import JobClaims
 from rackswitch.gateway.jobs.job_giving import JobGiving
@@ -85,15 +86,14 @@
         checkpoints = JobCheckpoints(context, store, self.known)
         jobs = OwnedJobs(context, checkpoints, self._wake)
         appender = ResultAppender(context, session, store, orphans, self._wake)
-        claims = JobClaims(
-            context, session, store, self.known, jobs, checkpoints, orphans, appender
-        )
+        held = HeldClaims(context, session, store, self.known, jobs, orphans, appender)
+        claims = JobClaims(context, session, store, self.known, jobs, checkpoints, orphans, held)
         self._starter = ItemStarter(context, runner, self._wake)
         self._appender = appender
         self._checkpoints = checkpoints
         self._claims = claims
         self._giving = JobGiving(context, store, self.known, jobs, checkpoints, appender)
-        self._receiving = JobReceiving(context, claims, jobs, checkpoints)
+        self._receiving = JobReceiving(context, claims, held, jobs, checkpoints)
         self._jobs = jobs
 
     @property
--- a/rackswitch/gateway/jobs/job_receiving.py
+++ b/rackswitch/gateway/jobs/job_receiving.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.jobs.held_claims import HeldClaims
 from rackswitch.gateway.jobs.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.jobs.job_claims import JobClaims
 from rackswitch.gateway.jobs.job_outcomes import JobNotStored
@@ -29,6 +30,8 @@
     context : GatewayContext
         The daemon.
     claims : JobClaims
+        Told of the jobs.
+    held : HeldClaims
         Becomes their owner.
     jobs : OwnedJobs
         The jobs worked on here.
@@ -36,17 +39,19 @@
         Brings the latest texts.
     """
 
-    __slots__ = ("_checkpoints", "_claims", "_context", "_jobs", "_takings")
+    __slots__ = ("_checkpoints", "_claims", "_context", "_held", "_jobs", "_takings")
 
     def __init__(
         self,
         context: GatewayContext,
         claims: JobClaims,
+        held: HeldClaims,
         jobs: OwnedJobs,
         checkpoints: JobCheckpoints,
     ):
         self._context = context
         self._claims = claims
+        self._held = held
         self._jobs = jobs
         self._checkpoints = checkpoints
         self._takings: set[asyncio.Task[pb.HandOverReply]] = set()
@@ -131,7 +136,7 @@
             # Its runs may go on there, so that none may go on here.
             return pb.HandOverReply(detail="the sender did not leave the job")
         checkpoint = merge_checkpoints(snapshot, texts) if texts is not None else snapshot
-        if self._claims.has_ended(job.job_id):
+        if not self._claims.is_open(job.job_id):
             return pb.HandOverReply(detail="the job has been ended")
         owned = self._jobs.own(job, asked_for, listed, awaits_claim=not revision)
         self._checkpoints.go_on(owned, checkpoint)
@@ -141,4 +146,4 @@
         """Claim a job under the fence of its former owner's claim."""
         if request.may_wait and self._context.contact.is_away:
             return JobNotStored("the key-value service is away", effect_unknown=False)
-        return await self._claims.claim_offered(job_id, request.owner_revision)
+        return await self._held.claim_offered(job_id, request.owner_revision)
