Load picture and placing: words of three or four figures, what is believed, the draw

Cause: a word was read only with exactly three figures, and by items alone; a fourth figure made it no word, so all of them were thrown away on services that tell their pace.

--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -3,11 +3,21 @@
 import asyncio
 import functools
 import re
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["TargetSessions"]
+from rackswitch.platform.load_words import load_word_of
+from rackswitch.platform.names import REQUEST_ID_HEADER
+from rackswitch.routing import ListedTarget, LoadWord
+
+__all__ = ["TargetSessions", "WordHeard"]
+
+WordHeard = Callable[[ListedTarget, LoadWord], None]
+"""Takes in what a target says of its load."""
+
+OTHER_TARGET_STATUS = 421
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """A new connection takes 1 ms and two network delays; an engine whose queue of new
@@ -45,22 +55,49 @@
 class TargetSessions:
     """Connections to targets: kept ones, and single-use ones for what must run once.
 
+    Parameters
+    ----------
+    word_heard : callable, optional
+        Told of each word of a target about its load.
+
     Attributes
     ----------
     kept_seconds : float
         How long an unused connection is kept.
     """
 
-    __slots__ = ("_kept_connector", "_told_seconds", "kept", "kept_seconds", "single_use")
+    __slots__ = (
+        "_kept_connector",
+        "_told_seconds",
+        "_word_heard",
+        "kept",
+        "kept_seconds",
+        "single_use",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, word_heard: WordHeard | None = None) -> None:
+        self._word_heard = word_heard
         self.kept_seconds = UNTOLD_KEPT_SECONDS
         self._told_seconds: dict[str, float] = {}
         self._kept_connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self.kept_seconds)
         self.kept = _session(self._kept_connector)
         self.single_use = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
-    def heard(self, service: str, answer: aiohttp.ClientResponse) -> None:
+    def heard(self, target: ListedTarget, answer: aiohttp.ClientResponse, request_id: str) -> None:
+        """Learn from the head of a target's answer to a request."""
+        self._learn_keeping(target.service, answer)
+        if answer.headers.get(REQUEST_ID_HEADER, request_id) == request_id:
+            self.heard_load(target, answer)
+
+    def heard_load(self, target: ListedTarget, answer: aiohttp.ClientResponse) -> None:
+        """Learn a target's load from its answer; one of another target tells nothing of it."""
+        if self._word_heard is None or answer.status == OTHER_TARGET_STATUS:
+            return
+        word = load_word_of(answer.headers, asyncio.get_running_loop().time())
+        if word is not None:
+            self._word_heard(target, word)
+
+    def _learn_keeping(self, service: str, answer: aiohttp.ClientResponse) -> None:
         """Learn from an answer how long the targets of a service keep unused connections.
 
         What the least patient service tells holds for all: the library has one time for a pool.
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -19,11 +19,11 @@
 from rackswitch.platform.caller_headers import headers_for_target
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.events import EventParser
+from rackswitch.platform.load_words import load_word_of
 from rackswitch.platform.names import (
     EXPECT_INSTANCE_HEADER,
     LAST_EVENT_HEADER,
     REQUEST_ID_HEADER,
-    SERVER_LOAD_HEADER,
     URGENCY_HEADER,
     VERSIONS_HEADER,
 )
@@ -140,10 +140,10 @@
                     url, data=request.item.body, headers=headers, allow_redirects=False
                 ) as answer,
             ):
-                self._sessions.heard(target.service, answer)
-                load = _load_of(answer)
-                if load is not None:
-                    yield load
+                self._sessions.heard(target, answer, request.item.item_id)
+                word = load_word_of(answer.headers, loop.time())
+                if word is not None:
+                    yield EngineLoad(word.running, word.waiting)
                 parser = _event_parser(answer, request.item.item_id)
                 if isinstance(parser, ItemRunEnded):
                     await release_or_close(answer, request.item.item_id)
@@ -178,14 +178,6 @@
     return headers
 
 
-def _load_of(answer: aiohttp.ClientResponse) -> EngineLoad | None:
-    """Return the load that an engine tells with an answer, or None."""
-    numbers = answer.headers.get(SERVER_LOAD_HEADER, "").split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
-        return None
-    return EngineLoad(running=int(numbers[0]), waiting=int(numbers[1]))
-
-
 def _event_parser(answer: aiohttp.ClientResponse, item_id: str) -> EventParser | ItemRunEnded:
     """Return what reads an answer's events, or why it brings none."""
     ended = _item_refusal(answer, item_id)
--- /dev/null
+++ b/rackswitch/platform/load_words.py
@@ -0,0 +1,51 @@
+"""Reading what targets say of their own load."""
+
+from collections.abc import Mapping
+
+from rackswitch.platform.names import SERVER_LOAD_HEADER
+from rackswitch.routing import LoadWord
+
+__all__ = ["load_word_of"]
+
+LEAST_FIGURES = 3
+PACE_FIGURE = 3
+USUAL_PERCENT = 100
+
+MOST_PERCENT = 100_000
+"""A target a thousand times slower than usual is one that counts wrongly."""
+
+MOST_DIGITS = 9
+"""Longer figures are nonsense, and costly to read."""
+
+
+def load_word_of(headers: Mapping[str, str], now_seconds: float) -> LoadWord | None:
+    """Return the load that a target tells with an answer; None if it tells none that makes sense.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        The answer's headers.
+    now_seconds : float
+        When the answer came (monotonic).
+    """
+    parts = headers.get(SERVER_LOAD_HEADER, "").split(",")
+    figures = [_figure(part) for part in parts[: PACE_FIGURE + 1]]
+    if len(figures) < LEAST_FIGURES:
+        return None
+    running, waiting, slots = figures[:LEAST_FIGURES]
+    if running is None or waiting is None or not slots:
+        return None
+    if len(figures) <= PACE_FIGURE:
+        return LoadWord(running, waiting, slots, None, now_seconds)
+    percent = figures[PACE_FIGURE]
+    if not percent or percent > MOST_PERCENT:
+        return None
+    return LoadWord(running, waiting, slots, percent / USUAL_PERCENT, now_seconds)
+
+
+def _figure(text: str) -> int | None:
+    """Return a whole number as it stands in a header, or None."""
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MOST_DIGITS:
+        return None
+    return int(digits)
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -112,6 +112,7 @@
                 asyncio.timeout(REPORT_TIMEOUT_SECONDS),
                 self._sessions.kept.get(url, headers=headers) as answer,
             ):
+                self._sessions.heard_load(target, answer)
                 content = await answer.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return NoReport(type(error).__name__)
--- a/rackswitch/platform/target_calls.py
+++ b/rackswitch/platform/target_calls.py
@@ -54,7 +54,7 @@
                 asyncio.timeout_at(deadline_seconds),
                 self._open(target, call, deadline_seconds, fresh_connection) as answer,
             ):
-                self._sessions.heard(target.service, answer)
+                self._sessions.heard(target, answer, call.request_id)
                 fault = refusal_or_fault(answer, call.request_id)
                 if fault is not None:
                     await release_or_close(answer, call.request_id)
@@ -77,7 +77,7 @@
                 answer = await request
         except CALL_ERRORS as error:
             return _failure(error)
-        self._sessions.heard(target.service, answer)
+        self._sessions.heard(target, answer, call.request_id)
         fault = refusal_or_fault(answer, call.request_id)
         if fault is not None:
             close_connection(answer)
--- a/rackswitch/platform/tests/test_item_runs.py
+++ b/rackswitch/platform/tests/test_item_runs.py
@@ -103,6 +103,7 @@
     [
         (b"X-Rackswitch-Server-Load: 3,1,8\r\n", EngineLoad(3, 1)),
         (b"X-Rackswitch-Server-Load: 3, 1, 8\r\n", EngineLoad(3, 1)),
+        (b"X-Rackswitch-Server-Load: 3,1,8,120\r\n", EngineLoad(3, 1)),
         (b"X-Rackswitch-Server-Load: 3,1\r\n", None),
         (b"X-Rackswitch-Server-Load: a,b,c\r\n", None),
         (b"", None),
--- a/rackswitch/platform/tests/test_target_calls.py
+++ b/rackswitch/platform/tests/test_target_calls.py
@@ -8,7 +8,7 @@
 from rackswitch.platform.connections import UNTOLD_KEPT_SECONDS, TargetSessions
 from rackswitch.platform.target_calls import TargetClient
 from rackswitch.platform.tests.support import keeping_target, raw_target
-from rackswitch.requests import Call, TargetAnswer, TargetFailed
+from rackswitch.requests import Call, TargetAnswer, TargetFailed, TargetStream
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Rackswitch-Request-Id: r1\r\nX-Rackswitch-Server-Stamp: s\r\n"
 CALL = Call("r1", "h.example", "POST", "/a%2Fb?c=%20", (("x-own", "1"), ("x-own", "2")), b"body")
@@ -141,3 +141,42 @@
         return sessions.kept_seconds
 
     assert asyncio.run(scenario()) == 2.0
+
+
+WORD = b"X-Rackswitch-Server-Load: 6,9,6,120\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nxx"
+REFUSAL = (
+    b"HTTP/1.1 503 X\r\nX-Rackswitch-Request-Id: r1\r\nX-Rackswitch-Not-Run: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("as_stream", [False, True])
+@pytest.mark.parametrize(
+    ("answer", "is_heard"),
+    [
+        (WHOLE.replace(b"Content", WORD + b"Content"), True),
+        (REFUSAL.replace(b"Content", WORD + b"Content"), True),
+        (WHOLE, False),
+        # Another target has the address, or the answer is an older request's.
+        (REFUSAL.replace(b"503", b"421").replace(b"Content", WORD + b"Content"), False),
+        (WHOLE.replace(b"r1", b"r0").replace(b"Content", WORD + b"Content"), False),
+    ],
+)
+def test_a_targets_word_is_heard_from_each_answer_of_its_own(answer, is_heard, as_stream):
+    async def scenario():
+        heard = []
+        sessions = TargetSessions(lambda target, word: heard.append((target, word)))
+        client = TargetClient(sessions)
+        deadline_seconds = asyncio.get_running_loop().time() + 2.0
+        async with raw_target(answer) as (target, _):
+            send = client.open_stream if as_stream else client.forward
+            result = await send(target, CALL, deadline_seconds, False)
+            if isinstance(result, TargetStream):
+                result.close()
+        await sessions.close()
+        return target, heard
+
+    target, heard = asyncio.run(scenario())
+    told = [(at.start, word.running, word.waiting, word.slots, word.pace) for at, word in heard]
+    assert told == ([(target.start, 6, 9, 6, 1.2)] if is_heard else [])
--- a/rackswitch/routing/places.py
+++ b/rackswitch/routing/places.py
@@ -1,6 +1,6 @@
 """What a place at a target is worth to a request, as one daemon believes it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["Place"]
 
@@ -26,6 +26,8 @@
         Age of the target's last word; infinite if it never gave one.
     arrival_seconds : float
         Network distance there and back, with a new connection if none is open.
+    is_at_hand : bool
+        Whether an open connection rests there.
     """
 
     instance: str
@@ -36,12 +38,19 @@
     unit_seconds: float
     word_age_seconds: float
     arrival_seconds: float
+    is_at_hand: bool = False
 
     @property
     def free_slots(self) -> float:
         """Requests that could begin there at once."""
         return max(0.0, self.slots - self.running - self.waiting)
 
+    def with_one_more(self) -> "Place":
+        """Return the place as it is once one more request has been sent there."""
+        if self.free_slots >= 1:
+            return replace(self, running=self.running + 1)
+        return replace(self, waiting=self.waiting + 1)
+
     def wait_seconds(self, run_seconds: float) -> float:
         """Return how long one more request waits there for a slot.
 
--- a/rackswitch/routing/policies.py
+++ b/rackswitch/routing/policies.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from rackswitch.registry import Registry
+from rackswitch.routing.placing import choose_place
 from rackswitch.routing.targets import Target
 
 __all__ = ["BATCH_WIDTH", "POLICIES", "Policy", "RoutedRequest", "estimated_wait_seconds"]
@@ -25,12 +26,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
-    """What a policy may know about a request."""
+    """What a policy may know about a request.
+
+    Attributes
+    ----------
+    run_seconds : float
+        How long a request of its service usually takes, where targets tell their pace.
+    """
 
     prompt_tokens: float
     cost_tokens: float
     prefixes: tuple[int, ...]
     now_seconds: float
+    run_seconds: float = 0.0
 
 
 class Policy(Protocol):
@@ -144,6 +152,28 @@
         return self._two_choices.choose(request, at_hand or targets)
 
 
+@POLICIES.register("nearly_best")
+class NearlyBest:
+    """A draw among the places that finish a request first, by what targets tell.
+
+    Targets without a place are passed over; if none has one, the less loaded of two is chosen.
+    """
+
+    __slots__ = ("_rng", "_two_choices")
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._two_choices = TwoChoices(rng)
+
+    def choose(self, request: RoutedRequest, targets: list[Target]) -> Target:
+        """Return one of `targets`, which is not empty."""
+        by_name = {target.name: target for target in targets}
+        places = [target.place for target in targets if target.place is not None]
+        if not places:
+            return self._two_choices.choose(request, targets)
+        return by_name[choose_place(places, 1.0, request.run_seconds, self._rng).instance]
+
+
 @POLICIES.register("estimated_wait")
 class EstimatedWait:
     """The shortest estimated wait, near ties drawn at random."""
--- a/rackswitch/routing/targets.py
+++ b/rackswitch/routing/targets.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from rackswitch.requests import StreamChunk, backoff_seconds
+from rackswitch.routing.places import Place
 
 __all__ = ["LoadReport", "Target", "usable_targets"]
 
@@ -42,6 +43,8 @@
         Until when a connection that served a call in its usual time stays open.
     start : str
         Which start of the target all this is about.
+    place : Place or None
+        What a place there was worth at the last choice; None if its service tells no pace.
     """
 
     name: str
@@ -60,6 +63,7 @@
     at_hand_until_seconds: float = 0.0
     prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
     start: str = ""
+    place: Place | None = None
 
     @property
     def version(self) -> int | None:
