Calls, items, reward calls and moves are placed by the load picture where targets tell their pace

Cause: calls read no word, items read only three figures, so on services that tell four all load was unknown. Ruled out: changing the policy of services that tell three figures or none; their path is as before. Change: TargetSessions hands each word to the daemon's LoadPicture; TargetChooser takes the policy nearly_best, plan_starts draws by places, moves go by what is believed of an engine over the rest of a text; inputs and age stand in the line of each placed request, and in two gauges.

--- a/rackswitch/gateway/callers/call_edge.py
+++ b/rackswitch/gateway/callers/call_edge.py
@@ -7,11 +7,12 @@
 from rackswitch.gateway.callers.request_front import FrontAnswer, RequestFront, outcome_label
 from rackswitch.gateway.callers.stream_relay import StreamRelay
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.place_lines import place_seen
 from rackswitch.outcomes import BrokenInvariant, MayHaveRun, NotRun
 from rackswitch.requests import Call, TargetAnswer, TargetStream
-from rackswitch.routing import ListedTarget
+from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.table import RouteRow
-from rackswitch.telemetry.events import RequestEnded
+from rackswitch.telemetry.events import PlaceSeen, RequestEnded
 from rackswitch.web.exchange import Exchange
 
 __all__ = ["CallEdge"]
@@ -48,7 +49,7 @@
             self._front.call(route, call, deadline_seconds, log, as_stream=route.streams)
         )
         if not await done_before_gone(exchange, work):
-            self._log_end(route, call, arrived_seconds, "caller left", 0, "")
+            self._log_end(route, call, arrived_seconds, "caller left", None)
             return
         answer = work.result()
         outcome = answer.outcome
@@ -64,7 +65,7 @@
             await refuse(exchange, Refusal(503, outcome.detail, left_seconds))
         else:
             await self._fail(exchange, outcome, deadline_seconds)
-        self._log_end(route, call, arrived_seconds, label, answer.attempts, answer.instance)
+        self._log_end(route, call, arrived_seconds, label, answer)
 
     async def _relay(
         self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: ListedTarget
@@ -86,8 +87,7 @@
         call: Call,
         arrived_seconds: float,
         outcome: str,
-        attempts: int,
-        target: str,
+        answer: FrontAnswer | None,
     ) -> None:
         elapsed_seconds = self._context.now_seconds() - arrived_seconds
         self._context.log.write(
@@ -99,13 +99,19 @@
                 table_revision=self._context.table_revision,
                 list_age_seconds=self._context.list_age_seconds(),
                 targets_known=self._front.usable_count(route),
-                target=target,
-                attempts=attempts,
+                target=answer.instance if answer is not None else "",
+                attempts=answer.attempts if answer is not None else 0,
                 elapsed_seconds=round(elapsed_seconds, 4),
                 outcome=outcome,
+                place=self._place_seen(answer),
             )
         )
 
+    def _place_seen(self, answer: FrontAnswer | None) -> PlaceSeen | None:
+        if answer is None or answer.target is None:
+            return None
+        return place_seen(self._context, answer.place, answer.target.service, WorkKind.CALL)
+
     async def _fail(self, exchange: Exchange, outcome: MayHaveRun, deadline_seconds: float) -> None:
         """Answer without a promise whether the request has run."""
         late = self._context.now_seconds() >= deadline_seconds
--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -20,7 +20,7 @@
     attempt_deadline_seconds,
     return_delay_seconds,
 )
-from rackswitch.routing import ListedTarget
+from rackswitch.routing import ListedTarget, Place
 from rackswitch.table import Handling, RouteRow
 from rackswitch.telemetry.events import AttemptFailed
 
@@ -63,12 +63,16 @@
     ----------
     failures : int
         Answers of 500, by which targets themselves said that they had failed.
+    place : Place or None
+        What was believed of the answering target as it was chosen; None if its service tells
+        no pace.
     """
 
     outcome: FrontOutcome
     attempts: int
     failures: int
     target: ListedTarget | None = None
+    place: Place | None = None
 
     @property
     def instance(self) -> str:
@@ -144,6 +148,7 @@
             target = self._pick(service, log, deadline_seconds)
             if target is None:
                 break
+            place = self._chooser.load(target).place
             held = await self._quarantine.admit(call.fingerprint, deadline_seconds)
             if held is not None:
                 if not log.may_have_run:
@@ -170,7 +175,7 @@
                     await asyncio.sleep(PAUSE_SECONDS)
                 continue
             if isinstance(result, TargetStream) or result.status < 500 or not log.repeatable:
-                return FrontAnswer(result, len(log.ends) + 1, failures, target)
+                return FrontAnswer(result, len(log.ends) + 1, failures, target, place)
             failures += result.status == 500
             last_failure = (result, target)
             log.note(AttemptEnd(target.instance, True, f"status {result.status}"))
@@ -270,11 +275,14 @@
         fresh_connection = not log.repeatable
         began_seconds = self._context.now_seconds()
         load.begin(CALL_COST_TOKENS, ())
+        sent = self._chooser.sent(target)
+        result: TargetAnswer | TargetStream | TargetFailed | None = None
         try:
             send = self._targets.open_stream if as_stream else self._targets.forward
             result = await send(target, call, until_seconds, fresh_connection)
         finally:
             load.end(CALL_COST_TOKENS)
+            self._chooser.ended(sent, result)
         if not isinstance(result, TargetFailed) and result.status < 500:
             load.succeeded(0, 0.0)
             took_seconds = self._context.now_seconds() - began_seconds
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -1,8 +1,17 @@
 """Choosing a target for a call, and learning from how it went."""
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.requests import TargetFailed
-from rackswitch.routing import POLICIES, ListedTarget, RoutedRequest, Target, usable_targets
+from rackswitch.requests import TargetAnswer, TargetFailed, TargetStream
+from rackswitch.routing import (
+    POLICIES,
+    ListedTarget,
+    Place,
+    RoutedRequest,
+    SentRequest,
+    Target,
+    WorkKind,
+    usable_targets,
+)
 from rackswitch.table import RouteChoice, RouteRow
 
 __all__ = ["CALL_COST_TOKENS", "TargetChooser"]
@@ -10,6 +19,12 @@
 POLICY = "at_hand"
 """Calls of plain services are short and alike, and a new connection costs more than a queue."""
 
+POLICY_BY_WORDS = "nearly_best"
+"""For services whose targets tell how long work takes there."""
+
+CONNECT_SECONDS = 0.001
+"""What a new connection takes besides one more way there and back."""
+
 CALL_COST_TOKENS = 20.0
 """A plain call's weight in the load estimates, as in the stand-alone deployment."""
 
@@ -23,11 +38,12 @@
         The daemon.
     """
 
-    __slots__ = ("_context", "_policy")
+    __slots__ = ("_by_words", "_context", "_policy")
 
     def __init__(self, context: GatewayContext):
         self._context = context
         self._policy = POLICIES.get(POLICY)(context.rng)
+        self._by_words = POLICIES.get(POLICY_BY_WORDS)(context.rng)
 
     def draw_choice(self, route: RouteRow) -> RouteChoice:
         """Draw by weight among a route's choices."""
@@ -47,10 +63,58 @@
         if not listed:
             return None
         targets = [self._context.targets[instance] for instance in listed]
+        if self._context.picture.tells_pace(service):
+            return listed[self._choose_by_words(service, listed, targets, now_seconds).name]
         routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds)
         chosen = self._policy.choose(routed, usable_targets(targets, now_seconds))
         return listed[chosen.name]
 
+    def _choose_by_words(
+        self,
+        service: str,
+        listed: dict[str, ListedTarget],
+        targets: list[Target],
+        now_seconds: float,
+    ) -> Target:
+        """Return the target for a call of a service whose targets tell their pace."""
+        usable = usable_targets(targets, now_seconds)
+        for target in usable:
+            target.place = self._place(listed[target.name], target, now_seconds)
+        run_seconds = self._context.picture.usual_run_seconds(service, WorkKind.CALL)
+        routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds, run_seconds)
+        return self._by_words.choose(routed, usable)
+
+    def _place(self, listed: ListedTarget, target: Target, now_seconds: float) -> Place:
+        """Return what a place for a call is worth at a target."""
+        is_at_hand = target.is_at_hand(now_seconds)
+        arrival_seconds = 2 * target.one_way_seconds
+        if not is_at_hand:
+            arrival_seconds += 2 * target.one_way_seconds + CONNECT_SECONDS
+        return self._context.picture.place(
+            listed, WorkKind.CALL, 1.0, now_seconds, arrival_seconds, is_at_hand
+        )
+
+    def sent(self, target: ListedTarget) -> SentRequest:
+        """Count a call in that is sent to a target now."""
+        now_seconds = self._context.now_seconds()
+        load = self.load(target)
+        place = load.place or self._place(target, load, now_seconds)
+        return self._context.picture.sent(target, WorkKind.CALL, place, now_seconds)
+
+    def ended(
+        self, sent: SentRequest, result: TargetAnswer | TargetStream | TargetFailed | None
+    ) -> None:
+        """Count a call out and learn from its result; None if its caller left."""
+        picture = self._context.picture
+        picture.done(sent, goes_on=isinstance(result, TargetStream))
+        if not isinstance(result, TargetAnswer):
+            return
+        now_seconds = self._context.now_seconds()
+        if result.status < 500:
+            picture.worked(sent, 1.0, now_seconds)
+        else:
+            picture.failed(sent.start, now_seconds)
+
     def load(self, target: ListedTarget) -> Target:
         """Return what is known of a target's load."""
         return self._context.targets[target.instance]
@@ -65,3 +129,6 @@
             load.went_silent(now_seconds)
         elif failure.may_have_run:
             load.failed(now_seconds)
+            self._context.picture.failed(target.start, now_seconds)
+        else:
+            self._context.picture.refused(target.start, now_seconds)
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -10,7 +10,7 @@
 from rackswitch.gateway.store.contact import StoreContact
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.platform.settings import NodeSettings
-from rackswitch.routing import Target, TargetDirectory
+from rackswitch.routing import LoadPicture, Target, TargetDirectory
 from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
@@ -53,6 +53,8 @@
         The newest version of each model that its trainer has named.
     targets : dict of str to Target
         Load, speed and health of the listed targets, by instance.
+    picture : LoadPicture
+        What is believed of the targets' load, by what they tell and by own requests.
     process_started_unix_seconds : float
         When this process began; with the daemon's name it tells processes apart.
     member_entries : dict of str to MemberEntry
@@ -76,6 +78,7 @@
     named_versions: dict[str, int] = field(default_factory=dict)
     loads: EngineLoads = field(default_factory=EngineLoads)
     targets: dict[str, Target] = field(default_factory=dict)
+    picture: LoadPicture = field(default_factory=LoadPicture)
     connection_limits: ConnectionLimits = field(default_factory=_first_connection_limits)
     list_confirmed_at_seconds: float = float("-inf")
     process_started_unix_seconds: float = field(default_factory=time.time)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -42,6 +42,7 @@
 from rackswitch.platform.orders import OrderClient
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.platform.target_calls import TargetClient
+from rackswitch.routing import ListedTarget, LoadWord
 from rackswitch.telemetry.events import (
     HandOverGivenUp,
     MachineSuspended,
@@ -101,7 +102,7 @@
         self.direct = made.direct
         self.log = made.context.log
         self.context = GatewayContext(settings, made.context, StoreContact(self.log), policy)
-        self._sessions = TargetSessions()
+        self._sessions = TargetSessions(self._word_heard)
         self._started_seconds = float("-inf")
         self._suspended_seconds = suspended_seconds()
         self.quarantine = QuarantineKeeper(self.context, lambda: self.copies.is_complete)
@@ -263,6 +264,9 @@
             self.log.write(MachineSuspended(for_seconds=round(for_seconds, 3)))
             self._sessions.drop_unused()
 
+    def _word_heard(self, target: ListedTarget, word: LoadWord) -> None:
+        self.context.picture.heard(target.start, target.service, word)
+
     def _session_lost(self) -> None:
         self.jobs.session_lost()
 
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -7,6 +7,8 @@
 from rackswitch.gateway.callers.request_front import FrontOutcome, RequestFront, outcome_label
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.items.run_loads import RunLoads
+from rackswitch.gateway.place_lines import place_seen
 from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.jobs import (
     EngineLoad,
@@ -27,7 +29,7 @@
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
 from rackswitch.quarantine import request_fingerprint
 from rackswitch.requests import Call, TargetAnswer
-from rackswitch.routing import ListedTarget
+from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.telemetry import events
 
 __all__ = ["ItemRunner"]
@@ -85,6 +87,8 @@
     ----------
     forecast, occupancy : LengthForecast, EngineOccupancy
         What the runs have shown of texts, and of how full engines are.
+    loads : RunLoads
+        What the runs tell the load picture, and what it tells of engines.
     spare : dict of str to SpareRoom
         By service, room that nothing waits for, as the starter last saw it.
     """
@@ -95,6 +99,7 @@
         "_front",
         "_quarantine",
         "forecast",
+        "loads",
         "occupancy",
         "paces",
         "spare",
@@ -114,6 +119,7 @@
         self._front = front
         self.paces = paces
         self.spare: dict[str, SpareRoom] = {}
+        self.loads = RunLoads(context)
         self.forecast = LengthForecast()
         self.occupancy = EngineOccupancy()
 
@@ -124,7 +130,12 @@
         began_seconds = self._context.now_seconds()
         first_number = progress.last_number + 1
         gaps = RunGaps()
-        ended = await self._stream(ledger, progress, target, gaps)
+        sent = self.loads.sent(target, began_seconds)
+        ended: ItemRunEnded | None = None
+        try:
+            ended = await self._stream(ledger, progress, target, gaps)
+        finally:
+            self.loads.ended(sent, ended, progress.last_number - first_number + 1)
         now_seconds = self._context.now_seconds()
         fingerprint = self._tell_quarantine(ledger.job, progress.item, target, ended, gaps)
         self._context.log.write(
@@ -143,6 +154,7 @@
                 detail=ended.detail,
                 first_piece_seconds=_first_piece_seconds(gaps, began_seconds),
                 fingerprint=fingerprint,
+                place=place_seen(self._context, sent.place, target.service, WorkKind.TEXT),
             )
         )
         self._note_end(ledger, progress, target, ended, gaps.first_at_seconds is None)
@@ -205,6 +217,9 @@
                 gap_seconds = gaps.piece_came(now_seconds)
                 if gap_seconds is not None:
                     self.paces.note(target.start, gap_seconds, now_seconds)
+                    self._context.picture.piece(
+                        target.start, target.service, gap_seconds, now_seconds
+                    )
                 if not ledger.single_version and self._moves(ledger, progress, target, gaps):
                     return ItemRunEnded(ItemRunEnd.BROKEN, MOVED)
         return ItemRunEnded(ItemRunEnd.BROKEN, "the stream told no end")
@@ -224,7 +239,7 @@
         if spare is None or spare.versions.get(job.model, 0) < job.oldest_version:
             return False
         remaining = self.forecast.remaining_pieces(progress)
-        pace = gaps.seconds_per_piece()
+        pace = self.loads.expected_gap_seconds(target, gaps, remaining)
         if not should_move(pace, spare, target.instance, remaining, progress.moves):
             return False
         progress.moves += 1
@@ -293,6 +308,12 @@
                     attempts=answer.attempts,
                     failures=answer.failures,
                     outcome=outcome_label(outcome),
+                    place=place_seen(
+                        self._context,
+                        answer.place,
+                        answer.target.service if answer.target is not None else "",
+                        WorkKind.CALL,
+                    ),
                 )
             )
             if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -7,7 +7,7 @@
 from rackswitch.gateway.jobs.owned_job import OwnedJob
 from rackswitch.jobs import EngineRoom, ItemPhase, ItemProgress, ItemStart, plan_starts, spare_rooms
 from rackswitch.platform.item_runs import ItemRunEnd
-from rackswitch.routing import ListedTarget
+from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.table import RouteRow, ServiceRow
 from rackswitch.telemetry.events import ItemGivenUp
 
@@ -58,6 +58,7 @@
             now_seconds,
             self._runner.forecast,
             self._context.policy.longest_first,
+            self._context.rng,
         )
         for start in starts:
             self._start(owned_jobs[start.ledger.job.job_id], start)
@@ -131,6 +132,8 @@
             versions,
             slots,
             own + occupancy.others(listed.instance, now_seconds),
+            self._runner.loads.place(listed, now_seconds),
+            self._context.picture.usual_run_seconds(listed.service, WorkKind.TEXT),
         )
 
     def _start(self, owned: OwnedJob, start: ItemStart) -> None:
--- a/rackswitch/gateway/items/load_looks.py
+++ b/rackswitch/gateway/items/load_looks.py
@@ -5,10 +5,13 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.jobs import EngineLoad, EngineOccupancy
 from rackswitch.platform.orders import EngineReport, OrderClient
-from rackswitch.routing import ListedTarget
+from rackswitch.routing import ListedTarget, LoadWord
 
 __all__ = ["LoadLooks"]
 
+REPORT_AGE_SECONDS = 0.3
+"""A report tells how things were some hundred milliseconds before."""
+
 
 class LoadLooks:
     """Reads engines' reports, which take no slot.
@@ -41,5 +44,15 @@
     async def _ask(self, target: ListedTarget) -> None:
         report = await self._engines.report(target)
         if isinstance(report, EngineReport):
+            now_seconds = self._context.now_seconds()
             load = EngineLoad(report.running, report.waiting)
-            self._occupancy.heard(target.instance, load, self._context.now_seconds())
+            self._occupancy.heard(target.instance, load, now_seconds)
+            self._heard(target, report, now_seconds)
+
+    def _heard(self, target: ListedTarget, report: EngineReport, now_seconds: float) -> None:
+        """Tell the picture, as a word without a pace that is older than those with one."""
+        if not target.slots or not self._context.picture.tells_pace(target.service):
+            return
+        said_at_seconds = now_seconds - REPORT_AGE_SECONDS
+        word = LoadWord(report.running, report.waiting, target.slots, None, said_at_seconds)
+        self._context.picture.heard(target.start, target.service, word)
--- /dev/null
+++ b/rackswitch/gateway/place_lines.py
@@ -0,0 +1,27 @@
+"""What is logged of the place that a request was given."""
+
+import math
+
+from rackswitch.gateway.context import GatewayContext
+from rackswitch.routing import Place, WorkKind
+from rackswitch.telemetry.events import PlaceSeen
+
+__all__ = ["place_seen"]
+
+
+def place_seen(
+    context: GatewayContext, place: Place | None, service: str, kind: WorkKind
+) -> PlaceSeen | None:
+    """Return the inputs of a choice for its log line; None if they did not decide."""
+    if place is None or not context.picture.tells_pace(service):
+        return None
+    run_seconds = context.picture.usual_run_seconds(service, kind)
+    has_word = math.isfinite(place.word_age_seconds)
+    return PlaceSeen(
+        slots=place.slots,
+        running=round(place.running, 2),
+        waiting=round(place.waiting, 2),
+        pace=round(place.pace, 3),
+        wait_seconds=round(place.wait_seconds(run_seconds), 4),
+        word_age_seconds=round(place.word_age_seconds, 3) if has_word else -1.0,
+    )
--- a/rackswitch/gateway/store/state_keeper.py
+++ b/rackswitch/gateway/store/state_keeper.py
@@ -154,6 +154,8 @@
         lapsed = instance in self._context.directory.lapsed
         if not lapsed:
             self._context.loads.gone(instance)
+            if before is not None:
+                self._context.picture.forget(before.start)
             if before is not None and not before.draining:
                 self._ends.ended(before.start, EndEvidence.UNLISTED)
         self._context.log.write(TargetGone(target=instance, still_used=lapsed))
@@ -168,6 +170,8 @@
         if known is not None and known.start == listed.start:
             return
         self._context.loads.gone(listed.instance)
+        if known is not None:
+            self._context.picture.forget(known.start)
         same_zone = listed.zone == self._context.settings.zone
         distance_seconds = SAME_ZONE_SECONDS if same_zone else OTHER_ZONE_SECONDS
         self._context.targets[listed.instance] = Target(
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -1,6 +1,7 @@
 """Which items to start now, and at which engine."""
 
 import math
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 from rackswitch.jobs.messages import Job
 from rackswitch.jobs.progress import ItemProgress
 from rackswitch.jobs.stragglers import SpareRoom
+from rackswitch.routing import Place, choose_place
 
 __all__ = [
     "EngineRoom",
@@ -56,6 +58,11 @@
         Smoothed time between the events of one stream there.
     versions : dict of str to int
         The weights it has, by model; items that need newer ones do not go there.
+    place : Place or None
+        What a place there is worth by what it tells, in place of `runs` and `seconds_per_piece`;
+        None if its service tells no pace.
+    run_seconds : float
+        How long a run takes at a usual pace, for those that wait before another.
     """
 
     instance: str
@@ -65,14 +72,20 @@
     versions: dict[str, int]
     slots: int = 0
     runs: int = 0
+    place: Place | None = None
+    run_seconds: float = USUAL_RUN_SECONDS
 
     def begin(self) -> None:
         """Count one more run in."""
         self.free_slots -= 1
         self.runs += 1
+        if self.place is not None:
+            self.place = self.place.with_one_more()
 
     def expected_seconds_per_piece(self) -> float:
         """Return the pace that one more run would have there."""
+        if self.place is not None:
+            return self.place.unit_seconds * self.place.pace
         return self.seconds_per_piece * (1 + RUN_COST_SHARE * self.runs)
 
     def expected_seconds(self, pieces: float) -> float:
@@ -142,6 +155,7 @@
     now_seconds: float,
     forecast: LengthForecast | None = None,
     longest_first: bool = True,
+    rng: random.Random | None = None,
 ) -> list[ItemStart]:
     """Decide which waiting items start at which engines.
 
@@ -166,6 +180,8 @@
         How long texts become; a fresh one by default.
     longest_first : bool, optional
         Whether an item's length counts in when it must start.
+    rng : random.Random, optional
+        Draws among engines that tell their pace; differs from daemon to daemon.
 
     Returns
     -------
@@ -173,6 +189,7 @@
         At most as many as there is room for.
     """
     lengths = forecast or LengthForecast()
+    draws = rng or random.Random(0)
     waiting = [
         (
             _rank(progress, due_seconds[ledger.job.job_id], lengths if longest_first else None),
@@ -192,7 +209,7 @@
         if wanted in full:
             continue
         pieces = lengths.remaining_pieces(progress)
-        engine = _best_engine(engines, service, ledger, progress, pieces)
+        engine = _best_engine(engines, service, ledger, progress, pieces, draws)
         if engine is None:
             full.add(wanted)
             continue
@@ -216,6 +233,7 @@
     ledger: JobLedger,
     progress: ItemProgress,
     pieces: float,
+    rng: random.Random,
 ) -> EngineRoom | None:
     fit = [
         room
@@ -226,6 +244,8 @@
     ]
     if not fit:
         return None
+    if all(room.place is not None for room in fit):
+        return _drawn_engine(fit, progress.avoid, pieces, rng)
     return min(
         fit,
         key=lambda room: (
@@ -236,16 +256,29 @@
     )
 
 
+def _drawn_engine(
+    rooms: list[EngineRoom], avoid: str | None, pieces: float, rng: random.Random
+) -> EngineRoom:
+    """Return one of some engines that tell their pace."""
+    preferred = {room.instance: room for room in rooms if room.instance != avoid}
+    by_name = preferred or {room.instance: room for room in rooms}
+    places = [room.place for room in by_name.values() if room.place is not None]
+    run_seconds = max(room.run_seconds for room in by_name.values())
+    return by_name[choose_place(places, pieces, run_seconds, rng).instance]
+
+
 def spare_rooms(rooms: list[EngineRoom]) -> dict[str, SpareRoom]:
     """Return, by service, the fastest engine that has room left."""
     spare: dict[str, SpareRoom] = {}
     for room in rooms:
-        if room.free_slots <= 0:
+        free_slots = room.free_slots
+        if room.place is not None:
+            # A move gains nothing where it would wait.
+            free_slots = min(free_slots, int(room.place.free_slots))
+        if free_slots <= 0:
             continue
         known = spare.get(room.service)
         pace_seconds = room.expected_seconds_per_piece()
         if known is None or pace_seconds < known.seconds_per_piece:
-            spare[room.service] = SpareRoom(
-                room.instance, pace_seconds, room.free_slots, room.versions
-            )
+            spare[room.service] = SpareRoom(room.instance, pace_seconds, free_slots, room.versions)
     return spare
--- a/rackswitch/telemetry/events/__init__.py
+++ b/rackswitch/telemetry/events/__init__.py
@@ -15,6 +15,8 @@
 from rackswitch.telemetry.events.duties import __all__ as _duties_all
 from rackswitch.telemetry.events.jobs import *  # noqa: F403
 from rackswitch.telemetry.events.jobs import __all__ as _jobs_all
+from rackswitch.telemetry.events.places import *  # noqa: F403
+from rackswitch.telemetry.events.places import __all__ as _places_all
 from rackswitch.telemetry.events.process import *  # noqa: F403
 from rackswitch.telemetry.events.process import __all__ as _process_all
 from rackswitch.telemetry.events.quarantine import *  # noqa: F403
@@ -32,6 +34,7 @@
     *_dependencies_all,
     *_duties_all,
     *_jobs_all,
+    *_places_all,
     *_process_all,
     *_quarantine_all,
     *_requests_all,
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -1,6 +1,7 @@
 """What is logged of batch jobs: who owns them, their items, their results."""
 
 from rackswitch.telemetry.events.base import Event, registered
+from rackswitch.telemetry.events.places import PlaceSeen
 
 __all__ = [
     "ItemGivenUp",
@@ -137,6 +138,9 @@
     fingerprint: str = ""
     """What the item has in common with other sends of the same request, if the run broke."""
 
+    place: PlaceSeen | None = None
+    """What was believed of the engine as the run began, if its service tells its pace."""
+
     @property
     def is_routine(self) -> bool:
         """Whether the run brought the whole text at once."""
@@ -154,6 +158,7 @@
     attempts: int
     failures: int
     outcome: str
+    place: PlaceSeen | None = None
 
     @property
     def is_routine(self) -> bool:
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -1,6 +1,7 @@
 """What is logged of callers' requests and their attempts."""
 
 from rackswitch.telemetry.events.base import Event, registered
+from rackswitch.telemetry.events.places import PlaceSeen
 
 __all__ = [
     "AttemptFailed",
@@ -55,6 +56,8 @@
         The target whose answer was passed on; empty if there is none.
     targets_known : int
         Targets of the service that could be used when the request ended.
+    place : PlaceSeen or None
+        What was believed of the target as it was chosen, if its service tells its pace.
     """
 
     request: str
@@ -68,6 +71,7 @@
     elapsed_seconds: float
     outcome: str
     tenant: str = ""
+    place: PlaceSeen | None = None
 
     @property
     def is_routine(self) -> bool:
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -18,6 +18,7 @@
     JobOwned,
     JobSubmitted,
     LoadOrdered,
+    PlaceSeen,
     RequestEnded,
     RequestHeldBack,
     RequestRefused,
@@ -72,6 +73,7 @@
         "_daemon",
         "_known_values",
         "attempts_failed",
+        "believed_wait",
         "dependency_up",
         "events",
         "item_run_seconds",
@@ -89,6 +91,7 @@
         "reward_calls",
         "table_revision",
         "targets_ended",
+        "word_age",
     )
 
     def __init__(
@@ -104,6 +107,16 @@
         self.refusals = meter.create_counter(
             "rackswitch_refusals", description="Requests refused before a target was chosen."
         )
+        self.believed_wait = meter.create_gauge(
+            "rackswitch_believed_wait_seconds",
+            unit="s",
+            description="Wait for a slot at a target, as believed at its last choice.",
+        )
+        self.word_age = meter.create_gauge(
+            "rackswitch_word_age_seconds",
+            unit="s",
+            description="Age of a target's word at its last choice; -1 if there was none.",
+        )
         self.targets_ended = meter.create_counter(
             "rackswitch_targets_ended", description="Targets that ended under runs of this daemon."
         )
@@ -163,6 +176,14 @@
         bounded = {name: self._bounded(name, str(value)) for name, value in values.items()}
         return {"daemon": self._daemon, **bounded}
 
+    def placed(self, target: str, place: PlaceSeen | None) -> None:
+        """Show what was believed of a target as it was chosen."""
+        if place is None:
+            return
+        labels = self.labels(target=target)
+        self.believed_wait.set(place.wait_seconds, labels)
+        self.word_age.set(place.word_age_seconds, labels)
+
     def _bounded(self, name: str, value: str) -> str:
         known = self._known_values.setdefault(name, set())
         if value not in known:
@@ -178,6 +199,7 @@
     meters.request_ended(
         route, event.caller_class, short_outcome(event.outcome), event.elapsed_seconds
     )
+    meters.placed(event.target, event.place)
 
 
 @_counts(RequestRefused)
@@ -268,6 +290,7 @@
     labels = meters.labels(outcome=event.outcome)
     meters.item_runs.add(1, labels)
     meters.item_run_seconds.record(event.run_seconds, labels)
+    meters.placed(event.target, event.place)
 
 
 @_counts(ItemGivenUp)
@@ -278,3 +301,4 @@
 @_counts(RewardCallEnded)
 def _reward_call_ended(meters: EventMeters, event: RewardCallEnded) -> None:
     meters.reward_calls.add(1, meters.labels(outcome=short_outcome(event.outcome)))
+    meters.placed(event.target, event.place)
