--- /dev/null
+++ b/rackswitch/gateway/callers/tests/test_target_choice.py
@@ -0,0 +1,132 @@
+"""Which targets calls go to, and what decides."""
+
+import random
+from collections import Counter
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.callers.target_choice import POLICY, TargetChooser
+from rackswitch.gateway.tests.support import make_gateway_context
+from rackswitch.requests import TargetAnswer, TargetFailed
+from rackswitch.routing import POLICIES, ListedTarget, LoadWord, RoutedRequest, Target
+from rackswitch.standins.kv_store import KvStore
+
+TARGETS = [ListedTarget(f"t{number}", "s", "h", number, "z", 6) for number in range(4)]
+ANSWER = TargetAnswer(200, (), b"")
+FULL = TargetFailed(False, "the target did not begin: status 503")
+
+
+def make_chooser():
+    context = make_gateway_context("a", KvStore())
+    for target in TARGETS:
+        context.directory.put(target)
+        context.targets[target.instance] = Target(
+            target.instance, target.url, "z", start=target.start
+        )
+    return context, TargetChooser(context)
+
+
+def tell(context, running: dict[str, int], pace: float | None):
+    """Let each target say a word now."""
+    for target in TARGETS:
+        count = running.get(target.instance, 0)
+        word = LoadWord(min(6, count), max(0, count - 6), 6, pace, context.now_seconds())
+        context.picture.heard(target.start, "s", word)
+
+
+def picks(chooser, times=200) -> Counter:
+    return Counter(chooser.pick("s", set()).instance for _ in range(times))
+
+
+def test_calls_avoid_what_others_have_filled():
+    async def scenario():
+        context, chooser = make_chooser()
+        tell(context, {"t0": 18, "t1": 18}, pace=1.0)
+        return picks(chooser)
+
+    assert set(run_virtual(scenario())) == {"t2", "t3"}
+
+
+def test_services_that_tell_no_pace_are_chosen_from_as_before():
+    async def scenario(is_told):
+        context, chooser = make_chooser()
+        context.rng.seed(5)
+        # A service whose targets tell their pace changes nothing for others.
+        context.picture.heard("x@0", "other", LoadWord(0, 0, 6, 1.0, 0.0))
+        chosen = []
+        for number in range(200):
+            if is_told:
+                tell(context, {"t0": 18, "t1": number % 7}, pace=None)
+            target = chooser.pick("s", set())
+            sent = chooser.sent(target)
+            chooser.load(target).begin(20.0, ())
+            if number % 3:
+                chooser.load(target).end(20.0)
+                chooser.ended(sent, ANSWER)
+            elif is_told:
+                chooser.note_failure(target, FULL)
+            chosen.append(target.instance)
+        return chosen
+
+    def plain():
+        """Make the same choices by the policy alone."""
+        rng = random.Random(5)
+        policy = POLICIES.get(POLICY)(rng)
+        targets = [Target(target.instance, target.url, "z") for target in TARGETS]
+        chosen = []
+        for number in range(200):
+            target = policy.choose(RoutedRequest(0.0, 20.0, (), 0.0), targets)
+            target.begin(20.0, ())
+            if number % 3:
+                target.end(20.0)
+            chosen.append(target.name)
+        return chosen
+
+    assert run_virtual(scenario(True)) == plain()
+    assert run_virtual(scenario(False)) == plain()
+
+
+def test_a_target_that_does_not_begin_is_full_whatever_its_word_says():
+    async def scenario():
+        context, chooser = make_chooser()
+        tell(context, {"t0": 0, "t1": 5, "t2": 5, "t3": 5}, pace=1.0)
+        before = picks(chooser)
+        chooser.note_failure(TARGETS[0], FULL)
+        return before, picks(chooser)
+
+    before, after = run_virtual(scenario())
+    assert before["t0"] > 80
+    assert after["t0"] == 0
+
+
+def test_a_target_that_sounds_good_and_fails_loses_its_calls():
+    async def scenario():
+        context, chooser = make_chooser()
+        tell(context, {"t1": 5, "t2": 5, "t3": 5}, pace=1.0)
+        failed = TargetAnswer(500, (), b"")
+        for _ in range(4):
+            sent = chooser.sent(TARGETS[0])
+            chooser.ended(sent, failed)
+        return picks(chooser)
+
+    assert run_virtual(scenario())["t0"] < 10
+
+
+def test_a_target_that_sounds_good_and_is_silent_gets_no_call():
+    async def scenario():
+        context, chooser = make_chooser()
+        tell(context, {"t1": 5, "t2": 5, "t3": 5}, pace=1.0)
+        chooser.note_failure(TARGETS[0], TargetFailed(True, "no answer", silent=True))
+        return picks(chooser)
+
+    assert run_virtual(scenario())["t0"] == 0
+
+
+def test_what_decided_is_kept_with_the_call():
+    async def scenario():
+        context, chooser = make_chooser()
+        tell(context, {"t0": 8}, pace=1.5)
+        target = chooser.pick("s", {"t1", "t2", "t3"})
+        return chooser.load(target).place
+
+    place = run_virtual(scenario())
+    assert (place.instance, place.running, place.waiting, place.pace) == ("t0", 6, 2, 1.5)
--- a/rackswitch/telemetry/tests/test_meters.py
+++ b/rackswitch/telemetry/tests/test_meters.py
@@ -2,8 +2,10 @@
 from rackswitch.telemetry.events import (
     DependencyLost,
     DependencyRegained,
+    PlaceSeen,
     RequestRefused,
     ResultsAppended,
+    RewardCallEnded,
     TableInForce,
 )
 from rackswitch.telemetry.meters import MOST_LABEL_VALUES, OTHER, short_outcome
@@ -52,6 +54,28 @@
     assert 'rackswitch_table_revision{daemon="d"} 9.0' in text
 
 
+def test_what_is_believed_of_a_chosen_target_is_told():
+    def scored(target: str, place: PlaceSeen | None) -> RewardCallEnded:
+        return RewardCallEnded(
+            job="j",
+            item="i",
+            request="r",
+            target=target,
+            attempts=1,
+            failures=0,
+            outcome="200",
+            place=place,
+        )
+
+    place = PlaceSeen(
+        slots=6, running=6.0, waiting=2.0, pace=1.5, wait_seconds=0.25, word_age_seconds=0.5
+    )
+    text = exposed(scored("told", place), scored("tells none", None))
+    assert 'rackswitch_believed_wait_seconds{daemon="d",target="told"} 0.25' in text
+    assert 'rackswitch_word_age_seconds{daemon="d",target="told"} 0.5' in text
+    assert "tells none" not in text
+
+
 def test_labels_are_bounded():
     refusals = [
         RequestRefused(request="r", path="/", status=number, detail="", table_revision=1)
