--- a/rackswitch/routing/load_picture.py
+++ b/rackswitch/routing/load_picture.py
@@ -77,6 +77,8 @@
         What was believed of the target without it.
     log_surprise : float
         Part of the place's pace that came from observation, not from words; its logarithm.
+    expected_seconds : float
+        How long a usual request was believed to take there.
     sent_at_seconds : float
         When it was sent (monotonic).
     """
@@ -86,6 +88,7 @@
     kind: WorkKind
     place: Place
     log_surprise: float
+    expected_seconds: float
     sent_at_seconds: float
 
 
@@ -95,6 +98,7 @@
 
     word: LoadWord | None = None
     own: int = 0
+    pending: list[SentRequest] = field(default_factory=list)
     own_at_word: int = 0
     learnt_pace: float | None = None
     refused_at_seconds: float = float("-inf")
@@ -112,6 +116,18 @@
         age_seconds = now_seconds - self.surprised_at_seconds
         return self.log_surprise * math.exp(-max(0.0, age_seconds) / SURPRISE_LIFE_SECONDS)
 
+    def overdue(self, now_seconds: float) -> float:
+        """Return the logarithm of how much longer than words said the oldest call takes so far.
+
+        A target that stands still tells nothing, and its calls' times come too late.
+        """
+        if not self.pending:
+            return -math.inf
+        sent = self.pending[0]
+        took_seconds = max(1e-4, now_seconds - sent.sent_at_seconds)
+        log_ratio = math.log(took_seconds / sent.expected_seconds) + sent.log_surprise
+        return min(MOST_LOG_SURPRISE, log_ratio)
+
     def surprised(self, log_ratio: float, now_seconds: float) -> None:
         """Take in how a request's time compared with what words alone had promised."""
         before = self.surprise_now(now_seconds)
@@ -190,8 +206,19 @@
         """Count a request of this daemon in."""
         belief = self._belief(target.start)
         belief.own += 1
-        surprise = belief.surprise_now(now_seconds)
-        return SentRequest(target.start, target.service, kind, place, surprise, now_seconds)
+        run_seconds = self.usual_run_seconds(target.service, kind)
+        sent = SentRequest(
+            start=target.start,
+            service=target.service,
+            kind=kind,
+            place=place,
+            log_surprise=belief.surprise_now(now_seconds),
+            expected_seconds=place.finish_seconds(1.0, run_seconds),
+            sent_at_seconds=now_seconds,
+        )
+        if kind is WorkKind.CALL:
+            belief.pending.append(sent)
+        return sent
 
     def done(self, sent: SentRequest, goes_on: bool = False) -> None:
         """Count a request of this daemon out, however it ended.
@@ -208,6 +235,7 @@
         if belief is None:
             return
         belief.own = max(0, belief.own - 1)
+        belief.pending = [other for other in belief.pending if other is not sent]
         if goes_on:
             belief.own_at_word = max(0, belief.own_at_word - 1)
 
@@ -285,7 +313,7 @@
         unit_seconds = service.unit_seconds[kind]
         run_seconds = service.run_seconds[kind]
         pace = self._word_pace(belief, target.service, units * unit_seconds, now_seconds)
-        pace *= math.exp(belief.surprise_now(now_seconds))
+        pace *= math.exp(max(belief.surprise_now(now_seconds), belief.overdue(now_seconds)))
         slots = _slots(belief, target)
         requests = _requests(belief, slots, max(LEAST_FADE_SECONDS, run_seconds), now_seconds)
         return Place(
--- a/rackswitch/routing/placing.py
+++ b/rackswitch/routing/placing.py
@@ -16,8 +16,8 @@
 LEAST_SPREAD = 0.05
 """Share of the best place's finish that tells places apart by words just said."""
 
-MOST_SPREAD = 1.0
-"""The same by words so old that all requests they counted have ended."""
+RUNS_SPREAD = 0.8
+"""Usual requests by which a queue may differ from words whose requests have all ended since."""
 
 MOST_TIMES_BEST = 2.0
 """Nothing goes where it would take longer, however old the words: slow places stand out."""
@@ -61,7 +61,7 @@
     ]
     if near:
         return rng.choices(near, [_room(place) for place in near])[0]
-    spread_seconds = best_seconds * _spread(sample, run_seconds)
+    spread_seconds = LEAST_SPREAD * best_seconds + _unknown_seconds(sample, run_seconds)
     weights = [
         _room(place) * math.exp((best_seconds - finish_seconds) / spread_seconds)
         if finish_seconds <= MOST_TIMES_BEST * best_seconds
@@ -76,13 +76,13 @@
     return max(LEAST_WEIGHT, place.free_slots) / place.pace
 
 
-def _spread(places: Sequence[Place], run_seconds: float) -> float:
-    """Return how little places are told apart: the less, the more has changed since the words."""
+def _unknown_seconds(places: Sequence[Place], run_seconds: float) -> float:
+    """Return by how long a wait may differ from words: the longer, the more has changed since."""
     age_seconds = min(place.word_age_seconds for place in places)
     if math.isinf(age_seconds):
-        return MOST_SPREAD
+        return RUNS_SPREAD * run_seconds
     changed_share = age_seconds / (age_seconds + run_seconds)
-    return LEAST_SPREAD + (MOST_SPREAD - LEAST_SPREAD) * changed_share
+    return RUNS_SPREAD * run_seconds * changed_share
 
 
 def _sample(places: Sequence[Place], rng: random.Random) -> Sequence[Place]:
--- a/rackswitch/routing/tests/test_load_picture.py
+++ b/rackswitch/routing/tests/test_load_picture.py
@@ -169,6 +169,19 @@
     assert place(picture, target, 20.0).pace == pytest.approx(1.0, rel=0.05)
 
 
+def test_a_call_that_is_overdue_shows_a_target_that_stands_still():
+    picture, target = LoadPicture(), engine("a")
+    picture.heard(target.start, "s", word())
+    sent = picture.sent(target, CALL, place(picture, target, 0.0), 0.0)
+    assert place(picture, target, 0.04).pace == 1.0
+    assert place(picture, target, 0.25).pace == pytest.approx(5.0, rel=0.05)
+    # A newer word does not make its answer come.
+    picture.heard(target.start, "s", word(at=0.25))
+    assert place(picture, target, 0.25).pace > 4.5
+    picture.done(sent)
+    assert place(picture, target, 0.25).pace == 1.0
+
+
 def test_pieces_show_a_pace_that_words_do_not_tell():
     picture, target = LoadPicture(), engine("a")
     picture.heard(target.start, "s", word(pace=1.0))
