Placing: a call whose caller left shows at least the time that it waited

Cause: an overdue call counted only while it was pending. Callers that hung up took what it had shown with them, and a target that stood still looked at its word's pace again at once (seen: pace 8 while the call was pending after a second, 1 as it was cancelled).

Ruled out: counting its time like a served call's. It is a bound from below, so it only ever makes a target look slower than believed so far.

--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -107,9 +107,11 @@
         """Count a call out and learn from its result; None if its caller left."""
         picture = self._context.picture
         picture.done(sent, goes_on=isinstance(result, TargetStream))
+        now_seconds = self._context.now_seconds()
+        if result is None:
+            picture.given_up(sent, now_seconds)
         if not isinstance(result, TargetAnswer):
             return
-        now_seconds = self._context.now_seconds()
         if result.status < 400:
             picture.worked(sent, 1.0, now_seconds)
         elif result.status >= 500:
--- a/rackswitch/gateway/callers/tests/test_target_choice.py
+++ b/rackswitch/gateway/callers/tests/test_target_choice.py
@@ -149,3 +149,20 @@
 
     usual_seconds, first_seconds = run_virtual(scenario())
     assert (usual_seconds < first_seconds) is is_learnt
+
+
+@pytest.mark.parametrize(("waited_seconds", "is_slow"), [(1.0, True), (0.01, False)])
+def test_a_call_whose_caller_left_shows_at_least_the_time_that_it_waited(waited_seconds, is_slow):
+    async def scenario():
+        context, chooser = make_chooser()
+        tell(context, {}, pace=1.0)
+        for _ in range(3):
+            sent = chooser.sent(TARGETS[0])
+            await asyncio.sleep(waited_seconds)
+            chooser.ended(sent, None)
+        tell(context, {}, pace=1.0)
+        now_seconds = context.now_seconds()
+        return context.picture.place(TARGETS[0], WorkKind.CALL, 1.0, now_seconds).pace
+
+    pace = run_virtual(scenario())
+    assert pace > 2.0 if is_slow else pace == pytest.approx(1.0)
--- a/rackswitch/routing/load_picture.py
+++ b/rackswitch/routing/load_picture.py
@@ -92,6 +92,11 @@
     expected_seconds: float
     sent_at_seconds: float
 
+    def log_ratio_so_far(self, now_seconds: float) -> float:
+        """Return the logarithm of how much longer than words said a usual request takes so far."""
+        took_seconds = max(1e-4, now_seconds - self.sent_at_seconds)
+        return math.log(took_seconds / self.expected_seconds) + self.log_surprise
+
 
 @dataclass(slots=True)
 class _Belief:
@@ -125,10 +130,7 @@
         """
         if not self.pending:
             return -math.inf
-        sent = self.pending[0]
-        took_seconds = max(1e-4, now_seconds - sent.sent_at_seconds)
-        log_ratio = math.log(took_seconds / sent.expected_seconds) + sent.log_surprise
-        return min(MOST_LOG_SURPRISE, log_ratio)
+        return min(MOST_LOG_SURPRISE, self.pending[0].log_ratio_so_far(now_seconds))
 
     def correction_now(self, now_seconds: float) -> float:
         """Return the logarithm of how much longer than words say work is believed to take."""
@@ -268,6 +270,13 @@
             log_ratio = math.log(took_seconds / expected_seconds)
             belief.surprised(log_ratio + sent.log_surprise, now_seconds)
 
+    def given_up(self, sent: SentRequest, now_seconds: float) -> None:
+        """Learn from a call that nobody waits for any more: it takes at least as long as it did."""
+        belief = self._belief(sent.start)
+        log_ratio = sent.log_ratio_so_far(now_seconds)
+        if log_ratio > max(0.0, belief.surprise_now(now_seconds)):
+            belief.surprised(log_ratio, now_seconds)
+
     def piece(self, start: str, service: str, gap_seconds: float, now_seconds: float) -> None:
         """Learn from the gap between two pieces of a text."""
         belief = self._belief(start)
