Platform: one constant for the status that names another target

Cause: connections.py and answers.py each held 421 for themselves. The daemons' own 421 between ledgers (NOT_HELD_HERE) means something else and stays.

--- a/rackswitch/platform/answers.py
+++ b/rackswitch/platform/answers.py
@@ -6,7 +6,16 @@
 from rackswitch.platform.names import NOT_RUN_HEADER, REQUEST_ID_HEADER, STAMP_HEADER
 from rackswitch.requests import TargetFailed
 
-__all__ = ["close_connection", "end_to_end_headers", "refusal_or_fault", "release_or_close"]
+__all__ = [
+    "OTHER_TARGET_STATUS",
+    "close_connection",
+    "end_to_end_headers",
+    "refusal_or_fault",
+    "release_or_close",
+]
+
+OTHER_TARGET_STATUS = 421
+"""By which a target says that the one expected is not there."""
 
 HOP_BY_HOP = frozenset(
     (
@@ -27,7 +36,7 @@
 
 def refusal_or_fault(answer: aiohttp.ClientResponse, request_id: str) -> TargetFailed | None:
     """Return why an answer's head shows that the call was not served, or None."""
-    if answer.status == 421:
+    if answer.status == OTHER_TARGET_STATUS:
         return TargetFailed(False, "another target has the address", not_there=True)
     if NOT_RUN_HEADER in answer.headers:
         return TargetFailed(False, f"the target did not begin: status {answer.status}")
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from rackswitch.platform.answers import OTHER_TARGET_STATUS
 from rackswitch.platform.load_words import load_word_of
 from rackswitch.platform.names import REQUEST_ID_HEADER
 from rackswitch.routing import ListedTarget, LoadWord
@@ -17,8 +18,6 @@
 WordHeard = Callable[[ListedTarget, LoadWord], None]
 """Takes in what a target says of its load."""
 
-OTHER_TARGET_STATUS = 421
-
 CONNECT_TIMEOUT_SECONDS = 0.5
 """A new connection takes 1 ms and two network delays; an engine whose queue of new
 connections is full drops the first packet, which is sent again after a second."""
