--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -42,6 +42,7 @@
 from rackswitch.platform.orders import OrderClient
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.platform.target_calls import TargetClient
+from rackswitch.routing import ListedTarget, LoadWord
 from rackswitch.telemetry.events import (
     HandOverGivenUp,
     MachineSuspended,
@@ -60,6 +61,9 @@
 COUNTS_LOG_SECONDS = 10.0
 """Between log lines that tell how many calls the key-value service got so far."""
 
+FORGET_SECONDS = 5.0
+"""Between looks for starts of targets that have gone."""
+
 BALANCER_NOTICE_SECONDS = 2.5
 """How long a stopping daemon still takes connections: the balancer asks each second and
 leaves a daemon out that has said no twice."""
@@ -101,7 +105,7 @@
         self.direct = made.direct
         self.log = made.context.log
         self.context = GatewayContext(settings, made.context, StoreContact(self.log), policy)
-        self._sessions = TargetSessions()
+        self._sessions = TargetSessions(self._word_heard)
         self._started_seconds = float("-inf")
         self._suspended_seconds = suspended_seconds()
         self.quarantine = QuarantineKeeper(self.context, lambda: self.copies.is_complete)
@@ -192,6 +196,7 @@
             *self._duties.runs(),
             self.log.run(),
             self._count_calls(),
+            self._forget_unlisted(),
         ):
             self.context.daemon.spawn_duty(duty)
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
@@ -263,6 +268,9 @@
             self.log.write(MachineSuspended(for_seconds=round(for_seconds, 3)))
             self._sessions.drop_unused()
 
+    def _word_heard(self, target: ListedTarget, word: LoadWord) -> None:
+        self.context.picture.heard(target.start, target.service, word)
+
     def _session_lost(self) -> None:
         self.jobs.session_lost()
 
@@ -292,3 +300,8 @@
         while True:
             self.log.write(StoreCalls(calls=dict(calls)))
             await asyncio.sleep(COUNTS_LOG_SECONDS)
+
+    async def _forget_unlisted(self) -> None:
+        while True:
+            self.context.forget_unlisted()
+            await asyncio.sleep(FORGET_SECONDS)
