--- a/rackswitch/routing/placing.py
+++ b/rackswitch/routing/placing.py
@@ -16,6 +16,9 @@
 LEAST_SPREAD = 0.05
 """Share of the best place's finish that tells places apart by words just said."""
 
+LEAST_SPREAD_SECONDS = 1e-4
+"""Keeps the draw defined where nothing is known of the work's time."""
+
 RUNS_SPREAD = 0.8
 """Usual requests by which a queue may differ from words whose requests have all ended since."""
 
@@ -32,6 +35,7 @@
 """Part of the targets that a decision looks at."""
 
 LEAST_SAMPLE = 3
+"""Targets; of fewer, a draw of half of them would often be no choice."""
 
 LEAST_WEIGHT = 0.25
 """Of a place without a free slot, against one with a whole free slot."""
@@ -62,6 +66,7 @@
     if near:
         return rng.choices(near, [_room(place) for place in near])[0]
     spread_seconds = LEAST_SPREAD * best_seconds + _unknown_seconds(sample, run_seconds)
+    spread_seconds = max(LEAST_SPREAD_SECONDS, spread_seconds)
     weights = [
         _room(place) * math.exp((best_seconds - finish_seconds) / spread_seconds)
         if finish_seconds <= MOST_TIMES_BEST * best_seconds
@@ -79,7 +84,7 @@
 def _unknown_seconds(places: Sequence[Place], run_seconds: float) -> float:
     """Return by how long a wait may differ from words: the longer, the more has changed since."""
     age_seconds = min(place.word_age_seconds for place in places)
-    if math.isinf(age_seconds):
+    if math.isinf(age_seconds) or run_seconds <= 0.0:
         return RUNS_SPREAD * run_seconds
     changed_share = age_seconds / (age_seconds + run_seconds)
     return RUNS_SPREAD * run_seconds * changed_share
--- a/rackswitch/routing/tests/test_placing.py
+++ b/rackswitch/routing/tests/test_placing.py
@@ -145,3 +145,8 @@
         no_herd = PlayedLoad(seed, drawn).play(4.0)
         assert no_herd <= PlayedLoad.SLOTS
         assert herd > 3 * max(1, no_herd)
+
+
+def test_work_whose_time_is_not_known_is_placed_all_the_same():
+    unknown = Place("a", 6, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0)
+    assert choose_place([unknown], 1.0, 0.0, random.Random(1)) is unknown
