Load: a soak of real gateways behind links that fail on order

Cause: nothing ran whole gateways as processes of their own under faults from outside. Change: rackswitch-load soak; links, processes, callers, trainers and a registry of faults.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench campaign processes clean
+.PHONY: demo test lint format bench campaign soak processes clean
 
 $(VENV)/.ready: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -31,5 +31,8 @@
 campaign: $(VENV)/.ready
 	$(BIN)/rackswitch-load campaign --minutes=$(or $(MINUTES),5) --seed=$(or $(SEED),1)
 
+soak: $(VENV)/.ready
+	$(BIN)/rackswitch-load soak --seconds=$(or $(SECONDS_EACH),30) --daemons=$(or $(DAEMONS),4) $(if $(SEED),--seed=$(SEED))
+
 processes: $(VENV)/.ready
 	PATH=$(CURDIR)/$(BIN):$$PATH bash examples/start_processes.sh
--- a/rackswitch/load/main.py
+++ b/rackswitch/load/main.py
@@ -1,20 +1,29 @@
-"""The program ``rackswitch-load``: campaigns of load and faults."""
+"""The program ``rackswitch-load``: campaigns and soaks of load and faults."""
 
 import asyncio
 import os
+import secrets
+import signal
 import sys
+import tempfile
+from pathlib import Path
 
 import fire
 import msgspec
 
 from rackswitch.demo.main import PROFILES
 from rackswitch.load.campaign import Campaign, CampaignReport
+from rackswitch.load.soak import Soak, SoakReport
+from rackswitch.load.soak_faults import SOAK_FAULTS
 from rackswitch.telemetry import set_up_logs
 
 __all__ = ["main"]
 
 SECONDS_PER_RUN = 30.0
 END_PATIENCE_SECONDS = 120.0
+SOAK_PATIENCE_SECONDS = 120.0
+"""Beyond a soak's own time, for its start, its last faults and its recovery."""
+
 EXIT_NOT_ENDED = 6
 
 
@@ -32,6 +41,13 @@
     os._exit(EXIT_NOT_ENDED)
 
 
+async def _run_soak(soak: Soak, seconds: float) -> SoakReport:
+    """Run a soak; an order to stop ends it with all that it started."""
+    task = asyncio.create_task(soak.run(seconds))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, seconds + SOAK_PATIENCE_SECONDS)
+
+
 class Commands:
     """Load and experiments on an embedded fleet."""
 
@@ -64,6 +80,48 @@
                 )
         sys.exit(1 if bad else 0)
 
+    def soak(
+        self,
+        seconds: float = 30.0,
+        seed: int | None = None,
+        daemons: int = 4,
+        faults: str = "",
+    ) -> None:
+        """Run real gateways as processes under faults, and check what must always hold.
+
+        Prints the seed, the command that repeats it, and a JSON line of what was seen.
+
+        Parameters
+        ----------
+        seconds : float
+            How long faults come.
+        seed : int, optional
+            A fresh one by default.
+        daemons : int
+            How many gateways.
+        faults : str
+            Names of the faults that may come, with commas between; all by default.
+        """
+        set_up_logs("CRITICAL")
+        names = [str(name) for name in faults] if isinstance(faults, tuple) else faults.split(",")
+        names = [name for name in names if name]
+        unknown = [name for name in names if name not in SOAK_FAULTS]
+        if unknown:
+            known = ", ".join(SOAK_FAULTS.names())
+            print(f"unknown faults {unknown}; known: {known}", file=sys.stderr)
+            sys.exit(2)
+        seed = secrets.randbelow(1_000_000) if seed is None else seed
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        print(
+            f"seed {seed}, logs in {folder}; repeat: rackswitch-load soak --seed={seed}"
+            f" --seconds={seconds} --daemons={daemons}"
+            + (f" --faults={','.join(names)}" if names else ""),
+            flush=True,
+        )
+        report = asyncio.run(_run_soak(Soak(seed, daemons, folder, names), seconds))
+        print(msgspec.json.encode(report).decode(), flush=True)
+        sys.exit(1 if report.violations else 0)
+
 
 def main() -> None:
     """Entry point."""
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -17,7 +17,17 @@
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.standins.platform_target import PlatformTargetStandIn
 
-__all__ = ["HOST", "JobAnswer", "PlatformFleet", "stand_in_settings"]
+__all__ = [
+    "HOST",
+    "MODEL",
+    "RESULTS_PATH",
+    "VERSION_PREFIX",
+    "JobAnswer",
+    "PlatformFleet",
+    "desired_state",
+    "job_body",
+    "stand_in_settings",
+]
 
 HOST = "site.example"
 MODEL = "m0"
@@ -89,6 +99,35 @@
     return {**state, **changes}
 
 
+def job_body(job_id: str, pieces: list[int], oldest_version: int = 1) -> bytes:
+    """Return a job whose items bring so many pieces each, as a trainer submits it."""
+    items = [
+        {
+            "id": f"{job_id}-{number}",
+            "path": f"/jobs/{number}",
+            "headers": {"X-Rackswitch-Model": MODEL, "X-Rackswitch-Length-Hint": str(count)},
+            "body": b64encode(str(count).encode()).decode(),
+            "tokens": 10,
+            "group": f"g{number // 2}",
+            "scorer": {
+                "id": f"{job_id}-score-{number}",
+                "host": HOST,
+                "path": "/look/score",
+                "body": b64encode(b"score").decode(),
+            },
+        }
+        for number, count in enumerate(pieces)
+    ]
+    job = {
+        "step": 1,
+        "model": MODEL,
+        "min_version": oldest_version,
+        "desired_count": 1,
+        "items": items,
+    }
+    return msgspec.json.encode(job)
+
+
 @dataclass(slots=True)
 class JobAnswer:
     """A page of results as a trainer reads it."""
@@ -226,31 +265,7 @@
         self, daemon: str, job_id: str, pieces: list[int], oldest_version: int = 1
     ) -> int:
         """Submit a job whose items bring so many pieces each; return the status."""
-        items = [
-            {
-                "id": f"{job_id}-{number}",
-                "path": f"/jobs/{number}",
-                "headers": {"X-Rackswitch-Model": MODEL, "X-Rackswitch-Length-Hint": str(count)},
-                "body": b64encode(str(count).encode()).decode(),
-                "tokens": 10,
-                "group": f"g{number // 2}",
-                "scorer": {
-                    "id": f"{job_id}-score-{number}",
-                    "host": HOST,
-                    "path": "/look/score",
-                    "body": b64encode(b"score").decode(),
-                },
-            }
-            for number, count in enumerate(pieces)
-        ]
-        job = {
-            "step": 1,
-            "model": MODEL,
-            "min_version": oldest_version,
-            "desired_count": 1,
-            "items": items,
-        }
-        body = msgspec.json.encode(job)
+        body = job_body(job_id, pieces, oldest_version)
         status, _, _ = await self.request(daemon, "POST", "/jobs/new", body, job_id)
         return status
 
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -45,6 +45,8 @@
         `back_after_seconds` at the same address; nothing if it is empty.
     keeps_identity : bool
         Whether it is then listed under the identity that it had.
+    load_words : (int, int)
+        What it says how many requests it runs and how many wait there.
     """
 
     refuse: bool = False
@@ -56,6 +58,7 @@
     end_on: bytes = b""
     back_after_seconds: float = 0.6
     keeps_identity: bool = False
+    load_words: tuple[int, int] = (0, 0)
 
 
 @dataclass(slots=True)
@@ -102,6 +105,11 @@
         Where it lists itself.
     models : tuple of str
         The models that it runs, at version 1.
+
+    Attributes
+    ----------
+    listed_address : str
+        Where it says that it can be reached, if that is not where it listens.
     """
 
     def __init__(
@@ -114,6 +122,7 @@
         self.instance = instance
         self.service = service
         self.faults = TargetFaults()
+        self.listed_address = ""
         self.runs: list[Run] = []
         self.orders: list[OrderSeen] = []
         self._store = store
@@ -129,6 +138,11 @@
         """The versions it has."""
         return self._state.versions
 
+    @property
+    def address(self) -> str:
+        """Where it listens, as HOST:PORT."""
+        return self._server.url.removeprefix("http://")
+
     async def start(self) -> None:
         """Listen and appear in the list."""
         await self._server.start()
@@ -166,7 +180,7 @@
         ]
         entry = {
             "service": self.service,
-            "address": self._server.url.removeprefix("http://"),
+            "address": self.listed_address or self.address,
             "zone": "z",
             "version": "v1",
             "slots": 4,
@@ -198,12 +212,13 @@
             await self._run(exchange, body if isinstance(body, bytes) else b"")
 
     async def _report(self, exchange: Exchange) -> None:
+        running, waiting = self.faults.load_words
         report = {
             "models": [{"name": name, "version": number} for name, number in self.versions.items()],
             "busy": self._state.is_loading,
             "seq": self._state.orders_taken,
-            "waiting": 0,
-            "running": 0,
+            "waiting": waiting,
+            "running": running,
             "born": self._born_unix_ms,
         }
         await exchange.respond(200, (), msgspec.json.encode(report))
@@ -247,6 +262,9 @@
             ("x-rackswitch-request-id", "foreign" if self.faults.foreign else request_id),
             ("x-rackswitch-server-stamp", f"stamp-{self.instance}-{request_id}"),
         ]
+        running, waiting = self.faults.load_words
+        if running or waiting:
+            headers.append(("x-rackswitch-server-load", f"{running},{waiting},4"))
         if self.faults.encoded:
             headers.append(("content-encoding", "gzip"))
         if model and self.faults.status == 200:
