--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -217,10 +217,24 @@
         whole = await self.context.daemon.in_flight.wait_idle(max(0.0, left_seconds))
         await self._duties.hand_over()
         await self.session.end()
+        whole = await self._finish_serving(deadline_seconds) and whole
         self.log.write(Stopped(whole=whole))
         while self.log.pump() and self.context.now_seconds() < deadline_seconds:
             await asyncio.sleep(LAST_LINES_SECONDS)
 
+    async def _finish_serving(self, deadline_seconds: float) -> bool:
+        """Take nothing more, and return whether all that had come was answered in time.
+
+        Callers use their open connections to the end: without this, what they sent during the
+        last moments would be cut by the process's end.
+        """
+        try:
+            async with asyncio.timeout_at(deadline_seconds):
+                await asyncio.gather(*(server.stop() for server in self._servers))
+        except TimeoutError:
+            return False
+        return True
+
     async def crash(self) -> None:
         """End at once, as a killed process would (for tests)."""
         await self.context.daemon.cancel_all()
--- /dev/null
+++ b/rackswitch/gateway/tests/test_planned_stop.py
@@ -0,0 +1,32 @@
+"""The last moments of a daemon that stops as planned, on loopback."""
+
+import asyncio
+from unittest.mock import patch
+
+from rackswitch.gateway.store.session import Session
+from rackswitch.gateway.tests.path import play, runs_of, wait_for
+
+WORK_SECONDS = 0.6
+
+
+def test_a_request_that_comes_while_the_session_is_given_back_is_served():
+    async def scenario(fleet):
+        end = Session.end
+        asked = []
+
+        async def end_and_ask(session):
+            asked.append(asyncio.create_task(fleet.request("d0", "POST", "/lodge/1", b"b", "r1")))
+            await wait_for(lambda: runs_of(fleet.services, "r1") == 1)
+            await end(session)
+
+        for service in fleet.services:
+            service.faults.work_seconds = WORK_SECONDS
+        gateway = fleet.gateways["d0"]
+        with patch.object(Session, "end", end_and_ask):
+            await gateway.stop()
+        await gateway.close()
+        status, _, _ = await asked[0]
+        assert status == 200
+        assert runs_of(fleet.services, "r1") == 1
+
+    play(scenario)
--- a/rackswitch/load/soak_faults.py
+++ b/rackswitch/load/soak_faults.py
@@ -60,7 +60,9 @@
 @SOAK_FAULTS.register("settings-read-again")
 async def _settings_read_again(site: SoakSite) -> None:
     for daemon in site.some_daemons():
-        daemon.read_settings_again()
+        # What is just being started may not run a line of its own yet.
+        if not daemon.change.locked():
+            daemon.read_settings_again()
 
 
 async def _store_down(site: SoakSite, how: str) -> None:
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -47,6 +47,8 @@
         Whether it is then listed under the identity that it had.
     load_words : (int, int)
         What it says how many requests it runs and how many wait there.
+    work_seconds : float
+        How long it works on a request before it answers.
     """
 
     refuse: bool = False
@@ -59,6 +61,7 @@
     back_after_seconds: float = 0.6
     keeps_identity: bool = False
     load_words: tuple[int, int] = (0, 0)
+    work_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -258,6 +261,7 @@
         if self.faults.mute:
             await exchange.wait_gone()
             return
+        await asyncio.sleep(self.faults.work_seconds)
         headers = [
             ("x-rackswitch-request-id", "foreign" if self.faults.foreign else request_id),
             ("x-rackswitch-server-stamp", f"stamp-{self.instance}-{request_id}"),
