--- a/rackswitch/load/soak.py
+++ b/rackswitch/load/soak.py
@@ -136,10 +136,18 @@
             self._check()
 
     def _check(self) -> None:
-        for line in self.callers.check():
+        for line in (*self.callers.check(), *self._check_orders()):
             if line not in self.site.violations:
                 self.site.violations.append(line)
 
+    def _check_orders(self) -> list[str]:
+        """Return orders of two daemons to engines under one fencing number."""
+        orders = [order for engine in self.site.engines for order in engine.stand_in.orders]
+        holders: dict[int, set[str]] = {}
+        for order in orders:
+            holders.setdefault(order.fence, set()).add(order.holder)
+        return [f"orders of {who} under {fence}" for fence, who in holders.items() if len(who) > 1]
+
     async def _recover(self) -> None:
         """See that every daemon serves both routes by the newest table, within the bound."""
         began_seconds = asyncio.get_running_loop().time()
--- a/rackswitch/load/soak_callers.py
+++ b/rackswitch/load/soak_callers.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from rackswitch.load.daemon_process import DaemonProcess, Life
-from rackswitch.load.soak_site import SoakSite
+from rackswitch.load.soak_site import SoakSite, added_path
 from rackswitch.standins.platform_fleet import HOST
 
 __all__ = ["CallSeen", "SoakCallers", "call_once"]
@@ -26,8 +26,8 @@
 """A 500 would be the daemon's own, since no target here answers so."""
 
 NOT_RUN = frozenset((408, 429, 503))
-MOST_RUNS = {"look": 3, "lodge": 1}
-"""As the operator's table says of the two routes."""
+MOST_RUNS = {"look": 3, "lodge": 1, "added": 3}
+"""As the operator's table says of the routes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +100,8 @@
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
         self._cut: list[tuple[CallSeen, Life, float]] = []
+        self._in_force: dict[str, int] = {}
+        """By daemon, the newest version of the table that an answer of it has shown."""
 
     async def run(self) -> None:
         """Call until cancelled."""
@@ -133,7 +135,8 @@
                 found.append(f"{said}, ran {count} times, not its own answer")
             if seen.status in NOT_RUN and count:
                 found.append(f"{said}, called not run and ran {count} times")
-            if seen.status not in (0, 200, *NOT_RUN, *MAY_HAVE_RUN):
+            not_yet = seen.kind == "added" and seen.status == 404
+            if not not_yet and seen.status not in (0, 200, *NOT_RUN, *MAY_HAVE_RUN):
                 found.append(f"{said}, no status for a request that is in order")
         return found
 
@@ -163,15 +166,24 @@
 
     async def _call(self, session: aiohttp.ClientSession, daemon: DaemonProcess) -> CallSeen:
         number = next(self._numbers)
-        kind = self._rng.choice(("look", "lodge"))
+        kind = self._rng.choice(("look", "lodge", "added"))
+        version = self._site.table_version
+        if kind == "added" and version == 1:
+            kind = "look"
+        path = added_path(version) if kind == "added" else f"/{kind}/"
         request_id = f"{kind}-{number}"
         life, sent_seconds = daemon.life, asyncio.get_running_loop().time()
+        in_force = self._in_force.get(daemon.name, 1)
         try:
-            seen = await call_once(session, daemon, f"/{kind}/{number}", request_id)
+            seen = await call_once(session, daemon, f"{path}{number}", request_id)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             seen = CallSeen(request_id, kind, 0, daemon.name, type(error).__name__)
             if not isinstance(error, aiohttp.ClientConnectorError):
                 self._cut.append((seen, life, sent_seconds))
+        if kind == "added" and seen.status == 200:
+            self._in_force[daemon.name] = max(version, self._in_force.get(daemon.name, 1))
+        if kind == "added" and seen.status == 404 and in_force >= version:
+            self._site.violations.append(f"{daemon.name}: table {version} was in force and is not")
         self.seen.append(seen)
         self.answers[f"{seen.status} {seen.detail}".strip()] += 1
         return seen
--- a/rackswitch/load/soak_site.py
+++ b/rackswitch/load/soak_site.py
@@ -12,7 +12,7 @@
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.standins.platform_target import PlatformTargetStandIn
 
-__all__ = ["SoakSite", "SoakTarget"]
+__all__ = ["SoakSite", "SoakTarget", "added_path"]
 
 ENGINES = 4
 SERVICES = 3
@@ -130,20 +130,19 @@
                 link.set(LinkFaults())
 
     def edit_table(self) -> None:
-        """Add a route, as the operator does."""
+        """Add a route, as the operator does; those that were there stay."""
         self.table_version += 1
         state = desired_state(self.table_version)
-        added = {
-            **state["routes"][0],
-            "name": f"added-{self.table_version}",
-            "path_prefix": self.newest_path,
-        }
-        self.store.put("op/config", {**state, "routes": [*state["routes"], added]})
+        added = [
+            {**state["routes"][0], "name": f"added-{number}", "path_prefix": added_path(number)}
+            for number in range(2, self.table_version + 1)
+        ]
+        self.store.put("op/config", {**state, "routes": [*state["routes"], *added]})
 
     @property
     def newest_path(self) -> str:
         """What only the newest table has a route for; that of the first is always there."""
-        return f"/added/{self.table_version}/" if self.table_version > 1 else "/look/"
+        return added_path(self.table_version) if self.table_version > 1 else "/look/"
 
     def name_version(self) -> None:
         """Name a further version of the model, as its trainer does."""
@@ -152,6 +151,11 @@
         self.store.put(VERSION_PREFIX + MODEL, entry)
 
 
+def added_path(table_version: int) -> str:
+    """Return the path whose route came with a version of the table."""
+    return f"/added/{table_version}/"
+
+
 def _own_host(number: int) -> str:
     """Return a loopback address that no other soak of this machine uses at the same time."""
     process_id = os.getpid()
--- a/rackswitch/load/soak_trainer.py
+++ b/rackswitch/load/soak_trainer.py
@@ -21,6 +21,8 @@
 """About a second of an engine's time."""
 
 REREAD_SHARE = 0.3
+STALENESS_VERSIONS = 1
+"""How much older than the newest version a text may be that a job asks for."""
 
 
 @dataclass(slots=True)
@@ -29,6 +31,7 @@
 
     job_id: str
     pieces: list[int]
+    oldest_version: int = 1
     is_taken: bool = False
     listed: list[dict[str, Any]] = field(default_factory=list)
 
@@ -73,7 +76,8 @@
         """Submit one job and read it to its end."""
         count = self._rng.randint(2, MOST_ITEMS)
         pieces = [self._rng.randint(1, MOST_PIECES) for _ in range(count)]
-        job = JobSeen(f"{self._name}-{len(self.jobs)}", pieces)
+        oldest = max(1, self._site.named_version - STALENESS_VERSIONS)
+        job = JobSeen(f"{self._name}-{len(self.jobs)}", pieces, oldest)
         self.jobs.append(job)
         await self._submit(session, job)
         while not job.is_whole:
@@ -93,7 +97,7 @@
 
     async def _submit(self, session: aiohttp.ClientSession, job: JobSeen) -> None:
         """Submit a job under one identity until it is taken."""
-        body = job_body(job.job_id, job.pieces)
+        body = job_body(job.job_id, job.pieces, job.oldest_version)
         while not job.is_taken:
             status, content = await self._call(session, "POST", "/jobs/new", job.job_id, body)
             job.is_taken = status == 202
@@ -143,6 +147,13 @@
             self._note(f"{job.job_id}: {result['id']} has another text than its own")
         elif not result["score"].endswith(f"-{job.job_id}-score-{number}"):
             self._note(f"{job.job_id}: {result['id']} has the score {result['score']}")
+        elif not self._are_versions_right(job, result["versions"]):
+            self._note(f"{job.job_id}: {result['id']} by versions {result['versions']}")
+
+    def _are_versions_right(self, job: JobSeen, versions: list[int]) -> bool:
+        """Return whether a text is by versions that were named and are not too old."""
+        newest = self._site.named_version
+        return bool(versions) and all(job.oldest_version <= v <= newest for v in versions)
 
     async def _call(
         self,
--- a/rackswitch/load/tests/test_soak.py
+++ b/rackswitch/load/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -9,7 +10,8 @@
 from rackswitch.load.soak_callers import CallSeen, SoakCallers
 from rackswitch.load.soak_site import SoakSite
 from rackswitch.load.soak_trainer import JobSeen, SoakTrainer
-from rackswitch.standins.platform_target import Run
+from rackswitch.registry import UnknownNameError
+from rackswitch.standins.platform_target import OrderSeen, Run
 
 SEED = 11
 FAULT_SECONDS = 2.5
@@ -49,6 +51,7 @@
         (CallSeen("r1", "lodge", 503, "d0"), 1, "called not run"),
         (CallSeen("r1", "look", 200, "d0"), 0, "not its own answer"),
         (CallSeen("r1", "look", 200, "d0", "foreign: x"), 1, "not its own answer"),
+        (CallSeen("r1", "added", 404, "d0"), 0, ""),
         (CallSeen("r1", "look", 404, "d0"), 0, "no status for"),
         (CallSeen("r1", "look", 500, "d0"), 1, "no status for"),
     ],
@@ -89,12 +92,13 @@
     asyncio.run(scenario())
 
 
-def _result(number: int, **changes: str) -> dict[str, str]:
+def _result(number: int, **changes: Any) -> dict[str, Any]:
     result = {
         "id": f"j-{number}",
         "state": "completed",
         "text": "piece 1\npiece 2",
         "score": f"stamp-s0-j-score-{number}",
+        "versions": [2, 3],
     }
     return {**result, **changes}
 
@@ -109,12 +113,35 @@
         ([(0, _result(0, text="piece 1"))], "another text"),
         ([(0, _result(0, score="stamp-s0-j-score-1"))], "has the score"),
         ([(0, _result(7))], "none of its items"),
+        ([(0, _result(0, versions=[]))], "by versions"),
+        ([(0, _result(0, versions=[1, 3]))], "by versions"),
+        ([(0, _result(0, versions=[4]))], "by versions"),
     ],
 )
 def test_what_trainers_must_not_read_is_found(site, listed, words):
     trainer = SoakTrainer("t", site, SEED)
-    job = JobSeen("j", [2, 2])
+    site.named_version = 3
+    job = JobSeen("j", [2, 2], oldest_version=2)
     for position, result in listed:
         trainer._take(job, position, result)
     assert bool(site.violations) == bool(words), site.violations
     assert all(words in line for line in site.violations)
+
+
+def test_two_holders_under_one_fencing_number_are_found(tmp_path):
+    async def scenario():
+        soak = Soak(SEED, 1, tmp_path)
+        first, second = (engine.stand_in.orders for engine in soak.site.engines[:2])
+        first += [OrderSeen("d0", 5, 2), OrderSeen("d1", 6, 2)]
+        soak._check()
+        assert soak.site.violations == []
+        second.append(OrderSeen("d1", 5, 2))
+        soak._check()
+        assert len(soak.site.violations) == 1
+
+    asyncio.run(scenario())
+
+
+def test_unknown_faults_name_the_known_ones(tmp_path):
+    with pytest.raises(UnknownNameError, match="daemons-rolled"):
+        Soak(SEED, 1, tmp_path, ["earthquake"])
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -15,7 +15,7 @@
 from rackswitch.web import WebServer
 from rackswitch.web.exchange import Exchange
 
-__all__ = ["PlatformTargetStandIn", "TargetFaults"]
+__all__ = ["OrderSeen", "PlatformTargetStandIn", "Run", "TargetFaults"]
 
 EVENT_SECONDS = 0.004
 LOAD_SECONDS = 0.1
