--- a/rackswitch/load/daemon_process.py
+++ b/rackswitch/load/daemon_process.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
@@ -49,57 +49,35 @@
         return self.process.returncode is None
 
 
+@dataclass(slots=True, eq=False)
 class DaemonProcess:
     """One daemon, through all its processes.
 
-    Parameters
+    Attributes
     ----------
-    name, host : str
-        The daemon and its own loopback address.
+    host : str
+        Its own loopback address.
     folder : Path
         For its settings and its log.
     keep_results_seconds : float
         How long after its submission a batch job can be read.
     violations : list of str
         Takes what must not be seen.
-
-    Attributes
-    ----------
     link : Link
         Its way to the key-value service.
     change : asyncio.Lock
         Held while the process is being ended or started.
     """
 
-    __slots__ = (
-        "_folder",
-        "_keep_results_seconds",
-        "_violations",
-        "_watches",
-        "change",
-        "host",
-        "lives",
-        "link",
-        "name",
-    )
-
-    def __init__(
-        self,
-        name: str,
-        host: str,
-        folder: Path,
-        keep_results_seconds: float,
-        violations: list[str],
-    ):
-        self.name = name
-        self.host = host
-        self.link = Link()
-        self.lives: list[Life] = []
-        self.change = asyncio.Lock()
-        self._folder = folder
-        self._keep_results_seconds = keep_results_seconds
-        self._violations = violations
-        self._watches: set[asyncio.Task[None]] = set()
+    name: str
+    host: str
+    folder: Path
+    keep_results_seconds: float
+    violations: list[str]
+    link: Link = field(default_factory=Link)
+    lives: list[Life] = field(default_factory=list)
+    change: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _watches: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
     def url(self) -> str:
@@ -116,12 +94,12 @@
         path = self._write_settings()
         root = str(Path(rackswitch.__file__).parents[1])
         environment = {**os.environ, SETTINGS_VARIABLE: str(path), "PYTHONPATH": root}
-        with (self._folder / f"{self.name}.log").open("ab") as log:
+        with (self.folder / f"{self.name}.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "rackswitch.gateway",
-                cwd=self._folder,
+                cwd=self.folder,
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
@@ -143,7 +121,7 @@
             await asyncio.wait_for(life.process.wait(), GRACE_SECONDS)
         except TimeoutError:
             if not life.disturbed:
-                self._violations.append(f"{self.name} did not stop within {GRACE_SECONDS:.0f} s")
+                self.violations.append(f"{self.name} did not stop within {GRACE_SECONDS:.0f} s")
             await self.kill()
 
     async def kill(self) -> None:
@@ -168,11 +146,7 @@
         """Tell the process to read its settings."""
         self._signal(signal.SIGHUP)
 
-    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
-        """Return whether it says that it serves callers."""
-        return await self._readiness(session) == 200
-
-    async def _readiness(self, session: aiohttp.ClientSession) -> int:
+    async def readiness(self, session: aiohttp.ClientSession) -> int:
         """Return the status of its answer to the balancer; 0 for none."""
         try:
             async with session.get(f"http://{self.host}:{READINESS_PORT}/") as answer:
@@ -186,10 +160,10 @@
                 asyncio.timeout(START_PATIENCE_SECONDS),
                 aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session,
             ):
-                while life.runs and not await self._readiness(session):
+                while life.runs and not await self.readiness(session):
                     await asyncio.sleep(POLL_SECONDS)
         except TimeoutError:
-            self._violations.append(f"{self.name} did not listen {START_PATIENCE_SECONDS:.0f} s")
+            self.violations.append(f"{self.name} did not listen {START_PATIENCE_SECONDS:.0f} s")
 
     async def _watch(self, life: Life) -> None:
         code = await life.process.wait()
@@ -197,16 +171,16 @@
         if life.disturbed:
             return
         if life.stop_ordered_seconds is None:
-            self._violations.append(f"{self.name} ended by itself with code {code}")
+            self.violations.append(f"{self.name} ended by itself with code {code}")
         elif code != 0:
-            self._violations.append(f"{self.name} ended a planned stop with code {code}")
+            self.violations.append(f"{self.name} ended a planned stop with code {code}")
 
     def _signal(self, number: int) -> None:
         if self.life.runs:
             self.life.process.send_signal(number)
 
     def _write_settings(self) -> Path:
-        path = self._folder / f"{self.name}.json"
+        path = self.folder / f"{self.name}.json"
         settings = {
             "node": self.name,
             "ip": self.host,
@@ -221,7 +195,7 @@
             "bounds": {
                 "grace_s": GRACE_SECONDS,
                 "lease_ms": 1000,
-                "status_s": self._keep_results_seconds,
+                "status_s": self.keep_results_seconds,
             },
         }
         path.write_bytes(msgspec.json.encode(settings))
--- a/rackswitch/load/soak.py
+++ b/rackswitch/load/soak.py
@@ -111,7 +111,7 @@
     async def _until_ready(self) -> None:
         async with self._session() as session, asyncio.timeout(READY_SECONDS):
             for daemon in self.site.daemons:
-                while not await daemon.is_ready(session):
+                while await daemon.readiness(session) != 200:
                     await asyncio.sleep(POLL_SECONDS)
 
     async def _break(self, seconds: float) -> None:
--- a/rackswitch/load/soak_faults.py
+++ b/rackswitch/load/soak_faults.py
@@ -65,22 +65,14 @@
             daemon.read_settings_again()
 
 
-async def _store_down(site: SoakSite, how: str) -> None:
-    site.store.faults.down = how
-    try:
-        await asyncio.sleep(site.some_life_seconds())
-    finally:
-        site.store.faults.down = ""
-
-
 @SOAK_FAULTS.register("store-silent")
 async def _store_silent(site: SoakSite) -> None:
-    await _store_down(site, "silent")
+    await site.fault_stand_in(site.store.faults, down="silent")
 
 
 @SOAK_FAULTS.register("store-busy")
 async def _store_busy(site: SoakSite) -> None:
-    await _store_down(site, "busy")
+    await site.fault_stand_in(site.store.faults, down="busy")
 
 
 @SOAK_FAULTS.register("store-slow")
@@ -107,11 +99,8 @@
 
 @SOAK_FAULTS.register("store-loses-answers")
 async def _store_loses_answers(site: SoakSite) -> None:
-    site.store.faults.lost_answers = site.rng.randint(1, MOST_LOST_ANSWERS)
-    try:
-        await asyncio.sleep(site.some_life_seconds())
-    finally:
-        site.store.faults.lost_answers = 0
+    count = site.rng.randint(1, MOST_LOST_ANSWERS)
+    await site.fault_stand_in(site.store.faults, lost_answers=count)
 
 
 @SOAK_FAULTS.register("store-forgets-history")
@@ -168,22 +157,13 @@
 
 @SOAK_FAULTS.register("target-refuses")
 async def _target_refuses(site: SoakSite) -> None:
-    faults = site.rng.choice(site.targets).stand_in.faults
-    faults.refuse = True
-    try:
-        await asyncio.sleep(site.some_life_seconds())
-    finally:
-        faults.refuse = False
+    await site.fault_stand_in(site.rng.choice(site.targets).stand_in.faults, refuse=True)
 
 
 @SOAK_FAULTS.register("load-words-lie")
 async def _load_words_lie(site: SoakSite) -> None:
-    faults = site.rng.choice(site.engines).stand_in.faults
-    faults.load_words = (site.rng.randint(0, 4), site.rng.randint(0, 500))
-    try:
-        await asyncio.sleep(site.some_life_seconds())
-    finally:
-        faults.load_words = (0, 0)
+    words = (site.rng.randint(0, 4), site.rng.randint(0, 500))
+    await site.fault_stand_in(site.rng.choice(site.engines).stand_in.faults, load_words=words)
 
 
 @SOAK_FAULTS.register("burst")
--- a/rackswitch/load/soak_site.py
+++ b/rackswitch/load/soak_site.py
@@ -5,12 +5,13 @@
 import random
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from rackswitch.load.daemon_process import DaemonProcess
 from rackswitch.load.link import Link, LinkFaults
 from rackswitch.standins.platform_fleet import MODEL, VERSION_PREFIX, desired_state
-from rackswitch.standins.platform_store import PlatformStoreStandIn
-from rackswitch.standins.platform_target import PlatformTargetStandIn
+from rackswitch.standins.platform_store import PlatformStoreStandIn, StoreFaults
+from rackswitch.standins.platform_target import PlatformTargetStandIn, TargetFaults
 
 __all__ = ["SoakSite", "SoakTarget", "added_path"]
 
@@ -119,6 +120,17 @@
         """Draw how long a fault lasts."""
         return self.rng.uniform(*self.life_seconds)
 
+    async def fault_stand_in(self, faults: StoreFaults | TargetFaults, **changes: Any) -> None:
+        """Let a stand-in do something wrong for a drawn time, and then nothing of the kind."""
+        usual = type(faults)()
+        for name, value in changes.items():
+            setattr(faults, name, value)
+        try:
+            await asyncio.sleep(self.some_life_seconds())
+        finally:
+            for name in changes:
+                setattr(faults, name, getattr(usual, name))
+
     async def fault_links(self, links: list[Link], faults: LinkFaults) -> None:
         """Let links fail for a drawn time."""
         for link in links:
