--- a/rackswitch/load/soak.py
+++ b/rackswitch/load/soak.py
@@ -128,6 +128,7 @@
                     self._counts[self._kinds[number]] += 1
                     fault = self._chosen[number]
                     running.add(asyncio.ensure_future(fault(self.site)))
+        self.site.is_ending = True
         await asyncio.gather(*running)
 
     async def _check_for_ever(self) -> None:
--- a/rackswitch/load/soak_faults.py
+++ b/rackswitch/load/soak_faults.py
@@ -49,7 +49,8 @@
 @SOAK_FAULTS.register("daemons-rolled")
 async def _daemons_rolled(site: SoakSite) -> None:
     for daemon in site.rng.sample(site.daemons, len(site.daemons)):
-        await _replace(site, daemon, planned=True)
+        if not site.is_ending:
+            await _replace(site, daemon, planned=True)
 
 
 @SOAK_FAULTS.register("rolled-in-an-outage")
--- a/rackswitch/load/soak_site.py
+++ b/rackswitch/load/soak_site.py
@@ -65,12 +65,15 @@
         What must not have been seen; empty if everything that must hold did.
     life_seconds : (float, float)
         Shortest and longest time that a fault lasts.
+    is_ending : bool
+        Whether no more faults are to begin, further steps of long ones neither.
     """
 
     def __init__(self, daemons: int, seed: int, folder: Path):
         self.rng = random.Random(seed)
         self.violations: list[str] = []
         self.life_seconds = (0.2, 3.0)
+        self.is_ending = False
         self.store = PlatformStoreStandIn()
         self.engines = [self._target(f"e{n}", "engines", (MODEL,)) for n in range(ENGINES)]
         self.services = [self._target(f"s{n}", "desk", ()) for n in range(SERVICES)]
