Jobs: a held job goes on by a claim of this daemon's that was never answered

Ruled out: another owner (no line of one; results were read from the service to the end). Change: the watch's word gives the held job its new revision; a claim that comes too late leaves the job only if its key does not hang on this daemon's present lease.

--- a/rackswitch/gateway/jobs/job_keeper.py
+++ b/rackswitch/gateway/jobs/job_keeper.py
@@ -122,6 +122,7 @@
         self._owner_starts[name] = self._context.process_start(owner.daemon)
         if owner.daemon == self._context.daemon_name:
             if self._session.is_own(owner.lease_id):
+                self._keep_held(name, owner.revision)
                 self._context.daemon.spawn(self._adopt(name, owner.revision))
             else:
                 self._context.daemon.spawn(self._session.end_predecessors(owner.lease_id))
@@ -315,7 +316,9 @@
         if isinstance(claimed, JobNotStored):
             return
         if claimed == 0:
-            if job_id in self.owned:
+            if self._is_ours(key_part(job_id)):
+                self._orphans.owned(key_part(job_id))
+            elif job_id in self.owned:
                 self._leave_behind(job_id, self.owned[job_id])
             return
         self._orphans.owned(key_part(job_id))
@@ -325,6 +328,20 @@
             return
         await self._load(job_id, claimed, kept.checkpoint)
 
+    def _keep_held(self, name: str, owner_revision: int) -> None:
+        """Go on with a job that is still held here, by a claim whose answer may never come."""
+        for job_id, owned in self.owned.items():
+            if key_part(job_id) == name and owner_revision > owned.owner_revision:
+                owned.owner_revision = owner_revision
+
+    def _is_ours(self, name: str) -> bool:
+        """Return whether a job's owner key hangs on this daemon's present lease.
+
+        Another daemon's later key would be told, and keeps this one's writes out until then.
+        """
+        owner = self.known.owner(name)
+        return owner is not None and owner.lease_id == self._session.lease_id
+
     async def _adopt(self, name: str, owner_revision: int) -> None:
         """Work on a job that is this daemon's by a write whose answer never came."""
         await asyncio.sleep(ADOPT_AFTER_SECONDS)
--- a/rackswitch/gateway/jobs/tests/test_job_keeper.py
+++ b/rackswitch/gateway/jobs/tests/test_job_keeper.py
@@ -110,3 +110,33 @@
         assert [(item.item_id, len(item.pieces)) for item in checkpoint.items] == [("i1", 5)]
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize("told_first", [True, False])
+def test_a_job_that_is_held_here_goes_on_by_a_claim_that_was_never_answered(told_first):
+    # Found by a soak (seed 8): a daemon's session was lost, its claim of the job that it still
+    # held took effect unanswered, and its next claim made it drop the job for its own key.
+    async def scenario():
+        kv = KvStore()
+        keeper = make_keeper("a", kv)
+        await keeper.submit(make_job())
+        await tell(keeper, kv)
+        kv.end_lease(keeper._session.lease_id)
+        keeper.owner_deleted(OWNERS_PREFIX + "j")
+        keeper._session.lease.taken(0.0, kv.grant(1000.0, 0.0), 1000.0)
+        keeper._session._own_leases.add(keeper._session.lease_id)
+        marker = await keeper._store.load_marker("j")
+        unanswered = JobStore(make_gateway_context("a", kv))
+        await unanswered.claim("j", marker.mod_revision, keeper._session.lease_id, 0)
+        if told_first:
+            keeper.owner_put(owner_entry(kv))
+            # By then it is clear that no answer comes, and what it holds is no news.
+            await asyncio.sleep(ADOPT_AFTER_SECONDS + 0.1)
+        await keeper._claim("j", marker.mod_revision)
+        if not told_first:
+            keeper.owner_put(owner_entry(kv))
+        await asyncio.sleep(ADOPT_AFTER_SECONDS + 2.0)
+        assert keeper.owned["j"].owner_revision == owner_entry(kv).mod_revision
+        assert not keeper._orphans.is_orphan("j")
+
+    run_virtual(scenario())
