--- a/rackswitch/load/soak_callers.py
+++ b/rackswitch/load/soak_callers.py
@@ -19,8 +19,9 @@
 MEAN_PAUSE_SECONDS = 0.05
 DEADLINE_MS = 1500
 GIVEN_UP_SECONDS = 4.0
-SENT_BEFORE_END_SECONDS = 0.5
-"""A request sent so long before its daemon's process ended was surely read by that process."""
+SENT_BEFORE_END_SECONDS = 1.0
+"""A process ends some tenths of a second after its last connection: a request sent so long before
+that came while the daemon still read its connections."""
 
 MAY_HAVE_RUN = frozenset((502, 504))
 """A 500 would be the daemon's own, since no target here answers so."""
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -15,6 +15,10 @@
 HEADER_TIMEOUT_SECONDS = 10.0
 """Unless limits are given; heads are a few kilobytes, and a slow one holds a descriptor."""
 
+LAST_REQUESTS_SECONDS = 0.2
+"""From where nothing new is listened to until open connections are closed: a request that is on its
+way to them, or not read yet, is answered instead of being cut."""
+
 IDLE_TIMEOUT_SECONDS = 30.0
 """Unless limits are given; peers and tools keep a connection for less than that."""
 
@@ -100,6 +104,12 @@
 
     async def stop(self) -> None:
         """Stop listening and return when the requests in progress are done."""
+        for server in self._server.servers:
+            server.close()
+        await asyncio.sleep(LAST_REQUESTS_SECONDS)
+        await self._end()
+
+    async def _end(self) -> None:
         self._server.should_exit = True
         if self._task is not None:
             await self._task
@@ -111,4 +121,4 @@
         for connection in list(self._server.server_state.connections):
             connection.transport.abort()
         self._server.force_exit = True
-        await self.stop()
+        await self._end()
--- /dev/null
+++ b/rackswitch/web/tests/test_planned_stop.py
@@ -0,0 +1,33 @@
+"""What a server that stops as planned still answers, on raw connections."""
+
+import asyncio
+
+import pytest
+
+from rackswitch.web import WebServer
+from rackswitch.web.tests.test_connection_limits import PATIENCE_SECONDS, REQUEST, answer_ok
+
+ON_ITS_WAY_SECONDS = 0.15
+
+
+@pytest.mark.parametrize("used_before", [False, True])
+def test_a_request_on_its_way_as_the_server_stops_is_answered(used_before):
+    async def scenario():
+        server = WebServer(answer_ok, "127.0.0.1", 0)
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        if used_before:
+            writer.write(REQUEST)
+            await reader.readuntil(b"ok")
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(ON_ITS_WAY_SECONDS)
+        writer.write(REQUEST)
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            answer = await reader.read()
+            await stopping
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", server.port)
+        writer.close()
+
+    asyncio.run(scenario())
