--- a/rackswitch/load/soak_callers.py
+++ b/rackswitch/load/soak_callers.py
@@ -186,7 +186,7 @@
         if kind == "added" and seen.status == 404 and in_force >= version:
             self._site.violations.append(f"{daemon.name}: table {version} was in force and is not")
         self.seen.append(seen)
-        self.answers[f"{seen.status} {seen.detail}".strip()] += 1
+        self.answers[f"{seen.status} {seen.detail.partition(' for ')[0]}".strip()] += 1
         return seen
 
 
