Peers: a connection that ends as a call begins is a peer without an answer

The library takes a connection apart when it ends (AttributeError: 'Connection' object has no attribute '_transport', raised at links.py), which no caller of PeerLinks takes for a peer's silence; it ended a duty, and that the daemon. Change: an AttributeError of the library's own objects counts as unreachable; any other is raised as before.

--- a/rackswitch/peers/links.py
+++ b/rackswitch/peers/links.py
@@ -17,6 +17,8 @@
 SECRET_METADATA = "rackswitch-fleet-secret"
 PEER_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError, asyncio.IncompleteReadError)
 
+LIBRARY_PACKAGES = ("grpclib", "h2")
+
 T = TypeVar("T")
 
 
@@ -68,6 +70,10 @@
                 return await method(stub)(message, timeout=timeout_seconds, metadata=metadata)
         except PEER_ERRORS as error:
             return PeerUnreachable(f"{type(error).__name__}: {error}")
+        except AttributeError as error:
+            if not _is_of_the_library(error.obj):
+                raise
+            return PeerUnreachable(f"the connection ended as the call began: {error}")
 
     def _channel(self, host: str, port: int) -> Channel:
         key = (host, port)
@@ -86,3 +92,12 @@
         for channel in self._channels.values():
             channel.close()
         self._channels.clear()
+
+
+def _is_of_the_library(subject: object) -> bool:
+    """Return whether an object is one of the library's.
+
+    The library takes a connection apart when it ends, and a call that begins at that moment misses
+    the parts.
+    """
+    return type(subject).__module__.partition(".")[0] in LIBRARY_PACKAGES
