Jobs: an owner that does not know whether its append took effect reads the service

Change: while an append is under way or of unknown outcome, an owner answers no read of a position that it does not list; the read goes to the service.

--- a/rackswitch/gateway/jobs/job_reader.py
+++ b/rackswitch/gateway/jobs/job_reader.py
@@ -183,7 +183,9 @@
                     await owned.news.wait()
             except TimeoutError:
                 break
-        if len(ledger.listed) <= position and not self._session.is_sure():
+        # Others may have read from the service already what is being kept there.
+        may_be_more = owned.appending.locked() or owned.append_is_unknown
+        if len(ledger.listed) <= position and (may_be_more or not self._session.is_sure()):
             return None
         return ResultsPage(
             ledger.total, _page(ledger.listed, position), "owner", len(ledger.listed)
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -29,6 +29,8 @@
         (monotonic).
     appending : asyncio.Lock
         Held while a segment of results is being kept: there is one at a time.
+    append_is_unknown : bool
+        Whether the last segment may be kept although nobody has said so.
     news : asyncio.Event
         Set when results were listed; replaced then.
     """
@@ -43,6 +45,7 @@
     last_append_seconds: float = float("-inf")
     next_checkpoint_seconds: float = 0.0
     appending: asyncio.Lock = field(default_factory=asyncio.Lock)
+    append_is_unknown: bool = False
 
     def tell_news(self) -> None:
         """Wake all who wait for results."""
--- a/rackswitch/gateway/jobs/result_appender.py
+++ b/rackswitch/gateway/jobs/result_appender.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.jobs.job_outcomes import AppendConflict, Appended
+from rackswitch.gateway.jobs.job_outcomes import AppendConflict, Appended, JobNotStored
 from rackswitch.gateway.jobs.job_records import key_part
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.owned_job import OwnedJob
@@ -71,6 +71,9 @@
         position, segment = owned.ledger.next_segment()
         outcome = await self._store.append(job_id, owned.owner_revision, position, segment)
         now_seconds = self._context.now_seconds()
+        owned.append_is_unknown = isinstance(outcome, JobNotStored) and (
+            outcome.effect_unknown or owned.append_is_unknown
+        )
         if isinstance(outcome, Appended):
             owned.ledger.appended(position, outcome.results)
             owned.last_append_seconds = now_seconds
