--- a/rackswitch/gateway/jobs/held_claims.py
+++ b/rackswitch/gateway/jobs/held_claims.py
@@ -90,6 +90,9 @@
                 claimed = await self._claim_with(held, fence, position, results)
                 if claimed and results:
                     self._appender.kept(held, position, results)
+                elif claimed is None and results:
+                    # The write may have been done, and others may read it from the service.
+                    held.append_is_unknown = True
         if claimed is None:
             retry_seconds = self._context.now_seconds() + RETRY_SECONDS
             self._orphans.retry(key_part(held.ledger.job.job_id), retry_seconds)
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -35,6 +35,8 @@
         Whether the job was handed over here while the key-value service was away. It is worked on,
         but nothing of it is told or listed before it is claimed; `owner_revision` is the former
         owner's.
+    append_is_unknown : bool
+        Whether the last segment may be kept although nobody has said so.
     news : asyncio.Event
         Set when results were listed; replaced then.
     """
@@ -49,6 +51,7 @@
     last_append_seconds: float = float("-inf")
     next_checkpoint_seconds: float = 0.0
     appending: asyncio.Lock = field(default_factory=asyncio.Lock)
+    append_is_unknown: bool = False
     successor: str = ""
     awaits_claim: bool = False
 
--- /dev/null
+++ b/rackswitch/gateway/jobs/tests/test_unsettled_appends.py
@@ -0,0 +1,56 @@
+"""What an owner answers while it does not know whether its last append took effect."""
+
+from unittest.mock import patch
+
+from rackswitch.daemon.tests.support import run_virtual
+from rackswitch.gateway.jobs.job_outcomes import JobNotStored
+from rackswitch.gateway.jobs.job_store import JobStore
+from rackswitch.gateway.jobs.tests.test_job_keeper import make_keeper, tell
+from rackswitch.gateway.tests.path import play, wait_for
+from rackswitch.jobs import JobResult
+from rackswitch.jobs.tests.support import make_job
+from rackswitch.standins.kv_store import KvStore
+
+
+def test_an_owner_lists_what_others_may_have_read_before_its_append_is_settled():
+    async def scenario(fleet):
+        append = JobStore.append
+        written = []
+
+        async def append_unanswered(store, *segment):
+            await append(store, *segment)
+            written.append(segment)
+            return JobNotStored("no answer", effect_unknown=True)
+
+        with patch.object(JobStore, "append", append_unanswered):
+            assert await fleet.submit("d0", "j1", [2]) == 202
+            await wait_for(lambda: written)
+            page = await fleet.read("d0", "j1", 0)
+        assert (page.status, len(page.results)) == (200, 1)
+
+    play(scenario)
+
+
+def test_results_that_went_along_with_an_unanswered_claim_may_be_kept_too():
+    async def scenario():
+        kv = KvStore()
+        keeper = make_keeper("a", kv)
+        await keeper.submit(make_job())
+        await tell(keeper, kv)
+        held = keeper.owned["j"]
+        item_id, progress = next(iter(held.ledger.items.items()))
+        held.ledger.take_result(progress, JobResult(item_id=item_id, completed=False))
+        claim = JobStore.claim_held
+
+        async def claim_unanswered(store, *write):
+            await claim(store, *write)
+            return JobNotStored("no answer", effect_unknown=True)
+
+        with patch.object(JobStore, "claim_held", claim_unanswered):
+            kv.end_lease(keeper._session.lease_id)
+            keeper._session.lease.taken(0.0, kv.grant(1000.0, 0.0), 1000.0)
+            await keeper._claims.claim("j", keeper.known.marker_revision("j"))
+        assert held.append_is_unknown
+        assert not held.ledger.listed
+
+    run_virtual(scenario())
