Stand-ins: who comes back at its address finds it free

Cause: a stand-in that ends and listens again at its port found it taken, by another test's connection, in a run of four tests at a time (the short soak, once; OSError 98).

Ruled out: a stand-in that listens twice: the port was drawn from those that connections use too.

Change: stand-ins of targets and the soak's links listen on loopback addresses of their own, whose ports nobody else is given.

--- a/rackswitch/load/link.py
+++ b/rackswitch/load/link.py
@@ -6,6 +6,8 @@
 import struct
 from dataclasses import dataclass
 
+from rackswitch.standins.loopback import own_loopback_host
+
 __all__ = ["BACKWARD", "BOTH", "FORWARD", "Link", "LinkFaults"]
 
 FORWARD = "forward"
@@ -45,10 +47,20 @@
         Where to listen on loopback; 0 takes a free port.
     """
 
-    __slots__ = ("_changed", "_faults", "_host", "_pairs", "_server", "_upstream", "port")
+    __slots__ = (
+        "_changed",
+        "_faults",
+        "_host",
+        "_own_host",
+        "_pairs",
+        "_server",
+        "_upstream",
+        "port",
+    )
 
     def __init__(self, upstream: str = "", port: int = 0):
         self.port = port
+        self._own_host = own_loopback_host()
         self._host, self._upstream = "", 0
         if upstream:
             self.lead_to(upstream)
@@ -60,7 +72,7 @@
     @property
     def address(self) -> str:
         """Where it listens, as HOST:PORT."""
-        return f"127.0.0.1:{self.port}"
+        return f"{self._own_host}:{self.port}"
 
     def lead_to(self, upstream: str) -> None:
         """Pass new connections on to an address (HOST:PORT)."""
@@ -75,7 +87,7 @@
 
     async def open(self) -> None:
         """Listen; after `close` at the same port as before."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self._server = await asyncio.start_server(self._serve, self._own_host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
--- a/rackswitch/load/tests/test_link.py
+++ b/rackswitch/load/tests/test_link.py
@@ -35,7 +35,8 @@
 
 
 async def _connect(link: Link) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    return await asyncio.open_connection("127.0.0.1", link.port)
+    host, _, port = link.address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
 
 
 def test_what_is_sent_passes_both_ways_until_the_client_leaves():
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from rackswitch.standins.loopback import own_loopback_host
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.web import WebServer
 from rackswitch.web.exchange import Exchange
@@ -130,7 +131,8 @@
         self.orders: list[OrderSeen] = []
         self._store = store
         self._state = _State({model: 1 for model in models})
-        self._server = WebServer(self._serve, "127.0.0.1", 0)
+        self._host = own_loopback_host()
+        self._server = WebServer(self._serve, self._host, 0)
         self._born_unix_ms = int(time.time() * 1000)
         self._restarts: set[asyncio.Task[None]] = set()
         self.ended_at_seconds: list[float] = []
@@ -172,7 +174,7 @@
             self.instance = f"{self.instance.partition('.')[0]}.{len(self.ended_at_seconds)}"
         self._born_unix_ms = int(time.time() * 1000)
         self._state = _State({model: 1 for model in self.versions})
-        self._server = WebServer(self._serve, "127.0.0.1", port)
+        self._server = WebServer(self._serve, self._host, port)
         await self.start()
 
     def list_itself(self, state: str = "ready") -> None:
