--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -2,6 +2,10 @@
 
 from rackswitch.jobs.checkpoints import *  # noqa: F403
 from rackswitch.jobs.checkpoints import __all__ as _checkpoints_all
+from rackswitch.jobs.engine_memory import *  # noqa: F403
+from rackswitch.jobs.engine_memory import __all__ as _engine_memory_all
+from rackswitch.jobs.leaving import *  # noqa: F403
+from rackswitch.jobs.leaving import __all__ as _leaving_all
 from rackswitch.jobs.ledger import *  # noqa: F403
 from rackswitch.jobs.ledger import __all__ as _ledger_all
 from rackswitch.jobs.listing import *  # noqa: F403
@@ -12,6 +16,8 @@
 from rackswitch.jobs.occupancy import __all__ as _occupancy_all
 from rackswitch.jobs.orphans import *  # noqa: F403
 from rackswitch.jobs.orphans import __all__ as _orphans_all
+from rackswitch.jobs.own_runs import *  # noqa: F403
+from rackswitch.jobs.own_runs import __all__ as _own_runs_all
 from rackswitch.jobs.placement import *  # noqa: F403
 from rackswitch.jobs.placement import __all__ as _placement_all
 from rackswitch.jobs.progress import *  # noqa: F403
@@ -20,19 +26,28 @@
 from rackswitch.jobs.retention import __all__ as _retention_all
 from rackswitch.jobs.schedule import *  # noqa: F403
 from rackswitch.jobs.schedule import __all__ as _schedule_all
+from rackswitch.jobs.step_order import *  # noqa: F403
+from rackswitch.jobs.step_order import __all__ as _step_order_all
 from rackswitch.jobs.stragglers import *  # noqa: F403
 from rackswitch.jobs.stragglers import __all__ as _stragglers_all
+from rackswitch.jobs.urgency import *  # noqa: F403
+from rackswitch.jobs.urgency import __all__ as _urgency_all
 
 __all__ = [
     *_checkpoints_all,
+    *_engine_memory_all,
+    *_leaving_all,
     *_ledger_all,
     *_listing_all,
     *_messages_all,
     *_occupancy_all,
     *_orphans_all,
+    *_own_runs_all,
     *_placement_all,
     *_progress_all,
     *_retention_all,
     *_schedule_all,
+    *_step_order_all,
     *_stragglers_all,
+    *_urgency_all,
 ]
--- a/rackswitch/jobs/messages.py
+++ b/rackswitch/jobs/messages.py
@@ -29,6 +29,8 @@
         The submitter's guess at the tokens that will come out; 0 if it gave none.
     group : str
         Items of one group share their prompt, and count only together.
+    prompt_tokens : int
+        Tokens of its prompt, which are part of `tokens`; 0 if its submitter did not say.
     """
 
     item_id: str
@@ -39,6 +41,7 @@
     expected_tokens: float = 0.0
     group: str = ""
     reward: RewardCall | None = None
+    prompt_tokens: int = 0
 
 
 class Job(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -1,8 +1,9 @@
 """Which items to start now, and at which engine."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Any, Protocol
 
 from rackswitch.jobs.ledger import JobLedger
 from rackswitch.jobs.messages import Job
@@ -11,6 +12,7 @@
 
 __all__ = [
     "EngineRoom",
+    "ItemOrder",
     "ItemStart",
     "LengthForecast",
     "expected_work_seconds",
@@ -56,6 +58,8 @@
         Smoothed time between the events of one stream there.
     versions : dict of str to int
         The weights it has, by model; items that need newer ones do not go there.
+    free_tokens : float
+        Memory for what the runs that begin there will hold; infinite if it is not known.
     """
 
     instance: str
@@ -65,11 +69,21 @@
     versions: dict[str, int]
     slots: int = 0
     runs: int = 0
+    free_tokens: float = math.inf
 
-    def begin(self) -> None:
-        """Count one more run in."""
+    def takes(self, tokens: float) -> bool:
+        """Return whether one more run fits that will hold so many tokens.
+
+        An engine without any run takes one whatever it has told of its memory, so that no item
+        waits beside an idle engine; it refuses itself what is larger than it.
+        """
+        return self.free_slots > 0 and (self.runs == 0 or tokens <= self.free_tokens)
+
+    def begin(self, tokens: float = 0.0) -> None:
+        """Count one more run in, with what it will hold."""
         self.free_slots -= 1
         self.runs += 1
+        self.free_tokens -= tokens
 
     def expected_seconds_per_piece(self) -> float:
         """Return the pace that one more run would have there."""
@@ -91,6 +105,13 @@
     instance: str
 
 
+class ItemOrder(Protocol):
+    """In which order items start."""
+
+    def key(self, ledger: JobLedger, progress: ItemProgress) -> Any:
+        """Return an item's place; the least goes first."""
+
+
 @dataclass(slots=True)
 class LengthForecast:
     """How long texts become, against what their submitters expect.
@@ -107,6 +128,11 @@
 
     log_pieces_per_token: float = math.log(FIRST_PIECES_PER_TOKEN)
 
+    @property
+    def pieces_per_token(self) -> float:
+        """Pieces that a text has for each of its tokens."""
+        return math.exp(self.log_pieces_per_token)
+
     def note(self, expected_tokens: float, pieces: int) -> None:
         """Take in a whole text."""
         if expected_tokens <= 0 or pieces <= 0:
@@ -116,7 +142,7 @@
 
     def remaining_pieces(self, progress: ItemProgress) -> float:
         """Return how many pieces an item's text probably still lacks."""
-        expected = progress.item.expected_tokens * math.exp(self.log_pieces_per_token)
+        expected = progress.item.expected_tokens * self.pieces_per_token
         done = progress.last_number
         # A text that is past what was expected of it is one of the long tail.
         return max(expected - done, TAIL_SHARE * done)
@@ -142,6 +168,8 @@
     now_seconds: float,
     forecast: LengthForecast | None = None,
     longest_first: bool = True,
+    order: ItemOrder | None = None,
+    tokens_of: Callable[[ItemProgress], float] | None = None,
 ) -> list[ItemStart]:
     """Decide which waiting items start at which engines.
 
@@ -166,6 +194,10 @@
         How long texts become; a fresh one by default.
     longest_first : bool, optional
         Whether an item's length counts in when it must start.
+    order : ItemOrder, optional
+        Takes the place of the order told above.
+    tokens_of : callable, optional
+        What an item's run will hold of an engine's memory; by default that is not counted.
 
     Returns
     -------
@@ -175,7 +207,11 @@
     lengths = forecast or LengthForecast()
     waiting = [
         (
-            _rank(progress, due_seconds[ledger.job.job_id], lengths if longest_first else None),
+            order.key(ledger, progress)
+            if order is not None
+            else _rank(
+                progress, due_seconds[ledger.job.job_id], lengths if longest_first else None
+            ),
             ledger,
             progress,
         )
@@ -186,18 +222,24 @@
     waiting.sort(key=lambda entry: entry[0])
     starts: list[ItemStart] = []
     full: set[tuple[str, str, int]] = set()
+    kept_for_large: set[tuple[str, str, int]] = set()
     for _, ledger, progress in waiting:
         service = service_of[ledger.job.job_id]
         wanted = (service, ledger.job.model, ledger.job.oldest_version)
         if wanted in full:
             continue
         pieces = lengths.remaining_pieces(progress)
-        engine = _best_engine(engines, service, ledger, progress, pieces)
-        if engine is None:
+        tokens = tokens_of(progress) if tokens_of is not None else 0.0
+        fit = _rooms_for(engines, service, ledger)
+        engine = _best_engine([room for room in fit if room.takes(tokens)], progress, pieces)
+        if engine is not None:
+            engine.begin(tokens)
+            starts.append(ItemStart(ledger, progress, engine.instance))
+        elif not fit:
             full.add(wanted)
-            continue
-        engine.begin()
-        starts.append(ItemStart(ledger, progress, engine.instance))
+        elif wanted not in kept_for_large:
+            kept_for_large.add(wanted)
+            _keep_for_large(fit)
     return starts
 
 
@@ -210,20 +252,18 @@
     return (progress.run_number == 0, due_seconds - work_seconds)
 
 
-def _best_engine(
-    rooms: list[EngineRoom],
-    service: str,
-    ledger: JobLedger,
-    progress: ItemProgress,
-    pieces: float,
-) -> EngineRoom | None:
-    fit = [
+def _rooms_for(rooms: list[EngineRoom], service: str, ledger: JobLedger) -> list[EngineRoom]:
+    """Return the engines that have a slot and may run a job's items."""
+    return [
         room
         for room in rooms
         if room.service == service
         and room.free_slots > 0
         and room.versions.get(ledger.job.model, 0) >= ledger.job.oldest_version
     ]
+
+
+def _best_engine(fit: list[EngineRoom], progress: ItemProgress, pieces: float) -> EngineRoom | None:
     if not fit:
         return None
     return min(
@@ -236,6 +276,15 @@
     )
 
 
+def _keep_for_large(fit: list[EngineRoom]) -> None:
+    """Let memory become free at one engine for an item that fits none.
+
+    Else smaller ones would take each bit that becomes free, and it would wait for as long as
+    there are any.
+    """
+    max(fit, key=lambda room: room.free_tokens).free_slots = 0
+
+
 def spare_rooms(rooms: list[EngineRoom]) -> dict[str, SpareRoom]:
     """Return, by service, the fastest engine that has room left."""
     spare: dict[str, SpareRoom] = {}
