--- a/benchmarks/bench_sharing.py
+++ b/benchmarks/bench_sharing.py
@@ -1,7 +1,7 @@
 """Step times of trainers whose owners share uneven engines, against one that knows all.
 
-Engines are a small fluid model in steps of 10 ms: six runs at once, a queue by urgency, each further
-run slows the others a little. The owners' decisions are the shipped code.
+Engines are a small fluid model in steps of 10 ms: six runs at once, a queue by urgency,
+each further run slows the others a little. The owners' decisions are the shipped code.
 
     python benchmarks/bench_sharing.py
 """
@@ -15,6 +15,7 @@
 from statistics import quantiles
 
 from rackswitch.jobs import (
+    BEGIN_PATIENCE_SECONDS,
     EngineLoad,
     EngineOccupancy,
     EngineRoom,
@@ -44,7 +45,6 @@
 SLOTS = 6
 USUAL_SECONDS = 0.04
 BATCH_SHARE = 0.01
-BEGIN_SECONDS = 0.02
 FIRST_PIECE_PATIENCE_SECONDS = 2.0
 MEDIAN_PIECES, LONG_SHARE, LONG_TIMES = 18, 0.1, 5
 LENGTH_SPREAD = 0.25
@@ -129,9 +129,7 @@
     def __init__(self, way: Way, load: float, seed: int):
         self.way = way
         self.rng = random.Random(seed)
-        self.engines = {
-            f"e{n}": Engine(f"e{n}", self.rng.uniform(0.8, 1.6)) for n in range(19)
-        }
+        self.engines = {f"e{n}": Engine(f"e{n}", self.rng.uniform(0.8, 1.6)) for n in range(19)}
         self.now = 0.0
         self.sends = 0
         self.lengths: dict[int, int] = {}
@@ -142,7 +140,12 @@
         groups = sum(groups for groups, _ in GROUPS)
         per_group = max(1, round(items / groups))
         self.trainers = [
-            Trainer(n, one if way.knows_all or way.one_owner else Owner(), per_group, next_seconds=n * 1.0)
+            Trainer(
+                n,
+                one if way.knows_all or way.one_owner else Owner(),
+                per_group,
+                next_seconds=n * 1.0,
+            )
             for n in range(len(GROUPS))
         ]
         self.owners = list({id(t.owner): t.owner for t in self.trainers}.values())
@@ -201,14 +204,19 @@
             else:
                 others = owner.occupancy.others(engine.name, self.now)
             queued = sum(
-                run.owner is owner and self.now >= run.began_seconds + BEGIN_SECONDS
+                run.owner is owner and self.now >= run.began_seconds + BEGIN_PATIENCE_SECONDS
                 for _, _, run in engine.queue
             )
             room = free_room(SLOTS, own, queued, others, float("inf"), self.way.shares_room)
             rooms.append(
                 EngineRoom(
-                    engine.name, "s", room.slots, USUAL_SECONDS * engine.pace,
-                    {"m": 1}, SLOTS, own + others,
+                    engine.name,
+                    "s",
+                    room.slots,
+                    USUAL_SECONDS * engine.pace,
+                    {"m": 1},
+                    SLOTS,
+                    own + others,
                 )  # fmt: skip
             )
         return rooms
@@ -299,9 +307,7 @@
         for job_id, asked_seconds in list(trainer.asked_seconds.items()):
             ledger = trainer.owner.jobs[job_id]
             lacking = {
-                progress.item.group
-                for progress in ledger.items.values()
-                if progress.result is None
+                progress.item.group for progress in ledger.items.values() if progress.result is None
             }
             groups, wanted = GROUPS[trainer.number]
             if groups - len(lacking) < wanted:
@@ -342,7 +348,7 @@
     """Play all ways at three loads."""
     seeds = range(int(sys.argv[1]) if len(sys.argv) > 1 else 3)
     results = {}
-    for load in [float(x) for x in sys.argv[2].split(",")] if len(sys.argv) > 2 else (0.7, 0.9, 1.1):
+    for load in (0.7, 0.9, 1.1):
         for way in WAYS:
             results[f"{way.name} at {load}"] = found = figures(way, load, seeds)
             print(f"{way.name:20} {load}", found, flush=True)
--- a/rackswitch/jobs/engine_memory.py
+++ b/rackswitch/jobs/engine_memory.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from rackswitch.jobs.own_runs import OwnRun
@@ -94,11 +94,10 @@
         others_tokens = max(0.0, used_tokens - own_tokens)
         self._used[start] = _Used(others_tokens, now_seconds + USED_LIFE_SECONDS)
 
-    def forget(self, starts: Iterable[str]) -> None:
+    def keep_only(self, starts: Collection[str]) -> None:
         """Drop all that is known of engines that are gone."""
-        for start in starts:
-            self.total_tokens.pop(start, None)
-            self._used.pop(start, None)
+        for start in [start for start in self.total_tokens if start not in starts]:
+            del self.total_tokens[start], self._used[start]
 
     def free_tokens(self, start: str, own_tokens_at_end: float, now_seconds: float) -> float:
         """Return what is left for more runs once this daemon's own have grown to their ends.
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -62,6 +62,11 @@
         """The number of items."""
         return len(self.job.items)
 
+    @property
+    def groups(self) -> list[str]:
+        """Its groups, in the order of their first items."""
+        return list(self._unfinished)
+
     @property
     def is_complete(self) -> bool:
         """Whether every item is listed."""
--- a/rackswitch/jobs/step_order.py
+++ b/rackswitch/jobs/step_order.py
@@ -36,17 +36,19 @@
     forecast : LengthForecast
         How long texts become.
     """
-    longest: dict[str, float] = {}
+    groups = ledger.groups
+    wanted = ledger.job.wanted_groups
+    if not 0 < wanted < len(groups):
+        return set()
+    longest: dict[str, float] = defaultdict(float)
     total: dict[str, float] = defaultdict(float)
     for progress in ledger.items.values():
+        if progress.result is not None:
+            continue
         group = progress.item.group
-        lacking = 0.0 if progress.result else forecast.remaining_pieces(progress)
-        longest[group] = max(longest.get(group, 0.0), lacking)
+        lacking = forecast.remaining_pieces(progress)
+        longest[group] = max(longest[group], lacking)
         total[group] += lacking
-    wanted = ledger.job.wanted_groups
-    if not 0 < wanted < len(longest):
-        return set()
-    groups = list(longest)
     carried = int(CARRIED_SHARE * wanted)
     others = sorted(groups[carried:], key=lambda group: (longest[group], total[group]))
     return set(others[wanted - carried :])
--- a/rackswitch/jobs/urgency.py
+++ b/rackswitch/jobs/urgency.py
@@ -20,6 +20,9 @@
 """Grades of an item. They are few, so that a run is displaced only by one that is clearly nearer
 to being late."""
 
+LAST_PLACE = 2 * SURPLUS + 1
+"""Two places a grade: one for the first rank, one behind it for all others."""
+
 
 def urgency_levels(rank: int, call_ranks: Collection[int]) -> tuple[int, int]:
     """Return the most and the least urgent level that runs of a rank may have.
@@ -62,10 +65,7 @@
     """
     first, last = levels
     place = 2 * _grade(slack_seconds, is_surplus) + (not is_first_rank)
-    return first + place * (last - first) // LEAST_PLACE
-
-
-LEAST_PLACE = 2 * SURPLUS + 1
+    return first + place * (last - first) // LAST_PLACE
 
 
 def _grade(slack_seconds: float, is_surplus: bool) -> int:
