Shared engines, carried out: order, room, memory, urgency and leaving engines at the item starter

Change: StepRanks (order and urgency by the table), LeaveWatch (notices, moves), ItemRunner counts its runs and ends one that leaves, reports tell memory, the list tells the time left, the settings how long a target serves at least. Five switches. long_run's runner takes the new argument. A less urgent run that stands still while others at its engine go on does not close the engine: it may have been displaced.

--- a/benchmarks/bench_sharing.py
+++ b/benchmarks/bench_sharing.py
@@ -200,7 +200,7 @@
         for engine in self.engines.values():
             own = owner.occupancy.own.get(engine.name, 0)
             if self.way.shares_room:
-                others = owner.occupancy.others_last(engine.name)
+                others = owner.occupancy.others_last(engine.name) or 0
             else:
                 others = owner.occupancy.others(engine.name, self.now)
             queued = sum(
@@ -244,6 +244,8 @@
             run = Run(owner, start.ledger, start.progress, self.now)
             heapq.heappush(self.engines[start.instance].queue, (urgency, self.sends, run))
         waiting = any(ledger.waiting(self.now) for ledger in owner.jobs.values())
+        if self.way.shares_room:
+            rooms = [room for room in rooms if room.runs < room.slots]
         spare = {} if waiting else spare_rooms(rooms)
         if "s" in spare:
             self._move(owner, spare["s"])
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -127,7 +127,7 @@
             self.context, ItemClient(self._sessions), self.front, paces, self.quarantine
         )
         orders = OrderClient(self._sessions)
-        looks = LoadLooks(self.context, orders, runner.occupancy)
+        looks = LoadLooks(self.context, orders, runner.occupancy, runner.hear_memory)
         self.jobs = JobKeeper(self.context, self.session, job_store, runner, looks)
         self.versions = VersionKeeper(
             self.context,
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -9,22 +9,28 @@
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.quarantine.quarantine_keeper import QuarantineKeeper
 from rackswitch.jobs import (
+    MIDDLE_URGENCY,
     EngineLoad,
+    EngineMemory,
     EngineOccupancy,
     ItemProgress,
     Job,
     JobItem,
     JobLedger,
     LengthForecast,
+    OwnRun,
+    OwnRuns,
     PieceFault,
     RunGaps,
     SpareRoom,
     TextPiece,
     should_move,
+    tokens_held,
 )
 from rackswitch.outcomes import NotRun, NotRunReason
 from rackswitch.platform.ingress import stamp_of
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
+from rackswitch.platform.orders import EngineReport
 from rackswitch.quarantine import request_fingerprint
 from rackswitch.requests import Call, TargetAnswer
 from rackswitch.routing import ListedTarget
@@ -44,11 +50,10 @@
 REWARD_PAUSE_SECONDS = 0.1
 """Between tries of a reward call that found no target; a few times its usual work."""
 
-ITEM_URGENCY = 5
-"""The platform's middle urgency, which a run without any would have."""
-
 MOVED = "goes on at a faster engine"
-"""Why a run was ended that nothing was wrong with."""
+LEFT = "goes on elsewhere before its engine leaves"
+ENDED_HERE = (MOVED, LEFT)
+"""Why runs were ended that nothing was wrong with."""
 
 ENDS_WITH_ANSWER = (ItemRunEnd.WHOLE, ItemRunEnd.FAILED, ItemRunEnd.IMPOSSIBLE)
 """Ends of a run that the engine has outlived."""
@@ -85,6 +90,8 @@
     ----------
     forecast, occupancy : LengthForecast, EngineOccupancy
         What the runs have shown of texts, and of how full engines are.
+    own_runs, memory : OwnRuns, EngineMemory
+        The runs under way, and what engines have told of their memory.
     spare : dict of str to SpareRoom
         By service, room that nothing waits for, as the starter last saw it.
     """
@@ -94,8 +101,11 @@
         "_engines",
         "_front",
         "_quarantine",
+        "_leave_limits",
         "forecast",
+        "memory",
         "occupancy",
+        "own_runs",
         "paces",
         "spare",
     )
@@ -116,15 +126,34 @@
         self.spare: dict[str, SpareRoom] = {}
         self.forecast = LengthForecast()
         self.occupancy = EngineOccupancy()
+        self.own_runs = OwnRuns()
+        self.memory = EngineMemory()
+        self._leave_limits: dict[tuple[str, str], asyncio.Timeout] = {}
 
     async def run(
-        self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget
+        self,
+        ledger: JobLedger,
+        progress: ItemProgress,
+        target: ListedTarget,
+        urgency: int = MIDDLE_URGENCY,
     ) -> ItemRunEnded:
-        """Run an item at an engine and note in the ledger how that ended."""
+        """Run an item at an engine and note in the ledger how that ended.
+
+        Parameters
+        ----------
+        ledger : JobLedger
+            The item's job.
+        progress : ItemProgress
+            The item.
+        target : ListedTarget
+            The engine.
+        urgency : int, optional
+            What the engine is told.
+        """
         began_seconds = self._context.now_seconds()
         first_number = progress.last_number + 1
         gaps = RunGaps()
-        ended = await self._stream(ledger, progress, target, gaps)
+        ended = await self._run_until_left(ledger, progress, target, gaps, urgency)
         now_seconds = self._context.now_seconds()
         fingerprint = self._tell_quarantine(ledger.job, progress.item, target, ended, gaps)
         self._context.log.write(
@@ -145,9 +174,58 @@
                 fingerprint=fingerprint,
             )
         )
-        self._note_end(ledger, progress, target, ended, gaps.first_at_seconds is None)
+        may_wait = gaps.first_at_seconds is None or urgency > MIDDLE_URGENCY
+        self._note_end(ledger, progress, target, ended, may_wait)
         return ended
 
+    def leave(self, key: tuple[str, str]) -> None:
+        """End a run that goes on elsewhere; nothing if it has ended already.
+
+        Parameters
+        ----------
+        key : (str, str)
+            The job and the item.
+        """
+        limit = self._leave_limits.get(key)
+        if limit is not None and not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
+    def hear_memory(self, target: ListedTarget, report: EngineReport) -> None:
+        """Take in what an engine says of its memory."""
+        self.memory.heard(
+            target.start,
+            report.memory_used_tokens,
+            report.memory_total_tokens,
+            tokens_held(self.own_runs.at(target.start), self.forecast),
+            self._context.now_seconds(),
+        )
+
+    async def _run_until_left(
+        self,
+        ledger: JobLedger,
+        progress: ItemProgress,
+        target: ListedTarget,
+        gaps: RunGaps,
+        urgency: int,
+    ) -> ItemRunEnded:
+        """Run an item, and count it while it runs."""
+        pieces_before = 0 if ledger.single_version else progress.last_number
+        now_seconds = self._context.now_seconds()
+        run = OwnRun(ledger, progress, target.instance, target.start, now_seconds, pieces_before)
+        self.own_runs.began(run)
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._leave_limits[run.key] = limit
+                return await self._stream(ledger, progress, target, gaps, urgency)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return ItemRunEnded(ItemRunEnd.BROKEN, LEFT)
+        finally:
+            self.own_runs.ended(run)
+            if self._leave_limits.get(run.key) is limit:
+                del self._leave_limits[run.key]
+
     async def held_back(self, job: Job, item: JobItem) -> float | None:
         """Return until when (monotonic) an item must not be sent; None if it may be now."""
         deadline_seconds = self._context.now_seconds() + ADMISSION_PATIENCE_SECONDS
@@ -174,20 +252,25 @@
             self._quarantine.answered(fingerprint_of)
         elif ended.end in ENDS_WITHOUT_RUN or not ended.was_sent:
             self._quarantine.not_run(fingerprint_of)
-        elif ended.detail != MOVED and gaps.brought_seconds() < PROGRESS_SECONDS:
+        elif ended.detail not in ENDED_HERE and gaps.brought_seconds() < PROGRESS_SECONDS:
             fingerprint = fingerprint_of()
             self._quarantine.broke(fingerprint, target)
             return fingerprint
         return ""
 
     async def _stream(
-        self, ledger: JobLedger, progress: ItemProgress, target: ListedTarget, gaps: RunGaps
+        self,
+        ledger: JobLedger,
+        progress: ItemProgress,
+        target: ListedTarget,
+        gaps: RunGaps,
+        urgency: int,
     ) -> ItemRunEnded:
         if ledger.single_version:
             progress.begin_anew()
         job = ledger.job
         caller = self._context.tenants.of_tenant(job.tenant)
-        request = ItemRequest(job.host, progress.item, progress.last_number, ITEM_URGENCY, caller)
+        request = ItemRequest(job.host, progress.item, progress.last_number, urgency, caller)
         pieces = self._engines.run(
             target, request, FIRST_PIECE_PATIENCE_SECONDS, NEXT_PIECE_PATIENCE_SECONDS
         )
@@ -245,8 +328,18 @@
         progress: ItemProgress,
         target: ListedTarget,
         ended: ItemRunEnded,
-        never_began: bool,
+        may_wait: bool,
     ) -> None:
+        """Note in the ledger, and in what is known of the engine, how a run ended.
+
+        Parameters
+        ----------
+        ledger, progress, target, ended : JobLedger, ItemProgress, ListedTarget, ItemRunEnded
+            The run and its end.
+        may_wait : bool
+            Whether others at the same engine may have kept it from going on: it never began, or
+            is one that a more urgent one displaces.
+        """
         now_seconds = self._context.now_seconds()
         load = self._context.targets[target.instance]
         if ended.end is ItemRunEnd.WHOLE and progress.pieces:
@@ -261,7 +354,7 @@
             if ended.end is ItemRunEnd.SILENT:
                 since_seconds = now_seconds - FIRST_PIECE_PATIENCE_SECONDS / 2
                 is_alive = self.paces.seen_since(target.start, since_seconds)
-                if not (never_began and is_alive):
+                if not (may_wait and is_alive):
                     load.went_silent(now_seconds)
             elif ended.end is ItemRunEnd.NOT_THERE:
                 self._context.directory.disown(target.instance)
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -1,11 +1,24 @@
 """Starting the items of owned jobs at engines that have room."""
 
 import asyncio
+from functools import partial
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.item_runner import ItemRunner
+from rackswitch.gateway.items.leave_watch import LeaveWatch
+from rackswitch.gateway.items.step_ranks import StepRanks
 from rackswitch.gateway.jobs.owned_job import OwnedJob
-from rackswitch.jobs import EngineRoom, ItemPhase, ItemProgress, ItemStart, plan_starts, spare_rooms
+from rackswitch.jobs import (
+    EngineRoom,
+    ItemPhase,
+    ItemProgress,
+    ItemStart,
+    free_room,
+    item_tokens,
+    plan_starts,
+    spare_rooms,
+    tokens_at_end,
+)
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow, ServiceRow
@@ -33,13 +46,15 @@
         Set when a run or a reward call has ended, so that more may start.
     """
 
-    __slots__ = ("_context", "_full_until_seconds", "_runner", "_wake")
+    __slots__ = ("_context", "_full_until_seconds", "_leave_watch", "_ranks", "_runner", "_wake")
 
     def __init__(self, context: GatewayContext, runner: ItemRunner, wake: asyncio.Event):
         self._context = context
         self._runner = runner
         self._wake = wake
         self._full_until_seconds: dict[str, float] = {}
+        self._ranks = StepRanks(context)
+        self._leave_watch = LeaveWatch(context, runner)
 
     def start_items(self, owned_jobs: dict[str, OwnedJob]) -> None:
         """Start what may start now, and give up items that cannot be run any more."""
@@ -50,20 +65,29 @@
         rooms = self._engine_rooms(set(services.values()), now_seconds)
         due_seconds = {job_id: owned.due_seconds for job_id, owned in owned_jobs.items()}
         ledgers = [owned.ledger for owned in owned_jobs.values()]
+        forecast, policy = self._runner.forecast, self._context.policy
+        order = self._ranks.order(owned_jobs, services, rooms, forecast)
+        self._leave_watch.move_runs(rooms, order, now_seconds)
         starts = plan_starts(
             ledgers,
             rooms,
             services,
             due_seconds,
             now_seconds,
-            self._runner.forecast,
-            self._context.policy.longest_first,
+            forecast,
+            policy.longest_first,
+            order if policy.steps_by_slack else None,
+            partial(item_tokens, forecast=forecast) if policy.memory_counted else None,
         )
         for start in starts:
-            self._start(owned_jobs[start.ledger.job.job_id], start)
+            urgency = self._ranks.urgency(order, start.ledger, start.progress)
+            self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
         for owned in owned_jobs.values():
             self._score_restored(owned)
         waiting = any(ledger.waiting(now_seconds) for ledger in ledgers)
+        if policy.room_shared:
+            # A place in a queue is none to move a run to.
+            rooms = [room for room in rooms if room.runs < room.slots]
         self._runner.spare = {} if waiting else spare_rooms(rooms)
 
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
@@ -116,8 +140,22 @@
 
     def _room(self, listed: ListedTarget, default_slots: int, now_seconds: float) -> EngineRoom:
         slots = listed.slots or default_slots
-        occupancy = self._runner.occupancy
+        occupancy, own_runs = self._runner.occupancy, self._runner.own_runs
         own = occupancy.own.get(listed.instance, 0)
+        others = occupancy.others_last(listed.instance)
+        # Of an engine that tells nothing of its load, its owners take all slots each.
+        is_shared = self._context.policy.room_shared and others is not None
+        if others is None or not is_shared:
+            others = occupancy.others(listed.instance, now_seconds)
+        own_tokens = tokens_at_end(own_runs.at(listed.start), self._runner.forecast)
+        room = free_room(
+            slots,
+            own,
+            own_runs.queued(listed.start, now_seconds),
+            others,
+            self._runner.memory.free_tokens(listed.start, own_tokens, now_seconds),
+            is_shared,
+        )
         versions = {
             model: version
             for model, version in listed.versions.items()
@@ -126,16 +164,17 @@
         return EngineRoom(
             listed.instance,
             listed.service,
-            slots - own,
+            room.slots,
             self._runner.paces.get(listed.start, now_seconds),
             versions,
             slots,
-            own + occupancy.others(listed.instance, now_seconds),
+            own + others,
+            room.tokens,
         )
 
-    def _start(self, owned: OwnedJob, start: ItemStart) -> None:
+    def _start(self, owned: OwnedJob, start: ItemStart, urgency: int) -> None:
         start.ledger.started(start.progress)
-        task = self._context.daemon.spawn(self._carry_out(owned, start))
+        task = self._context.daemon.spawn(self._carry_out(owned, start, urgency))
         owned.runs[start.progress.item.item_id] = task
 
     def _score_restored(self, owned: OwnedJob) -> None:
@@ -150,7 +189,7 @@
         self._wake.set()
         owned.runs.pop(progress.item.item_id, None)
 
-    async def _carry_out(self, owned: OwnedJob, start: ItemStart) -> None:
+    async def _carry_out(self, owned: OwnedJob, start: ItemStart, urgency: int) -> None:
         ledger, progress = start.ledger, start.progress
         listed = self._context.directory.entries.get(start.instance)
         if listed is None:
@@ -163,7 +202,7 @@
             return
         self._runner.occupancy.began(start.instance)
         try:
-            ended = await self._runner.run(ledger, progress, listed)
+            ended = await self._runner.run(ledger, progress, listed, urgency)
         finally:
             self._runner.occupancy.ended(start.instance)
             self._wake.set()
--- a/rackswitch/gateway/items/load_looks.py
+++ b/rackswitch/gateway/items/load_looks.py
@@ -1,6 +1,7 @@
 """Asking a service's engines how full they are, right before a job is spread over them."""
 
 import asyncio
+from collections.abc import Callable
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.jobs import EngineLoad, EngineOccupancy
@@ -24,11 +25,20 @@
         Makes the calls.
     occupancy : EngineOccupancy
         Told of what the engines say.
+    memory_told : callable, optional
+        Told of the reports, for what they say of memory.
     """
 
-    __slots__ = ("_context", "_engines", "_occupancy")
+    __slots__ = ("_context", "_engines", "_memory_told", "_occupancy")
 
-    def __init__(self, context: GatewayContext, engines: OrderClient, occupancy: EngineOccupancy):
+    def __init__(
+        self,
+        context: GatewayContext,
+        engines: OrderClient,
+        occupancy: EngineOccupancy,
+        memory_told: Callable[[ListedTarget, EngineReport], None] | None = None,
+    ):
+        self._memory_told = memory_told
         self._context = context
         self._engines = engines
         self._occupancy = occupancy
@@ -41,5 +51,8 @@
     async def _ask(self, target: ListedTarget) -> None:
         report = await self._engines.report(target)
         if isinstance(report, EngineReport):
+            now_seconds = self._context.now_seconds()
             load = EngineLoad(report.running, report.waiting)
-            self._occupancy.heard(target.instance, load, self._context.now_seconds())
+            self._occupancy.heard(target.instance, load, now_seconds)
+            if self._memory_told is not None:
+                self._memory_told(target, report)
--- a/rackswitch/gateway/jobs/tests/long_run.py
+++ b/rackswitch/gateway/jobs/tests/long_run.py
@@ -122,7 +122,7 @@
         super().__init__(context, None, None, EnginePaces(), NoQuarantine())
         self._rng = rng
 
-    async def _stream(self, ledger, progress, target, gaps) -> ItemRunEnded:
+    async def _stream(self, ledger, progress, target, gaps, urgency) -> ItemRunEnded:
         while True:
             await asyncio.sleep(self._rng.expovariate(4.0))
             number = progress.last_number + 1
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -36,6 +36,16 @@
         Whether a run goes on at a faster engine if that gains time.
     longest_first : bool
         Whether items start by when they must start; by their order in the job otherwise.
+    steps_by_slack : bool
+        Whether items start by slack and rank over all steps, those last that no trainer waits for.
+    room_shared : bool
+        Whether an engine's room is what other daemons' runs leave of it.
+    memory_counted : bool
+        Whether no run is sent where an engine's memory would run out.
+    urgency_told : bool
+        Whether engines are told how urgent runs are, by slack and rank.
+    runs_leave : bool
+        Whether runs go on elsewhere before an engine that leaves is gone.
     """
 
     calls_through_peers: bool = True
@@ -48,6 +58,11 @@
     engine_kinds: str = "added"
     runs_move: bool = True
     longest_first: bool = True
+    steps_by_slack: bool = True
+    room_shared: bool = True
+    memory_counted: bool = True
+    urgency_told: bool = True
+    runs_leave: bool = True
 
 
 def read_policy(path: str = POLICY_FILE) -> PolicySettings | SettingsFault:
--- a/rackswitch/jobs/occupancy.py
+++ b/rackswitch/jobs/occupancy.py
@@ -53,10 +53,13 @@
         others = load.running + load.waiting - self.own.get(instance, 0)
         self._heard[instance] = _Heard(max(0, others), now_seconds + LOAD_LIFE_SECONDS)
 
-    def others_last(self, instance: str) -> int:
-        """Return how many runs other daemons had at an engine by its last word, however old."""
+    def others_last(self, instance: str) -> int | None:
+        """Return how many runs other daemons had at an engine by its last word, however old.
+
+        None if it never gave one.
+        """
         heard = self._heard.get(instance)
-        return heard.others if heard is not None else 0
+        return heard.others if heard is not None else None
 
     def others(self, instance: str, now_seconds: float) -> int:
         """Return how many runs other daemons have at an engine, as far as is known."""
--- a/rackswitch/jobs/tests/test_engine_memory.py
+++ b/rackswitch/jobs/tests/test_engine_memory.py
@@ -214,7 +214,7 @@
                 own = sum(owner == number for owner, _ in engine.running + engine.queue)
                 queued = sum(owner == number for owner, _ in engine.queue)
                 words.own["e"] = own
-                others = words.others_last("e")
+                others = words.others_last("e") or 0
                 room = free_room(slots, own, queued, others, math.inf)
                 for _ in range(max(0, room.slots)):
                     serial += 1
--- a/rackswitch/platform/job_calls.py
+++ b/rackswitch/platform/job_calls.py
@@ -8,7 +8,7 @@
 
 from rackswitch.jobs import Job, JobItem, JobResult, RewardCall
 from rackswitch.platform.ingress import MalformedRequest
-from rackswitch.platform.names import LENGTH_HINT_HEADER, WAIT_HEADER
+from rackswitch.platform.names import LENGTH_HINT_HEADER, TOKEN_COUNTS_HEADER, WAIT_HEADER
 from rackswitch.web.exchange import Exchange
 
 __all__ = [
@@ -29,6 +29,9 @@
 """Longest time that a read may ask to be held for."""
 
 
+COUNT = re.compile(r"[0-9]{1,9}")
+"""More digits than any prompt's count has are another writer's."""
+
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 HEADER_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
 """What a header's name and value may hold (RFC 9110, sections 5.1 and 5.5)."""
@@ -203,6 +206,7 @@
         expected_tokens=_length_hint(wire.headers),
         group=wire.group,
         reward=reward,
+        prompt_tokens=_prompt_tokens(wire.headers, wire.tokens),
     )
 
 
@@ -219,6 +223,15 @@
             raise ValueError(f"`headers` holds a value of {name!r} with control characters")
 
 
+def _prompt_tokens(headers: dict[str, str], all_tokens: int) -> int:
+    """Return the first of an item's counts, which is part of `all_tokens`; 0 if there is none."""
+    for name, value in headers.items():
+        if name.lower() == TOKEN_COUNTS_HEADER.lower():
+            count = value.partition(",")[0].strip()
+            return min(int(count), max(0, all_tokens)) if COUNT.fullmatch(count) else 0
+    return 0
+
+
 def _length_hint(headers: dict[str, str]) -> float:
     for name, value in headers.items():
         if name.lower() == LENGTH_HINT_HEADER.lower():
--- a/rackswitch/platform/names.py
+++ b/rackswitch/platform/names.py
@@ -9,6 +9,7 @@
     "FENCING_HEADER",
     "LAST_EVENT_HEADER",
     "LENGTH_HINT_HEADER",
+    "TOKEN_COUNTS_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_PREFIX",
     "REQUEST_ID_HEADER",
@@ -44,6 +45,7 @@
 SERVER_LOAD_HEADER = "X-Rackswitch-Server-Load"
 """Three numbers: requests running, requests waiting, slots."""
 LENGTH_HINT_HEADER = "X-Rackswitch-Length-Hint"
+TOKEN_COUNTS_HEADER = "X-Rackswitch-Token-Counts"
 LAST_EVENT_HEADER = "Last-Event-Id"
 WAIT_HEADER = "X-Rackswitch-Wait-Ms"
 
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -28,6 +28,8 @@
     ----------
     orders_taken : int
         Orders since its start; an order that names another number is not carried out.
+    memory_used_tokens, memory_total_tokens : int
+        Memory that cannot give way, and all that it has; the latter is 0 if it does not say.
     """
 
     versions: dict[str, int]
@@ -35,6 +37,8 @@
     orders_taken: int
     waiting: int
     running: int
+    memory_used_tokens: int = 0
+    memory_total_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +88,9 @@
     busy: bool = False
     waiting: Count = 0
     running: Count = 0
+    # Counted in tokens; what is used is what cannot give way.
+    kv_used: Count = 0
+    kv_total: Count = 0
     models: list[WireLoadedModel] = []
     # When the engine started, in Unix time; older ones do not tell.
     born: Count = 0
@@ -130,6 +137,8 @@
             orders_taken=wire.seq,
             waiting=wire.waiting,
             running=wire.running,
+            memory_used_tokens=wire.kv_used,
+            memory_total_tokens=wire.kv_total,
         )
 
     async def order_version(
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -40,6 +40,8 @@
     models: list[WireLoadedModel] = []
     # When the target started, in Unix time; older ones do not tell.
     born: Count = 0
+    # What is left of the time that one which is taken away still has; others do not tell.
+    leaves_ms: Count | None = None
     # Counts heartbeats, from the target's start on; it is checked, but says nothing of orders.
     seq: Count = 0
 
@@ -67,9 +69,16 @@
         versions=versions_of(wire.models),
         reclaimable=wire.spot or wire.state == "spot",
         started_at_unix_ms=wire.born,
+        leaving_in_seconds=_leaving_in_seconds(wire),
     )
 
 
+def _leaving_in_seconds(wire: _WireServer) -> float | None:
+    if wire.state != "draining" or wire.leaves_ms is None:
+        return None
+    return wire.leaves_ms / 1000
+
+
 def _address(text: str) -> tuple[str, int]:
     """Return the host and port of an address by IP number.
 
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -81,6 +81,8 @@
         Part of a processor that the VM has; 0 if the file does not say.
     duties : DutySettings or None
         What is to be done towards the operators' API; None for nothing.
+    drain_seconds : float
+        How long a target serves at least from its word that it leaves; 0 if the file does not say.
     queues_calls : bool
         Whether callers may want more than there is room for, so that calls wait in order here and
         those that cannot be served are refused at once.
@@ -102,6 +104,7 @@
     keep_results_seconds: float
     processor_share: float = 0.0
     duties: DutySettings | None = None
+    drain_seconds: float = 0.0
     queues_calls: bool = False
 
 
@@ -113,6 +116,7 @@
 class _WireBounds(msgspec.Struct):
     grace_s: float = 8.0
     lease_ms: float = 3000.0
+    drain_ms: float = 0.0
     status_s: float = 120.0
     report_window_s: float = 5.0
     usage_late_s: float = 10.0
@@ -200,6 +204,7 @@
         keep_results_seconds=wire.bounds.status_s,
         processor_share=wire.limits.cpu_share,
         duties=_duty_settings(wire),
+        drain_seconds=max(0.0, wire.bounds.drain_ms / 1000),
         queues_calls=CROWDED_CONTRACT in wire.contracts,
     )
 
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -34,6 +34,8 @@
         Whether the platform may take it away at short notice.
     started_at_unix_ms : int
         When it started; 0 if it does not say.
+    leaving_in_seconds : float or None
+        How much longer it was there when it wrote this; None if it does not leave or say.
     """
 
     instance: str
@@ -46,6 +48,7 @@
     versions: dict[str, int] = field(default_factory=dict)
     reclaimable: bool = False
     started_at_unix_ms: int = 0
+    leaving_in_seconds: float | None = None
 
     @property
     def start(self) -> str:
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -3,6 +3,7 @@
 from rackswitch.telemetry.events.base import Event, registered
 
 __all__ = [
+    "EngineLeaves",
     "ItemGivenUp",
     "ItemRunEnded",
     "JobCallRefused",
@@ -17,6 +18,7 @@
     "ResultsAppended",
     "ResultsRead",
     "RewardCallEnded",
+    "RunLeavesEngine",
 ]
 
 
@@ -143,6 +145,34 @@
         return self.run == 1 and self.outcome == "whole"
 
 
+@registered
+class EngineLeaves(Event, tag="engine leaves", frozen=True):
+    """An engine with runs of this daemon leaves, and how long it can be counted on at least."""
+
+    target: str
+    left_seconds: float
+    is_told: bool
+    """Whether the engine itself says how long; else it is what any engine must serve then."""
+
+    runs: int
+
+
+@registered
+class RunLeavesEngine(Event, tag="run leaves engine", frozen=True):
+    """A run is ended to go on elsewhere before its engine is gone."""
+
+    job: str
+    item: str
+    target: str
+    room_at: str
+    """Where there was room for it; it goes to whichever engine is best when it starts."""
+
+    remaining_seconds: float
+    left_seconds: float
+    slack_seconds: float
+    """Until when it must have begun elsewhere for its step to be in time."""
+
+
 @registered
 class RewardCallEnded(Event, tag="reward call ended", frozen=True):
     """The end of a call that scores an item's text."""
