--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -192,6 +192,7 @@
 
     def hear_memory(self, target: ListedTarget, report: EngineReport) -> None:
         """Take in what an engine says of its memory."""
+        self.memory.keep_only({entry.start for entry in self._context.directory.entries.values()})
         self.memory.heard(
             target.start,
             report.memory_used_tokens,
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -19,6 +19,7 @@
 ADDRESS = re.compile(r"([0-9.]+):([0-9]{1,5})", re.ASCII)
 
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -41,7 +42,7 @@
     # When the target started, in Unix time; older ones do not tell.
     born: Count = 0
     # What is left of the time that one which is taken away still has; others do not tell.
-    leaves_ms: Count | None = None
+    leaves_ms: Milliseconds | None = None
     # Counts heartbeats, from the target's start on; it is checked, but says nothing of orders.
     seq: Count = 0
 
--- a/rackswitch/platform/tests/test_servers.py
+++ b/rackswitch/platform/tests/test_servers.py
@@ -40,6 +40,7 @@
         [{"name": "m", "version": "1"}], [{"name": "m", "version": 10**400}],
     )),
     {"spot": "yes"},
+    *({"leaves_ms": left} for left in ("2500", -1, [], True)),
 ]  # fmt: skip
 
 
@@ -88,3 +89,19 @@
     untold = decode_target("i-1", encoded({"born": MISSING}))
     assert first.instance == again.instance == untold.instance
     assert len({first.start, again.start, untold.start}) == 3
+
+
+@pytest.mark.parametrize(
+    ("changes", "left_seconds"),
+    [
+        ({"state": "draining", "leaves_ms": 2500}, 2.5),
+        ({"state": "draining", "leaves_ms": 2500.5}, 2.5005),
+        ({"state": "draining", "leaves_ms": 0}, 0.0),
+        ({"state": "draining"}, None),
+        ({"state": "draining", "leaves_ms": None}, None),
+        # Only one that leaves has a time left.
+        ({"state": "ready", "leaves_ms": 2500}, None),
+    ],
+)
+def test_how_much_longer_a_target_that_leaves_is_there(changes, left_seconds):
+    assert decode_target("i-1", encoded(changes)).leaving_in_seconds == left_seconds
--- a/rackswitch/platform/tests/test_settings.py
+++ b/rackswitch/platform/tests/test_settings.py
@@ -103,3 +103,9 @@
     assert isinstance(settings, NodeSettings) and not settings.queues_calls
     settings = read(tmp_path, GOOD + 'contracts: ["base", "pressure"]')
     assert isinstance(settings, NodeSettings) and settings.queues_calls
+
+
+def test_how_long_a_target_serves_after_its_word_that_it_leaves(tmp_path):
+    assert read(tmp_path, GOOD).drain_seconds == 0.0
+    settings = read(tmp_path, GOOD.replace("bounds:", "bounds:\n  drain_ms: 2500"))
+    assert settings.drain_seconds == 2.5
