Shared engines: urgency is not told by default; memory is not counted where its switch is off

Engines displace running texts by more urgent ones, which the played load does not show. Change: urgency_told is off by default; a run that was told a level and stands still does not close its engine. With memory_counted off, a known memory without room no longer bars runs (the test of all switches off saw slots only; it now looks at memory too).

--- a/benchmarks/bench_sharing.py
+++ b/benchmarks/bench_sharing.py
@@ -70,6 +70,7 @@
     Way("order alone", True, False, False),
     Way("room alone", False, True, False),
     Way("urgency alone", False, False, True),
+    Way("order and room", tells_urgency=False),
     Way("all"),
     Way("one with guesses", one_owner=True),
     Way("one that knows all", tells_urgency=False, knows_all=True),
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -174,7 +174,7 @@
                 fingerprint=fingerprint,
             )
         )
-        may_wait = gaps.first_at_seconds is None or urgency > MIDDLE_URGENCY
+        may_wait = gaps.first_at_seconds is None or urgency != MIDDLE_URGENCY
         self._note_end(ledger, progress, target, ended, may_wait)
         return ended
 
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -1,6 +1,7 @@
 """Starting the items of owned jobs at engines that have room."""
 
 import asyncio
+import math
 from functools import partial
 
 from rackswitch.gateway.context import GatewayContext
@@ -147,13 +148,12 @@
         is_shared = self._context.policy.room_shared and others is not None
         if others is None or not is_shared:
             others = occupancy.others(listed.instance, now_seconds)
-        own_tokens = tokens_at_end(own_runs.at(listed.start), self._runner.forecast)
         room = free_room(
             slots,
             own,
             own_runs.queued(listed.start, now_seconds),
             others,
-            self._runner.memory.free_tokens(listed.start, own_tokens, now_seconds),
+            self._free_tokens(listed, now_seconds),
             is_shared,
         )
         versions = {
@@ -172,6 +172,14 @@
             room.tokens,
         )
 
+    def _free_tokens(self, listed: ListedTarget, now_seconds: float) -> float:
+        """Return what memory an engine has left for more runs; infinite if that is not counted."""
+        runner = self._runner
+        if not self._context.policy.memory_counted:
+            return math.inf
+        own_tokens = tokens_at_end(runner.own_runs.at(listed.start), runner.forecast)
+        return runner.memory.free_tokens(listed.start, own_tokens, now_seconds)
+
     def _start(self, owned: OwnedJob, start: ItemStart, urgency: int) -> None:
         start.ledger.started(start.progress)
         task = self._context.daemon.spawn(self._carry_out(owned, start, urgency))
--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -1,6 +1,7 @@
 """Items of jobs at engines that their owner shares with others, and that may leave."""
 
 import asyncio
+import math
 import random
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
@@ -44,7 +45,7 @@
     runs_leave=False,
     runs_move=False,
 )
-ON = PolicySettings(runs_move=False)
+ON = PolicySettings(runs_move=False, urgency_told=True)
 
 
 def route(name: str, path: str, rank: int, handling: Handling = Handling.BATCH) -> StoredRow:
@@ -389,7 +390,7 @@
     wanted, due = run_virtual(scenario())
     for (rooms, told_due, longest, order, tokens_of), expected in zip(seen, wanted, strict=True):
         assert [(room.instance, room.free_slots, room.runs) for room in rooms] == expected
-        assert all(isinstance(room, EngineRoom) and room.slots == SLOTS for room in rooms)
+        assert all(room.slots == SLOTS and room.free_tokens == math.inf for room in rooms)
         assert (told_due, longest, order, tokens_of) == (due, True, None, None)
 
 
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -43,7 +43,8 @@
     memory_counted : bool
         Whether no run is sent where an engine's memory would run out.
     urgency_told : bool
-        Whether engines are told how urgent runs are, by slack and rank.
+        Whether engines are told how urgent runs are, by slack and rank. Engines that displace
+        running texts by more urgent ones then read many anew, and texts stand still meanwhile.
     runs_leave : bool
         Whether runs go on elsewhere before an engine that leaves is gone.
     """
@@ -61,7 +62,7 @@
     steps_by_slack: bool = True
     room_shared: bool = True
     memory_counted: bool = True
-    urgency_told: bool = True
+    urgency_told: bool = False
     runs_leave: bool = True
 
 
