--- a/rackswitch/gateway/items/tests/test_item_runner.py
+++ b/rackswitch/gateway/items/tests/test_item_runner.py
@@ -92,6 +92,23 @@
     assert run_virtual(scenario()) is is_closed
 
 
+@pytest.mark.parametrize(("urgency", "is_closed"), [(5, True), (7, False)])
+def test_a_run_that_more_urgent_ones_may_displace_does_not_close_its_engine(urgency, is_closed):
+    async def scenario():
+        engine = ScriptedEngine([TextPiece(1, "a", 1)], ItemRunEnd.SILENT, 1.2)
+        runner, ledger = make_runner(engine)
+        progress = ledger.items["i0"]
+        ledger.started(progress)
+        work = asyncio.create_task(runner.run(ledger, progress, ENGINE, urgency))
+        await asyncio.sleep(1.0)
+        now_seconds = runner._context.now_seconds()
+        runner.paces.note(ENGINE.start, 0.04, now_seconds)
+        await work
+        return runner._context.targets[ENGINE.instance].open_until_seconds > now_seconds
+
+    assert run_virtual(scenario()) is is_closed
+
+
 @pytest.mark.parametrize("spare_seconds", [None, 0.04, 0.05])
 def test_a_run_goes_on_where_that_gains_time(spare_seconds):
     async def scenario():
--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -441,11 +441,17 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_no_engine_is_idle_for_long_beside_waiting_items(seed):
-    """Owners with old words: within 0.1 s and two looks each free slot is used again."""
+    """Owners with old words, some items surplus: each free slot is soon used again.
+
+    Within 0.1 s and two looks: so no item starves beside an engine that may run it.
+    """
 
     async def scenario():
         rng = random.Random(seed)
-        steps = [make_step(f"j{n}", [rng.choice([5, 20, 60]) for _ in range(60)]) for n in range(3)]
+        steps = [
+            make_step(f"j{n}", [rng.choice([5, 20, 60]) for _ in range(60)], wanted=20 * n)
+            for n in range(3)
+        ]
         engines = SharedEngines(lengths_of(*steps))
         owners = [Owner(f"d{n}", engines, 3, ON) for n in range(3)]
         for owner, step in zip(owners, steps, strict=True):
