--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -21,7 +21,7 @@
     tokens_at_end,
 )
 from rackswitch.platform.item_runs import ItemRunEnd
-from rackswitch.routing import ListedTarget
+from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.table import RouteRow, ServiceRow
 from rackswitch.telemetry.events import ItemGivenUp
 
@@ -77,6 +77,7 @@
             now_seconds,
             forecast,
             policy.longest_first,
+            self._context.rng,
             order if policy.steps_by_slack else None,
             partial(item_tokens, forecast=forecast) if policy.memory_counted else None,
         )
@@ -169,6 +170,8 @@
             versions,
             slots,
             own + others,
+            self._runner.loads.place(listed, now_seconds),
+            self._context.picture.usual_run_seconds(listed.service, WorkKind.TEXT),
             room.tokens,
         )
 
--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -356,7 +356,7 @@
     """Slots less own runs, others' runs while their word is new, no order and no memory."""
     seen = []
 
-    def plan(ledgers, rooms, services, due, now, forecast, longest, order, tokens_of):
+    def plan(ledgers, rooms, services, due, now, forecast, longest, rng, order, tokens_of):
         seen.append((list(rooms), due, longest, order, tokens_of))
         return []
 
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -1,6 +1,7 @@
 """Which items to start now, and at which engine."""
 
 import math
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -9,6 +10,7 @@
 from rackswitch.jobs.messages import Job
 from rackswitch.jobs.progress import ItemProgress
 from rackswitch.jobs.stragglers import SpareRoom
+from rackswitch.routing import Place, choose_place
 
 __all__ = [
     "EngineRoom",
@@ -58,6 +60,11 @@
         Smoothed time between the events of one stream there.
     versions : dict of str to int
         The weights it has, by model; items that need newer ones do not go there.
+    place : Place or None
+        What a place there is worth by what it tells, in place of `runs` and `seconds_per_piece`;
+        None if its service tells no pace.
+    run_seconds : float
+        How long a run takes at a usual pace, for those that wait before another.
     free_tokens : float
         Memory for what the runs that begin there will hold; infinite if it is not known.
     """
@@ -69,6 +76,8 @@
     versions: dict[str, int]
     slots: int = 0
     runs: int = 0
+    place: Place | None = None
+    run_seconds: float = USUAL_RUN_SECONDS
     free_tokens: float = math.inf
 
     def takes(self, tokens: float) -> bool:
@@ -83,10 +92,14 @@
         """Count one more run in, with what it will hold."""
         self.free_slots -= 1
         self.runs += 1
+        if self.place is not None:
+            self.place = self.place.with_one_more()
         self.free_tokens -= tokens
 
     def expected_seconds_per_piece(self) -> float:
         """Return the pace that one more run would have there."""
+        if self.place is not None:
+            return self.place.unit_seconds * self.place.pace
         return self.seconds_per_piece * (1 + RUN_COST_SHARE * self.runs)
 
     def expected_seconds(self, pieces: float) -> float:
@@ -168,6 +181,7 @@
     now_seconds: float,
     forecast: LengthForecast | None = None,
     longest_first: bool = True,
+    rng: random.Random | None = None,
     order: ItemOrder | None = None,
     tokens_of: Callable[[ItemProgress], float] | None = None,
 ) -> list[ItemStart]:
@@ -194,6 +208,8 @@
         How long texts become; a fresh one by default.
     longest_first : bool, optional
         Whether an item's length counts in when it must start.
+    rng : random.Random, optional
+        Draws among engines that tell their pace; differs from daemon to daemon.
     order : ItemOrder, optional
         Takes the place of the order told above.
     tokens_of : callable, optional
@@ -205,6 +221,7 @@
         At most as many as there is room for.
     """
     lengths = forecast or LengthForecast()
+    draws = rng or random.Random(0)
     waiting = [
         (
             order.key(ledger, progress)
@@ -231,7 +248,7 @@
         pieces = lengths.remaining_pieces(progress)
         tokens = tokens_of(progress) if tokens_of is not None else 0.0
         fit = _rooms_for(engines, service, ledger)
-        engine = _best_engine([room for room in fit if room.takes(tokens)], progress, pieces)
+        engine = _best_engine([room for room in fit if room.takes(tokens)], progress, pieces, draws)
         if engine is not None:
             engine.begin(tokens)
             starts.append(ItemStart(ledger, progress, engine.instance))
@@ -263,9 +280,13 @@
     ]
 
 
-def _best_engine(fit: list[EngineRoom], progress: ItemProgress, pieces: float) -> EngineRoom | None:
+def _best_engine(
+    fit: list[EngineRoom], progress: ItemProgress, pieces: float, rng: random.Random
+) -> EngineRoom | None:
     if not fit:
         return None
+    if all(room.place is not None for room in fit):
+        return _drawn_engine(fit, progress.avoid, pieces, rng)
     return min(
         fit,
         key=lambda room: (
@@ -276,6 +297,17 @@
     )
 
 
+def _drawn_engine(
+    rooms: list[EngineRoom], avoid: str | None, pieces: float, rng: random.Random
+) -> EngineRoom:
+    """Return one of some engines that tell their pace."""
+    preferred = {room.instance: room for room in rooms if room.instance != avoid}
+    by_name = preferred or {room.instance: room for room in rooms}
+    places = [room.place for room in by_name.values() if room.place is not None]
+    run_seconds = max(room.run_seconds for room in by_name.values())
+    return by_name[choose_place(places, pieces, run_seconds, rng).instance]
+
+
 def _keep_for_large(fit: list[EngineRoom]) -> None:
     """Let memory become free at one engine for an item that fits none.
 
@@ -289,12 +321,14 @@
     """Return, by service, the fastest engine that has room left."""
     spare: dict[str, SpareRoom] = {}
     for room in rooms:
-        if room.free_slots <= 0:
+        free_slots = room.free_slots
+        if room.place is not None:
+            # A move gains nothing where it would wait.
+            free_slots = min(free_slots, int(room.place.free_slots))
+        if free_slots <= 0:
             continue
         known = spare.get(room.service)
         pace_seconds = room.expected_seconds_per_piece()
         if known is None or pace_seconds < known.seconds_per_piece:
-            spare[room.service] = SpareRoom(
-                room.instance, pace_seconds, room.free_slots, room.versions
-            )
+            spare[room.service] = SpareRoom(room.instance, pace_seconds, free_slots, room.versions)
     return spare
