Shared engines count only where engines tell their pace; old words, whole texts, cost of a look

Cause: the parts took effect for every service whose switches were on, also where engines tell nothing of their pace. Runs of others by an engine's last word never faded, so an idle engine whose last word was "full" was no place for moves or leaving runs, and an item larger than its memory never started there. A text that waits for its reward counted as lacking half of its length, which made its group surplus. A look went through all waiting items though no engine had room.

Change: the item starter asks once per look which services tell their pace; order, room, memory, urgency, spare rooms and LeaveWatch go by that. Services that tell none are planned in a call of their own, with what the planner got before. EngineRoom.runs is again own runs and others' by a new word. Whole texts lack nothing. Jobs of services without room are passed over; surplus groups are kept for 0.25 s.

Tests: the new ones fail with each of the three changes taken out (gate, runs by a new word, whole texts; run on a scratch copy).

--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Iterable
 from functools import partial
 
 from rackswitch.gateway.context import GatewayContext
@@ -10,6 +11,7 @@
 from rackswitch.gateway.items.step_ranks import StepRanks
 from rackswitch.gateway.jobs.owned_job import OwnedJob
 from rackswitch.jobs import (
+    MIDDLE_URGENCY,
     EngineRoom,
     ItemPhase,
     ItemProgress,
@@ -63,35 +65,57 @@
             return
         now_seconds = self._context.now_seconds()
         services = self._services(owned_jobs, now_seconds)
-        rooms = self._engine_rooms(set(services.values()), now_seconds)
+        sharing = self._sharing(services.values())
+        rooms = self._engine_rooms(set(services.values()), sharing, now_seconds)
         due_seconds = {job_id: owned.due_seconds for job_id, owned in owned_jobs.items()}
         ledgers = [owned.ledger for owned in owned_jobs.values()]
         forecast, policy = self._runner.forecast, self._context.policy
         order = self._ranks.order(owned_jobs, services, rooms, forecast)
-        self._leave_watch.move_runs(rooms, order, now_seconds)
-        starts = plan_starts(
-            ledgers,
-            rooms,
-            services,
-            due_seconds,
-            now_seconds,
-            forecast,
-            policy.longest_first,
-            self._context.rng,
-            order if policy.steps_by_slack else None,
-            partial(item_tokens, forecast=forecast) if policy.memory_counted else None,
-        )
-        for start in starts:
-            urgency = self._ranks.urgency(order, start.ledger, start.progress)
-            self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
+        self._leave_watch.move_runs(rooms, order, sharing, now_seconds)
+        for is_shared in (True, False):
+            # Services have no engine in common, so their plans do not meet.
+            planned = {
+                job_id: service
+                for job_id, service in services.items()
+                if (service in sharing) is is_shared
+            }
+            if not planned:
+                continue
+            counts_memory = is_shared and policy.memory_counted
+            starts = plan_starts(
+                ledgers,
+                rooms,
+                planned,
+                due_seconds,
+                now_seconds,
+                forecast,
+                policy.longest_first,
+                self._context.rng,
+                order if is_shared and policy.steps_by_slack else None,
+                partial(item_tokens, forecast=forecast) if counts_memory else None,
+            )
+            for start in starts:
+                urgency = MIDDLE_URGENCY
+                if is_shared:
+                    urgency = self._ranks.urgency(order, start.ledger, start.progress)
+                self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
         for owned in owned_jobs.values():
             self._score_restored(owned)
         waiting = any(ledger.waiting(now_seconds) for ledger in ledgers)
         if policy.room_shared:
             # A place in a queue is none to move a run to.
-            rooms = [room for room in rooms if room.runs < room.slots]
+            rooms = [
+                room for room in rooms if room.service not in sharing or room.runs < room.slots
+            ]
         self._runner.spare = {} if waiting else spare_rooms(rooms)
 
+    def _sharing(self, services: Iterable[str]) -> frozenset[str]:
+        """Return the services whose engines tell their pace.
+
+        Only for these do slack, shared room, memory, urgency and leaving engines count.
+        """
+        return frozenset(filter(self._context.picture.tells_pace, services))
+
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
         """Return the service that runs each job; items that no engine may run are given up."""
         services: dict[str, str] = {}
@@ -122,13 +146,15 @@
                     )
                 )
 
-    def _engine_rooms(self, services: set[str], now_seconds: float) -> list[EngineRoom]:
+    def _engine_rooms(
+        self, services: set[str], sharing: frozenset[str], now_seconds: float
+    ) -> list[EngineRoom]:
         rooms: list[EngineRoom] = []
         for service in services:
             row = self._context.daemon.view.row(ServiceRow, service)
             default_slots = (row.slots if row is not None else 0) or DEFAULT_SLOTS
             rooms.extend(
-                self._room(listed, default_slots, now_seconds)
+                self._room(listed, default_slots, service in sharing, now_seconds)
                 for listed in self._context.directory.usable(service, now_seconds)
                 if not self._is_left_alone(listed.instance, now_seconds)
             )
@@ -140,22 +166,24 @@
             return True
         return now_seconds < self._context.targets[instance].open_until_seconds
 
-    def _room(self, listed: ListedTarget, default_slots: int, now_seconds: float) -> EngineRoom:
+    def _room(
+        self, listed: ListedTarget, default_slots: int, is_shared: bool, now_seconds: float
+    ) -> EngineRoom:
         slots = listed.slots or default_slots
         occupancy, own_runs = self._runner.occupancy, self._runner.own_runs
         own = occupancy.own.get(listed.instance, 0)
         others = occupancy.others_last(listed.instance)
         # Of an engine that tells nothing of its load, its owners take all slots each.
-        is_shared = self._context.policy.room_shared and others is not None
-        if others is None or not is_shared:
-            others = occupancy.others(listed.instance, now_seconds)
+        is_room_shared = is_shared and self._context.policy.room_shared and others is not None
+        # An idle engine says nothing: by an old word it is full for new runs, but not for moves.
+        others_new = occupancy.others(listed.instance, now_seconds)
         room = free_room(
             slots,
             own,
             own_runs.queued(listed.start, now_seconds),
-            others,
-            self._free_tokens(listed, now_seconds),
-            is_shared,
+            others if others is not None else others_new,
+            self._free_tokens(listed, is_shared, now_seconds),
+            is_room_shared,
         )
         versions = {
             model: version
@@ -169,16 +197,16 @@
             self._runner.paces.get(listed.start, now_seconds),
             versions,
             slots,
-            own + others,
+            own + others_new,
             self._runner.loads.place(listed, now_seconds),
             self._context.picture.usual_run_seconds(listed.service, WorkKind.TEXT),
             room.tokens,
         )
 
-    def _free_tokens(self, listed: ListedTarget, now_seconds: float) -> float:
+    def _free_tokens(self, listed: ListedTarget, is_shared: bool, now_seconds: float) -> float:
         """Return what memory an engine has left for more runs; infinite if that is not counted."""
         runner = self._runner
-        if not self._context.policy.memory_counted:
+        if not (is_shared and self._context.policy.memory_counted):
             return math.inf
         own_tokens = tokens_at_end(runner.own_runs.at(listed.start), runner.forecast)
         return runner.memory.free_tokens(listed.start, own_tokens, now_seconds)
--- a/rackswitch/gateway/items/leave_watch.py
+++ b/rackswitch/gateway/items/leave_watch.py
@@ -52,7 +52,13 @@
         self._engines = LeavingEngines()
         self._reserved: dict[tuple[str, str], _Reserved] = {}
 
-    def move_runs(self, rooms: list[EngineRoom], order: SlackOrder, now_seconds: float) -> None:
+    def move_runs(
+        self,
+        rooms: list[EngineRoom],
+        order: SlackOrder,
+        sharing: frozenset[str],
+        now_seconds: float,
+    ) -> None:
         """End the runs here that are better gone on with elsewhere before their engine leaves.
 
         Parameters
@@ -61,12 +67,14 @@
             Room at the engines that stay; what these runs will take is taken off.
         order : SlackOrder
             Which are the most urgent.
+        sharing : frozenset of str
+            Services whose runs leave; those of others stay until their engine breaks them.
         now_seconds : float
             Monotonic clock.
         """
         if not self._context.policy.runs_leave:
             return
-        self._look(now_seconds)
+        self._look(order.service_of, sharing, now_seconds)
         self._keep_reserved(rooms, now_seconds)
         leaving = {
             run.key: run
@@ -87,11 +95,16 @@
         """
         return not run.ledger.single_version and run.key not in self._reserved
 
-    def _look(self, now_seconds: float) -> None:
+    def _look(
+        self, service_of: dict[str, str], sharing: frozenset[str], now_seconds: float
+    ) -> None:
         """Take in the notices of engines that run something of ours."""
         leaving: set[str] = set()
         for start in self._runner.own_runs.by_start:
-            instance = self._runner.own_runs.at(start)[0].instance
+            run = self._runner.own_runs.at(start)[0]
+            if service_of.get(run.ledger.job.job_id) not in sharing:
+                continue
+            instance = run.instance
             listed = self._context.directory.entries.get(instance)
             # An engine may also go without a word: its entry is gone, and it serves as long.
             if listed is not None and listed.start == start and not listed.draining:
--- a/rackswitch/gateway/items/step_ranks.py
+++ b/rackswitch/gateway/items/step_ranks.py
@@ -21,6 +21,10 @@
 
 __all__ = ["StepRanks"]
 
+SURPLUS_LIFE_SECONDS = 0.25
+"""How long a job's surplus groups are kept: texts grow by a few pieces meanwhile, and all items of
+a job are gone through to find them."""
+
 
 @dataclass(frozen=True, slots=True)
 class _ServiceRanks:
@@ -39,12 +43,20 @@
         The daemon.
     """
 
-    __slots__ = ("_by_service", "_context", "_table_revision")
+    __slots__ = (
+        "_by_service",
+        "_context",
+        "_surplus",
+        "_surplus_until_seconds",
+        "_table_revision",
+    )
 
     def __init__(self, context: GatewayContext):
         self._context = context
         self._table_revision = -1
         self._by_service: dict[str, _ServiceRanks] = {}
+        self._surplus: dict[str, set[str]] = {}
+        self._surplus_until_seconds = 0.0
 
     def order(
         self,
@@ -58,7 +70,12 @@
         class_of = {
             job_id: self._class_of(owned.ledger.job) for job_id, owned in owned_jobs.items()
         }
-        return SlackOrder(services, due_seconds, class_of, paces_to_be_had(rooms), forecast)
+        now_seconds = self._context.now_seconds()
+        if now_seconds >= self._surplus_until_seconds:
+            self._surplus = {}
+            self._surplus_until_seconds = now_seconds + SURPLUS_LIFE_SECONDS
+        paces_seconds = paces_to_be_had(rooms)
+        return SlackOrder(services, due_seconds, class_of, paces_seconds, forecast, self._surplus)
 
     def urgency(self, order: SlackOrder, ledger: JobLedger, progress: ItemProgress) -> int:
         """Return how urgent an engine is told that an item's run is."""
--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -17,11 +17,12 @@
 from rackswitch.gateway.jobs.owned_job import OwnedJob, new_owned_job
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.tests.support import NoQuarantine, make_gateway_context
-from rackswitch.jobs import EngineLoad, EngineRoom, Job, JobItem, TextPiece
+from rackswitch.jobs import EngineLoad, EngineRoom, Job, JobItem, SlackOrder, TextPiece
 from rackswitch.jobs.schedule import FIRST_PIECES_PER_TOKEN
 from rackswitch.platform.item_runs import ItemRunEnd, ItemRunEnded
 from rackswitch.platform.orders import EngineReport
 from rackswitch.routing import ListedTarget, Target
+from rackswitch.routing.load_words import LoadWord
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.table import (
     Handling,
@@ -135,7 +136,14 @@
 class Owner:
     """The item starter of one daemon, over engines that it shares."""
 
-    def __init__(self, name: str, engines: SharedEngines, count: int, policy: PolicySettings):
+    def __init__(
+        self,
+        name: str,
+        engines: SharedEngines,
+        count: int,
+        policy: PolicySettings,
+        pace: float | None = 1.0,
+    ):
         self.context = make_gateway_context(name, KvStore())
         self.context.settings = replace(self.context.settings, drain_seconds=DRAIN_SECONDS)
         self.context.policy = policy
@@ -143,6 +151,8 @@
         self.context.routes = index_routes(TABLE)
         for number in range(count):
             self.list_engine(f"e{number}")
+        word = LoadWord(0, 0, SLOTS, pace, self.context.now_seconds())
+        self.context.picture.heard("of another engine@0", "s", word)
         paces = EnginePaces()
         self.runner = ItemRunner(self.context, engines, None, paces, NoQuarantine())
         self.wake = asyncio.Event()
@@ -211,12 +221,14 @@
             assert progress.result.text.split("\n") == wanted
 
 
-@pytest.mark.parametrize(("policy", "moves"), [(ON, True), (OFF, False)])
-def test_a_long_run_leaves_an_engine_before_its_end_and_a_short_one_stays(policy, moves):
+@pytest.mark.parametrize(
+    ("policy", "pace", "moves"), [(ON, 1.0, True), (OFF, 1.0, False), (ON, None, False)]
+)
+def test_a_long_run_leaves_an_engine_before_its_end_and_a_short_one_stays(policy, pace, moves):
     async def scenario():
         step = make_step("j", [120, 40])
         engines = SharedEngines(lengths_of(step))
-        owner = Owner("a", engines, 1, policy)
+        owner = Owner("a", engines, 1, policy, pace)
         owner.own(step)
         await owner.work(0.5)
         owner.list_engine("e0", draining=True)
@@ -285,17 +297,17 @@
 
 
 def test_engines_are_told_slack_and_rank_and_the_same_for_all_with_it_off():
-    def told(policy: PolicySettings) -> dict[str, int]:
+    def told(policy: PolicySettings, pace: float | None = 1.0) -> dict[str, int]:
         async def scenario():
             # The least slack first: late already, soon late, in time.
             steps = [
                 make_step("late", [250]),
-                make_step("tight", [135]),
+                make_step("tight", [170]),
                 make_step("easy", [10, 10, 90], wanted=2),
                 make_step("second", [10], path="/second"),
             ]
             engines = SharedEngines(lengths_of(*steps))
-            owner = Owner("a", engines, 2, policy)
+            owner = Owner("a", engines, 2, policy, pace)
             for step in steps:
                 owner.own(step)
             await owner.work(0.1)
@@ -308,6 +320,7 @@
     assert sorted(in_order, key=lambda item: levels[item]) == in_order
     assert len({levels[item] for item in in_order}) == len(in_order)
     assert set(told(OFF).values()) == {5}
+    assert set(told(ON, pace=None).values()) == {5}
 
 
 def test_two_owners_fill_shared_engines_without_long_queues():
@@ -352,7 +365,10 @@
     assert run_virtual(scenario()) == ["e0", "e1"]
 
 
-def test_with_all_switched_off_the_plan_is_made_from_what_it_was(monkeypatch):
+@pytest.mark.parametrize(("policy", "pace"), [(OFF, 1.0), (OFF, None), (ON, None)])
+def test_switched_off_or_without_a_pace_the_plan_is_made_from_what_it_was(
+    monkeypatch, policy, pace
+):
     """Slots less own runs, others' runs while their word is new, no order and no memory."""
     seen = []
 
@@ -364,7 +380,7 @@
 
     async def scenario():
         rng = random.Random(2)
-        owner = Owner("a", SharedEngines({}), 4, OFF)
+        owner = Owner("a", SharedEngines({}), 4, policy, pace)
         owner.own(make_step("j", [10]))
         wanted = []
         for _ in range(30):
@@ -394,6 +410,89 @@
         assert (told_due, longest, order, tokens_of) == (due, True, None, None)
 
 
+def test_with_a_pace_told_the_plan_is_made_with_order_room_and_memory(monkeypatch):
+    seen = []
+
+    def plan(ledgers, rooms, services, due, now, forecast, longest, rng, order, tokens_of):
+        seen.append((rooms[0].free_slots, rooms[0].free_tokens, order, tokens_of))
+        return []
+
+    monkeypatch.setattr(item_starter, "plan_starts", plan)
+
+    async def scenario():
+        owner = Owner("a", SharedEngines({}), 1, ON)
+        owner.own(make_step("j", [10]))
+        listed = owner.context.directory.entries["e0"]
+        owner.runner.occupancy.heard("e0", EngineLoad(4, 0), owner.context.now_seconds())
+        report = EngineReport({"m": 1}, False, 0, 0, 4, 900, 1000)
+        owner.runner.hear_memory(listed, report)
+        owner.starter.start_items(owner.owned)
+
+    run_virtual(scenario())
+    [(free_slots, free_tokens, order, tokens_of)] = seen
+    assert (free_slots, free_tokens) == (SLOTS - 4, 100)
+    assert isinstance(order, SlackOrder)
+    assert tokens_of is not None
+
+
+def test_only_the_services_whose_engines_tell_their_pace_are_shared(monkeypatch):
+    seen = {}
+
+    def plan(ledgers, rooms, services, due, now, forecast, longest, rng, order, tokens_of):
+        free = {room.service: room.free_slots for room in rooms}
+        for service in services.values():
+            seen[service] = (free[service], order is not None, tokens_of is not None)
+        return []
+
+    monkeypatch.setattr(item_starter, "plan_starts", plan)
+
+    async def scenario():
+        owner = Owner("a", SharedEngines({}), 1, ON)
+        other = replace(owner.context.directory.entries["e0"], instance="t0", service="t")
+        owner.context.directory.put(other)
+        owner.context.targets["t0"] = Target("t0", other.url, "z")
+        row = RouteRow(
+            name="third",
+            choices=(RouteChoice(serves="t"),),
+            host="h",
+            path_prefix="/third",
+            handling=Handling.BATCH,
+        )
+        table = TableDocument(1, {**TABLE.rows, "route/third": StoredRow(1, row)})
+        owner.context.routes = index_routes(table)
+        owner.own(make_step("j", [10]))
+        owner.own(make_step("k", [10], path="/third"))
+        for name in ("e0", "t0"):
+            owner.runner.occupancy.heard(name, EngineLoad(4, 0), owner.context.now_seconds())
+        await asyncio.sleep(2.0)
+        owner.starter.start_items(owner.owned)
+
+    run_virtual(scenario())
+    assert seen == {"s": (SLOTS - 4, True, True), "t": (SLOTS, False, False)}
+
+
+def test_an_old_word_that_an_engine_is_full_keeps_no_large_item_and_no_move_from_it():
+    async def scenario():
+        step = make_step("j", [100])
+        owner = Owner("a", SharedEngines(lengths_of(step)), 1, ON)
+        listed = owner.context.directory.entries["e0"]
+        owner.runner.occupancy.heard("e0", EngineLoad(SLOTS, 0), owner.context.now_seconds())
+        owner.runner.hear_memory(listed, EngineReport({"m": 1}, False, 0, 0, SLOTS, 900, 1000))
+        spare = []
+        for seconds in (0.1, 2.0):
+            await asyncio.sleep(seconds)
+            owner.own(make_step("none", []))
+            owner.starter.start_items(owner.owned)
+            spare.append(set(owner.runner.spare))
+        owner.owned = {}
+        owner.own(step)
+        await owner.work(0.2)
+        return spare, [name for name, _ in owner.runner._engines.requests]
+
+    # The item will hold 5,000 tokens, more than the engine has: it refuses that itself.
+    assert run_virtual(scenario()) == ([set(), {"s"}], ["e0"])
+
+
 @pytest.mark.parametrize("policy", [ON, OFF])
 @pytest.mark.parametrize("seed", range(6))
 def test_engines_lost_with_a_third_of_all_runs_cost_no_text(seed, policy):
@@ -499,7 +598,7 @@
             order = owner.starter._ranks.order(
                 owner.owned, {"j": "s"}, rooms, owner.runner.forecast
             )
-            owner.starter._leave_watch.move_runs(rooms, order, now_seconds)
+            owner.starter._leave_watch.move_runs(rooms, order, frozenset({"s"}), now_seconds)
             free_slots.append(rooms[0].free_slots)
             await asyncio.sleep(0.03)
         return free_slots
--- a/rackswitch/gateway/items/tests/test_run_loads.py
+++ b/rackswitch/gateway/items/tests/test_run_loads.py
@@ -38,7 +38,7 @@
 
 def rooms_of(runner):
     starter = ItemStarter(runner._context, runner, asyncio.Event())
-    return starter._engine_rooms({"s"}, runner._context.now_seconds())
+    return starter._engine_rooms({"s"}, starter._sharing({"s"}), runner._context.now_seconds())
 
 
 def starts_of(runner) -> list[str]:
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -155,8 +155,8 @@
 
     def remaining_pieces(self, progress: ItemProgress) -> float:
         """Return how many pieces an item's text probably still lacks."""
-        expected = progress.item.expected_tokens * self.pieces_per_token
-        done = progress.last_number
+        expected = progress.item.expected_tokens * math.exp(self.log_pieces_per_token)
+        done = len(progress.pieces)
         # A text that is past what was expected of it is one of the long tail.
         return max(expected - done, TAIL_SHARE * done)
 
@@ -222,6 +222,7 @@
     """
     lengths = forecast or LengthForecast()
     draws = rng or random.Random(0)
+    with_room = {room.service for room in engines if room.free_slots > 0}
     waiting = [
         (
             order.key(ledger, progress)
@@ -233,7 +234,7 @@
             progress,
         )
         for ledger in ledgers
-        if ledger.job.job_id in service_of
+        if service_of.get(ledger.job.job_id) in with_room
         for progress in ledger.waiting(now_seconds)
     ]
     waiting.sort(key=lambda entry: entry[0])
--- a/rackswitch/jobs/step_order.py
+++ b/rackswitch/jobs/step_order.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from rackswitch.jobs.ledger import JobLedger
-from rackswitch.jobs.progress import ItemProgress
+from rackswitch.jobs.progress import ItemPhase, ItemProgress
 from rackswitch.jobs.schedule import USUAL_SECONDS_PER_PIECE, EngineRoom, LengthForecast
 
 __all__ = ["SlackOrder", "paces_to_be_had", "surplus_groups"]
@@ -46,7 +46,8 @@
         if progress.result is not None:
             continue
         group = progress.item.group
-        lacking = forecast.remaining_pieces(progress)
+        is_whole = progress.phase is ItemPhase.SCORING
+        lacking = 0.0 if is_whole else forecast.remaining_pieces(progress)
         longest[group] = max(longest[group], lacking)
         total[group] += lacking
     carried = int(CARRIED_SHARE * wanted)
@@ -78,6 +79,8 @@
         By service, the pace to be had, in seconds a piece.
     forecast : LengthForecast
         How long texts become.
+    surplus : dict of str to set of str, optional
+        By job, its surplus groups where they are known; those found are put in.
     """
 
     service_of: dict[str, str]
@@ -85,7 +88,7 @@
     class_of: dict[str, int]
     paces_seconds: dict[str, float]
     forecast: LengthForecast
-    _surplus: dict[str, set[str]] = field(default_factory=dict)
+    surplus: dict[str, set[str]] = field(default_factory=dict)
 
     def start_by_seconds(self, ledger: JobLedger, progress: ItemProgress) -> float:
         """Return when an item must start at the latest to be whole in time (monotonic)."""
@@ -98,10 +101,10 @@
     def is_surplus(self, ledger: JobLedger, progress: ItemProgress) -> bool:
         """Return whether an item's group is one that its trainer will not wait for."""
         job_id = ledger.job.job_id
-        surplus = self._surplus.get(job_id)
+        surplus = self.surplus.get(job_id)
         if surplus is None:
             surplus = surplus_groups(ledger, self.forecast)
-            self._surplus[job_id] = surplus
+            self.surplus[job_id] = surplus
         return progress.item.group in surplus
 
     def key(self, ledger: JobLedger, progress: ItemProgress) -> tuple[bool, bool, int, int, float]:
--- a/rackswitch/jobs/tests/test_step_order.py
+++ b/rackswitch/jobs/tests/test_step_order.py
@@ -71,6 +71,14 @@
     assert surplus_groups(ledger, LengthForecast()) == {"g2"}
 
 
+def test_a_whole_text_that_waits_for_its_reward_lacks_nothing():
+    ledger = group_ledger([[10], [20], [30]], wanted=2)
+    whole = ledger.items["j-2-0"]
+    whole.pieces = ["x"] * 100
+    whole.phase = ItemPhase.SCORING
+    assert surplus_groups(ledger, LengthForecast()) == {"g1"}
+
+
 def test_a_group_that_turns_out_long_changes_places_with_one_that_does_not():
     ledger = group_ledger([[10], [20], [30]], wanted=2)
     assert surplus_groups(ledger, LengthForecast()) == {"g2"}
