Shared engines: one life of an engine's word, a test of kept surplus groups

Cause: the life of a word about memory was a second copy of that about load, with the same reason. Ruled out: lives of their own; nothing tells them apart.

--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -14,6 +14,7 @@
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.item_starter import ItemStarter
+from rackswitch.gateway.items.step_ranks import SURPLUS_LIFE_SECONDS
 from rackswitch.gateway.jobs.owned_job import OwnedJob, new_owned_job
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.tests.support import NoQuarantine, make_gateway_context
@@ -435,6 +436,24 @@
     assert tokens_of is not None
 
 
+def test_which_groups_are_surplus_is_found_anew_after_a_while():
+    async def scenario():
+        step = make_step("j", [10, 20, 30], wanted=2)
+        owner = Owner("a", SharedEngines({}), 1, ON)
+        owner.own(step)
+        ledger = owner.owned["j"].ledger
+        surplus = []
+        for seconds in (0.0, SURPLUS_LIFE_SECONDS - 0.01, 0.02):
+            await asyncio.sleep(seconds)
+            order = owner.starter._ranks.order(owner.owned, {"j": "s"}, [], owner.runner.forecast)
+            items = ledger.items.items()
+            surplus.append([key for key, item in items if order.is_surplus(ledger, item)])
+            ledger.items["j-1"].pieces = ["x"] * 100
+        return surplus
+
+    assert run_virtual(scenario()) == [["j-2"], ["j-2"], ["j-1"]]
+
+
 def test_only_the_services_whose_engines_tell_their_pace_are_shared(monkeypatch):
     seen = {}
 
--- a/rackswitch/jobs/engine_memory.py
+++ b/rackswitch/jobs/engine_memory.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
+from rackswitch.jobs.occupancy import LOAD_LIFE_SECONDS
 from rackswitch.jobs.own_runs import OwnRun
 from rackswitch.jobs.progress import ItemProgress
 from rackswitch.jobs.schedule import LengthForecast
@@ -21,10 +22,6 @@
     "tokens_held",
 ]
 
-USED_LIFE_SECONDS = 1.0
-"""How long an engine's word about its used memory counts: about a usual run's time, after which
-others' runs have mostly ended."""
-
 QUEUED_RUNS = 1
 """Runs that an owner may have queued at an engine beyond its slots. With one, the engine goes on
 at once when another owner's run ends, which this owner cannot see; each more waits there for a
@@ -92,7 +89,7 @@
             return
         self.total_tokens[start] = total_tokens
         others_tokens = max(0.0, used_tokens - own_tokens)
-        self._used[start] = _Used(others_tokens, now_seconds + USED_LIFE_SECONDS)
+        self._used[start] = _Used(others_tokens, now_seconds + LOAD_LIFE_SECONDS)
 
     def keep_only(self, starts: Collection[str]) -> None:
         """Drop all that is known of engines that are gone."""
