--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -2,8 +2,9 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Any, Protocol
 
 from rackswitch.jobs.ledger import JobLedger
 from rackswitch.jobs.messages import Job
@@ -13,6 +14,7 @@
 
 __all__ = [
     "EngineRoom",
+    "ItemOrder",
     "ItemStart",
     "LengthForecast",
     "expected_work_seconds",
@@ -63,6 +65,8 @@
         None if its service tells no pace.
     run_seconds : float
         How long a run takes at a usual pace, for those that wait before another.
+    free_tokens : float
+        Memory for what the runs that begin there will hold; infinite if it is not known.
     """
 
     instance: str
@@ -74,13 +78,23 @@
     runs: int = 0
     place: Place | None = None
     run_seconds: float = USUAL_RUN_SECONDS
+    free_tokens: float = math.inf
 
-    def begin(self) -> None:
-        """Count one more run in."""
+    def takes(self, tokens: float) -> bool:
+        """Return whether one more run fits that will hold so many tokens.
+
+        An engine without any run takes one whatever it has told of its memory, so that no item
+        waits beside an idle engine; it refuses itself what is larger than it.
+        """
+        return self.free_slots > 0 and (self.runs == 0 or tokens <= self.free_tokens)
+
+    def begin(self, tokens: float = 0.0) -> None:
+        """Count one more run in, with what it will hold."""
         self.free_slots -= 1
         self.runs += 1
         if self.place is not None:
             self.place = self.place.with_one_more()
+        self.free_tokens -= tokens
 
     def expected_seconds_per_piece(self) -> float:
         """Return the pace that one more run would have there."""
@@ -104,6 +118,13 @@
     instance: str
 
 
+class ItemOrder(Protocol):
+    """In which order items start."""
+
+    def key(self, ledger: JobLedger, progress: ItemProgress) -> Any:
+        """Return an item's place; the least goes first."""
+
+
 @dataclass(slots=True)
 class LengthForecast:
     """How long texts become, against what their submitters expect.
@@ -120,6 +141,11 @@
 
     log_pieces_per_token: float = math.log(FIRST_PIECES_PER_TOKEN)
 
+    @property
+    def pieces_per_token(self) -> float:
+        """Pieces that a text has for each of its tokens."""
+        return math.exp(self.log_pieces_per_token)
+
     def note(self, expected_tokens: float, pieces: int) -> None:
         """Take in a whole text."""
         if expected_tokens <= 0 or pieces <= 0:
@@ -130,7 +156,7 @@
     def remaining_pieces(self, progress: ItemProgress) -> float:
         """Return how many pieces an item's text probably still lacks."""
         expected = progress.item.expected_tokens * math.exp(self.log_pieces_per_token)
-        done = progress.last_number
+        done = len(progress.pieces)
         # A text that is past what was expected of it is one of the long tail.
         return max(expected - done, TAIL_SHARE * done)
 
@@ -156,6 +182,8 @@
     forecast: LengthForecast | None = None,
     longest_first: bool = True,
     rng: random.Random | None = None,
+    order: ItemOrder | None = None,
+    tokens_of: Callable[[ItemProgress], float] | None = None,
 ) -> list[ItemStart]:
     """Decide which waiting items start at which engines.
 
@@ -182,6 +210,10 @@
         Whether an item's length counts in when it must start.
     rng : random.Random, optional
         Draws among engines that tell their pace; differs from daemon to daemon.
+    order : ItemOrder, optional
+        Takes the place of the order told above.
+    tokens_of : callable, optional
+        What an item's run will hold of an engine's memory; by default that is not counted.
 
     Returns
     -------
@@ -190,31 +222,42 @@
     """
     lengths = forecast or LengthForecast()
     draws = rng or random.Random(0)
+    with_room = {room.service for room in engines if room.free_slots > 0}
     waiting = [
         (
-            _rank(progress, due_seconds[ledger.job.job_id], lengths if longest_first else None),
+            order.key(ledger, progress)
+            if order is not None
+            else _rank(
+                progress, due_seconds[ledger.job.job_id], lengths if longest_first else None
+            ),
             ledger,
             progress,
         )
         for ledger in ledgers
-        if ledger.job.job_id in service_of
+        if service_of.get(ledger.job.job_id) in with_room
         for progress in ledger.waiting(now_seconds)
     ]
     waiting.sort(key=lambda entry: entry[0])
     starts: list[ItemStart] = []
     full: set[tuple[str, str, int]] = set()
+    kept_for_large: set[tuple[str, str, int]] = set()
     for _, ledger, progress in waiting:
         service = service_of[ledger.job.job_id]
         wanted = (service, ledger.job.model, ledger.job.oldest_version)
         if wanted in full:
             continue
         pieces = lengths.remaining_pieces(progress)
-        engine = _best_engine(engines, service, ledger, progress, pieces, draws)
-        if engine is None:
+        tokens = tokens_of(progress) if tokens_of is not None else 0.0
+        fit = _rooms_for(engines, service, ledger)
+        engine = _best_engine([room for room in fit if room.takes(tokens)], progress, pieces, draws)
+        if engine is not None:
+            engine.begin(tokens)
+            starts.append(ItemStart(ledger, progress, engine.instance))
+        elif not fit:
             full.add(wanted)
-            continue
-        engine.begin()
-        starts.append(ItemStart(ledger, progress, engine.instance))
+        elif wanted not in kept_for_large:
+            kept_for_large.add(wanted)
+            _keep_for_large(fit)
     return starts
 
 
@@ -227,21 +270,20 @@
     return (progress.run_number == 0, due_seconds - work_seconds)
 
 
-def _best_engine(
-    rooms: list[EngineRoom],
-    service: str,
-    ledger: JobLedger,
-    progress: ItemProgress,
-    pieces: float,
-    rng: random.Random,
-) -> EngineRoom | None:
-    fit = [
+def _rooms_for(rooms: list[EngineRoom], service: str, ledger: JobLedger) -> list[EngineRoom]:
+    """Return the engines that have a slot and may run a job's items."""
+    return [
         room
         for room in rooms
         if room.service == service
         and room.free_slots > 0
         and room.versions.get(ledger.job.model, 0) >= ledger.job.oldest_version
     ]
+
+
+def _best_engine(
+    fit: list[EngineRoom], progress: ItemProgress, pieces: float, rng: random.Random
+) -> EngineRoom | None:
     if not fit:
         return None
     if all(room.place is not None for room in fit):
@@ -267,6 +309,15 @@
     return by_name[choose_place(places, pieces, run_seconds, rng).instance]
 
 
+def _keep_for_large(fit: list[EngineRoom]) -> None:
+    """Let memory become free at one engine for an item that fits none.
+
+    Else smaller ones would take each bit that becomes free, and it would wait for as long as
+    there are any.
+    """
+    max(fit, key=lambda room: room.free_tokens).free_slots = 0
+
+
 def spare_rooms(rooms: list[EngineRoom]) -> dict[str, SpareRoom]:
     """Return, by service, the fastest engine that has room left."""
     spare: dict[str, SpareRoom] = {}
