Admission: a waiting room, an adaptive limit and fair shares for one service, pure

Cause: calls to a full service are polled in no order, and each daemon repeats what its neighbours try. Change: rackswitch.admission decides for one daemon and service; nothing uses it yet. Ruled out: shares enforced by the order of the room alone (a room holds one or two calls a daemon, so refusals decide); sending past the limit whenever one slot is shown free (it let large tenants through and cost the first rank).

--- /dev/null
+++ b/rackswitch/admission/concurrency.py
@@ -0,0 +1,168 @@
+"""How many calls one daemon has at a service at once.
+
+Many daemons stand before few targets and do not talk to each other: each one raises its limit
+while targets take its calls without a queue, and lowers it when they tell of queues or refuse. A
+limit below one spaces calls out in time, so that far more daemons than places can share them.
+
+References
+----------
+Limits below one that become spacing are after "Swift: Delay is Simple and Effective for Congestion
+Control in the Datacenter" (Kumar et al.; SIGCOMM 2020).
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["ConcurrencyLimit"]
+
+FIRST_LIMIT = 4.0
+"""Calls at once before anything is known of a service."""
+
+LEAST_LIMIT = 0.1
+MOST_LIMIT = 256.0
+
+SPACED_BELOW = 1.0
+"""Below it calls are spaced out; from it on they are counted."""
+
+QUEUE_SHARE = 0.5
+"""Waiting calls for each slot of a target that are taken for a queue: fewer only keep it busy."""
+
+FREE_SHARE = 0.5
+"""A target with so little of its slots taken has room for much more than now."""
+
+RAISE_CALLS_PER_SECOND = 0.3
+"""Added while answers come without a queue. It goes by time and not by answers, so that daemons
+with low limits rise as fast as others and all come to the same."""
+
+MOST_RAISE_SECONDS = 0.5
+"""Time between two answers that counts for that; longer ones show nothing of what was between."""
+
+RAISE_FACTOR = 1.5
+"""Applied for an answer of a target that is half free."""
+
+LOWER_FACTOR = 0.85
+"""Applied for an answer out of a queue."""
+
+REFUSED_FACTOR = 0.5
+"""Applied for a refusal: the queue behind the slots is full too."""
+
+IN_USE_SHARE = 0.5
+"""Of a limit that counts calls: below it the limit is no reason why there are not more."""
+
+FADE_SECONDS = 1.0
+"""After so long without a sign of a queue at most one call at a time is worth waiting for."""
+
+CREDIT_SECONDS = 0.1
+"""Work that may be saved up while calls are spaced out; a caller's usual work or some more."""
+
+BORROWED_CALLS = 2.0
+"""Calls of the first rank that go ahead of their spacing, to the debit of those after them."""
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """One daemon's limit for one service.
+
+    Attributes
+    ----------
+    limit : float
+        Calls at once; below one, the share of the time in which one may be there.
+    in_flight : int
+        Calls that are there.
+    """
+
+    limit: float = FIRST_LIMIT
+    in_flight: int = 0
+    _credit_seconds: float = 0.0
+    _credited_at_seconds: float = 0.0
+    _crowded_at_seconds: float = float("-inf")
+    _refused_at_seconds: float = float("-inf")
+    _answered_at_seconds: float = float("-inf")
+
+    def may_send(self, work_seconds: float, is_first_rank: bool, now_seconds: float) -> bool:
+        """Return whether a call may go now.
+
+        Parameters
+        ----------
+        work_seconds : float
+            Its usual time at a target.
+        is_first_rank : bool
+            Whether no other rank goes before its own.
+        now_seconds : float
+            Monotonic clock.
+        """
+        self._pass_time(now_seconds)
+        if self.limit >= SPACED_BELOW:
+            return self.in_flight + 1 <= self.limit + is_first_rank
+        borrowed_seconds = BORROWED_CALLS * work_seconds if is_first_rank else 0.0
+        return self._credit_seconds + borrowed_seconds >= min(work_seconds, CREDIT_SECONDS)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether less than half of what may be there is."""
+        return self.limit >= SPACED_BELOW and self.in_flight < IN_USE_SHARE * self.limit
+
+    def free_at_seconds(self, work_seconds: float, now_seconds: float) -> float:
+        """Return when spacing lets a call go; infinite if an answer has to come first."""
+        self._pass_time(now_seconds)
+        if self.limit >= SPACED_BELOW:
+            return now_seconds if self.in_flight + 1 <= self.limit else float("inf")
+        missing_seconds = min(work_seconds, CREDIT_SECONDS) - self._credit_seconds
+        return now_seconds + max(0.0, missing_seconds) / self.limit
+
+    def sent(self, work_seconds: float, now_seconds: float) -> None:
+        """Count a call in."""
+        self._pass_time(now_seconds)
+        self.in_flight += 1
+        if self.limit < SPACED_BELOW:
+            self._credit_seconds -= work_seconds
+
+    def ended(self) -> None:
+        """Count a call out, however it ended."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def answered(self, running: float, waiting: float, slots: int, now_seconds: float) -> None:
+        """Take in how full a target was that answered."""
+        self._pass_time(now_seconds)
+        if slots <= 0:
+            return
+        since_seconds = max(0.0, now_seconds - self._answered_at_seconds)
+        self._answered_at_seconds = now_seconds
+        if waiting > QUEUE_SHARE * slots:
+            self._crowded_at_seconds = now_seconds
+            self.limit = max(LEAST_LIMIT, self.limit * LOWER_FACTOR)
+        elif self.limit > SPACED_BELOW and self.is_idle:
+            # What is not used shows nothing, and would let a sudden crowd of calls go at once.
+            return
+        elif waiting == 0 and running <= FREE_SHARE * slots:
+            self.limit = min(MOST_LIMIT, self.limit * RAISE_FACTOR)
+        else:
+            raise_calls = RAISE_CALLS_PER_SECOND * min(MOST_RAISE_SECONDS, since_seconds)
+            self.limit = min(MOST_LIMIT, self.limit + raise_calls)
+
+    def refused(self, usual_seconds: float, now_seconds: float) -> None:
+        """Take in that a target refused; several refusals of one moment count once."""
+        self._pass_time(now_seconds)
+        self._crowded_at_seconds = now_seconds
+        if now_seconds < self._refused_at_seconds + usual_seconds:
+            return
+        self._refused_at_seconds = now_seconds
+        self.limit = max(LEAST_LIMIT, self.limit * REFUSED_FACTOR)
+
+    def restart(self) -> None:
+        """Begin anew after targets were gone: one call tries what there is."""
+        self.limit = min(self.limit, SPACED_BELOW)
+
+    def calls_per_second(self, work_seconds: float) -> float:
+        """Return how many calls of a usual time the limit lets through."""
+        return self.limit / max(work_seconds, 1e-3)
+
+    def _pass_time(self, now_seconds: float) -> None:
+        """Let time pass; a clock that steps back or far ahead neither takes nor gives credit."""
+        passed_seconds = max(0.0, now_seconds - self._credited_at_seconds)
+        self._credited_at_seconds = now_seconds
+        gained_seconds = self.limit * passed_seconds
+        self._credit_seconds = min(CREDIT_SECONDS, self._credit_seconds + gained_seconds)
+        self._crowded_at_seconds = min(self._crowded_at_seconds, now_seconds)
+        self._refused_at_seconds = min(self._refused_at_seconds, now_seconds)
+        if self.limit < SPACED_BELOW and now_seconds >= self._crowded_at_seconds + FADE_SECONDS:
+            self.limit = SPACED_BELOW
--- /dev/null
+++ b/rackswitch/admission/service_room.py
@@ -0,0 +1,299 @@
+"""One daemon's decisions about one service: send now, wait, or refuse."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from rackswitch.admission.concurrency import ConcurrencyLimit
+from rackswitch.admission.shares import MEMORY_SECONDS, DecayingRate, TenantShares
+from rackswitch.admission.waiting_room import MOST_PASSED, WaitingRoom
+from rackswitch.admission.wants import (
+    CallWant,
+    RefusalCause,
+    RefuseCall,
+    SendCall,
+    Ticket,
+    WaitForRoom,
+)
+from rackswitch.routing import Place
+
+__all__ = ["RoomDecision", "ServiceRoom"]
+
+FIRST_WORK_SECONDS = 0.05
+"""Usual time of a kind of call before one was answered; about that of a look-up."""
+
+WORK_SMOOTHING = 0.1
+"""Weight of one call's time in the usual time of its kind: some ten calls count."""
+
+WAIT_SHARE = 0.5
+"""Part of the time to spare that the expected wait may take: what is expected is often off by a
+factor of two."""
+
+FIRST_RANK_CALLS = 0.5
+"""Calls of a better rank, older ones counting less, by which another one is not the first."""
+
+FRESH_WORD_SECONDS = 0.05
+"""How long a word of free slots holds: others have taken them after a call's time."""
+
+FREE_SHARE = 0.5
+"""Of a target's slots: fewer free ones are gaps between the calls of all daemons, and who took
+them beyond its limit would take them from those that go first."""
+
+RoomDecision = SendCall | WaitForRoom | RefuseCall
+
+
+@dataclass(slots=True)
+class ServiceRoom:
+    """What one daemon knows of one service's room, and the calls that wait for it.
+
+    Every call is asked for once and then is sent, leaves, or is refused; one that was sent has
+    ended once.
+
+    Attributes
+    ----------
+    limit : ConcurrencyLimit
+        Calls at once.
+    room : WaitingRoom
+        The calls that wait.
+    work_seconds : dict of str to float
+        Usual time at a target by kind of call.
+    """
+
+    limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
+    room: WaitingRoom = field(default_factory=WaitingRoom)
+    work_seconds: dict[str, float] = field(default_factory=dict)
+    _shares: dict[int, TenantShares] = field(default_factory=dict)
+    _wanted: dict[int, DecayingRate] = field(default_factory=dict)
+
+    def ask(
+        self, want: CallWant, places: Sequence[Place], draw: float, now_seconds: float
+    ) -> RoomDecision:
+        """Decide about a call that has just come.
+
+        Parameters
+        ----------
+        want : CallWant
+            The call.
+        places : sequence of Place
+            What is believed of the service's targets; none if nothing is known.
+        draw : float
+            Random, in [0, 1).
+        now_seconds : float
+            Monotonic clock.
+        """
+        work_seconds = self._work_seconds(want.kind)
+        shares = self._shares.setdefault(want.rank, TenantShares())
+        cause = self._cause(want, shares, draw, now_seconds)
+        shares.asked(want.tenant, work_seconds, now_seconds)
+        self._wanted_of(want.rank, now_seconds).add(work_seconds, now_seconds)
+        if cause is None and self._goes_now(want, now_seconds):
+            return self._send(want, now_seconds)
+        wait_seconds = self._wait_seconds(want, now_seconds)
+        if cause is None:
+            cause = self._cause_not_to_wait(want, wait_seconds, now_seconds)
+        if cause is None:
+            return WaitForRoom(self.room.add(want), wait_seconds)
+        if has_room_to_spare(places):
+            # Nobody else uses what is free to such an extent.
+            return self._send(want, now_seconds)
+        self._refused(want, cause, now_seconds)
+        return RefuseCall(cause, wait_seconds)
+
+    def ask_again(self, want: CallWant, now_seconds: float) -> RoomDecision:
+        """Decide about a call that was sent and that a target did not begin.
+
+        It waits as one that is back, for as long as it has time.
+        """
+        if now_seconds + self._work_seconds(want.kind) > want.deadline_seconds:
+            return RefuseCall(RefusalCause.OUT_OF_TIME, self._wait_seconds(want, now_seconds))
+        wait_seconds = self._wait_seconds(want, now_seconds)
+        if not self.room.has_room(want):
+            return RefuseCall(RefusalCause.ROOM_FULL, wait_seconds)
+        return WaitForRoom(self.room.add(want), wait_seconds)
+
+    def due(
+        self, places: Sequence[Place], now_seconds: float
+    ) -> list[tuple[Ticket, SendCall | RefuseCall]]:
+        """Take out the waiting calls that go now, in their order, and those that go no more.
+
+        Those that go count as sent.
+        """
+        decided = self._out_of_time(places, now_seconds)
+        while (rank := self.room.next_rank()) is not None:
+            is_first = self._is_first(rank, now_seconds)
+            if not self.limit.may_send(self._usual_seconds(), is_first, now_seconds):
+                break
+            taken = self.room.take(self.work_seconds, FIRST_WORK_SECONDS)
+            if taken is None:
+                break
+            ticket, want = taken
+            self._count_in(want, now_seconds)
+            decided.append((ticket, SendCall()))
+        return decided
+
+    def _out_of_time(
+        self, places: Sequence[Place], now_seconds: float
+    ) -> list[tuple[Ticket, SendCall | RefuseCall]]:
+        """Take out the waiting calls that cannot be answered in time from now on."""
+        over = [
+            (ticket, want)
+            for ticket, want in self.room.waiting().items()
+            if now_seconds >= self._latest_seconds(want)
+        ]
+        decided: list[tuple[Ticket, SendCall | RefuseCall]] = []
+        for ticket, want in over:
+            self.room.remove(ticket)
+            if has_room_to_spare(places) and now_seconds < want.deadline_seconds:
+                decided.append((ticket, self._send(want, now_seconds)))
+                continue
+            self._refused(want, RefusalCause.OUT_OF_TIME, now_seconds)
+            wait_seconds = self._wait_seconds(want, now_seconds)
+            decided.append((ticket, RefuseCall(RefusalCause.OUT_OF_TIME, wait_seconds)))
+        return decided
+
+    def next_look_seconds(self, now_seconds: float) -> float:
+        """Return when waiting calls go or expire without anything else happening."""
+        waiting = self.room.waiting().values()
+        if not waiting:
+            return float("inf")
+        expire_seconds = min(self._latest_seconds(want) for want in waiting)
+        free_seconds = self.limit.free_at_seconds(self._usual_seconds(), now_seconds)
+        return max(now_seconds, min(expire_seconds, free_seconds))
+
+    def left(self, ticket: Ticket) -> None:
+        """Note that a waiting call's caller has gone."""
+        self.room.remove(ticket)
+
+    def ended(self, want: CallWant, took_seconds: float | None) -> None:
+        """Note that a call that was sent has ended.
+
+        Parameters
+        ----------
+        want : CallWant
+            The call.
+        took_seconds : float or None
+            How long its target took; None if it gave no answer.
+        """
+        self.limit.ended()
+        if took_seconds is None:
+            return
+        usual_seconds = self._work_seconds(want.kind)
+        usual_seconds += WORK_SMOOTHING * (took_seconds - usual_seconds)
+        self.work_seconds[want.kind] = usual_seconds
+
+    def target_refused(self, now_seconds: float) -> None:
+        """Take in that a target had no room."""
+        self.limit.refused(self._usual_seconds(), now_seconds)
+
+    def oldest_wait_seconds(self, now_seconds: float) -> float:
+        """Return how long the longest waiting call has waited; 0 if none waits."""
+        arrived = [want.arrived_seconds for want in self.room.waiting().values()]
+        return max(0.0, now_seconds - min(arrived)) if arrived else 0.0
+
+    def served_shares(self, now_seconds: float) -> dict[str, float]:
+        """Return each tenant's part of the work that was done lately, of all ranks."""
+        totals: dict[str, float] = {}
+        for shares in self._shares.values():
+            for tenant, rate in shares.served.items():
+                totals[tenant] = totals.get(tenant, 0.0) + rate.per_second(now_seconds)
+        whole = sum(totals.values())
+        return {tenant: rate / whole for tenant, rate in totals.items()} if whole > 0 else {}
+
+    def _cause(
+        self, want: CallWant, shares: TenantShares, draw: float, now_seconds: float
+    ) -> RefusalCause | None:
+        """Return whether a call is beyond its tenant's share while room is short."""
+        if draw < shares.pass_share(want.tenant, now_seconds):
+            return None
+        if self.limit.is_idle:
+            shares.left_room()
+        return RefusalCause.OVER_SHARE
+
+    def _goes_now(self, want: CallWant, now_seconds: float) -> bool:
+        if self.room.ahead_of(want) > 0:
+            return False
+        is_first = self._is_first(want.rank, now_seconds)
+        return self.limit.may_send(self._work_seconds(want.kind), is_first, now_seconds)
+
+    def _cause_not_to_wait(
+        self, want: CallWant, wait_seconds: float, now_seconds: float
+    ) -> RefusalCause | None:
+        if not self.room.has_room(want):
+            return RefusalCause.ROOM_FULL
+        spare_seconds = self._latest_seconds(want) - now_seconds
+        if wait_seconds > WAIT_SHARE * spare_seconds:
+            return RefusalCause.WAIT_TOO_LONG
+        return None
+
+    def _send(self, want: CallWant, now_seconds: float) -> SendCall:
+        self.room.went(want.rank)
+        self._count_in(want, now_seconds)
+        return SendCall()
+
+    def _count_in(self, want: CallWant, now_seconds: float) -> None:
+        work_seconds = self._work_seconds(want.kind)
+        self.limit.sent(work_seconds, now_seconds)
+        shares = self._shares.setdefault(want.rank, TenantShares())
+        shares.sent(want.tenant, work_seconds, now_seconds)
+
+    def _refused(self, want: CallWant, cause: RefusalCause, now_seconds: float) -> None:
+        self.room.refused(want.rank)
+        if cause is not RefusalCause.OVER_SHARE:
+            self._shares.setdefault(want.rank, TenantShares()).found_no_room(now_seconds)
+
+    def _wait_seconds(self, want: CallWant, now_seconds: float) -> float:
+        """Return how long a call would probably wait, better ranks going before it."""
+        work_seconds = self._work_seconds(want.kind)
+        usual_seconds = self._usual_seconds()
+        free_share = self._share_left(want.rank, now_seconds)
+        first_seconds = min(
+            self.limit.free_at_seconds(work_seconds, now_seconds) - now_seconds,
+            work_seconds / self.limit.limit,
+        )
+        ahead_seconds = self.room.ahead_of(want) * usual_seconds / self.limit.limit
+        return (first_seconds + ahead_seconds) / free_share
+
+    def _share_left(self, rank: int, now_seconds: float) -> float:
+        """Return the part of the limit that better ranks leave to a rank."""
+        least = 1 / (MOST_PASSED + 1)
+        if self.room.is_overdue(rank):
+            return 1.0
+        better = sum(
+            rate.per_second(now_seconds) for other, rate in self._wanted.items() if other < rank
+        )
+        return max(least, 1.0 - better / self.limit.limit)
+
+    def _is_first(self, rank: int, now_seconds: float) -> bool:
+        """Return whether no better rank has wanted room lately, or it is this rank's turn."""
+        if self.room.is_overdue(rank):
+            return True
+        least_rate = FIRST_RANK_CALLS * self._usual_seconds() / MEMORY_SECONDS
+        return not any(
+            other < rank and rate.per_second(now_seconds) > least_rate
+            for other, rate in self._wanted.items()
+        )
+
+    def _latest_seconds(self, want: CallWant) -> float:
+        """Return when a call has to go to be answered in time."""
+        work_seconds = self._work_seconds(want.kind)
+        return min(want.aim_seconds, want.deadline_seconds) - work_seconds
+
+    def _wanted_of(self, rank: int, now_seconds: float) -> DecayingRate:
+        return self._wanted.setdefault(rank, DecayingRate(at_seconds=now_seconds))
+
+    def _work_seconds(self, kind: str) -> float:
+        return self.work_seconds.get(kind, FIRST_WORK_SECONDS)
+
+    def _usual_seconds(self) -> float:
+        """Return the usual time of any call."""
+        if not self.work_seconds:
+            return FIRST_WORK_SECONDS
+        return sum(self.work_seconds.values()) / len(self.work_seconds)
+
+
+def has_room_to_spare(places: Sequence[Place]) -> bool:
+    """Return whether a target is half free, by a word that still holds."""
+    return any(
+        place.free_slots >= FREE_SHARE * max(1, place.slots)
+        and place.word_age_seconds <= FRESH_WORD_SECONDS
+        for place in places
+    )
--- /dev/null
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -0,0 +1,164 @@
+"""One daemon's decisions about one service."""
+
+import random
+
+import pytest
+
+from rackswitch.admission import (
+    REWARD_RANK,
+    CallWant,
+    RefusalCause,
+    RefuseCall,
+    SendCall,
+    ServiceRoom,
+    WaitForRoom,
+)
+from rackswitch.admission.shares import TenantShares, fair_rate
+from rackswitch.routing import Place
+
+SLOTS = 6
+
+
+def want(name="r", rank=0, tenant="a", now_seconds=0.0, aim_seconds=0.2, kind="k") -> CallWant:
+    deadline_seconds = now_seconds + 4 * aim_seconds
+    return CallWant(
+        name, kind, tenant, rank, 10, now_seconds, now_seconds + aim_seconds, deadline_seconds
+    )
+
+
+def place(running: float, waiting: float = 0.0, age_seconds: float = 0.0) -> Place:
+    return Place("t", SLOTS, running, waiting, 1.0, 0.03, age_seconds, 0.001)
+
+
+FULL = [place(SLOTS, 10.0)]
+FREE = [place(0)]
+
+
+def full_room(now_seconds: float = 0.0) -> ServiceRoom:
+    """Return a room whose daemon has all the calls at the service that it may have."""
+    room = ServiceRoom()
+    room.work_seconds["k"] = 0.04
+    call = want("x", 0, "x", now_seconds)
+    while isinstance(decision := room.ask(call, FULL, 0.5, now_seconds), SendCall):
+        pass
+    room.left(decision.ticket)
+    return room
+
+
+def test_a_call_goes_at_once_while_the_limit_allows():
+    room = ServiceRoom()
+    assert isinstance(room.ask(want(), FULL, 0.5, 0.0), SendCall)
+    assert room.limit.in_flight == 1
+
+
+def test_a_call_waits_if_it_can_and_goes_as_another_ends():
+    room = full_room()
+    decision = room.ask(want("waits"), FULL, 0.5, 0.0)
+    assert isinstance(decision, WaitForRoom)
+    assert room.due(FULL, 0.01) == []
+    room.ended(want("x"), 0.04)
+    room.ended(want("x"), 0.04)
+    assert room.due(FULL, 0.02)[0] == (decision.ticket, SendCall())
+
+
+def test_a_call_that_cannot_be_answered_in_time_is_refused_at_once():
+    room = full_room()
+    decision = room.ask(want(aim_seconds=0.05), FULL, 0.5, 0.0)
+    assert isinstance(decision, RefuseCall)
+    assert decision.cause is RefusalCause.WAIT_TOO_LONG
+    assert decision.wait_seconds > 0
+
+
+def test_nothing_is_refused_while_a_target_is_half_free():
+    room = full_room()
+    assert isinstance(room.ask(want(aim_seconds=0.05), FREE, 0.5, 0.0), SendCall)
+    ticket = room.ask(want(), FULL, 0.5, 0.0).ticket
+    assert room.due(FREE, 0.19)[0] == (ticket, SendCall())
+
+
+def test_an_old_word_of_free_slots_is_none():
+    room = full_room()
+    old = [place(0, age_seconds=1.0)]
+    assert isinstance(room.ask(want(aim_seconds=0.05), old, 0.5, 0.0), RefuseCall)
+
+
+def test_a_waiting_call_is_refused_as_soon_as_it_is_too_late():
+    room = full_room()
+    ticket = room.ask(want(), FULL, 0.5, 0.0).ticket
+    look_seconds = room.next_look_seconds(0.0)
+    assert look_seconds == pytest.approx(0.2 - 0.04)
+    [(refused, decision)] = room.due(FULL, look_seconds)
+    assert refused == ticket
+    assert decision.cause is RefusalCause.OUT_OF_TIME
+    assert room.next_look_seconds(0.2) == float("inf")
+
+
+def test_a_call_that_a_target_did_not_begin_waits_while_it_has_time():
+    room = full_room()
+    call = want()
+    assert isinstance(room.ask_again(call, 0.05), WaitForRoom)
+    decision = room.ask_again(call, call.deadline_seconds)
+    assert decision.cause is RefusalCause.OUT_OF_TIME
+
+
+def test_reward_calls_wait_behind_all_callers():
+    room = full_room()
+    reward = room.ask(want("w", REWARD_RANK, "", aim_seconds=2.0), FULL, 0.5, 0.0)
+    caller = room.ask(want("c", 9), FULL, 0.5, 0.0)
+    for _ in range(4):
+        room.ended(want("x"), 0.04)
+    tickets = [ticket for ticket, _ in room.due(FULL, 0.01)]
+    assert tickets.index(caller.ticket) < tickets.index(reward.ticket)
+
+
+def test_a_suspended_daemon_refuses_what_is_past_and_goes_on():
+    room = full_room()
+    for number in range(5):
+        room.ask(want(f"r{number}"), FULL, 0.5, 0.0)
+    decided = room.due(FULL, 60.0)
+    assert decided
+    assert all(isinstance(decision, RefuseCall) for _, decision in decided)
+    assert len(room.room) == 0
+    for _ in range(room.limit.in_flight):
+        room.ended(want("x"), None)
+    assert isinstance(room.ask(want(now_seconds=60.0), FULL, 0.5, 60.0), SendCall)
+
+
+def test_a_clock_that_steps_back_holds_nobody_longer_than_its_time():
+    room = full_room(1000.0)
+    room.ask(want(now_seconds=1000.0), FULL, 0.5, 1000.0)
+    room.due(FULL, 10.0)
+    for _ in range(room.limit.in_flight):
+        room.ended(want("x"), 0.04)
+    assert room.due(FULL, 10.01)
+    assert isinstance(room.ask(want(now_seconds=10.0), FULL, 0.5, 10.0), SendCall)
+
+
+def test_fair_rate_fills_small_wants_first():
+    assert fair_rate([1.0, 2.0, 10.0], 7.0) == 4.0
+    assert fair_rate([1.0, 2.0], 7.0) == float("inf")
+    assert fair_rate([5.0, 5.0], 4.0) == 2.0
+
+
+def test_only_tenants_beyond_the_fair_rate_are_held_back():
+    shares = TenantShares()
+    rng = random.Random(3)
+    now_seconds = 0.0
+    for _ in range(2000):
+        now_seconds += 0.01
+        tenant = "large" if rng.random() < 20 / 24 else f"small{rng.randrange(4)}"
+        shares.asked(tenant, 0.03, now_seconds)
+    assert shares.pass_share("large", now_seconds) == 1.0
+    for _ in range(5):
+        now_seconds += 0.1
+        shares.found_no_room(now_seconds)
+    assert shares.pass_share("large", now_seconds) < 0.6
+    assert shares.pass_share("small1", now_seconds) == 1.0
+    assert shares.pass_share("newcomer", now_seconds) == 1.0
+
+
+def test_shares_are_told_by_tenant():
+    room = ServiceRoom()
+    for tenant in ("a", "a", "a", "b"):
+        room.ask(want(tenant=tenant), FULL, 0.5, 0.0)
+    assert room.served_shares(0.0) == pytest.approx({"a": 0.75, "b": 0.25})
