--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -22,6 +22,10 @@
 """How long changes are gathered before the next question: a fleet of 165 daemons that starts
 writes as many entries within half a second, each of which would be a call of its own."""
 
+RETURN_PATIENCE_SECONDS = 0.4
+"""How long after the service's return the root's word may take to reach everybody; who watches
+only because nobody could be followed reads no more than it needs until then."""
+
 CUT_OFF_FAILURES = 2
 """Calls in a row without an answer after which followers are told to look elsewhere. One alone may
 be a lost answer or a watch that the service has ended; the second follows 0.1 s later."""
@@ -48,7 +52,7 @@
         self._copies = copies
         self._members_prefix = members_prefix
         self._on = asyncio.Event()
-        self._failures = 0
+        self._failures = dict.fromkeys(copies.by_prefix, 0)
         self._for_all = False
 
     @property
@@ -58,7 +62,8 @@
         One that watches because it could follow nobody does not say so: in an outage for all, each
         would send those behind it to the service too.
         """
-        return self.is_on and self._for_all and self._failures >= CUT_OFF_FAILURES
+        failures = self._failures[self._members_prefix]
+        return self.is_on and self._for_all and failures >= CUT_OFF_FAILURES
 
     @property
     def is_on(self) -> bool:
@@ -82,7 +87,6 @@
 
     async def _keep(self, prefix: str) -> None:
         must_read = False
-        failures = 0
         while True:
             await self._on.wait()
             if self._leaves_it_to_another(prefix):
@@ -94,16 +98,14 @@
             else:
                 # A watch that goes on from its revision misses nothing, unless history is gone.
                 broken, must_read = await self._watch(prefix)
-            failures = failures + 1 if broken else 0
-            if prefix == self._members_prefix:
-                self._note_failures(failures)
+            self._note_failures(prefix, self._failures[prefix] + 1 if broken else 0)
             if broken:
-                await self._pause(failures)
+                await self._pause(self._failures[prefix])
 
-    def _note_failures(self, failures: int) -> None:
+    def _note_failures(self, prefix: str, failures: int) -> None:
         """Tell followers at once when this daemon turns out to be cut off."""
         was_cut_off = self.is_cut_off
-        self._failures = failures
+        self._failures[prefix] = failures
         if self.is_cut_off and not was_cut_off:
             self._copies.wake_all()
 
@@ -111,8 +113,11 @@
         """Return whether a prefix waits for what the members' prefix brings."""
         if prefix == self._members_prefix:
             return False
-        members = self._copies.by_prefix[self._members_prefix]
-        return members.confirmed_at_seconds == float("-inf") or self._context.contact.is_away
+        contact = self._context.contact
+        settled_seconds = contact.back_seconds + RETURN_PATIENCE_SECONDS
+        if contact.is_away or (not self._for_all and self._context.now_seconds() < settled_seconds):
+            return True
+        return self._copies.by_prefix[self._members_prefix].confirmed_at_seconds == float("-inf")
 
     async def _pause(self, failures: int) -> None:
         pause_seconds = backoff_seconds(FIRST_RETRY_SECONDS, MOST_RETRY_SECONDS, failures - 1)
@@ -145,6 +150,9 @@
                     self._context.contact.failed(now_seconds, f"watch: {news.detail}")
                 return True, news.history_lost
             self._context.contact.answered(now_seconds)
+            # A watch that goes well does not end: counted at its end only, earlier failures would
+            # keep followers away from a daemon that is answered again.
+            self._note_failures(prefix, 0)
             self._copies.take_news(prefix, news)
             self._copies.confirm(prefix, now_seconds)
             if not self.is_on:
