--- a/benchmarks/bench_admission.py
+++ b/benchmarks/bench_admission.py
@@ -16,7 +16,8 @@
 
 RESULTS = Path(__file__).parent / "results"
 LOADS = (0.7, 1.0, 1.5, 2.0, 3.0)
-RUN_SECONDS = 12.0
+RUN_SECONDS = 30.0
+WARM_SECONDS = 8.0
 SEED = 1
 WAYS = {"polled": PolledPlay, "shipped": AdmissionPlay, "ideal": IdealPlay}
 
@@ -27,7 +28,7 @@
         for name, way in WAYS.items():
             play = way(load, SEED, RUN_SECONDS)
             play.run()
-            found = asdict(figures(play))
+            found = asdict(figures(play, WARM_SECONDS))
             rows[f"{name} {load}"] = found
             print(name, load, json.dumps(found, default=str))
     (RESULTS / "admission.json").write_text(json.dumps(rows, indent=1) + "\n")
--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -29,7 +29,7 @@
 FREE_SHARE = 0.5
 """A target with so little of its slots taken has room for much more than now."""
 
-RAISE_CALLS_PER_SECOND = 0.3
+RAISE_CALLS_PER_SECOND = 1.0
 """Added while answers come without a queue. It goes by time and not by answers, so that daemons
 with low limits rise as fast as others and all come to the same."""
 
@@ -39,7 +39,7 @@
 RAISE_FACTOR = 1.5
 """Applied for an answer of a target that is half free."""
 
-LOWER_FACTOR = 0.85
+LOWER_FACTOR = 0.92
 """Applied for an answer out of a queue."""
 
 REFUSED_FACTOR = 0.5
--- a/rackswitch/admission/shares.py
+++ b/rackswitch/admission/shares.py
@@ -36,6 +36,9 @@
 LEAST_ROOM_SHARE = 0.01
 """So that it can grow again."""
 
+RAISE_FACTOR = 1.02
+"""Applied to it when a call was sent: one call in ten may find no room before shares are cut."""
+
 RAISE_SHARE_PER_SECOND = 0.1
 """How fast that room is taken for larger again: twice in some seconds."""
 
@@ -109,7 +112,8 @@
         self._rate(self.wanted, tenant, now_seconds).add(work_seconds, now_seconds)
 
     def sent(self, tenant: str, work_seconds: float, now_seconds: float) -> None:
-        """Count what a tenant gets."""
+        """Count what a tenant gets: as it found room, some more may be there."""
+        self.room_share = min(1.0, self.room_share * RAISE_FACTOR)
         self._rate(self.served, tenant, now_seconds).add(work_seconds, now_seconds)
 
     def found_no_room(self, now_seconds: float) -> None:
--- a/rackswitch/admission/tests/played_load.py
+++ b/rackswitch/admission/tests/played_load.py
@@ -92,6 +92,7 @@
 
     running: int = 0
     waiting: int = 0
+    pace: float = 1.0
     at_seconds: float = float("-inf")
     sent_since: int = 0
 
@@ -258,7 +259,7 @@
             target.running -= 1
             if target.queue:
                 self._work_on(target, *target.queue.pop(0))
-            word = (target.running, len(target.queue))
+            word = (target.running, len(target.queue), target.pace)
             self.at(self.now + NETWORK_SECONDS, lambda: answered(*word))
 
         self.at(self.now + caller.work_seconds * target.pace, done)
@@ -281,7 +282,7 @@
             own[number] += 1
             tries[0] += 1
 
-            def answered(running, waiting) -> None:
+            def answered(running, waiting, pace) -> None:
                 own[number] -= 1
                 served()
 
@@ -333,7 +334,7 @@
                 refused(return_delay_seconds(0.1, caller.rank, self.rng.random()))
                 continue
 
-            def answered(running, waiting, served=served) -> None:
+            def answered(running, waiting, pace, served=served) -> None:
                 served()
                 self._fill()
 
@@ -357,11 +358,18 @@
 
     def _place(self, number: int, seen: Seen) -> Place:
         age = self.now - seen.at_seconds
-        if age == float("inf"):
-            return Place(str(number), 6, float(seen.sent_since), 0.0, 1.0, 0.033, age, 0.002)
         fade = math.exp(-age / WORD_FADE_SECONDS)
-        running = min(6.0, seen.running * fade + seen.sent_since)
-        return Place(str(number), 6, running, seen.waiting * fade, 1.0, 0.033, age, 0.002)
+        running = min(float(self.sizes.slots), seen.running * fade + seen.sent_since)
+        return Place(
+            str(number),
+            self.sizes.slots,
+            running,
+            seen.waiting * fade,
+            seen.pace,
+            WORK_SECONDS,
+            age,
+            2 * NETWORK_SECONDS,
+        )
 
     def serve(self, caller, daemon, served, refused) -> None:
         room = self.rooms[daemon]
@@ -399,21 +407,21 @@
     def _send(self, daemon, caller, want, served, refused) -> None:
         room = self.rooms[daemon]
         pair = self.rng.sample(self.places(daemon), 2)
-        place = min(pair, key=lambda p: p.running + p.waiting)
+        place = min(pair, key=lambda place: place.finish_seconds(1.0, WORK_SECONDS))
         number = int(place.instance)
         seen = self.seen[daemon][number]
         seen.sent_since += 1
         began = self.now
 
-        def answered(running, waiting) -> None:
-            self.seen[daemon][number] = Seen(running, waiting, self.now)
+        def answered(running, waiting, pace) -> None:
+            self.seen[daemon][number] = Seen(running, waiting, pace, self.now)
             room.ended(want, self.now - began)
             room.limit.answered(running, waiting, self.sizes.slots, self.now)
             served()
             self._look(daemon)
 
         def not_begun() -> None:
-            self.seen[daemon][number] = Seen(6, self.sizes.queue, self.now)
+            self.seen[daemon][number] = Seen(6, self.sizes.queue, seen.pace, self.now)
             room.ended(want, None)
             room.target_refused(self.now)
             self._carry_out(daemon, caller, want, room.ask_again(want, self.now), served, refused)
