--- a/rackswitch/admission/shares.py
+++ b/rackswitch/admission/shares.py
@@ -24,7 +24,7 @@
 LOWER_FACTOR = 0.8
 """Applied to the room that is shared out when a call found none."""
 
-OPEN_FACTOR = 1.05
+OPEN_FACTOR = 1.25
 """Applied to it when a call was refused though the daemon's limit lay idle."""
 
 MOMENT_SECONDS = 0.05
@@ -33,7 +33,7 @@
 ALONE_FACTOR = 1.05
 """Who wants nearly all that is wanted takes nothing from others."""
 
-LEAST_ROOM_SHARE = 0.01
+LEAST_ROOM_SHARE = 0.05
 """So that it can grow again."""
 
 RAISE_FACTOR = 1.02
