--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -217,26 +217,11 @@
 
     async def _serve(self, serving: _Serving) -> FrontAnswer:
         while serving.log.may_begin():
-            target = self._pick(serving.service, serving.log, serving.deadline_seconds)
+            target = await self._next_target(serving)
+            if isinstance(target, NotRun):
+                return serving.answer(target)
             if target is None:
                 break
-            held = await self._quarantine.admit(serving.call.fingerprint, serving.deadline_seconds)
-            if held is not None:
-                if not serving.log.may_have_run:
-                    return serving.answer(
-                        NotRun(NotRunReason.HELD_BACK, held.detail, held.until_seconds)
-                    )
-                break
-            if serving.want is not None and not serving.is_in:
-                refused = await self._enter(serving, serving.want)
-                if isinstance(refused, NotRun):
-                    return serving.answer(refused)
-                if isinstance(refused, NoTarget) or not serving.is_in:
-                    break
-                # Who had to wait chooses by what is known now.
-                target = self._pick(serving.service, serving.log, serving.deadline_seconds)
-                if target is None:
-                    break
             answer = await self._try(serving, target)
             if answer is not None:
                 return answer
@@ -244,6 +229,27 @@
             return serving.answer(*serving.last_failure)
         return serving.answer(self._give_up(serving))
 
+    async def _next_target(self, serving: _Serving) -> ListedTarget | NotRun | None:
+        """Wait until a call may be sent and return where to; its refusal, or None for nowhere."""
+        target = self._pick(serving.service, serving.log, serving.deadline_seconds)
+        if target is None:
+            return None
+        if serving.want is not None:
+            refused = await self._enter(serving, serving.want)
+            if refused is not None or not serving.is_in:
+                return refused if isinstance(refused, NotRun) else None
+            # Who had to wait chooses by what is known now.
+            target = self._pick(serving.service, serving.log, serving.deadline_seconds)
+            if target is None:
+                return None
+        # Asked last: it may claim a trial, which has to be made then.
+        held = await self._quarantine.admit(serving.call.fingerprint, serving.deadline_seconds)
+        if held is None:
+            return target
+        if serving.log.may_have_run:
+            return None
+        return NotRun(NotRunReason.HELD_BACK, held.detail, held.until_seconds)
+
     def _want(
         self, route: RouteRow, call: Call, deadline_seconds: float, reward_of: str | None
     ) -> CallWant:
