Admission: who is back goes before newcomers of the rank; shorter waits where ranks may overtake

Cause: a call that waits behind ranks that still come is refused late more often than others. Change: it waits only where a third of its spare time is enough.

--- a/rackswitch/admission/fair_queue.py
+++ b/rackswitch/admission/fair_queue.py
@@ -68,18 +68,25 @@
     def ahead_of(self, want: CallWant) -> int:
         """Return how many waiting calls would go before a new one.
 
-        Of its own tenant all that have less time left; of each other tenant no more than so many
-        turns.
+        Of its own tenant all that have less time left, of each other tenant no more than so many
+        turns; before a newcomer all that are back.
         """
         place = (not want.is_back, want.deadline_seconds)
         own = sum(entry[:2] <= place for entry in self._alive(want.tenant))
-        others = sum(
-            min(len(self._alive(tenant)), own + 1)
-            for tenant in self._tenants
-            if tenant != want.tenant
-        )
+        others = 0
+        for tenant in self._tenants:
+            if tenant != want.tenant:
+                others += self._ahead_in(tenant, want.is_back, own + 1)
         return own + others
 
+    def _ahead_in(self, tenant: str, is_back: bool, turns: int) -> int:
+        """Return how many of another tenant's calls go before one that goes after some turns."""
+        alive = self._alive(tenant)
+        back_count = sum(entry[3].is_back for entry in alive)
+        if is_back:
+            return min(back_count, turns)
+        return back_count + min(len(alive) - back_count, turns)
+
     def take(self, work_seconds_of: dict[str, float], usual_seconds: float) -> int | None:
         """Take the next call out and return its number; None if none waits.
 
@@ -90,15 +97,16 @@
         usual_seconds : float
             That of kinds that are not known yet.
         """
+        self._drop_empty()
+        # Nobody who was refused before is put behind newcomers, of whatever tenant.
+        is_back = any(queue.calls[0][3].is_back for queue in self._tenants.values())
         while self._turns:
             tenant = self._turns[0]
             queue = self._tenants[tenant]
-            self._drop_gone(queue)
-            if not queue.calls:
-                self._turns.popleft()
-                del self._tenants[tenant]
-                continue
             number, want = queue.calls[0][2:]
+            if want.is_back != is_back:
+                self._turns.rotate(-1)
+                continue
             cost_seconds = work_seconds_of.get(want.kind, usual_seconds)
             if queue.deficit_seconds < cost_seconds:
                 queue.deficit_seconds += TURN_SECONDS
@@ -115,6 +123,15 @@
         calls = queue.calls if queue is not None else []
         return [entry for entry in calls if entry[2] not in self._gone]
 
+    def _drop_empty(self) -> None:
+        """Forget tenants without waiting calls, and with them what their turns had earned."""
+        for tenant in list(self._turns):
+            queue = self._tenants[tenant]
+            self._drop_gone(queue)
+            if not queue.calls:
+                self._turns.remove(tenant)
+                del self._tenants[tenant]
+
     def _drop_gone(self, queue: _TenantQueue) -> None:
         while queue.calls and queue.calls[0][2] in self._gone:
             self._gone.discard(heapq.heappop(queue.calls)[2])
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -29,6 +29,9 @@
 """Part of the time to spare that the expected wait may take: what is expected is often off by a
 factor of two."""
 
+OVERTAKEN_WAIT_SHARE = 0.33
+"""The same for calls that better ranks may still overtake."""
+
 FIRST_RANK_CALLS = 0.5
 """Calls of a better rank, older ones counting less, by which another one is not the first."""
 
@@ -242,7 +245,9 @@
         if not self.room.has_room(want):
             return RefusalCause.ROOM_FULL
         spare_seconds = self._latest_seconds(want) - now_seconds
-        if wait_seconds > WAIT_SHARE * spare_seconds:
+        is_first = self._is_first(want.rank, now_seconds)
+        share = WAIT_SHARE if is_first else OVERTAKEN_WAIT_SHARE
+        if wait_seconds > share * spare_seconds:
             return RefusalCause.WAIT_TOO_LONG
         return None
 
--- a/rackswitch/admission/tests/test_fair_queue.py
+++ b/rackswitch/admission/tests/test_fair_queue.py
@@ -66,6 +66,14 @@
     assert order(queue, wants) == ["back", "soon", "late"]
 
 
+def test_who_is_back_goes_before_newcomers_of_all_tenants():
+    queue, wants = fill([*(want(f"a{n}", "a") for n in range(3)), want("b", "b")])
+    back = want("back", "c", is_back=True)
+    assert queue.ahead_of(back) == 0
+    wants[queue.add(back)] = back
+    assert order(queue, wants)[0] == "back"
+
+
 def test_what_is_ahead_is_what_goes_first():
     queue, wants = fill([want(f"a{n}", "a") for n in range(20)])
     new = want("b0", "b")
