--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -66,12 +66,16 @@
     ----------
     failures : int
         Answers of 500, by which targets themselves said that they had failed.
+    place : Place or None
+        What was believed of the answering target as it was chosen; None if its service tells
+        no pace.
     """
 
     outcome: FrontOutcome
     attempts: int
     failures: int
     target: ListedTarget | None = None
+    place: Place | None = None
 
     @property
     def instance(self) -> str:
@@ -117,10 +121,14 @@
     is_in: bool = False
 
     def answer(
-        self, outcome: FrontOutcome, target: ListedTarget | None = None, unnoted: int = 0
+        self,
+        outcome: FrontOutcome,
+        target: ListedTarget | None = None,
+        unnoted: int = 0,
+        place: Place | None = None,
     ) -> FrontAnswer:
         """Return the final answer, with the attempts so far and those not in the log."""
-        return FrontAnswer(outcome, len(self.log.ends) + unnoted, self.failures, target)
+        return FrontAnswer(outcome, len(self.log.ends) + unnoted, self.failures, target, place)
 
 
 def no_places(service: str) -> Sequence[Place]:
@@ -299,6 +307,7 @@
         """Send a call once; return the final answer, or None if another target may be tried."""
         call, log = serving.call, serving.log
         log.begin()
+        place = self._chooser.load(target).place
         began_seconds = self._context.now_seconds()
         sent_at_unix_seconds = time.time()
         try:
@@ -321,7 +330,7 @@
                 await asyncio.sleep(PAUSE_SECONDS)
             return None
         if isinstance(result, TargetStream) or result.status < 500 or not log.repeatable:
-            return serving.answer(result, target, unnoted=1)
+            return serving.answer(result, target, unnoted=1, place=place)
         serving.failures += result.status == 500
         serving.last_failure = (result, target)
         log.note(AttemptEnd(target.instance, True, f"status {result.status}"))
@@ -439,11 +448,14 @@
         fresh_connection = not log.repeatable
         began_seconds = self._context.now_seconds()
         load.begin(CALL_COST_TOKENS, ())
+        sent = self._chooser.sent(target)
+        result: TargetAnswer | TargetStream | TargetFailed | None = None
         try:
             send = self._targets.open_stream if as_stream else self._targets.forward
             result = await send(target, call, until_seconds, fresh_connection)
         finally:
             load.end(CALL_COST_TOKENS)
+            self._chooser.ended(sent, result)
         if not isinstance(result, TargetFailed) and result.status < 500:
             load.succeeded(0, 0.0)
             took_seconds = self._context.now_seconds() - began_seconds
