--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -94,6 +94,16 @@
             listed, WorkKind.CALL, 1.0, now_seconds, arrival_seconds, is_at_hand
         )
 
+    def places(self, service: str) -> list[Place]:
+        """Return what is believed of a service's targets; nothing if they tell no pace."""
+        if not self._context.picture.tells_pace(service):
+            return []
+        now_seconds = self._context.now_seconds()
+        return [
+            self._place(listed, self.load(listed), now_seconds)
+            for listed in self._context.directory.usable(service, now_seconds)
+        ]
+
     def sent(self, target: ListedTarget) -> SentRequest:
         """Count a call in that is sent to a target now."""
         now_seconds = self._context.now_seconds()
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -119,11 +119,9 @@
             ROLES_PREFIX,
             self._vacant_seconds,
         )
+        chooser = TargetChooser(self.context)
         self.front = RequestFront(
-            self.context,
-            TargetChooser(self.context),
-            TargetClient(self._sessions),
-            self.quarantine,
+            self.context, chooser, TargetClient(self._sessions), self.quarantine, chooser.places
         )
         job_store = JobStore(self.context)
         paces = EnginePaces()
