Shared engines: tests of what may not leave, who is blamed, and timeouts of others

Cause: three changes to the code left all tests of this part green on a scratch copy: moving texts that one version must make, blaming an item for a run that left its engine, and taking any timeout for the run's own. Ruled out: none of the three is a fault of the code as it is. Change: tests, each of which fails with its change (run on a scratch copy).

--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -280,6 +280,48 @@
     assert run_virtual(scenario()) == ["e0", "e1"]
 
 
+@pytest.mark.parametrize(("single_version", "wanted"), [(False, ["e0", "e1"]), (True, ["e0"])])
+def test_a_text_that_one_version_must_make_stays_and_no_item_is_blamed(
+    monkeypatch, single_version, wanted
+):
+    blamed = []
+    monkeypatch.setattr(NoQuarantine, "broke", lambda *given: blamed.append(given))
+
+    async def scenario():
+        step = make_step("j", [150])
+        engines = SharedEngines(lengths_of(step))
+        owner = Owner("a", engines, 1, ON)
+        owner.own(step)
+        owner.owned["j"].ledger.single_version = single_version
+        await owner.work(0.1)
+        owner.list_engine("e0", draining=True)
+        owner.list_engine("e1")
+        await owner.work(1.0)
+        return [name for name, _ in engines.requests]
+
+    assert run_virtual(scenario()) == wanted
+    assert blamed == []
+
+
+def test_a_timeout_that_is_not_the_runs_own_goes_on_up(monkeypatch):
+    async def fail(*given):
+        raise TimeoutError
+
+    async def scenario():
+        step = make_step("j", [10])
+        owner = Owner("a", SharedEngines(lengths_of(step)), 1, ON)
+        owner.own(step)
+        monkeypatch.setattr(ItemRunner, "_stream", fail)
+        ledger = owner.owned["j"].ledger
+        with pytest.raises(TimeoutError):
+            await owner.runner.run(
+                ledger, ledger.items["j-0"], owner.context.directory.entries["e0"]
+            )
+        assert owner.runner.own_runs.by_start == {}
+
+    run_virtual(scenario())
+
+
 def test_runs_leave_only_as_fast_as_there_are_free_slots():
     async def scenario():
         leaving, full = make_step("j", [150] * SLOTS), make_step("k", [150] * (SLOTS - 2))
