Jobs: an owner that may not know all listed results leaves reads to the service

Cause: an owner answered reads from its ledger while it was not certainly the owner, or with fewer results than had been read. (1) After a lost lease, the new lease made the session sure before the claim was answered. (2) A held job was claimed without a look at what another owner had listed in between; with nothing pending it stayed short until its next text was whole. (3) A successor took the list of the offer, though an append under way at the sender was kept after the offer was sent; take_back read the results before its claim. Positions never changed; what was gone came again later.

Ruled out: a lock on listing during the offer (an append that hangs would hold the hand-over up); `awaits_claim` for a lost lease (its owner_revision is the former owner's and decides the fence).

Change: `OwnedJob.is_behind`, part of `may_tell`; appends ask `may_list`, as before. A claim of a held or offered job is done only if nothing is kept behind the last result at hand (no further call); where that is refused it is claimed without, and reads go to the service until a segment of its own is appended, or the results and then the owner key were read. An answer to an append of before the lease was lost does not count. This is not under the switch: switched off, claims and appends are as before, with two reads after a lost lease while nothing is pending.

Ledger: a run that ended after its item was listed from another owner put the item back to waiting (broke, failed, postponed) or to its reward call (whole), so that it was run again for nothing. Such runs are cancelled now, and change nothing.

Tests: four in test_hand_over.py (one of them with the switch on and off), one in test_ledger.py, one for the store. test_an_unanswered_append_that_took_effect_is_recognized expects the outcome's new field `was_there` as well, and so asks for more than before. Three of the four and the ledger's failed on the code of before, the one of the late answer with its guard taken out.

--- a/rackswitch/gateway/jobs/held_claims.py
+++ b/rackswitch/gateway/jobs/held_claims.py
@@ -83,7 +83,7 @@
     ) -> int | None:
         """Claim a held job once; return the owner revision, 0 if too late, None if unanswered."""
         if not with_results or held.appending.locked():
-            claimed = await self._claim_with(held, fence, 0, [])
+            claimed = await self._claim_with(held, fence, None, [])
         else:
             async with held.appending:
                 position, results = held.ledger.next_segment()
@@ -96,7 +96,7 @@
         return claimed
 
     async def _claim_with(
-        self, held: OwnedJob, fence: int, position: int, results: list[JobResult]
+        self, held: OwnedJob, fence: int, position: int | None, results: list[JobResult]
     ) -> int | None:
         job_id = held.ledger.job.job_id
         marker_revision = self._known.marker_revision(job_id)
@@ -111,13 +111,25 @@
             return None
         if claimed:
             self._orphans.owned(key_part(job_id))
-            held.claimed(claimed)
+            held.claimed(claimed, is_behind=position is None)
         return claimed
 
-    async def claim_offered(self, job_id: str, owner_revision: int) -> int | JobNotStored:
-        """Take over a job whose owner hands it over; return the owner revision, 0 if too late."""
+    async def claim_offered(
+        self, job_id: str, owner_revision: int, position: int | None
+    ) -> int | JobNotStored:
+        """Take over a job whose owner hands it over; return the owner revision, 0 if too late.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        owner_revision : int
+            Of the owner that hands it over.
+        position : int or None
+            Behind the last result that the owner told of; None if it may have listed more.
+        """
         claimed = await self._claim_on_lease(
-            lambda lease_id: self._store.claim_held(job_id, owner_revision, 0, lease_id)
+            lambda lease_id: self._store.claim_held(job_id, owner_revision, 0, lease_id, position)
         )
         if isinstance(claimed, int) and claimed:
             self._orphans.owned(key_part(job_id))
@@ -156,7 +168,7 @@
             self._orphans.owned(key_part(job_id))
         elif self._session.is_own(lease_id):
             self._orphans.owned(key_part(job_id))
-            held.claimed(revision)
+            held.claimed(revision, is_behind=True)
         elif self._is_free(held, revision):
             # Results of an earlier try stand in the way: the next append takes them in.
             await self._write_claim(held, revision, with_results=False)
--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -105,7 +105,9 @@
     def session_lost(self) -> None:
         """Note that the owner keys of this daemon are gone with its lease."""
         now_seconds = self._context.now_seconds()
-        for job_id in self._jobs.by_id:
+        for job_id, owned in self._jobs.by_id.items():
+            # A new lease is no claim: until there is one, another daemon may list results.
+            owned.is_behind = True
             self._orphans.orphaned(key_part(job_id), now_seconds)
 
     # Claims
@@ -194,7 +196,7 @@
         self._orphans.owned(key_part(job_id))
         held = self._jobs.by_id.get(job_id)
         if held is not None:
-            held.claimed(claimed)
+            held.claimed(claimed, is_behind=True)
             return
         await self._load(job_id, claimed, kept.checkpoint)
 
@@ -244,7 +246,7 @@
             return False
         if not isinstance(job, Job) or lease_id is None:
             return False
-        claimed = await self._store.claim_held(job_id, owner_revision, 0, lease_id)
+        claimed = await self._store.claim_held(job_id, owner_revision, 0, lease_id, len(results))
         if not isinstance(claimed, int) or not claimed:
             return False
         self._orphans.owned(key_part(job_id))
@@ -268,7 +270,7 @@
                 # What a former owner had kept went with the claim that was not answered.
                 await self._load(job_id, owner_revision, None)
             elif held.owner_revision < owner_revision:
-                held.claimed(owner_revision)
+                held.claimed(owner_revision, is_behind=True)
 
     async def _load(
         self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint | None
--- a/rackswitch/gateway/jobs/job_outcomes.py
+++ b/rackswitch/gateway/jobs/job_outcomes.py
@@ -61,9 +61,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Appended:
-    """A segment is kept: the one proposed, or an earlier proposal of this owner."""
+    """A segment is kept: the one proposed, or one that was there.
+
+    Attributes
+    ----------
+    was_there : bool
+        Whether it is an earlier proposal, after which there may be more.
+    """
 
     results: list[JobResult]
+    was_there: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/gateway/jobs/job_reader.py
+++ b/rackswitch/gateway/jobs/job_reader.py
@@ -183,7 +183,9 @@
                     await owned.news.wait()
             except TimeoutError:
                 break
-        if len(ledger.listed) <= position and not self._session.is_sure():
+        # A job that was left in the meantime is answered for at once: its reader asks elsewhere.
+        is_certain = self._session.is_sure() and (owned.may_tell or ledger.ended)
+        if len(ledger.listed) <= position and not is_certain:
             return None
         return ResultsPage(
             ledger.total, _page(ledger.listed, position), "owner", len(ledger.listed)
--- a/rackswitch/gateway/jobs/job_receiving.py
+++ b/rackswitch/gateway/jobs/job_receiving.py
@@ -124,7 +124,12 @@
         snapshot: JobCheckpoint,
     ) -> pb.HandOverReply:
         self._claims.introduce(job, request.marker_revision)
-        claimed = await self._claim(request, job.job_id)
+        is_behind = False
+        claimed = await self._claim(request, job.job_id, len(listed))
+        if claimed == 0:
+            # What the sender was just appending may have been kept since it sent its results.
+            is_behind = True
+            claimed = await self._claim(request, job.job_id, None)
         if isinstance(claimed, JobNotStored) and not request.may_wait:
             return pb.HandOverReply(detail=claimed.detail, service_away=True)
         if claimed == 0:
@@ -139,11 +144,14 @@
         if not self._claims.is_open(job.job_id):
             return pb.HandOverReply(detail="the job has been ended")
         owned = self._jobs.own(job, asked_for, listed, awaits_claim=not revision)
+        owned.is_behind = is_behind
         self._checkpoints.go_on(owned, checkpoint)
         return pb.HandOverReply(taken=True, owner_revision=revision)
 
-    async def _claim(self, request: pb.HandOverRequest, job_id: str) -> int | JobNotStored:
+    async def _claim(
+        self, request: pb.HandOverRequest, job_id: str, position: int | None
+    ) -> int | JobNotStored:
         """Claim a job under the fence of its former owner's claim."""
         if request.may_wait and self._context.contact.is_away:
             return JobNotStored("the key-value service is away", effect_unknown=False)
-        return await self._held.claim_offered(job_id, request.owner_revision)
+        return await self._held.claim_offered(job_id, request.owner_revision, position)
--- a/rackswitch/gateway/jobs/job_store.py
+++ b/rackswitch/gateway/jobs/job_store.py
@@ -129,13 +129,14 @@
         owner_revision: int,
         marker_revision: int,
         lease_id: int,
-        position: int = 0,
+        position: int | None = None,
         results: Sequence[JobResult] = (),
     ) -> int | JobNotStored:
         """Become the owner of a job whose state is at hand, and list results, in one write.
 
-        What a checkpoint holds is at hand too, so that it goes unread. Results go along only if
-        there are none at their position: those there are another owner's, or an earlier try's.
+        What a checkpoint holds is at hand too, so that it goes unread. With a position the write is
+        done only if no result is kept there: one that is there is another owner's, or an earlier
+        try's, and is not at hand.
 
         Parameters
         ----------
@@ -149,9 +150,9 @@
         lease_id : int
             This daemon's session.
         position : int, optional
-            Of the first result.
+            Behind the last result at hand; None if results may be kept that are not at hand.
         results : sequence of JobResult, optional
-            What is ready to be listed.
+            What is ready to be listed at the position.
 
         Returns
         -------
@@ -166,10 +167,11 @@
             self._owner_put(part_name, lease_id),
             Operation(PROGRESS_PREFIX + part_name, None),
         ]
-        if results:
+        if position is not None:
             key = f"{RESULTS_PREFIX}{part_name}/{position:08d}"
             compares.append(Compare(key, "mod", 0))
-            operations.append(Operation(key, pack_results(list(results))))
+            if results:
+                operations.append(Operation(key, pack_results(list(results))))
         done = await self._txn(TxnPart(tuple(compares), tuple(operations)))
         if isinstance(done, JobNotStored):
             return done
@@ -285,7 +287,7 @@
             return AppendConflict()
         if not segment.entries:
             return JobNotStored("the segment was not taken", effect_unknown=False)
-        return Appended(unpack_results(segment.entries[0].value))
+        return Appended(unpack_results(segment.entries[0].value), was_there=True)
 
     async def end(self, marker: JobMarker) -> None | JobNotStored:
         """Mark a job as ended and take its owner away, in one write."""
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -35,6 +35,9 @@
         Whether the job was handed over here while the key-value service was away. It is worked on,
         but nothing of it is told or listed before it is claimed; `owner_revision` is the former
         owner's.
+    is_behind : bool
+        Whether another daemon may have listed results that are not known here. Until they
+        are, or a segment is appended behind all, the key-value service is read.
     news : asyncio.Event
         Set when results were listed; replaced then.
     """
@@ -51,16 +54,31 @@
     appending: asyncio.Lock = field(default_factory=asyncio.Lock)
     successor: str = ""
     awaits_claim: bool = False
+    is_behind: bool = False
 
     @property
-    def may_tell(self) -> bool:
-        """Whether results may be listed and read here: not without a claim or beside another."""
+    def may_list(self) -> bool:
+        """Whether results may be listed here: not without a claim or beside another owner."""
         return not self.awaits_claim and not self.successor
 
-    def claimed(self, owner_revision: int) -> None:
+    @property
+    def may_tell(self) -> bool:
+        """Whether results may be read here: all that are listed are known."""
+        return self.may_list and not self.is_behind
+
+    def claimed(self, owner_revision: int, is_behind: bool) -> None:
         """Note that this daemon owns the job from a revision on."""
         self.owner_revision = owner_revision
         self.awaits_claim = False
+        self.is_behind = is_behind
+
+    def take_in(self, position: int, results: list[JobResult]) -> None:
+        """Note results that were listed already; runs of their items end."""
+        self.ledger.appended(position, results)
+        for result in results:
+            run = self.runs.pop(result.item_id, None)
+            if run is not None:
+                run.cancel()
 
     def tell_news(self) -> None:
         """Wake all who wait for results."""
--- a/rackswitch/gateway/jobs/result_appender.py
+++ b/rackswitch/gateway/jobs/result_appender.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
+from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_outcomes import AppendConflict, Appended
 from rackswitch.gateway.jobs.job_records import key_part
@@ -59,14 +60,46 @@
             return
         now_seconds = self._context.now_seconds()
         for owned in owned_jobs:
-            if not owned.may_tell:
+            if not owned.may_list:
                 continue
-            if not owned.ledger.has_pending or owned.appending.locked():
+            if owned.appending.locked():
+                continue
+            if not owned.ledger.has_pending:
+                self._catch_up_if_due(owned, now_seconds)
                 continue
             due_seconds = owned.last_append_seconds + listing_pause_seconds(owned.ledger)
             if now_seconds >= max(due_seconds, owned.next_append_seconds):
                 self._context.daemon.spawn(self._append(owned))
 
+    def _catch_up_if_due(self, owned: OwnedJob, now_seconds: float) -> None:
+        is_due = owned.is_behind and now_seconds >= owned.next_append_seconds
+        if is_due and self._session.is_sure():
+            owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
+            self._context.daemon.spawn(self._catch_up(owned))
+
+    async def _catch_up(self, owned: OwnedJob) -> None:
+        """Take in what other owners listed.
+
+        The owner key is read last: what was listed before this daemon's claim is among the results
+        if the job is its own then.
+        """
+        async with owned.appending:
+            job_id, position = owned.ledger.job.job_id, len(owned.ledger.listed)
+            claim = self._claim(owned)
+            results = await self._store.load_results(job_id, position)
+            owner = await self._store.load_owner(job_id)
+            if isinstance(results, KvUnavailable) or isinstance(owner, KvUnavailable):
+                return
+            is_own = owner is not None and owner.mod_revision == owned.owner_revision
+            if is_own and claim == self._claim(owned):
+                owned.take_in(position, results)
+                owned.is_behind = False
+                owned.tell_news()
+
+    def _claim(self, owned: OwnedJob) -> tuple[int | None, int]:
+        """Return the lease and revision under which a job is owned; an answer may be older."""
+        return self._session.lease_id, owned.owner_revision
+
     async def append_all(self, owned: OwnedJob) -> None:
         """Append all results that are ready, until a segment is not taken."""
         async with owned.appending:
@@ -84,14 +117,20 @@
         """Append the next segment of a job; return whether it is kept."""
         job_id = owned.ledger.job.job_id
         position, segment = owned.ledger.next_segment()
+        claim = self._claim(owned)
         outcome = await self._store.append(job_id, owned.owner_revision, position, segment)
         now_seconds = self._context.now_seconds()
         if isinstance(outcome, Appended):
-            owned.ledger.appended(position, outcome.results)
             owned.last_append_seconds = now_seconds
+            if outcome.was_there:
+                owned.take_in(position, outcome.results)
+            else:
+                owned.ledger.appended(position, outcome.results)
+                owned.is_behind = owned.is_behind and claim != self._claim(owned)
             owned.tell_news()
         elif isinstance(outcome, AppendConflict):
             # The owner key is gone or another daemon's: claim anew, which tells.
+            owned.is_behind = True
             self._orphans.orphaned(key_part(job_id), now_seconds)
             owned.next_append_seconds = now_seconds + APPEND_RETRY_SECONDS
         else:
--- a/rackswitch/gateway/jobs/tests/hand_over_fleet.py
+++ b/rackswitch/gateway/jobs/tests/hand_over_fleet.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from itertools import pairwise
 
-from rackswitch.clients.kv import KvUnavailable
+from rackswitch.clients.kv import KvUnavailable, Operation, TxnPart
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.jobs.job_outcomes import JobCreated
@@ -156,6 +156,11 @@
         listed = await self.listed(job.job_id)
         assert sorted(listed) == sorted(item.item_id for item in job.items)
 
+    async def kv_put(self, key: str, value: bytes) -> None:
+        """Keep an entry in the key-value service, as a daemon that is not among these."""
+        writer = make_gateway_context("writer", self.kv)
+        await writer.kv.txn([TxnPart((), (Operation(key, value),))])
+
     async def end(self) -> None:
         for node in self.nodes.values():
             assert node.context.daemon.broken is None
--- a/rackswitch/gateway/jobs/tests/test_hand_over.py
+++ b/rackswitch/gateway/jobs/tests/test_hand_over.py
@@ -6,8 +6,16 @@
 
 from rackswitch.daemon.tests.support import run_virtual
 from rackswitch.gateway.jobs.job_checkpoints import LEAST_CHECKPOINT_PIECES
+from rackswitch.gateway.jobs.job_reader import JobReader
+from rackswitch.gateway.jobs.job_records import (
+    RESULTS_PREFIX,
+    pack_checkpoint,
+    pack_job,
+    pack_results,
+)
 from rackswitch.gateway.jobs.tests.hand_over_fleet import HandOverFleet, make_batch
 from rackswitch.gateway.policy import PolicySettings
+from rackswitch.jobs import JobResult
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
 
@@ -502,3 +510,152 @@
         assert fleet.engines.made_again() == 0
 
     play(scenario, names="ab")
+
+
+def reader_of(node) -> JobReader:
+    return JobReader(node.context, node.keeper, node.keeper._store, node.session)
+
+
+async def read_now(node, position=0):
+    """Return what a daemon tells of the job from its memory; None if nothing."""
+    page = await reader_of(node).owned_page("j", position, 0.0)
+    return page and [result.item_id for result in page.results]
+
+
+async def wait_listed(fleet, count):
+    async with asyncio.timeout(60.0):
+        while len(await fleet.listed()) < count:
+            await asyncio.sleep(0.05)
+
+
+def test_a_successor_does_not_tell_of_fewer_results_than_the_sender_had_listed():
+    async def scenario(fleet):
+        job = make_batch(items=24)
+        await fleet.submit("a", job)
+        await wait_listed(fleet, 12)
+        giver = fleet.nodes["a"].keeper.owned["j"]
+        # The answer to the append came after the offer was sent: it holds no results.
+        giver.successor = "b"
+        reply = await fleet.nodes["b"].keeper.receive(
+            pb.HandOverRequest(
+                daemon="a",
+                job=pack_job(job),
+                owner_revision=giver.owner_revision,
+                listed=pack_results([]),
+                checkpoint=_no_texts(fleet.nodes["a"]),
+                marker_revision=fleet.nodes["a"].keeper.known.marker_revision("j"),
+            )
+        )
+        assert reply.taken and reply.owner_revision
+        before = await fleet.listed()
+        while len(await fleet.listed()) < len(job.items):
+            told = await read_now(fleet.nodes["b"])
+            assert told is None or told[: len(before)] == before
+            await asyncio.sleep(0.05)
+        assert (await fleet.listed())[: len(before)] == before
+        await fleet.wait_whole(job)
+
+    play(scenario)
+
+
+def _no_texts(node):
+    return pack_checkpoint(node.keeper._checkpoints._checkpoint((), runs_ended=False))
+
+
+def test_a_new_lease_without_a_claim_tells_nothing():
+    async def scenario(fleet):
+        await fleet.submit("a", make_batch(items=24))
+        await wait_listed(fleet, 12)
+        node = fleet.nodes["a"]
+        assert len(await read_now(node)) == 12
+        claimed = asyncio.Event()
+
+        class SlowStore(type(node.keeper._store)):
+            __slots__ = ()
+
+            async def claim_held(self, *args):
+                await claimed.wait()
+                return await super().claim_held(*args)
+
+        node.keeper._store.__class__ = SlowStore
+        deadline_seconds = node.context.now_seconds() + 2.5
+        waiting = asyncio.create_task(reader_of(node).owned_page("j", 12, deadline_seconds))
+        await asyncio.sleep(0.1)
+        lost = node.session.lease_id
+        fleet.kv.end_lease(lost)
+        node.session.over(lost)
+        while node.session.lease_id in (lost, None) or not node.session.is_sure():
+            await asyncio.sleep(0.02)
+        assert fleet.owners() == ["a"]
+        assert await read_now(node) is None
+        assert await waiting is None
+        claimed.set()
+        await asyncio.sleep(1.0)
+        assert len(await read_now(node)) >= 12
+
+    play(scenario, names="a")
+
+
+@pytest.mark.parametrize("handed_over", [True, False])
+def test_an_owner_that_comes_back_tells_nothing_before_it_knows_what_another_one_listed(
+    handed_over,
+):
+    async def scenario(fleet):
+        job = make_batch(items=24)
+        await fleet.submit("a", job)
+        await wait_listed(fleet, 12)
+        node = fleet.nodes["a"]
+        await asyncio.sleep(0.5)
+        lost = node.session.lease_id
+        fleet.kv.end_lease(lost)
+        node.session.over(lost)
+        # Another daemon owned the job for a moment, and is gone.
+        listed = await fleet.listed()
+        missing = next(item.item_id for item in job.items if item.item_id not in listed)
+        text = "\n".join(f"{missing}:{number + 1}" for number in range(fleet.engines.pieces))
+        segment = [JobResult(item_id=missing, completed=True, text=text, versions=(1,))]
+        await fleet.kv_put(f"{RESULTS_PREFIX}j/{12:08d}", pack_results(segment))
+        while len(await fleet.listed()) < len(job.items):
+            told = await read_now(node)
+            assert told is None or missing in told
+            await asyncio.sleep(0.05)
+        assert (await fleet.listed())[12] == missing
+        await fleet.wait_whole(job)
+        # The run of the item that was listed meanwhile has ended, and no other one begins.
+        assert fleet.engines.running[missing] == 0
+
+    play(scenario, names="a", policy=PolicySettings(jobs_handed_over=handed_over))
+
+
+def test_the_answer_to_an_append_of_before_the_lease_was_lost_shows_no_ownership():
+    async def scenario(fleet):
+        await fleet.submit("a", make_batch(items=24))
+        await asyncio.sleep(1.0)
+        node = fleet.nodes["a"]
+        kept, answer = asyncio.Event(), asyncio.Event()
+
+        class LateStore(type(node.keeper._store)):
+            __slots__ = ()
+
+            async def append(self, *args):
+                outcome = await super().append(*args)
+                kept.set()
+                await answer.wait()
+                return outcome
+
+            async def claim_held(self, *args):
+                await asyncio.sleep(2.0)
+                return await super().claim_held(*args)
+
+        node.keeper._store.__class__ = LateStore
+        await kept.wait()
+        lost = node.session.lease_id
+        fleet.kv.end_lease(lost)
+        node.session.over(lost)
+        answer.set()
+        while node.session.lease_id is None or not node.session.is_sure():
+            await asyncio.sleep(0.02)
+        assert node.keeper.owned["j"].ledger.listed
+        assert await read_now(node) is None
+
+    play(scenario, names="a")
--- a/rackswitch/gateway/jobs/tests/test_job_store.py
+++ b/rackswitch/gateway/jobs/tests/test_job_store.py
@@ -73,7 +73,7 @@
         assert isinstance(await store.append("j", created.owner_revision, 0, FIRST), JobNotStored)
         faults.lost_answer = 0.0
         outcome = await store.append("j", created.owner_revision, 0, [*FIRST, *OTHER])
-        assert outcome == Appended(FIRST)
+        assert outcome == Appended(FIRST, was_there=True)
 
     run_virtual(scenario())
 
@@ -172,3 +172,21 @@
         assert (await store.load_checkpoint("j")).checkpoint == checkpoint
 
     run_virtual(scenario())
+
+
+def test_a_claim_at_a_position_is_refused_where_a_result_is_kept_there():
+    async def scenario():
+        kv = KvStore()
+        store = make_store("a", kv)
+        lease_id = kv.grant(100.0, 0.0)
+        created = await store.create(make_job(), lease_id)
+        first = created.owner_revision
+        assert await store.append("j", first, 0, FIRST) == Appended(FIRST)
+        assert await store.claim_held("j", first, 0, lease_id, 0) == 0
+        claimed = await store.claim_held("j", first, 0, lease_id, len(FIRST))
+        assert claimed > first
+        # Who does not ask for a position is told nothing about what is kept.
+        assert await store.claim_held("j", claimed, 0, lease_id) > claimed
+        assert await store.load_results("j", 0) == FIRST
+
+    run_virtual(scenario())
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -85,17 +85,26 @@
 
     def postponed(self, progress: ItemProgress, until_seconds: float) -> None:
         """Note that an item was not sent and must not be before a moment."""
+        if progress.result is not None:
+            return
         progress.phase = ItemPhase.WAITING
         progress.not_before_seconds = until_seconds
 
     def broke(self, progress: ItemProgress, target: str, now_seconds: float) -> None:
-        """Note that a run ended before the text was whole, through no fault of the item."""
+        """Note that a run ended before the text was whole, through no fault of the item.
+
+        Its result may have been listed meanwhile, from another owner: it runs no more then.
+        """
+        if progress.result is not None:
+            return
         progress.phase = ItemPhase.WAITING
         progress.avoid = target
         progress.not_before_seconds = now_seconds + RETRY_PAUSE_SECONDS
 
     def failed(self, progress: ItemProgress, now_seconds: float) -> None:
         """Note that an engine ended a run with a failure; enough of them end the item."""
+        if progress.result is not None:
+            return
         progress.failures += 1
         if progress.failures >= self.most_failures:
             self.give_up(progress)
@@ -105,6 +114,8 @@
 
     def whole(self, progress: ItemProgress) -> None:
         """Note that the text is whole; it is listed at once or after its reward call."""
+        if progress.result is not None:
+            return
         if progress.item.reward is None:
             self._finish(progress, "")
         else:
--- a/rackswitch/jobs/tests/test_ledger.py
+++ b/rackswitch/jobs/tests/test_ledger.py
@@ -151,3 +151,22 @@
 
 def test_a_proper_job_is_taken():
     assert check_job(make_job()) is None
+
+
+@pytest.mark.parametrize("end", ["broke", "failed", "postponed", "whole"])
+def test_a_run_that_ends_after_its_item_was_listed_by_another_owner_changes_nothing(end):
+    ledger = JobLedger(make_job(items=1, reward=True))
+    (progress,) = ledger.items.values()
+    ledger.started(progress)
+    listed = JobResult(item_id=progress.item.item_id, completed=True, text="a", versions=(1,))
+    ledger.appended(0, [listed])
+    ends = {
+        "broke": lambda: ledger.broke(progress, "e0", 0.0),
+        "failed": lambda: ledger.failed(progress, 0.0),
+        "postponed": lambda: ledger.postponed(progress, 0.0),
+        "whole": lambda: ledger.whole(progress),
+    }
+    ends[end]()
+    assert progress.phase is ItemPhase.LISTED
+    assert ledger.waiting(1.0) == []
+    assert not ledger.has_pending
