Receiving jobs: a job is noted as known only once the offer is not refused

Cause: an offered job was noted as known before the claim. A sender that had not yet seen that the service forgot the job made it known for good at the daemon asked: nothing tells of its end there, its claim was tried again and again, and a submission under its identity was answered as kept (202) though it is nowhere.

Ruled out: asking the service for the marker first (one more call in each hand-over; the owner key says the same).

Change: noted after the claim, or where the offer is taken without one. That last case is left: in an outage the sender's word is all there is.

--- a/rackswitch/gateway/jobs/job_receiving.py
+++ b/rackswitch/gateway/jobs/job_receiving.py
@@ -123,7 +123,6 @@
         listed: list[JobResult],
         snapshot: JobCheckpoint,
     ) -> pb.HandOverReply:
-        self._claims.introduce(job, request.marker_revision)
         is_behind = False
         claimed = await self._claim(request, job.job_id, len(listed))
         if claimed == 0:
@@ -134,6 +133,7 @@
             return pb.HandOverReply(detail=claimed.detail, service_away=True)
         if claimed == 0:
             return pb.HandOverReply(detail="the job is not the sender's any more")
+        self._claims.introduce(job, request.marker_revision)
         revision = claimed if isinstance(claimed, int) else 0
         asked_for = revision or request.owner_revision
         texts = await self._checkpoints.ask_giver(request.daemon, job.job_id, asked_for)
--- a/rackswitch/gateway/jobs/tests/test_hand_over.py
+++ b/rackswitch/gateway/jobs/tests/test_hand_over.py
@@ -6,6 +6,7 @@
 
 from rackswitch.daemon.tests.support import run_virtual
 from rackswitch.gateway.jobs.job_checkpoints import LEAST_CHECKPOINT_PIECES
+from rackswitch.gateway.jobs.job_outcomes import JobCreated
 from rackswitch.gateway.jobs.job_reader import JobReader
 from rackswitch.gateway.jobs.job_records import (
     RESULTS_PREFIX,
@@ -659,3 +660,25 @@
         assert await read_now(node) is None
 
     play(scenario, names="a")
+
+
+def test_a_job_that_is_not_in_the_service_is_not_known_by_an_offer_that_is_refused():
+    async def scenario(fleet):
+        await asyncio.sleep(1.0)
+        job = make_batch()
+        reply = await fleet.nodes["b"].keeper.receive(
+            pb.HandOverRequest(
+                daemon="a",
+                job=pack_job(job),
+                owner_revision=5,
+                listed=pack_results([]),
+                checkpoint=_no_texts(fleet.nodes["a"]),
+                marker_revision=5,
+            )
+        )
+        assert not reply.taken
+        assert "j" not in fleet.nodes["b"].keeper.known.jobs
+        # Its submitter is told that it is kept only once it is.
+        assert isinstance(await fleet.nodes["b"].keeper.submit(job), JobCreated)
+
+    play(scenario)
