--- a/rackswitch/gateway/jobs/job_reader.py
+++ b/rackswitch/gateway/jobs/job_reader.py
@@ -185,7 +185,9 @@
                 break
         # Others may have read from the service already what is being kept there.
         may_be_more = owned.appending.locked() or owned.append_is_unknown
-        if len(ledger.listed) <= position and (may_be_more or not self._session.is_sure()):
+        # A job that was left in the meantime is answered for at once: its reader asks elsewhere.
+        is_certain = self._session.is_sure() and (owned.may_tell or ledger.ended)
+        if len(ledger.listed) <= position and (may_be_more or not is_certain):
             return None
         return ResultsPage(
             ledger.total, _page(ledger.listed, position), "owner", len(ledger.listed)
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -37,6 +37,9 @@
         owner's.
     append_is_unknown : bool
         Whether the last segment may be kept although nobody has said so.
+    is_behind : bool
+        Whether another daemon may have listed results that are not known here. Until they
+        are, or a segment is appended behind all, the key-value service is read.
     news : asyncio.Event
         Set when results were listed; replaced then.
     """
@@ -54,16 +57,31 @@
     append_is_unknown: bool = False
     successor: str = ""
     awaits_claim: bool = False
+    is_behind: bool = False
 
     @property
-    def may_tell(self) -> bool:
-        """Whether results may be listed and read here: not without a claim or beside another."""
+    def may_list(self) -> bool:
+        """Whether results may be listed here: not without a claim or beside another owner."""
         return not self.awaits_claim and not self.successor
 
-    def claimed(self, owner_revision: int) -> None:
+    @property
+    def may_tell(self) -> bool:
+        """Whether results may be read here: all that are listed are known."""
+        return self.may_list and not self.is_behind
+
+    def claimed(self, owner_revision: int, is_behind: bool) -> None:
         """Note that this daemon owns the job from a revision on."""
         self.owner_revision = owner_revision
         self.awaits_claim = False
+        self.is_behind = is_behind
+
+    def take_in(self, position: int, results: list[JobResult]) -> None:
+        """Note results that were listed already; runs of their items end."""
+        self.ledger.appended(position, results)
+        for result in results:
+            run = self.runs.pop(result.item_id, None)
+            if run is not None:
+                run.cancel()
 
     def tell_news(self) -> None:
         """Wake all who wait for results."""
