Tests: hand-over's runner takes the urgency of a run; gateways of tests listen where nobody else is given a port

Cause: two parts met (a run is sent with an urgency now), which 40 tests of hand-over showed; and a port that was probed for a gateway was taken by another test's connection before the gateway listened (OSError 98, once).

Change: the runner's signature; peers of a test's gateway listen on a loopback address of its own. No check is touched.

--- a/rackswitch/gateway/jobs/tests/hand_over_fleet.py
+++ b/rackswitch/gateway/jobs/tests/hand_over_fleet.py
@@ -54,7 +54,7 @@
         super().__init__(context, None, None, EnginePaces(), NoQuarantine())
         self._steady = engines
 
-    async def _stream(self, ledger, progress, target, gaps) -> ItemRunEnded:
+    async def _stream(self, ledger, progress, target, gaps, urgency) -> ItemRunEnded:
         item_id = progress.item.item_id
         engines = self._steady
         engines.running[item_id] += 1
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -13,6 +13,7 @@
 from rackswitch.gateway.core import Gateway
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.platform.settings import Address, DutySettings, NodeSettings
+from rackswitch.standins.loopback import own_loopback_host
 from rackswitch.standins.platform_api import PlatformApiStandIn
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.standins.platform_target import PlatformTargetStandIn
@@ -36,10 +37,10 @@
 READY_PATIENCE_SECONDS = 10.0
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
+def free_port(host: str) -> int:
+    """Return a port of an address that nothing listens on."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
@@ -200,9 +201,11 @@
 
     async def start_gateway(self, name: str, log_descriptor: int | None = None) -> Gateway:
         """Start one gateway, in place of an earlier one of the same name."""
-        port = free_port()
+        host = own_loopback_host()
+        port = free_port(host)
         settings = replace(
             stand_in_settings(name, f"http://{self.store.address}"),
+            host=host,
             callers=Address("127.0.0.1", 0),
             readiness=Address("127.0.0.1", 0),
             peer_ports=(port, port),
