--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -74,10 +74,13 @@
         Calls at once; below one, the share of the time in which one may be there.
     in_flight : int
         Calls that are there.
+    is_told_free : bool
+        Whether the last target that answered told that it was half free.
     """
 
     limit: float = FIRST_LIMIT
     in_flight: int = 0
+    is_told_free: bool = False
     _credit_seconds: float = 0.0
     _credited_at_seconds: float = 0.0
     _crowded_at_seconds: float = float("-inf")
@@ -101,15 +104,24 @@
         if now_seconds < self._closed_until_seconds:
             return False
         if self.limit >= SPACED_BELOW:
-            return self.in_flight + 1 <= self.limit + is_first_rank
+            return self.in_flight + 1 <= self.calls_at_once(is_first_rank)
         borrowed_seconds = BORROWED_CALLS * work_seconds if is_first_rank else 0.0
         return self._credit_seconds + borrowed_seconds >= min(work_seconds, CREDIT_SECONDS)
 
+    def calls_at_once(self, is_first_rank: bool) -> float:
+        """Return how many calls may be there at once; one more where no rank goes before them."""
+        is_spaced = self.limit < SPACED_BELOW
+        return self.limit if is_spaced or not is_first_rank else self.limit + 1
+
     @property
     def is_idle(self) -> bool:
         """Whether less than half of what may be there is."""
         return self.limit >= SPACED_BELOW and self.in_flight < IN_USE_SHARE * self.limit
 
+    def _was_in_use(self) -> bool:
+        """Return whether half of what may be there was, with the call that has just ended."""
+        return self.limit < SPACED_BELOW or self.in_flight + 1 >= IN_USE_SHARE * self.limit
+
     def free_at_seconds(self, work_seconds: float, now_seconds: float) -> float:
         """Return when spacing lets a call go; infinite if an answer has to come first."""
         self._pass_time(now_seconds)
@@ -136,20 +148,21 @@
         self._pass_time(now_seconds)
         if slots <= 0:
             return
+        self.is_told_free = waiting == 0 and running <= FREE_SHARE * slots
         if waiting > QUEUE_SHARE * slots:
             self._crowded_at_seconds = now_seconds
             self.limit = max(LEAST_LIMIT, self.limit * LOWER_FACTOR)
-        elif self.limit > SPACED_BELOW and self.is_idle:
+        elif self.limit > SPACED_BELOW and not self._was_in_use():
             # What is not used shows nothing, and would let a sudden crowd of calls go at once.
             return
-        elif waiting == 0 and running <= FREE_SHARE * slots:
+        elif self.is_told_free:
             self.limit = min(MOST_LIMIT, self.limit * RAISE_FACTOR)
         else:
             self._raise(now_seconds)
 
     def answered_untold(self, now_seconds: float) -> None:
         """Take in that a target answered that does not tell how full it is."""
-        if self.is_idle:
+        if not self._was_in_use():
             return
         if now_seconds >= self._crowded_at_seconds + FADE_SECONDS:
             self.limit = min(MOST_LIMIT, self.limit * RAISE_FACTOR)
@@ -160,6 +173,7 @@
         """Take in that a target refused; several refusals of one moment count once."""
         self._pass_time(now_seconds)
         self._crowded_at_seconds = now_seconds
+        self.is_told_free = False
         if now_seconds < self._refused_at_seconds + usual_seconds:
             return
         self._refused_at_seconds = now_seconds
@@ -170,10 +184,6 @@
         """Begin anew after targets were gone: one call tries what there is."""
         self.limit = min(self.limit, SPACED_BELOW)
 
-    def calls_per_second(self, work_seconds: float) -> float:
-        """Return how many calls of a usual time the limit lets through."""
-        return self.limit / max(work_seconds, 1e-3)
-
     def _raise(self, now_seconds: float) -> None:
         """Add what the time since the last answer without a queue allows."""
         since_seconds = max(0.0, now_seconds - self._raised_at_seconds)
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -1,7 +1,7 @@
 """One daemon's decisions about one service: send now, wait, or refuse."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from rackswitch.admission.concurrency import ConcurrencyLimit
 from rackswitch.admission.shares import MEMORY_SECONDS, DecayingRate, TenantShares
@@ -108,14 +108,14 @@
     def ask_again(self, want: CallWant, now_seconds: float) -> RoomDecision:
         """Decide about a call that was sent and that a target did not begin.
 
-        It waits as one that is back, for as long as it has time.
+        It waits as one that is back, until it cannot be answered within its aim.
         """
         if now_seconds + self._work_seconds(want.kind) > want.deadline_seconds:
             return RefuseCall(RefusalCause.OUT_OF_TIME, self._wait_seconds(want, now_seconds))
         wait_seconds = self._wait_seconds(want, now_seconds)
         if not self.room.has_room(want):
             return RefuseCall(RefusalCause.ROOM_FULL, wait_seconds)
-        return WaitForRoom(self.room.add(want), wait_seconds)
+        return WaitForRoom(self.room.add(replace(want, is_back=True)), wait_seconds)
 
     def due(
         self, places: Sequence[Place], now_seconds: float
@@ -231,6 +231,9 @@
             return None
         if self.limit.is_idle:
             shares.left_room()
+            if self.limit.is_told_free:
+                # It takes nothing from anybody, however old that word is.
+                return None
         return RefusalCause.OVER_SHARE
 
     def _goes_now(self, want: CallWant, now_seconds: float) -> bool:
@@ -272,11 +275,13 @@
         work_seconds = self._work_seconds(want.kind)
         usual_seconds = self._usual_seconds()
         free_share = self._share_left(want.rank, now_seconds)
+        is_first = self._is_first(want.rank, now_seconds)
+        calls_at_once = self.limit.calls_at_once(is_first)
         first_seconds = min(
             self.limit.free_at_seconds(work_seconds, now_seconds) - now_seconds,
-            work_seconds / self.limit.limit,
+            work_seconds / calls_at_once,
         )
-        ahead_seconds = self.room.ahead_of(want) * usual_seconds / self.limit.limit
+        ahead_seconds = self.room.ahead_of(want) * usual_seconds / calls_at_once
         return (first_seconds + ahead_seconds) / free_share
 
     def _share_left(self, rank: int, now_seconds: float) -> float:
--- a/rackswitch/admission/tests/test_concurrency.py
+++ b/rackswitch/admission/tests/test_concurrency.py
@@ -1,5 +1,7 @@
 """How many calls go at once, on what targets tell."""
 
+import pytest
+
 from rackswitch.admission.concurrency import (
     BORROWED_CALLS,
     FIRST_LIMIT,
@@ -83,6 +85,23 @@
     assert limit.limit >= LEAST_LIMIT
 
 
+@pytest.mark.parametrize("tells", [True, False])
+def test_a_limit_of_one_grows_for_calls_that_go_one_after_the_other(tells):
+    limit = ConcurrencyLimit()
+    limit.restart()
+    now_seconds = 10.0
+    for _ in range(10):
+        assert limit.may_send(0.04, False, now_seconds)
+        limit.sent(0.04, now_seconds)
+        now_seconds += 0.04
+        limit.ended()
+        if tells:
+            limit.answered(1, 0, SLOTS, now_seconds)
+        else:
+            limit.answered_untold(now_seconds)
+    assert limit.limit >= 2
+
+
 def test_a_limit_that_is_not_used_does_not_grow():
     limit = ConcurrencyLimit()
     for number in range(100):
--- a/rackswitch/admission/tests/test_played_load.py
+++ b/rackswitch/admission/tests/test_played_load.py
@@ -23,16 +23,70 @@
     return play, figures(play, WARM_SECONDS)
 
 
+def gone_and_back(played_load: float) -> AdmissionPlay:
+    """Return a play whose targets are all gone from its second to its third second."""
+    play = AdmissionPlay(played_load, 5, SECONDS, SMALL)
+    play.bursts = False
+
+    def turn(is_gone: bool) -> None:
+        for target in play.targets:
+            target.is_gone = is_gone
+
+    play.at(2.0, lambda: turn(True))
+    play.at(3.0, lambda: turn(False))
+    return play
+
+
 def test_twice_the_load_is_answered_as_far_as_there_is_room():
     _, shipped = played(2.0)
     _, polled = played(2.0, PolledPlay)
-    assert shipped.goodput >= 0.85
+    assert shipped.goodput >= 0.9
     assert polled.goodput < 0.5
     assert shipped.refused_at_once_share >= 0.95
+    assert shipped.refused_while_half_free == 0
     assert shipped.refused_while_shown_free == 0
     assert shipped.run_twice == 0
 
 
+def test_all_refusals_come_at_once():
+    _, shipped = played(2.0)
+    assert shipped.refused_at_once_share == 1.0
+
+
+def test_an_overload_keeps_the_first_rank_waiting_little_longer():
+    _, light = played(0.7)
+    _, heavy = played(2.0)
+    assert heavy.first_rank_p99_seconds <= 1.3 * light.first_rank_p99_seconds
+
+
+def test_tenants_of_one_rank_that_want_more_than_their_share_get_alike():
+    _, shipped = played(2.0, rank_weights=(0.0, 1.0, 0.0))
+    assert shipped.jain > 0.95
+
+
+def test_tenants_of_each_rank_that_want_more_than_their_share_get_alike():
+    play = AdmissionPlay(2.0, 5, 10.0, SMALL)
+    play.bursts = False
+    play.run()
+    assert figures(play, WARM_SECONDS).jain > 0.95
+
+
+def test_as_an_overload_ends_nobody_is_refused_while_places_are_free():
+    play = AdmissionPlay(3.0, 5, SECONDS, SMALL)
+    play.bursts = False
+    play.at(SECONDS / 2, lambda: setattr(play, "load", 0.3))
+    play.run()
+    assert play.tally.refused_after_seconds
+    assert play.tally.refused_while_half_free == 0
+
+
+def test_as_targets_come_back_nobody_is_refused_while_places_are_free():
+    play = gone_and_back(played_load=0.9)
+    play.run()
+    assert play.tally.refused_after_seconds
+    assert play.tally.refused_while_half_free == 0
+
+
 def test_the_first_rank_is_served_through_an_overload():
     _, shipped = played(2.0)
     assert shipped.served[0] >= 0.9
@@ -75,15 +129,7 @@
 
 
 def test_all_targets_gone_and_back_at_once_are_not_overrun():
-    play = AdmissionPlay(0.9, 5, SECONDS, SMALL)
-    play.bursts = False
-
-    def turn(is_gone: bool) -> None:
-        for target in play.targets:
-            target.is_gone = is_gone
-
-    play.at(2.0, lambda: turn(True))
-    play.at(3.0, lambda: turn(False))
+    play = gone_and_back(played_load=0.9)
     longest = [0]
 
     def watch() -> None:
--- a/rackswitch/admission/tests/test_service_room.py
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -101,6 +101,16 @@
     assert decision.cause is RefusalCause.OUT_OF_TIME
 
 
+def test_a_call_that_a_target_did_not_begin_goes_before_newcomers():
+    room = full_room()
+    newcomer = room.ask(want("new", tenant="n"), FULL, 0.5, 0.0)
+    again = room.ask_again(want("again", tenant="a"), 0.01)
+    for _ in range(4):
+        room.ended(want("x"), 0.04)
+    tickets = [ticket for ticket, _ in room.due(FULL, 0.02)]
+    assert tickets.index(again.ticket) < tickets.index(newcomer.ticket)
+
+
 def test_reward_calls_wait_behind_all_callers():
     room = full_room()
     reward = room.ask(want("w", REWARD_RANK, "", aim_seconds=2.0), FULL, 0.5, 0.0)
--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -131,6 +131,19 @@
         return FrontAnswer(outcome, len(self.log.ends) + unnoted, self.failures, target, place)
 
 
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """A request that may not be sent now.
+
+    Attributes
+    ----------
+    refusal : NotRun or None
+        What its caller is told; None if it may have run before, so that no refusal is true.
+    """
+
+    refusal: NotRun | None
+
+
 def no_places(service: str) -> Sequence[Place]:
     """Return that nothing is known of a service's targets."""
     return ()
@@ -243,6 +256,10 @@
         if target is None:
             return None
         if serving.want is not None:
+            # Who is held back waits for that without a place at the service.
+            held = await self._held(serving, may_claim=False)
+            if held is not None:
+                return held.refusal
             refused = await self._enter(serving, serving.want)
             if refused is not None or not serving.is_in:
                 return refused if isinstance(refused, NotRun) else None
@@ -251,12 +268,19 @@
             if target is None:
                 return None
         # Asked last: it may claim a trial, which has to be made then.
-        held = await self._quarantine.admit(serving.call.fingerprint, serving.deadline_seconds)
+        held = await self._held(serving, may_claim=True)
+        return target if held is None else held.refusal
+
+    async def _held(self, serving: _Serving, may_claim: bool) -> _Held | None:
+        """Ask the quarantine; return how a request is held back, or None if it is not."""
+        held = await self._quarantine.admit(
+            serving.call.fingerprint, serving.deadline_seconds, may_claim
+        )
         if held is None:
-            return target
-        if serving.log.may_have_run:
             return None
-        return NotRun(NotRunReason.HELD_BACK, held.detail, held.until_seconds)
+        if serving.log.may_have_run:
+            return _Held(None)
+        return _Held(NotRun(NotRunReason.HELD_BACK, held.detail, held.until_seconds))
 
     def _want(
         self, route: RouteRow, call: Call, deadline_seconds: float, reward_of: str | None
--- a/rackswitch/gateway/callers/tests/test_call_rooms.py
+++ b/rackswitch/gateway/callers/tests/test_call_rooms.py
@@ -12,7 +12,7 @@
 from rackswitch.gateway.tests.support import NoQuarantine, make_gateway_context
 from rackswitch.outcomes import MayHaveRun, NotRun, NotRunReason
 from rackswitch.requests import Call, TargetAnswer, TargetFailed
-from rackswitch.routing import ListedTarget, Place, Target
+from rackswitch.routing import ListedTarget, LoadWord, Place, Target
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.table import Handling, RouteChoice, RouteRow
 from rackswitch.telemetry.events import CallDecided, RoomSeen
@@ -58,10 +58,50 @@
         return [Place("t0", self.slots, self.slots - free, 0.0, 1.0, WORK_SECONDS, 0.0, 0.001)]
 
 
+class TellingTargets(FullTargets):
+    """Targets of which each answer says how full they are, as read from its head."""
+
+    def __init__(self, slots: int, others: int):
+        super().__init__(slots)
+        self.others = others
+        self.context = None
+
+    async def forward(self, target, call, deadline_seconds, fresh_connection):
+        result = await super().forward(target, call, deadline_seconds, fresh_connection)
+        at_work = self.running + self.others
+        word = LoadWord(
+            min(self.slots, at_work),
+            max(0, at_work - self.slots),
+            self.slots,
+            1.0,
+            self.context.now_seconds(),
+        )
+        self.context.picture.heard(target.start, target.service, word)
+        return result
+
+
+class HoldsFirst(NoQuarantine):
+    """Lets requests wait until they are free; keeps which ones would have claimed a trial."""
+
+    def __init__(self):
+        self.is_free = asyncio.Event()
+        self.claims_asked: list[bool] = []
+
+    async def admit(self, fingerprint_of, deadline_seconds, may_claim=True):
+        self.claims_asked.append(may_claim)
+        await self.is_free.wait()
+
+
 class Front:
     """A request front before targets that may be full, with its decisions."""
 
-    def __init__(self, targets: FullTargets, queues_calls: bool = True, places: bool = True):
+    def __init__(
+        self,
+        targets: FullTargets,
+        queues_calls: bool = True,
+        places: bool = True,
+        chooser_places: bool = False,
+    ):
         self.context = make_gateway_context("a", KvStore())
         self.context.settings = replace(self.context.settings, queues_calls=queues_calls)
         self.list_target()
@@ -71,6 +111,8 @@
         self.context.daemon.log = self
         chooser = TargetChooser(self.context)
         more = {"places_of": targets.places} if places else {}
+        if chooser_places:
+            more = {"places_of": chooser.places}
         self.front = RequestFront(self.context, chooser, targets, NoQuarantine(), **more)
 
     def write(self, event) -> None:
@@ -273,12 +315,75 @@
 
     at_once, names, others, ran = run_virtual(scenario())
     assert at_once <= 2
-    # They go in the order in which they came; for the last ones one call at a time is too slow.
-    assert len(names) >= 3
+    # They go in the order in which they came.
+    assert len(names) >= 4
     assert names == ran == [f"r{number}" for number in range(len(names))]
     assert all(outcome.reason is NotRunReason.OVERLOADED for outcome in others)
 
 
+def test_a_call_that_waits_for_its_quarantine_holds_no_place():
+    async def scenario():
+        targets = FullTargets(4)
+        front = Front(targets, places=False)
+        front.front._quarantine = quarantine = HoldsFirst()
+        held = front.call("held", left_seconds=3.0)
+        await asyncio.sleep(0.01)
+        room = front.front._rooms._service(DESK).room
+        in_flight = room.limit.in_flight
+        quarantine.is_free.set()
+        await held
+        return in_flight, targets.ran, quarantine.claims_asked
+
+    assert run_virtual(scenario()) == (0, ["held"], [False, True])
+
+
+def test_a_call_without_room_claims_no_trial():
+    async def scenario():
+        targets = FullTargets(4, work_seconds=0.5)
+        front = Front(targets, places=False)
+        front.front._quarantine = quarantine = HoldsFirst()
+        quarantine.is_free.set()
+        tasks = await crowd(front, 30)
+        asked_before = len(quarantine.claims_asked)
+        await front.call("late", 5)
+        asked = quarantine.claims_asked[asked_before:]
+        for task in tasks:
+            task.cancel()
+        return asked
+
+    assert run_virtual(scenario()) == [False]
+
+
+@pytest.mark.parametrize(("others", "is_crowded"), [(0, False), (12, True)])
+def test_what_targets_tell_with_their_answers_moves_the_limit(others, is_crowded):
+    async def scenario():
+        targets = TellingTargets(6, others)
+        front = Front(targets, chooser_places=True)
+        targets.context = front.context
+        first_limit = front.front._rooms._service(DESK).room.limit.limit
+        for number in range(6):
+            await asyncio.gather(front.call(f"a{number}"), front.call(f"b{number}"))
+        return first_limit, front.front._rooms._service(DESK).room.limit.limit
+
+    first_limit, limit = run_virtual(scenario())
+    assert limit < first_limit if is_crowded else limit > first_limit
+
+
+def test_a_word_of_free_slots_lets_through_what_could_not_wait():
+    async def scenario(age_seconds: float):
+        targets = TellingTargets(6, 0)
+        front = Front(targets, chooser_places=True)
+        targets.context = front.context
+        await front.call("tells")
+        limit = front.front._rooms._service(DESK).room.limit
+        limit.limit = limit.in_flight = 1
+        await asyncio.sleep(age_seconds)
+        return (await front.call("urgent", 1, left_seconds=0.06)).outcome
+
+    assert isinstance(run_virtual(scenario(0.0)), TargetAnswer)
+    assert isinstance(run_virtual(scenario(0.2)), NotRun)
+
+
 def test_a_single_failure_is_repeated_and_many_are_not_multiplied():
     async def scenario(count: int):
         targets = FullTargets(1000)
--- a/rackswitch/gateway/quarantine/quarantine_keeper.py
+++ b/rackswitch/gateway/quarantine/quarantine_keeper.py
@@ -147,7 +147,10 @@
     # Runs of requests
 
     async def admit(
-        self, fingerprint_of: Callable[[], str], deadline_seconds: float
+        self,
+        fingerprint_of: Callable[[], str],
+        deadline_seconds: float,
+        may_claim: bool = True,
     ) -> RequestHeld | None:
         """Return why a request must not be sent to any target now; None if it may be.
 
@@ -157,6 +160,9 @@
             Returns the request's fingerprint; called only if any request is under suspicion.
         deadline_seconds : float
             How long to wait (monotonic) until it is known what became of other targets.
+        may_claim : bool
+            Whether the request is sent now, so that a trial is claimed if it needs one. Otherwise
+            it is to be asked for again as it is sent.
         """
         if not self.knows_any:
             return None
@@ -171,11 +177,12 @@
                     return self._held(fingerprint, PACED_PAUSE_SECONDS)
                 continue
             if fingerprint in self._given_back:
-                self._given_back.discard(fingerprint)
+                if may_claim:
+                    self._given_back.discard(fingerprint)
                 return None
             if isinstance(verdict, HeldBack):
                 return self._held(fingerprint, verdict.until_unix_seconds - now_unix_seconds)
-            if await self._claim(fingerprint, verdict):
+            if not may_claim or await self._claim(fingerprint, verdict):
                 return None
             return self._held(fingerprint, UNCLAIMED_PAUSE_SECONDS)
 
--- a/rackswitch/gateway/quarantine/tests/test_quarantine_runs.py
+++ b/rackswitch/gateway/quarantine/tests/test_quarantine_runs.py
@@ -1,6 +1,8 @@
 """Long seeded runs of a fleet under which targets end."""
 
+from contextvars import ContextVar
 from dataclasses import replace
+from typing import ClassVar
 
 import pytest
 
@@ -36,6 +38,31 @@
         return False
 
 
+IS_ASKED_FIRST = ContextVar("is_asked_first", default=False)
+
+
+class AskedTwice(QuarantineKeeper):
+    """Asked without a claim first, as for calls that still have to find room.
+
+    Attributes
+    ----------
+    claims : list of bool
+        Of each claim whether it was made by the first question.
+    """
+
+    claims: ClassVar[list[bool]] = []
+
+    async def admit(self, fingerprint_of, deadline_seconds, may_claim=True):
+        before = IS_ASKED_FIRST.set(True)
+        held = await super().admit(fingerprint_of, deadline_seconds, may_claim=False)
+        IS_ASKED_FIRST.reset(before)
+        return held or await super().admit(fingerprint_of, deadline_seconds)
+
+    async def _claim(self, fingerprint, due):
+        self.claims.append(IS_ASKED_FIRST.get())
+        return await super()._claim(fingerprint, due)
+
+
 def played(seed, kind=QuarantineKeeper):
     run = QuarantineRun(seed, kind)
     run_virtual(run.play(SECONDS))
@@ -51,6 +78,16 @@
     assert run.unserved == []
 
 
+def test_asking_first_whether_a_request_is_held_claims_nothing():
+    AskedTwice.claims.clear()
+    for seed in range(3):
+        run = played(seed, AskedTwice)
+        assert run.late_sends() <= MOST_TRIALS
+        assert run.unserved == []
+    assert AskedTwice.claims
+    assert not any(AskedTwice.claims)
+
+
 def test_daemons_that_tell_each_other_nothing_are_found_out():
     assert any(played(seed, Forgetful).late_sends() > MOST_TRIALS for seed in range(3))
 
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -45,7 +45,12 @@
     def not_run(self, fingerprint_of: Callable[[], str]) -> None:
         return
 
-    async def admit(self, fingerprint_of: Callable[[], str], deadline_seconds: float) -> None:
+    async def admit(
+        self,
+        fingerprint_of: Callable[[], str],
+        deadline_seconds: float,
+        may_claim: bool = True,
+    ) -> None:
         return
 
 
