--- a/rackswitch/gateway/jobs/held_claims.py
+++ b/rackswitch/gateway/jobs/held_claims.py
@@ -1,13 +1,12 @@
 """Claims of jobs whose state is at hand: one write that owns a job and lists what is ready."""
 
-from collections.abc import Awaitable, Callable
-
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_outcomes import JobNotStored
 from rackswitch.gateway.jobs.job_records import key_part
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
+from rackswitch.gateway.jobs.lease_writes import write_on_lease
 from rackswitch.gateway.jobs.owned_job import OwnedJob
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.jobs.result_appender import ResultAppender
@@ -17,9 +16,6 @@
 
 __all__ = ["HeldClaims"]
 
-LEASES_TRIED = 2
-"""A lease that is over shows by the first write on it."""
-
 RETRY_SECONDS = 0.15
 """Between two claims of a held job without an answer: what is ready is to be listed within 0.3 s of
 the service's return."""
@@ -105,10 +101,11 @@
         marker_revision = self._known.marker_revision(job_id)
         if not marker_revision and not fence:
             return None
-        claimed = await self._claim_on_lease(
+        claimed = await write_on_lease(
+            self._session,
             lambda lease_id: self._store.claim_held(
                 job_id, fence, marker_revision, lease_id, position, results
-            )
+            ),
         )
         if not isinstance(claimed, int):
             return None
@@ -131,28 +128,14 @@
         position : int or None
             Behind the last result that the owner told of; None if it may have listed more.
         """
-        claimed = await self._claim_on_lease(
-            lambda lease_id: self._store.claim_held(job_id, owner_revision, 0, lease_id, position)
+        claimed = await write_on_lease(
+            self._session,
+            lambda lease_id: self._store.claim_held(job_id, owner_revision, 0, lease_id, position),
         )
         if isinstance(claimed, int) and claimed:
             self._orphans.owned(key_part(job_id))
         return claimed
 
-    async def _claim_on_lease(
-        self, write: Callable[[int], Awaitable[int | JobNotStored]]
-    ) -> int | JobNotStored:
-        """Make a write on the session's lease, and once more on a new one if that is over."""
-        claimed: int | JobNotStored = JobNotStored("no session", effect_unknown=False)
-        for _ in range(LEASES_TRIED):
-            lease_id = await self._session.hold()
-            if lease_id is None:
-                return JobNotStored("no session with the key-value service", effect_unknown=False)
-            claimed = await write(lease_id)
-            if not isinstance(claimed, JobNotStored) or not claimed.lease_gone:
-                return claimed
-            self._session.over(lease_id)
-        return claimed
-
     async def settle(self, job_id: str) -> None:
         """Leave a job that another daemon owns, after a claim that was refused.
 
--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.jobs.job_records import JOBS_PREFIX, OWNERS_PREFIX, key_part, marker_of
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.known_jobs import JobOwner, KnownJobs
+from rackswitch.gateway.jobs.lease_writes import write_on_lease
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.store.session import Session
 from rackswitch.jobs import Job, JobCheckpoint, JobOrphans, order_jobs
@@ -187,7 +188,10 @@
         )
         if lease_id is None or isinstance(kept, KvUnavailable):
             return
-        claimed = await self._store.claim(job_id, marker_revision, lease_id, kept.revision)
+        claimed = await write_on_lease(
+            self._session,
+            lambda lease_id: self._store.claim(job_id, marker_revision, lease_id, kept.revision),
+        )
         if isinstance(claimed, JobNotStored):
             return
         if claimed == 0:
--- a/rackswitch/gateway/jobs/job_keeper.py
+++ b/rackswitch/gateway/jobs/job_keeper.py
@@ -17,6 +17,7 @@
 from rackswitch.gateway.jobs.job_records import OWNERS_PREFIX, JobMarker, key_part, marker_of
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
+from rackswitch.gateway.jobs.lease_writes import write_on_lease
 from rackswitch.gateway.jobs.owned_job import OwnedJob
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.jobs.result_appender import ResultAppender
@@ -150,10 +151,9 @@
         route = self._context.routes.find(job.host, job.path)
         if route is not None and self._context.policy.loads_asked:
             self._context.daemon.spawn(self._looks.look(route.choices[0].serves))
-        lease_id = await self._session.hold()
-        if lease_id is None:
-            return JobNotStored("no session with the key-value service", effect_unknown=False)
-        outcome = await self._store.create(job, lease_id)
+        outcome = await write_on_lease(
+            self._session, lambda lease_id: self._store.create(job, lease_id)
+        )
         if isinstance(outcome, JobCreated):
             self.known.created(marker_of(job), outcome.owner_revision)
             self._jobs.own(job, outcome.owner_revision, [])
