Soak: the platform's names come from its folder

Change: callers and trainers of the soak import the headers' names in place of spelling them. No behaviour changes; rackswitch/load is green.

--- a/rackswitch/load/soak_callers.py
+++ b/rackswitch/load/soak_callers.py
@@ -10,6 +10,7 @@
 
 from rackswitch.load.daemon_process import DaemonProcess, Life
 from rackswitch.load.soak_site import SoakSite, added_path
+from rackswitch.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER, STAMP_HEADER
 from rackswitch.standins.platform_fleet import HOST
 
 __all__ = ["CallSeen", "SoakCallers", "call_once"]
@@ -62,14 +63,14 @@
     body = f"body of {request_id}".encode()
     headers = {
         "Host": HOST,
-        "X-Rackswitch-Request-Id": request_id,
-        "X-Rackswitch-Deadline-Ms": str(DEADLINE_MS),
+        REQUEST_ID_HEADER: request_id,
+        DEADLINE_HEADER: str(DEADLINE_MS),
     }
     async with session.post(daemon.url + path, data=body, headers=headers) as answer:
         content = await answer.read()
     if answer.status != 200:
         return CallSeen(request_id, kind, answer.status, daemon.name, content.decode()[:80])
-    stamp = answer.headers.get("X-Rackswitch-Server-Stamp", "")
+    stamp = answer.headers.get(STAMP_HEADER, "")
     if content != b"answer to " + body or not stamp.endswith(f"-{request_id}"):
         foreign = f"foreign: {content[:60]!r} {stamp!r}"
         return CallSeen(request_id, kind, 200, daemon.name, foreign)
--- a/rackswitch/load/soak_trainer.py
+++ b/rackswitch/load/soak_trainer.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rackswitch.load.soak_site import SoakSite
+from rackswitch.platform.names import REQUEST_ID_HEADER, WAIT_HEADER
 from rackswitch.standins.platform_fleet import HOST, RESULTS_PATH, job_body
 
 __all__ = ["JobSeen", "SoakTrainer"]
@@ -165,9 +166,9 @@
         wait_ms: int = 0,
     ) -> tuple[int, bytes]:
         """Call any daemon; status 0 if that brought no answer."""
-        headers = {"Host": HOST, "X-Rackswitch-Wait-Ms": str(wait_ms)}
+        headers = {"Host": HOST, WAIT_HEADER: str(wait_ms)}
         if request_id:
-            headers["X-Rackswitch-Request-Id"] = request_id
+            headers[REQUEST_ID_HEADER] = request_id
         url = self._rng.choice(self._site.daemons).url + path
         try:
             async with session.request(method, url, data=body or None, headers=headers) as answer:
