Reading: comments and docs tell reasons in place of figures, fields and units in full

No behaviour changed: without docstrings, the syntax trees of all 41 changed modules are those of before.

--- a/rackswitch/admission/__init__.py
+++ b/rackswitch/admission/__init__.py
@@ -1,4 +1,7 @@
-"""Too little room at a service: who waits, who goes first, who is told to come back."""
+"""Too little room at a service: who waits, who goes first, who is told to come back.
+
+Room is what a service's targets can take now; a rank says who goes first, 0 before all others.
+"""
 
 from rackswitch.admission.refusals import *  # noqa: F403
 from rackswitch.admission.refusals import __all__ as _refusals_all
--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -18,50 +18,55 @@
 """Calls at once before anything is known of a service."""
 
 LEAST_LIMIT = 0.1
+"""Calls at once; above 0, so that a daemon never stops trying."""
+
 MOST_LIMIT = 256.0
+"""Calls at once."""
 
 SPACED_BELOW = 1.0
 """Below it calls are spaced out; from it on they are counted."""
 
 QUEUE_SHARE = 0.5
-"""Waiting calls for each slot of a target that are taken for a queue: fewer only keep it busy."""
+"""Waiting calls a slot of a target: more count as a queue, fewer only keep its slots busy."""
 
 FREE_SHARE = 0.5
-"""A target with so little of its slots taken has room for much more than now."""
+"""A target with at most this share of its slots taken, and no queue, counts as half free."""
 
 RAISE_CALLS_PER_SECOND = 1.0
-"""Added while answers come without a queue. It goes by time and not by answers, so that daemons
-with low limits rise as fast as others and all come to the same."""
+"""Added to the limit while answers come without a queue. By time and not for each answer, so that
+daemons with low limits rise as fast as others and all come to the same limit."""
 
 MOST_RAISE_SECONDS = 0.5
-"""Time between two answers that counts for that; longer ones show nothing of what was between."""
+"""Most time between two answers that raises the limit; of a longer pause nothing is known."""
 
 RAISE_FACTOR = 1.5
-"""Applied for an answer of a target that is half free."""
+"""The limit is multiplied by it for an answer of a target that is half free."""
 
 LOWER_FACTOR = 0.92
-"""Applied for an answer out of a queue."""
+"""The limit is multiplied by it for an answer of a target that has a queue."""
 
 REFUSED_FACTOR = 0.5
-"""Applied for a refusal: the queue behind the slots is full too."""
+"""The limit is multiplied by it for a refusal: the queue behind the slots is full too."""
 
 IN_USE_SHARE = 0.5
-"""Of a limit that counts calls: below it the limit is no reason why there are not more."""
+"""With less than this share of a limit of 1 or more in use, it is not the limit that holds calls
+back, so answers say nothing of whether it may rise."""
 
 CLOSED_SHARE = 0.5
-"""Of a usual call's time: so long nothing follows after a refusal, until some call has ended."""
+"""After a refusal nothing is sent for this share of a usual call's time, so that some call may have
+ended by then."""
 
 MOST_CLOSED_SECONDS = 0.25
-"""For calls that take long, of which another one may end sooner."""
+"""Most of that pause: where calls take long, one of another daemon may end sooner."""
 
 FADE_SECONDS = 1.0
-"""After so long without a sign of a queue at most one call at a time is worth waiting for."""
+"""After so long without a queue or refusal a limit below one goes back to one."""
 
 CREDIT_SECONDS = 0.1
-"""Work that may be saved up while calls are spaced out; a caller's usual work or some more."""
+"""Most work that may be saved up while calls are spaced out: about one or two usual calls."""
 
 BORROWED_CALLS = 5.0
-"""Calls of the first rank that go ahead of their spacing, to the debit of those after them."""
+"""Calls of the first rank that may go ahead of their spacing; later calls wait longer for that."""
 
 
 @dataclass(slots=True)
@@ -115,11 +120,11 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether less than half of what may be there is."""
+        """Whether less than half of a limit of one or more is in use."""
         return self.limit >= SPACED_BELOW and self.in_flight < IN_USE_SHARE * self.limit
 
     def _was_in_use(self) -> bool:
-        """Return whether half of what may be there was, with the call that has just ended."""
+        """Return whether half of the limit was in use, with the call that has just ended."""
         return self.limit < SPACED_BELOW or self.in_flight + 1 >= IN_USE_SHARE * self.limit
 
     def free_at_seconds(self, work_seconds: float, now_seconds: float) -> float:
--- a/rackswitch/admission/fair_queue.py
+++ b/rackswitch/admission/fair_queue.py
@@ -23,6 +23,8 @@
 
     Attributes
     ----------
+    calls : list of (bool, float, int, CallWant)
+        A heap: whether it is new (not back), its deadline, its number, the call.
     deficit_seconds : float
         Work that its turns have earned and its calls not yet used.
     """
@@ -68,8 +70,8 @@
     def ahead_of(self, want: CallWant) -> int:
         """Return how many waiting calls would go before a new one.
 
-        Of its own tenant all that have less time left, of each other tenant no more than so many
-        turns; before a newcomer all that are back.
+        Of its own tenant, all that have less time left. Of each other tenant at most as many as
+        that and one more, as tenants take turns. Calls that are back all go before a newcomer.
         """
         place = (not want.is_back, want.deadline_seconds)
         own = sum(entry[:2] <= place for entry in self._alive(want.tenant))
--- a/rackswitch/admission/returns.py
+++ b/rackswitch/admission/returns.py
@@ -9,10 +9,10 @@
 __all__ = ["UsualPatience"]
 
 BACK_SHARE = 0.9
-"""Of the usual time at first: who has less left has been elsewhere before."""
+"""A caller with less left than this share of the usual time at first has been refused before."""
 
 PATIENCE_SMOOTHING = 0.02
-"""How fast a shorter time becomes the usual one, for callers that begin to wait less."""
+"""Weight of one shorter time in the usual one, which so follows callers that begin to wait less."""
 
 
 @dataclass(slots=True)
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -1,4 +1,7 @@
-"""One daemon's decisions about one service: send now, wait, or refuse."""
+"""One daemon's decisions about one service: send now, wait, or refuse.
+
+A target's word is its last statement about its own load (`rackswitch.routing.load_words`).
+"""
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
@@ -33,14 +36,15 @@
 """The same for calls that better ranks may still overtake."""
 
 FIRST_RANK_CALLS = 0.5
-"""Calls of a better rank, older ones counting less, by which another one is not the first."""
+"""A rank counts as the first unless a better one asked for more than this many usual calls lately
+(older ones counting less)."""
 
 FRESH_WORD_SECONDS = 0.05
-"""How long a word of free slots holds: others have taken them after a call's time."""
+"""How old a word of free slots may be: after about a call's time others have taken them."""
 
 FREE_SHARE = 0.5
-"""Of a target's slots: fewer free ones are gaps between the calls of all daemons, and who took
-them beyond its limit would take them from those that go first."""
+"""Part of a target's slots that has to be free to send beyond the limit. Fewer free ones are gaps
+between the calls of all daemons, and using them would take them from better ranks."""
 
 RoomDecision = SendCall | WaitForRoom | RefuseCall
 
@@ -100,7 +104,7 @@
         if cause is None:
             return WaitForRoom(self.room.add(want), wait_seconds)
         if has_room_to_spare(places):
-            # Nobody else uses what is free to such an extent.
+            # With half a target free, this takes room from nobody.
             return self._send(want, now_seconds)
         self._refused(want, cause, now_seconds)
         return RefuseCall(cause, wait_seconds)
--- a/rackswitch/admission/shares.py
+++ b/rackswitch/admission/shares.py
@@ -15,37 +15,46 @@
 __all__ = ["MEMORY_SECONDS", "DecayingRate", "TenantShares", "fair_rate"]
 
 MEMORY_SECONDS = 20.0
-"""Over which rates are taken: one daemon sees a small tenant's calls seconds apart."""
+"""Span of the rates; long, as one daemon sees a small tenant's calls seconds apart."""
 
 MOST_TENANTS = 1024
-"""Whose rates are kept; the least are forgotten first."""
-
+"""Tenants whose rates are kept; those with the least are forgotten first."""
 
 LOWER_FACTOR = 0.8
-"""Applied to the room that is shared out when a call found none."""
+"""`TenantShares.room_share` is multiplied by it when a call within its share found no room."""
 
 OPEN_FACTOR = 1.25
-"""Applied to it when a call was refused though the daemon's limit lay idle."""
+"""It is multiplied by this when a call beyond its share comes while the limit is idle
+(`ConcurrencyLimit.is_idle`)."""
 
 MOMENT_SECONDS = 0.05
-"""Refusals so close to each other have one reason."""
+"""Refusals so close to each other lower it only once: they have one reason."""
 
 ALONE_FACTOR = 1.05
-"""Who wants nearly all that is wanted takes nothing from others."""
+"""A tenant is alone, and is not cut, if all together want at most this many times what it wants."""
 
 LEAST_ROOM_SHARE = 0.05
-"""So that it can grow again."""
+"""Least `room_share`, so that it can grow again."""
 
 RAISE_FACTOR = 1.02
-"""Applied to it when a call was sent: one call in ten may find no room before shares are cut."""
+"""It is multiplied by this when a call is sent. Against `LOWER_FACTOR`: it falls only if more than
+about one call in ten finds no room."""
 
 RAISE_SHARE_PER_SECOND = 0.1
-"""How fast that room is taken for larger again: twice in some seconds."""
+"""How fast `room_share` grows by time alone: exponentially, doubling in about seven seconds."""
 
 
 @dataclass(slots=True)
 class DecayingRate:
-    """Amount a second over the last seconds, older ones counting less."""
+    """Amount a second over the last seconds, older ones counting less.
+
+    Attributes
+    ----------
+    total : float
+        Sum of the amounts, each decayed over `MEMORY_SECONDS` until `at_seconds`.
+    at_seconds : float
+        Until when it has decayed (monotonic).
+    """
 
     total: float = 0.0
     at_seconds: float = 0.0
@@ -97,6 +106,8 @@
 
     Attributes
     ----------
+    wanted, served : dict of str to DecayingRate
+        By tenant, the work asked for and the work sent, in seconds of work a second.
     room_share : float
         Part of what is wanted that there is room for; 1 while there is enough for all.
     """
@@ -129,7 +140,7 @@
         self.room_share = min(1.0, self.room_share * OPEN_FACTOR)
 
     def pass_share(self, tenant: str, now_seconds: float) -> float:
-        """Return the share of a tenant's calls that the fair rate lets through."""
+        """Return the share of a tenant's calls that the fair rate lets through, in [0, 1]."""
         self._raise_room(now_seconds)
         own = self._rate(self.wanted, tenant, now_seconds).per_second(now_seconds)
         wanted = [rate.per_second(now_seconds) for rate in self.wanted.values()]
--- a/rackswitch/admission/waiting_room.py
+++ b/rackswitch/admission/waiting_room.py
@@ -8,14 +8,14 @@
 __all__ = ["MOST_PASSED", "WaitingRoom"]
 
 MOST_CALLS = 256
-"""More would wait longer than any caller does before some tens of places."""
+"""Calls that wait; behind more of them a call would be out of time before its turn."""
 
 MOST_BYTES = 64 * 1024 * 1024
-"""Bodies kept in memory, of all waiting calls; a quarter of what a daemon may use."""
+"""Bodies of all waiting calls together, which are kept in memory."""
 
 MOST_PASSED = 16
-"""Calls of better ranks that go before a rank that wants room, until one of its own goes. A
-seventeenth of the room keeps the calls of a last rank moving, and costs the first rank little."""
+"""Most calls of better ranks that go before one call of a rank that wants room: about one call in
+seventeen keeps a last rank moving, and costs the first rank little."""
 
 
 @dataclass(slots=True)
@@ -24,6 +24,8 @@
 
     Attributes
     ----------
+    queue : FairQueue
+        Those that wait.
     passed : int
         Calls of better ranks that went while this rank wanted room.
     wants_room : bool
--- a/rackswitch/admission/wants.py
+++ b/rackswitch/admission/wants.py
@@ -32,7 +32,7 @@
     kind : str
         Calls of one kind (a route) take about the same work.
     tenant : str
-        Who shares with others; empty where nobody is known.
+        Whose call it is, for fair shares; empty where that is not known.
     rank : int
         0 goes first.
     body_bytes : int
@@ -72,7 +72,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """What a waiting call is known by."""
+    """What a waiting call is known by.
+
+    Attributes
+    ----------
+    rank : int
+        Its rank, 0 first.
+    number : int
+        Its number among the calls of that rank.
+    """
 
     rank: int
     number: int
@@ -100,6 +108,8 @@
 
     Attributes
     ----------
+    cause : RefusalCause
+        Why.
     wait_seconds : float
         How long it would probably have waited.
     """
--- a/rackswitch/gateway/callers/call_rooms.py
+++ b/rackswitch/gateway/callers/call_rooms.py
@@ -1,4 +1,7 @@
-"""Carrying out who waits for room at a service, who goes and who is refused."""
+"""Carrying out who waits for room at a service, who goes and who is refused.
+
+A word is a target's statement about its own load (`rackswitch.routing.load_words`).
+"""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -31,12 +34,12 @@
 """Tenants in one line, those with the largest shares."""
 
 PlacesOf = Callable[[str], Sequence[Place]]
-"""Returns what is believed of a service's targets; nothing if nothing is known."""
+"""From a service's name to what is believed of its targets; empty if nothing is known."""
 
 
 @dataclass(frozen=True, slots=True)
 class NoTarget:
-    """While a call waited its service's last target went."""
+    """The service's last target went while the call waited."""
 
 
 Turn = SendCall | RefuseCall | NoTarget
@@ -44,7 +47,19 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """A call that waits, and how it is told that it need not any more."""
+    """A call that waits.
+
+    Attributes
+    ----------
+    want : CallWant
+        What it asks for.
+    expected_seconds : float
+        How long it would probably wait, when it began to.
+    since_seconds : float
+        When it began to (monotonic).
+    turn : Future of Turn
+        What is decided at last.
+    """
 
     want: CallWant
     expected_seconds: float
--- a/rackswitch/gateway/callers/request_front.py
+++ b/rackswitch/gateway/callers/request_front.py
@@ -64,8 +64,14 @@
 
     Attributes
     ----------
+    outcome : FrontOutcome
+        The answer, or why there is none.
+    attempts : int
+        How often it was sent.
     failures : int
         Answers of 500, by which targets themselves said that they had failed.
+    target : ListedTarget or None
+        Whose answer it is.
     place : Place or None
         What was believed of the answering target as it was chosen; None if its service tells
         no pace.
@@ -256,18 +262,18 @@
         if target is None:
             return None
         if serving.want is not None:
-            # Who is held back waits for that without a place at the service.
+            # A request that the quarantine holds back must not take up room at the service.
             held = await self._held(serving, may_claim=False)
             if held is not None:
                 return held.refusal
             refused = await self._enter(serving, serving.want)
             if refused is not None or not serving.is_in:
                 return refused if isinstance(refused, NotRun) else None
-            # Who had to wait chooses by what is known now.
+            # The call may have waited: choose by what is known now.
             target = self._pick(serving.service, serving.log, serving.deadline_seconds)
             if target is None:
                 return None
-        # Asked last: it may claim a trial, which has to be made then.
+        # Asked last: this may claim a trial of the request, which must then really be sent.
         held = await self._held(serving, may_claim=True)
         return target if held is None else held.refusal
 
@@ -317,7 +323,7 @@
             refused = await self._rooms.enter_again(serving.service, want)
         serving.is_in = refused is None
         if isinstance(refused, NotRun) and serving.log.may_have_run:
-            # An earlier attempt may have run: no refusal would be true.
+            # An earlier attempt may have run, so the caller must not be told that none has.
             return NoTarget()
         return refused
 
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -20,7 +20,7 @@
 """Calls of plain services are short and alike, and a new connection costs more than a queue."""
 
 POLICY_BY_WORDS = "nearly_best"
-"""For services whose targets tell how long work takes there."""
+"""For services whose targets tell their pace, how long work takes there against usual."""
 
 CONNECT_SECONDS = 0.001
 """What a new connection takes besides one more way there and back."""
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -66,13 +66,13 @@
 PROGRESS_SECONDS = 1.0
 """A run that has brought pieces for so long is not what its engine ended under: a request that
 ends engines does so as it begins, some 0.1 s after it was sent. One that does so later in its text
-begins there at the next engine. Half of all runs take less."""
+begins there at the next engine."""
 
 ENDS_WITHOUT_RUN = (ItemRunEnd.NOT_RUN, ItemRunEnd.NOT_THERE)
 
 ADMISSION_PATIENCE_SECONDS = 1.0
-"""How long an item waits to learn what became of engines where it broke, which takes 0.4 s; the
-room at its engine is kept for it meanwhile."""
+"""How long an item waits to learn what became of engines where it broke; the room at its engine
+is kept for it meanwhile."""
 
 
 class ItemRunner:
@@ -259,9 +259,8 @@
     ) -> str:
         """Tell how a run ended; return the item's fingerprint if the run broke.
 
-        An item that never reached its engine was not present at the engine's end: counted so, it
-        was soon held back for the ends of all engines that it could not be sent to, and a day of
-        engines that were back after a while was worth 0.62 in place of 0.92.
+        An item that never reached its engine was not present at the engine's end. Counted as
+        present, it would soon be held back for the ends of engines that it was never sent to.
         """
         fingerprint_of = partial(item_fingerprint, job, item)
         if ended.end in ENDS_WITH_ANSWER:
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -103,7 +103,7 @@
             self._score_restored(owned)
         waiting = any(ledger.waiting(now_seconds) for ledger in ledgers)
         if policy.room_shared:
-            # A place in a queue is none to move a run to.
+            # A run is not moved to an engine where it would have to queue.
             rooms = [
                 room for room in rooms if room.service not in sharing or room.runs < room.slots
             ]
@@ -173,9 +173,10 @@
         occupancy, own_runs = self._runner.occupancy, self._runner.own_runs
         own = occupancy.own.get(listed.instance, 0)
         others = occupancy.others_last(listed.instance)
-        # Of an engine that tells nothing of its load, its owners take all slots each.
+        # Where an engine tells nothing of its load, each owner counts all its slots as its own.
         is_room_shared = is_shared and self._context.policy.room_shared and others is not None
-        # An idle engine says nothing: by an old word it is full for new runs, but not for moves.
+        # An engine without requests sends no words, so its last one may be old. For new runs that
+        # one counts however old it is; for moves it fades.
         others_new = occupancy.others(listed.instance, now_seconds)
         room = free_room(
             slots,
--- a/rackswitch/gateway/items/leave_watch.py
+++ b/rackswitch/gateway/items/leave_watch.py
@@ -26,6 +26,20 @@
 
 @dataclass(frozen=True, slots=True)
 class _Reserved:
+    """A slot kept at an engine for a run that goes on there.
+
+    Attributes
+    ----------
+    run, run_number : OwnRun, int
+        The run that was ended, and its number among its item's.
+    instance : str
+        The engine that has the slot.
+    tokens : float
+        Memory that is kept with it.
+    until_seconds : float
+        How long it is kept (monotonic).
+    """
+
     run: OwnRun
     run_number: int
     instance: str
@@ -106,7 +120,8 @@
                 continue
             instance = run.instance
             listed = self._context.directory.entries.get(instance)
-            # An engine may also go without a word: its entry is gone, and it serves as long.
+            # An engine may also leave without a notice: its entry is gone, and it still serves for
+            # the time that any engine must after a notice.
             if listed is not None and listed.start == start and not listed.draining:
                 continue
             leaving.add(start)
--- a/rackswitch/gateway/jobs/job_checkpoints.py
+++ b/rackswitch/gateway/jobs/job_checkpoints.py
@@ -38,9 +38,9 @@
 """How long the cancelled runs of a job that is handed over may take to let their engines go."""
 
 PROOF_PATIENCE_SECONDS = 0.6
-"""How long texts that were left wait for the proof that nobody runs them any more: all processes
-of a fleet start within some 0.3 s, and a session takes another 0.1 s. Made again at once, a long
-text loses seconds (14 of 180 take-overs on 30 days)."""
+"""How long texts that were left wait for the proof that nobody runs them any more: enough for a
+fleet that starts at once to learn of each other's new processes. An item that starts without the
+proof makes its text again from the beginning."""
 
 PROOF_LOOK_SECONDS = 0.05
 """Between looks for that proof; a tick of the keeper that starts items."""
--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -19,7 +19,8 @@
 __all__ = ["JobClaims"]
 
 ADOPT_AFTER_SECONDS = 0.5
-"""How long an answer may lag behind the watch that shows what was written."""
+"""How long after the watch has shown a claim's write its answer may still come; later it is taken
+for lost."""
 
 RETURN_SECONDS = 1.0
 """How long after the service's return a daemon that saw no owner waits for one that lives."""
@@ -264,14 +265,14 @@
         await asyncio.sleep(ADOPT_AFTER_SECONDS)
         owner = self._known.owner(name)
         if owner is None or owner.revision != owner_revision:
-            # It was a predecessor's, whose lease has ended meanwhile.
+            # The key was an earlier process's of this daemon, and has gone with its lease.
             return
         for job_id, known in list(self._known.jobs.items()):
             if key_part(job_id) != name or known.marker.ended or job_id in self._jobs.arriving:
                 continue
             held = self._jobs.by_id.get(job_id)
             if held is None:
-                # What a former owner had kept went with the claim that was not answered.
+                # The unanswered claim took the former owner's checkpoint away.
                 await self._load(job_id, owner_revision, None)
             elif held.owner_revision < owner_revision:
                 held.claimed(owner_revision, is_behind=True)
--- a/rackswitch/gateway/jobs/job_placer.py
+++ b/rackswitch/gateway/jobs/job_placer.py
@@ -19,8 +19,8 @@
 __all__ = ["JobPlacer", "TakenJobs"]
 
 TAKE_PATIENCE_SECONDS = 0.6
-"""How long another daemon may take to keep a job: some 15 ms on a calm day, and two calls of a
-service that is slow. One that does not answer is mostly dead, which shows at once."""
+"""How long another daemon may take to keep a job: two calls of a slow key-value service. One that
+is dead mostly refuses the connection at once."""
 
 MOST_PASSED_BYTES = 2_000_000
 """Larger jobs stay where they came: passing one on takes longer than it gains."""
@@ -70,8 +70,8 @@
     def _owner(self, job: Job) -> str:
         """Return who should own a job; this daemon while the service does not answer it.
 
-        Others probably get no answer either, and asking one costs its patience: in an outage of
-        6.8 s each try of a job was held for 0.6 s longer, and was answered 504 in place of 503.
+        Others probably get no answer either. Asking one would hold the submitter for
+        `TAKE_PATIENCE_SECONDS`, and leave it without word of whether the job was taken.
         """
         if not self._context.policy.jobs_gathered or self._context.contact.is_away:
             return self._context.daemon_name
--- a/rackswitch/gateway/jobs/job_reader.py
+++ b/rackswitch/gateway/jobs/job_reader.py
@@ -199,8 +199,7 @@
         """Return results as the service keeps them.
 
         The write that ends a job takes its owner's right to append away, so that what is read after
-        it is final. Reading the end of such a job again and again was a part of the 226 readings of
-        results that 42 jobs of a calm minute cost a fleet of 15 daemons.
+        it is final and need not be read from the service again.
         """
         while True:
             cached = self._cached.get(marker.job_id, [])
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -72,7 +72,7 @@
 
 
 def read_policy(path: str = POLICY_FILE) -> PolicySettings | SettingsFault:
-    """Read and check the switches; all are on if there is no such file.
+    """Read and check the switches; the defaults hold if there is no such file.
 
     Parameters
     ----------
--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -19,8 +19,8 @@
 for the service's return gains less than half of it by asking more often."""
 
 GATHER_SECONDS = 0.05
-"""How long changes are gathered before the next question: a fleet of 165 daemons that starts
-writes as many entries within half a second, each of which would be a call of its own."""
+"""How long changes are gathered before the next question: a fleet that starts at once writes an
+entry for each daemon, each of which would be a call of its own."""
 
 RETURN_PATIENCE_SECONDS = 0.4
 """How long after the service's return the root's word may take to reach everybody; who watches
--- a/rackswitch/jobs/engine_memory.py
+++ b/rackswitch/jobs/engine_memory.py
@@ -46,6 +46,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Used:
+    """What others' runs held of an engine, and until when that counts (monotonic)."""
+
     others_tokens: float
     until_seconds: float
 
@@ -71,7 +73,7 @@
         own_tokens: float,
         now_seconds: float,
     ) -> None:
-        """Take in an engine's word.
+        """Take in an engine's word, its statement about its own load.
 
         Parameters
         ----------
--- a/rackswitch/jobs/hand_over.py
+++ b/rackswitch/jobs/hand_over.py
@@ -1,7 +1,7 @@
 """Who goes on with the jobs of an owner that stops.
 
-Load it answers: engines are full while daemons are stopped in turn, so that a job may have to move
-several times, and each move must cost no text and next to no time.
+While daemons are stopped in turn a job may have to move several times. Engines are full then, so
+that no move may lose text or much time.
 """
 
 from collections.abc import Iterable
--- a/rackswitch/jobs/leaving.py
+++ b/rackswitch/jobs/leaving.py
@@ -12,12 +12,12 @@
 __all__ = ["LeavingEngines", "LeavingRun", "runs_to_move"]
 
 LAST_PIECE_MARGIN_SECONDS = 0.2
-"""So much before its engine's end a run must be whole to be left there: forecasts of a text's end
-are off by some pieces, and engines' clocks by as much."""
+"""A run stays only if it is whole at least this long before its engine's end: the forecast of its
+end may be off by some pieces, and the engine's clock by as much."""
 
 LEAST_REMAINING_SECONDS = 0.2
-"""A run that lacks less than that stays whatever its engine's time: going on elsewhere, it would
-read its prompt and text once more and wait for a place in a batch for as long."""
+"""A run that lacks less than this stays whenever its engine ends: elsewhere, to read its prompt and
+text anew and get a place in a batch would take as long."""
 
 
 @dataclass(slots=True)
--- a/rackswitch/jobs/own_runs.py
+++ b/rackswitch/jobs/own_runs.py
@@ -8,8 +8,8 @@
 __all__ = ["BEGIN_PATIENCE_SECONDS", "OwnRun", "OwnRuns"]
 
 BEGIN_PATIENCE_SECONDS = 0.1
-"""An engine with a free slot begins a run within that: a connection, a prompt of some thousand
-tokens and the first piece. One that has not begun by then is in the engine's queue."""
+"""Within this time an engine with a free slot takes the connection, reads the prompt and brings the
+first piece. A run without a piece by then is taken to be in the engine's queue."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,8 +18,12 @@
 
     Attributes
     ----------
+    ledger : JobLedger
+        The job that its item is of.
+    progress : ItemProgress
+        The item, with its text so far.
     instance, start : str
-        The engine, and which start of it.
+        The engine, and which start of it (`ListedTarget.start`).
     sent_at_seconds : float
         When it was sent (monotonic).
     pieces_before : int
--- a/rackswitch/jobs/placement.py
+++ b/rackswitch/jobs/placement.py
@@ -12,16 +12,16 @@
 __all__ = ["OwnerCandidate", "OwnerChoice"]
 
 ITEMS_A_SHARE = 1200.0
-"""Open items that a daemon takes for each whole processor it has. Two trainers' open steps, 528
-items, lay with daemons of half a processor on a calm day of the larger fleet."""
+"""Open items that a daemon takes for each whole processor it has, so that one with half a
+processor still holds the open steps of two trainers."""
 
 LEAST_ITEMS = 600.0
 """What is taken by a daemon that does not tell its room: as one with half a processor."""
 
 WARM_SECONDS = 9.0
 """How long after a job came its owner still has the connections of its items: as long as the users'
-engines let them rest. A trainer whose short steps end before it asks for the next had 12 owners for
-16 steps on a day of 64 daemons, each with connections of its own."""
+engines let them rest. Else a trainer whose short steps end before it asks for the next would have a
+new owner for most steps, each with connections of its own."""
 
 AVOID_SECONDS = 3.0
 """How long no jobs are sent to a daemon that did not take one."""
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -61,12 +61,14 @@
     versions : dict of str to int
         The weights it has, by model; items that need newer ones do not go there.
     place : Place or None
-        What a place there is worth by what it tells, in place of `runs` and `seconds_per_piece`;
-        None if its service tells no pace.
+        What one more run may expect there by what the engine tells. Where it is given, the pace
+        is taken from it and not from `runs` and `seconds_per_piece`; None if its service tells
+        no pace.
     run_seconds : float
-        How long a run takes at a usual pace, for those that wait before another.
+        How long a whole run usually takes at pace 1; used for the wait behind other runs.
     free_tokens : float
-        Memory for what the runs that begin there will hold; infinite if it is not known.
+        Memory, in tokens, for runs yet to begin there, each counted as it will be at its end;
+        infinite if it is not known.
     """
 
     instance: str
@@ -111,7 +113,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemStart:
-    """An item to be started at an engine."""
+    """An item to be started at an engine.
+
+    Attributes
+    ----------
+    ledger : JobLedger
+        Its job.
+    progress : ItemProgress
+        The item, with its text so far.
+    instance : str
+        The engine.
+    """
 
     ledger: JobLedger
     progress: ItemProgress
@@ -119,7 +131,7 @@
 
 
 class ItemOrder(Protocol):
-    """In which order items start."""
+    """The order in which items start."""
 
     def key(self, ledger: JobLedger, progress: ItemProgress) -> Any:
         """Return an item's place; the least goes first."""
--- a/rackswitch/jobs/urgency.py
+++ b/rackswitch/jobs/urgency.py
@@ -9,9 +9,10 @@
 __all__ = ["MIDDLE_URGENCY", "urgency_levels", "urgency_of"]
 
 MIDDLE_URGENCY = 5
-"""What a run without any word of its urgency has."""
+"""Level that engines give to a request that names none."""
 
 MOST_URGENT, LEAST_URGENT = 0, 9
+"""The range of levels that engines know."""
 
 TIGHT_SECONDS = 1.0
 """An item with less slack than that is late after one wait in a full engine's queue."""
@@ -21,7 +22,8 @@
 to being late."""
 
 LAST_PLACE = 2 * SURPLUS + 1
-"""Two places a grade: one for the first rank, one behind it for all others."""
+"""The last place, counted from 0. Each grade has two: one for the first rank, one behind it for all
+others."""
 
 
 def urgency_levels(rank: int, call_ranks: Collection[int]) -> tuple[int, int]:
--- a/rackswitch/load/daemon_process.py
+++ b/rackswitch/load/daemon_process.py
@@ -20,8 +20,10 @@
 """The same at each daemon, since each has a loopback address of its own."""
 
 GRACE_SECONDS = 8.0
+"""How long a process that was asked to stop may take before it is killed."""
+
 START_PATIENCE_SECONDS = 20.0
-"""A start takes about 1 s of processor time."""
+"""How long a process may take until it listens, also on a busy machine."""
 
 POLL_SECONDS = 0.05
 
--- a/rackswitch/load/soak.py
+++ b/rackswitch/load/soak.py
@@ -23,15 +23,17 @@
 
 TRAINERS = 2
 FAULT_PAUSE_SECONDS = (0.1, 1.2)
+"""Shortest and longest pause before the next fault begins."""
+
 MOST_FAULTS_AT_ONCE = 4
 CHECK_SECONDS = 0.5
 POLL_SECONDS = 0.1
 READY_SECONDS = 15.0
 SERVED_AGAIN_SECONDS = 10.0
-"""Calls, and the newest table, "within seconds" of the last fault's end."""
+"""After the last fault's end, until when each daemon must serve calls by the newest table."""
 
 JOBS_WHOLE_SECONDS = 30.0
-"""Jobs, some of which may first be taken over from a daemon that died."""
+"""After it, until when all jobs must be whole; some must first be taken over from a dead daemon."""
 
 MOST_SHOWN = 20
 
--- a/rackswitch/platform/answers.py
+++ b/rackswitch/platform/answers.py
@@ -54,9 +54,8 @@
 async def release_or_close(answer: aiohttp.ClientResponse, request_id: str) -> None:
     """Keep the connection of an answer by which its target itself refused, or close it.
 
-    What may still come on any other connection belongs to nobody. To be called within the time
-    limit of the call. On a calm day of 165 daemons engines refused 645 of 2,313 runs, and each
-    refusal cost a connection.
+    Busy engines refuse often, and each refusal would else cost a connection. What may still come
+    on any other connection belongs to nobody. To be called within the time limit of the call.
     """
     fault = refusal_or_fault(answer, request_id)
     refused = fault is not None and not fault.may_have_run
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -28,9 +28,7 @@
 
 CLOSING_MARGIN_SECONDS = 1.0
 """How much earlier than the targets this daemon closes: they tell whole seconds, and a request
-takes its time to arrive. Kept for 9 s of the 10 s that engines told, in place of 4 s, an owner's
-runs and reward calls open 0.31 in place of 0.47 connections each (945 of them on a calm day of
-16 daemons, replayed from its logs)."""
+takes its time to arrive. A larger margin would open more new connections."""
 
 KEEP_ALIVE_SECONDS = re.compile(r"timeout=(\d{1,4})")
 
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -197,9 +197,8 @@
     """Return whether a stream that ended in order has brought the whole text.
 
     A run that broke off right behind its last event is gone on with to no avail: the engine
-    answers without a version and without an event. Taken for a broken run, such an item was
-    tried until its step was given up: 157 runs of one item in a day of 34 s, a step lost and
-    the two after it 5 s late.
+    answers without a version and without an event. Taken for a broken run, such an item would be
+    tried until its step is given up.
     """
     if not parser.is_between_events:
         # An engine that stops may end its answer in order, but inside an event.
--- a/rackswitch/platform/load_words.py
+++ b/rackswitch/platform/load_words.py
@@ -1,4 +1,8 @@
-"""Reading what targets say of their own load."""
+"""Reading what targets say of their own load.
+
+The header holds whole numbers with commas between them: requests running, requests waiting, slots,
+and at some services the pace in percent of the usual time.
+"""
 
 from collections.abc import Mapping
 
@@ -8,14 +12,19 @@
 __all__ = ["load_word_of"]
 
 LEAST_FIGURES = 3
+"""Running, waiting, slots; with fewer there is no word."""
+
 PACE_FIGURE = 3
+"""Index of the pace, if there is one."""
+
 USUAL_PERCENT = 100
+"""The pace of a target at which work takes its usual time."""
 
 MOST_PERCENT = 100_000
-"""A target a thousand times slower than usual is one that counts wrongly."""
+"""A pace over this, a thousand times slower than usual, is taken for an error of the target."""
 
 MOST_DIGITS = 9
-"""Longer figures are nonsense, and costly to read."""
+"""Longer numbers are no counts, and would be costly to convert."""
 
 
 def load_word_of(headers: Mapping[str, str], now_seconds: float) -> LoadWord | None:
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -28,7 +28,7 @@
 
     Anybody may write under the prefix. What lacks a field that is needed to use a target, or has
     one of another type or out of its range, names none: taken for a target, it would get requests
-    that nobody answers (15 of 37 odd entries were). Fields that are not known are passed over.
+    that nobody answers. Fields that are not known are passed over.
     """
 
     service: Name
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -25,7 +25,7 @@
     Attributes
     ----------
     instance : str
-        Identity of one start of the target; a restart has another.
+        Identity of the target. Some keep it over a restart; `start` tells their starts apart.
     draining : bool
         Whether it is leaving and must get no new work.
     versions : dict of str to int
@@ -35,7 +35,8 @@
     started_at_unix_ms : int
         When it started; 0 if it does not say.
     leaving_in_seconds : float or None
-        How much longer it was there when it wrote this; None if it does not leave or say.
+        How long it would still be there, told when it wrote its entry; None if it does not leave
+        or does not say.
     """
 
     instance: str
@@ -52,7 +53,7 @@
 
     @property
     def start(self) -> str:
-        """Which start of the target this is: one may come back under the same identity."""
+        """Key of this start, as INSTANCE@START_MS: a target may come back under its identity."""
         return f"{self.instance}@{self.started_at_unix_ms}"
 
     @property
--- a/rackswitch/routing/load_picture.py
+++ b/rackswitch/routing/load_picture.py
@@ -1,7 +1,11 @@
 """What one daemon believes of the load of each target.
 
-Words of targets, own sends and ends, the times of own requests and refusals come in with their
-time; what comes out are places, which `rackswitch.routing.placing` chooses among.
+A word is a target's statement about its own load (`LoadWord`). A pace is how many times longer than
+usual work takes at a target: 1 is as usual, 2 half as fast. A surprise is by how much longer a
+request took than words alone had promised, as a logarithm.
+
+What comes in, each with its time: words, sends and ends of this daemon's requests, how long these
+took, and refusals. What comes out: places, which `rackswitch.routing.placing` chooses among.
 """
 
 import math
@@ -16,22 +20,26 @@
 __all__ = ["LoadPicture", "SentRequest", "WorkKind"]
 
 LEAST_FADE_SECONDS = 1.0
-"""Life of a word about others' requests where these are shorter: others go on sending."""
+"""Least time over which what a word tells of others' requests fades, also where requests are
+shorter: as others' requests end, others send new ones."""
 
 PACE_MEMORY_SECONDS = 0.3
-"""How long the pace that a word tells lasts on average: noise of a machine's other users."""
+"""How long a told pace's difference from the learnt one lasts on average: it comes from other users
+of the target's machine."""
 
 LEARNING_SECONDS = 2.0
-"""Span over which a target's usual pace is learnt: several spells of noise."""
+"""Span over which a target's usual pace is learnt: several times `PACE_MEMORY_SECONDS`, so that
+passing noise averages out."""
 
 LEARNT_LIFE_SECONDS = 10.0
-"""A slow target is tried again after a few such spans without a word."""
+"""Over which a learnt pace fades, without a word, towards the best of the service, so that a target
+that was slow is tried again."""
 
 SURPRISE_SPAN_SECONDS = 1.0
 """Span over which own requests' times against the expected ones are averaged."""
 
 SURPRISE_LIFE_SECONDS = 3.0
-"""After which a target that did worse than its word is given a chance to do better."""
+"""Over which a surprise fades, so that a target that did worse than its word is tried again."""
 
 MOST_SAMPLE_WEIGHT = 0.3
 """Weight of one observation at most, however long none came before it."""
@@ -46,7 +54,7 @@
 """Weight of one observation in a service's usual time: some twenty count."""
 
 PIECE_SMOOTHING = 0.005
-"""The same for pieces, of which a text brings some twenty."""
+"""The same for the gaps between pieces: one text brings many, and must not decide alone."""
 
 DEFAULT_SLOTS = 4
 """Requests side by side at a target whose slots nobody tells."""
@@ -72,8 +80,10 @@
 
     Attributes
     ----------
-    start, service : str, str
+    start, service : str
         Where it was sent.
+    kind : WorkKind
+        What its work is counted in.
     place : Place
         What was believed of the target without it.
     log_surprise : float
@@ -100,7 +110,23 @@
 
 @dataclass(slots=True)
 class _Belief:
-    """What is known of one start of a target."""
+    """What is known of one start of a target.
+
+    Attributes
+    ----------
+    word : LoadWord or None
+        The last one.
+    own : int
+        Requests of this daemon that are there.
+    pending : list of SentRequest
+        The calls among them, oldest first.
+    own_at_word : int
+        How many of this daemon's were there when the last word came, which counts them too.
+    learnt_pace : float or None
+        The usual pace, from words; None before the first word that tells one.
+    log_surprise : float
+        Logarithm of how much longer work took than words said, at `surprised_at_seconds`.
+    """
 
     word: LoadWord | None = None
     own: int = 0
@@ -148,7 +174,21 @@
 
 @dataclass(slots=True)
 class _Service:
-    """What is known of all targets of a service together."""
+    """What is known of all targets of a service together.
+
+    Attributes
+    ----------
+    tells_pace : bool
+        Whether one of them has told its pace.
+    unit_seconds : dict of WorkKind to float
+        Usual time of a call, or of a piece of a text, at pace 1.
+    run_seconds : dict of WorkKind to float
+        Usual time of a whole request at pace 1.
+    learnt_paces : dict of str to float
+        Usual pace, by start.
+    best_pace : float
+        The least of these; 1 if there is none.
+    """
 
     tells_pace: bool = False
     unit_seconds: dict[WorkKind, float] = field(default_factory=FIRST_UNIT_SECONDS.copy)
--- a/rackswitch/routing/load_words.py
+++ b/rackswitch/routing/load_words.py
@@ -1,4 +1,7 @@
-"""What a target says of its own load."""
+"""What a target says of its own load.
+
+Such a statement is called a word. Targets send one with answers and refusals.
+"""
 
 from dataclasses import dataclass
 
--- a/rackswitch/routing/places.py
+++ b/rackswitch/routing/places.py
@@ -1,4 +1,7 @@
-"""What a place at a target is worth to a request, as one daemon believes it."""
+"""What a place at a target is worth to a request, as one daemon believes it.
+
+A target's word is its last statement about its own load (`rackswitch.routing.load_words`).
+"""
 
 from dataclasses import dataclass, replace
 
--- a/rackswitch/routing/placing.py
+++ b/rackswitch/routing/placing.py
@@ -1,8 +1,10 @@
 """The choice among places for a piece of work.
 
-The load it answers: many daemons choose by words of nearly the same age, and uneven targets share
-their machines with others. Would each take the best place, all would take the same one until its
-next word. So a daemon looks at a sample of its own, and draws among the nearly best of it, by room.
+Many daemons choose by the same words (targets' statements about their own load). If each took the
+best place, all would take the same one until its target's next word. So a daemon looks at a random
+sample of the targets and draws among the nearly best of these, with more weight on those with room.
+
+A place's finish is how long until one more request there would be through (`finish_seconds`).
 """
 
 import math
@@ -14,31 +16,35 @@
 __all__ = ["choose_place"]
 
 LEAST_SPREAD = 0.05
-"""Share of the best place's finish that tells places apart by words just said."""
+"""Width of the draw while words are fresh, as a share of the best finish: places whose finishes
+differ by much more are hardly drawn."""
 
 LEAST_SPREAD_SECONDS = 1e-4
 """Keeps the draw defined where nothing is known of the work's time."""
 
 RUNS_SPREAD = 0.8
-"""Usual requests by which a queue may differ from words whose requests have all ended since."""
+"""Most that old words add to the draw's width, in times of a usual request: by so many a queue may
+have changed once all that a word counted have ended."""
 
 MOST_TIMES_BEST = 2.0
-"""Nothing goes where it would take longer, however old the words: slow places stand out."""
+"""Places with a finish of more than so many times the best are never drawn, however old the words
+are and however wide the draw is."""
 
 NEAR_SHARE = 0.15
-"""An open connection decides between places whose finishes differ by no more than that."""
+"""Places with an open connection go first if their finish is later than the best by at most this
+share of it."""
 
 NEAR_SECONDS = 0.004
-"""The same for short calls: about what a new connection takes."""
+"""Added to that bound, for short calls: about what a new connection takes."""
 
 SAMPLE_SHARE = 0.5
 """Part of the targets that a decision looks at."""
 
 LEAST_SAMPLE = 3
-"""Targets; of fewer, a draw of half of them would often be no choice."""
+"""Targets that a decision looks at, at least: half of a few would often be no choice."""
 
 LEAST_WEIGHT = 0.25
-"""Of a place without a free slot, against one with a whole free slot."""
+"""Weight of a place without a free slot; each free slot of another counts 1."""
 
 
 def choose_place(
--- a/rackswitch/routing/policies.py
+++ b/rackswitch/routing/policies.py
@@ -30,8 +30,16 @@
 
     Attributes
     ----------
+    prompt_tokens : float
+        Length of its prompt.
+    cost_tokens : float
+        Its work, counted in tokens.
+    prefixes : tuple of int
+        Keys of its prompt's prefix chunks, the first one first.
+    now_seconds : float
+        Monotonic clock.
     run_seconds : float
-        How long a request of its service usually takes, where targets tell their pace.
+        How long a request of its service usually takes at pace 1; 0 where targets tell no pace.
     """
 
     prompt_tokens: float
@@ -136,9 +144,8 @@
     """A target to which a connection rests, or else the less loaded of two.
 
     A daemon that calls a service now and then opens a connection for nearly each call when it
-    draws among all targets: 3,544 of the 5,727 new connections of a calm day of 165 daemons came
-    from calls that the daemons got a few at a time, a few seconds apart. Daemons that serve many
-    calls have connections to all targets, and draw among these as before.
+    draws among all targets. A daemon that serves many calls has connections to all of them, and so
+    draws among all.
     """
 
     __slots__ = ("_two_choices",)
@@ -197,8 +204,7 @@
 
     The home follows from the prompt's first chunk alone, so all daemons send a prefix to
     the same engine without talking. Two random candidates in place of all keep daemons
-    with equally old reports from running to the same engine. This is the shipped policy;
-    see benchmarks/bench_routing.py for the figures.
+    with equally old reports from running to the same engine. This is the shipped policy.
 
     References
     ----------
--- a/rackswitch/telemetry/events/places.py
+++ b/rackswitch/telemetry/events/places.py
@@ -10,6 +10,8 @@
 
     Attributes
     ----------
+    slots : int
+        Requests that it works on at once.
     running, waiting : float
         Requests believed to be worked on and queued there.
     pace : float
