Reading: constants and fields of hand-over, leases and step ranks say what they bound

What stumbled a reader: "Of one job: what stops at the same time ... says so at once", "a lease that the service never gives", the switch between old word and no word; _LeftJob and _ServiceRanks without their fields.

What changed: docstrings only; without them the syntax trees of the 7 changed modules are those of before. No behaviour changed.

--- a/rackswitch/gateway/items/load_looks.py
+++ b/rackswitch/gateway/items/load_looks.py
@@ -11,7 +11,7 @@
 __all__ = ["LoadLooks"]
 
 REPORT_AGE_SECONDS = 0.3
-"""A report tells how things were some hundred milliseconds before."""
+"""By how much a report is taken to be older than the moment when it is read."""
 
 
 class LoadLooks:
@@ -62,7 +62,7 @@
             self._heard(target, report, now_seconds)
 
     def _heard(self, target: ListedTarget, report: EngineReport, now_seconds: float) -> None:
-        """Tell the picture, as a word without a pace that is older than those with one."""
+        """Tell the load picture a report, as a word that is some time old and has no pace."""
         if not target.slots or not self._context.picture.tells_pace(target.service):
             return
         said_at_seconds = now_seconds - REPORT_AGE_SECONDS
--- a/rackswitch/gateway/items/step_ranks.py
+++ b/rackswitch/gateway/items/step_ranks.py
@@ -22,13 +22,19 @@
 __all__ = ["StepRanks"]
 
 SURPLUS_LIFE_SECONDS = 0.25
-"""How long a job's surplus groups are kept: texts grow by a few pieces meanwhile, and all items of
-a job are gone through to find them."""
+"""How long the surplus groups found for a job are used: finding them goes through all its items,
+and its texts grow by only a few pieces meanwhile."""
 
 
 @dataclass(frozen=True, slots=True)
 class _ServiceRanks:
-    """Ranks of the routes that a service's engines serve."""
+    """Ranks of the routes that a service's engines serve, 0 first.
+
+    Attributes
+    ----------
+    items, calls : frozenset of int
+        Those of routes of batch jobs, and those of all other routes.
+    """
 
     items: frozenset[int]
     calls: frozenset[int]
--- a/rackswitch/gateway/jobs/job_giving.py
+++ b/rackswitch/gateway/jobs/job_giving.py
@@ -26,15 +26,16 @@
 __all__ = ["JobGiving"]
 
 OFFER_PATIENCE_SECONDS = 1.8
-"""How long a successor may take: a call of a silent key-value service, and one for the texts. The
-job's runs go on meanwhile."""
+"""How long a successor may take: it may wait in vain for the key-value service, and then asks for
+the texts. The job's runs go on meanwhile."""
 
 OFFERS_SECONDS = 3.0
-"""From when on no further successor is asked, so that the rest of the stop's time is left for the
-way through the key-value service."""
+"""After so long no further successor of a job is asked, so that the rest of the stop's time is left
+for releasing it through the key-value service."""
 
 MOST_OFFERS = 6
-"""Of one job: what stops at the same time, or is dead without a word, says so at once."""
+"""Daemons that one job is offered to at most. Those that stop too, or are dead, mostly show it at
+once, so that there is time to try some in vain."""
 
 MOST_OFFERED_BYTES = 8_000_000
 """Larger jobs take longer to pass on than their texts take to make again."""
@@ -113,7 +114,7 @@
             await self._release_left(owned)
 
     async def _is_away(self, job_id: str) -> bool:
-        """Return whether the key-value service answers this daemon no more than the other one."""
+        """Return whether the key-value service does not answer this daemon either."""
         return isinstance(await self._store.load_owner(job_id), KvUnavailable)
 
     def _is_here(self, owned: OwnedJob) -> bool:
--- a/rackswitch/gateway/jobs/lease_writes.py
+++ b/rackswitch/gateway/jobs/lease_writes.py
@@ -9,7 +9,7 @@
 __all__ = ["LEASES_TRIED", "write_on_lease"]
 
 LEASES_TRIED = 2
-"""A lease that is over shows by the first write on it, and the next one is new."""
+"""Tries of one write: the first may show that the lease is over; the second is on a new one."""
 
 T = TypeVar("T")
 
--- a/rackswitch/gateway/jobs/left_jobs.py
+++ b/rackswitch/gateway/jobs/left_jobs.py
@@ -14,6 +14,20 @@
 
 @dataclass(frozen=True, slots=True)
 class _LeftJob:
+    """What is kept of a job that this daemon left.
+
+    Attributes
+    ----------
+    owner_revision : int
+        Of the claim under which this daemon worked on it.
+    leaving : Task of JobCheckpoint
+        Brings its texts once its runs have ended, or have had their time to.
+    forget_at_seconds : float
+        Until when it is kept (monotonic).
+    successor : str
+        Daemon that it was being handed over to; empty if none was.
+    """
+
     owner_revision: int
     leaving: asyncio.Task[JobCheckpoint]
     forget_at_seconds: float
--- a/rackswitch/gateway/store/peer_copies.py
+++ b/rackswitch/gateway/store/peer_copies.py
@@ -30,8 +30,8 @@
 is left alone."""
 
 SETTLING_SECONDS = 1.0
-"""How long after the service's return daemons are asked again and again whose word is still old: as
-long as one with old word is left alone otherwise."""
+"""For so long after the service's return, daemons whose copies are still old are asked again after
+a short pause only; otherwise they are left alone for as long as this."""
 
 START_LOOKS = 5
 """Readings of the members, a tenth of a call each, by which a daemon looks for others at its
--- a/rackswitch/gateway/store/session.py
+++ b/rackswitch/gateway/store/session.py
@@ -29,7 +29,7 @@
 gets the next one some 4 s later, and a lease costs as much as ten renewals, 7 s of them."""
 
 NO_LEASE = 0
-"""A lease that the service never gives."""
+"""Stands for no lease: the service gives none this identity."""
 
 TICK_SECONDS = 0.1
 PLANNED_END_TIMEOUT_SECONDS = 0.4
