Placing by load where callers may want more than there is room for, too

Change: `GatewayContext.places_by_load` decides for calls, items and sharing alike: a service's targets tell their pace, or the deployment's settings say that callers may press. Tests for both, and for neither.

--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -20,7 +20,7 @@
 """Calls of plain services are short and alike, and a new connection costs more than a queue."""
 
 POLICY_BY_WORDS = "nearly_best"
-"""For services whose targets tell their pace, how long work takes there against usual."""
+"""For services that are placed by what their targets tell of their load."""
 
 CONNECT_SECONDS = 0.001
 """What a new connection takes besides one more way there and back."""
@@ -63,7 +63,7 @@
         if not listed:
             return None
         targets = [self._context.targets[instance] for instance in listed]
-        if self._context.picture.tells_pace(service):
+        if self._context.places_by_load(service):
             return listed[self._choose_by_words(service, listed, targets, now_seconds).name]
         routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds)
         chosen = self._policy.choose(routed, usable_targets(targets, now_seconds))
@@ -76,7 +76,7 @@
         targets: list[Target],
         now_seconds: float,
     ) -> Target:
-        """Return the target for a call of a service whose targets tell their pace."""
+        """Return the target for a call of a service that is placed by load."""
         usable = usable_targets(targets, now_seconds)
         for target in usable:
             target.place = self._place(listed[target.name], target, now_seconds)
@@ -95,8 +95,8 @@
         )
 
     def places(self, service: str) -> list[Place]:
-        """Return what is believed of a service's targets; nothing if they tell no pace."""
-        if not self._context.picture.tells_pace(service):
+        """Return what is believed of a service's targets; nothing if it is not placed by load."""
+        if not self._context.places_by_load(service):
             return []
         now_seconds = self._context.now_seconds()
         return [
--- a/rackswitch/gateway/callers/tests/test_target_choice.py
+++ b/rackswitch/gateway/callers/tests/test_target_choice.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -166,3 +167,35 @@
 
     pace = run_virtual(scenario())
     assert pace > 2.0 if is_slow else pace == pytest.approx(1.0)
+
+
+def test_where_callers_may_press_words_without_a_pace_count_too():
+    async def scenario():
+        context, chooser = make_chooser()
+        context.settings = replace(context.settings, queues_calls=True)
+        tell(context, {"t0": 18, "t1": 18}, pace=None)
+        return picks(chooser), chooser.places("s")
+
+    chosen, places = run_virtual(scenario())
+    assert set(chosen) == {"t2", "t3"}
+    assert {place.instance: place.free_slots for place in places} == {
+        "t0": 0.0,
+        "t1": 0.0,
+        "t2": 6.0,
+        "t3": 6.0,
+    }
+
+
+def test_a_slow_target_that_tells_no_pace_is_found_out_where_callers_may_press():
+    async def scenario():
+        context, chooser = make_chooser()
+        context.settings = replace(context.settings, queues_calls=True)
+        for _ in range(12):
+            for target in TARGETS:
+                tell(context, {}, pace=None)
+                sent = chooser.sent(target)
+                await asyncio.sleep(0.3 if target.instance == "t0" else 0.05)
+                chooser.ended(sent, ANSWER)
+        return picks(chooser)
+
+    assert run_virtual(scenario())["t0"] < 10
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -121,6 +121,14 @@
         entry = self.member_entries.get(daemon)
         return entry.processor_share if entry is not None else 0.0
 
+    def places_by_load(self, service: str) -> bool:
+        """Return whether a service's targets are chosen by what they tell of their load.
+
+        So where they tell their pace, as places there differ; and where callers may want more
+        than there is room for, as each place counts then.
+        """
+        return self.settings.queues_calls or self.picture.tells_pace(service)
+
     def list_age_seconds(self) -> float:
         """Return how old the service's word for the list of targets is; -1 if there is none."""
         age_seconds = self.now_seconds() - self.list_confirmed_at_seconds
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -110,11 +110,11 @@
         self._runner.spare = {} if waiting else spare_rooms(rooms)
 
     def _sharing(self, services: Iterable[str]) -> frozenset[str]:
-        """Return the services whose engines tell their pace.
+        """Return the services whose engines are placed by what they tell of their load.
 
         Only for these do slack, shared room, memory, urgency and leaving engines count.
         """
-        return frozenset(filter(self._context.picture.tells_pace, services))
+        return frozenset(filter(self._context.places_by_load, services))
 
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
         """Return the service that runs each job; items that no engine may run are given up."""
--- a/rackswitch/gateway/items/load_looks.py
+++ b/rackswitch/gateway/items/load_looks.py
@@ -63,7 +63,7 @@
 
     def _heard(self, target: ListedTarget, report: EngineReport, now_seconds: float) -> None:
         """Tell the load picture a report, as a word that is some time old and has no pace."""
-        if not target.slots or not self._context.picture.tells_pace(target.service):
+        if not target.slots or not self._context.places_by_load(target.service):
             return
         said_at_seconds = now_seconds - REPORT_AGE_SECONDS
         word = LoadWord(report.running, report.waiting, target.slots, None, said_at_seconds)
--- a/rackswitch/gateway/items/run_loads.py
+++ b/rackswitch/gateway/items/run_loads.py
@@ -23,8 +23,8 @@
         self._context = context
 
     def place(self, target: ListedTarget, now_seconds: float) -> Place | None:
-        """Return what a place for a usual run is worth; None if its service tells no pace."""
-        if not self._context.picture.tells_pace(target.service):
+        """Return what a place for a usual run is worth; None if it is not placed by load."""
+        if not self._context.places_by_load(target.service):
             return None
         return self._place(target, now_seconds)
 
@@ -52,12 +52,12 @@
     ) -> float | None:
         """Return the gap between a run's pieces to come; None if too few were seen.
 
-        Where engines tell their pace it is what is believed of the engine over the rest of the
+        Where engines are placed by load it is what is believed of the engine over the rest of the
         text: what the last pieces show may be noise that is over before a move would gain.
         """
         seen_seconds = gaps.seconds_per_piece()
         picture = self._context.picture
-        if seen_seconds is None or not picture.tells_pace(target.service):
+        if seen_seconds is None or not self._context.places_by_load(target.service):
             return seen_seconds
         now_seconds = self._context.now_seconds()
         place = picture.place(target, WorkKind.TEXT, remaining_pieces, now_seconds)
--- a/rackswitch/gateway/items/tests/test_run_loads.py
+++ b/rackswitch/gateway/items/tests/test_run_loads.py
@@ -1,6 +1,7 @@
 """Runs of items in the load picture, and where the picture sends them."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -152,3 +153,15 @@
     assert place.word_age_seconds == pytest.approx(0.2, abs=0.01)
     assert place.slots == 12
     assert place.wait_seconds > run_seconds / 12
+
+
+@pytest.mark.parametrize("queues_calls", [True, False])
+def test_where_callers_may_press_engines_without_a_pace_are_shared_too(queues_calls):
+    async def scenario():
+        runner = make_runner()
+        context = runner._context
+        context.settings = replace(context.settings, queues_calls=queues_calls)
+        tell(runner, ENGINES[0], pace=None)
+        return ItemStarter(context, runner, asyncio.Event())._sharing({"s"})
+
+    assert bool(run_virtual(scenario())) is queues_calls
--- a/rackswitch/gateway/place_lines.py
+++ b/rackswitch/gateway/place_lines.py
@@ -13,7 +13,7 @@
     context: GatewayContext, place: Place | None, service: str, kind: WorkKind
 ) -> PlaceSeen | None:
     """Return the inputs of a choice for its log line; None if they did not decide."""
-    if place is None or not context.picture.tells_pace(service):
+    if place is None or not context.places_by_load(service):
         return None
     run_seconds = context.picture.usual_run_seconds(service, kind)
     has_word = math.isfinite(place.word_age_seconds)
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -41,7 +41,8 @@
         Whether items start by when they must start; by their order in the job otherwise.
     steps_by_slack : bool
         Whether items start by slack and rank over all steps, those last that no trainer waits for.
-        This and all that follow count only for services whose engines tell their pace.
+        This and all that follow count only for services that are placed by load
+        (`GatewayContext.places_by_load`).
     room_shared : bool
         Whether an engine's room is what other daemons' runs leave of it.
     memory_counted : bool
