--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -23,7 +23,8 @@
 for lost."""
 
 RETURN_SECONDS = 1.0
-"""How long after the service's return a daemon that saw no owner waits for one that lives."""
+"""How long after the service's return a daemon that has seen no owner of a job leaves the job to
+one that may live and come back for it."""
 
 PROBE_SECONDS = 0.15
 """Between two looks for the service's return while jobs wait for it: what is ready is to be listed
--- a/rackswitch/gateway/policy.py
+++ b/rackswitch/gateway/policy.py
@@ -12,7 +12,7 @@
 
 
 class PolicySettings(Settings, frozen=True, kw_only=True):
-    """Switches, one a mechanism, so that each can be measured by leaving it out.
+    """Switches, one for each mechanism, so that each can be measured by leaving it out.
 
     Attributes
     ----------
--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -150,8 +150,8 @@
                     self._context.contact.failed(now_seconds, f"watch: {news.detail}")
                 return True, news.history_lost
             self._context.contact.answered(now_seconds)
-            # A watch that goes well does not end: counted at its end only, earlier failures would
-            # keep followers away from a daemon that is answered again.
+            # A watch that goes well never ends, so failures are taken back here: else followers
+            # would go on keeping away from a daemon that is answered again.
             self._note_failures(prefix, 0)
             self._copies.take_news(prefix, news)
             self._copies.confirm(prefix, now_seconds)
--- a/rackswitch/jobs/checkpoints.py
+++ b/rackswitch/jobs/checkpoints.py
@@ -76,7 +76,7 @@
     ledger : JobLedger
         The job.
     least_pieces : int
-        Shorter texts are made again as fast as they are read back.
+        Shorter texts are left out: they are made again as fast as they are read back.
     most_characters : int, optional
         What the texts may have together.
     """
--- a/rackswitch/jobs/hand_over.py
+++ b/rackswitch/jobs/hand_over.py
@@ -14,7 +14,8 @@
 __all__ = ["SuccessorCandidate", "is_renewed", "order_jobs", "order_successors"]
 
 FLEET_START_SECONDS = 1.0
-"""Most by which the processes of a fleet that is started at once begin apart."""
+"""Most by which the processes of a fleet that is started at once begin apart. A process that is
+younger knows no engines yet."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/routing/load_picture.py
+++ b/rackswitch/routing/load_picture.py
@@ -417,7 +417,11 @@
         self._explain_surprise(belief, pace)
 
     def _explain_surprise(self, belief: _Belief, pace: float) -> None:
-        """Take off a surprise what a word now says itself, so that it does not count twice."""
+        """Take off a surprise what a word now says itself, so that it does not count twice.
+
+        Own requests that took twice as long as told make a surprise of log 2. If the next word
+        tells twice the pace of the last one, it explains that, and nothing of the surprise is left.
+        """
         told = belief.word.pace if belief.word is not None else None
         if told is None:
             return
