--- a/rackswitch/gateway/jobs/job_giving.py
+++ b/rackswitch/gateway/jobs/job_giving.py
@@ -110,7 +110,7 @@
                 self._jobs.drop(job_id, "handed over")
                 return
         if not self._is_here(owned):
-            # Another daemon has it by now (whose answer was lost, or who claimed it), or it has ended.
+            # Another daemon has it by now, as an answer was lost or by a claim; or it has ended.
             await self._release_left(owned)
 
     async def _is_away(self, job_id: str) -> bool:
