Admission: refusals of targets that were away no longer refuse calls once they are back

What callers saw: for two seconds after all targets were back, calls were refused while under half of the slots were taken. Cause: a refusal by a target was kept as knowledge for as long as nothing newer was heard, and each refusal halved the limit, once per usual call, so that after a second next to nothing was sent that could bring news. Evidence: state of the refusing daemons at 60 of these refusals: last word a refusal 0.1 to 0.5 s old, limit 0.1 to 0.2, nothing in flight. Ruled out: targets that were full (slots free, no queue). Change: once targets have refused as many calls as there are and answered none, each call is sent and refused at once if it is refused there; what waits is refused with it; refusals without an answer between them lower the limit once. Why it works: no call is refused for what became of another one. Lines "call decided" tell refusals since the last answer. The new tests of test_service_room.py fail on the code before.

--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -81,17 +81,21 @@
         Calls that are there.
     is_told_free : bool
         Whether the last target that answered told that it was half free.
+    refusals_since_answer : int
+        Calls that targets refused since the last answer of one of them.
     """
 
     limit: float = FIRST_LIMIT
     in_flight: int = 0
     is_told_free: bool = False
+    refusals_since_answer: int = 0
     _credit_seconds: float = 0.0
     _credited_at_seconds: float = 0.0
     _crowded_at_seconds: float = float("-inf")
     _refused_at_seconds: float = float("-inf")
     _closed_until_seconds: float = float("-inf")
     _raised_at_seconds: float = float("-inf")
+    _is_lowered_since_answer: bool = False
 
     def may_send(self, work_seconds: float, is_first_rank: bool, now_seconds: float) -> bool:
         """Return whether a call may go now.
@@ -151,6 +155,7 @@
     def answered(self, running: float, waiting: float, slots: int, now_seconds: float) -> None:
         """Take in how full a target was that answered."""
         self._pass_time(now_seconds)
+        self._note_answer()
         if slots <= 0:
             return
         self.is_told_free = waiting == 0 and running <= FREE_SHARE * slots
@@ -167,6 +172,7 @@
 
     def answered_untold(self, now_seconds: float) -> None:
         """Take in that a target answered that does not tell how full it is."""
+        self._note_answer()
         if not self._was_in_use():
             return
         if now_seconds >= self._crowded_at_seconds + FADE_SECONDS:
@@ -175,20 +181,31 @@
             self._raise(now_seconds)
 
     def refused(self, usual_seconds: float, now_seconds: float) -> None:
-        """Take in that a target refused; several refusals of one moment count once."""
+        """Take in that a target refused; several refusals of one moment count once.
+
+        Without an answer between them all count once: targets that take nothing tell nothing of
+        how many calls they have room for once they do.
+        """
         self._pass_time(now_seconds)
         self._crowded_at_seconds = now_seconds
         self.is_told_free = False
+        self.refusals_since_answer += 1
         if now_seconds < self._refused_at_seconds + usual_seconds:
             return
         self._refused_at_seconds = now_seconds
         self._closed_until_seconds = now_seconds + CLOSED_SHARE * usual_seconds
-        self.limit = max(LEAST_LIMIT, self.limit * REFUSED_FACTOR)
+        if not self._is_lowered_since_answer:
+            self._is_lowered_since_answer = True
+            self.limit = max(LEAST_LIMIT, self.limit * REFUSED_FACTOR)
 
     def restart(self) -> None:
         """Begin anew after targets were gone: one call tries what there is."""
         self.limit = min(self.limit, SPACED_BELOW)
 
+    def _note_answer(self) -> None:
+        self.refusals_since_answer = 0
+        self._is_lowered_since_answer = False
+
     def _raise(self, now_seconds: float) -> None:
         """Add what the time since the last answer without a queue allows."""
         since_seconds = max(0.0, now_seconds - self._raised_at_seconds)
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -46,6 +46,9 @@
 """Part of a target's slots that has to be free to send beyond the limit. Fewer free ones are gaps
 between the calls of all daemons, and using them would take them from better ranks."""
 
+MOST_TRIAL_CALLS = 2
+"""Calls that are sent at once beyond the limit to learn whether targets take calls again."""
+
 RoomDecision = SendCall | WaitForRoom | RefuseCall
 
 
@@ -74,6 +77,7 @@
     work_seconds: dict[str, float] = field(default_factory=dict)
     _shares: dict[int, TenantShares] = field(default_factory=dict)
     _wanted: dict[int, DecayingRate] = field(default_factory=dict)
+    _target_count: int = 0
 
     def ask(
         self, want: CallWant, places: Sequence[Place], draw: float, now_seconds: float
@@ -91,6 +95,7 @@
         now_seconds : float
             Monotonic clock.
         """
+        self._target_count = len(places)
         work_seconds = self._work_seconds(want.kind)
         shares = self._shares.setdefault(want.rank, TenantShares())
         cause = self._cause(want, shares, draw, now_seconds)
@@ -98,6 +103,8 @@
         self._wanted_of(want.rank, now_seconds).add(work_seconds, now_seconds)
         if cause is None and self._goes_now(want, now_seconds):
             return self._send(want, now_seconds)
+        if self._is_trial():
+            return self._send(want, now_seconds)
         wait_seconds = self._wait_seconds(want, now_seconds)
         if cause is None:
             cause = self._cause_not_to_wait(want, wait_seconds, now_seconds)
@@ -112,11 +119,14 @@
     def ask_again(self, want: CallWant, now_seconds: float) -> RoomDecision:
         """Decide about a call that was sent and that a target did not begin.
 
-        It waits as one that is back, until it cannot be answered within its aim.
+        It waits as one that is back, until it cannot be answered within its aim. Where no target
+        takes calls it is refused at once.
         """
-        if now_seconds + self._work_seconds(want.kind) > want.deadline_seconds:
-            return RefuseCall(RefusalCause.OUT_OF_TIME, self._wait_seconds(want, now_seconds))
         wait_seconds = self._wait_seconds(want, now_seconds)
+        if now_seconds + self._work_seconds(want.kind) > want.deadline_seconds:
+            return RefuseCall(RefusalCause.OUT_OF_TIME, wait_seconds)
+        if self._takes_none():
+            return RefuseCall(RefusalCause.ALL_REFUSE, wait_seconds)
         if not self.room.has_room(want):
             return RefuseCall(RefusalCause.ROOM_FULL, wait_seconds)
         return WaitForRoom(self.room.add(replace(want, is_back=True)), wait_seconds)
@@ -129,6 +139,8 @@
         Those that go count as sent.
         """
         decided = self._out_of_time(places, now_seconds)
+        if self._takes_none():
+            return decided + self._refuse_waiting(now_seconds)
         while (rank := self.room.next_rank()) is not None:
             is_first = self._is_first(rank, now_seconds)
             if not self.limit.may_send(self._usual_seconds(), is_first, now_seconds):
@@ -161,6 +173,15 @@
             decided.append((ticket, RefuseCall(RefusalCause.OUT_OF_TIME, wait_seconds)))
         return decided
 
+    def _refuse_waiting(self, now_seconds: float) -> list[tuple[Ticket, SendCall | RefuseCall]]:
+        """Take all waiting calls out, as no target takes calls."""
+        decided: list[tuple[Ticket, SendCall | RefuseCall]] = []
+        for ticket, want in self.room.waiting().items():
+            wait_seconds = self._wait_seconds(want, now_seconds)
+            self.room.remove(ticket)
+            decided.append((ticket, RefuseCall(RefusalCause.ALL_REFUSE, wait_seconds)))
+        return decided
+
     def next_look_seconds(self, now_seconds: float) -> float:
         """Return when waiting calls go or expire without anything else happening."""
         waiting = self.room.waiting().values()
@@ -212,6 +233,8 @@
     def target_refused(self, now_seconds: float) -> None:
         """Take in that a target had no room."""
         self.limit.refused(self._usual_seconds(), now_seconds)
+        if self._all_refused():
+            self.limit.restart()
 
     def oldest_wait_seconds(self, now_seconds: float) -> float:
         """Return how long the longest waiting call has waited; 0 if none waits."""
@@ -240,6 +263,22 @@
                 return None
         return RefusalCause.OVER_SHARE
 
+    def _all_refused(self) -> bool:
+        """Return whether targets have refused as many calls as there are, and answered none."""
+        return self.limit.refusals_since_answer >= max(1, self._target_count)
+
+    def _takes_none(self) -> bool:
+        """Return whether all targets refuse and none of them works on a call of this daemon."""
+        return self._all_refused() and self.limit.in_flight == 0
+
+    def _is_trial(self) -> bool:
+        """Return whether a call is sent to learn whether targets that refused take calls again.
+
+        Whoever refuses does so at once, and may take the next call: no call is refused for what
+        became of another one.
+        """
+        return self._all_refused() and self.limit.in_flight < MOST_TRIAL_CALLS
+
     def _goes_now(self, want: CallWant, now_seconds: float) -> bool:
         if self.room.ahead_of(want) > 0:
             return False
--- a/rackswitch/admission/tests/test_service_room.py
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -172,3 +172,57 @@
     for tenant in ("a", "a", "a", "b"):
         room.ask(want(tenant=tenant), FULL, 0.5, 0.0)
     assert room.served_shares(0.0) == pytest.approx({"a": 0.75, "b": 0.25})
+
+
+def refused_by_all(room: ServiceRoom, now_seconds: float) -> None:
+    """Let both targets refuse all that is sent until the room knows it."""
+    for number in range(4):
+        now_seconds += 0.1
+        call = want(f"r{number}", now_seconds=now_seconds)
+        assert isinstance(room.ask(call, FULL * 2, 0.5, now_seconds), SendCall)
+        room.ended(call, None)
+        room.target_refused(now_seconds)
+
+
+def test_while_all_targets_refuse_each_call_is_tried_and_then_refused_at_once():
+    # Guards against refusing calls by what targets said before they came back.
+    room = ServiceRoom()
+    refused_by_all(room, 0.0)
+    for number in range(20):
+        now_seconds = 1.0 + 0.01 * number
+        call = want(f"c{number}", rank=number % 3, now_seconds=now_seconds)
+        assert isinstance(room.ask(call, FULL * 2, 0.99, now_seconds), SendCall)
+        room.ended(call, None)
+        room.target_refused(now_seconds)
+        decision = room.ask_again(call, now_seconds)
+        assert isinstance(decision, RefuseCall)
+        assert decision.cause is RefusalCause.ALL_REFUSE
+
+
+def test_what_waits_is_refused_as_soon_as_all_targets_refuse():
+    # Guards against callers waiting out their time at targets that take nothing.
+    room = full_room()
+    ticket = room.ask(want(), FULL, 0.5, 0.0).ticket
+    while room.limit.in_flight:
+        room.ended(want("x"), None)
+        room.target_refused(0.01)
+    [(refused, decision)] = room.due(FULL, 0.01)
+    assert refused == ticket
+    assert decision.cause is RefusalCause.ALL_REFUSE
+
+
+def test_targets_that_are_back_are_sent_calls_without_a_pause():
+    # Guards against a limit that refusals of an outage have lowered without end.
+    room = ServiceRoom()
+    refused_by_all(room, 0.0)
+    for number in range(50):
+        room.target_refused(1.0 + 0.1 * number)
+    call = want("first", now_seconds=6.0)
+    assert isinstance(room.ask(call, FULL * 2, 0.5, 6.0), SendCall)
+    room.ended(call, 0.04)
+    room.limit.answered(1, 0, SLOTS, 6.04)
+    for number in range(10):
+        now_seconds = 6.05 + 0.05 * number
+        call = want(f"n{number}", rank=number % 3, now_seconds=now_seconds)
+        assert isinstance(room.ask(call, FULL * 2, 0.99, now_seconds), SendCall)
+        room.ended(call, 0.04)
--- a/rackswitch/admission/wants.py
+++ b/rackswitch/admission/wants.py
@@ -63,6 +63,7 @@
     WAIT_TOO_LONG = "wait too long"
     OVER_SHARE = "over its share"
     OUT_OF_TIME = "out of time"
+    ALL_REFUSE = "all targets refuse"
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/gateway/callers/call_rooms.py
+++ b/rackswitch/gateway/callers/call_rooms.py
@@ -284,6 +284,7 @@
                 free_slots=round(sum(place.free_slots for place in places), 2),
                 word_age_seconds=round(age_seconds, 4) if age_seconds < float("inf") else -1.0,
                 come_back_seconds=round(come_back_seconds, 4),
+                refusals_since_answer=service.room.limit.refusals_since_answer,
             )
         )
 
--- a/rackswitch/telemetry/events/admission.py
+++ b/rackswitch/telemetry/events/admission.py
@@ -26,6 +26,8 @@
     free_slots, word_age_seconds : float
         Slots believed to be free, and the age of the newest word of a target; -1 if none was
         heard.
+    refusals_since_answer : int
+        Calls that targets of the service refused since the last answer of one of them.
     come_back_seconds : float
         When a refused caller was told to come back, counted from then; 0 for others.
     """
@@ -45,6 +47,7 @@
     free_slots: float
     word_age_seconds: float
     come_back_seconds: float = 0.0
+    refusals_since_answer: int = 0
 
     @property
     def is_routine(self) -> bool:
