Admission: no call is refused by words from before an overload ended

What callers saw: for two seconds after an overload ended, calls were refused as over their tenant's share while under half of the slots were taken. Cause: the part of what is wanted that there is room for grows again by a tenth a second only; until then calls over a share were refused unless the very last answer was of a half free target. Ruled out: a limit that stays low, and fresh words of a crowd. Change: a daemon keeps the share of answers that told of a full target, fading over about four answers' time; where it is low and no target refused lately, a call that the limit has room for goes. Lines "call decided" tell it as `crowding`.

--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -10,6 +10,7 @@
 Control in the Datacenter" (Kumar et al.; SIGCOMM 2020).
 """
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["ConcurrencyLimit"]
@@ -69,6 +70,26 @@
 """Calls of the first rank that may go ahead of their spacing; later calls wait longer for that."""
 
 
+CROWDING_SMOOTHING = 0.3
+"""Weight of one answer in the crowding: some three count."""
+
+CROWDING_LIFE_SECONDS = 0.1
+"""Least time over which the crowding fades: within a few calls' time others may have ended."""
+
+CROWDING_LIFE_ANSWERS = 4.0
+"""It fades over at least the time in which so many answers usually come, so that a daemon that
+sends few calls does not forget a crowd between two of them."""
+
+GAP_SMOOTHING = 0.1
+"""Weight of one time between two answers in the usual one."""
+
+FIRST_GAP_SECONDS = 0.05
+"""Usual time between two answers before two were heard."""
+
+MOST_GAP_SECONDS = 0.5
+"""Longer times between two answers count as this much: there was nothing to ask for."""
+
+
 @dataclass(slots=True)
 class ConcurrencyLimit:
     """One daemon's limit for one service.
@@ -96,6 +117,9 @@
     _closed_until_seconds: float = float("-inf")
     _raised_at_seconds: float = float("-inf")
     _is_lowered_since_answer: bool = False
+    _crowding: float = 0.0
+    _told_at_seconds: float = 0.0
+    _gap_seconds: float = FIRST_GAP_SECONDS
 
     def may_send(self, work_seconds: float, is_first_rank: bool, now_seconds: float) -> bool:
         """Return whether a call may go now.
@@ -158,6 +182,7 @@
         self._note_answer()
         if slots <= 0:
             return
+        self._note_word(waiting > 0 or running >= slots, now_seconds)
         self.is_told_free = waiting == 0 and running <= FREE_SHARE * slots
         if waiting > QUEUE_SHARE * slots:
             self._crowded_at_seconds = now_seconds
@@ -198,6 +223,19 @@
             self._is_lowered_since_answer = True
             self.limit = max(LEAST_LIMIT, self.limit * REFUSED_FACTOR)
 
+    def crowding(self, now_seconds: float) -> float:
+        """Return the share of answers that told lately of a full target, fading with their age.
+
+        Between 0, nobody is known to be full, and 1.
+        """
+        age_seconds = max(0.0, now_seconds - self._told_at_seconds)
+        life_seconds = max(CROWDING_LIFE_SECONDS, CROWDING_LIFE_ANSWERS * self._gap_seconds)
+        return self._crowding * math.exp(-age_seconds / life_seconds)
+
+    def was_refused_since(self, since_seconds: float) -> bool:
+        """Return whether a target has refused a call since then."""
+        return self._refused_at_seconds >= since_seconds
+
     def restart(self) -> None:
         """Begin anew after targets were gone: one call tries what there is."""
         self.limit = min(self.limit, SPACED_BELOW)
@@ -206,6 +244,14 @@
         self.refusals_since_answer = 0
         self._is_lowered_since_answer = False
 
+    def _note_word(self, is_full: bool, now_seconds: float) -> None:
+        """Take in whether a target that answered had no free slot."""
+        crowding = self.crowding(now_seconds)
+        gap_seconds = max(0.0, min(MOST_GAP_SECONDS, now_seconds - self._told_at_seconds))
+        self._gap_seconds += GAP_SMOOTHING * (gap_seconds - self._gap_seconds)
+        self._told_at_seconds = now_seconds
+        self._crowding = crowding + CROWDING_SMOOTHING * (is_full - crowding)
+
     def _raise(self, now_seconds: float) -> None:
         """Add what the time since the last answer without a queue allows."""
         since_seconds = max(0.0, now_seconds - self._raised_at_seconds)
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -46,6 +46,12 @@
 """Part of a target's slots that has to be free to send beyond the limit. Fewer free ones are gaps
 between the calls of all daemons, and using them would take them from better ranks."""
 
+LEAST_CROWDING = 0.3
+"""Share of answers of full targets (`ConcurrencyLimit.crowding`) from which calls are refused."""
+
+REFUSAL_LIFE_SECONDS = 0.1
+"""How long a target's refusal counts as word of a crowd."""
+
 MOST_TRIAL_CALLS = 2
 """Calls that are sent at once beyond the limit to learn whether targets take calls again."""
 
@@ -103,7 +109,7 @@
         self._wanted_of(want.rank, now_seconds).add(work_seconds, now_seconds)
         if cause is None and self._goes_now(want, now_seconds):
             return self._send(want, now_seconds)
-        if self._is_trial():
+        if self._is_trial(now_seconds):
             return self._send(want, now_seconds)
         wait_seconds = self._wait_seconds(want, now_seconds)
         if cause is None:
@@ -271,13 +277,24 @@
         """Return whether all targets refuse and none of them works on a call of this daemon."""
         return self._all_refused() and self.limit.in_flight == 0
 
-    def _is_trial(self) -> bool:
-        """Return whether a call is sent to learn whether targets that refused take calls again.
+    def _is_trial(self, now_seconds: float) -> bool:
+        """Return whether a call is sent to learn whether there is room.
 
-        Whoever refuses does so at once, and may take the next call: no call is refused for what
-        became of another one.
+        Targets that refuse do so at once, and may take the next call: no call is refused for what
+        became of another one. Where no crowd is known, none is refused that the limit has room
+        for.
         """
-        return self._all_refused() and self.limit.in_flight < MOST_TRIAL_CALLS
+        if self._all_refused():
+            return self.limit.in_flight < MOST_TRIAL_CALLS
+        if self._is_crowd_known(now_seconds):
+            return False
+        return self.limit.in_flight < max(1.0, self.limit.limit)
+
+    def _is_crowd_known(self, now_seconds: float) -> bool:
+        """Return whether targets told lately that they are full, or one refused a call."""
+        if self.limit.was_refused_since(now_seconds - REFUSAL_LIFE_SECONDS):
+            return True
+        return self.limit.crowding(now_seconds) > LEAST_CROWDING
 
     def _goes_now(self, want: CallWant, now_seconds: float) -> bool:
         if self.room.ahead_of(want) > 0:
--- a/rackswitch/admission/tests/test_concurrency.py
+++ b/rackswitch/admission/tests/test_concurrency.py
@@ -8,6 +8,7 @@
     LEAST_LIMIT,
     ConcurrencyLimit,
 )
+from rackswitch.admission.service_room import LEAST_CROWDING
 
 SLOTS = 6
 
@@ -107,3 +108,28 @@
     for number in range(100):
         limit.answered(0, 0, SLOTS, number * 0.1)
     assert limit.limit == FIRST_LIMIT
+
+
+def test_crowding_fades_with_the_age_of_what_was_told():
+    # Guards against taking old words of full targets for the present.
+    limit = ConcurrencyLimit()
+    now_seconds = crowded(limit, 0.0, answers=20)
+    assert limit.crowding(now_seconds) > LEAST_CROWDING
+    assert limit.crowding(now_seconds + 0.3) < LEAST_CROWDING
+
+
+def test_a_daemon_that_hears_little_remembers_a_crowd_from_answer_to_answer():
+    # Guards against daemons with few calls that take each pause for the end of a crowd.
+    limit = ConcurrencyLimit()
+    for number in range(40):
+        limit.answered(SLOTS, SLOTS, SLOTS, 0.15 * number)
+    assert limit.crowding(0.15 * 40) > LEAST_CROWDING
+
+
+def test_one_full_target_among_free_ones_is_no_crowd():
+    # Guards against refusing calls for one word out of many.
+    limit = ConcurrencyLimit()
+    for number in range(20):
+        limit.answered(1, 0, SLOTS, 0.02 * number)
+    limit.answered(SLOTS, 1, SLOTS, 0.4)
+    assert limit.crowding(0.4) <= LEAST_CROWDING
--- a/rackswitch/admission/tests/test_service_room.py
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -226,3 +226,32 @@
         call = want(f"n{number}", rank=number % 3, now_seconds=now_seconds)
         assert isinstance(room.ask(call, FULL * 2, 0.99, now_seconds), SendCall)
         room.ended(call, 0.04)
+
+
+def overloaded_room(now_seconds: float) -> ServiceRoom:
+    """Return a room with one tenant far over its share, and a crowd that is told of until then."""
+    room = ServiceRoom()
+    room.work_seconds["k"] = 0.04
+    shares = room._shares.setdefault(0, TenantShares())
+    for number in range(200):
+        at_seconds = now_seconds - 4.0 + 0.02 * number
+        shares.asked("large" if number % 10 else "small", 0.04, at_seconds)
+        room.limit.answered(SLOTS, 2, SLOTS, at_seconds)
+    for number in range(20):
+        shares.found_no_room(now_seconds - 1.0 + 0.05 * number)
+    return room
+
+
+def test_a_call_over_its_share_is_refused_while_a_crowd_is_known():
+    room = overloaded_room(10.0)
+    decision = room.ask(want(tenant="large", now_seconds=10.0), [], 0.99, 10.0)
+    assert isinstance(decision, RefuseCall)
+    assert decision.cause is RefusalCause.OVER_SHARE
+
+
+def test_no_call_is_refused_by_its_share_after_the_last_word_of_a_crowd_has_aged():
+    # Guards against refusing calls while places are free, by words from before.
+    room = overloaded_room(10.0)
+    now_seconds = 10.5
+    decision = room.ask(want(tenant="large", now_seconds=now_seconds), [], 0.99, now_seconds)
+    assert isinstance(decision, SendCall)
--- a/rackswitch/gateway/callers/call_rooms.py
+++ b/rackswitch/gateway/callers/call_rooms.py
@@ -285,6 +285,7 @@
                 word_age_seconds=round(age_seconds, 4) if age_seconds < float("inf") else -1.0,
                 come_back_seconds=round(come_back_seconds, 4),
                 refusals_since_answer=service.room.limit.refusals_since_answer,
+                crowding=round(service.room.limit.crowding(self._context.now_seconds()), 3),
             )
         )
 
--- a/rackswitch/telemetry/events/admission.py
+++ b/rackswitch/telemetry/events/admission.py
@@ -28,6 +28,8 @@
         heard.
     refusals_since_answer : int
         Calls that targets of the service refused since the last answer of one of them.
+    crowding : float
+        Share of answers that told lately of a full target, between 0 and 1.
     come_back_seconds : float
         When a refused caller was told to come back, counted from then; 0 for others.
     """
@@ -48,6 +50,7 @@
     word_age_seconds: float
     come_back_seconds: float = 0.0
     refusals_since_answer: int = 0
+    crowding: float = 0.0
 
     @property
     def is_routine(self) -> bool:
