Admission: urgent calls go further beyond the limit while worse ranks make room

Cause: a daemon has two or three calls at the service; while these are of worse ranks an urgent one could go one beyond the limit, the next waited for an end. The new test fails on the code before.

--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -121,7 +121,13 @@
     _told_at_seconds: float = 0.0
     _gap_seconds: float = FIRST_GAP_SECONDS
 
-    def may_send(self, work_seconds: float, is_first_rank: bool, now_seconds: float) -> bool:
+    def may_send(
+        self,
+        work_seconds: float,
+        is_first_rank: bool,
+        now_seconds: float,
+        ahead_calls: float = 0.0,
+    ) -> bool:
         """Return whether a call may go now.
 
         Parameters
@@ -132,12 +138,14 @@
             Whether no other rank goes before its own.
         now_seconds : float
             Monotonic clock.
+        ahead_calls : float
+            Calls that it may go beyond a limit of one or more.
         """
         self._pass_time(now_seconds)
         if now_seconds < self._closed_until_seconds:
             return False
         if self.limit >= SPACED_BELOW:
-            return self.in_flight + 1 <= self.calls_at_once(is_first_rank)
+            return self.in_flight + 1 <= self.calls_at_once(is_first_rank) + ahead_calls
         borrowed_seconds = BORROWED_CALLS * work_seconds if is_first_rank else 0.0
         return self._credit_seconds + borrowed_seconds >= min(work_seconds, CREDIT_SECONDS)
 
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -49,6 +49,10 @@
 CROWDED_QUEUE_SHARE = 1.5
 """Waiting calls a slot of a target beyond which a call that has waited here is not sent there."""
 
+FIRST_RANK_AHEAD_CALLS = 3.0
+"""Calls that the first rank may go beyond the limit while worse ranks want room: these make up for
+it, as the limit falls by what it costs."""
+
 LEAST_CROWDING = 0.3
 """Share of answers of full targets (`ConcurrencyLimit.crowding`) from which calls are refused."""
 
@@ -152,7 +156,8 @@
             return decided + self._refuse_waiting(now_seconds)
         while (rank := self.room.next_rank()) is not None:
             is_first = self._is_first(rank, now_seconds)
-            if not self.limit.may_send(self._usual_seconds(), is_first, now_seconds):
+            ahead_calls = self._ahead_calls(rank, now_seconds)
+            if not self.limit.may_send(self._usual_seconds(), is_first, now_seconds, ahead_calls):
                 break
             taken = self.room.take(self.work_seconds, FIRST_WORK_SECONDS)
             if taken is None:
@@ -305,7 +310,9 @@
         if self.room.ahead_of(want) > 0:
             return False
         is_first = self._is_first(want.rank, now_seconds)
-        return self.limit.may_send(self._work_seconds(want.kind), is_first, now_seconds)
+        work_seconds = self._work_seconds(want.kind)
+        ahead_calls = self._ahead_calls(want.rank, now_seconds)
+        return self.limit.may_send(work_seconds, is_first, now_seconds, ahead_calls)
 
     def _cause_not_to_wait(
         self, want: CallWant, wait_seconds: float, now_seconds: float
@@ -363,11 +370,21 @@
         """Return whether no better rank has wanted room lately, or it is this rank's turn."""
         if self.room.is_overdue(rank):
             return True
+        return not any(other < rank for other in self._wanting_ranks(now_seconds))
+
+    def _ahead_calls(self, rank: int, now_seconds: float) -> float:
+        """Return how many calls a rank may go beyond the limit, as worse ones make room for it."""
+        ranks = self._wanting_ranks(now_seconds)
+        if any(other < rank for other in ranks) or not any(other > rank for other in ranks):
+            return 0.0
+        return FIRST_RANK_AHEAD_CALLS
+
+    def _wanting_ranks(self, now_seconds: float) -> list[int]:
+        """Return the ranks that wanted more than a call or so lately."""
         least_rate = FIRST_RANK_CALLS * self._usual_seconds() / MEMORY_SECONDS
-        return not any(
-            other < rank and rate.per_second(now_seconds) > least_rate
-            for other, rate in self._wanted.items()
-        )
+        return [
+            rank for rank, rate in self._wanted.items() if rate.per_second(now_seconds) > least_rate
+        ]
 
     def _latest_seconds(self, want: CallWant) -> float:
         """Return when a call has to go to be answered in time."""
--- a/rackswitch/admission/tests/test_service_room.py
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -13,6 +13,7 @@
     ServiceRoom,
     WaitForRoom,
 )
+from rackswitch.admission.service_room import FIRST_RANK_AHEAD_CALLS
 from rackswitch.admission.shares import TenantShares, fair_rate
 from rackswitch.routing import Place
 
@@ -266,3 +267,17 @@
         [(decided, decision)] = room.due([place(SLOTS, queue)], look_seconds)
         assert decided == ticket
         assert isinstance(decision, SendCall) is is_sent
+
+
+@pytest.mark.parametrize("worse_rank", [None, 5])
+def test_the_first_rank_goes_beyond_the_limit_only_while_a_worse_one_makes_room(worse_rank):
+    # Guards against urgent calls that wait while the limit is full of others.
+    room = full_room()
+    if worse_rank is not None:
+        room.ask(want("worse", worse_rank), FULL, 0.5, 0.0)
+    in_flight = room.limit.in_flight
+    calls = [want(f"first{number}") for number in range(20)]
+    decisions = [room.ask(call, FULL, 0.5, 0.0) for call in calls]
+    sent = sum(isinstance(decision, SendCall) for decision in decisions)
+    assert sent == room.limit.in_flight - in_flight
+    assert (1 <= sent <= FIRST_RANK_AHEAD_CALLS) if worse_rank is not None else sent == 0
