Admission: calls wait for what becomes of those on trial

What callers saw: in the first 17 ms after an outage of all targets some calls were refused as their wait were too long, while the targets that were back worked on two trial calls of the same daemon. Cause: beyond the trial calls the limit decided, by what was known before the targets were back. Change: such a call waits; it goes with the first answer and is refused at once if the trials are. The unit test fails on the code before.

--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -119,7 +119,10 @@
         if self._is_trial(now_seconds):
             return self._send(want, now_seconds)
         wait_seconds = self._wait_seconds(want, now_seconds)
-        if cause is None:
+        if self._all_refused():
+            # What becomes of the calls on trial decides about this one.
+            cause = None if self.room.has_room(want) else RefusalCause.ROOM_FULL
+        elif cause is None:
             cause = self._cause_not_to_wait(want, wait_seconds, now_seconds)
         if cause is None:
             return WaitForRoom(self.room.add(want), wait_seconds)
--- a/rackswitch/admission/tests/test_service_room.py
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -212,6 +212,22 @@
     assert decision.cause is RefusalCause.ALL_REFUSE
 
 
+def test_what_becomes_of_calls_on_trial_decides_about_those_behind_them():
+    # Guards against refusing calls while a target that is back works on others.
+    room = ServiceRoom()
+    refused_by_all(room, 0.0)
+    trials = [want(f"t{number}", now_seconds=1.0) for number in range(2)]
+    assert all(isinstance(room.ask(call, FULL * 2, 0.99, 1.0), SendCall) for call in trials)
+    behind = room.ask(want("behind", 2, now_seconds=1.0), FULL * 2, 0.99, 1.0)
+    assert isinstance(behind, WaitForRoom)
+    for call in trials:
+        room.ended(call, None)
+        room.target_refused(1.002)
+    [(ticket, decision)] = room.due(FULL * 2, 1.002)
+    assert ticket == behind.ticket
+    assert decision.cause is RefusalCause.ALL_REFUSE
+
+
 def test_targets_that_are_back_are_sent_calls_without_a_pause():
     # Guards against a limit that refusals of an outage have lowered without end.
     room = ServiceRoom()
