Admission: where no crowd is known, calls that wait go before newcomers

Cause, found on reading the diff: a call that was sent because no crowd was known could overtake calls of better ranks that waited for the spacing of a limit below one. Change: such a call goes only if nothing waits before it, and waiting calls go for the same reason. A clock that steps back does not keep a crowd known. The new unit test fails on the code before.

--- a/rackswitch/admission/concurrency.py
+++ b/rackswitch/admission/concurrency.py
@@ -69,7 +69,6 @@
 BORROWED_CALLS = 5.0
 """Calls of the first rank that may go ahead of their spacing; later calls wait longer for that."""
 
-
 CROWDING_SMOOTHING = 0.3
 """Weight of one answer in the crowding: some three count."""
 
@@ -275,6 +274,7 @@
         self._credit_seconds = min(CREDIT_SECONDS, self._credit_seconds + gained_seconds)
         self._crowded_at_seconds = min(self._crowded_at_seconds, now_seconds)
         self._refused_at_seconds = min(self._refused_at_seconds, now_seconds)
+        self._told_at_seconds = min(self._told_at_seconds, now_seconds)
         most_closed_seconds = now_seconds + MOST_CLOSED_SECONDS
         self._closed_until_seconds = min(self._closed_until_seconds, most_closed_seconds)
         if self.limit < SPACED_BELOW and now_seconds >= self._crowded_at_seconds + FADE_SECONDS:
--- a/rackswitch/admission/service_room.py
+++ b/rackswitch/admission/service_room.py
@@ -116,7 +116,9 @@
         self._wanted_of(want.rank, now_seconds).add(work_seconds, now_seconds)
         if cause is None and self._goes_now(want, now_seconds):
             return self._send(want, now_seconds)
-        if self._is_trial(now_seconds):
+        if self._is_trial():
+            return self._send(want, now_seconds)
+        if self._is_uncrowded(now_seconds) and self.room.ahead_of(want) == 0:
             return self._send(want, now_seconds)
         wait_seconds = self._wait_seconds(want, now_seconds)
         if self._all_refused():
@@ -160,7 +162,9 @@
         while (rank := self.room.next_rank()) is not None:
             is_first = self._is_first(rank, now_seconds)
             ahead_calls = self._ahead_calls(rank, now_seconds)
-            if not self.limit.may_send(self._usual_seconds(), is_first, now_seconds, ahead_calls):
+            usual_seconds = self._usual_seconds()
+            may_send = self.limit.may_send(usual_seconds, is_first, now_seconds, ahead_calls)
+            if not may_send and not self._is_uncrowded(now_seconds):
                 break
             taken = self.room.take(self.work_seconds, FIRST_WORK_SECONDS)
             if taken is None:
@@ -290,16 +294,17 @@
         """Return whether all targets refuse and none of them works on a call of this daemon."""
         return self._all_refused() and self.limit.in_flight == 0
 
-    def _is_trial(self, now_seconds: float) -> bool:
-        """Return whether a call is sent to learn whether there is room.
+    def _is_trial(self) -> bool:
+        """Return whether a call is sent to learn whether targets that refused take calls again.
 
-        Targets that refuse do so at once, and may take the next call: no call is refused for what
-        became of another one. Where no crowd is known, none is refused that the limit has room
-        for.
+        They refuse at once, and may take the next call: no call is refused for what became of
+        another one.
         """
-        if self._all_refused():
-            return self.limit.in_flight < MOST_TRIAL_CALLS
-        if self._is_crowd_known(now_seconds):
+        return self._all_refused() and self.limit.in_flight < MOST_TRIAL_CALLS
+
+    def _is_uncrowded(self, now_seconds: float) -> bool:
+        """Return whether no crowd is known and the limit has room, but for its spacing."""
+        if self._all_refused() or self._is_crowd_known(now_seconds):
             return False
         return self.limit.in_flight < max(1.0, self.limit.limit)
 
--- a/rackswitch/admission/tests/test_service_room.py
+++ b/rackswitch/admission/tests/test_service_room.py
@@ -297,3 +297,17 @@
     sent = sum(isinstance(decision, SendCall) for decision in decisions)
     assert sent == room.limit.in_flight - in_flight
     assert (1 <= sent <= FIRST_RANK_AHEAD_CALLS) if worse_rank is not None else sent == 0
+
+
+def test_a_call_on_trial_goes_behind_better_ones_that_wait():
+    # Guards against newcomers that overtake waiting calls where no crowd is known.
+    room = ServiceRoom()
+    room.limit.limit = 0.5
+    while isinstance(decision := room.ask(want("first"), [], 0.5, 0.0), SendCall):
+        pass
+    assert isinstance(decision, WaitForRoom)
+    while room.limit.in_flight:
+        room.ended(want("first"), 0.04)
+    newcomer = room.ask(want("newcomer", 2, aim_seconds=2.0), [], 0.5, 0.0)
+    assert isinstance(newcomer, WaitForRoom)
+    assert room.due([], 0.0)[0] == (decision.ticket, SendCall())
