--- a/rackswitch/gateway/callers/caller_handler.py
+++ b/rackswitch/gateway/callers/caller_handler.py
@@ -82,8 +82,6 @@
         if scope["type"] != "http":
             return
         exchange = Exchange(scope, receive, send)
-        # Callers of a stopping daemon have to reconnect, which takes them to another daemon.
-        exchange.close_connection = self._context.daemon.stopping
         with self._context.daemon.in_flight:
             try:
                 await self._serve(exchange)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -45,7 +45,9 @@
 from rackswitch.routing import ListedTarget, ReportedLoad
 from rackswitch.telemetry.events import (
     HandOverTimedOut,
+    ListenerClosed,
     Reloaded,
+    ServerStopped,
     Started,
     Stopped,
     Stopping,
@@ -216,6 +218,8 @@
         )
         self.log.write(Stopping(requests_in_flight=self.context.daemon.in_flight.count))
         self.context.daemon.stopping = True
+        for server in self._servers:
+            server.announce_stop()
         self.context.daemon.membership.leave()
         balancer_drain = asyncio.create_task(asyncio.sleep(BALANCER_DRAIN_SECONDS))
         try:
@@ -241,12 +245,17 @@
         Callers may still send requests on open connections; the end of the process must not cut
         these off.
         """
-        try:
-            async with asyncio.timeout_at(deadline_seconds):
-                await asyncio.gather(*(server.stop() for server in self._servers))
-        except TimeoutError:
-            return False
-        return True
+        self.log.write(ListenerClosed(backlog_accepted=self._servers[0].close_listener()))
+        reports = await asyncio.gather(*(server.stop(deadline_seconds) for server in self._servers))
+        report = reports[0]
+        self.log.write(
+            ServerStopped(
+                connections_open=report.open_count,
+                connections_idle=report.idle_count,
+                requests_cancelled=report.cancelled_count,
+            )
+        )
+        return report.cancelled_count == 0
 
     async def crash(self) -> None:
         """End at once like a killed process (for tests)."""
--- a/rackswitch/telemetry/events/process.py
+++ b/rackswitch/telemetry/events/process.py
@@ -5,9 +5,11 @@
 __all__ = [
     "HandOverTimedOut",
     "LinesFolded",
+    "ListenerClosed",
     "VmSuspended",
     "Reloaded",
     "ReloadRefused",
+    "ServerStopped",
     "Started",
     "Stopped",
     "Stopping",
@@ -43,6 +45,38 @@
     jobs: list[str]
 
 
+@register_event
+class ListenerClosed(Event, tag="listener closed", frozen=True):
+    """A planned stop accepts no further connections of callers.
+
+    Attributes
+    ----------
+    backlog_accepted : int
+        Connections that were established but not accepted yet, which are still served.
+    """
+
+    backlog_accepted: int
+
+
+@register_event
+class ServerStopped(Event, tag="server stopped", frozen=True):
+    """A planned stop closed the connections of callers.
+
+    Attributes
+    ----------
+    connections_open : int
+        Connections that were open when closing began.
+    connections_idle : int
+        Those of them that were closed at once because no request was on them.
+    requests_cancelled : int
+        Requests that had not ended by the deadline.
+    """
+
+    connections_open: int
+    connections_idle: int
+    requests_cancelled: int
+
+
 @register_event
 class Stopped(Event, tag="stopped", frozen=True):
     """A planned stop ended; `whole` if no request was left."""
--- a/rackswitch/web/connection_limits.py
+++ b/rackswitch/web/connection_limits.py
@@ -1,6 +1,7 @@
-"""Timeouts on request headers and on idle connections of callers."""
+"""Timeouts of callers' connections, and their end when the server stops."""
 
 import asyncio
+import select
 from dataclasses import dataclass
 from typing import Any
 
@@ -49,6 +50,7 @@
         super().__init__(**options)
         self._limits = limits
         self._header_timer: asyncio.TimerHandle | None = None
+        self._closes_after_response = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the idle timeout before the first request."""
@@ -74,12 +76,39 @@
         """Stop the header timer at the end of the headers."""
         self._cancel_header_timer()
         super().on_headers_complete()
+        if self._closes_after_response:
+            self.cycle.keep_alive = False
 
     def on_response_complete(self) -> None:
         """Apply the current idle timeout at the end of a response."""
         self.timeout_keep_alive = self._limits.idle_timeout_seconds  # type: ignore[assignment]
         super().on_response_complete()
 
+    def close_after_response(self) -> None:
+        """Close the connection after the next response whose headers have not been sent yet.
+
+        A response that has begun does not tell its caller about the close, so the caller may
+        already be sending its next request.
+        """
+        self._closes_after_response = True
+        if self.cycle is not None and not self.cycle.response_started:
+            self.cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close the connection at once if no request is on it, else after the response."""
+        self.close_after_response()
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.keep_alive = False
+        elif not self.has_request():
+            self.transport.close()
+
+    def has_request(self) -> bool:
+        """Whether a request is being served, is being received, or waits to be read."""
+        if self.transport.is_closing():
+            return False
+        is_served = self.cycle is not None and not self.cycle.response_complete
+        return is_served or self._header_timer is not None or _has_unread_data(self.transport)
+
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
@@ -94,3 +123,10 @@
             return
         self.transport.write(HEADER_TIMEOUT_RESPONSE)
         self.transport.close()
+
+
+def _has_unread_data(transport: asyncio.Transport) -> bool:
+    """Whether the kernel holds data, or the end of the stream, that has not been read."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import contextlib
-import functools
+import socket
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Any
 
 import uvicorn
 
 from rackswitch.web.connection_limits import BoundedHttpProtocol, ConnectionLimits
+from rackswitch.web.listener import Listener
 
-__all__ = ["WebServer"]
+__all__ = ["StopReport", "WebServer"]
 
 HEADER_TIMEOUT_SECONDS = 10.0
 """Default header timeout, which bounds how long a slow request holds a connection."""
@@ -22,14 +24,74 @@
 IDLE_TIMEOUT_SECONDS = 30.0
 """Default idle timeout; longer than the keep-alive time of peers and tools."""
 
+CANCEL_TIMEOUT_SECONDS = 0.5
+"""Maximum time for which cancelled requests may still send their response."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopReport:
+    """What a server found on its connections when it stopped.
+
+    Attributes
+    ----------
+    open_count : int
+        Connections that were open when the server began to close them.
+    idle_count : int
+        Those of them that were closed at once because no request was on them.
+    cancelled_count : int
+        Requests that had not ended by the deadline.
+    """
+
+    open_count: int
+    idle_count: int
+    cancelled_count: int = 0
+
 
 class _EmbeddedServer(uvicorn.Server):
-    """A server that installs no signal handlers."""
+    """A server that installs no signal handlers and accepts connections with a `Listener`.
+
+    Attributes
+    ----------
+    announces_stop : bool
+        Whether new connections close after their first response.
+    """
+
+    def __init__(self, config: uvicorn.Config, limits: ConnectionLimits):
+        super().__init__(config)
+        self.announces_stop = False
+        self.listener = Listener(self._make_protocol)
+        self._limits = limits
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start listening."""
+        await self.lifespan.startup()
+        self.servers = []
+        self.listener.open(self.config.host, self.config.port)
+        self.started = True
+
+    def open_connections(self) -> list[BoundedHttpProtocol]:
+        """Return the open connections."""
+        return [
+            connection
+            for connection in self.server_state.connections
+            if isinstance(connection, BoundedHttpProtocol)
+        ]
+
+    def _make_protocol(self) -> BoundedHttpProtocol:
+        protocol = BoundedHttpProtocol(
+            self._limits,
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        if self.announces_stop:
+            protocol.close_after_response()
+        return protocol
+
 
 class WebServer:
     """Serves an ASGI application on one address.
@@ -46,7 +108,7 @@
         Header and idle timeouts; they may change while the server runs.
     """
 
-    __slots__ = ("_config", "_host", "_port", "_server", "_task")
+    __slots__ = ("_host", "_port", "_server", "_task")
 
     def __init__(
         self,
@@ -60,21 +122,21 @@
         self._port = port
         if limits is None:
             limits = ConnectionLimits(HEADER_TIMEOUT_SECONDS, IDLE_TIMEOUT_SECONDS)
-        self._config = uvicorn.Config(
+        config = uvicorn.Config(
             application,
             host=host,
             port=port,
+            http=BoundedHttpProtocol,
             log_config=None,
             log_level="critical",
             access_log=False,
             server_header=False,
             interface="asgi3",
-            http=functools.partial(BoundedHttpProtocol, limits),  # type: ignore[arg-type]
             ws="none",
             lifespan="auto",
             limit_concurrency=max_connections,
         )
-        self._server = _EmbeddedServer(self._config)
+        self._server = _EmbeddedServer(config, limits)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -98,27 +160,76 @@
         self._task = asyncio.create_task(self._server.serve())
         while not self._server.started:
             if self._task.done():
-                raise OSError(f"failed to listen on {self._host}:{self._port}")
+                error = self._task.exception()
+                raise OSError(f"failed to listen on {self._host}:{self._port}: {error}") from error
             await asyncio.sleep(0.005)
-        self._port = self._server.servers[0].sockets[0].getsockname()[1]
+        self._port = self._server.listener.port
+
+    def announce_stop(self) -> None:
+        """Make callers reconnect elsewhere: connections close after their next response."""
+        self._server.announces_stop = True
+        for connection in self._server.open_connections():
+            connection.close_after_response()
+
+    def close_listener(self) -> int:
+        """Stop accepting connections; return how many were still in the backlog."""
+        return self._server.listener.close()
 
-    async def stop(self) -> None:
-        """Stop accepting connections; return when the requests in progress have ended."""
-        for server in self._server.servers:
-            server.close()
-        await asyncio.sleep(CLOSE_DELAY_SECONDS)
-        await self._shut_down()
+    async def stop(self, deadline_seconds: float | None = None) -> StopReport:
+        """Stop accepting connections and finish the requests in progress.
 
-    async def _shut_down(self) -> None:
+        Parameters
+        ----------
+        deadline_seconds : float or None
+            When the remaining requests are cancelled (event loop time); never by default.
+        """
+        self.announce_stop()
+        self.close_listener()
+        remaining_seconds = _remaining_seconds(deadline_seconds)
+        if remaining_seconds is None or remaining_seconds > CLOSE_DELAY_SECONDS:
+            await asyncio.sleep(CLOSE_DELAY_SECONDS)
+        connections = self._server.open_connections()
+        idle_count = sum(not connection.has_request() for connection in connections)
         self._server.should_exit = True
-        if self._task is not None:
-            await self._task
+        cancelled_count = await self._wait_until_stopped(deadline_seconds)
+        return StopReport(len(connections), idle_count, cancelled_count)
+
+    async def _wait_until_stopped(self, deadline_seconds: float | None) -> int:
+        """Wait until all requests have ended; return how many were cancelled at the deadline."""
+        if self._task is None:
+            return 0
+        await asyncio.wait((self._task,), timeout=_remaining_seconds(deadline_seconds))
+        cancelled_count = 0
+        if not self._task.done():
+            cancelled_count = await self._cancel_requests()
+        await self._task
+        return cancelled_count
+
+    async def _cancel_requests(self) -> int:
+        """Cancel the requests in progress and close all connections."""
+        tasks = list(self._server.server_state.tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_SECONDS)
+        for connection in self._server.open_connections():
+            connection.transport.close()
+        self._server.force_exit = True
+        return len(tasks)
 
     async def crash(self) -> None:
         """Close the listener and abort all connections at once, as if the process were killed."""
-        for server in self._server.servers:
-            server.close()
-        for connection in list(self._server.server_state.connections):
+        self._server.listener.abort()
+        for connection in self._server.open_connections():
             connection.transport.abort()
         self._server.force_exit = True
-        await self._shut_down()
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+def _remaining_seconds(deadline_seconds: float | None) -> float | None:
+    """Return the time until a deadline, or None without one."""
+    if deadline_seconds is None:
+        return None
+    return max(0.0, deadline_seconds - asyncio.get_running_loop().time())
--- a/rackswitch/web/tests/test_planned_stop.py
+++ b/rackswitch/web/tests/test_planned_stop.py
@@ -1,10 +1,14 @@
 """A planned stop answers requests that are already sent; tested on raw connections."""
 
 import asyncio
+import socket
+from unittest.mock import patch
 
 import pytest
 
 from rackswitch.web import WebServer
+from rackswitch.web.connection_limits import BoundedHttpProtocol
+from rackswitch.web.exchange import Exchange
 from rackswitch.web.tests.test_connection_limits import REQUEST, TIMEOUT_SECONDS, answer_ok
 
 SEND_DELAY_SECONDS = 0.15
@@ -31,3 +35,137 @@
         writer.close()
 
     asyncio.run(scenario())
+
+
+def connect_and_send(port: int, data: bytes = REQUEST) -> socket.socket:
+    """Send data on a new connection without running the event loop."""
+    connection = socket.create_connection(("127.0.0.1", port))
+    connection.sendall(data)
+    return connection
+
+
+async def read_answer(connection: socket.socket) -> bytes:
+    reader, writer = await asyncio.open_connection(sock=connection)
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize("loop_iterations", [0, 1, 2, 3])
+def test_request_on_a_connection_that_is_not_accepted_yet_is_answered(loop_iterations):
+    # Guards against resetting connections of the backlog when the listener closes, and against
+    # dropping those that are accepted in the same iteration of the event loop.
+    async def scenario():
+        server = WebServer(answer_ok, "127.0.0.1", 0)
+        await server.start()
+        connection = connect_and_send(server.port)
+        for _ in range(loop_iterations):
+            await asyncio.sleep(0)
+        stopping = asyncio.create_task(server.stop())
+        assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
+        await stopping
+
+    asyncio.run(scenario())
+
+
+async def serve_once(server: WebServer) -> socket.socket:
+    """Return an idle connection that has served a request."""
+    connection = connect_and_send(server.port)
+    connection.setblocking(False)
+    received = b""
+    while not received.endswith(b"ok"):
+        received += await asyncio.get_running_loop().sock_recv(connection, 1000)
+    return connection
+
+
+def test_request_that_waits_unread_as_connections_close_is_answered():
+    # Guards against resetting an idle connection on which a request has arrived.
+    original_shutdown = BoundedHttpProtocol.shutdown
+
+    async def scenario():
+        server = WebServer(answer_ok, "127.0.0.1", 0)
+        await server.start()
+        connection = await serve_once(server)
+
+        def send_and_shut_down(protocol):
+            connection.sendall(REQUEST)
+            original_shutdown(protocol)
+
+        with patch.object(BoundedHttpProtocol, "shutdown", send_and_shut_down):
+            stopping = asyncio.create_task(server.stop())
+            assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
+            await stopping
+
+    asyncio.run(scenario())
+
+
+def test_request_of_which_a_part_is_received_as_connections_close_is_answered():
+    # Guards against closing a connection whose request's headers are still arriving.
+    original_shutdown = BoundedHttpProtocol.shutdown
+
+    async def scenario():
+        server = WebServer(answer_ok, "127.0.0.1", 0)
+        await server.start()
+        connection = await serve_once(server)
+        connection.sendall(REQUEST[:10])
+
+        def shut_down_and_send(protocol):
+            original_shutdown(protocol)
+            connection.sendall(REQUEST[10:])
+
+        with patch.object(BoundedHttpProtocol, "shutdown", shut_down_and_send):
+            stopping = asyncio.create_task(server.stop())
+            assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
+            await stopping
+
+    asyncio.run(scenario())
+
+
+def test_response_to_a_request_from_before_the_stop_announces_the_close():
+    # Guards against callers that send their next request on a connection about to be closed.
+    async def scenario():
+        stopping_has_begun = asyncio.Event()
+
+        async def answer_late(scope, receive, send):
+            if scope["type"] == "http":
+                await stopping_has_begun.wait()
+                await Exchange(scope, receive, send).respond(200, (), b"ok")
+
+        server = WebServer(answer_late, "127.0.0.1", 0)
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(REQUEST)
+        while not server._server.server_state.tasks:
+            await asyncio.sleep(0)
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(0)
+        stopping_has_begun.set()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            answer = await reader.read()
+            await stopping
+        assert b"connection: close" in answer
+        writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_requests_that_outlast_the_deadline_are_cancelled_and_counted():
+    async def scenario():
+        async def answer_never(scope, receive, send):
+            if scope["type"] == "http":
+                await asyncio.Event().wait()
+
+        server = WebServer(answer_never, "127.0.0.1", 0)
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(REQUEST)
+        while not server._server.server_state.tasks:
+            await asyncio.sleep(0)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            report = await server.stop(asyncio.get_running_loop().time())
+            await reader.read()
+        assert report.cancelled_count == 1
+        writer.close()
+
+    asyncio.run(scenario())
