--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -153,10 +153,13 @@
         """Stop as planned: release the roles, finish requests in flight, then close."""
         self.context.log.write(Stopping(requests_in_flight=self.context.in_flight.count))
         self.context.stopping = True
+        self._server.announce_stop()
         self.context.membership.leave()
         await self.roles.update_roles()
         await self.heartbeats.announce()
         await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        # Without this, callers that reconnect would keep requests in flight until the timeout.
+        self._server.close_listener()
         is_drained = await self.context.in_flight.wait_idle(STOP_TIMEOUT_SECONDS)
         await self._server.stop()
         self.context.log.write(Stopped(whole=is_drained))
--- a/rackswitch/gateway/callers/caller_handler.py
+++ b/rackswitch/gateway/callers/caller_handler.py
@@ -1,5 +1,6 @@
 """ASGI application for callers and trainers: checks each request before it is served."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -7,7 +8,7 @@
 from loguru import logger
 
 from rackswitch.gateway.callers.call_handler import CallHandler
-from rackswitch.gateway.callers.refusals import Refusal, refuse_before_routing
+from rackswitch.gateway.callers.refusals import TEXT_HEADERS, Refusal, refuse_before_routing
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_handler import JobHandler, Submission
 from rackswitch.platform.desired_state import LIMITS_NAME
@@ -20,6 +21,7 @@
 from rackswitch.platform.names import AUTHORIZATION_HEADER
 from rackswitch.requests import Call
 from rackswitch.table import Handling, LimitsRow, RouteRow
+from rackswitch.telemetry.events import RequestCancelled
 from rackswitch.tenants import Caller, KeyFault
 from rackswitch.web.exchange import BodyTooLarge, BodyTooSlow, CallerDisconnected, Exchange
 
@@ -28,6 +30,9 @@
 BODY_TIMEOUT_SECONDS = 10.0
 """Time to receive the body of a request that has no deadline header."""
 
+CANCELLED_TEXT = b"this daemon stopped before the request ended; the request may have run"
+"""Response body of a request that a planned stop cancels."""
+
 NO_TABLE_RETRY_AFTER_SECONDS = 0.2
 """`Retry-After` of a daemon that has started and has not read a table yet."""
 
@@ -85,10 +90,25 @@
         with self._context.daemon.in_flight:
             try:
                 await self._serve(exchange)
+            except asyncio.CancelledError:
+                await self._respond_cancelled(exchange)
+                raise
             except ConnectionError as error:
                 logger.info("response aborted: {}", error)
                 raise
 
+    async def _respond_cancelled(self, exchange: Exchange) -> None:
+        """Respond to a request that the end of a planned stop cancels.
+
+        Otherwise the caller would get a status 500, or no response, and not know whether to retry.
+        """
+        self._context.log.write(
+            RequestCancelled(request=caller_request_id(exchange), path=exchange.path)
+        )
+        if not exchange.has_response:
+            exchange.close_connection = True
+            await exchange.respond(504, TEXT_HEADERS, CANCELLED_TEXT)
+
     async def _serve(self, exchange: Exchange) -> None:
         arrived_seconds = self._context.now_seconds()
         job_call = decode_job_call(exchange)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -230,6 +230,9 @@
             # Other daemons take over the rest when this daemon's leases expire.
             self.log.write(HandOverTimedOut(jobs=list(self.jobs.owned)))
         await balancer_drain
+        if self.context.daemon.in_flight.count > 0:
+            # Otherwise callers that reconnect could keep requests in flight until the deadline.
+            self._close_listener()
         remaining_seconds = deadline_seconds - self.context.now_seconds()
         completed = await self.context.daemon.in_flight.wait_idle(max(0.0, remaining_seconds))
         await self._duties.hand_over()
@@ -239,13 +242,19 @@
         while self.log.flush() and self.context.now_seconds() < deadline_seconds:
             await asyncio.sleep(LOG_FLUSH_INTERVAL_SECONDS)
 
+    def _close_listener(self) -> None:
+        """Accept no further connections of callers."""
+        server = self._servers[0]
+        if server.is_listening:
+            self.log.write(ListenerClosed(backlog_accepted=server.close_listener()))
+
     async def _finish_serving(self, deadline_seconds: float) -> bool:
         """Stop the servers; return whether all received requests were answered in time.
 
         Callers may still send requests on open connections; the end of the process must not cut
         these off.
         """
-        self.log.write(ListenerClosed(backlog_accepted=self._servers[0].close_listener()))
+        self._close_listener()
         reports = await asyncio.gather(*(server.stop(deadline_seconds) for server in self._servers))
         report = reports[0]
         self.log.write(
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "AttemptFailed",
+    "RequestCancelled",
     "RequestEnded",
     "RequestRefused",
 ]
@@ -21,6 +22,14 @@
     table_revision: int
 
 
+@register_event
+class RequestCancelled(Event, tag="request cancelled", frozen=True):
+    """A planned stop ended before the request did."""
+
+    request: str
+    path: str
+
+
 @register_event
 class AttemptFailed(Event, tag="attempt failed", frozen=True):
     """An attempt to have a target serve a request failed.
--- a/rackswitch/web/exchange.py
+++ b/rackswitch/web/exchange.py
@@ -36,9 +36,16 @@
         The ASGI scope.
     receive, send : callable
         The ASGI channels.
+
+    Attributes
+    ----------
+    close_connection : bool
+        Whether the connection closes after the response.
+    has_response : bool
+        Whether the response has begun.
     """
 
-    __slots__ = ("_receive", "_scope", "_send", "close_connection")
+    __slots__ = ("_receive", "_scope", "_send", "close_connection", "has_response")
 
     def __init__(
         self,
@@ -50,6 +57,7 @@
         self._receive = receive
         self._send = send
         self.close_connection = False
+        self.has_response = False
 
     @property
     def method(self) -> str:
@@ -159,4 +167,5 @@
         ]
         if self.close_connection:
             encoded.append((b"connection", b"close"))
+        self.has_response = True
         await self._send({"type": "http.response.start", "status": status, "headers": encoded})
--- a/rackswitch/web/listener.py
+++ b/rackswitch/web/listener.py
@@ -56,6 +56,11 @@
         self.port = self._socket.getsockname()[1]
         self._start_accepting()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the listener accepts connections."""
+        return self._socket is not None
+
     def close(self) -> int:
         """Accept the backlog and stop listening.
 
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -171,6 +171,11 @@
         for connection in self._server.open_connections():
             connection.close_after_response()
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the server accepts connections."""
+        return self._server.listener.is_open
+
     def close_listener(self) -> int:
         """Stop accepting connections; return how many were still in the backlog."""
         return self._server.listener.close()
