--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -338,9 +338,12 @@
         if spare is None or spare.versions.get(job.model, 0) < job.oldest_version:
             return False
         remaining_pieces = self.forecast.remaining_pieces(progress)
+        now_seconds = self._context.now_seconds()
+        engine_seconds_per_piece = self.paces.get(target.start, now_seconds)
         seconds_per_piece = self.load_tracker.expected_interval_seconds(
-            target, intervals, remaining_pieces
+            target, intervals, remaining_pieces, engine_seconds_per_piece
         )
+        self._update_spare_pace(spare, target.service, now_seconds)
         if not should_move(
             seconds_per_piece, spare, target.instance, remaining_pieces, progress.moves
         ):
@@ -349,6 +352,16 @@
         spare.free_slots -= 1
         return True
 
+    def _update_spare_pace(self, spare: SpareCapacity, service: str, now_seconds: float) -> None:
+        """Raise a spare engine's interval to its present mean if it slowed since the planning.
+
+        What slows all engines at once, such as a busy VM, is no reason to move.
+        """
+        listed = self._context.directory.entries.get(spare.instance)
+        if listed is not None and not self._context.chooses_targets_by_load(service):
+            present_seconds = self.paces.get(listed.start, now_seconds)
+            spare.seconds_per_piece = max(spare.seconds_per_piece, present_seconds)
+
     def _accept_piece(
         self, ledger: JobLedger, progress: ItemProgress, piece: TextPiece
     ) -> PieceFault | None:
--- a/rackswitch/gateway/items/run_load_tracker.py
+++ b/rackswitch/gateway/items/run_load_tracker.py
@@ -50,17 +50,37 @@
             load_estimator.record_refusal(sent.start, now_seconds)
 
     def expected_interval_seconds(
-        self, target: ListedTarget, intervals: PieceIntervals, remaining_pieces: float
+        self,
+        target: ListedTarget,
+        intervals: PieceIntervals,
+        remaining_pieces: float,
+        engine_seconds_per_piece: float,
     ) -> float | None:
         """Return the expected interval between a run's next pieces; None if too few have arrived.
 
         For engines chosen by load this is the estimate over the rest of the text, since a slowdown
-        seen in the latest pieces may be over before a move would gain time.
+        seen in the latest pieces may be over before a move would gain time. For others it is the
+        smaller of the run's median interval and its engine's mean interval: the median ignores a
+        single delay, but on a busy VM, where short and long intervals alternate, it may be far
+        above the mean, with which the pace of the other engines is measured.
+
+        Parameters
+        ----------
+        target : ListedTarget
+            The engine of the run.
+        intervals : PieceIntervals
+            The run's latest intervals.
+        remaining_pieces : float
+            Number of pieces that its text probably still lacks.
+        engine_seconds_per_piece : float
+            Mean interval between the pieces of the engine's streams.
         """
         measured_seconds = intervals.seconds_per_piece()
+        if measured_seconds is None:
+            return None
         load_estimator = self._context.load_estimator
-        if measured_seconds is None or not self._context.chooses_targets_by_load(target.service):
-            return measured_seconds
+        if not self._context.chooses_targets_by_load(target.service):
+            return min(measured_seconds, engine_seconds_per_piece)
         now_seconds = self._context.now_seconds()
         estimate = load_estimator.estimate(target, WorkKind.TEXT, remaining_pieces, now_seconds)
         return estimate.unit_seconds * estimate.pace
--- a/rackswitch/gateway/items/tests/test_item_runner.py
+++ b/rackswitch/gateway/items/tests/test_item_runner.py
@@ -1,6 +1,7 @@
 """How runs of items affect the state of their engines, and reports to quarantine."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -20,19 +21,26 @@
 
 
 class ScriptedEngine:
-    """Sends the same pieces in each run, and the same end after a delay."""
+    """Sends the same pieces in each run at the given intervals, and the same end after a delay."""
 
     def __init__(
-        self, pieces, end: ItemRunEnd, end_delay_seconds: float, interval_seconds=0.0, was_sent=True
+        self,
+        pieces,
+        end: ItemRunEnd,
+        end_delay_seconds: float,
+        *intervals_seconds: float,
+        was_sent=True,
     ):
         self._pieces = pieces
         self._end = ItemRunEnded(end, "as scripted", was_sent)
         self._end_delay_seconds = end_delay_seconds
-        self._interval_seconds = interval_seconds
+        self._intervals_seconds = intervals_seconds or (0.0,)
 
     async def run(self, target, request, first_piece_timeout_seconds, next_piece_timeout_seconds):
-        for piece in self._pieces:
-            await asyncio.sleep(self._interval_seconds)
+        for piece, interval_seconds in zip(
+            self._pieces, itertools.cycle(self._intervals_seconds), strict=False
+        ):
+            await asyncio.sleep(interval_seconds)
             yield piece
         await asyncio.sleep(self._end_delay_seconds)
         yield self._end
@@ -127,6 +135,25 @@
     assert all(capacity.free_slots == 1 - moves for capacity in spare.values())
 
 
+@pytest.mark.parametrize("spare_is_listed", [False, True])
+def test_a_run_with_alternating_intervals_does_not_move_to_an_equally_fast_engine(spare_is_listed):
+    # Guards against moves between equal engines on a busy VM: the median of alternating intervals
+    # is far above their mean, and all engines may have slowed since the spare one was planned.
+    async def scenario():
+        pieces = [TextPiece(number, "a", 1) for number in range(1, 101)]
+        engine = ScriptedEngine(pieces, ItemRunEnd.COMPLETE, 0.0, 0.004, 0.034)
+        runner, ledger = make_runner(engine)
+        runner.spare["s"] = SpareCapacity("e2", 0.01 if spare_is_listed else 0.019, 1, {"m": 1})
+        if spare_is_listed:
+            spare = ListedTarget("e2", "s", "h", 2, "z", 12, False, {"m": 1})
+            runner._context.directory.entries["e2"] = spare
+            runner.paces.record_interval(spare.start, 0.019, runner._context.now_seconds())
+        await run_item(runner, ledger)
+        return ledger.items["i0"].moves
+
+    assert run_on_virtual_clock(scenario()) == 0
+
+
 def test_records_the_load_reported_in_a_stream():
     async def scenario():
         runner, ledger = make_runner(
@@ -193,7 +220,7 @@
     async def scenario():
         quarantine = RecordingQuarantine()
         pieces_of_run = [TextPiece(number + 1, "a", 1) for number in range(pieces)]
-        engine = ScriptedEngine(pieces_of_run, ItemRunEnd.INTERRUPTED, 0.0, interval_seconds=0.04)
+        engine = ScriptedEngine(pieces_of_run, ItemRunEnd.INTERRUPTED, 0.0, 0.04)
         await run_item(*make_runner(engine, quarantine))
         return quarantine.reports
 
