--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
@@ -35,6 +36,21 @@
 """How often a starting daemon reads the members before it assumes that there are no others."""
 
 
+@dataclass(frozen=True, slots=True)
+class _AnsweredPoll:
+    """A request to a source that it answered.
+
+    Attributes
+    ----------
+    revisions : dict of str to int
+        By prefix, the revision that the reply stated.
+    """
+
+    source: str
+    requested_at_seconds: float
+    revisions: dict[str, int]
+
+
 class PeerFollower:
     """Follows a source in the distribution tree, and enables the service watch if needed.
 
@@ -61,6 +77,7 @@
 
     __slots__ = (
         "_context",
+        "_last_poll",
         "_replicas",
         "_live_zones",
         "_members_prefix",
@@ -88,6 +105,7 @@
         self._live_zones: list[tuple[str, str]] = []
         self._tree = DistributionTree(())
         self._recovered_at_seconds = float("-inf")
+        self._last_poll: _AnsweredPoll | None = None
         self.selector = SourceSelector(float("-inf"))
         self.members_read = asyncio.Event()
 
@@ -185,7 +203,9 @@
             self._record_follow_failure(self.selector.record_failure, name, reply.detail)
         elif reply.refused or len(reply.news) < len(self._replicas.by_prefix):
             self.selector.record_not_ready(name, now_seconds)
-        elif self._apply_reply(reply, requested_at_seconds, now_seconds) > max_age_seconds(level):
+        elif self._apply_reply(reply, name, requested_at_seconds, now_seconds) > max_age_seconds(
+            level
+        ):
             self._record_follow_failure(self._record_stale_source, name, "not fresh")
         elif reply.cut_off:
             self._record_follow_failure(self._record_stale_source, name, "cut off from the service")
@@ -216,7 +236,11 @@
         self._context.log.write(ReplicationRefused(daemon_asked=name, reason=reason))
 
     def _apply_reply(
-        self, reply: pb.FollowReply, requested_at_seconds: float, now_seconds: float
+        self,
+        reply: pb.FollowReply,
+        source: str,
+        requested_at_seconds: float,
+        now_seconds: float,
     ) -> float:
         """Apply a reply; return the age (seconds) of its oldest confirmation by the service.
 
@@ -237,13 +261,32 @@
             oldest_seconds = max(oldest_seconds, age_seconds)
             if message.revision >= replica.revision:
                 self._replicas.confirm(message.prefix, now_seconds - age_seconds)
+        revisions = {news.prefix: news.revision for news in reply.news}
+        poll = _AnsweredPoll(source, requested_at_seconds, revisions)
         if self._context.policy.calls_through_peers:
-            self._context.store_reachability.record_peer_contact(
-                now_seconds - oldest_seconds, now_seconds
-            )
+            contact_seconds = max(now_seconds - oldest_seconds, self._changed_after_seconds(poll))
+            self._context.store_reachability.record_peer_contact(contact_seconds, now_seconds)
+        self._last_poll = poll
         self._paces.record_peer_paces(reply.paces, now_seconds)
         return oldest_seconds
 
+    def _changed_after_seconds(self, poll: _AnsweredPoll) -> float:
+        """Return a time after which the service sent changes to the source; -inf if unknown.
+
+        The age of a confirmation also counts a pause of the source before it answers. But the root
+        of the tree watches the service itself: changes that it lacked in its last reply were sent
+        after that reply, and thus after the poll that it answers.
+        """
+        last_poll = self._last_poll
+        root = self._current_tree().root
+        if last_poll is None or last_poll.source != poll.source or poll.source != root:
+            return float("-inf")
+        has_changed = any(
+            revision > last_poll.revisions.get(prefix, revision)
+            for prefix, revision in poll.revisions.items()
+        )
+        return last_poll.requested_at_seconds if has_changed else float("-inf")
+
     def _apply_prefix_changes(self, message: pb.CopyNews) -> None:
         changes = decode_changes(message)
         if message.whole:
--- a/rackswitch/gateway/store/tests/test_replica_manager.py
+++ b/rackswitch/gateway/store/tests/test_replica_manager.py
@@ -9,6 +9,7 @@
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.peer_service import GatewayPeersService
 from rackswitch.gateway.store.replica_manager import ReplicaManager
+from rackswitch.gateway.store.replica_server import ReplicaServer
 from rackswitch.gateway.store.replica_set import ReplicaHandlers
 from rackswitch.gateway.tests.support import make_gateway_context, make_member
 from rackswitch.membership import VmEntry
@@ -252,6 +253,34 @@
     run_scenario(scenario)
 
 
+PAUSE_SECONDS = 0.1
+
+
+@pytest.mark.parametrize(("daemon_count", "is_unreachable"), [(2, False), (3, True)])
+def test_a_pause_of_the_source_does_not_hide_that_the_service_is_reachable_again(
+    monkeypatch, daemon_count, is_unreachable
+):
+    # Guards against counting the source's pause as the age of its confirmation. Of three daemons
+    # the source is not the root, so it may pass on changes that are older than the failure.
+    original_serve = ReplicaServer.serve
+
+    async def pause_and_serve(server, request):
+        await asyncio.sleep(PAUSE_SECONDS)
+        return await original_serve(server, request)
+
+    async def scenario(source, follower, *others):
+        source.put("p/x", 5)
+        follower.context.store_reachability.record_failure(follower.now_seconds(), "no answer")
+        await follower.follower.poll_source("a", 1)
+        assert follower.context.store_reachability.is_unreachable
+        source.put("p/y", 6)
+        monkeypatch.setattr(ReplicaServer, "serve", pause_and_serve)
+        await follower.follower.poll_source("a", 1)
+        assert follower.context.store_reachability.is_unreachable is is_unreachable
+
+    run_scenario(scenario, daemon_count)
+
+
 def test_a_follower_learns_from_its_source_that_the_service_is_reachable_again():
     async def scenario(source, follower):
         source.put("p/x", 5)
