--- a/rackswitch/gateway/store/tests/test_store_relay.py
+++ b/rackswitch/gateway/store/tests/test_store_relay.py
@@ -1,6 +1,7 @@
 """A daemon that cannot reach the key-value service makes its calls through peers."""
 
 import asyncio
+from copy import copy
 
 import msgspec
 import pytest
@@ -14,6 +15,7 @@
 from rackswitch.platform.store_calls import StoreCall, decode_call, encode_call
 from rackswitch.platform.store_messages import StoreAnswer
 from rackswitch.relay import OWN_PATH
+from rackswitch.telemetry.events import RoleAcquired
 
 UNREACHABLE_URL = "http://127.0.0.1:9"
 LONG_ITEM_PIECES = 3000
@@ -234,12 +236,17 @@
 
 
 def test_forwarded_calls_are_validated_limited_and_logged():
+    # Guards against relaying malformed calls, calls of strangers, or any number of calls.
     async def scenario(fleet):
         gateway = fleet.gateways["d0"]
         relay = gateway.context.kv._transport
         recording_log = RecordingLog()
-        forwarded_calls = ForwardedCalls(gateway.context, relay)
-        gateway.context.daemon.log, original_log = recording_log, gateway.context.daemon.log
+        # A copy, since the running daemon logs its own decisions meanwhile.
+        context = copy(gateway.context)
+        context.daemon = copy(gateway.context.daemon)
+        context.daemon.log = recording_log
+        forwarded_calls = ForwardedCalls(context, relay)
+        gateway.context.daemon.log.write(RoleAcquired(role="versions", fencing=1))
         valid = pb.PassOnRequest(daemon="d1", call=encode_call(READ))
         unknown_daemon = pb.PassOnRequest(daemon="nobody", call=encode_call(READ))
         malformed = pb.PassOnRequest(daemon="d1", call=b"\xff\x00")
@@ -249,7 +256,6 @@
         assert [event.daemon_asking for event in recording_log.events] == ["nobody", "d1"]
         forwarded_calls._in_flight = MAX_FORWARDED_CALLS
         assert (await forwarded_calls.serve(valid)).refused
-        gateway.context.daemon.log = original_log
         assert relay.path_selector.paths([], True, 0.0) == [OWN_PATH]
 
     run_scenario(scenario)
