--- a/rackswitch/load/tests/test_soak.py
+++ b/rackswitch/load/tests/test_soak.py
@@ -15,6 +15,7 @@
 
 SEED = 11
 FAULT_SECONDS = 2.5
+STOP_FAULT_SECONDS = 6.0
 TIMEOUT_SECONDS = 100.0
 
 
@@ -28,6 +29,17 @@
     assert all(not daemon.process_record.is_running for daemon in soak.site.daemons)
 
 
+@pytest.mark.parametrize("seed", [450, 479])
+def test_planned_stops_under_bursts_and_silent_targets_cut_no_request(tmp_path, seed):
+    # Guards against stops that callers who reconnect prolong until the last requests are cut, and
+    # against resets of connections that were not accepted yet. All callers use one daemon.
+    soak = Soak(seed, 1, tmp_path, ["daemon-stopped", "burst", "target-silent"])
+    report = asyncio.run(asyncio.wait_for(soak.run(STOP_FAULT_SECONDS), TIMEOUT_SECONDS))
+    assert report.violations == []
+    assert report.faults["daemon-stopped"] >= 1
+    assert report.answers["200"] > 0
+
+
 @pytest.fixture
 def site(tmp_path):
     return SoakSite(1, SEED, tmp_path)
