--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -34,6 +34,9 @@
 """Between probes of an unreachable key-value service while this daemon runs jobs. Finished results
 are to be listed within 0.3 s of the end of an outage."""
 
+RELEASE_RETRY_SECONDS = 0.3
+"""Delay before a release that the service did not answer is repeated."""
+
 
 class JobClaims:
     """Claims jobs: orphans in the order of the daemons' ranks, jobs that run here at once.
@@ -312,4 +315,14 @@
                 self._checkpoints.resume(owned, checkpoint)
         else:
             self._context.log.write(JobNotOwned(job=job_id, reason="claimed but not read"))
-            await self._store.release(job_id, owner_revision)
+            self._context.daemon.spawn(self._release_claim(job_id, owner_revision, checkpoint))
+
+    async def _release_claim(
+        self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint | None
+    ) -> None:
+        """Release a job that could not be read, repeatedly until the service answers.
+
+        Otherwise it would stay claimed, and run nowhere, for as long as this daemon lives.
+        """
+        while not await self._store.release(job_id, owner_revision, checkpoint):
+            await asyncio.sleep(RELEASE_RETRY_SECONDS)
--- a/rackswitch/gateway/jobs/job_store.py
+++ b/rackswitch/gateway/jobs/job_store.py
@@ -176,14 +176,21 @@
 
     async def release(
         self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint | None = None
-    ) -> None:
-        """Delete the owner key and store a checkpoint, so that another daemon can claim the job."""
+    ) -> bool:
+        """Delete the owner key and store a checkpoint, so that another daemon can claim the job.
+
+        Returns
+        -------
+        bool
+            Whether the service answered; the owner key is then gone or another claim's.
+        """
         key_part = job_key_part(job_id)
         key = OWNERS_PREFIX + key_part
         operations = [Operation(key, None)]
         if checkpoint is not None:
             operations.append(_checkpoint_put(key_part, checkpoint))
-        await self._txn(TxnPart((Compare(key, "mod", owner_revision),), tuple(operations)))
+        answer = await self._txn(TxnPart((Compare(key, "mod", owner_revision),), tuple(operations)))
+        return not isinstance(answer, JobNotStored)
 
     async def store_checkpoint(
         self, job_id: str, owner_revision: int, checkpoint: JobCheckpoint
--- a/rackswitch/gateway/jobs/tests/test_job_manager.py
+++ b/rackswitch/gateway/jobs/tests/test_job_manager.py
@@ -200,6 +200,37 @@
     run_on_virtual_clock(scenario())
 
 
+class UnreadableStore(JobStore):
+    """Loses the service while it reads a job's items."""
+
+    async def load_items(self, job_id):
+        self._context.kv.faults.down = True
+        return await super().load_items(job_id)
+
+
+def test_a_claimed_job_that_cannot_be_read_is_released_once_the_service_answers():
+    # Guards against a job that stays claimed by a living daemon that does not run it.
+    async def scenario():
+        kv = KvStore()
+        lease = kv.grant(1000.0, 0.0)
+        await JobStore(make_gateway_context("b", kv)).create(make_job(), lease)
+        kv.end_lease(lease)
+        job_manager = make_job_manager("a", kv)
+        await apply_entries(job_manager, kv)
+        store = UnreadableStore(job_manager._context)
+        job_manager._claims._store = store
+        marker = await store.load_marker("j")
+        await job_manager._claims.claim("j", marker.mod_revision)
+        assert OWNERS_PREFIX + "j" in kv.keys
+        assert job_manager.owned == {}
+        await asyncio.sleep(5.0)
+        job_manager._context.kv.faults.down = False
+        await asyncio.sleep(2.0)
+        assert OWNERS_PREFIX + "j" not in kv.keys
+
+    run_on_virtual_clock(scenario())
+
+
 class RefusingStore(JobStore):
     """Refuses every lease as expired."""
 
