--- a/rackswitch/load/soak.py
+++ b/rackswitch/load/soak.py
@@ -163,11 +163,17 @@
         """Check that every daemon serves both routes by the newest table within the time limit."""
         start_seconds = asyncio.get_running_loop().time()
         unserved = {daemon.name for daemon in self.site.daemons}
+
+        async def wait_served(session: aiohttp.ClientSession, daemon: DaemonProcess) -> None:
+            await self._wait_served(session, daemon)
+            unserved.discard(daemon.name)
+
         try:
             async with self._session() as session, asyncio.timeout(RECOVERY_TIMEOUT_SECONDS):
-                for daemon in self.site.daemons:
-                    await self._wait_served(session, daemon)
-                    unserved.discard(daemon.name)
+                # All at once, so that the time limit is the same for each of many daemons.
+                await asyncio.gather(
+                    *(wait_served(session, daemon) for daemon in self.site.daemons)
+                )
         except TimeoutError:
             self.site.violations.append(
                 f"not serving {RECOVERY_TIMEOUT_SECONDS:.0f} s after the faults: {sorted(unserved)}"
--- a/rackswitch/load/tests/test_soak.py
+++ b/rackswitch/load/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rackswitch.daemon.tests.support import run_on_virtual_clock
 from rackswitch.load.soak import Soak
 from rackswitch.load.soak_callers import CallRecord, SoakCallers
 from rackswitch.load.soak_site import SoakSite
@@ -158,6 +159,20 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("unserved", [[], ["d7"]])
+def test_recovery_of_many_daemons_is_checked_at_once(tmp_path, monkeypatch, unserved):
+    # Guards against a time limit that many daemons share: those asked last would have no time left.
+    soak = Soak(SEED, 40, tmp_path)
+
+    async def wait_served(session, daemon):
+        await asyncio.sleep(1000.0 if daemon.name in unserved else 0.5)
+
+    monkeypatch.setattr(soak, "_wait_served", wait_served)
+    run_on_virtual_clock(soak._check_recovery())
+    expected = [f"not serving 10 s after the faults: {unserved}"] if unserved else []
+    assert soak.site.violations == expected
+
+
 def test_unknown_fault_lists_known_faults(tmp_path):
     with pytest.raises(UnknownNameError, match="daemons-rolled"):
         Soak(SEED, 1, tmp_path, ["earthquake"])
