--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -322,7 +322,10 @@
     ) -> None:
         """Release a job that could not be read, repeatedly until the service answers.
 
-        Otherwise it would stay claimed, and run nowhere, for as long as this daemon lives.
+        Otherwise it would stay claimed, and run nowhere, for as long as this daemon lives. A job
+        that this daemon has adopted meanwhile keeps its claim.
         """
-        while not await self._store.release(job_id, owner_revision, checkpoint):
+        while job_id not in self._jobs.by_id:
+            if await self._store.release(job_id, owner_revision, checkpoint):
+                return
             await asyncio.sleep(RELEASE_RETRY_SECONDS)
--- a/rackswitch/gateway/jobs/tests/test_job_manager.py
+++ b/rackswitch/gateway/jobs/tests/test_job_manager.py
@@ -208,8 +208,10 @@
         return await super().load_items(job_id)
 
 
-def test_a_claimed_job_that_cannot_be_read_is_released_once_the_service_answers():
-    # Guards against a job that stays claimed by a living daemon that does not run it.
+@pytest.mark.parametrize("is_adopted", [False, True])
+def test_a_claimed_job_that_cannot_be_read_is_released_once_the_service_answers(is_adopted):
+    # Guards against a job that stays claimed by a living daemon that does not run it, and against
+    # the release of a job that this daemon has come to run meanwhile.
     async def scenario():
         kv = KvStore()
         lease = kv.grant(1000.0, 0.0)
@@ -224,9 +226,11 @@
         assert OWNERS_PREFIX + "j" in kv.keys
         assert job_manager.owned == {}
         await asyncio.sleep(5.0)
+        if is_adopted:
+            job_manager._jobs.add(make_job(), owner_entry(kv).mod_revision, [])
         job_manager._context.kv.faults.down = False
         await asyncio.sleep(2.0)
-        assert OWNERS_PREFIX + "j" not in kv.keys
+        assert (OWNERS_PREFIX + "j" in kv.keys) is is_adopted
 
     run_on_virtual_clock(scenario())
 
