--- a/rackswitch/web/tests/test_planned_stop.py
+++ b/rackswitch/web/tests/test_planned_stop.py
@@ -79,47 +79,43 @@
     return connection
 
 
-def test_request_that_waits_unread_as_connections_close_is_answered():
-    # Guards against resetting an idle connection on which a request has arrived.
+async def check_answered(sent_before: bytes, at_shutdown) -> None:
+    """Check that a request on an idle connection is answered during a planned stop.
+
+    `sent_before` is the part of it that is sent before the stop. `at_shutdown` takes the
+    connection and the original shutdown of the server's side, which it has to call.
+    """
+    server = WebServer(answer_ok, "127.0.0.1", 0)
+    await server.start()
+    connection = await serve_once(server)
+    connection.sendall(sent_before)
     original_shutdown = BoundedHttpProtocol.shutdown
 
-    async def scenario():
-        server = WebServer(answer_ok, "127.0.0.1", 0)
-        await server.start()
-        connection = await serve_once(server)
+    def shut_down(protocol):
+        at_shutdown(connection, lambda: original_shutdown(protocol))
 
-        def send_and_shut_down(protocol):
-            connection.sendall(REQUEST)
-            original_shutdown(protocol)
+    with patch.object(BoundedHttpProtocol, "shutdown", shut_down):
+        stopping = asyncio.create_task(server.stop())
+        assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
+        await stopping
 
-        with patch.object(BoundedHttpProtocol, "shutdown", send_and_shut_down):
-            stopping = asyncio.create_task(server.stop())
-            assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
-            await stopping
 
-    asyncio.run(scenario())
+def test_request_that_waits_unread_as_connections_close_is_answered():
+    # Guards against resetting an idle connection on which a request has arrived.
+    def send_and_shut_down(connection, shut_down):
+        connection.sendall(REQUEST)
+        shut_down()
+
+    asyncio.run(check_answered(b"", send_and_shut_down))
 
 
 def test_request_of_which_a_part_is_received_as_connections_close_is_answered():
     # Guards against closing a connection whose request's headers are still arriving.
-    original_shutdown = BoundedHttpProtocol.shutdown
+    def shut_down_and_send(connection, shut_down):
+        shut_down()
+        connection.sendall(REQUEST[10:])
 
-    async def scenario():
-        server = WebServer(answer_ok, "127.0.0.1", 0)
-        await server.start()
-        connection = await serve_once(server)
-        connection.sendall(REQUEST[:10])
-
-        def shut_down_and_send(protocol):
-            original_shutdown(protocol)
-            connection.sendall(REQUEST[10:])
-
-        with patch.object(BoundedHttpProtocol, "shutdown", shut_down_and_send):
-            stopping = asyncio.create_task(server.stop())
-            assert (await read_answer(connection)).startswith(b"HTTP/1.1 200 ")
-            await stopping
-
-    asyncio.run(scenario())
+    asyncio.run(check_answered(REQUEST[:10], shut_down_and_send))
 
 
 def test_response_to_a_request_from_before_the_stop_announces_the_close():
