Regions, evacuated zones and cold targets: fields and eligibility of targets

Cause: no code reads `region`, `zones`, `allowed_regions`, `cold_s`, `cold_per_s`, `cold_left_ms`, `memory_mb` or `link_mbps`, and any listed target may get any request.

Change: settings, table rows, the list of targets and membership entries carry these fields. routing.eligibility decides by zone and region, routing.regions classifies paths, and TargetDirectory.usable applies both. Nothing sets an evacuation yet, and callers pass no regions, so all decisions are as before.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -10,7 +10,7 @@
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.gateway.store.reachability import StoreReachability
 from rackswitch.platform.settings import NodeSettings
-from rackswitch.routing import LoadEstimator, Target, TargetDirectory
+from rackswitch.routing import Eligibility, LoadEstimator, RegionMap, Target, TargetDirectory
 from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
@@ -84,6 +84,15 @@
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        regions = RegionMap(self.settings.zone, self.settings.region_of_zone)
+        self.directory.eligibility = Eligibility(regions)
+
+    @property
+    def regions(self) -> RegionMap:
+        """Regions of the zones, as seen from this daemon."""
+        return self.directory.eligibility.regions
+
     @property
     def kv(self) -> KvClient:
         """Client of the key-value service."""
--- a/rackswitch/gateway/store/member_entries.py
+++ b/rackswitch/gateway/store/member_entries.py
@@ -21,6 +21,8 @@
         own.
     processor_share : float
         Share of a processor that its VM has; 0 if unknown.
+    memory_mb, link_mbps : float
+        Memory of its process and bandwidth of its VM's network link; 0 if unknown.
     """
 
     host: str
@@ -30,6 +32,8 @@
     started_at_unix_seconds: float
     leaving: bool = False
     processor_share: float = 0.0
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
 
 
 def decode_member(value: bytes) -> MemberEntry:
--- a/rackswitch/gateway/store/presence.py
+++ b/rackswitch/gateway/store/presence.py
@@ -116,6 +116,8 @@
             self._context.process_started_unix_seconds,
             self._context.daemon.stopping,
             self._context.settings.processor_share,
+            self._context.settings.memory_mb,
+            self._context.settings.link_mbps,
         )
         put = Operation(self._key, msgspec.json.encode(entry), lease_id)
         return await self._context.kv.txn([TxnPart((), (put,))])
--- a/rackswitch/platform/desired_state.py
+++ b/rackswitch/platform/desired_state.py
@@ -97,6 +97,7 @@
     resumable: bool = False
     single_version: bool = False
     public: bool = False
+    allowed_regions: list[str] = []
 
 
 class _WireModel(msgspec.Struct):
@@ -121,6 +122,8 @@
 class _WireService(msgspec.Struct):
     name: str
     max_conns: int = 0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
     scaling: _WireScaling | None = None
     engine: _WireEngine | None = None
 
@@ -137,6 +140,7 @@
     api_keys: list[str] = []
     # If absent, the priority of the route applies.
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class _WireConfig(msgspec.Struct):
@@ -215,6 +219,7 @@
         name=wire.name,
         key_sha256=tuple(key_digest(key) for key in wire.api_keys),
         caller_class=None if wire.priority is None else max(0, wire.priority),
+        allowed_regions=tuple(wire.allowed_regions),
     )
 
 
@@ -226,6 +231,8 @@
         slots=engine.slots,
         models=tuple(model.name for model in engine.models),
         scaling=_scaling_terms(wire.scaling) if wire.scaling is not None else None,
+        cold_seconds=max(0.0, wire.cold_s),
+        cold_requests_per_second=max(0.0, wire.cold_per_s),
     )
 
 
@@ -281,4 +288,5 @@
         is_public=wire.public,
         due_seconds=wire.run_target_ms / 1000,
         keep_seconds=wire.keep_s,
+        allowed_regions=tuple(wire.allowed_regions),
     )
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -43,6 +43,8 @@
     born: Count = 0
     # Time until a reclaimed target stops, when the entry was written; absent otherwise.
     leaves_ms: Milliseconds | None = None
+    # How much longer the target is cold, when the entry was written.
+    cold_left_ms: Milliseconds = 0.0
     # Counts heartbeats since the target's start, not orders; only validated here.
     seq: Count = 0
 
@@ -71,6 +73,7 @@
         reclaimable=wire.spot or wire.state == "spot",
         started_at_unix_ms=wire.born,
         leaving_in_seconds=_leaving_in_seconds(wire),
+        cold_left_seconds=wire.cold_left_ms / 1000,
     )
 
 
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -1,7 +1,7 @@
 """Reads the settings file that the platform provides to each process."""
 
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
@@ -86,6 +86,16 @@
     queues_calls : bool
         Whether callers may exceed the capacity, so that calls are queued here and those that
         cannot be served are refused at once.
+    region : str
+        Region of the VM; empty if the file does not state it.
+    region_of_zone : dict of str to str
+        The region of each availability zone; empty for a deployment without regions.
+    memory_mb, link_mbps : float
+        Memory of the process and bandwidth of the VM's network link; 0 if the file does not state
+        them.
+    cold_rate_factor, cold_rate_slack : float
+        The requests that a cold target may receive within any second are its service's cold rate
+        times the factor, plus the slack.
     """
 
     daemon: str
@@ -106,6 +116,12 @@
     duties: DutySettings | None = None
     drain_seconds: float = 0.0
     queues_calls: bool = False
+    region: str = ""
+    region_of_zone: dict[str, str] = field(default_factory=dict)
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
 
 
 class _WireListen(msgspec.Struct):
@@ -120,6 +136,8 @@
     status_s: float = 120.0
     report_window_s: float = 5.0
     usage_late_s: float = 10.0
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _WirePlatform(msgspec.Struct):
@@ -136,6 +154,8 @@
 
 class _WireLimits(msgspec.Struct):
     cpu_share: float = 0.0
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _WireSettings(msgspec.Struct):
@@ -144,6 +164,8 @@
     zone: str
     platform: _WirePlatform
     machine_class: str = ""
+    region: str = ""
+    zones: dict[str, str] = {}
     listen: _WireListen = msgspec.field(default_factory=_WireListen)
     # The first and last port of a range, not a list of ports.
     internal_ports: list[int] = msgspec.field(default_factory=list)
@@ -206,6 +228,12 @@
         duties=_duty_settings(wire),
         drain_seconds=max(0.0, wire.bounds.drain_ms / 1000),
         queues_calls=SATURATION_CONTRACT in wire.contracts,
+        region=wire.region,
+        region_of_zone=wire.zones,
+        memory_mb=max(0.0, wire.limits.memory_mb),
+        link_mbps=max(0.0, wire.limits.link_mbps),
+        cold_rate_factor=max(0.0, wire.bounds.cold_over),
+        cold_rate_slack=max(0.0, wire.bounds.cold_slack),
     )
 
 
@@ -225,10 +253,10 @@
     )
 
 
-def _address(field: str, text: str | None) -> Address | None:
+def _address(name: str, text: str | None) -> Address | None:
     if text is None:
         return None
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError(f"`$.{field}` must be HOST:PORT (found {text!r})")
+        raise ValueError(f"`$.{name}` must be HOST:PORT (found {text!r})")
     return Address(host, int(port))
--- a/rackswitch/platform/tests/test_settings.py
+++ b/rackswitch/platform/tests/test_settings.py
@@ -44,6 +44,17 @@
     assert settings.order_turn_seconds == 3.0
 
 
+def test_reads_regions_capacity_and_the_bound_of_cold_targets(tmp_path):
+    """Without these fields a daemon cannot tell regions, small VMs and the bound apart."""
+    text = VALID_SETTINGS.replace("bounds:", "bounds:\n  cold_over: 1.5\n  cold_slack: 5")
+    text += 'region: "r"\nzones: {a: "r", b: "s"}\nlimits: {memory_mb: 200, link_mbps: 30.0}\n'
+    settings = read(tmp_path, text)
+    assert isinstance(settings, NodeSettings)
+    assert (settings.region, settings.region_of_zone) == ("r", {"a": "r", "b": "s"})
+    assert (settings.memory_mb, settings.link_mbps) == (200.0, 30.0)
+    assert (settings.cold_rate_factor, settings.cold_rate_slack) == (1.5, 5.0)
+
+
 def test_a_vm_without_callers_has_no_caller_address(tmp_path):
     listen_entries = '  front: "10.1.0.10:8161"\n  ready: "10.1.0.10:8167"\n'
     settings = read(tmp_path, VALID_SETTINGS.replace(listen_entries, "  {}\n"))
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field
 
+from rackswitch.routing.eligibility import Eligibility
+
 __all__ = ["ListedTarget", "TargetDirectory"]
 
 LAPSE_GRACE_SECONDS = 2.0
@@ -32,6 +34,8 @@
     leaving_in_seconds : float or None
         Remaining lifetime at the time it wrote its entry; None if it is not leaving or did not
         report it.
+    cold_left_seconds : float
+        Remaining time in which it is cold at the time it wrote its entry; 0 if it is not cold.
     """
 
     instance: str
@@ -45,6 +49,7 @@
     reclaimable: bool = False
     started_at_unix_ms: int = 0
     leaving_in_seconds: float | None = None
+    cold_left_seconds: float = 0.0
 
     @property
     def start(self) -> str:
@@ -68,10 +73,13 @@
     lapsed : dict of str to float
         Targets whose entry was removed while the service was unreachable, and until when
         (monotonic) each may still be used.
+    eligibility : Eligibility
+        Zones and regions whose targets may not be used.
     """
 
     entries: dict[str, ListedTarget] = field(default_factory=dict)
     lapsed: dict[str, float] = field(default_factory=dict)
+    eligibility: Eligibility = field(default_factory=Eligibility)
 
     def put(self, target: ListedTarget) -> None:
         """Add or replace an entry."""
@@ -109,13 +117,30 @@
         """Remove a target at whose address another target answered."""
         self._discard(instance)
 
-    def usable(self, service: str, now_seconds: float) -> list[ListedTarget]:
-        """Return the targets of a service that may get new work now."""
+    def usable(
+        self,
+        service: str,
+        now_seconds: float,
+        allowed_regions: frozenset[str] | None = None,
+    ) -> list[ListedTarget]:
+        """Return the targets of a service that may get new work now.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now_seconds : float
+            Monotonic clock.
+        allowed_regions : frozenset of str or None, optional
+            Regions in which the work may run; None for all.
+        """
         self.expire(now_seconds)
         return [
             target
             for target in self.entries.values()
-            if target.service == service and not target.draining
+            if target.service == service
+            and not target.draining
+            and self.eligibility.exclusion(target.zone, allowed_regions) is None
         ]
 
     def expire(self, now_seconds: float) -> None:
--- a/rackswitch/table/rows.py
+++ b/rackswitch/table/rows.py
@@ -104,6 +104,8 @@
     due_seconds, keep_seconds : float
         For batch jobs, measured from submission: when all results are due, and when an
         item may be abandoned.
+    allowed_regions : tuple of str
+        Regions in which its requests may be served, cached and stored; empty for all.
     """
 
     choices: tuple[RouteChoice, ...]
@@ -121,6 +123,7 @@
     is_public: bool = False
     due_seconds: Positive = 600.0
     keep_seconds: Positive = 3600.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class ScalingTerms(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -158,12 +161,18 @@
         Models that the targets load; empty for a plain service.
     scaling : ScalingTerms or None
         Limits and prices for ordering targets; None if they cannot be ordered.
+    cold_seconds : float
+        How long a target is cold after it was started under load; 0 if it never is.
+    cold_requests_per_second : float
+        Requests per second that a cold target carries, from all daemons together; 0 if unlimited.
     """
 
     most_connections: NonNegativeInt = 0
     slots: NonNegativeInt = 0
     models: tuple[str, ...] = ()
     scaling: ScalingTerms | None = None
+    cold_seconds: NonNegative = 0.0
+    cold_requests_per_second: NonNegative = 0.0
 
 
 class LimitsRow(_Row, tag="limits", frozen=True, kw_only=True):
@@ -184,12 +193,15 @@
         SHA-256 digests of the customer's keys; a request carries one of the keys.
     caller_class : int or None
         Priority class of its requests, 0 first; None to use the route's.
+    allowed_regions : tuple of str
+        Regions in which its requests may be served, cached and stored; empty for all.
     """
 
     key_sha256: tuple[str, ...] = ()
     caller_class: Annotated[int, msgspec.Meta(ge=0)] | None = None
     rate_per_second: Positive = 100.0
     concurrency: Positive = 100.0
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def rank(self) -> int:
