Listen before the imports of a starting gateway

Until a starting daemon had imported its modules (0.5 s of processor time here, twice that on a VM with half a core), the kernel reset connections to its ports, and callers with one retry gave up.

The settings are now read first, and the sockets for callers and readiness checks are opened from them before the large imports; the servers take them over. Callers' connections that wait are accepted after the first read of the table and the targets (0.5 s at most), since requests are refused before it. Readiness answers as before. An address that cannot be opened early is left to its server, which reports the error as before. A stop signal during the start is recorded and the planned stop begins once the daemon has started, with its grace period counted from the signal. The settings file is read again right after the start, as SIGHUP is ignored during the imports.

--- a/rackswitch/gateway/__main__.py
+++ b/rackswitch/gateway/__main__.py
@@ -9,15 +9,24 @@
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 os.environ.setdefault("SSL_CERT_DIR", os.devnull)
 # Until a handler is installed, SIGHUP would end the process. It may be ignored here, because the
-# settings are read only after all imports.
+# settings file is read again as soon as the daemon has started.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # Imported objects are never freed, so garbage collection during the imports is wasted.
 gc.disable()
 
-from rackswitch.gateway.main import main  # noqa: E402
+from rackswitch.gateway.early_start import start_early  # noqa: E402
+
+
+def main() -> None:
+    """Listen, then import and run the daemon."""
+    early_start = start_early()
+    # Imported only now, since these imports take most of the time of a start.
+    from rackswitch.gateway.main import main as run_daemon
+
+    gc.freeze()
+    gc.enable()
+    run_daemon(early_start)
 
-gc.freeze()
-gc.enable()
 
 if __name__ == "__main__":
     main()
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 from rackswitch.clocks import suspended_seconds
 from rackswitch.daemon.roles import RoleManager
@@ -40,7 +41,7 @@
 from rackswitch.platform.item_runs import ItemClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
 from rackswitch.platform.orders import OrderClient
-from rackswitch.platform.settings import NodeSettings
+from rackswitch.platform.settings import Address, NodeSettings
 from rackswitch.platform.target_calls import TargetClient
 from rackswitch.routing import ListedTarget, ReportedLoad
 from rackswitch.telemetry.events import (
@@ -74,6 +75,11 @@
 """After a restart of the whole fleet, how much later than this daemon another one may appear among
 the members."""
 
+FIRST_READ_WAIT_SECONDS = 0.5
+"""How long callers' connections that arrived during the start wait for the first read of the table
+and the targets. Before it, all requests are refused, and a caller that has only one retry may give
+up."""
+
 MIN_SUSPENSION_SECONDS = 0.5
 """Shorter suspensions are ignored: open connections outlast them."""
 
@@ -92,6 +98,9 @@
         File descriptor of the decision log; standard output by default, None for no log.
     policy : PolicySettings, optional
         Switches of the gateway's mechanisms; the defaults if left out.
+    sockets : dict of Address to socket, optional
+        Listening sockets that are already open. The servers of these addresses take them over and
+        remove them from the dictionary.
     """
 
     def __init__(
@@ -99,8 +108,11 @@
         settings: NodeSettings,
         log_descriptor: int | None = 1,
         policy: PolicySettings | None = None,
+        sockets: dict[Address, socket.socket] | None = None,
     ):
         self.settings = settings
+        sockets = {} if sockets is None else sockets
+        self._callers_wait = settings.callers in sockets
         policy = policy or PolicySettings()
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
         parts = make_daemon_context(settings, rng, log_descriptor, policy)
@@ -186,12 +198,17 @@
             JobHandler(self.context, self.jobs, job_reader, JobPlacer(self.context, self.jobs)),
         )
         pages = StatusPages(self.context, self.replicas, self.snapshot)
-        self._servers = make_servers(self.context, caller_handler, pages)
+        self._servers = make_servers(self.context, caller_handler, pages, sockets)
 
     async def start(self) -> None:
-        """Start listening and start all background tasks."""
+        """Start listening and start all background tasks.
+
+        Connections of callers that already wait are accepted after the first read of the table and
+        the targets, or after `FIRST_READ_WAIT_SECONDS`.
+        """
         self._started_seconds = self.context.now_seconds()
-        for server in self._servers:
+        waiting_count = 1 if self._callers_wait else 0
+        for server in self._servers[waiting_count:]:
             await server.start()
         await self._peers.start(self.settings.host, self.settings.peer_ports[0])
         for task in (
@@ -209,12 +226,24 @@
             self._forget_unlisted_targets(),
         ):
             self.context.daemon.spawn_duty(task)
+        for server in self._servers[:waiting_count]:
+            await self.replicas.wait_for_first_read(FIRST_READ_WAIT_SECONDS)
+            await server.start()
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
 
-    async def stop(self) -> None:
-        """Stop as planned: hand over roles and jobs, finish the requests in flight, then end."""
+    async def stop(self, requested_seconds: float | None = None) -> None:
+        """Stop as planned: hand over roles and jobs, finish the requests in flight, then end.
+
+        Parameters
+        ----------
+        requested_seconds : float, optional
+            When the stop was requested (event loop time), from which the grace period counts; now
+            if left out.
+        """
+        if requested_seconds is None:
+            requested_seconds = self.context.now_seconds()
         deadline_seconds = (
-            self.context.now_seconds() + self.settings.stop_grace_seconds - STOP_MARGIN_SECONDS
+            requested_seconds + self.settings.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
         self.log.write(Stopping(requests_in_flight=self.context.daemon.in_flight.count))
         self.context.daemon.stopping = True
--- /dev/null
+++ b/rackswitch/gateway/early_start.py
@@ -0,0 +1,82 @@
+"""First part of the start, before the imports that take most of its time.
+
+The listening sockets are opened here, so that connections wait in the backlog instead of being
+reset. Imports of this module delay the listening, so it imports nothing but the settings.
+"""
+
+import signal
+import socket
+import sys
+import time
+from dataclasses import dataclass, field
+from types import FrameType
+
+from rackswitch.listening import open_listening_socket
+from rackswitch.platform.settings import Address, NodeSettings, read_node_settings
+from rackswitch.settings import SettingsFault
+
+__all__ = ["EXIT_BAD_SETTINGS", "EarlyStart", "start_early"]
+
+EXIT_BAD_SETTINGS = 2
+
+
+@dataclass(slots=True)
+class EarlyStart:
+    """What a starting process has done and received before its event loop runs.
+
+    Attributes
+    ----------
+    settings : NodeSettings
+        Settings of the daemon.
+    sockets : dict of Address to socket
+        Listening sockets by address. The servers of these addresses take them over.
+    listening_seconds : float
+        When the sockets were opened (boot clock).
+    stop_requested_seconds : float or None
+        When the first stop signal arrived (boot clock). The planned stop begins once the daemon
+        has started, since the connections in the backlog would otherwise be reset.
+    """
+
+    settings: NodeSettings
+    sockets: dict[Address, socket.socket] = field(default_factory=dict)
+    listening_seconds: float = 0.0
+    stop_requested_seconds: float | None = None
+
+    def request_stop(self, signal_number: int, frame: FrameType | None) -> None:
+        """Record a stop signal (signal handler)."""
+        if self.stop_requested_seconds is None:
+            self.stop_requested_seconds = _boot_seconds()
+
+
+def start_early() -> EarlyStart:
+    """Read the settings and listen for callers and readiness checks.
+
+    Bad settings end the process with one line and `EXIT_BAD_SETTINGS`.
+    """
+    settings = read_node_settings()
+    if isinstance(settings, SettingsFault):
+        print(settings.line, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    early_start = EarlyStart(settings)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, early_start.request_stop)
+    for address in (settings.callers, settings.readiness):
+        if address is not None:
+            _listen(early_start, address)
+    early_start.listening_seconds = _boot_seconds()
+    return early_start
+
+
+def _listen(early_start: EarlyStart, address: Address) -> None:
+    if address in early_start.sockets:
+        return
+    try:
+        early_start.sockets[address] = open_listening_socket(address.host, address.port)
+    except OSError:
+        # The address's server tries again when it starts, and reports the error if it persists.
+        return
+
+
+def _boot_seconds() -> float:
+    """Return the time of the event loop's clock (`rackswitch.clocks`)."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/rackswitch/gateway/listeners.py
+++ b/rackswitch/gateway/listeners.py
@@ -1,5 +1,6 @@
 """HTTP servers of a daemon: for callers, readiness checks and metrics."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,7 +10,7 @@
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.daemon_snapshot import DaemonSnapshot
 from rackswitch.gateway.store.replica_manager import ReplicaManager
-from rackswitch.platform.settings import METRICS_PATH
+from rackswitch.platform.settings import METRICS_PATH, Address
 from rackswitch.web import WebServer
 from rackswitch.web.exchange import Exchange
 
@@ -64,15 +65,25 @@
 
 
 def make_servers(
-    context: GatewayContext, caller_handler: CallerHandler, pages: StatusPages
+    context: GatewayContext,
+    caller_handler: CallerHandler,
+    pages: StatusPages,
+    sockets: dict[Address, socket.socket],
 ) -> list[WebServer]:
-    """Return the servers of a daemon, not started yet; the first one serves callers."""
+    """Return the servers of a daemon, not started yet; the first one serves callers.
+
+    Servers whose address is among the open listening sockets take these over and remove them.
+    """
     settings = context.settings
     servers = []
     if settings.callers is not None:
         address = settings.callers
         server = WebServer(
-            caller_handler, address.host, address.port, limits=context.connection_limits
+            caller_handler,
+            address.host,
+            address.port,
+            limits=context.connection_limits,
+            opened_socket=sockets.pop(address, None),
         )
         servers.append(server)
     for listen_address, handler in (
@@ -80,9 +91,13 @@
         (settings.metrics, pages.metrics),
     ):
         if listen_address is not None:
-            servers.append(
-                WebServer(_make_application(handler), listen_address.host, listen_address.port)
+            server = WebServer(
+                _make_application(handler),
+                listen_address.host,
+                listen_address.port,
+                opened_socket=sockets.pop(listen_address, None),
             )
+            servers.append(server)
     return servers
 
 
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -73,6 +73,8 @@
         Selects the source to follow.
     members_read : asyncio.Event
         Set once the members have been read for the first time.
+    state_read : asyncio.Event
+        Set once the first read of the other prefixes has ended, with or without success.
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "_watch",
         "selector",
         "members_read",
+        "state_read",
     )
 
     def __init__(
@@ -108,6 +111,7 @@
         self._last_poll: _AnsweredPoll | None = None
         self.selector = SourceSelector(float("-inf"))
         self.members_read = asyncio.Event()
+        self.state_read = asyncio.Event()
 
     async def run(self) -> None:
         """Follow or watch until cancelled."""
@@ -122,10 +126,12 @@
         A restarted daemon can thus serve callers at once; it receives later changes from its
         source or its watch.
         """
+        await asyncio.gather(self._discover_members(), self._read_other_prefixes())
+
+    async def _read_other_prefixes(self) -> None:
         others = [prefix for prefix in self._replicas.by_prefix if prefix != self._members_prefix]
-        await asyncio.gather(
-            self._discover_members(), *(self._read_stale(prefix) for prefix in others)
-        )
+        await asyncio.gather(*(self._read_stale(prefix) for prefix in others))
+        self.state_read.set()
 
     async def _discover_members(self) -> None:
         members = self._context.daemon.membership
--- a/rackswitch/gateway/store/replica_manager.py
+++ b/rackswitch/gateway/store/replica_manager.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
@@ -71,6 +72,12 @@
         """Set once the members have been read, including an entry of an earlier process."""
         return self._follower.members_read
 
+    async def wait_for_first_read(self, timeout_seconds: float) -> None:
+        """Wait until the first read of the table and the targets has ended, or a timeout."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_seconds):
+                await self._follower.state_read.wait()
+
     async def run(self) -> None:
         """Keep the replicas current until cancelled."""
         await asyncio.gather(self._watch.run(), self._follower.run())
--- a/rackswitch/gateway/tests/test_planned_stop.py
+++ b/rackswitch/gateway/tests/test_planned_stop.py
@@ -87,3 +87,25 @@
         await gateway.close()
 
     run_scenario(scenario)
+
+
+def test_counts_the_grace_period_from_the_signal(monkeypatch):
+    # Guards against a stop that was requested during a long start and is killed before its end.
+    monkeypatch.setattr(core, "BALANCER_DRAIN_SECONDS", 0.0)
+
+    async def scenario(fleet):
+        for service in fleet.services:
+            service.faults.work_seconds = 10 * GRACE_SECONDS
+        gateway = fleet.gateways["d0"]
+        request = asyncio.create_task(
+            fleet.request("d0", "POST", "/lodge/1", b"b", "r1", deadline_ms=30_000)
+        )
+        await wait_for(lambda: runs_of(fleet.services, "r1") == 1)
+        requested_seconds = gateway.context.now_seconds() - GRACE_SECONDS
+        async with asyncio.timeout(GRACE_SECONDS / 2):
+            await gateway.stop(requested_seconds)
+        await gateway.close()
+        status, _, _ = await request
+        assert status == 504
+
+    run_scenario(scenario)
--- a/rackswitch/web/listener.py
+++ b/rackswitch/web/listener.py
@@ -5,10 +5,9 @@
 import socket
 from collections.abc import Callable
 
-__all__ = ["Listener"]
+from rackswitch.listening import BACKLOG, open_listening_socket
 
-BACKLOG = 2048
-"""Maximum number of connections that wait to be accepted."""
+__all__ = ["Listener"]
 
 ACCEPT_RETRY_SECONDS = 1.0
 """Delay before accepting again after the process ran out of a resource."""
@@ -42,17 +41,25 @@
         self._retry_timer: asyncio.TimerHandle | None = None
         self._pending_connections: set[asyncio.Task[None]] = set()
 
-    def open(self, host: str, port: int) -> None:
+    def open(self, host: str, port: int, opened_socket: socket.socket | None = None) -> None:
         """Start listening; port 0 selects a free port.
 
+        Parameters
+        ----------
+        host, port : str, int
+            Address to listen on.
+        opened_socket : socket, optional
+            A non-blocking socket that already listens on the address. The listener accepts its
+            backlog and closes it at the end.
+
         Raises
         ------
         OSError
             If listening on the address fails.
         """
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        self._socket.setblocking(False)
+        if opened_socket is None:
+            opened_socket = open_listening_socket(host, port)
+        self._socket = opened_socket
         self.port = self._socket.getsockname()[1]
         self._start_accepting()
 
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -56,8 +56,14 @@
         Whether new connections close after their first response.
     """
 
-    def __init__(self, config: uvicorn.Config, limits: ConnectionLimits):
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        limits: ConnectionLimits,
+        opened_socket: socket.socket | None,
+    ):
         super().__init__(config)
+        self._opened_socket = opened_socket
         self.announces_stop = False
         self.listener = Listener(self._make_protocol)
         self._limits = limits
@@ -70,7 +76,8 @@
         """Start listening."""
         await self.lifespan.startup()
         self.servers = []
-        self.listener.open(self.config.host, self.config.port)
+        self.listener.open(self.config.host, self.config.port, self._opened_socket)
+        self._opened_socket = None
         self.started = True
 
     def open_connections(self) -> list[BoundedHttpProtocol]:
@@ -106,6 +113,9 @@
         Maximum number of connections; further ones get status 503.
     limits : ConnectionLimits, optional
         Header and idle timeouts; they may change while the server runs.
+    opened_socket : socket, optional
+        A non-blocking socket that already listens on the address; the server owns it from its
+        start on.
     """
 
     __slots__ = ("_host", "_port", "_server", "_task")
@@ -117,6 +127,7 @@
         port: int,
         max_connections: int | None = None,
         limits: ConnectionLimits | None = None,
+        opened_socket: socket.socket | None = None,
     ):
         self._host = host
         self._port = port
@@ -136,7 +147,7 @@
             lifespan="auto",
             limit_concurrency=max_connections,
         )
-        self._server = _EmbeddedServer(config, limits)
+        self._server = _EmbeddedServer(config, limits, opened_socket)
         self._task: asyncio.Task[None] | None = None
 
     @property
--- a/rackswitch/web/tests/test_listener.py
+++ b/rackswitch/web/tests/test_listener.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rackswitch.listening import open_listening_socket
 from rackswitch.web import WebServer, listener
 from rackswitch.web.tests.test_connection_limits import REQUEST, TIMEOUT_SECONDS, answer_ok
 
@@ -47,3 +48,22 @@
         await first.stop()
 
     asyncio.run(scenario())
+
+
+def test_closes_a_socket_that_it_took_over():
+    # Guards against an open socket whose backlog accepts connections that nothing serves.
+    async def scenario():
+        for end in (WebServer.stop, WebServer.crash):
+            opened_socket = open_listening_socket("127.0.0.1", 0)
+            server = WebServer(answer_ok, "127.0.0.1", 0, opened_socket=opened_socket)
+            reader, writer = await asyncio.open_connection(*opened_socket.getsockname())
+            writer.write(REQUEST)
+            await server.start()
+            assert server.port == opened_socket.getsockname()[1]
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await reader.readuntil(b"ok")
+            writer.close()
+            await end(server)
+            assert opened_socket.fileno() == -1
+
+    asyncio.run(scenario())
