Time the start by part, and remove two waits from it

One log line a process gives the time from its start to listening, event loop, first read, session, first job and first item.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -7,6 +7,7 @@
 from rackswitch.clients.kv import KvClient
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.gateway.policy import PolicySettings
+from rackswitch.gateway.start_times import StartTimes
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.gateway.store.reachability import StoreReachability
 from rackswitch.platform.settings import NodeSettings
@@ -21,6 +22,10 @@
 __all__ = ["GatewayContext"]
 
 
+def _start_times_from_now() -> StartTimes:
+    return StartTimes(time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 def _initial_connection_limits() -> ConnectionLimits:
     """Return the limits that apply until a table is known: the defaults of a row."""
     row = LimitsRow(name="callers")
@@ -63,6 +68,8 @@
         Loads of weights in progress, by engine.
     list_confirmed_at_seconds : float
         When the key-value service last confirmed the list of targets (monotonic).
+    start_times : StartTimes
+        How long the parts of the start took.
     connection_limits : ConnectionLimits
         Idle and header timeouts of callers' connections, from the table.
     """
@@ -83,6 +90,7 @@
     list_confirmed_at_seconds: float = float("-inf")
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
+    start_times: StartTimes = field(default_factory=_start_times_from_now)
 
     def __post_init__(self) -> None:
         regions = RegionMap(self.settings.zone, self.settings.region_of_zone)
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -28,6 +28,7 @@
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
 from rackswitch.gateway.reload import compare_settings
+from rackswitch.gateway.start_times import StartTimes
 from rackswitch.gateway.store.control_entries import CONTROL_PREFIX, ControlEntries
 from rackswitch.gateway.store.presence import Presence
 from rackswitch.gateway.store.reachability import StoreReachability
@@ -64,6 +65,9 @@
 STORE_CALLS_LOG_INTERVAL_SECONDS = 10.0
 """Interval between log lines with the number of calls to the key-value service."""
 
+START_LOG_DELAY_SECONDS = 10.0
+"""How long the log line about the start waits for a first job and a first item."""
+
 UNLISTED_CHECK_INTERVAL_SECONDS = 5.0
 """Interval between checks for target starts that are no longer listed."""
 
@@ -101,6 +105,8 @@
     sockets : dict of Address to socket, optional
         Listening sockets that are already open. The servers of these addresses take them over and
         remove them from the dictionary.
+    start_times : StartTimes, optional
+        Parts of the start that were reached before; by default the start begins now.
     """
 
     def __init__(
@@ -109,6 +115,7 @@
         log_descriptor: int | None = 1,
         policy: PolicySettings | None = None,
         sockets: dict[Address, socket.socket] | None = None,
+        start_times: StartTimes | None = None,
     ):
         self.settings = settings
         sockets = {} if sockets is None else sockets
@@ -119,6 +126,8 @@
         self.direct_transport = parts.direct
         self.log = parts.context.log
         self.context = GatewayContext(settings, parts.context, StoreReachability(self.log), policy)
+        if start_times is not None:
+            self.context.start_times = start_times
         self._sessions = TargetSessions(self._record_load_report)
         self._started_seconds = float("-inf")
         self._suspended_seconds = suspended_seconds()
@@ -222,6 +231,7 @@
             self.quarantine.run(),
             *self._duties.background_tasks(),
             self.log.run(),
+            self._check_jobs_after_first_reads(),
             self._log_store_calls(),
             self._forget_unlisted_targets(),
         ):
@@ -229,6 +239,7 @@
         for server in self._servers[:waiting_count]:
             await self.replicas.wait_for_first_read(FIRST_READ_WAIT_SECONDS)
             await server.start()
+        self.context.daemon.spawn(self._log_start_times())
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
 
     async def stop(self, requested_seconds: float | None = None) -> None:
@@ -364,6 +375,16 @@
             return holder
         return None
 
+    async def _check_jobs_after_first_reads(self) -> None:
+        """Claim jobs and start items as soon as the entries that this depends on are known."""
+        for is_read in (self.replicas.members_read, self.replicas.state_read):
+            await is_read.wait()
+            self.jobs.check_now()
+
+    async def _log_start_times(self) -> None:
+        await self.context.start_times.wait_for_all(START_LOG_DELAY_SECONDS)
+        self.log.write(self.context.start_times.event())
+
     async def _log_store_calls(self) -> None:
         calls = getattr(self.context.kv, "calls_by_path", {})
         while True:
--- a/rackswitch/gateway/early_start.py
+++ b/rackswitch/gateway/early_start.py
@@ -4,11 +4,13 @@
 reset. Imports of this module delay the listening, so it imports nothing but the settings.
 """
 
+import os
 import signal
 import socket
 import sys
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 from types import FrameType
 
 from rackswitch.listening import open_listening_socket
@@ -19,6 +21,10 @@
 
 EXIT_BAD_SETTINGS = 2
 
+START_TIME_INDEX = 19
+"""Index of `starttime` in /proc/PID/stat (see proc(5)), counted after the process's name, which may
+contain spaces."""
+
 
 @dataclass(slots=True)
 class EarlyStart:
@@ -28,6 +34,8 @@
     ----------
     settings : NodeSettings
         Settings of the daemon.
+    process_started_seconds : float
+        When the process started (boot clock).
     sockets : dict of Address to socket
         Listening sockets by address. The servers of these addresses take them over.
     listening_seconds : float
@@ -38,6 +46,7 @@
     """
 
     settings: NodeSettings
+    process_started_seconds: float
     sockets: dict[Address, socket.socket] = field(default_factory=dict)
     listening_seconds: float = 0.0
     stop_requested_seconds: float | None = None
@@ -57,7 +66,7 @@
     if isinstance(settings, SettingsFault):
         print(settings.line, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    early_start = EarlyStart(settings)
+    early_start = EarlyStart(settings, _process_started_seconds())
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, early_start.request_stop)
     for address in (settings.callers, settings.readiness):
@@ -77,6 +86,15 @@
         return
 
 
+def _process_started_seconds() -> float:
+    """Return when this process started, as the kernel states it; now if that cannot be read."""
+    try:
+        fields = Path("/proc/self/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return _boot_seconds()
+    return int(fields[START_TIME_INDEX]) / os.sysconf("SC_CLK_TCK")
+
+
 def _boot_seconds() -> float:
     """Return the time of the event loop's clock (`rackswitch.clocks`)."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.items.leaving_run_mover import LeavingRunMover
 from rackswitch.gateway.items.step_ranks import StepRanks
 from rackswitch.gateway.jobs.owned_job import OwnedJob
+from rackswitch.gateway.start_times import StartPart
 from rackswitch.jobs import (
     DEFAULT_URGENCY,
     EngineCapacity,
@@ -254,6 +255,7 @@
             owned.runs.pop(progress.item.item_id, None)
             return
         self._runner.occupancy.record_start(start.instance)
+        self._context.start_times.record(StartPart.FIRST_ITEM, self._context.now_seconds())
         try:
             ended = await self._runner.run(ledger, progress, listed, urgency)
         finally:
--- a/rackswitch/gateway/jobs/job_manager.py
+++ b/rackswitch/gateway/jobs/job_manager.py
@@ -202,6 +202,10 @@
 
     # Background work
 
+    def check_now(self) -> None:
+        """Check for claims that are due and items that may start without waiting for a tick."""
+        self._wake.set()
+
     async def run(self) -> None:
         """Start items, append results and claim orphans until cancelled."""
         while True:
--- a/rackswitch/gateway/jobs/owned_jobs.py
+++ b/rackswitch/gateway/jobs/owned_jobs.py
@@ -9,6 +9,7 @@
 from rackswitch.gateway.jobs.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.jobs.owned_job import OwnedJob, new_owned_job
 from rackswitch.gateway.jobs.released_jobs import ReleasedJobs
+from rackswitch.gateway.start_times import StartPart
 from rackswitch.jobs import Job, JobCheckpoint, JobResult
 from rackswitch.telemetry.events import JobDropped, JobOwned
 
@@ -59,6 +60,7 @@
         owned = new_owned_job(job, owner_revision, listed, route, submitted_seconds)
         owned.awaits_claim = awaits_claim
         self.by_id[job.job_id] = owned
+        self._context.start_times.record(StartPart.FIRST_JOB, self._context.now_seconds())
         self._context.log.write(
             JobOwned(
                 job=job.job_id,
--- a/rackswitch/gateway/main.py
+++ b/rackswitch/gateway/main.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.core import Gateway
 from rackswitch.gateway.early_start import EXIT_BAD_SETTINGS, EarlyStart, start_early
 from rackswitch.gateway.policy import PolicySettings, read_policy
+from rackswitch.gateway.start_times import StartPart, StartTimes
 from rackswitch.platform.settings import read_node_settings
 from rackswitch.settings import SettingsFault
 from rackswitch.telemetry import set_up_logs
@@ -51,7 +52,15 @@
 
 async def _run(early_start: EarlyStart, policy: PolicySettings) -> int:
     signals = _Signals(early_start)
-    gateway = Gateway(early_start.settings, policy=policy, sockets=early_start.sockets)
+    start_times = StartTimes(early_start.process_started_seconds)
+    start_times.record(StartPart.LISTENING, early_start.listening_seconds)
+    start_times.record(StartPart.EVENT_LOOP, asyncio.get_running_loop().time())
+    gateway = Gateway(
+        early_start.settings,
+        policy=policy,
+        sockets=early_start.sockets,
+        start_times=start_times,
+    )
     await gateway.start()
     loop = asyncio.get_running_loop()
     # The settings file may have changed while SIGHUP was ignored.
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -7,6 +7,7 @@
 from rackswitch.clients.kv import KvUnavailable
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.start_times import StartPart
 from rackswitch.gateway.store.replica_messages import decode_changes
 from rackswitch.gateway.store.replica_server import paces_to_send
 from rackswitch.gateway.store.replica_set import ReplicaSet
@@ -131,6 +132,7 @@
     async def _read_other_prefixes(self) -> None:
         others = [prefix for prefix in self._replicas.by_prefix if prefix != self._members_prefix]
         await asyncio.gather(*(self._read_stale(prefix) for prefix in others))
+        self._context.start_times.record(StartPart.FIRST_READ, self._context.now_seconds())
         self.state_read.set()
 
     async def _discover_members(self) -> None:
--- a/rackswitch/gateway/store/replica_manager.py
+++ b/rackswitch/gateway/store/replica_manager.py
@@ -72,11 +72,16 @@
         """Set once the members have been read, including an entry of an earlier process."""
         return self._follower.members_read
 
+    @property
+    def state_read(self) -> asyncio.Event:
+        """Set once the first read of the table and the targets has ended, also without success."""
+        return self._follower.state_read
+
     async def wait_for_first_read(self, timeout_seconds: float) -> None:
         """Wait until the first read of the table and the targets has ended, or a timeout."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_seconds):
-                await self._follower.state_read.wait()
+                await self.state_read.wait()
 
     async def run(self) -> None:
         """Keep the replicas current until cancelled."""
--- a/rackswitch/gateway/store/session.py
+++ b/rackswitch/gateway/store/session.py
@@ -9,6 +9,7 @@
 
 from rackswitch.clients.kv import KvUnavailable, LeaseGranted
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.start_times import StartPart
 from rackswitch.gateway.store.lease_renewal import renew_lease
 from rackswitch.leases import SessionLease
 from rackswitch.telemetry.events import (
@@ -175,4 +176,5 @@
         self._context.store_reachability.record_answer(self._context.now_seconds())
         self._own_leases.add(granted.lease_id)
         self.lease.record_grant(requested_at_seconds, granted.lease_id, granted.ttl_seconds)
+        self._context.start_times.record(StartPart.SESSION, self._context.now_seconds())
         self._context.log.write(SessionBegun(lease=granted.lease_id))
--- a/rackswitch/telemetry/events/process.py
+++ b/rackswitch/telemetry/events/process.py
@@ -10,6 +10,7 @@
     "Reloaded",
     "ReloadRefused",
     "ServerStopped",
+    "StartTimed",
     "Started",
     "Stopped",
     "Stopping",
@@ -24,6 +25,32 @@
     machine_class: str = ""
 
 
+@register_event
+class StartTimed(Event, tag="start timed", frozen=True):
+    """How long the start took, from the start of the process to each part.
+
+    Attributes
+    ----------
+    listening_seconds : float or None
+        To the listening for callers. None in all fields: not reached when this was logged.
+    event_loop_seconds : float or None
+        To the start of the event loop, after all imports.
+    first_read_seconds : float or None
+        To the end of the first read of the table and the targets.
+    session_seconds : float or None
+        To the lease under which jobs are owned; a daemon without jobs has none.
+    first_job_seconds, first_item_seconds : float or None
+        To the first owned job and to the start of its first item.
+    """
+
+    listening_seconds: float | None = None
+    event_loop_seconds: float | None = None
+    first_read_seconds: float | None = None
+    session_seconds: float | None = None
+    first_job_seconds: float | None = None
+    first_item_seconds: float | None = None
+
+
 @register_event
 class VmSuspended(Event, tag="machine suspended", frozen=True):
     """The VM was suspended; deadlines that passed meanwhile have expired."""
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -54,6 +54,8 @@
     ----------
     announces_stop : bool
         Whether new connections close after their first response.
+    has_started : asyncio.Event
+        Set once the server accepts connections.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         super().__init__(config)
         self._opened_socket = opened_socket
         self.announces_stop = False
+        self.has_started = asyncio.Event()
         self.listener = Listener(self._make_protocol)
         self._limits = limits
 
@@ -79,6 +82,7 @@
         self.listener.open(self.config.host, self.config.port, self._opened_socket)
         self._opened_socket = None
         self.started = True
+        self.has_started.set()
 
     def open_connections(self) -> list[BoundedHttpProtocol]:
         """Return the open connections."""
@@ -169,11 +173,12 @@
             If listening on the address fails.
         """
         self._task = asyncio.create_task(self._server.serve())
-        while not self._server.started:
-            if self._task.done():
-                error = self._task.exception()
-                raise OSError(f"failed to listen on {self._host}:{self._port}: {error}") from error
-            await asyncio.sleep(0.005)
+        has_started = asyncio.create_task(self._server.has_started.wait())
+        await asyncio.wait((self._task, has_started), return_when=asyncio.FIRST_COMPLETED)
+        has_started.cancel()
+        if not self._server.started:
+            error = self._task.exception()
+            raise OSError(f"failed to listen on {self._host}:{self._port}: {error}") from error
         self._port = self._server.listener.port
 
     def announce_stop(self) -> None:
