--- a/rackswitch/settings/core.py
+++ b/rackswitch/settings/core.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-import json5
 import msgspec
 
 __all__ = ["Settings", "SettingsFault", "describe_settings", "load_settings"]
@@ -51,6 +50,9 @@
     Settings or SettingsFault
         The settings, or one line with the file, field, value found and values allowed.
     """
+    # Imported only here, since a starting daemon reads its platform settings without it.
+    import json5
+
     try:
         raw = json5.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
--- a/rackswitch/telemetry/tests/test_meters.py
+++ b/rackswitch/telemetry/tests/test_meters.py
@@ -18,10 +18,7 @@
     telemetry = Telemetry("d")
     for event in events:
         telemetry.events.count(event)
-    try:
-        return telemetry.exposition().decode()
-    finally:
-        telemetry.close()
+    return telemetry.exposition().decode()
 
 
 def test_requests_are_recorded_by_route_class_and_outcome():
