--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 from rackswitch.clocks import suspended_seconds
 from rackswitch.daemon.roles import RoleManager
@@ -27,6 +28,7 @@
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
 from rackswitch.gateway.reload import compare_settings
+from rackswitch.gateway.start_times import StartTimes
 from rackswitch.gateway.store.control_entries import CONTROL_PREFIX, ControlEntries
 from rackswitch.gateway.store.presence import Presence
 from rackswitch.gateway.store.reachability import StoreReachability
@@ -40,7 +42,7 @@
 from rackswitch.platform.item_runs import ItemClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
 from rackswitch.platform.orders import OrderClient
-from rackswitch.platform.settings import NodeSettings
+from rackswitch.platform.settings import Address, NodeSettings
 from rackswitch.platform.target_calls import TargetClient
 from rackswitch.routing import ListedTarget, ReportedLoad
 from rackswitch.telemetry.events import (
@@ -63,6 +65,9 @@
 STORE_CALLS_LOG_INTERVAL_SECONDS = 10.0
 """Interval between log lines with the number of calls to the key-value service."""
 
+START_LOG_DELAY_SECONDS = 10.0
+"""How long the log line about the start waits for a first job and a first item."""
+
 UNLISTED_CHECK_INTERVAL_SECONDS = 5.0
 """Interval between checks for target starts that are no longer listed."""
 
@@ -74,6 +79,11 @@
 """After a restart of the whole fleet, how much later than this daemon another one may appear among
 the members."""
 
+FIRST_READ_WAIT_SECONDS = 0.5
+"""How long callers' connections that arrived during the start wait for the first read of the table
+and the targets. Before it, all requests are refused, and a caller that has only one retry may give
+up."""
+
 MIN_SUSPENSION_SECONDS = 0.5
 """Shorter suspensions are ignored: open connections outlast them."""
 
@@ -92,6 +102,11 @@
         File descriptor of the decision log; standard output by default, None for no log.
     policy : PolicySettings, optional
         Switches of the gateway's mechanisms; the defaults if left out.
+    sockets : dict of Address to socket, optional
+        Listening sockets that are already open. The servers of these addresses take them over and
+        remove them from the dictionary.
+    start_times : StartTimes, optional
+        Parts of the start that were reached before; by default the start begins now.
     """
 
     def __init__(
@@ -99,14 +114,20 @@
         settings: NodeSettings,
         log_descriptor: int | None = 1,
         policy: PolicySettings | None = None,
+        sockets: dict[Address, socket.socket] | None = None,
+        start_times: StartTimes | None = None,
     ):
         self.settings = settings
+        sockets = {} if sockets is None else sockets
+        self._callers_wait = settings.callers in sockets
         policy = policy or PolicySettings()
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
         parts = make_daemon_context(settings, rng, log_descriptor, policy)
         self.direct_transport = parts.direct
         self.log = parts.context.log
         self.context = GatewayContext(settings, parts.context, StoreReachability(self.log), policy)
+        if start_times is not None:
+            self.context.start_times = start_times
         self._sessions = TargetSessions(self._record_load_report)
         self._started_seconds = float("-inf")
         self._suspended_seconds = suspended_seconds()
@@ -186,12 +207,17 @@
             JobHandler(self.context, self.jobs, job_reader, JobPlacer(self.context, self.jobs)),
         )
         pages = StatusPages(self.context, self.replicas, self.snapshot)
-        self._servers = make_servers(self.context, caller_handler, pages)
+        self._servers = make_servers(self.context, caller_handler, pages, sockets)
 
     async def start(self) -> None:
-        """Start listening and start all background tasks."""
+        """Start listening and start all background tasks.
+
+        Connections of callers that already wait are accepted after the first read of the table and
+        the targets, or after `FIRST_READ_WAIT_SECONDS`.
+        """
         self._started_seconds = self.context.now_seconds()
-        for server in self._servers:
+        waiting_count = 1 if self._callers_wait else 0
+        for server in self._servers[waiting_count:]:
             await server.start()
         await self._peers.start(self.settings.host, self.settings.peer_ports[0])
         for task in (
@@ -205,16 +231,30 @@
             self.quarantine.run(),
             *self._duties.background_tasks(),
             self.log.run(),
+            self._check_jobs_after_first_reads(),
             self._log_store_calls(),
             self._forget_unlisted_targets(),
         ):
             self.context.daemon.spawn_duty(task)
+        for server in self._servers[:waiting_count]:
+            await self.replicas.wait_for_first_read(FIRST_READ_WAIT_SECONDS)
+            await server.start()
+        self.context.daemon.spawn(self._log_start_times())
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
 
-    async def stop(self) -> None:
-        """Stop as planned: hand over roles and jobs, finish the requests in flight, then end."""
+    async def stop(self, requested_seconds: float | None = None) -> None:
+        """Stop as planned: hand over roles and jobs, finish the requests in flight, then end.
+
+        Parameters
+        ----------
+        requested_seconds : float, optional
+            When the stop was requested (event loop time), from which the grace period counts; now
+            if left out.
+        """
+        if requested_seconds is None:
+            requested_seconds = self.context.now_seconds()
         deadline_seconds = (
-            self.context.now_seconds() + self.settings.stop_grace_seconds - STOP_MARGIN_SECONDS
+            requested_seconds + self.settings.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
         self.log.write(Stopping(requests_in_flight=self.context.daemon.in_flight.count))
         self.context.daemon.stopping = True
@@ -280,7 +320,6 @@
         self.context.daemon.links.close()
         await self.context.daemon.sessions.close()
         await self._sessions.close()
-        self.context.daemon.telemetry.close()
 
     def snapshot(self) -> DaemonSnapshot:
         """Return a snapshot of this daemon's state."""
@@ -335,6 +374,16 @@
             return holder
         return None
 
+    async def _check_jobs_after_first_reads(self) -> None:
+        """Claim jobs and start items as soon as the entries that this depends on are known."""
+        for is_read in (self.replicas.members_read, self.replicas.state_read):
+            await is_read.wait()
+            self.jobs.check_now()
+
+    async def _log_start_times(self) -> None:
+        await self.context.start_times.wait_for_all(START_LOG_DELAY_SECONDS)
+        self.log.write(self.context.start_times.event())
+
     async def _log_store_calls(self) -> None:
         calls = getattr(self.context.kv, "calls_by_path", {})
         while True:
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -54,11 +54,20 @@
     ----------
     announces_stop : bool
         Whether new connections close after their first response.
+    has_started : asyncio.Event
+        Set once the server accepts connections.
     """
 
-    def __init__(self, config: uvicorn.Config, limits: ConnectionLimits):
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        limits: ConnectionLimits,
+        opened_socket: socket.socket | None,
+    ):
         super().__init__(config)
+        self._opened_socket = opened_socket
         self.announces_stop = False
+        self.has_started = asyncio.Event()
         self.listener = Listener(self._make_protocol)
         self._limits = limits
 
@@ -70,8 +79,10 @@
         """Start listening."""
         await self.lifespan.startup()
         self.servers = []
-        self.listener.open(self.config.host, self.config.port)
+        self.listener.open(self.config.host, self.config.port, self._opened_socket)
+        self._opened_socket = None
         self.started = True
+        self.has_started.set()
 
     def open_connections(self) -> list[BoundedHttpProtocol]:
         """Return the open connections."""
@@ -106,6 +117,9 @@
         Maximum number of connections; further ones get status 503.
     limits : ConnectionLimits, optional
         Header and idle timeouts; they may change while the server runs.
+    opened_socket : socket, optional
+        A non-blocking socket that already listens on the address; the server owns it from its
+        start on.
     """
 
     __slots__ = ("_host", "_port", "_server", "_task")
@@ -117,6 +131,7 @@
         port: int,
         max_connections: int | None = None,
         limits: ConnectionLimits | None = None,
+        opened_socket: socket.socket | None = None,
     ):
         self._host = host
         self._port = port
@@ -136,7 +151,7 @@
             lifespan="auto",
             limit_concurrency=max_connections,
         )
-        self._server = _EmbeddedServer(config, limits)
+        self._server = _EmbeddedServer(config, limits, opened_socket)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -158,11 +173,12 @@
             If listening on the address fails.
         """
         self._task = asyncio.create_task(self._server.serve())
-        while not self._server.started:
-            if self._task.done():
-                error = self._task.exception()
-                raise OSError(f"failed to listen on {self._host}:{self._port}: {error}") from error
-            await asyncio.sleep(0.005)
+        has_started = asyncio.create_task(self._server.has_started.wait())
+        await asyncio.wait((self._task, has_started), return_when=asyncio.FIRST_COMPLETED)
+        has_started.cancel()
+        if not self._server.started:
+            error = self._task.exception()
+            raise OSError(f"failed to listen on {self._host}:{self._port}: {error}") from error
         self._port = self._server.listener.port
 
     def announce_stop(self) -> None:
