Read callers' requests while the process is still starting

Cause: connections wait in the backlog during the start, but a caller gives a request up that is not read within a second or a third of its remaining time, and a start on half a processor takes longer.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -38,6 +38,7 @@
 from rackswitch.gateway.store.state_manager import StateManager
 from rackswitch.gateway.store.store_relay import ForwardedCalls
 from rackswitch.gateway.versions.version_manager import VersionManager
+from rackswitch.listening import EarlyConnections
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.item_runs import ItemClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
@@ -79,6 +80,9 @@
 """After a restart of the whole fleet, how much later than this daemon another one may appear among
 the members."""
 
+EARLY_POLL_INTERVAL_SECONDS = 0.02
+"""Interval at which connections that arrive before the callers' server has started are read."""
+
 FIRST_READ_WAIT_SECONDS = 0.5
 """How long callers' connections that arrived during the start wait for the first read of the table
 and the targets. Before it, all requests are refused, and a caller that has only one retry may give
@@ -105,6 +109,8 @@
     sockets : dict of Address to socket, optional
         Listening sockets that are already open. The servers of these addresses take them over and
         remove them from the dictionary.
+    early_callers : EarlyConnections, optional
+        Connections of callers that were accepted while the process started.
     start_times : StartTimes, optional
         Parts of the start that were reached before; by default the start begins now.
     """
@@ -115,10 +121,12 @@
         log_descriptor: int | None = 1,
         policy: PolicySettings | None = None,
         sockets: dict[Address, socket.socket] | None = None,
+        early_callers: EarlyConnections | None = None,
         start_times: StartTimes | None = None,
     ):
         self.settings = settings
         sockets = {} if sockets is None else sockets
+        self._early_callers = early_callers
         self._callers_wait = settings.callers in sockets
         policy = policy or PolicySettings()
         rng = random.Random(random.SystemRandom().randrange(1 << 60))
@@ -237,11 +245,23 @@
         ):
             self.context.daemon.spawn_duty(task)
         for server in self._servers[:waiting_count]:
-            await self.replicas.wait_for_first_read(FIRST_READ_WAIT_SECONDS)
-            await server.start()
+            await self._wait_for_first_read()
+            callers = self._early_callers.take() if self._early_callers is not None else ()
+            await server.start(callers)
         self.context.daemon.spawn(self._log_start_times())
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
 
+    async def _wait_for_first_read(self) -> None:
+        """Wait for the first read of the table and targets, and read early callers meanwhile."""
+        until_seconds = self.context.now_seconds() + FIRST_READ_WAIT_SECONDS
+        has_state = False
+        while not has_state and self.context.now_seconds() < until_seconds:
+            if self._early_callers is not None:
+                self._early_callers.poll()
+            has_state = await self.replicas.wait_for_first_read(EARLY_POLL_INTERVAL_SECONDS)
+        if self._early_callers is not None:
+            self._early_callers.poll()
+
     async def stop(self, requested_seconds: float | None = None) -> None:
         """Stop as planned: hand over roles and jobs, finish the requests in flight, then end.
 
--- a/rackswitch/gateway/early_start.py
+++ b/rackswitch/gateway/early_start.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from types import FrameType
 
-from rackswitch.listening import open_listening_socket
+from rackswitch.listening import EarlyConnections, open_listening_socket
 from rackswitch.platform.settings import Address, NodeSettings, read_node_settings
 from rackswitch.settings import SettingsFault
 
@@ -38,6 +38,9 @@
         When the process started (boot clock).
     sockets : dict of Address to socket
         Listening sockets by address. The servers of these addresses take them over.
+    callers : EarlyConnections or None
+        Callers' connections that are accepted and read during the start; None if this VM serves
+        no callers or failed to listen.
     listening_seconds : float
         When the sockets were opened (boot clock).
     stop_requested_seconds : float or None
@@ -48,9 +51,15 @@
     settings: NodeSettings
     process_started_seconds: float
     sockets: dict[Address, socket.socket] = field(default_factory=dict)
+    callers: EarlyConnections | None = None
     listening_seconds: float = 0.0
     stop_requested_seconds: float | None = None
 
+    def read_callers(self) -> None:
+        """Accept callers' connections and read what has arrived on them."""
+        if self.callers is not None:
+            self.callers.poll()
+
     def request_stop(self, signal_number: int, frame: FrameType | None) -> None:
         """Record a stop signal (signal handler)."""
         if self.stop_requested_seconds is None:
@@ -72,6 +81,8 @@
     for address in (settings.callers, settings.readiness):
         if address is not None:
             _listen(early_start, address)
+    if settings.callers in early_start.sockets:
+        early_start.callers = EarlyConnections(early_start.sockets[settings.callers])
     early_start.listening_seconds = _boot_seconds()
     return early_start
 
--- a/rackswitch/gateway/main.py
+++ b/rackswitch/gateway/main.py
@@ -59,6 +59,7 @@
         early_start.settings,
         policy=policy,
         sockets=early_start.sockets,
+        early_callers=early_start.callers,
         start_times=start_times,
     )
     await gateway.start()
--- a/rackswitch/gateway/store/replica_manager.py
+++ b/rackswitch/gateway/store/replica_manager.py
@@ -77,11 +77,18 @@
         """Set once the first read of the table and the targets has ended, also without success."""
         return self._follower.state_read
 
-    async def wait_for_first_read(self, timeout_seconds: float) -> None:
-        """Wait until the first read of the table and the targets has ended, or a timeout."""
+    async def wait_for_first_read(self, timeout_seconds: float) -> bool:
+        """Wait for the end of the first read of the table and the targets, at most for a timeout.
+
+        Returns
+        -------
+        bool
+            Whether it has ended.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_seconds):
                 await self.state_read.wait()
+        return self.state_read.is_set()
 
     async def run(self) -> None:
         """Keep the replicas current until cancelled."""
--- a/rackswitch/web/listener.py
+++ b/rackswitch/web/listener.py
@@ -3,9 +3,9 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from rackswitch.listening import BACKLOG, open_listening_socket
+from rackswitch.listening import BACKLOG, EarlyConnection, open_listening_socket
 
 __all__ = ["Listener"]
 
@@ -41,7 +41,13 @@
         self._retry_timer: asyncio.TimerHandle | None = None
         self._pending_connections: set[asyncio.Task[None]] = set()
 
-    def open(self, host: str, port: int, opened_socket: socket.socket | None = None) -> None:
+    def open(
+        self,
+        host: str,
+        port: int,
+        opened_socket: socket.socket | None = None,
+        early_connections: Iterable[EarlyConnection] = (),
+    ) -> None:
         """Start listening; port 0 selects a free port.
 
         Parameters
@@ -51,6 +57,8 @@
         opened_socket : socket, optional
             A non-blocking socket that already listens on the address. The listener accepts its
             backlog and closes it at the end.
+        early_connections : iterable of EarlyConnection, optional
+            Connections of the address that have been accepted already.
 
         Raises
         ------
@@ -61,6 +69,8 @@
             opened_socket = open_listening_socket(host, port)
         self._socket = opened_socket
         self.port = self._socket.getsockname()[1]
+        for early in early_connections:
+            self._set_up(early.connection, bytes(early.received))
         self._start_accepting()
 
     @property
@@ -134,12 +144,15 @@
             ACCEPT_RETRY_SECONDS, self._start_accepting
         )
 
-    def _set_up(self, connection: socket.socket) -> None:
+    def _set_up(self, connection: socket.socket, received: bytes = b"") -> None:
         connection.setblocking(False)
-        task = asyncio.create_task(self._connect(connection))
+        task = asyncio.create_task(self._connect(connection, received))
         self._pending_connections.add(task)
         task.add_done_callback(self._pending_connections.discard)
 
-    async def _connect(self, connection: socket.socket) -> None:
+    async def _connect(self, connection: socket.socket, received: bytes) -> None:
         loop = asyncio.get_running_loop()
-        await loop.connect_accepted_socket(self._make_protocol, connection)
+        transport, protocol = await loop.connect_accepted_socket(self._make_protocol, connection)
+        if received and not transport.is_closing():
+            # The loop resumes this task before it reads from the connection for the first time.
+            protocol.data_received(received)
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import uvicorn
 
+from rackswitch.listening import EarlyConnection
 from rackswitch.web.connection_limits import BoundedHttpProtocol, ConnectionLimits
 from rackswitch.web.listener import Listener
 
@@ -54,6 +55,8 @@
     ----------
     announces_stop : bool
         Whether new connections close after their first response.
+    early_connections : list of EarlyConnection
+        Accepted connections that are served from the start on.
     has_started : asyncio.Event
         Set once the server accepts connections.
     """
@@ -66,6 +69,7 @@
     ):
         super().__init__(config)
         self._opened_socket = opened_socket
+        self.early_connections: list[EarlyConnection] = []
         self.announces_stop = False
         self.has_started = asyncio.Event()
         self.listener = Listener(self._make_protocol)
@@ -79,8 +83,11 @@
         """Start listening."""
         await self.lifespan.startup()
         self.servers = []
-        self.listener.open(self.config.host, self.config.port, self._opened_socket)
+        self.listener.open(
+            self.config.host, self.config.port, self._opened_socket, self.early_connections
+        )
         self._opened_socket = None
+        self.early_connections = []
         self.started = True
         self.has_started.set()
 
@@ -164,14 +171,20 @@
         """The port, which is known once the server has started."""
         return self._port
 
-    async def start(self) -> None:
+    async def start(self, early_connections: Iterable[EarlyConnection] = ()) -> None:
         """Start the server; return once it accepts connections.
 
+        Parameters
+        ----------
+        early_connections : iterable of EarlyConnection, optional
+            Connections of its address that have been accepted already; the server owns them.
+
         Raises
         ------
         OSError
             If listening on the address fails.
         """
+        self._server.early_connections = list(early_connections)
         self._task = asyncio.create_task(self._server.serve())
         has_started = asyncio.create_task(self._server.has_started.wait())
         await asyncio.wait((self._task, has_started), return_when=asyncio.FIRST_COMPLETED)
