--- a/benchmarks/bench_log.py
+++ b/benchmarks/bench_log.py
@@ -99,6 +99,7 @@
         "folded": log.folded_total,
         "dropped": log.dropped_total,
     }
+    telemetry.close()
     return result
 
 
@@ -111,6 +112,7 @@
     for event in events:
         log.write(event)
     cpu_seconds = time.thread_time() - cpu_began_seconds
+    telemetry.close()
     return round(cpu_seconds / LINES * 1e6, 2)
 
 
--- a/rackswitch/daemon/core.py
+++ b/rackswitch/daemon/core.py
@@ -177,6 +177,7 @@
         await self.context.cancel_all()
         self.context.links.close()
         await self.context.sessions.close()
+        self.context.telemetry.close()
 
     async def _clean_claims(self) -> None:
         while True:
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -340,6 +340,7 @@
         self.context.daemon.links.close()
         await self.context.daemon.sessions.close()
         await self._sessions.close()
+        self.context.daemon.telemetry.close()
 
     def snapshot(self) -> DaemonSnapshot:
         """Return a snapshot of this daemon's state."""
--- a/rackswitch/telemetry/core.py
+++ b/rackswitch/telemetry/core.py
@@ -8,13 +8,9 @@
 from typing import Any
 
 from loguru import logger
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Histogram,
-    disable_created_metrics,
-    generate_latest,
-)
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import CollectorRegistry, generate_latest
 
 from rackswitch.telemetry.meters import EventMeters
 
@@ -83,46 +79,47 @@
         Metrics derived from logged events.
     """
 
-    __slots__ = ("_daemon", "_latency", "_registry", "_requests", "_tokens", "events")
+    __slots__ = ("_daemon", "_latency", "_provider", "_registry", "_requests", "_tokens", "events")
 
     def __init__(self, daemon: str):
         self._daemon = daemon
-        disable_created_metrics()
-        # Not the library's global registry: several daemons may share a process.
         self._registry = CollectorRegistry()
-        self._latency = Histogram(
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self._registry
+        )
+        # Not set as the global provider: several daemons may share a process.
+        self._provider = MeterProvider(metric_readers=[reader])
+        meter = self._provider.get_meter("rackswitch")
+        self._latency = meter.create_histogram(
             "rackswitch_request_seconds",
-            "Time from a request's arrival to the end of its answer.",
-            ("caller_class", "daemon", "tenant"),
-            registry=self._registry,
-            buckets=LATENCY_BUCKET_BOUNDS_SECONDS,
+            unit="s",
+            description="Time from a request's arrival to the end of its answer.",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKET_BOUNDS_SECONDS,
         )
-        self._requests = Counter(
-            "rackswitch_requests",
-            "Requests by outcome.",
-            ("caller_class", "daemon", "outcome", "tenant"),
-            registry=self._registry,
+        self._requests = meter.create_counter(
+            "rackswitch_requests", description="Requests by outcome."
         )
-        self._tokens = Counter(
-            "rackswitch_tokens",
-            "Tokens passed on to callers or put into samples.",
-            ("daemon", "tenant"),
-            registry=self._registry,
+        self._tokens = meter.create_counter(
+            "rackswitch_tokens", description="Tokens passed on to callers or put into samples."
         )
-        self.events = EventMeters(self._registry, daemon, self.record_request)
+        self.events = EventMeters(meter, daemon, self.record_request)
 
     def record_request(
         self, tenant: str, caller_class: int, outcome: str, elapsed_seconds: float
     ) -> None:
         """Record the latency and outcome of a request."""
         labels = {"tenant": tenant, "caller_class": str(caller_class), "daemon": self._daemon}
-        self._latency.labels(**labels).observe(elapsed_seconds)
-        self._requests.labels(**labels, outcome=outcome).inc()
+        self._latency.record(elapsed_seconds, labels)
+        self._requests.add(1, {**labels, "outcome": outcome})
 
     def count_tokens(self, tenant: str, tokens: int) -> None:
         """Count tokens sent to a tenant's callers or put into its samples."""
-        self._tokens.labels(tenant=tenant, daemon=self._daemon).inc(tokens)
+        self._tokens.add(tokens, {"tenant": tenant, "daemon": self._daemon})
 
     def exposition(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Shut the meter provider down."""
+        self._provider.shutdown()
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from opentelemetry.metrics import Meter
 
 from rackswitch.registry import Registry
 from rackswitch.telemetry.events import (
@@ -60,8 +60,8 @@
 
     Parameters
     ----------
-    registry : CollectorRegistry
-        Holds the metrics.
+    meter : Meter
+        Creates the instruments.
     daemon : str
         The daemon's name, a label on all metrics.
     record_request : callable
@@ -99,161 +99,97 @@
     )
 
     def __init__(
-        self,
-        registry: CollectorRegistry,
-        daemon: str,
-        record_request: Callable[[str, int, str, float], None],
+        self, meter: Meter, daemon: str, record_request: Callable[[str, int, str, float], None]
     ):
         self._daemon = daemon
         self._known_values: dict[str, set[str]] = {}
         self.record_request = record_request
-        self.events = Counter(
-            "rackswitch_events", "Events by name.", ("daemon", "event"), registry=registry
+        self.events = meter.create_counter("rackswitch_events", description="Events by name.")
+        self.attempts_failed = meter.create_counter(
+            "rackswitch_attempts_failed", description="Calls that a target did not serve."
         )
-        self.attempts_failed = Counter(
-            "rackswitch_attempts_failed",
-            "Calls that a target did not serve.",
-            ("daemon", "reason", "service"),
-            registry=registry,
+        self.refusals = meter.create_counter(
+            "rackswitch_refusals", description="Requests refused before a target was chosen."
         )
-        self.refusals = Counter(
-            "rackswitch_refusals",
-            "Requests refused before a target was chosen.",
-            ("daemon", "status"),
-            registry=registry,
-        )
-        self.estimated_wait = Gauge(
+        self.estimated_wait = meter.create_gauge(
             "rackswitch_believed_wait_seconds",
-            "Wait for a slot at a target, as believed at its last choice.",
-            ("daemon", "target"),
-            registry=registry,
+            unit="s",
+            description="Wait for a slot at a target, as believed at its last choice.",
         )
-        self.report_age = Gauge(
+        self.report_age = meter.create_gauge(
             "rackswitch_word_age_seconds",
-            "Age of a target's word at its last choice; -1 if there was none.",
-            ("daemon", "target"),
-            registry=registry,
+            unit="s",
+            description="Age of a target's word at its last choice; -1 if there was none.",
         )
-        self.targets_ended = Counter(
-            "rackswitch_targets_ended",
-            "Targets that ended under runs of this daemon.",
-            ("daemon", "reason"),
-            registry=registry,
+        self.targets_ended = meter.create_counter(
+            "rackswitch_targets_ended", description="Targets that ended under runs of this daemon."
         )
-        self.requests_held_back = Counter(
+        self.requests_held_back = meter.create_counter(
             "rackswitch_requests_held_back",
-            "Sends that did not take place, as targets had ended under the request.",
-            registry=registry,
+            description="Sends that did not take place, as targets had ended under the request.",
         )
-        self.dependency_up = Gauge(
-            "rackswitch_dependency_up",
-            "1 while the dependency answers, else 0.",
-            ("daemon", "dependency"),
-            registry=registry,
+        self.dependency_up = meter.create_gauge(
+            "rackswitch_dependency_up", description="1 while the dependency answers, else 0."
         )
-        self.table_revision = Gauge(
-            "rackswitch_table_revision",
-            "Revision of the table in force.",
-            ("daemon",),
-            registry=registry,
+        self.table_revision = meter.create_gauge(
+            "rackswitch_table_revision", description="Revision of the table in force."
         )
-        self.named_version = Gauge(
-            "rackswitch_named_version",
-            "Newest version named, by model.",
-            ("daemon", "model"),
-            registry=registry,
+        self.named_version = meter.create_gauge(
+            "rackswitch_named_version", description="Newest version named, by model."
         )
-        self.load_orders = Counter(
-            "rackswitch_load_orders",
-            "Orders to engines by answer.",
-            ("daemon", "model", "outcome"),
-            registry=registry,
+        self.load_orders = meter.create_counter(
+            "rackswitch_load_orders", description="Orders to engines by answer."
         )
-        self.jobs_submitted = Counter(
-            "rackswitch_jobs_submitted",
-            "Submissions of jobs by status.",
-            ("daemon", "route", "status"),
-            registry=registry,
+        self.jobs_submitted = meter.create_counter(
+            "rackswitch_jobs_submitted", description="Submissions of jobs by status."
         )
-        self.jobs_owned = Gauge(
-            "rackswitch_jobs_owned",
-            "Jobs that this daemon works on.",
-            ("daemon",),
-            registry=registry,
+        self.jobs_owned = meter.create_up_down_counter(
+            "rackswitch_jobs_owned", description="Jobs that this daemon works on."
         )
-        self.job_calls_refused = Counter(
-            "rackswitch_job_calls_refused",
-            "Calls about jobs not served.",
-            ("call", "daemon", "outcome"),
-            registry=registry,
+        self.job_calls_refused = meter.create_counter(
+            "rackswitch_job_calls_refused", description="Calls about jobs not served."
         )
-        self.positions = Counter(
-            "rackswitch_positions",
-            "Results kept, each at its position.",
-            ("daemon",),
-            registry=registry,
+        self.positions = meter.create_counter(
+            "rackswitch_positions", description="Results kept, each at its position."
         )
-        self.item_runs = Counter(
-            "rackswitch_item_runs",
-            "Runs of items by how they ended.",
-            ("daemon", "outcome"),
-            registry=registry,
+        self.item_runs = meter.create_counter(
+            "rackswitch_item_runs", description="Runs of items by how they ended."
         )
-        self.item_run_seconds = Histogram(
+        self.item_run_seconds = meter.create_histogram(
             "rackswitch_item_run_seconds",
-            "Time of one run of an item.",
-            ("daemon", "outcome"),
-            registry=registry,
-            buckets=RUN_BUCKET_BOUNDS_SECONDS,
+            unit="s",
+            description="Time of one run of an item.",
+            explicit_bucket_boundaries_advisory=RUN_BUCKET_BOUNDS_SECONDS,
         )
-        self.items_given_up = Counter(
-            "rackswitch_items_given_up",
-            "Items listed without a text.",
-            ("daemon", "reason"),
-            registry=registry,
+        self.items_given_up = meter.create_counter(
+            "rackswitch_items_given_up", description="Items listed without a text."
         )
-        self.reward_calls = Counter(
-            "rackswitch_reward_calls",
-            "Reward calls by outcome.",
-            ("daemon", "outcome"),
-            registry=registry,
+        self.reward_calls = meter.create_counter(
+            "rackswitch_reward_calls", description="Reward calls by outcome."
         )
 
-        self.calls_refused = Counter(
-            "rackswitch_calls_refused",
-            "Calls refused for want of room, by reason.",
-            ("daemon", "reason", "service"),
-            registry=registry,
+        self.calls_refused = meter.create_counter(
+            "rackswitch_calls_refused", description="Calls refused for want of room, by reason."
         )
-        self.calls_waiting = Gauge(
-            "rackswitch_calls_waiting",
-            "Calls that wait for room, by service.",
-            ("daemon", "service"),
-            registry=registry,
+        self.calls_waiting = meter.create_gauge(
+            "rackswitch_calls_waiting", description="Calls that wait for room, by service."
         )
-        self.oldest_wait = Gauge(
+        self.oldest_wait = meter.create_gauge(
             "rackswitch_oldest_wait_seconds",
-            "How long the longest waiting call has waited.",
-            ("daemon", "service"),
-            registry=registry,
+            unit="s",
+            description="How long the longest waiting call has waited.",
         )
-        self.concurrency_limit = Gauge(
-            "rackswitch_concurrency_limit",
-            "Calls that may be at a service at once.",
-            ("daemon", "service"),
-            registry=registry,
+        self.concurrency_limit = meter.create_gauge(
+            "rackswitch_concurrency_limit", description="Calls that may be at a service at once."
         )
-        self.tenant_share = Gauge(
-            "rackswitch_tenant_share",
-            "Part of a service's work done lately.",
-            ("daemon", "service", "tenant"),
-            registry=registry,
+        self.tenant_share = meter.create_gauge(
+            "rackswitch_tenant_share", description="Part of a service's work done lately."
         )
 
     def count(self, event: Event) -> None:
         """Count an event and record the metrics of its class."""
         name = str(event.__struct_config__.tag)
-        self.events.labels(**self.labels(event=name)).inc(1)
+        self.events.add(1, self.labels(event=name))
         if name in RECORDERS:
             RECORDERS.get(name)(self, event)
 
@@ -267,8 +203,8 @@
         if estimate is None:
             return
         labels = self.labels(target=target)
-        self.estimated_wait.labels(**labels).set(estimate.wait_seconds)
-        self.report_age.labels(**labels).set(estimate.word_age_seconds)
+        self.estimated_wait.set(estimate.wait_seconds, labels)
+        self.report_age.set(estimate.word_age_seconds, labels)
 
     def _bounded_value(self, name: str, value: str) -> str:
         known = self._known_values.setdefault(name, set())
@@ -290,103 +226,103 @@
 
 @_recorder_of(RequestRefused)
 def _request_refused(meters: EventMeters, event: RequestRefused) -> None:
-    meters.refusals.labels(**meters.labels(status=event.status)).inc(1)
+    meters.refusals.add(1, meters.labels(status=event.status))
 
 
 @_recorder_of(AttemptFailed)
 def _attempt_failed(meters: EventMeters, event: AttemptFailed) -> None:
     labels = meters.labels(service=event.service, reason=short_outcome(event.detail))
-    meters.attempts_failed.labels(**labels).inc(1)
+    meters.attempts_failed.add(1, labels)
 
 
 @_recorder_of(TargetEnded)
 def _target_ended(meters: EventMeters, event: TargetEnded) -> None:
-    meters.targets_ended.labels(**meters.labels(reason=event.evidence)).inc(1)
+    meters.targets_ended.add(1, meters.labels(reason=event.evidence))
 
 
 @_recorder_of(RequestHeldBack)
 def _request_held_back(meters: EventMeters, event: RequestHeldBack) -> None:
-    meters.requests_held_back.inc(1)
+    meters.requests_held_back.add(1)
 
 
 @_recorder_of(DependencyLost)
 def _dependency_lost(meters: EventMeters, event: DependencyLost) -> None:
-    meters.dependency_up.labels(**meters.labels(dependency=event.dependency)).set(0)
+    meters.dependency_up.set(0, meters.labels(dependency=event.dependency))
 
 
 @_recorder_of(DependencyRegained)
 def _dependency_regained(meters: EventMeters, event: DependencyRegained) -> None:
-    meters.dependency_up.labels(**meters.labels(dependency=event.dependency)).set(1)
+    meters.dependency_up.set(1, meters.labels(dependency=event.dependency))
 
 
 @_recorder_of(SessionBegun)
 def _session_begun(meters: EventMeters, event: SessionBegun) -> None:
-    meters.dependency_up.labels(**meters.labels(dependency="session")).set(1)
+    meters.dependency_up.set(1, meters.labels(dependency="session"))
 
 
 @_recorder_of(SessionLost)
 def _session_lost(meters: EventMeters, event: SessionLost) -> None:
-    meters.dependency_up.labels(**meters.labels(dependency="session")).set(0)
+    meters.dependency_up.set(0, meters.labels(dependency="session"))
 
 
 @_recorder_of(TableInForce)
 def _table_in_force(meters: EventMeters, event: TableInForce) -> None:
-    meters.table_revision.labels(**meters.labels()).set(event.revision)
+    meters.table_revision.set(event.revision, meters.labels())
 
 
 @_recorder_of(VersionNamed)
 def _version_named(meters: EventMeters, event: VersionNamed) -> None:
-    meters.named_version.labels(**meters.labels(model=event.model)).set(event.version)
+    meters.named_version.set(event.version, meters.labels(model=event.model))
 
 
 @_recorder_of(LoadOrdered)
 def _load_ordered(meters: EventMeters, event: LoadOrdered) -> None:
     labels = meters.labels(model=event.model, outcome=short_outcome(event.outcome))
-    meters.load_orders.labels(**labels).inc(1)
+    meters.load_orders.add(1, labels)
 
 
 @_recorder_of(JobSubmitted)
 def _job_submitted(meters: EventMeters, event: JobSubmitted) -> None:
-    meters.jobs_submitted.labels(**meters.labels(route=event.route, status=event.outcome)).inc(1)
+    meters.jobs_submitted.add(1, meters.labels(route=event.route, status=event.outcome))
 
 
 @_recorder_of(JobOwned)
 def _job_owned(meters: EventMeters, event: JobOwned) -> None:
-    meters.jobs_owned.labels(**meters.labels()).inc(1)
+    meters.jobs_owned.add(1, meters.labels())
 
 
 @_recorder_of(JobDropped)
 def _job_dropped(meters: EventMeters, event: JobDropped) -> None:
-    meters.jobs_owned.labels(**meters.labels()).inc(-1)
+    meters.jobs_owned.add(-1, meters.labels())
 
 
 @_recorder_of(JobCallRefused)
 def _job_call_refused(meters: EventMeters, event: JobCallRefused) -> None:
-    meters.job_calls_refused.labels(**meters.labels(call=event.call, outcome=event.outcome)).inc(1)
+    meters.job_calls_refused.add(1, meters.labels(call=event.call, outcome=event.outcome))
 
 
 @_recorder_of(ResultsAppended)
 def _results_appended(meters: EventMeters, event: ResultsAppended) -> None:
     if event.outcome == "Appended":
-        meters.positions.labels(**meters.labels()).inc(len(event.items))
+        meters.positions.add(len(event.items), meters.labels())
 
 
 @_recorder_of(ItemRunEnded)
 def _item_run_ended(meters: EventMeters, event: ItemRunEnded) -> None:
     labels = meters.labels(outcome=event.outcome)
-    meters.item_runs.labels(**labels).inc(1)
-    meters.item_run_seconds.labels(**labels).observe(event.run_seconds)
+    meters.item_runs.add(1, labels)
+    meters.item_run_seconds.record(event.run_seconds, labels)
     meters.record_estimate(event.target, event.place)
 
 
 @_recorder_of(ItemGivenUp)
 def _item_given_up(meters: EventMeters, event: ItemGivenUp) -> None:
-    meters.items_given_up.labels(**meters.labels(reason=event.reason)).inc(1)
+    meters.items_given_up.add(1, meters.labels(reason=event.reason))
 
 
 @_recorder_of(RewardCallEnded)
 def _reward_call_ended(meters: EventMeters, event: RewardCallEnded) -> None:
-    meters.reward_calls.labels(**meters.labels(outcome=short_outcome(event.outcome))).inc(1)
+    meters.reward_calls.add(1, meters.labels(outcome=short_outcome(event.outcome)))
     meters.record_estimate(event.target, event.place)
 
 
@@ -394,14 +330,14 @@
 def _call_decided(meters: EventMeters, event: CallDecided) -> None:
     decision, _, reason = event.outcome.partition(": ")
     if decision == "refused":
-        meters.calls_refused.labels(**meters.labels(service=event.service, reason=reason)).inc(1)
+        meters.calls_refused.add(1, meters.labels(service=event.service, reason=reason))
 
 
 @_recorder_of(AdmissionState)
 def _room_seen(meters: EventMeters, event: AdmissionState) -> None:
     labels = meters.labels(service=event.service)
-    meters.calls_waiting.labels(**labels).set(event.waiting)
-    meters.oldest_wait.labels(**labels).set(event.oldest_wait_seconds)
-    meters.concurrency_limit.labels(**labels).set(event.limit)
+    meters.calls_waiting.set(event.waiting, labels)
+    meters.oldest_wait.set(event.oldest_wait_seconds, labels)
+    meters.concurrency_limit.set(event.limit, labels)
     for tenant, share in event.tenant_shares.items():
-        meters.tenant_share.labels(**meters.labels(service=event.service, tenant=tenant)).set(share)
+        meters.tenant_share.set(share, meters.labels(service=event.service, tenant=tenant))
--- a/rackswitch/telemetry/tests/test_meters.py
+++ b/rackswitch/telemetry/tests/test_meters.py
@@ -18,7 +18,10 @@
     telemetry = Telemetry("d")
     for event in events:
         telemetry.events.count(event)
-    return telemetry.exposition().decode()
+    try:
+        return telemetry.exposition().decode()
+    finally:
+        telemetry.close()
 
 
 def test_requests_are_recorded_by_route_class_and_outcome():
