Replicas: ignore changes older than the replica, and pass lost history on whole

Cause: a watch may deliver changes after a peer has delivered later ones; an old put or deletion was applied again and could stay if the watch was then switched off.

Change: ReplicaSet.apply_changes ignores changes up to an earlier revision than the replica's.

The tests of gateway/store pass with both.

--- a/rackswitch/gateway/store/replica_set.py
+++ b/rackswitch/gateway/store/replica_set.py
@@ -83,7 +83,13 @@
         self._notify_handlers(prefix, self.by_prefix[prefix].replace(entries, revision))
 
     def apply_changes(self, prefix: str, update: WatchUpdate) -> None:
-        """Apply changes under a prefix."""
+        """Apply changes under a prefix.
+
+        Changes up to an earlier revision than the replica's are ignored: a watch may deliver them
+        after the same daemon has received later ones from a peer, and they would undo those.
+        """
+        if update.revision < self.by_prefix[prefix].revision:
+            return
         self.by_prefix[prefix].apply(update)
         self._notify_handlers(prefix, update)
 
--- a/rackswitch/gateway/store/replicas.py
+++ b/rackswitch/gateway/store/replicas.py
@@ -67,7 +67,13 @@
         )
         deleted = tuple(key for key in self.entries if key not in listed)
         update = WatchUpdate(changed, revision, deleted)
+        is_later = revision > self.revision
         self.apply(update)
+        if is_later:
+            # Changes that were undone before the snapshot, such as an entry that was written and
+            # deleted again, are in no update. A follower may hold them, so it needs all entries.
+            self._changes.clear()
+            self._oldest_revision = self.revision
         return update
 
     def apply(self, update: WatchUpdate) -> None:
