--- a/rackswitch/admission/decisions.py
+++ b/rackswitch/admission/decisions.py
@@ -43,6 +43,8 @@
         Latency target and deadline of the answer (monotonic).
     is_retry : bool
         Whether it is probably a retry of a refused call.
+    allowed_regions : frozenset of str or None
+        Regions in which it may run; None for all.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     latency_target_at_seconds: float
     deadline_seconds: float
     is_retry: bool = False
+    allowed_regions: frozenset[str] | None = None
 
 
 class RefusalCause(Enum):
--- a/rackswitch/explain/story.py
+++ b/rackswitch/explain/story.py
@@ -21,6 +21,7 @@
     ev.JobResumed,
     ev.JobDropped,
     ev.JobNotOwned,
+    ev.JobExcluded,
 )
 """Events about the ownership of a job."""
 
@@ -37,6 +38,8 @@
     ev.RoleLost,
     ev.TableInForce,
     ev.Reloaded,
+    ev.ZoneEvacuated,
+    ev.EvacuationEnded,
 )
 """Context events of daemons that handled the subject."""
 
--- a/rackswitch/explain/tests/test_story.py
+++ b/rackswitch/explain/tests/test_story.py
@@ -308,3 +308,29 @@
     assert "a refused: wait too long" in verdict.cause
     assert "0.310 s" in verdict.cause
     assert "a word 0.02 s old" in verdict.cause
+
+
+def test_names_the_rules_that_excluded_all_targets():
+    """An operator must see that an evacuation refused the call, not a lost list."""
+    daemon = LoggingDaemon("d0")
+    daemon.log(
+        1.0,
+        ev.TargetsExcluded(
+            request="r1", service="desk", reasons={"zone evacuated": 2, "region not allowed": 1}
+        ),
+    )
+    outcome = "not run: no target of 'desk' is usable"
+    daemon.log(1.1, make_request_ended("r1", outcome, attempts=0, known=0))
+    story = build_timeline(read_events(daemon.lines), "r1")
+    cause = find_cause(story).cause
+    assert cause.startswith("d0 sent it to no target of desk")
+    assert "zone evacuated (2), region not allowed (1)" in cause
+
+
+def test_names_the_rules_that_kept_a_jobs_items_waiting():
+    daemon = LoggingDaemon("d0")
+    daemon.log(1.0, make_job_owned("j1"))
+    reasons = {"region not allowed": 4}
+    daemon.log(1.1, ev.JobExcluded(job="j1", service="engines", reasons=reasons, table_revision=7))
+    story = build_timeline(read_events(daemon.lines), "j1")
+    assert "no engine of engines was eligible: region not allowed (4)" in find_cause(story).cause
--- a/rackswitch/explain/verdicts.py
+++ b/rackswitch/explain/verdicts.py
@@ -121,6 +121,36 @@
     return Verdict(failed.line, cause, 75)
 
 
+@JUDGES.register("all targets excluded")
+def _all_targets_excluded(story: Timeline) -> Verdict | None:
+    """Report the rules that excluded every target of a refused call."""
+    match = _last_event(story, ev.TargetsExcluded)
+    ended = _last_event(story, ev.RequestEnded)
+    if match is None or (ended is not None and ended.event.outcome.startswith("2")):
+        return None
+    event = match.event
+    cause = f"{match.line.daemon} sent it to no target of {event.service}: {_rules(event.reasons)}"
+    return Verdict(match.line, cause, 79)
+
+
+@JUDGES.register("all engines excluded")
+def _all_engines_excluded(story: Timeline) -> Verdict | None:
+    """Report the rules that kept a job's items waiting."""
+    match = _last_event(story, ev.JobExcluded)
+    if match is None:
+        return None
+    event = match.event
+    cause = (
+        f"its items waited at {match.line.daemon}, as no engine of {event.service} was eligible: "
+        f"{_rules(event.reasons)} (table revision {event.table_revision})"
+    )
+    return Verdict(match.line, cause, 45)
+
+
+def _rules(reasons: dict[str, int]) -> str:
+    return ", ".join(f"{reason} ({count})" for reason, count in reasons.items())
+
+
 @JUDGES.register("call refused by admission control")
 def _call_refused(story: Timeline) -> Verdict | None:
     match = _last_event(story, ev.CallDecided)
--- a/rackswitch/gateway/callers/call_admission.py
+++ b/rackswitch/gateway/callers/call_admission.py
@@ -115,7 +115,7 @@
         now_seconds = self._context.now_seconds()
         draw = self._context.rng.random()
         decision = service.admission.decide(
-            request, self._estimates_of(service_name), draw, now_seconds
+            request, self._eligible_estimates(service_name, request), draw, now_seconds
         )
         return await self._apply(service, request, decision)
 
@@ -173,12 +173,62 @@
         self._check_queue(service)
 
     def record_no_target(self, service_name: str) -> None:
-        """Release all calls queued for a service that has no target left."""
+        """Release the calls queued for a service that none of its targets may serve any more.
+
+        These are all of them if no target is usable, otherwise those whose allowed regions have
+        none.
+        """
         service = self._service(service_name)
-        for ticket in service.admission.remove_all_waiting():
+        if not self._has_target(service_name, None):
+            released = service.admission.remove_all_waiting()
+        else:
+            released = self._remove_without_target(service)
+        for ticket in released:
             self._resolve(service, ticket, NoTarget())
         self._check_queue(service)
 
+    def record_targets_excluded(self) -> None:
+        """Release the queued calls of all services that have no eligible target left."""
+        for service in list(self._services.values()):
+            if service.queued_calls:
+                self.record_no_target(service.name)
+
+    def _remove_without_target(self, service: _Service) -> list[Ticket]:
+        """Remove and return the queued calls whose allowed regions have no usable target."""
+        region_sets = {queued.request.allowed_regions for queued in service.queued_calls.values()}
+        excluded = {
+            regions
+            for regions in region_sets
+            if regions is not None and not self._has_target(service.name, regions)
+        }
+        released = [
+            ticket
+            for ticket, queued in service.queued_calls.items()
+            if queued.request.allowed_regions in excluded
+        ]
+        for ticket in released:
+            service.admission.remove_waiting(ticket)
+        return released
+
+    def _has_target(self, service_name: str, allowed_regions: frozenset[str] | None) -> bool:
+        now_seconds = self._context.now_seconds()
+        return bool(self._context.directory.usable(service_name, now_seconds, allowed_regions))
+
+    def _eligible_estimates(
+        self, service_name: str, request: AdmissionRequest
+    ) -> Sequence[TargetEstimate]:
+        """Return the estimates of the targets that may serve a call."""
+        estimates = self._estimates_of(service_name)
+        if request.allowed_regions is None:
+            return estimates
+        now_seconds = self._context.now_seconds()
+        directory = self._context.directory
+        eligible = {
+            target.instance
+            for target in directory.usable(service_name, now_seconds, request.allowed_regions)
+        }
+        return [estimate for estimate in estimates if estimate.instance in eligible]
+
     def _service(self, name: str) -> _Service:
         service = self._services.get(name)
         if service is None:
--- a/rackswitch/gateway/callers/call_handler.py
+++ b/rackswitch/gateway/callers/call_handler.py
@@ -102,7 +102,7 @@
                 tenant=call.caller.tenant,
                 table_revision=self._context.table_revision,
                 list_age_seconds=self._context.list_age_seconds(),
-                targets_known=self._dispatcher.usable_target_count(route),
+                targets_known=self._dispatcher.usable_target_count(route, call.caller.tenant),
                 target=answer.instance if answer is not None else "",
                 attempts=answer.attempts if answer is not None else 0,
                 elapsed_seconds=round(elapsed_seconds, 4),
--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -25,7 +25,7 @@
 )
 from rackswitch.routing import ListedTarget, TargetEstimate
 from rackswitch.table import Handling, RouteRow
-from rackswitch.telemetry.events import AttemptFailed
+from rackswitch.telemetry.events import AttemptFailed, TargetsExcluded
 
 __all__ = ["DispatchAnswer", "DispatchOutcome", "RequestDispatcher", "outcome_label"]
 
@@ -105,6 +105,8 @@
         Whether a successful answer is returned as soon as its head has been received.
     service : str
         The service whose targets may serve the call.
+    allowed_regions : frozenset of str or None
+        Regions in which the call may run; None for all.
     admission_request : AdmissionRequest or None
         The admission request; None for a call that needs no admission.
     failures : int
@@ -121,6 +123,7 @@
     log: AttemptLog
     as_stream: bool
     service: str
+    allowed_regions: frozenset[str] | None
     admission_request: AdmissionRequest | None
     failures: int = 0
     last_failure: tuple[TargetAnswer, ListedTarget] | None = None
@@ -200,7 +203,7 @@
         self._service_admission = CallAdmission(context, estimates_of)
         self._patience = PatienceEstimate()
         self._call_seconds: dict[str, float] = {}
-        self._outages: dict[str, OutageTracker] = {}
+        self._outages: dict[tuple[str, frozenset[str] | None], OutageTracker] = {}
 
     def new_log(self, route: RouteRow) -> AttemptLog:
         """Return a new attempt log with the limits of a route."""
@@ -234,11 +237,12 @@
             The tenant whose step waits for this reward call; None for a caller's own call.
         """
         service = self._chooser.draw_choice(route).serves
-        state = _CallState(route, call, deadline_seconds, log, as_stream, service, None)
+        allowed_regions = self._context.allowed_regions(route, call.caller.tenant)
+        state = _CallState(
+            route, call, deadline_seconds, log, as_stream, service, allowed_regions, None
+        )
         if self._context.settings.queues_calls and not as_stream:
-            state.admission_request = self._admission_request(
-                route, call, deadline_seconds, reward_of
-            )
+            state.admission_request = self._admission_request(state, reward_of)
         try:
             return await self._serve(state)
         finally:
@@ -260,7 +264,7 @@
 
     async def _next_target(self, state: _CallState) -> ListedTarget | NotRun | None:
         """Wait until a call may be sent; return its target, its refusal, or None for no target."""
-        target = self._pick(state.service, state.log, state.deadline_seconds)
+        target = self._pick(state)
         if target is None:
             return None
         if state.admission_request is not None:
@@ -272,12 +276,26 @@
             if refusal is not None or not state.is_admitted:
                 return refusal if isinstance(refusal, NotRun) else None
             # Chosen again, as the call may have waited.
-            target = self._pick(state.service, state.log, state.deadline_seconds)
+            target = self._pick(state)
             if target is None:
                 return None
         # Last, as this may claim a trial and the request must then be sent.
         hold = await self._check_quarantine(state, may_claim=True)
-        return target if hold is None else hold.refusal
+        if hold is not None:
+            return hold.refusal
+        return self._recheck(state, target)
+
+    def _recheck(self, state: _CallState, target: ListedTarget) -> ListedTarget | None:
+        """Return the target to send a call to now: another one if the chosen one is excluded.
+
+        The call may have waited since the target was chosen.
+        """
+        if self._context.directory.may_receive(target, state.allowed_regions):
+            return target
+        another_target = self._pick(state)
+        if another_target is None:
+            self._quarantine.record_not_run(state.call.fingerprint)
+        return another_target
 
     async def _check_quarantine(self, state: _CallState, may_claim: bool) -> _Hold | None:
         """Return the hold on a request, or None if it may be sent."""
@@ -290,10 +308,9 @@
             return _Hold(None)
         return _Hold(NotRun(NotRunReason.HELD_BACK, hold.detail, hold.until_seconds))
 
-    def _admission_request(
-        self, route: RouteRow, call: Call, deadline_seconds: float, reward_of: str | None
-    ) -> AdmissionRequest:
+    def _admission_request(self, state: _CallState, reward_of: str | None) -> AdmissionRequest:
         """Return a call's admission request."""
+        route, call, deadline_seconds = state.route, state.call, state.deadline_seconds
         now_seconds = self._context.now_seconds()
         latency_target_at_seconds = min(deadline_seconds, now_seconds + route.goal_seconds)
         is_reward = reward_of is not None
@@ -311,6 +328,7 @@
             deadline_seconds=deadline_seconds,
             is_retry=not is_reward
             and self._patience.record_and_check_retry(route.name, deadline_seconds - now_seconds),
+            allowed_regions=state.allowed_regions,
         )
 
     async def _admit(
@@ -416,25 +434,34 @@
         """Record that a stream was interrupted after its head."""
         self._quarantine.record_failure(call.fingerprint(), target)
 
-    def usable_target_count(self, route: RouteRow) -> int:
-        """Return how many targets of a route's services are usable now."""
+    def record_targets_excluded(self) -> None:
+        """Release the queued calls that no target may serve any more."""
+        self._service_admission.record_targets_excluded()
+
+    def usable_target_count(self, route: RouteRow, tenant: str = "") -> int:
+        """Return how many targets of a route's services a tenant's calls may use now."""
         now_seconds = self._context.now_seconds()
         directory = self._context.directory
-        return sum(len(directory.usable(choice.serves, now_seconds)) for choice in route.choices)
+        allowed_regions = self._context.allowed_regions(route, tenant)
+        return sum(
+            len(directory.usable(choice.serves, now_seconds, allowed_regions))
+            for choice in route.choices
+        )
 
-    def _pick(self, service: str, log: AttemptLog, deadline_seconds: float) -> ListedTarget | None:
+    def _pick(self, state: _CallState) -> ListedTarget | None:
         """Return a target; None if there is none or the deadline has passed.
 
         Without a usable target the call is refused at once, with a retry time.
         """
         now_seconds = self._context.now_seconds()
-        if now_seconds >= deadline_seconds:
+        service, log, allowed_regions = state.service, state.log, state.allowed_regions
+        if now_seconds >= state.deadline_seconds:
             return None
-        target = self._chooser.pick(service, log.tried_targets())
+        target = self._chooser.pick(service, log.tried_targets(), allowed_regions)
         if target is None and log.ends and (log.repeatable or not log.may_have_run):
             # All usable targets were tried: try one of them again.
-            target = self._chooser.pick(service, set())
-        outage = self._outages.setdefault(service, OutageTracker())
+            target = self._chooser.pick(service, set(), allowed_regions)
+        outage = self._outage(state)
         if target is None and not log.ends:
             outage.record_unavailable(now_seconds)
             if self._context.settings.queues_calls:
@@ -522,14 +549,40 @@
         now_seconds = self._context.now_seconds()
         if log.may_have_run:
             return log.give_up(now_seconds)
-        if log.ends:
+        excluded = self._exclusion_clause(state)
+        if excluded:
+            outage = self._outage(state)
+            outage.record_unavailable(now_seconds)
+            detail = f"no target of {service!r} is usable: {excluded}"
+            base_seconds = outage.remaining_seconds(now_seconds)
+        elif log.ends:
             # All targets are full: one of them is free after about the typical call time.
             detail = log.ends[-1].detail
             base_seconds = self._call_seconds.get(service, INITIAL_CALL_SECONDS)
         else:
             detail = f"no target of {service!r} is usable"
-            outage = self._outages.setdefault(service, OutageTracker())
-            base_seconds = outage.remaining_seconds(now_seconds)
+            base_seconds = self._outage(state).remaining_seconds(now_seconds)
         draw = self._context.rng.random()
         delay_seconds = retry_delay_seconds(base_seconds, rank, draw)
         return NotRun(NotRunReason.NO_TARGET, detail, now_seconds + delay_seconds)
+
+    def _outage(self, state: _CallState) -> OutageTracker:
+        """Return the outages of a service, as calls with the same allowed regions see them."""
+        return self._outages.setdefault((state.service, state.allowed_regions), OutageTracker())
+
+    def _exclusion_clause(self, state: _CallState) -> str:
+        """Return why all targets are excluded for a call, and log it; empty if they are not."""
+        now_seconds = self._context.now_seconds()
+        directory, service = self._context.directory, state.service
+        if directory.usable(service, now_seconds, state.allowed_regions):
+            return ""
+        reasons = {
+            reason.value: count
+            for reason, count in directory.exclusions(service, state.allowed_regions).items()
+        }
+        if not reasons:
+            return ""
+        self._context.log.write(
+            TargetsExcluded(request=state.call.request_id, service=service, reasons=reasons)
+        )
+        return ", ".join(f"{count} with {reason}" for reason, count in reasons.items())
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -52,12 +52,24 @@
             return route.choices[0]
         return self._context.rng.choices(route.choices, weights)[0]
 
-    def pick(self, service: str, tried: set[str]) -> ListedTarget | None:
-        """Return a target of a service that is not in `tried`, or None."""
+    def pick(
+        self, service: str, tried: set[str], allowed_regions: frozenset[str] | None = None
+    ) -> ListedTarget | None:
+        """Return a target of a service that is not in `tried`, or None.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        tried : set of str
+            Instances of targets that are left out.
+        allowed_regions : frozenset of str or None, optional
+            Regions in which the call may run; None for all.
+        """
         now_seconds = self._context.now_seconds()
         listed = {
             entry.instance: entry
-            for entry in self._context.directory.usable(service, now_seconds)
+            for entry in self._context.directory.usable(service, now_seconds, allowed_regions)
             if entry.instance not in tried
         }
         if not listed:
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -9,9 +9,17 @@
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.gateway.store.reachability import StoreReachability
+from rackswitch.jobs import Job
 from rackswitch.platform.settings import NodeSettings
-from rackswitch.routing import Eligibility, LoadEstimator, RegionMap, Target, TargetDirectory
-from rackswitch.table import LimitsRow, RouteIndex
+from rackswitch.routing import (
+    Eligibility,
+    LoadEstimator,
+    RegionMap,
+    Target,
+    TargetDirectory,
+    intersect_regions,
+)
+from rackswitch.table import LimitsRow, RouteIndex, RouteRow, TenantRow
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
 from rackswitch.usage import UsageCounts, UsageWindows
@@ -93,6 +101,26 @@
         """Regions of the zones, as seen from this daemon."""
         return self.directory.eligibility.regions
 
+    def allowed_regions(self, route: RouteRow | None, tenant: str) -> frozenset[str] | None:
+        """Return the regions that a route and a tenant allow; None for all.
+
+        Parameters
+        ----------
+        route : RouteRow or None
+            The route of a request; None if the table has none, which restricts nothing.
+        tenant : str
+            The tenant; empty if there is none.
+        """
+        row = self.daemon.view.row(TenantRow, tenant) if tenant else None
+        return intersect_regions(
+            route.allowed_regions if route is not None else (),
+            row.allowed_regions if row is not None else (),
+        )
+
+    def job_regions(self, job: Job) -> frozenset[str] | None:
+        """Return the regions in which a job's items may run by the table in force; None for all."""
+        return self.allowed_regions(self.routes.find(job.host, job.path), job.tenant)
+
     @property
     def kv(self) -> KvClient:
         """Client of the key-value service."""
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -129,6 +129,7 @@
             self.quarantine,
             target_chooser.estimates,
         )
+        self.state.on_targets_excluded = self.request_dispatcher.record_targets_excluded
         job_store = JobStore(self.context)
         paces = EnginePaces()
         item_runner = ItemRunner(
--- a/rackswitch/gateway/daemon_context.py
+++ b/rackswitch/gateway/daemon_context.py
@@ -65,7 +65,16 @@
     log = DecisionLog(settings.daemon, log_descriptor, telemetry.events.count)
     links = PeerLinks("")
     direct = HttpTransport(settings.kv_url, sessions)
-    relay = RelayTransport(direct, links, membership, log, policy.calls_through_peers)
+    view = TableView()
+    relay = RelayTransport(
+        direct,
+        links,
+        membership,
+        log,
+        policy.calls_through_peers,
+        settings.region_of_zone,
+        lambda: view.restricts_regions,
+    )
     context = DaemonContext(
         settings=DaemonSettings(
             daemon=settings.daemon,
@@ -82,7 +91,7 @@
         sessions=sessions,
         kv=PlatformKvClient(relay),
         links=links,
-        view=TableView(),
+        view=view,
         membership=membership,
         telemetry=telemetry,
         log=log,
--- a/rackswitch/gateway/daemon_snapshot.py
+++ b/rackswitch/gateway/daemon_snapshot.py
@@ -8,9 +8,10 @@
 from rackswitch.gateway.store.presence import Presence
 from rackswitch.gateway.store.replica_manager import ReplicaManager
 from rackswitch.jobs import ItemPhase
-from rackswitch.table import ServiceRow
+from rackswitch.routing import ListedTarget
+from rackswitch.table import RouteRow, ServiceRow
 
-__all__ = ["DaemonSnapshot", "JobSnapshot", "take_snapshot"]
+__all__ = ["DaemonSnapshot", "EvacuationSnapshot", "JobSnapshot", "take_snapshot"]
 
 
 class JobSnapshot(msgspec.Struct, frozen=True):
@@ -25,6 +26,13 @@
     seconds_left: float
 
 
+class EvacuationSnapshot(msgspec.Struct, frozen=True):
+    """An evacuation in force: the revision of its entry, and how long it has been known here."""
+
+    revision: int
+    for_seconds: float
+
+
 class DaemonSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """The state of one daemon, for operators.
 
@@ -39,6 +47,10 @@
         The daemon whose replicas are followed; empty if the service is watched directly.
     targets : dict of str to int
         Number of usable targets by service.
+    evacuations : dict of str to EvacuationSnapshot
+        Evacuations in force, by zone.
+    targets_excluded : dict of str to str
+        By target that gets no work, or none of some routes, the reason.
     roles : dict of str to int
         Fencing numbers of the roles held by this daemon.
     """
@@ -51,6 +63,8 @@
     follows: str
     members: list[str]
     targets: dict[str, int]
+    evacuations: dict[str, EvacuationSnapshot]
+    targets_excluded: dict[str, str]
     named_versions: dict[str, int]
     roles: dict[str, int]
     jobs_known: int
@@ -88,6 +102,13 @@
         targets={
             row.name: len(context.directory.usable(row.name, now_seconds)) for row in services
         },
+        evacuations={
+            zone: EvacuationSnapshot(
+                evacuation.revision, round(now_seconds - evacuation.since_seconds, 3)
+            )
+            for zone, evacuation in context.directory.eligibility.evacuations.items()
+        },
+        targets_excluded=_exclusion_reasons(context, now_seconds),
         named_versions=dict(context.named_versions),
         roles={role: roles.fencing(role) for role in roles.roles if roles.may_act(role)},
         jobs_known=len(jobs.known.jobs),
@@ -103,6 +124,41 @@
     return round(seconds, 3) if seconds < float("inf") else -1.0
 
 
+def _exclusion_reasons(context: GatewayContext, now_seconds: float) -> dict[str, str]:
+    """Return why targets get no work, by target; those that get all work are left out."""
+    routes = [row for row in context.daemon.view.rows(RouteRow) if row.allowed_regions]
+    reasons = {
+        instance: _exclusion_reason(context, target, routes, now_seconds)
+        for instance, target in context.directory.entries.items()
+    }
+    return {instance: reason for instance, reason in reasons.items() if reason}
+
+
+def _exclusion_reason(
+    context: GatewayContext,
+    target: ListedTarget,
+    restricted_routes: list[RouteRow],
+    now_seconds: float,
+) -> str:
+    """Return why a target gets no work, or no work of some routes; empty if it gets all."""
+    if target.draining:
+        return "draining"
+    exclusion = context.directory.eligibility.exclusion(target.zone, None)
+    if exclusion is not None:
+        return exclusion.value
+    target_state = context.targets.get(target.instance)
+    if target_state is not None and now_seconds < target_state.open_until_seconds:
+        return "does not respond"
+    region = context.regions.region(target.zone)
+    excluded_routes = [
+        route.name
+        for route in restricted_routes
+        if region not in route.allowed_regions
+        and any(choice.serves == target.service for choice in route.choices)
+    ]
+    return f"region not allowed by {', '.join(excluded_routes)}" if excluded_routes else ""
+
+
 def _job_snapshots(jobs: JobManager, now_seconds: float) -> dict[str, JobSnapshot]:
     snapshots: dict[str, JobSnapshot] = {}
     for job_id, owned in jobs.owned.items():
--- a/rackswitch/gateway/duties/scaling_manager.py
+++ b/rackswitch/gateway/duties/scaling_manager.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 
 from rackswitch.capacity import (
@@ -155,7 +155,8 @@
     async def _scale_service(
         self, row: ServiceRow, terms: ScalingTerms, ordered: OrderedCounts
     ) -> None:
-        capacity = _capacity(row, terms)
+        evacuated_zones = self._context.directory.eligibility.evacuations.keys()
+        capacity = _capacity(row, terms, evacuated_zones)
         now_seconds = self._context.now_seconds()
         present = self._count_present(row.name, now_seconds)
         if not present:
@@ -287,13 +288,16 @@
             observed.max_present[order.location] = order.count
 
 
-def _capacity(row: ServiceRow, terms: ScalingTerms) -> Capacity:
-    """Return the scaling terms of a service."""
+def _capacity(row: ServiceRow, terms: ScalingTerms, evacuated_zones: Container[str]) -> Capacity:
+    """Return the scaling terms of a service; nothing is ordered or released in evacuated zones."""
+    zone_prices = {
+        zone: price for zone, price in terms.zone_prices.items() if zone not in evacuated_zones
+    }
     return Capacity(
         terms.least,
         terms.most,
         terms.boot_seconds,
         max(1, row.slots),
-        terms.zone_prices,
+        zone_prices,
         terms.reclaimable_price,
     )
--- a/rackswitch/gateway/duties/tests/test_scaling_manager.py
+++ b/rackswitch/gateway/duties/tests/test_scaling_manager.py
@@ -144,3 +144,22 @@
         await context.daemon.cancel_all()
 
     run_on_virtual_clock(scenario())
+
+
+def test_engines_of_an_evacuated_zone_are_replaced_in_the_other_zones_only():
+    """New engines in the evacuated zone could serve nothing, and its own must not be released."""
+
+    async def scenario():
+        platform = Platform({"a": 4, "b": 4})
+        context = start("d", KvStore(), platform, 120.0)
+        await asyncio.sleep(6.0)
+        platform.calls.clear()
+        context.directory.eligibility.evacuate("a", 1, context.now_seconds())
+        await asyncio.sleep(20.0)
+        assert platform.calls
+        assert {zone for zone, _, _ in platform.calls} == {"b"}
+        assert platform.counts["a", False] == 4
+        assert sum(count for (zone, _), count in platform.counts.items() if zone == "b") == 6
+        await context.daemon.cancel_all()
+
+    run_on_virtual_clock(scenario())
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -42,7 +42,7 @@
 from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.telemetry import events
 
-__all__ = ["ItemRunner"]
+__all__ = ["REGION_DETAIL", "ItemRunner"]
 
 FIRST_PIECE_TIMEOUT_SECONDS = 2.0
 """Longer than a full engine usually queues a run. If other runs there still progress, the run is
@@ -59,7 +59,8 @@
 
 MOVED_DETAIL = "goes on at a faster engine"
 LEFT_DETAIL = "goes on elsewhere before its engine leaves"
-MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL)
+REGION_DETAIL = "goes on elsewhere, as its engine's region is no longer allowed"
+MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL, REGION_DETAIL)
 """Details of runs that were stopped here to continue elsewhere, without any failure."""
 
 ENDS_WITH_ANSWER = (ItemRunEnd.COMPLETE, ItemRunEnd.FAILED, ItemRunEnd.IMPOSSIBLE)
@@ -109,6 +110,7 @@
         "_context",
         "_item_client",
         "_dispatcher",
+        "_stop_details",
         "_stop_timeouts",
         "_quarantine",
         "forecast",
@@ -140,6 +142,7 @@
         self.own_runs = LocalRuns()
         self.memory = EngineMemory()
         self._stop_timeouts: dict[tuple[str, str], asyncio.Timeout] = {}
+        self._stop_details: dict[tuple[str, str], str] = {}
 
     async def run(
         self,
@@ -201,17 +204,22 @@
         self._record_end(ledger, progress, target, ended, may_be_queued)
         return ended
 
-    def stop_run(self, key: tuple[str, str]) -> None:
-        """Stop a run that will continue elsewhere; does nothing if it has ended.
+    def stop_run(self, key: tuple[str, str], detail: str = LEFT_DETAIL) -> bool:
+        """Stop a run that will continue elsewhere; return False if it has ended or is stopped.
 
         Parameters
         ----------
         key : (str, str)
             The job id and the item id.
+        detail : str, optional
+            Why it is stopped, one of `MOVE_DETAILS`.
         """
         stop_timeout = self._stop_timeouts.get(key)
-        if stop_timeout is not None and not stop_timeout.expired():
-            stop_timeout.reschedule(asyncio.get_running_loop().time())
+        if stop_timeout is None or stop_timeout.expired() or stop_timeout.when() is not None:
+            return False
+        stop_timeout.reschedule(asyncio.get_running_loop().time())
+        self._stop_details[key] = detail
+        return True
 
     def record_memory(self, target: ListedTarget, report: EngineReport) -> None:
         """Record the memory in an engine's report."""
@@ -235,7 +243,15 @@
         """Run an item until it ends or `stop_run` stops it, and track it meanwhile."""
         pieces_before = 0 if ledger.single_version else progress.last_number
         now_seconds = self._context.now_seconds()
-        run = LocalRun(ledger, progress, target.instance, target.start, now_seconds, pieces_before)
+        run = LocalRun(
+            ledger,
+            progress,
+            target.instance,
+            target.start,
+            now_seconds,
+            pieces_before,
+            target.zone,
+        )
         self.own_runs.add(run)
         try:
             async with asyncio.timeout(None) as stop_timeout:
@@ -244,11 +260,13 @@
         except TimeoutError:
             if not stop_timeout.expired():
                 raise
-            return ItemRunEnded(ItemRunEnd.INTERRUPTED, LEFT_DETAIL)
+            detail = self._stop_details.get(run.key, LEFT_DETAIL)
+            return ItemRunEnded(ItemRunEnd.INTERRUPTED, detail)
         finally:
             self.own_runs.remove(run)
             if self._stop_timeouts.get(run.key) is stop_timeout:
                 del self._stop_timeouts[run.key]
+                self._stop_details.pop(run.key, None)
 
     async def quarantined_until(self, job: Job, item: JobItem) -> float | None:
         """Return until when quarantine holds an item (monotonic); None if it may be sent now."""
@@ -257,6 +275,10 @@
         request_held = await self._quarantine.admit(fingerprint_of, deadline_seconds)
         return request_held.until_seconds if request_held is not None else None
 
+    def record_not_sent(self, job: Job, item: JobItem) -> None:
+        """Record that an item that quarantine admitted was not sent."""
+        self._quarantine.record_not_run(partial(item_fingerprint, job, item))
+
     def _report_to_quarantine(
         self,
         job: Job,
@@ -337,6 +359,8 @@
         job = ledger.job
         if spare is None or spare.versions.get(job.model, 0) < job.oldest_version:
             return False
+        if not self._may_receive(spare, ledger.allowed_regions):
+            return False
         remaining_pieces = self.forecast.remaining_pieces(progress)
         now_seconds = self._context.now_seconds()
         engine_seconds_per_piece = self.paces.get(target.start, now_seconds)
@@ -352,6 +376,13 @@
         spare.free_slots -= 1
         return True
 
+    def _may_receive(self, spare: SpareCapacity, allowed_regions: frozenset[str] | None) -> bool:
+        """Return whether a spare engine is still eligible for items with these regions."""
+        listed = self._context.directory.entries.get(spare.instance)
+        if listed is None:
+            return True
+        return self._context.directory.may_receive(listed, allowed_regions)
+
     def _update_spare_pace(self, spare: SpareCapacity, service: str, now_seconds: float) -> None:
         """Raise a spare engine's interval to its present mean if it slowed since the planning.
 
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -16,6 +16,7 @@
     ItemPhase,
     ItemProgress,
     ItemStart,
+    JobLedger,
     free_capacity,
     item_tokens,
     plan_starts,
@@ -25,7 +26,7 @@
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.table import RouteRow, ServiceRow
-from rackswitch.telemetry.events import ItemGivenUp
+from rackswitch.telemetry.events import ItemGivenUp, JobExcluded
 
 __all__ = ["ItemStarter"]
 
@@ -52,6 +53,7 @@
     __slots__ = (
         "_context",
         "_cooldown_until_seconds",
+        "_exclusion_reasons",
         "_leaving_run_mover",
         "_step_ranks",
         "_runner",
@@ -63,6 +65,7 @@
         self._runner = runner
         self._wake = wake
         self._cooldown_until_seconds: dict[str, float] = {}
+        self._exclusion_reasons: dict[str, dict[str, int]] = {}
         self._step_ranks = StepRanks(context)
         self._leaving_run_mover = LeavingRunMover(context, runner)
 
@@ -77,6 +80,10 @@
         due_seconds = {job_id: owned.due_seconds for job_id, owned in owned_jobs.items()}
         ledgers = [owned.ledger for owned in owned_jobs.values()]
         forecast, policy = self._runner.forecast, self._context.policy
+        for ledger in ledgers:
+            ledger.allowed_regions = self._context.job_regions(ledger.job)
+        self._leaving_run_mover.stop_excluded_runs()
+        self._log_excluded_jobs(ledgers, services, engines, now_seconds)
         order = self._step_ranks.order(owned_jobs, services, engines, forecast)
         self._leaving_run_mover.move_runs(engines, order, load_based_services, now_seconds)
         for is_load_based in (True, False):
@@ -108,7 +115,11 @@
                 self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
         for owned in owned_jobs.values():
             self._resume_reward_calls(owned)
-        has_waiting_items = any(ledger.startable_items(now_seconds) for ledger in ledgers)
+        has_waiting_items = any(
+            ledger.startable_items(now_seconds)
+            for ledger in ledgers
+            if self._has_allowed_engine(engines, ledger.allowed_regions)
+        )
         if policy.room_shared:
             # Runs are moved only to engines where they need not queue.
             engines = [
@@ -118,6 +129,52 @@
             ]
         self._runner.spare = {} if has_waiting_items else spare_capacities(engines)
 
+    def _log_excluded_jobs(
+        self,
+        ledgers: list[JobLedger],
+        services: dict[str, str],
+        engines: list[EngineCapacity],
+        now_seconds: float,
+    ) -> None:
+        """Log the jobs for which rules exclude all engines, once while the reasons stay."""
+        directory = self._context.directory
+        previous, self._exclusion_reasons = self._exclusion_reasons, {}
+        for ledger in ledgers:
+            job_id, regions = ledger.job.job_id, ledger.allowed_regions
+            service = services.get(job_id)
+            if service is None or any(
+                engine.service == service and engine.is_allowed(regions) for engine in engines
+            ):
+                continue
+            # Engines in cooldown are not excluded.
+            if directory.usable(service, now_seconds, regions):
+                continue
+            exclusions = directory.exclusions(service, regions)
+            if not exclusions:
+                continue
+            reasons = {reason.value: count for reason, count in exclusions.items()}
+            self._exclusion_reasons[job_id] = reasons
+            if previous.get(job_id) != reasons:
+                self._context.log.write(
+                    JobExcluded(
+                        job=job_id,
+                        service=service,
+                        reasons=reasons,
+                        table_revision=self._context.table_revision,
+                    )
+                )
+
+    def _has_allowed_engine(
+        self, engines: list[EngineCapacity], allowed_regions: frozenset[str] | None
+    ) -> bool:
+        """Return whether an engine may run a job's items; assumed for jobs without a restriction.
+
+        Items that no engine may run wait, and must not keep other items from moving.
+        """
+        return allowed_regions is None or any(
+            engine.is_allowed(allowed_regions) for engine in engines
+        )
+
     def _load_based_services(self, services: Iterable[str]) -> frozenset[str]:
         """Return the services whose engines are chosen by their reported load.
 
@@ -215,6 +272,7 @@
             self._runner.load_tracker.estimate(listed, now_seconds),
             self._context.load_estimator.typical_run_seconds(listed.service, WorkKind.TEXT),
             free.tokens,
+            self._context.regions.region(listed.zone),
         )
 
     def _free_tokens(self, listed: ListedTarget, is_load_based: bool, now_seconds: float) -> float:
@@ -253,6 +311,13 @@
             ledger.postpone(progress, quarantined_until_seconds)
             owned.runs.pop(progress.item.item_id, None)
             return
+        if not self._context.directory.may_receive(listed, self._context.job_regions(ledger.job)):
+            # Excluded while quarantine was asked: the item was not sent and waits for another one.
+            self._runner.record_not_sent(ledger.job, progress.item)
+            ledger.postpone(progress, self._context.now_seconds())
+            owned.runs.pop(progress.item.item_id, None)
+            self._wake.set()
+            return
         self._runner.occupancy.record_start(start.instance)
         try:
             ended = await self._runner.run(ledger, progress, listed, urgency)
--- a/rackswitch/gateway/items/leaving_run_mover.py
+++ b/rackswitch/gateway/items/leaving_run_mover.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.items.item_runner import ItemRunner
+from rackswitch.gateway.items.item_runner import REGION_DETAIL, ItemRunner
 from rackswitch.jobs import (
     EngineCapacity,
     ItemPhase,
@@ -15,7 +15,7 @@
     item_tokens,
     runs_to_move,
 )
-from rackswitch.telemetry.events import EngineLeaves, RunLeavesEngine
+from rackswitch.telemetry.events import EngineLeaves, RunLeavesEngine, RunLeavesRegion
 
 __all__ = ["LeavingRunMover"]
 
@@ -105,6 +105,30 @@
         for move, instance in moves:
             self._move(runs_by_key[move.key], move, instance, now_seconds)
 
+    def stop_excluded_runs(self) -> None:
+        """Stop the runs at engines whose region is no longer allowed; they continue elsewhere.
+
+        Runs in an evacuated zone stay, as an evacuation only forbids new ones.
+        """
+        for start in list(self._runner.own_runs.by_start):
+            for run in self._runner.own_runs.runs_at(start):
+                regions = run.ledger.allowed_regions
+                if regions is not None and self._context.regions.region(run.zone) not in regions:
+                    self._stop_excluded(run)
+
+    def _stop_excluded(self, run: LocalRun) -> None:
+        if not self._runner.stop_run(run.key, REGION_DETAIL):
+            return
+        self._context.log.write(
+            RunLeavesRegion(
+                job=run.key[0],
+                item=run.key[1],
+                target=run.instance,
+                zone=run.zone,
+                table_revision=self._context.table_revision,
+            )
+        )
+
     def _can_move(self, run: LocalRun) -> bool:
         """Return whether a run may continue elsewhere.
 
@@ -177,6 +201,7 @@
             start_by_seconds=order.start_by_seconds(run.ledger, run.progress),
             tokens=item_tokens(run.progress, self._runner.forecast),
             is_surplus=order.is_surplus(run.ledger, run.progress),
+            allowed_regions=run.ledger.allowed_regions,
         )
 
     def _move(self, run: LocalRun, move: LeavingRun, instance: str, now_seconds: float) -> None:
--- a/rackswitch/gateway/items/load_poller.py
+++ b/rackswitch/gateway/items/load_poller.py
@@ -46,9 +46,10 @@
         self._order_client = order_client
         self._occupancy = occupancy
 
-    async def poll(self, service: str) -> None:
-        """Poll all usable engines of a service."""
-        targets = self._context.directory.usable(service, self._context.now_seconds())
+    async def poll(self, service: str, allowed_regions: frozenset[str] | None = None) -> None:
+        """Poll all engines of a service that may run work with these allowed regions."""
+        now_seconds = self._context.now_seconds()
+        targets = self._context.directory.usable(service, now_seconds, allowed_regions)
         await asyncio.gather(*(self._poll_target(target) for target in targets))
 
     async def _poll_target(self, target: ListedTarget) -> None:
--- a/rackswitch/gateway/jobs/hand_over_receiver.py
+++ b/rackswitch/gateway/jobs/hand_over_receiver.py
@@ -86,12 +86,18 @@
         return await asyncio.shield(receiving)
 
     def _can_run(self, job: Job) -> bool:
-        """Return whether an engine is known for a job; a new process may not know any yet."""
+        """Return whether an engine is known for a job; a new process may not know any yet.
+
+        Excluded engines count: the job's items then wait, at this daemon as at any other.
+        """
         route = self._context.routes.find(job.host, job.path)
         if route is None:
             return False
         now_seconds = self._context.now_seconds()
-        return any(self._context.directory.usable(route.choices[0].serves, now_seconds))
+        directory, service = self._context.directory, route.choices[0].serves
+        regions = self._context.allowed_regions(route, job.tenant)
+        is_usable = bool(directory.usable(service, now_seconds, regions))
+        return is_usable or bool(directory.exclusions(service, regions))
 
     async def wait_for_pending(self) -> None:
         """Wait for hand-overs that have begun, as a stopping daemon hands these jobs over too."""
--- a/rackswitch/gateway/jobs/hand_over_sender.py
+++ b/rackswitch/gateway/jobs/hand_over_sender.py
@@ -12,6 +12,7 @@
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.jobs.result_appender import ResultAppender
 from rackswitch.jobs import (
+    Job,
     OwnerCandidate,
     SuccessorCandidate,
     is_restarted,
@@ -126,11 +127,14 @@
 
     def _successors(self, owned: OwnedJob) -> list[str]:
         job = owned.ledger.job
-        ordered = order_successors(job.job_id, len(job.items), self._candidates())
+        ordered = order_successors(job.job_id, len(job.items), self._candidates(job))
         return ordered[:MAX_OFFERS]
 
-    def _candidates(self) -> list[SuccessorCandidate]:
+    def _candidates(self, job: Job) -> list[SuccessorCandidate]:
+        """Return the daemons that may own a job, by the regions that its route and tenant allow."""
         context = self._context
+        regions = context.job_regions(job)
+        may_hold = context.directory.eligibility.may_hold
         open_items = self._known.open_items()
         last_submits = self._known.last_submit_unix_seconds()
         now_unix_seconds = context.unix_seconds()
@@ -150,7 +154,7 @@
                 zone == context.settings.zone,
             )
             for name, zone in context.daemon.membership.live_zones()
-            if name != context.daemon_name
+            if name != context.daemon_name and may_hold(zone, regions, job.home_region)
         ]
 
     async def _offer(
--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -9,17 +9,19 @@
 from rackswitch.gateway.jobs.job_records import (
     JOBS_PREFIX,
     OWNERS_PREFIX,
+    JobMarker,
     job_key_part,
     make_marker,
 )
 from rackswitch.gateway.jobs.job_store import JobStore
-from rackswitch.gateway.jobs.known_jobs import JobOwner, KnownJobs
+from rackswitch.gateway.jobs.known_jobs import JobOwner, KnownJob, KnownJobs
 from rackswitch.gateway.jobs.lease_writes import write_on_lease
 from rackswitch.gateway.jobs.local_job_claims import LocalJobClaims
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.store.session import Session
 from rackswitch.jobs import Job, JobCheckpoint, OrphanedJobs, order_jobs
 from rackswitch.telemetry.events import JobNotOwned
+from rackswitch.tenants import identity_tenant
 
 __all__ = ["JobClaims"]
 
@@ -133,7 +135,7 @@
         for job_id in self._claim_order():
             known = self._known.jobs.get(job_id)
             if known is not None and not known.marker.ended:
-                self._claim_if_due(job_id, known.revision, now_seconds)
+                self._claim_if_due(job_id, known, now_seconds)
 
     def _claim_order(self) -> list[str]:
         """Return the jobs to check: those that run here first, by the urgency of their steps."""
@@ -144,7 +146,7 @@
         others = [job_id for job_id in self._known.jobs if job_id not in self._jobs.by_id]
         return owned_ids + others
 
-    def _claim_if_due(self, job_id: str, marker_revision: int, now_seconds: float) -> None:
+    def _claim_if_due(self, job_id: str, known: KnownJob, now_seconds: float) -> None:
         key_part, owned = job_key_part(job_id), self._jobs.by_id.get(job_id)
         if job_id in self._jobs.incoming:
             return
@@ -153,10 +155,28 @@
             self._orphans.record_orphaned(key_part, now_seconds)
         if not self._orphans.is_orphan(key_part):
             return
+        regions = self._owner_regions(known.marker)
+        if owned is None and not self._may_own(self._context.settings.zone, known.marker, regions):
+            return
         released = self._is_released(key_part)
-        live = self._context.daemon.membership.live()
-        if self._orphans.try_claim(key_part, live, owned is not None, released, now_seconds):
-            self._context.daemon.spawn(self.claim(job_id, marker_revision))
+        claimants = [
+            name
+            for name, zone in self._context.daemon.membership.live_zones()
+            if self._may_own(zone, known.marker, regions)
+        ]
+        if self._orphans.try_claim(key_part, claimants, owned is not None, released, now_seconds):
+            self._context.daemon.spawn(self.claim(job_id, known.revision))
+
+    def _owner_regions(self, marker: JobMarker) -> frozenset[str] | None:
+        """Return the regions that a job's route and tenant allow; None for all."""
+        if not marker.home_region:
+            return None
+        route = self._context.routes.find(marker.host, marker.path)
+        return self._context.allowed_regions(route, identity_tenant(marker.job_id))
+
+    def _may_own(self, zone: str, marker: JobMarker, regions: frozenset[str] | None) -> bool:
+        """Return whether a daemon in a zone may claim a job."""
+        return self._context.directory.eligibility.may_hold(zone, regions, marker.home_region)
 
     def _probe(self) -> None:
         """Probe the key-value service and the lease at intervals while this daemon runs jobs."""
--- a/rackswitch/gateway/jobs/job_handler.py
+++ b/rackswitch/gateway/jobs/job_handler.py
@@ -123,6 +123,8 @@
                 Refusal(503, "this daemon is stopping", self._retry_after_seconds()),
             )
             return
+        if self._context.regions.has_regions:
+            job = msgspec.structs.replace(job, home_region=self._context.regions.own_region)
         outcome = await self._placer.submit(job)
         answer = await self._answer_submission(exchange, outcome)
         self._context.log.write(
--- a/rackswitch/gateway/jobs/job_manager.py
+++ b/rackswitch/gateway/jobs/job_manager.py
@@ -154,7 +154,8 @@
             return JobKnown()
         route = self._context.routes.find(job.host, job.path)
         if route is not None and self._context.policy.loads_asked:
-            self._context.daemon.spawn(self._load_poller.poll(route.choices[0].serves))
+            regions = self._context.allowed_regions(route, job.tenant)
+            self._context.daemon.spawn(self._load_poller.poll(route.choices[0].serves, regions))
         outcome = await write_on_lease(
             self._session, lambda lease_id: self._store.create(job, lease_id)
         )
--- a/rackswitch/gateway/jobs/job_placer.py
+++ b/rackswitch/gateway/jobs/job_placer.py
@@ -80,6 +80,8 @@
         last_submits = self._job_manager.known.last_submit_unix_seconds()
         restarted = self._restarted_daemons()
         zone = self._context.settings.zone
+        eligibility = self._context.directory.eligibility
+        regions = self._context.job_regions(job)
         candidates = [
             OwnerCandidate(
                 name,
@@ -90,6 +92,7 @@
             )
             for name, member_zone in self._context.daemon.membership.live_zones()
             if member_zone == zone
+            and eligibility.may_hold(member_zone, regions, self._context.regions.own_region)
         ]
         return self._owner_selector.select_owner(
             candidates, len(job.items), self._context.now_seconds()
--- a/rackswitch/gateway/jobs/job_records.py
+++ b/rackswitch/gateway/jobs/job_records.py
@@ -47,7 +47,7 @@
 PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
 
 
-class JobMarker(msgspec.Struct, frozen=True):
+class JobMarker(msgspec.Struct, frozen=True, omit_defaults=True):
     """Summary of a job that every daemon watches.
 
     Attributes
@@ -56,6 +56,10 @@
         The model that runs the job, and the oldest allowed version of it.
     work_seconds : float
         Expected run time of all items, added up.
+    home_region : str
+        Region of the daemon that accepted the job; empty in a deployment with one region.
+    host, path : str
+        Determine the job's route, and so the regions of its owners; empty without a home region.
     """
 
     job_id: str
@@ -65,6 +69,9 @@
     oldest_version: int = 0
     ended: bool = False
     work_seconds: float = 0.0
+    home_region: str = ""
+    host: str = ""
+    path: str = ""
 
 
 def make_marker(job: Job) -> JobMarker:
@@ -76,6 +83,9 @@
         job.model,
         job.oldest_version,
         work_seconds=round(expected_work_seconds(job), 1),
+        home_region=job.home_region,
+        host=job.host if job.home_region else "",
+        path=job.path if job.home_region else "",
     )
 
 
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -1,16 +1,20 @@
 """Handling of changes to the desired state and the list of targets."""
 
+from collections.abc import Callable
+
 from rackswitch.clients.kv import KvEntry, KvUnavailable, Operation, TxnPart
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.quarantine.end_detector import EndDetector
 from rackswitch.gateway.store.replica_set import ReplicaHandlers
 from rackswitch.platform.desired_state import (
     LIMITS_NAME,
+    EvacuationOrder,
     MalformedEntry,
     NamedVersion,
     RetireOrder,
     decode_operator_entry,
     encode_retired,
+    evacuated_zone,
 )
 from rackswitch.platform.servers import decode_target, target_instance
 from rackswitch.quarantine import EndEvidence
@@ -18,11 +22,13 @@
 from rackswitch.table import LimitsRow, TableDocument, index_routes
 from rackswitch.telemetry.events import (
     EntryUnreadable,
+    EvacuationEnded,
     RetireAnswered,
     TableInForce,
     TargetGone,
     TargetListed,
     VersionNamed,
+    ZoneEvacuated,
 )
 from rackswitch.tenants import index_tenants
 
@@ -42,18 +48,23 @@
         The daemon.
     ends : EndDetector
         Receives the targets that have ended according to the list.
+
+    Attributes
+    ----------
+    on_targets_excluded : callable
+        Called when a zone's targets are excluded, after `context.directory` excludes them.
     """
 
-    __slots__ = ("_context", "_ends")
+    __slots__ = ("_context", "_ends", "on_targets_excluded")
 
     def __init__(self, context: GatewayContext, ends: EndDetector):
         self._context = context
         self._ends = ends
+        self.on_targets_excluded: Callable[[], None] = lambda: None
 
     def operator_handlers(self) -> ReplicaHandlers:
         """Return the handlers of the operators' and trainers' entries."""
-        # Deletions are ignored: the newest table and versions stay in force.
-        return ReplicaHandlers(self._operator_put, lambda key: None)
+        return ReplicaHandlers(self._operator_put, self._operator_deleted)
 
     def target_handlers(self) -> ReplicaHandlers:
         """Return the handlers of the list of targets."""
@@ -69,6 +80,50 @@
             self._apply_version(decoded)
         elif isinstance(decoded, RetireOrder):
             self._context.daemon.spawn(self._acknowledge_retirement(decoded.vm))
+        elif isinstance(decoded, EvacuationOrder):
+            self._evacuate(decoded.zone, entry.mod_revision)
+
+    def _operator_deleted(self, key: str) -> None:
+        """End the evacuation that a deleted key ordered.
+
+        Other deletions are ignored: the newest table and versions stay in force.
+        """
+        zone = evacuated_zone(key)
+        if zone is not None:
+            self._evacuation_ended(zone)
+
+    def _evacuate(self, zone: str, revision: int) -> None:
+        directory = self._context.directory
+        if not directory.eligibility.evacuate(zone, revision, self._context.now_seconds()):
+            return
+        self._context.log.write(
+            ZoneEvacuated(
+                zone=zone,
+                revision=revision,
+                list_age_seconds=self._context.list_age_seconds(),
+                zones_evacuated=len(directory.eligibility.evacuations),
+                targets_excluded=directory.evacuated_counts(),
+            )
+        )
+        self.on_targets_excluded()
+
+    def _evacuation_ended(self, zone: str) -> None:
+        """Use a zone's targets again; the only place where the end of an evacuation is handled."""
+        directory = self._context.directory
+        evacuation = directory.eligibility.end_evacuation(zone)
+        if evacuation is None:
+            return
+        evacuated_seconds = self._context.now_seconds() - evacuation.since_seconds
+        self._context.log.write(
+            EvacuationEnded(
+                zone=zone,
+                revision=evacuation.revision,
+                list_age_seconds=self._context.list_age_seconds(),
+                evacuated_seconds=round(evacuated_seconds, 3),
+                zones_evacuated=len(directory.eligibility.evacuations),
+                targets_excluded=directory.evacuated_counts(),
+            )
+        )
 
     def _record_list_confirmed(self, at_seconds: float) -> None:
         self._context.list_confirmed_at_seconds = at_seconds
--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -1,6 +1,7 @@
 """Calls to the key-value service, made directly or forwarded by a peer."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -47,6 +48,11 @@
         Receives changes of the direct path's state.
     through_peers : bool
         Whether peers are used at all.
+    region_of_zone : dict of str to str, optional
+        Regions by zone; nearer peers are preferred.
+    stays_in_region : callable, optional
+        Returns whether calls may be forwarded by peers of the own region only, as their contents
+        may be restricted to regions. Never by default.
 
     Attributes
     ----------
@@ -54,7 +60,15 @@
         Orders the paths by their recent outcomes.
     """
 
-    __slots__ = ("_direct", "_through_peers", "_links", "_log", "_membership", "path_selector")
+    __slots__ = (
+        "_direct",
+        "_through_peers",
+        "_links",
+        "_log",
+        "_membership",
+        "_stays_in_region",
+        "path_selector",
+    )
 
     def __init__(
         self,
@@ -63,13 +77,16 @@
         membership: Membership,
         log: DecisionLog,
         through_peers: bool,
+        region_of_zone: dict[str, str] | None = None,
+        stays_in_region: Callable[[], bool] = lambda: False,
     ):
         self._through_peers = through_peers
         self._direct = direct
         self._links = links
         self._membership = membership
         self._log = log
-        self.path_selector = PathSelector(membership.own.zone)
+        self._stays_in_region = stays_in_region
+        self.path_selector = PathSelector(membership.own.zone, region_of_zone=region_of_zone or {})
 
     async def send(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
         """Make a call over the paths in turn until one brings an answer.
@@ -77,7 +94,9 @@
         A call that may have taken effect is retried only if it is repeatable; otherwise the
         unknown outcome is returned.
         """
-        paths = self.path_selector.paths(self._peers(), call.repeatable, _now_seconds())
+        paths = self.path_selector.paths(
+            self._peers(), call.repeatable, _now_seconds(), self._stays_in_region()
+        )
         last_result: StoreAnswer | KvUnavailable = KvUnavailable(
             "no path to the service is available", effect_unknown=False
         )
--- a/rackswitch/gateway/store/tests/spread_run.py
+++ b/rackswitch/gateway/store/tests/spread_run.py
@@ -49,6 +49,10 @@
         self.store.txn([TxnPart((), (Operation(key, value),))])
         self.record_changes()
 
+    def delete(self, key: str) -> None:
+        self.store.txn([TxnPart((), (Operation(key, None),))])
+        self.record_changes()
+
     def record_changes(self) -> None:
         changes = [(entry.mod_revision, entry.key, entry) for entry in self.store.changed]
         changes += [(revision, key, None) for key, revision in self.store.deleted]
@@ -134,10 +138,12 @@
         self.alive = True
         self.served = 0
         self.received_at_seconds: dict[str, float] = {}
+        self.put_keys: set[str] = set()
+        self.deleted_keys: set[str] = set()
         self._members: dict[str, object] = {}
         handlers = {
             CONTROL: ReplicaHandlers(self._member_put, self._member_deleted),
-            STATE: ReplicaHandlers(self._state_put, lambda key: None),
+            STATE: ReplicaHandlers(self._state_put, self.deleted_keys.add),
         }
         self.replica_manager = ReplicaManager(self.context, handlers, EnginePaces(), CONTROL)
         self.presence = Presence(self.context, 1, self.replica_manager.members_read)
@@ -160,6 +166,7 @@
         )
 
     def _state_put(self, entry: KvEntry) -> None:
+        self.put_keys.add(entry.key)
         self.received_at_seconds.setdefault(entry.value.decode(), self.context.now_seconds())
 
 
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -31,7 +31,7 @@
 class NoLoadPoller:
     """Load poller that polls no engine."""
 
-    async def poll(self, service: str) -> None:
+    async def poll(self, service: str, allowed_regions: frozenset[str] | None = None) -> None:
         return
 
 
--- a/rackswitch/gateway/versions/order_sender.py
+++ b/rackswitch/gateway/versions/order_sender.py
@@ -32,6 +32,9 @@
 REPORT_INTERVAL_SECONDS = 0.5
 """Interval between report requests to an engine whose listed version does not change."""
 
+EXCLUDED_OUTCOME = "not sent: zone evacuated"
+"""Outcome of an order whose engine's zone was evacuated after the order was planned."""
+
 
 def version_role(service: str) -> str:
     """Return the role whose holder orders the engines of a service.
@@ -99,12 +102,18 @@
             When this daemon started to write its entry in the record of orders (monotonic).
         """
         target, order = planned.target, planned.order
+        if not self._may_receive(target):
+            self._log_order(planned, 0, EXCLUDED_OUTCOME)
+            return False
         report = await self._engines.report(target)
         if not isinstance(report, EngineReport):
             self._log_order(planned, 0, f"no report: {report.detail}")
             return False
         if report.versions.get(planned.model, 0) >= order.version:
             return True
+        if not self._may_receive(target):
+            self._log_order(planned, 0, EXCLUDED_OUTCOME)
+            return False
         turn = version_turn(planned.service)
         fencing = self._turns.fencing_to_send(turn, entered_at_seconds)
         if fencing is None:
@@ -124,6 +133,10 @@
             return False
         return await self._wait_until_loaded(planned.model, target, order.version)
 
+    def _may_receive(self, target: ListedTarget) -> bool:
+        """Return whether an engine may get orders and report requests: its zone is in service."""
+        return self._context.directory.may_receive(target)
+
     def _allows_mixed_versions(self, service: str) -> bool:
         """Return whether no batch route of a service requires a single version per text."""
         routes = self._context.daemon.view.rows(RouteRow)
@@ -144,7 +157,7 @@
                 return False
             if listed.versions.get(model, 0) >= version:
                 return True
-            if self._context.now_seconds() < next_report_seconds:
+            if self._context.now_seconds() < next_report_seconds or not self._may_receive(target):
                 continue
             next_report_seconds += REPORT_INTERVAL_SECONDS
             report = await self._engines.report(target)
--- a/rackswitch/jobs/leaving.py
+++ b/rackswitch/jobs/leaving.py
@@ -85,6 +85,8 @@
         Engine memory that it will use at its end, in tokens.
     is_surplus : bool
         Whether its trainer will not wait for it.
+    allowed_regions : frozenset of str or None
+        Regions in which it may continue; None for all.
     """
 
     key: tuple[str, str]
@@ -97,6 +99,7 @@
     start_by_seconds: float
     tokens: float = 0.0
     is_surplus: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def remaining_seconds(self) -> float:
@@ -150,6 +153,7 @@
         engine
         for engine in engines
         if engine.service == run.service
+        and engine.is_allowed(run.allowed_regions)
         and engine.versions.get(run.model, 0) >= run.oldest_version
         and engine.has_capacity_for(run.tokens)
         and (engine.slots == 0 or engine.runs < engine.slots)
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -37,6 +37,11 @@
         Number of failed runs after which an item is given up.
     single_version : bool
         Whether one version of the weights must generate all of a text.
+
+    Attributes
+    ----------
+    allowed_regions : frozenset of str or None
+        Regions in which its items may run by the table in force; None for all.
     """
 
     job: Job
@@ -45,6 +50,7 @@
     single_version: bool = False
     ended: bool = False
     items: dict[str, ItemProgress] = field(default_factory=dict)
+    allowed_regions: frozenset[str] | None = None
     _pending_results: list[JobResult] = field(default_factory=list)
     _unfinished_items: Counter[str] = field(default_factory=Counter)
     _unlisted_items: Counter[str] = field(default_factory=Counter)
--- a/rackswitch/jobs/local_runs.py
+++ b/rackswitch/jobs/local_runs.py
@@ -28,6 +28,8 @@
         When the run was sent (monotonic).
     pieces_before : int
         Number of pieces that the text had at that time.
+    zone : str
+        Zone of the engine.
     """
 
     ledger: JobLedger
@@ -36,6 +38,7 @@
     start: str
     sent_at_seconds: float
     pieces_before: int = 0
+    zone: str = ""
 
     @property
     def key(self) -> tuple[str, str]:
--- a/rackswitch/jobs/messages.py
+++ b/rackswitch/jobs/messages.py
@@ -61,6 +61,8 @@
         When the job was first received. Its deadlines count from this time on every daemon.
     tenant : str
         The submitter's tenant; empty if no key was required.
+    home_region : str
+        Region of the daemon that accepted it; empty in a deployment with one region.
     """
 
     job_id: str
@@ -73,6 +75,7 @@
     wanted_groups: int = 0
     submitted_at_unix_seconds: float = 0.0
     tenant: str = ""
+    home_region: str = ""
 
 
 class JobResult(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -44,6 +44,9 @@
 """Pace of an engine that is neither slow nor overloaded; used to weigh lengths against
 deadlines."""
 
+_Requirement = tuple[str, str, int, frozenset[str] | None]
+"""What decides which engines may run an item: service, model, oldest version, allowed regions."""
+
 
 @dataclass(slots=True)
 class EngineCapacity:
@@ -70,6 +73,8 @@
     free_tokens : float
         Memory, in tokens, for runs yet to start there, each counted with its final size; infinite
         if unknown.
+    region : str
+        Region of its zone; empty if unknown.
     """
 
     instance: str
@@ -82,6 +87,7 @@
     estimate: TargetEstimate | None = None
     run_seconds: float = TYPICAL_RUN_SECONDS
     free_tokens: float = math.inf
+    region: str = ""
 
     def has_capacity_for(self, tokens: float) -> bool:
         """Return whether one more run of this final size in tokens fits.
@@ -91,6 +97,10 @@
         """
         return self.free_slots > 0 and (self.runs == 0 or tokens <= self.free_tokens)
 
+    def is_allowed(self, allowed_regions: frozenset[str] | None) -> bool:
+        """Return whether work with these allowed regions may run there; None allows all."""
+        return allowed_regions is None or self.region in allowed_regions
+
     def reserve(self, tokens: float = 0.0) -> None:
         """Reserve a slot and memory for one more run."""
         self.free_slots -= 1
@@ -251,11 +261,12 @@
     ]
     waiting.sort(key=lambda entry: entry[0])
     starts: list[ItemStart] = []
-    unavailable: set[tuple[str, str, int]] = set()
-    reserved: set[tuple[str, str, int]] = set()
+    unavailable: set[_Requirement] = set()
+    reserved: set[_Requirement] = set()
     for _, ledger, progress in waiting:
         service = service_of[ledger.job.job_id]
-        requirement = (service, ledger.job.model, ledger.job.oldest_version)
+        job = ledger.job
+        requirement = (service, job.model, job.oldest_version, ledger.allowed_regions)
         if requirement in unavailable:
             continue
         pieces = length_forecast.remaining_pieces(progress)
@@ -296,6 +307,7 @@
         for engine in engines
         if engine.service == service
         and engine.free_slots > 0
+        and engine.is_allowed(ledger.allowed_regions)
         and engine.versions.get(ledger.job.model, 0) >= ledger.job.oldest_version
     ]
 
--- a/rackswitch/platform/desired_state.py
+++ b/rackswitch/platform/desired_state.py
@@ -6,6 +6,7 @@
 
 from rackswitch.platform.names import (
     CONFIG_KEY,
+    EVACUATE_PREFIX,
     RETIRE_PREFIX,
     RETIRE_STATUS_PREFIX,
     VERSION_PREFIX,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "LIMITS_NAME",
+    "EvacuationOrder",
     "MalformedEntry",
     "NamedVersion",
     "OperatorEntry",
@@ -35,6 +37,7 @@
     "decode_desired_state",
     "decode_operator_entry",
     "encode_retired",
+    "evacuated_zone",
 ]
 
 LIMITS_NAME = "callers"
@@ -69,7 +72,14 @@
     vm: str
 
 
-OperatorEntry = TableDocument | NamedVersion | RetireOrder | MalformedEntry
+@dataclass(frozen=True, slots=True)
+class EvacuationOrder:
+    """An order to send nothing more to the targets of an availability zone."""
+
+    zone: str
+
+
+OperatorEntry = TableDocument | NamedVersion | RetireOrder | EvacuationOrder | MalformedEntry
 
 
 class _WireSplit(msgspec.Struct):
@@ -188,7 +198,16 @@
         return _named_version(value)
     if key.startswith(RETIRE_PREFIX):
         return RetireOrder(key.removeprefix(RETIRE_PREFIX))
-    return None
+    zone = evacuated_zone(key)
+    # The key alone is the order; its value holds nothing.
+    return EvacuationOrder(zone) if zone is not None else None
+
+
+def evacuated_zone(key: str) -> str | None:
+    """Return the zone that a written or deleted key is about; None if it is no evacuation."""
+    if not key.startswith(EVACUATE_PREFIX):
+        return None
+    return key.removeprefix(EVACUATE_PREFIX) or None
 
 
 def _named_version(value: bytes) -> NamedVersion | MalformedEntry:
--- a/rackswitch/platform/names.py
+++ b/rackswitch/platform/names.py
@@ -5,6 +5,7 @@
     "CONFIG_KEY",
     "DEADLINE_HEADER",
     "DUTY_HOLDER_HEADER",
+    "EVACUATE_PREFIX",
     "EXPECT_INSTANCE_HEADER",
     "FENCING_HEADER",
     "LAST_EVENT_HEADER",
@@ -51,6 +52,7 @@
 
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
 VERSION_PREFIX = "op/version/"
 RETIRE_PREFIX = "op/retire/"
 RETIRE_STATUS_PREFIX = "status/retire/"
--- a/rackswitch/relay/paths.py
+++ b/rackswitch/relay/paths.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from rackswitch.routing import PathClass, RegionMap
+
 __all__ = ["OWN_PATH", "PathSelector"]
 
 OWN_PATH = ""
@@ -42,6 +44,8 @@
     zone : str
         The daemon's availability zone; peers in it are preferred, as traffic between zones is
         expensive.
+    region_of_zone : dict of str to str, optional
+        Regions by zone; peers of the own region come next, as traffic between regions costs more.
 
     Attributes
     ----------
@@ -56,6 +60,7 @@
     slowest_answer_seconds: float = 0.0
     _next_probe_seconds: float = float("-inf")
     _cooldown_until_seconds: dict[str, float] = field(default_factory=dict)
+    region_of_zone: dict[str, str] = field(default_factory=dict)
 
     @property
     def is_own_path_up(self) -> bool:
@@ -63,7 +68,11 @@
         return self.failed_since_seconds is None
 
     def paths(
-        self, live_zones: Iterable[tuple[str, str]], repeatable: bool, now_seconds: float
+        self,
+        live_zones: Iterable[tuple[str, str]],
+        repeatable: bool,
+        now_seconds: float,
+        own_region_only: bool = False,
     ) -> list[str]:
         """Return the paths to try for one call, in order.
 
@@ -75,8 +84,10 @@
             Whether the call may be made twice; only such a call probes a failed own path.
         now_seconds : float
             Monotonic clock.
+        own_region_only : bool, optional
+            Whether no peer of another region may forward the call.
         """
-        peers = self._usable_peers(live_zones, now_seconds)
+        peers = self._usable_peers(live_zones, now_seconds, own_region_only)
         if self.is_own_path_up:
             return [OWN_PATH, *peers]
         if not peers:
@@ -115,10 +126,15 @@
         self.failed_since_seconds = now_seconds
         return True
 
-    def _usable_peers(self, live_zones: Iterable[tuple[str, str]], now_seconds: float) -> list[str]:
+    def _usable_peers(
+        self, live_zones: Iterable[tuple[str, str]], now_seconds: float, own_region_only: bool
+    ) -> list[str]:
+        regions = RegionMap(self.zone, self.region_of_zone)
+        farthest = PathClass.SAME_REGION if own_region_only else PathClass.OTHER_REGION
         usable = [
-            (zone != self.zone, name)
+            (path_class, name)
             for name, zone in live_zones
-            if now_seconds >= self._cooldown_until_seconds.get(name, float("-inf"))
+            if (path_class := regions.path_class(zone)) <= farthest
+            and now_seconds >= self._cooldown_until_seconds.get(name, float("-inf"))
         ]
         return [name for _, name in sorted(usable)[:MAX_PEERS]]
--- a/rackswitch/relay/tests/test_paths.py
+++ b/rackswitch/relay/tests/test_paths.py
@@ -106,3 +106,27 @@
     for duration_seconds in durations_seconds:
         selector.record_answer(OWN_PATH, duration_seconds)
     assert MIN_TIMEOUT_SECONDS <= selector.call_timeout_seconds(1.5) <= 1.5
+
+
+REGION_OF_ZONE = {"x": "north", "y": "north", "z": "south"}
+ALL_PEERS = [("b", "z"), ("d", "y")]
+
+
+def test_peers_of_the_own_region_come_before_those_of_another():
+    """Traffic between regions costs more than traffic between zones."""
+    selector = PathSelector("x", region_of_zone=REGION_OF_ZONE)
+    assert selector.paths(ALL_PEERS, True, 10.0) == [OWN_PATH, "d", "b"]
+    assert selector.paths([*ALL_PEERS, ("e", "x")], True, 10.0) == [OWN_PATH, "e", "d"]
+
+
+def test_calls_that_must_stay_in_the_region_use_no_peer_of_another():
+    """A relayed call may hold the body of a job that is restricted to regions."""
+    selector = PathSelector("x", region_of_zone=REGION_OF_ZONE)
+    assert selector.paths(ALL_PEERS, True, 10.0, own_region_only=True) == [OWN_PATH, "d"]
+    assert selector.paths([("b", "z")], True, 10.0, own_region_only=True) == [OWN_PATH]
+    without_regions = PathSelector("x")
+    assert without_regions.paths(ALL_PEERS, True, 10.0, own_region_only=True) == [
+        OWN_PATH,
+        "b",
+        "d",
+    ]
--- a/rackswitch/routing/directory.py
+++ b/rackswitch/routing/directory.py
@@ -5,9 +5,10 @@
 run, and the targets register again shortly after the service is reachable.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 
-from rackswitch.routing.eligibility import Eligibility
+from rackswitch.routing.eligibility import Eligibility, Exclusion
 
 __all__ = ["ListedTarget", "TargetDirectory"]
 
@@ -143,6 +144,41 @@
             and self.eligibility.exclusion(target.zone, allowed_regions) is None
         ]
 
+    def may_receive(
+        self, target: ListedTarget, allowed_regions: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether a target chosen earlier is still eligible; asked right before a send.
+
+        Parameters
+        ----------
+        target : ListedTarget
+            The target.
+        allowed_regions : frozenset of str or None, optional
+            Regions in which the work may run; None for all.
+        """
+        return self.eligibility.exclusion(target.zone, allowed_regions) is None
+
+    def exclusions(
+        self, service: str, allowed_regions: frozenset[str] | None = None
+    ) -> Counter[Exclusion]:
+        """Return how many targets of a service are excluded, by reason.
+
+        Targets that are draining are left out, as they get no new work in any case.
+        """
+        reasons = (
+            self.eligibility.exclusion(target.zone, allowed_regions)
+            for target in self.entries.values()
+            if target.service == service and not target.draining
+        )
+        return Counter(reason for reason in reasons if reason is not None)
+
+    def evacuated_counts(self) -> dict[str, int]:
+        """Return how many targets each service has in evacuated zones, including zero."""
+        counts = {target.service: 0 for target in self.entries.values()}
+        for target in self.entries.values():
+            counts[target.service] += target.zone in self.eligibility.evacuations
+        return counts
+
     def expire(self, now_seconds: float) -> None:
         """Remove lapsed entries whose grace period is over."""
         expired = [name for name, until in self.lapsed.items() if now_seconds >= until]
--- a/rackswitch/routing/eligibility.py
+++ b/rackswitch/routing/eligibility.py
@@ -68,6 +68,21 @@
             return Exclusion.REGION
         return None
 
+    def may_hold(self, zone: str, allowed_regions: frozenset[str] | None, home_region: str) -> bool:
+        """Return whether a daemon in a zone may hold the body of a request, such as a job's.
+
+        Parameters
+        ----------
+        zone : str
+            Zone of the daemon.
+        allowed_regions : frozenset of str or None
+            Regions in which the request may run; None for all.
+        home_region : str
+            Region of the daemon that accepted the request from its caller.
+        """
+        region = self.regions.region(zone)
+        return allowed_regions is None or region in allowed_regions or region == home_region
+
     def evacuate(self, zone: str, revision: int, now_seconds: float) -> bool:
         """Record an evacuation; return whether the zone was not evacuated before."""
         known = self.evacuations.get(zone)
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -296,6 +296,17 @@
             ):
                 await asyncio.sleep(0.01)
 
+    async def move_to_zone(self, target: PlatformTargetStandIn, zone: str) -> None:
+        """List a target in another zone and wait until every gateway knows it there."""
+        target.zone = zone
+        target.list_itself()
+        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+            while any(
+                gateway.context.directory.entries[target.instance].zone != zone
+                for gateway in self.gateways.values()
+            ):
+                await asyncio.sleep(0.01)
+
     def name_version(self, version: int) -> None:
         """Publish a version of the model as its trainer."""
         self.store.put(VERSION_PREFIX + MODEL, {"model": MODEL, "version": version})
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -114,6 +114,8 @@
     ----------
     listed_address : str
         Address to publish instead of the one it listens on; empty for none.
+    zone : str
+        Zone to publish.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         self.service = service
         self.faults = TargetFaults()
         self.listed_address = ""
+        self.zone = "z"
         self.runs: list[Run] = []
         self.orders: list[OrderSeen] = []
         self._store = store
@@ -183,7 +186,7 @@
         entry = {
             "service": self.service,
             "address": self.listed_address or self.address,
-            "zone": "z",
+            "zone": self.zone,
             "version": "v1",
             "slots": 4,
             "state": state,
--- a/rackswitch/table/tests/test_view.py
+++ b/rackswitch/table/tests/test_view.py
@@ -6,11 +6,14 @@
 from rackswitch.table import (
     FleetRow,
     ModelRow,
+    RouteChoice,
+    RouteRow,
     Row,
     StoredRow,
     TableDocument,
     TableView,
     TargetRow,
+    TenantRow,
     choose_watchers,
     row_key,
 )
@@ -68,3 +71,19 @@
     live = [("d3", "x"), ("d1", "x"), ("d2", "x"), ("e1", "y")]
     assert choose_watchers(live, 2) == {"d1", "d2", "e1"}
     assert choose_watchers(live, 1) == {"d1", "e1"}
+
+
+def test_a_list_of_regions_at_any_route_or_tenant_restricts_the_table():
+    """Store calls are relayed within the region only while such a list is in force."""
+    route = RouteRow(name="r", choices=(RouteChoice(serves="s"),))
+    restricted_route = RouteRow(
+        name="r", choices=(RouteChoice(serves="s"),), allowed_regions=("north",)
+    )
+    tenants = [TenantRow(name="t"), TenantRow(name="t", allowed_regions=("north",))]
+    view = TableView()
+    assert not view.restricts_regions
+    tables = [(route, tenants[0]), (route, tenants[1]), (restricted_route, tenants[0])]
+    for revision, rows in enumerate([*tables, tables[0]], start=1):
+        stored = {row_key(row): StoredRow(revision, row) for row in rows}
+        view.replace_if_newer(TableDocument(revision, stored))
+        assert view.restricts_regions is (revision in (2, 3))
--- a/rackswitch/table/view.py
+++ b/rackswitch/table/view.py
@@ -6,7 +6,7 @@
 
 from rackswitch.outcomes import check_invariant
 from rackswitch.table.edits import TableDocument
-from rackswitch.table.rows import TargetRow
+from rackswitch.table.rows import RouteRow, TargetRow, TenantRow
 
 __all__ = ["TableView", "choose_watchers"]
 
@@ -25,6 +25,8 @@
 
     document: TableDocument = field(default_factory=TableDocument)
     confirmed_until_seconds: float = float("-inf")
+    # The revision for which `restricts_regions` was computed last, and its value.
+    _restricts_regions: tuple[int, bool] = (0, False)
 
     @property
     def revision(self) -> int:
@@ -64,6 +66,17 @@
         stored = self.document.rows.get(f"{tag}/{name}")
         return stored.row if stored is not None else None  # type: ignore[return-value]
 
+    @property
+    def restricts_regions(self) -> bool:
+        """Whether any route or tenant names the regions that may serve its requests."""
+        if self._restricts_regions[0] != self.revision:
+            rows = (stored.row for stored in self.document.rows.values())
+            restricts = any(
+                row.allowed_regions for row in rows if isinstance(row, RouteRow | TenantRow)
+            )
+            self._restricts_regions = (self.revision, restricts)
+        return self._restricts_regions[1]
+
     def targets(self, serves: str) -> list[TargetRow]:
         """Return the targets of a model or service that are not draining."""
         return [row for row in self.rows(TargetRow) if row.serves == serves and not row.draining]
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -10,6 +10,7 @@
     "JobCallRefused",
     "JobDropped",
     "JobEnded",
+    "JobExcluded",
     "JobExpired",
     "JobHandedOver",
     "JobNotOwned",
@@ -22,6 +23,7 @@
     "ResultsRead",
     "RewardCallEnded",
     "RunLeavesEngine",
+    "RunLeavesRegion",
 ]
 
 
@@ -206,6 +208,33 @@
     """Time left until the run has to resume elsewhere for its step to be in time."""
 
 
+@register_event
+class JobExcluded(Event, tag="job excluded", frozen=True):
+    """A job's items wait as rules exclude all engines of its service; logged once per reason.
+
+    Attributes
+    ----------
+    reasons : dict of str to int
+        Number of engines that each rule excludes.
+    """
+
+    job: str
+    service: str
+    reasons: dict[str, int]
+    table_revision: int
+
+
+@register_event
+class RunLeavesRegion(Event, tag="run leaves region", frozen=True):
+    """A run was ended as the table no longer allows its engine's region; it resumes elsewhere."""
+
+    job: str
+    item: str
+    target: str
+    zone: str
+    table_revision: int
+
+
 @register_event
 class RewardCallEnded(Event, tag="reward call ended", frozen=True):
     """A call that scores an item's text ended."""
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -8,6 +8,7 @@
     "RequestCancelled",
     "RequestEnded",
     "RequestRefused",
+    "TargetsExcluded",
 ]
 
 
@@ -86,3 +87,23 @@
     def is_routine(self) -> bool:
         """Whether the request was served at the first attempt."""
         return self.attempts <= 1 and self.outcome.startswith("2")
+
+
+@register_event
+class TargetsExcluded(Event, tag="targets excluded", frozen=True):
+    """A request was refused as rules exclude all targets of its service.
+
+    Attributes
+    ----------
+    reasons : dict of str to int
+        Number of targets that each rule excludes.
+    """
+
+    request: str
+    service: str
+    reasons: dict[str, int]
+
+    @property
+    def is_routine(self) -> bool:
+        """Always true: the request's own last line names the reason too."""
+        return True
--- a/rackswitch/telemetry/events/state.py
+++ b/rackswitch/telemetry/events/state.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "EditAccepted",
+    "EvacuationEnded",
     "RetireAnswered",
     "RoleAcquired",
     "RoleLost",
@@ -11,6 +12,7 @@
     "TargetGone",
     "TargetListed",
     "VersionNamed",
+    "ZoneEvacuated",
 ]
 
 
@@ -87,3 +89,52 @@
 
     vm: str
     outcome: str
+
+
+@register_event
+class ZoneEvacuated(Event, tag="zone evacuated", frozen=True):
+    """Operators had a zone evacuated: its targets get nothing more from this daemon.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the evacuation's entry in the key-value service.
+    list_age_seconds : float
+        Age of the last confirmation of the list of targets; -1 if there is none.
+    zones_evacuated : int
+        Evacuated zones, including this one.
+    targets_excluded : dict of str to int
+        Targets of evacuated zones, by service.
+    """
+
+    zone: str
+    revision: int
+    list_age_seconds: float
+    zones_evacuated: int
+    targets_excluded: dict[str, int]
+
+
+@register_event
+class EvacuationEnded(Event, tag="evacuation ended", frozen=True):
+    """Operators took the evacuation of a zone back.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the evacuation's entry, which was deleted.
+    list_age_seconds : float
+        Age of the last confirmation of the list of targets; -1 if there is none.
+    evacuated_seconds : float
+        How long this daemon had the zone evacuated.
+    zones_evacuated : int
+        Zones that are still evacuated.
+    targets_excluded : dict of str to int
+        Targets of evacuated zones, by service; 0 for services that have none left.
+    """
+
+    zone: str
+    revision: int
+    list_age_seconds: float
+    evacuated_seconds: float
+    zones_evacuated: int
+    targets_excluded: dict[str, int]
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -13,6 +13,7 @@
     DependencyLost,
     DependencyRegained,
     EstimateLogged,
+    EvacuationEnded,
     Event,
     ItemGivenUp,
     ItemRunEnded,
@@ -30,7 +31,9 @@
     SessionLost,
     TableInForce,
     TargetEnded,
+    TargetsExcluded,
     VersionNamed,
+    ZoneEvacuated,
 )
 
 __all__ = ["EventMeters", "short_outcome"]
@@ -40,6 +43,9 @@
 
 OTHER_LABEL_VALUE = "other"
 
+EVACUATED_REASON = "zone evacuated"
+"""Reason of targets that are excluded because their zone is evacuated."""
+
 RUN_BUCKET_BOUNDS_SECONDS = (0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0, 20.0, 40.0, 60.0)
 Recorder = Callable[["EventMeters", Any], None]
 RECORDERS: Registry[Recorder] = Registry("recorder of an event")
@@ -94,8 +100,10 @@
         "reward_calls",
         "table_revision",
         "targets_ended",
+        "targets_excluded",
         "tenant_share",
         "report_age",
+        "zones_evacuated",
     )
 
     def __init__(
@@ -134,6 +142,13 @@
         self.table_revision = meter.create_gauge(
             "rackswitch_table_revision", description="Revision of the table in force."
         )
+        self.zones_evacuated = meter.create_gauge(
+            "rackswitch_zones_evacuated", description="Zones that operators have evacuated."
+        )
+        self.targets_excluded = meter.create_gauge(
+            "rackswitch_targets_excluded",
+            description="Targets that may not get requests, by service and reason, when last seen.",
+        )
         self.named_version = meter.create_gauge(
             "rackswitch_named_version", description="Newest version named, by model."
         )
@@ -270,6 +285,29 @@
     meters.table_revision.set(event.revision, meters.labels())
 
 
+@_recorder_of(ZoneEvacuated)
+def _zone_evacuated(meters: EventMeters, event: ZoneEvacuated) -> None:
+    _record_evacuated(meters, event.zones_evacuated, event.targets_excluded)
+
+
+@_recorder_of(EvacuationEnded)
+def _evacuation_ended(meters: EventMeters, event: EvacuationEnded) -> None:
+    _record_evacuated(meters, event.zones_evacuated, event.targets_excluded)
+
+
+def _record_evacuated(meters: EventMeters, zones: int, targets: dict[str, int]) -> None:
+    meters.zones_evacuated.set(zones, meters.labels())
+    for service, count in targets.items():
+        labels = meters.labels(service=service, reason=EVACUATED_REASON)
+        meters.targets_excluded.set(count, labels)
+
+
+@_recorder_of(TargetsExcluded)
+def _targets_excluded(meters: EventMeters, event: TargetsExcluded) -> None:
+    for reason, count in event.reasons.items():
+        meters.targets_excluded.set(count, meters.labels(service=event.service, reason=reason))
+
+
 @_recorder_of(VersionNamed)
 def _version_named(meters: EventMeters, event: VersionNamed) -> None:
     meters.named_version.set(event.version, meters.labels(model=event.model))
--- a/rackswitch/telemetry/tests/test_meters.py
+++ b/rackswitch/telemetry/tests/test_meters.py
@@ -5,10 +5,13 @@
     DependencyLost,
     DependencyRegained,
     EstimateLogged,
+    EvacuationEnded,
     RequestRefused,
     ResultsAppended,
     RewardCallEnded,
     TableInForce,
+    TargetsExcluded,
+    ZoneEvacuated,
 )
 from rackswitch.telemetry.meters import MAX_LABEL_VALUES, OTHER_LABEL_VALUE, short_outcome
 from rackswitch.telemetry.tests.test_journal import make_request_ended
@@ -144,3 +147,21 @@
     assert 'rackswitch_oldest_wait_seconds{daemon="d",service="desk"} 0.2' in text
     assert 'rackswitch_concurrency_limit{daemon="d",service="desk"} 2.5' in text
     assert 'rackswitch_tenant_share{daemon="d",service="desk",tenant="a"} 0.75' in text
+
+
+def test_evacuated_zones_and_excluded_targets_are_current_values():
+    """A count of events would not show that a zone is back in service."""
+    common = {"zone": "z1", "revision": 4, "list_age_seconds": 0.1}
+    begun = ZoneEvacuated(**common, zones_evacuated=1, targets_excluded={"desk": 2})
+    excluded = TargetsExcluded(request="r", service="desk", reasons={"region not allowed": 3})
+    text = metrics_after(begun, excluded)
+    assert 'rackswitch_zones_evacuated{daemon="d"} 1.0' in text
+    labels = 'daemon="d",reason="zone evacuated",service="desk"'
+    assert f"rackswitch_targets_excluded{{{labels}}} 2.0" in text
+    assert 'reason="region not allowed",service="desk"} 3.0' in text
+    ended = EvacuationEnded(
+        **common, evacuated_seconds=9.0, zones_evacuated=0, targets_excluded={"desk": 0}
+    )
+    text = metrics_after(begun, ended)
+    assert 'rackswitch_zones_evacuated{daemon="d"} 0.0' in text
+    assert f"rackswitch_targets_excluded{{{labels}}} 0.0" in text
--- a/rackswitch/tenants/callers.py
+++ b/rackswitch/tenants/callers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ANONYMOUS", "Caller", "chosen_identity"]
+__all__ = ["ANONYMOUS", "Caller", "chosen_identity", "identity_tenant"]
 
 JOB_SEPARATOR = "\n"
 """Separates the tenant from the tenant's identity of a job. Headers and paths cannot contain a line
@@ -46,5 +46,10 @@
     return job_id.rpartition(JOB_SEPARATOR)[2]
 
 
+def identity_tenant(job_id: str) -> str:
+    """Return the tenant whose job has a fleet-wide identity; empty if no key was required."""
+    return job_id.rpartition(JOB_SEPARATOR)[0]
+
+
 ANONYMOUS = Caller()
 """The caller if the table has no tenants."""
