Cold engines: senders by rendezvous hashing, paced sends, planning of items

Cause: an engine that has just started has no load reports, so each owner of jobs believes that all its slots are free and sends that many items at once. Change: rackswitch/warmup keeps until when each start is cold, chooses the senders, paces their sends and opens a target in steps once it is warm. The planning gives a cold engine at most one item per interval, after the warm ones; each run is checked and recorded right before it is sent. Runs at cold engines leave no marks in breakers and paces.

--- /dev/null
+++ b/rackswitch/gateway/cold_sends.py
@@ -0,0 +1,314 @@
+"""What this daemon may send to targets that are cold or have just become warm."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from enum import Enum
+
+from rackswitch.daemon.context import DaemonContext
+from rackswitch.platform.settings import NodeSettings
+from rackswitch.routing import ListedTarget, TargetDirectory, WorkKind
+from rackswitch.table import Handling, RouteRow, ServiceRow
+from rackswitch.telemetry.events import ColdTargetHeld, ColdTargetSent, TargetCold, TargetWarm
+from rackswitch.warmup import (
+    ColdBudget,
+    ColdTargets,
+    ColdTerms,
+    SenderViews,
+    SendPlan,
+    Warmth,
+    plan_sends,
+    sender_factor,
+    warmth,
+)
+
+__all__ = ["ColdSends", "ColdSource"]
+
+SAMPLE_INTERVAL_SECONDS = 0.1
+"""Interval between two samples of the known daemons."""
+
+
+class ColdSource(Enum):
+    """Why a target counts as cold, as it is logged."""
+
+    ENTRY = "entry"
+    EVACUATION_ENDED = "evacuation ended"
+
+
+ServicePlans = dict[str, dict[WorkKind, SendPlan]]
+"""Send plans by service and kind of work; only of services whose targets can be cold."""
+
+
+class ColdSends:
+    """Applies the limits on cold targets to this daemon's sends.
+
+    Parameters
+    ----------
+    daemon : DaemonContext
+        The daemon.
+    directory : TargetDirectory
+        The listed targets.
+    settings : callable
+        Returns the settings in force.
+
+    Attributes
+    ----------
+    targets : ColdTargets
+        Until when each start is cold.
+    job_owners : callable
+        Returns the daemons that own open jobs.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_daemon",
+        "_directory",
+        "_known_cold",
+        "_plans",
+        "_plans_revision",
+        "_plans_settings",
+        "_sampled_at_seconds",
+        "_settings",
+        "_views",
+        "job_owners",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        daemon: DaemonContext,
+        directory: TargetDirectory,
+        settings: Callable[[], NodeSettings],
+    ):
+        self._daemon = daemon
+        self._directory = directory
+        self._settings = settings
+        self.targets = ColdTargets()
+        self.job_owners: Callable[[], Iterable[str]] = lambda: (settings().daemon,)
+        self._views = {kind: SenderViews() for kind in WorkKind}
+        self._budgets: dict[tuple[str, WorkKind], ColdBudget] = {}
+        self._known_cold: dict[str, ListedTarget] = {}
+        self._sampled_at_seconds = float("-inf")
+        self._plans_revision = -1
+        self._plans_settings: NodeSettings | None = None
+        self._plans: ServicePlans = {}
+
+    # Which targets are cold
+
+    def record_entry(self, target: ListedTarget, revision: int) -> None:
+        """Apply a target's entry."""
+        now_seconds = self._daemon.now_seconds()
+        became_cold = self.targets.record_entry(
+            target.instance, target.start, revision, target.cold_left_seconds, now_seconds
+        )
+        if became_cold:
+            self._log_cold(target, ColdSource.ENTRY, now_seconds)
+
+    def mark_zone_cold(self, zone: str) -> None:
+        """Make the targets of a zone cold whose evacuation has ended, for their service's time."""
+        now_seconds = self._daemon.now_seconds()
+        for target in self._directory.entries.values():
+            row = self._daemon.view.row(ServiceRow, target.service)
+            if target.zone != zone or row is None or row.cold_seconds <= 0:
+                continue
+            if self.targets.mark_cold(target.start, now_seconds + row.cold_seconds):
+                self._log_cold(target, ColdSource.EVACUATION_ENDED, now_seconds)
+
+    def warmth(self, target: ListedTarget, now_seconds: float) -> Warmth:
+        """Return the phase of a target; always warm if its service's targets are never cold."""
+        if self.targets.until_seconds(target.start) == float("-inf"):
+            return Warmth.WARM
+        if target.service not in self._service_plans():
+            return Warmth.WARM
+        self._sample_if_due(now_seconds)
+        return warmth(self.targets.until_seconds(target.start), now_seconds)
+
+    def is_limited(self, target: ListedTarget, now_seconds: float) -> bool:
+        """Return whether sends to a target are limited, as it is or was just cold."""
+        return self.warmth(target, now_seconds) is not Warmth.WARM
+
+    def cold_left_seconds(self) -> dict[str, float]:
+        """Return how much longer the listed targets are cold, by instance."""
+        now_seconds = self._daemon.now_seconds()
+        return {
+            target.instance: round(self.targets.until_seconds(target.start) - now_seconds, 3)
+            for target in self._directory.entries.values()
+            if self.warmth(target, now_seconds) is Warmth.COLD
+        }
+
+    # What may be sent to them
+
+    def may_send(self, target: ListedTarget, kind: WorkKind, now_seconds: float) -> bool:
+        """Return whether this daemon may send a request to a target now."""
+        return self.next_send_seconds(target, kind, now_seconds) <= now_seconds
+
+    def next_send_seconds(self, target: ListedTarget, kind: WorkKind, now_seconds: float) -> float:
+        """Return when this daemon may next send to a target.
+
+        Returns
+        -------
+        float
+            Minus infinity if it may do so at any time; infinite if other daemons are the target's
+            senders now.
+        """
+        if not self.is_limited(target, now_seconds):
+            return float("-inf")
+        if not self._is_sender(target, kind, now_seconds):
+            return float("inf")
+        return self._budget(target.service, kind).next_send_seconds(target.start)
+
+    def try_send(self, target: ListedTarget, kind: WorkKind, request: str) -> bool:
+        """Record a send that follows at once; return whether it is allowed.
+
+        Parameters
+        ----------
+        target : ListedTarget
+            The target.
+        kind : WorkKind
+            The kind of work.
+        request : str
+            Identity of the request or item, for the log.
+        """
+        now_seconds = self._daemon.now_seconds()
+        if not self.is_limited(target, now_seconds):
+            return True
+        left_seconds = round(self.targets.until_seconds(target.start) - now_seconds, 3)
+        if not self.may_send(target, kind, now_seconds):
+            self._daemon.log.write(
+                ColdTargetHeld(
+                    request=request,
+                    target=target.instance,
+                    service=target.service,
+                    kind=kind.value,
+                    cold_left_seconds=left_seconds,
+                )
+            )
+            return False
+        self._budget(target.service, kind).record_send(target.start, now_seconds)
+        self._daemon.log.write(
+            ColdTargetSent(
+                request=request,
+                target=target.instance,
+                service=target.service,
+                kind=kind.value,
+                cold_left_seconds=left_seconds,
+            )
+        )
+        return True
+
+    def send_rate(self, target: ListedTarget, kind: WorkKind, now_seconds: float) -> float:
+        """Return the requests per second that this daemon may send to a cold target."""
+        if not self._is_sender(target, kind, now_seconds):
+            return 0.0
+        return 1 / self._service_plans()[target.service][kind].interval_seconds
+
+    # Background work
+
+    async def run(self) -> None:
+        """Sample the known daemons and log the targets that become warm, until cancelled."""
+        while True:
+            self.update()
+            await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
+
+    def update(self) -> None:
+        """Sample the known daemons now, and log the targets that have become warm."""
+        now_seconds = self._daemon.now_seconds()
+        if self._service_plans():
+            self._sample(now_seconds)
+        for start, target in list(self._known_cold.items()):
+            listed = self._directory.entries.get(target.instance)
+            is_listed = listed is not None and listed.start == start
+            if is_listed and self.warmth(target, now_seconds) is Warmth.COLD:
+                continue
+            del self._known_cold[start]
+            self._daemon.log.write(
+                TargetWarm(
+                    target=target.instance,
+                    service=target.service,
+                    zone=target.zone,
+                    is_listed=is_listed,
+                )
+            )
+
+    def keep_only(self, starts: set[str]) -> None:
+        """Remove the state of starts that are no longer listed."""
+        self.targets.keep_only(starts, self._daemon.now_seconds())
+        for budget in self._budgets.values():
+            budget.keep_only(starts)
+
+    def _sample_if_due(self, now_seconds: float) -> None:
+        if now_seconds >= self._sampled_at_seconds + SAMPLE_INTERVAL_SECONDS:
+            self._sample(now_seconds)
+
+    def _sample(self, now_seconds: float) -> None:
+        pause_began_seconds = self._views[WorkKind.CALL].pause_began_seconds(now_seconds)
+        if pause_began_seconds is not None:
+            self.targets.record_pause(pause_began_seconds, now_seconds)
+        self._sampled_at_seconds = now_seconds
+        self._views[WorkKind.TEXT].record(self.job_owners(), now_seconds)
+        self._views[WorkKind.CALL].record(self._daemon.membership.live(), now_seconds)
+
+    def _is_sender(self, target: ListedTarget, kind: WorkKind, now_seconds: float) -> bool:
+        self._sample_if_due(now_seconds)
+        plan = self._service_plans()[target.service][kind]
+        until_seconds = self.targets.until_seconds(target.start)
+        sender_count = plan.sender_count * sender_factor(until_seconds, now_seconds)
+        key = f"{target.start}\0{kind.value}"
+        daemon = self._settings().daemon
+        return self._views[kind].is_sender(daemon, key, sender_count, now_seconds)
+
+    def _budget(self, service: str, kind: WorkKind) -> ColdBudget:
+        plan = self._service_plans()[service][kind]
+        budget = self._budgets.get((service, kind))
+        if budget is None:
+            budget = self._budgets[service, kind] = ColdBudget(plan.interval_seconds)
+        budget.interval_seconds = plan.interval_seconds
+        return budget
+
+    def _service_plans(self) -> ServicePlans:
+        """Return the send plans of the services whose targets can be cold."""
+        settings = self._settings()
+        revision = self._daemon.view.revision
+        if revision != self._plans_revision or settings is not self._plans_settings:
+            self._plans_revision = revision
+            self._plans_settings = settings
+            self._plans = self._make_plans(settings)
+        return self._plans
+
+    def _make_plans(self, settings: NodeSettings) -> ServicePlans:
+        kinds = self._kinds_by_service()
+        plans: ServicePlans = {}
+        for row in self._daemon.view.rows(ServiceRow):
+            terms = ColdTerms(
+                row.cold_requests_per_second,
+                settings.cold_rate_factor,
+                settings.cold_rate_slack,
+            )
+            kind_count = max(1, len(kinds.get(row.name, ())))
+            plan = plan_sends(terms, kind_count) if row.cold_seconds > 0 else None
+            if plan is not None:
+                plans[row.name] = dict.fromkeys(WorkKind, plan)
+        return plans
+
+    def _kinds_by_service(self) -> dict[str, set[WorkKind]]:
+        """Return the kinds of work that each service gets by the table's routes."""
+        kinds: dict[str, set[WorkKind]] = {}
+        for route in self._daemon.view.rows(RouteRow):
+            kind = WorkKind.TEXT if route.handling is Handling.BATCH else WorkKind.CALL
+            for choice in route.choices:
+                kinds.setdefault(choice.serves, set()).add(kind)
+        return kinds
+
+    def _log_cold(self, target: ListedTarget, source: ColdSource, now_seconds: float) -> None:
+        is_known = target.start in self._known_cold
+        if is_known or self.warmth(target, now_seconds) is not Warmth.COLD:
+            return
+        self._known_cold[target.start] = target
+        self._daemon.log.write(
+            TargetCold(
+                target=target.instance,
+                service=target.service,
+                zone=target.zone,
+                left_seconds=round(self.targets.until_seconds(target.start) - now_seconds, 3),
+                source=source.value,
+            )
+        )
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -6,6 +6,7 @@
 
 from rackswitch.clients.kv import KvClient
 from rackswitch.daemon.context import DaemonContext
+from rackswitch.gateway.cold_sends import ColdSends
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.gateway.store.reachability import StoreReachability
@@ -63,6 +64,8 @@
         Loads of weights in progress, by engine.
     list_confirmed_at_seconds : float
         When the key-value service last confirmed the list of targets (monotonic).
+    cold_sends : ColdSends
+        What this daemon may send to targets that are cold.
     connection_limits : ConnectionLimits
         Idle and header timeouts of callers' connections, from the table.
     """
@@ -83,10 +86,12 @@
     list_confirmed_at_seconds: float = float("-inf")
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
+    cold_sends: ColdSends = field(init=False)
 
     def __post_init__(self) -> None:
         regions = RegionMap(self.settings.zone, self.settings.region_of_zone)
         self.directory.eligibility = Eligibility(regions)
+        self.cold_sends = ColdSends(self.daemon, self.directory, lambda: self.settings)
 
     @property
     def regions(self) -> RegionMap:
@@ -146,7 +151,9 @@
     def remove_unlisted_estimates(self) -> None:
         """Drop the load estimates of target starts that are no longer listed."""
         self.directory.expire(self.now_seconds())
-        self.load_estimator.keep_only({target.start for target in self.directory.entries.values()})
+        listed_starts = {target.start for target in self.directory.entries.values()}
+        self.load_estimator.keep_only(listed_starts)
+        self.cold_sends.keep_only(listed_starts)
 
     def unix_seconds(self) -> float:
         """Return the Unix time, for comparisons between daemons, whose clocks differ slightly."""
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from rackswitch.clocks import suspended_seconds
 from rackswitch.daemon.roles import RoleManager
@@ -207,6 +208,7 @@
             self.log.run(),
             self._log_store_calls(),
             self._forget_unlisted_targets(),
+            self.context.cold_sends.run(),
         ):
             self.context.daemon.spawn_duty(task)
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
@@ -309,6 +311,9 @@
             self._sessions.close_idle_connections()
 
     def _record_load_report(self, target: ListedTarget, reported_load: ReportedLoad) -> None:
+        if self.context.cold_sends.is_limited(target, self.context.now_seconds()):
+            # The pace of a cold target says nothing about its pace once it is warm.
+            reported_load = replace(reported_load, pace=None)
         self.context.load_estimator.record_report(target.start, target.service, reported_load)
 
     def _session_lost(self) -> None:
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -170,7 +170,7 @@
             ended = await self._run_until_stopped(ledger, progress, target, intervals, urgency)
         finally:
             self.load_tracker.record_end(
-                sent_request, ended, progress.last_number - first_piece_number + 1
+                target, sent_request, ended, progress.last_number - first_piece_number + 1
             )
         now_seconds = self._context.now_seconds()
         fingerprint = self._report_to_quarantine(
@@ -312,7 +312,7 @@
                     return ItemRunEnded(ItemRunEnd.INTERRUPTED, fault.detail)
                 now_seconds = self._context.now_seconds()
                 interval_seconds = intervals.record_piece(now_seconds)
-                if interval_seconds is not None:
+                if interval_seconds is not None and not self._is_cold(target):
                     self.paces.record_interval(target.start, interval_seconds, now_seconds)
                     self._context.load_estimator.record_piece_interval(
                         target.start, target.service, interval_seconds, now_seconds
@@ -353,15 +353,22 @@
         return True
 
     def _update_spare_pace(self, spare: SpareCapacity, service: str, now_seconds: float) -> None:
-        """Raise a spare engine's interval to its present mean if it slowed since the planning.
+        """Update a spare engine that turned cold or slow since the planning.
 
         What slows all engines at once, such as a busy VM, is no reason to move.
         """
         listed = self._context.directory.entries.get(spare.instance)
+        if listed is not None and self._is_cold(listed):
+            # It has become cold since the planning.
+            spare.free_slots = 0
         if listed is not None and not self._context.chooses_targets_by_load(service):
             present_seconds = self.paces.get(listed.start, now_seconds)
             spare.seconds_per_piece = max(spare.seconds_per_piece, present_seconds)
 
+    def _is_cold(self, target: ListedTarget) -> bool:
+        """Return whether a target is cold or has just become warm."""
+        return self._context.cold_sends.is_limited(target, self._context.now_seconds())
+
     def _accept_piece(
         self, ledger: JobLedger, progress: ItemProgress, piece: TextPiece
     ) -> PieceFault | None:
@@ -402,7 +409,8 @@
             if ended.end is ItemRunEnd.SILENT:
                 since_seconds = now_seconds - FIRST_PIECE_TIMEOUT_SECONDS / 2
                 is_engine_active = self.paces.has_interval_since(target.start, since_seconds)
-                if not (may_be_queued and is_engine_active):
+                is_excused = (may_be_queued and is_engine_active) or self._is_cold(target)
+                if not is_excused:
                     target_state.record_no_response(now_seconds)
             elif ended.end is ItemRunEnd.MISDIRECTED:
                 self._context.directory.remove_replaced(target.instance)
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -50,6 +50,7 @@
     """
 
     __slots__ = (
+        "_cold_timer",
         "_context",
         "_cooldown_until_seconds",
         "_leaving_run_mover",
@@ -63,6 +64,7 @@
         self._runner = runner
         self._wake = wake
         self._cooldown_until_seconds: dict[str, float] = {}
+        self._cold_timer: asyncio.TimerHandle | None = None
         self._step_ranks = StepRanks(context)
         self._leaving_run_mover = LeavingRunMover(context, runner)
 
@@ -78,7 +80,9 @@
         ledgers = [owned.ledger for owned in owned_jobs.values()]
         forecast, policy = self._runner.forecast, self._context.policy
         order = self._step_ranks.order(owned_jobs, services, engines, forecast)
-        self._leaving_run_mover.move_runs(engines, order, load_based_services, now_seconds)
+        warm_engines = [engine for engine in engines if not engine.is_cold]
+        cold_engines = [engine for engine in engines if engine.is_cold]
+        self._leaving_run_mover.move_runs(warm_engines, order, load_based_services, now_seconds)
         for is_load_based in (True, False):
             # No engine serves two services, so the two plans are independent.
             planned_services = {
@@ -89,34 +93,56 @@
             if not planned_services:
                 continue
             counts_memory = is_load_based and policy.memory_counted
-            starts = plan_starts(
-                ledgers,
-                engines,
-                planned_services,
-                due_seconds,
-                now_seconds,
-                forecast,
-                policy.longest_first,
-                self._context.rng,
-                order if is_load_based and policy.steps_by_slack else None,
-                partial(item_tokens, forecast=forecast) if counts_memory else None,
-            )
-            for start in starts:
-                urgency = DEFAULT_URGENCY
-                if is_load_based:
-                    urgency = self._step_ranks.urgency(order, start.ledger, start.progress)
-                self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
+            # Cold engines get what the others have no capacity for.
+            for planned_engines in (warm_engines, cold_engines):
+                if not planned_engines:
+                    continue
+                starts = plan_starts(
+                    ledgers,
+                    planned_engines,
+                    planned_services,
+                    due_seconds,
+                    now_seconds,
+                    forecast,
+                    policy.longest_first,
+                    self._context.rng,
+                    order if is_load_based and policy.steps_by_slack else None,
+                    partial(item_tokens, forecast=forecast) if counts_memory else None,
+                )
+                for start in starts:
+                    urgency = DEFAULT_URGENCY
+                    if is_load_based:
+                        urgency = self._step_ranks.urgency(order, start.ledger, start.progress)
+                    self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
         for owned in owned_jobs.values():
             self._resume_reward_calls(owned)
         has_waiting_items = any(ledger.startable_items(now_seconds) for ledger in ledgers)
+        self._schedule_cold_send(cold_engines if has_waiting_items else [], now_seconds)
+        spare_engines = warm_engines
         if policy.room_shared:
             # Runs are moved only to engines where they need not queue.
-            engines = [
+            spare_engines = [
                 engine
-                for engine in engines
+                for engine in warm_engines
                 if engine.service not in load_based_services or engine.runs < engine.slots
             ]
-        self._runner.spare = {} if has_waiting_items else spare_capacities(engines)
+        self._runner.spare = {} if has_waiting_items else spare_capacities(spare_engines)
+
+    def _schedule_cold_send(self, cold_engines: list[EngineCapacity], now_seconds: float) -> None:
+        """Plan again when the budget of one of these engines allows the next send."""
+        if self._cold_timer is not None:
+            self._cold_timer.cancel()
+            self._cold_timer = None
+        next_sends_seconds = [
+            self._context.cold_sends.next_send_seconds(listed, WorkKind.TEXT, now_seconds)
+            for engine in cold_engines
+            if (listed := self._context.directory.entries.get(engine.instance)) is not None
+        ]
+        later_seconds = [seconds for seconds in next_sends_seconds if seconds > now_seconds]
+        next_send_seconds = min(later_seconds, default=math.inf)
+        if next_send_seconds < math.inf:
+            loop = asyncio.get_running_loop()
+            self._cold_timer = loop.call_at(next_send_seconds, self._wake.set)
 
     def _load_based_services(self, services: Iterable[str]) -> frozenset[str]:
         """Return the services whose engines are chosen by their reported load.
@@ -204,10 +230,17 @@
             for model, version in listed.versions.items()
             if not self._context.loads.is_loading(listed.instance, model, now_seconds)
         }
+        cold_sends = self._context.cold_sends
+        is_cold = cold_sends.is_limited(listed, now_seconds)
+        free_slots = free.slots
+        if is_cold:
+            # The next send is allowed only after the interval of the budget.
+            allowed = int(cold_sends.may_send(listed, WorkKind.TEXT, now_seconds))
+            free_slots = min(free_slots, allowed)
         return EngineCapacity(
             listed.instance,
             listed.service,
-            free.slots,
+            free_slots,
             self._runner.paces.get(listed.start, now_seconds),
             versions,
             slots,
@@ -215,6 +248,7 @@
             self._runner.load_tracker.estimate(listed, now_seconds),
             self._context.load_estimator.typical_run_seconds(listed.service, WorkKind.TEXT),
             free.tokens,
+            is_cold,
         )
 
     def _free_tokens(self, listed: ListedTarget, is_load_based: bool, now_seconds: float) -> float:
@@ -253,6 +287,12 @@
             ledger.postpone(progress, quarantined_until_seconds)
             owned.runs.pop(progress.item.item_id, None)
             return
+        item_id = progress.item.item_id
+        if not self._context.cold_sends.try_send(listed, WorkKind.TEXT, item_id):
+            # Not sent: the item may start elsewhere at once.
+            ledger.postpone(progress, self._context.now_seconds())
+            owned.runs.pop(item_id, None)
+            return
         self._runner.occupancy.record_start(start.instance)
         try:
             ended = await self._runner.run(ledger, progress, listed, urgency)
--- a/rackswitch/gateway/items/run_load_tracker.py
+++ b/rackswitch/gateway/items/run_load_tracker.py
@@ -35,13 +35,16 @@
             target, WorkKind.TEXT, estimate, now_seconds
         )
 
-    def record_end(self, sent: SentRequest, ended: ItemRunEnded | None, pieces: int) -> None:
+    def record_end(
+        self, target: ListedTarget, sent: SentRequest, ended: ItemRunEnded | None, pieces: int
+    ) -> None:
         """Remove a run and update the estimates by its end; `ended` is None if it was cancelled."""
         load_estimator = self._context.load_estimator
         load_estimator.record_end(sent)
-        if ended is None:
-            return
         now_seconds = self._context.now_seconds()
+        # The slowness of a cold engine says nothing about its pace once it is warm.
+        if ended is None or self._context.cold_sends.is_limited(target, now_seconds):
+            return
         if ended.end is ItemRunEnd.COMPLETE and pieces > 0:
             load_estimator.record_completion(sent, float(pieces), now_seconds)
         elif ended.end is ItemRunEnd.FAILED:
--- a/rackswitch/gateway/jobs/job_manager.py
+++ b/rackswitch/gateway/jobs/job_manager.py
@@ -98,12 +98,20 @@
         self._sender = HandOverSender(context, store, self.known, jobs, checkpoints, appender)
         self._receiver = HandOverReceiver(context, claims, local_claims, jobs, checkpoints)
         self._jobs = jobs
+        context.cold_sends.job_owners = self._job_owners
 
     @property
     def owned(self) -> dict[str, OwnedJob]:
         """The jobs that this daemon runs, by identity."""
         return self._jobs.by_id
 
+    def _job_owners(self) -> set[str]:
+        """Return the daemons that own open jobs."""
+        owners = set(self.known.open_items())
+        if self.owned:
+            owners.add(self._context.daemon_name)
+        return owners
+
     # Events of the key-value service's watch
 
     def marker_put(self, entry: KvEntry) -> None:
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -126,6 +126,7 @@
         self._report_ended_starts(previous, target)
         self._context.directory.put(target)
         self._track_start(target)
+        self._context.cold_sends.record_entry(target, entry.mod_revision)
         self._context.loads.record_versions(instance, target.versions, self._context.now_seconds())
         if previous is None or previous.draining != target.draining:
             self._context.log.write(
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -70,6 +70,9 @@
     free_tokens : float
         Memory, in tokens, for runs yet to start there, each counted with its final size; infinite
         if unknown.
+    is_cold : bool
+        Whether it is cold or has just become warm: it gets runs only if no other engine has
+        capacity, and no moved ones.
     """
 
     instance: str
@@ -82,6 +85,7 @@
     estimate: TargetEstimate | None = None
     run_seconds: float = TYPICAL_RUN_SECONDS
     free_tokens: float = math.inf
+    is_cold: bool = False
 
     def has_capacity_for(self, tokens: float) -> bool:
         """Return whether one more run of this final size in tokens fits.
--- a/rackswitch/telemetry/events/state.py
+++ b/rackswitch/telemetry/events/state.py
@@ -3,13 +3,17 @@
 from rackswitch.telemetry.events.base import Event, register_event
 
 __all__ = [
+    "ColdTargetHeld",
+    "ColdTargetSent",
     "EditAccepted",
     "RetireAnswered",
     "RoleAcquired",
     "RoleLost",
     "TableInForce",
+    "TargetCold",
     "TargetGone",
     "TargetListed",
+    "TargetWarm",
     "VersionNamed",
 ]
 
@@ -87,3 +91,66 @@
 
     vm: str
     outcome: str
+
+
+@register_event
+class TargetCold(Event, tag="target cold", frozen=True):
+    """A target became cold: it carries only a few requests a second from all daemons together.
+
+    Attributes
+    ----------
+    left_seconds : float
+        How much longer it is cold.
+    source : str
+        `entry` or `evacuation ended`.
+    """
+
+    target: str
+    service: str
+    zone: str
+    left_seconds: float
+    source: str
+
+
+@register_event
+class TargetWarm(Event, tag="target warm", frozen=True):
+    """A cold target is warm, or it left while it was cold (`is_listed` is false)."""
+
+    target: str
+    service: str
+    zone: str
+    is_listed: bool
+
+
+class _ColdTargetEvent(Event, frozen=True):
+    """A request for a target that is cold or has just become warm.
+
+    Attributes
+    ----------
+    request : str
+        Identity of the request or item.
+    kind : str
+        `call` or `text`.
+    cold_left_seconds : float
+        How much longer the target is cold; negative for the time since it became warm.
+    """
+
+    request: str
+    target: str
+    service: str
+    kind: str
+    cold_left_seconds: float
+
+    @property
+    def is_routine(self) -> bool:
+        return True
+
+
+@register_event
+class ColdTargetSent(_ColdTargetEvent, tag="sent within the cold budget", frozen=True):
+    """A request was sent within this daemon's budget for a cold target."""
+
+
+@register_event
+class ColdTargetHeld(_ColdTargetEvent, tag="target cold, budget used", frozen=True):
+    """A request was not sent, as this daemon's budget for a cold target is used up."""
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -10,6 +10,8 @@
     AdmissionState,
     AttemptFailed,
     CallDecided,
+    ColdTargetHeld,
+    ColdTargetSent,
     DependencyLost,
     DependencyRegained,
     EstimateLogged,
@@ -29,7 +31,9 @@
     SessionBegun,
     SessionLost,
     TableInForce,
+    TargetCold,
     TargetEnded,
+    TargetWarm,
     VersionNamed,
 )
 
@@ -74,6 +78,9 @@
         "attempts_failed",
         "calls_refused",
         "calls_waiting",
+        "cold_sends",
+        "cold_sends_held",
+        "cold_targets",
         "concurrency_limit",
         "estimated_wait",
         "dependency_up",
@@ -186,6 +193,17 @@
             "rackswitch_tenant_share", description="Part of a service's work done lately."
         )
 
+        self.cold_targets = meter.create_up_down_counter(
+            "rackswitch_cold_targets", description="Cold targets, by service and zone."
+        )
+        self.cold_sends = meter.create_counter(
+            "rackswitch_cold_sends", description="Requests sent within the budget of cold targets."
+        )
+        self.cold_sends_held = meter.create_counter(
+            "rackswitch_cold_sends_held",
+            description="Requests not sent, as the budget of a cold target was used up.",
+        )
+
     def count(self, event: Event) -> None:
         """Count an event and record the metrics of its class."""
         name = str(event.__struct_config__.tag)
@@ -341,3 +359,23 @@
     meters.concurrency_limit.set(event.limit, labels)
     for tenant, share in event.tenant_shares.items():
         meters.tenant_share.set(share, meters.labels(service=event.service, tenant=tenant))
+
+
+@_recorder_of(TargetCold)
+def _target_cold(meters: EventMeters, event: TargetCold) -> None:
+    meters.cold_targets.add(1, meters.labels(service=event.service, zone=event.zone))
+
+
+@_recorder_of(TargetWarm)
+def _target_warm(meters: EventMeters, event: TargetWarm) -> None:
+    meters.cold_targets.add(-1, meters.labels(service=event.service, zone=event.zone))
+
+
+@_recorder_of(ColdTargetSent)
+def _cold_target_sent(meters: EventMeters, event: ColdTargetSent) -> None:
+    meters.cold_sends.add(1, meters.labels(service=event.service, kind=event.kind))
+
+
+@_recorder_of(ColdTargetHeld)
+def _cold_target_held(meters: EventMeters, event: ColdTargetHeld) -> None:
+    meters.cold_sends_held.add(1, meters.labels(service=event.service, kind=event.kind))
