Cold targets: calls wait for the budget or are refused at once

Cause: calls took cold targets for idle ones. Change: warm targets are preferred; if all are cold, calls wait by rank and age for this daemon's next send or are refused with the time of a useful retry. Admission counts a cold target's slots by its rate. Calls at cold targets leave no marks in breakers and paces. /status shows the cold targets.

--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -7,6 +7,7 @@
 
 from rackswitch.admission import LEAST_URGENT_RANK, REWARD_RANK, AdmissionRequest, PatienceEstimate
 from rackswitch.gateway.callers.call_admission import CallAdmission, NoTarget, TargetEstimateLookup
+from rackswitch.gateway.callers.cold_call_queue import ColdCallQueue, HeldCall
 from rackswitch.gateway.callers.target_choice import CALL_COST_TOKENS, TargetChooser
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
@@ -23,7 +24,7 @@
     attempt_deadline_seconds,
     retry_delay_seconds,
 )
-from rackswitch.routing import ListedTarget, TargetEstimate
+from rackswitch.routing import ListedTarget, TargetEstimate, WorkKind
 from rackswitch.table import Handling, RouteRow
 from rackswitch.telemetry.events import AttemptFailed
 
@@ -107,6 +108,8 @@
         The service whose targets may serve the call.
     admission_request : AdmissionRequest or None
         The admission request; None for a call that needs no admission.
+    held_call : HeldCall
+        Its place among the calls that wait for cold targets.
     failures : int
         Answers with status 500.
     last_failure : (TargetAnswer, ListedTarget) or None
@@ -122,6 +125,7 @@
     as_stream: bool
     service: str
     admission_request: AdmissionRequest | None
+    held_call: HeldCall
     failures: int = 0
     last_failure: tuple[TargetAnswer, ListedTarget] | None = None
     is_admitted: bool = False
@@ -177,6 +181,7 @@
     __slots__ = (
         "_call_seconds",
         "_chooser",
+        "_cold_calls",
         "_context",
         "_outages",
         "_patience",
@@ -197,6 +202,7 @@
         self._context = context
         self._chooser = chooser
         self._targets = targets
+        self._cold_calls = ColdCallQueue(context, chooser.is_held)
         self._service_admission = CallAdmission(context, estimates_of)
         self._patience = PatienceEstimate()
         self._call_seconds: dict[str, float] = {}
@@ -234,7 +240,13 @@
             The tenant whose step waits for this reward call; None for a caller's own call.
         """
         service = self._chooser.draw_choice(route).serves
-        state = _CallState(route, call, deadline_seconds, log, as_stream, service, None)
+        now_seconds = self._context.now_seconds()
+        latest_send_seconds = deadline_seconds
+        if reward_of is None:
+            latest_send_seconds = min(deadline_seconds, now_seconds + route.goal_seconds)
+        rank = self._rank(route, call, reward_of)
+        held_call = HeldCall(rank, now_seconds, latest_send_seconds)
+        state = _CallState(route, call, deadline_seconds, log, as_stream, service, None, held_call)
         if self._context.settings.queues_calls and not as_stream:
             state.admission_request = self._admission_request(
                 route, call, deadline_seconds, reward_of
@@ -260,9 +272,11 @@
 
     async def _next_target(self, state: _CallState) -> ListedTarget | NotRun | None:
         """Wait until a call may be sent; return its target, its refusal, or None for no target."""
-        target = self._pick(state.service, state.log, state.deadline_seconds)
-        if target is None:
-            return None
+        target: ListedTarget | None = None
+        if not self._chooser.is_held(state.service):
+            target = self._pick(state.service, state.log, state.deadline_seconds)
+            if target is None:
+                return None
         if state.admission_request is not None:
             # A request that is held back must not take up the service's capacity.
             hold = await self._check_quarantine(state, may_claim=False)
@@ -272,6 +286,11 @@
             if refusal is not None or not state.is_admitted:
                 return refusal if isinstance(refusal, NotRun) else None
             # Chosen again, as the call may have waited.
+            target = None
+        if target is None:
+            cold_refusal = await self._wait_while_held(state)
+            if cold_refusal is not None:
+                return None if state.log.may_have_run else cold_refusal
             target = self._pick(state.service, state.log, state.deadline_seconds)
             if target is None:
                 return None
@@ -279,6 +298,14 @@
         hold = await self._check_quarantine(state, may_claim=True)
         return target if hold is None else hold.refusal
 
+    async def _wait_while_held(self, state: _CallState) -> NotRun | None:
+        """Wait while all targets are too cold for a call; return its refusal, if it is refused."""
+        while self._chooser.is_held(state.service):
+            refusal = await self._cold_calls.wait(state.service, state.held_call)
+            if refusal is not None:
+                return refusal
+        return None
+
     async def _check_quarantine(self, state: _CallState, may_claim: bool) -> _Hold | None:
         """Return the hold on a request, or None if it may be sent."""
         hold = await self._quarantine.admit(
@@ -290,6 +317,12 @@
             return _Hold(None)
         return _Hold(NotRun(NotRunReason.HELD_BACK, hold.detail, hold.until_seconds))
 
+    def _rank(self, route: RouteRow, call: Call, reward_of: str | None) -> int:
+        """Return a call's rank; 0 is served first."""
+        if reward_of is not None:
+            return REWARD_RANK
+        return min(LEAST_URGENT_RANK, call.caller.rank(route.caller_class))
+
     def _admission_request(
         self, route: RouteRow, call: Call, deadline_seconds: float, reward_of: str | None
     ) -> AdmissionRequest:
@@ -301,9 +334,7 @@
             request_id=call.request_id,
             kind=route.name,
             tenant=call.caller.tenant if reward_of is None else reward_of,
-            rank=REWARD_RANK
-            if is_reward
-            else min(LEAST_URGENT_RANK, call.caller.rank(route.caller_class)),
+            rank=self._rank(route, call, reward_of),
             body_bytes=len(call.body),
             arrived_seconds=now_seconds,
             # A step waits for all of its reward calls, so a single one has no latency target.
@@ -343,6 +374,10 @@
         """Send a call once; return the final answer, or None if it may be sent again."""
         call, log = state.call, state.log
         log.check_may_begin()
+        if not self._context.cold_sends.try_send(target, WorkKind.CALL, call.request_id):
+            # Another call was sent there meanwhile. This one asks for admission again.
+            self._release(state)
+            return None
         estimate = self._chooser.target_state(target).estimate
         started_at_seconds = self._context.now_seconds()
         sent_at_unix_seconds = time.time()
@@ -500,7 +535,7 @@
         if not isinstance(result, TargetFailed) and result.status < 500:
             target_state.record_success(0, 0.0)
             took_seconds = self._context.now_seconds() - started_at_seconds
-            typical_seconds = self._record_call_time(target.service, took_seconds)
+            typical_seconds = self._record_call_time(target, took_seconds)
             if not fresh_connection and took_seconds <= SLOW_CALL_FACTOR * typical_seconds:
                 target_state.idle_connection_until_seconds = (
                     started_at_seconds + self._targets.keep_alive_seconds
@@ -509,9 +544,12 @@
                 target_state.idle_connection_until_seconds = 0.0
         return result
 
-    def _record_call_time(self, service: str, took_seconds: float) -> float:
+    def _record_call_time(self, target: ListedTarget, took_seconds: float) -> float:
         """Record how long a call took; return the service's typical call time."""
+        service = target.service
         typical_seconds = self._call_seconds.get(service, INITIAL_CALL_SECONDS)
+        if self._context.cold_sends.is_limited(target, self._context.now_seconds()):
+            return typical_seconds
         typical_seconds += CALL_SMOOTHING * (took_seconds - typical_seconds)
         self._call_seconds[service] = typical_seconds
         return typical_seconds
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -1,5 +1,8 @@
 """Choosing targets for calls and recording the results in the load estimates."""
 
+import math
+from dataclasses import replace
+
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.requests import TargetAnswer, TargetFailed, TargetStream
 from rackswitch.routing import (
@@ -60,6 +63,7 @@
             for entry in self._context.directory.usable(service, now_seconds)
             if entry.instance not in tried
         }
+        listed = self._sendable(listed, now_seconds)
         if not listed:
             return None
         targets = [self._context.targets[instance] for instance in listed]
@@ -69,6 +73,35 @@
         chosen = self._policy.choose(routed, usable_targets(targets, now_seconds))
         return listed[chosen.name]
 
+    def is_held(self, service: str) -> bool:
+        """Return whether all usable targets of a service are too cold for a call now.
+
+        False if no target is usable.
+        """
+        now_seconds = self._context.now_seconds()
+        listed = {
+            entry.instance: entry for entry in self._context.directory.usable(service, now_seconds)
+        }
+        return bool(listed) and not self._sendable(listed, now_seconds)
+
+    def _sendable(
+        self, listed: dict[str, ListedTarget], now_seconds: float
+    ) -> dict[str, ListedTarget]:
+        """Return the warm targets or, if there are none, the cold ones that may be sent to now."""
+        cold_sends = self._context.cold_sends
+        cold = {
+            name: entry
+            for name, entry in listed.items()
+            if cold_sends.is_limited(entry, now_seconds)
+        }
+        if len(cold) < len(listed):
+            return {name: entry for name, entry in listed.items() if name not in cold}
+        return {
+            name: entry
+            for name, entry in cold.items()
+            if cold_sends.may_send(entry, WorkKind.CALL, now_seconds)
+        }
+
     def _choose_by_load(
         self,
         service: str,
@@ -99,10 +132,31 @@
         if not self._context.chooses_targets_by_load(service):
             return []
         now_seconds = self._context.now_seconds()
-        return [
-            self._estimate(listed, self.target_state(listed), now_seconds)
+        estimates = [
+            self._capacity_estimate(listed, now_seconds)
             for listed in self._context.directory.usable(service, now_seconds)
         ]
+        return [estimate for estimate in estimates if estimate.slots > 0]
+
+    def _capacity_estimate(self, listed: ListedTarget, now_seconds: float) -> TargetEstimate:
+        """Return the estimate of a target with the slots that this daemon may use.
+
+        A cold target has as many slots as its budget allows sends in the time of a call; none if
+        other daemons are its senders.
+        """
+        estimate = self._estimate(listed, self.target_state(listed), now_seconds)
+        cold_sends = self._context.cold_sends
+        if not cold_sends.is_limited(listed, now_seconds):
+            return estimate
+        rate_per_second = cold_sends.send_rate(listed, WorkKind.CALL, now_seconds)
+        slots = min(estimate.slots, math.ceil(rate_per_second * estimate.unit_seconds))
+        scale = slots / max(1, estimate.slots)
+        return replace(
+            estimate,
+            slots=slots,
+            running=estimate.running * scale,
+            waiting=estimate.waiting * scale,
+        )
 
     def record_send(self, target: ListedTarget) -> SentRequest:
         """Record that a call is sent to a target now."""
@@ -122,6 +176,9 @@
             sent_request, continues_unobserved=isinstance(result, TargetStream)
         )
         now_seconds = self._context.now_seconds()
+        if self._context.cold_sends.is_limited(sent_request, now_seconds):
+            # The slowness of a cold target says nothing about its pace once it is warm.
+            return
         if result is None:
             load_estimator.record_abandoned(sent_request, now_seconds)
         if not isinstance(result, TargetAnswer):
@@ -142,6 +199,9 @@
         now_seconds = self._context.now_seconds()
         if failure.is_other_target:
             self._context.directory.remove_replaced(target.instance)
+        elif self._context.cold_sends.is_limited(target, now_seconds):
+            # It is expected to be slow and to refuse calls until it is warm.
+            return
         elif failure.is_unresponsive:
             target_state.record_no_response(now_seconds)
         elif failure.may_have_run:
--- a/rackswitch/gateway/cold_sends.py
+++ b/rackswitch/gateway/cold_sends.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from enum import Enum
+from typing import Protocol
 
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.platform.settings import NodeSettings
@@ -27,6 +28,18 @@
 """Interval between two samples of the known daemons."""
 
 
+class TargetStart(Protocol):
+    """A start of a target, and its service."""
+
+    @property
+    def start(self) -> str:
+        """Key of the start, as `ListedTarget.start`."""
+
+    @property
+    def service(self) -> str:
+        """The service."""
+
+
 class ColdSource(Enum):
     """Why a target counts as cold, as it is logged."""
 
@@ -113,7 +126,7 @@
             if self.targets.mark_cold(target.start, now_seconds + row.cold_seconds):
                 self._log_cold(target, ColdSource.EVACUATION_ENDED, now_seconds)
 
-    def warmth(self, target: ListedTarget, now_seconds: float) -> Warmth:
+    def warmth(self, target: TargetStart, now_seconds: float) -> Warmth:
         """Return the phase of a target; always warm if its service's targets are never cold."""
         if self.targets.until_seconds(target.start) == float("-inf"):
             return Warmth.WARM
@@ -122,7 +135,7 @@
         self._sample_if_due(now_seconds)
         return warmth(self.targets.until_seconds(target.start), now_seconds)
 
-    def is_limited(self, target: ListedTarget, now_seconds: float) -> bool:
+    def is_limited(self, target: TargetStart, now_seconds: float) -> bool:
         """Return whether sends to a target are limited, as it is or was just cold."""
         return self.warmth(target, now_seconds) is not Warmth.WARM
 
--- a/rackswitch/gateway/daemon_snapshot.py
+++ b/rackswitch/gateway/daemon_snapshot.py
@@ -39,6 +39,8 @@
         The daemon whose replicas are followed; empty if the service is watched directly.
     targets : dict of str to int
         Number of usable targets by service.
+    cold_targets : dict of str to float
+        How much longer each cold target is cold, in seconds, by instance.
     roles : dict of str to int
         Fencing numbers of the roles held by this daemon.
     """
@@ -51,6 +53,7 @@
     follows: str
     members: list[str]
     targets: dict[str, int]
+    cold_targets: dict[str, float]
     named_versions: dict[str, int]
     roles: dict[str, int]
     jobs_known: int
@@ -88,6 +91,7 @@
         targets={
             row.name: len(context.directory.usable(row.name, now_seconds)) for row in services
         },
+        cold_targets=context.cold_sends.cold_left_seconds(),
         named_versions=dict(context.named_versions),
         roles={role: roles.fencing(role) for role in roles.roles if roles.may_act(role)},
         jobs_known=len(jobs.known.jobs),
