Cold engines: scaling, version orders, tests of calls

Cause: cold engines counted as serving for releases and shortages, and a whole zone could load weights while its other engines were cold. Change: the planner counts cold engines neither as missing nor as available; at most half of a zone's engines load while others of it are cold.

--- a/rackswitch/capacity/planner.py
+++ b/rackswitch/capacity/planner.py
@@ -53,10 +53,14 @@
         Engines that serve, by location.
     ordered : EngineCounts
         Number last ordered in each location, or the initial number if none was ordered.
+    cold : EngineCounts
+        Those of the present engines that are cold. They are not missing, as engines ordered in
+        their place would serve later, but they are no surplus before they serve.
     """
 
     present: EngineCounts = field(default_factory=Counter)
     ordered: EngineCounts = field(default_factory=Counter)
+    cold: EngineCounts = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
@@ -103,11 +107,12 @@
         bounded = self._bounded(wanted, capacity)
         present = sum(state.present.values())
         missing = bounded - present - self._booting(state, now_seconds)
-        if self._shortage_lasts(missing, present, bounded, now_seconds):
+        available = present - sum(state.cold.values())
+        if self._shortage_lasts(missing, available, bounded, now_seconds):
             return self._scale_up_orders(state, capacity, bounded, missing, now_seconds)
-        if self._surplus_lasts(present, bounded, now_seconds):
+        if self._surplus_lasts(available, bounded, now_seconds):
             self._surplus_since_seconds = now_seconds
-            return self._scale_down_orders(state, capacity, present - bounded)
+            return self._scale_down_orders(state, capacity, available - bounded)
         return []
 
     def _bounded(self, wanted: int, capacity: Capacity) -> int:
@@ -122,17 +127,19 @@
         absent = sum((state.ordered - state.present).values())
         return min(len(self._booting_until_seconds), absent)
 
-    def _shortage_lasts(self, missing: int, present: int, wanted: int, now_seconds: float) -> bool:
+    def _shortage_lasts(
+        self, missing: int, available: int, wanted: int, now_seconds: float
+    ) -> bool:
         if missing <= 0:
             self._shortage_since_seconds = None
             return False
         if self._shortage_since_seconds is None:
             self._shortage_since_seconds = now_seconds
-        is_urgent = present < URGENT_SHARE * wanted
+        is_urgent = available < URGENT_SHARE * wanted
         return is_urgent or now_seconds >= self._shortage_since_seconds + SHORTAGE_SECONDS
 
-    def _surplus_lasts(self, present: int, wanted: int, now_seconds: float) -> bool:
-        if present <= SURPLUS_FACTOR * wanted:
+    def _surplus_lasts(self, available: int, wanted: int, now_seconds: float) -> bool:
+        if available <= SURPLUS_FACTOR * wanted:
             self._surplus_since_seconds = None
             return False
         if self._surplus_since_seconds is None:
--- a/rackswitch/capacity/tests/test_capacity.py
+++ b/rackswitch/capacity/tests/test_capacity.py
@@ -151,3 +151,25 @@
         order for order in platform.orders if order.count < 3 and order.location.kind is KEPT
     ]
     assert len(released) <= 2 * (len(wanted_counts) // 6 + 1)
+
+
+def test_cold_engines_are_neither_missing_nor_surplus():
+    """Guards against a release of warm engines, or new orders, while ordered ones are cold."""
+    platform = SimulatedPlatform(6)
+    platform.state.cold = kept_engines(2)
+    platform.run(18, 30.0)
+    platform.run(12, 30.0, 30.0)
+    assert not platform.orders
+    platform.state.cold = Counter()
+    platform.run(12, 30.0, 60.0)
+    assert platform.engines < 18
+
+
+@pytest.mark.parametrize(("cold_count", "is_ordered_at_once"), [(0, False), (2, True)])
+def test_a_small_shortage_is_urgent_while_other_engines_are_cold(cold_count, is_ordered_at_once):
+    """Guards against counting an ordered engine as serving before its cold time is over."""
+    platform = SimulatedPlatform(4)
+    platform.state.present[EngineLocation("a", KEPT)] -= 2
+    platform.state.cold[EngineLocation("b", KEPT)] = cold_count
+    platform.step(12, 0.0)
+    assert bool(platform.orders) is is_ordered_at_once
--- a/rackswitch/gateway/callers/cold_call_queue.py
+++ b/rackswitch/gateway/callers/cold_call_queue.py
@@ -127,20 +127,20 @@
         """Release one call if a target may be sent to, and refuse those that are out of time."""
         queue.timer = None
         now_seconds = self._context.now_seconds()
-        is_released = self._is_held(queue.service)
-        for call, released in queue.calls:
-            if released.done():
-                continue
-            refusal = self._refusal(queue, call) if self._is_held(queue.service) else None
+        waiting = [held for held in queue.calls if not held[1].done()]
+        if not waiting:
+            return
+        if not self._is_held(queue.service):
+            waiting[0][1].set_result(None)
+            self._schedule_check(queue, MIN_CHECK_INTERVAL_SECONDS)
+            return
+        for call, released in waiting:
+            refusal = self._refusal(queue, call)
             if refusal is not None:
                 released.set_result(refusal)
-            elif not is_released:
-                is_released = True
-                released.set_result(None)
-        if not all(released.done() for _, released in queue.calls):
-            next_send_seconds, _ = self._next_send(queue.service, now_seconds)
-            delay_seconds = min(CHECK_INTERVAL_SECONDS, next_send_seconds - now_seconds)
-            self._schedule_check(queue, max(MIN_CHECK_INTERVAL_SECONDS, delay_seconds))
+        next_send_seconds, _ = self._next_send(queue.service, now_seconds)
+        delay_seconds = min(CHECK_INTERVAL_SECONDS, next_send_seconds - now_seconds)
+        self._schedule_check(queue, max(MIN_CHECK_INTERVAL_SECONDS, delay_seconds))
 
     def _schedule_check(self, queue: _ServiceQueue, delay_seconds: float) -> None:
         if queue.timer is None:
--- a/rackswitch/gateway/duties/scaling_manager.py
+++ b/rackswitch/gateway/duties/scaling_manager.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from rackswitch.capacity import (
@@ -26,8 +26,10 @@
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
 from rackswitch.gateway.turns import TurnManager
 from rackswitch.platform.duty_calls import DutyClient, DutyOutcome, Holder
+from rackswitch.routing import ListedTarget
 from rackswitch.table import Handling, RouteRow, ScalingTerms, ServiceRow
 from rackswitch.telemetry.events import EnginesOrdered
+from rackswitch.warmup import Warmth
 
 __all__ = ["ScalingManager"]
 
@@ -157,7 +159,8 @@
     ) -> None:
         capacity = _capacity(row, terms)
         now_seconds = self._context.now_seconds()
-        present = self._count_present(row.name, now_seconds)
+        engines = self._context.directory.usable(row.name, now_seconds)
+        present = _count_by_location(engines)
         if not present:
             return
         observed = self._observed.get(row.name)
@@ -170,7 +173,11 @@
         wanted = self._wanted_engines(row, capacity)
         if wanted is None:
             return
-        state = ServiceState(present, observed.max_present | ordered.for_service(row.name))
+        cold_sends = self._context.cold_sends
+        cold = _count_by_location(
+            engine for engine in engines if cold_sends.warmth(engine, now_seconds) is Warmth.COLD
+        )
+        state = ServiceState(present, observed.max_present | ordered.for_service(row.name), cold)
         orders = observed.planner.orders(state, capacity, wanted, now_seconds)
         if orders:
             decision = _Decision(row.name, capacity, state, wanted)
@@ -185,13 +192,6 @@
         settled_seconds = contact.recovered_at_seconds + LIST_SETTLE_SECONDS
         return not contact.is_unreachable and self._context.now_seconds() >= settled_seconds
 
-    def _count_present(self, service: str, now_seconds: float) -> EngineCounts:
-        counts: EngineCounts = Counter()
-        for target in self._context.directory.usable(service, now_seconds):
-            kind = EngineKind.RECLAIMABLE if target.reclaimable else EngineKind.KEPT
-            counts[EngineLocation(target.zone, kind)] += 1
-        return counts
-
     def _wanted_engines(self, row: ServiceRow, capacity: Capacity) -> int | None:
         """Return how many engines a service should have; None to leave them unchanged."""
         jobs = self._recent_jobs(row)
@@ -287,6 +287,14 @@
             observed.max_present[order.location] = order.count
 
 
+def _count_by_location(engines: Iterable[ListedTarget]) -> EngineCounts:
+    counts: EngineCounts = Counter()
+    for engine in engines:
+        kind = EngineKind.RECLAIMABLE if engine.reclaimable else EngineKind.KEPT
+        counts[EngineLocation(engine.zone, kind)] += 1
+    return counts
+
+
 def _capacity(row: ServiceRow, terms: ScalingTerms) -> Capacity:
     """Return the scaling terms of a service."""
     return Capacity(
--- a/rackswitch/gateway/versions/tests/test_version_manager.py
+++ b/rackswitch/gateway/versions/tests/test_version_manager.py
@@ -1,8 +1,11 @@
 """Load orders: a new holder waits for the former one's turn, even if its replica lags."""
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
+import pytest
+from msgspec.structs import replace as replace_fields
 
 from rackswitch.clients.kv import Operation, TxnPart
 from rackswitch.daemon.roles import RoleManager
@@ -14,6 +17,7 @@
 from rackswitch.routing import ListedTarget, Target
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.table import ServiceRow, StoredRow, TableDocument
+from rackswitch.weights import service_plan
 
 TABLE = TableDocument(1, {"service/s": StoredRow(1, ServiceRow(name="s", models=("m", "n")))})
 TURN_SECONDS = 3.0
@@ -119,3 +123,30 @@
         by_engine.setdefault(load.target.instance, []).append(at_seconds)
     for times in by_engine.values():
         assert all(later - earlier >= 1.0 for earlier, later in zip(times, times[1:], strict=False))
+
+
+@pytest.mark.parametrize(("has_cold_terms", "max_loading"), [(True, 4), (False, 6)])
+def test_half_of_a_zone_loads_while_others_are_cold(monkeypatch, has_cold_terms, max_loading):
+    """Guards against a zone whose engines load or are cold, so that none of them serves."""
+    monkeypatch.setattr(service_plan, "max_concurrent_loads", lambda count: count - 2)
+
+    async def scenario():
+        manager, _ = make_manager("a", KvStore())
+        context = manager._context
+        row = ServiceRow(name="s", models=("m", "n"))
+        if has_cold_terms:
+            row = replace_fields(row, cold_seconds=3.0, cold_requests_per_second=17.0)
+        context.daemon.view.replace_if_newer(TableDocument(2, {"service/s": StoredRow(2, row)}))
+        for number in range(8):
+            engine = ListedTarget(f"e{number}", "s", "h", 1, "z", 4, False, {"m": 1, "n": 1})
+            engine = replace(engine, cold_left_seconds=5.0 if number < 2 else 0.0)
+            context.directory.put(engine)
+            context.targets[engine.instance] = Target(engine.instance, engine.url, "z")
+            context.cold_sends.record_entry(engine, 10)
+        loading = set()
+        for _ in range(10):
+            loading.update(load.target.instance for load in manager._plan(row))
+        await context.daemon.cancel_all()
+        return loading
+
+    assert len(run_on_virtual_clock(scenario())) == max_loading
--- a/rackswitch/gateway/versions/version_manager.py
+++ b/rackswitch/gateway/versions/version_manager.py
@@ -1,7 +1,7 @@
 """Rolls out model versions to engines while this daemon holds the service's role."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -20,7 +20,9 @@
     version_turn,
 )
 from rackswitch.platform.orders import OrderClient
+from rackswitch.routing import ListedTarget
 from rackswitch.table import ServiceRow
+from rackswitch.warmup import Warmth, allowed_loads
 from rackswitch.weights import (
     EngineVersions,
     ModelNeed,
@@ -208,7 +210,13 @@
         ]
         loads = self._loads.setdefault(row.name, _ServiceLoads())
         in_progress = loads.loading_versions(now_seconds)
-        planned = plan_service_loads(needs, carriers, loads.state, in_progress, now_seconds)
+        allowed = self._allowed_loads(listed, in_progress, now_seconds)
+        state = _state_within(allowed, listed, loads.state, now_seconds)
+        planned = [
+            load
+            for load in plan_service_loads(needs, carriers, state, in_progress, now_seconds)
+            if _take_allowed(allowed, listed[load.order.engine].zone)
+        ]
         for load in planned:
             loads.record_start(load)
         return [
@@ -216,6 +224,19 @@
             for load in planned
         ]
 
+    def _allowed_loads(
+        self, listed: dict[str, ListedTarget], loading: Iterable[str], now_seconds: float
+    ) -> dict[str, int]:
+        """Return how many engines may begin to load in the zones that have cold engines."""
+        cold_sends = self._context.cold_sends
+        cold = {
+            name
+            for name, target in listed.items()
+            if cold_sends.warmth(target, now_seconds) is Warmth.COLD
+        }
+        zone_of = {name: target.zone for name, target in listed.items()}
+        return allowed_loads(zone_of, cold, loading)
+
     def _pace_seconds(self, start: str) -> float:
         """Return an engine's pace; the same for all if `fast_engine_first` is off."""
         if not self._context.policy.fast_engine_first:
@@ -230,3 +251,26 @@
         now_seconds = self._context.now_seconds()
         named_at_seconds = self._named_at_seconds.setdefault((model, newest), now_seconds)
         return ModelNeed(model, newest, named_at_seconds, self._oldest_usable_version(model))
+
+
+def _state_within(
+    allowed: dict[str, int],
+    listed: dict[str, ListedTarget],
+    state: RolloutState,
+    now_seconds: float,
+) -> RolloutState:
+    """Return the state with the engines held back whose zones may not begin another load."""
+    held_until_seconds = {
+        name: now_seconds + TICK_SECONDS
+        for name, target in listed.items()
+        if allowed.get(target.zone) == 0
+    }
+    return RolloutState(state.orders, state.next_try_seconds | held_until_seconds)
+
+
+def _take_allowed(allowed: dict[str, int], zone: str) -> bool:
+    """Return whether an engine of a zone may begin to load, and count it."""
+    if zone not in allowed:
+        return True
+    allowed[zone] -= 1
+    return allowed[zone] >= 0
--- a/rackswitch/warmup/__init__.py
+++ b/rackswitch/warmup/__init__.py
@@ -10,6 +10,8 @@
 from rackswitch.warmup.ramp import __all__ as _ramp_all
 from rackswitch.warmup.senders import *  # noqa: F403
 from rackswitch.warmup.senders import __all__ as _senders_all
+from rackswitch.warmup.zone_loads import *  # noqa: F403
+from rackswitch.warmup.zone_loads import __all__ as _zone_loads_all
 
 __all__ = [
     *_cold_budget_all,
@@ -17,4 +19,5 @@
     *_cold_targets_all,
     *_ramp_all,
     *_senders_all,
+    *_zone_loads_all,
 ]
