--- a/rackswitch/gateway/cold_sends.py
+++ b/rackswitch/gateway/cold_sends.py
@@ -24,8 +24,12 @@
 
 __all__ = ["ColdSends", "ColdSource"]
 
+UPDATE_INTERVAL_SECONDS = 0.2
+"""Interval between two samples of the known daemons while no target is cold. As entries are delayed
+by up to 0.8 s, a view is at most 1 s old."""
+
 SAMPLE_INTERVAL_SECONDS = 0.1
-"""Interval between two samples of the known daemons."""
+"""Minimum interval between two samples while targets are cold."""
 
 
 class TargetStart(Protocol):
@@ -84,6 +88,7 @@
         "_plans_settings",
         "_sampled_at_seconds",
         "_settings",
+        "_unlogged",
         "_views",
         "is_view_complete",
         "job_owners",
@@ -105,6 +110,7 @@
         self._views = {kind: SenderViews() for kind in WorkKind}
         self._budgets: dict[tuple[str, WorkKind], ColdBudget] = {}
         self._known_cold: dict[str, ListedTarget] = {}
+        self._unlogged: dict[str, tuple[ListedTarget, ColdSource]] = {}
         self._sampled_at_seconds = float("-inf")
         self._plans_revision = -1
         self._plans_settings: NodeSettings | None = None
@@ -225,13 +231,16 @@
         """Sample the known daemons and log the targets that become warm, until cancelled."""
         while True:
             self.update()
-            await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
+            await asyncio.sleep(UPDATE_INTERVAL_SECONDS)
 
     def update(self) -> None:
         """Sample the known daemons now, and log the targets that have become warm."""
         now_seconds = self._daemon.now_seconds()
         if self._service_plans():
             self._sample(now_seconds)
+        unlogged, self._unlogged = self._unlogged, {}
+        for target, source in unlogged.values():
+            self._log_cold(target, source, now_seconds)
         for start, target in list(self._known_cold.items()):
             listed = self._directory.entries.get(target.instance)
             is_listed = listed is not None and listed.start == start
@@ -319,8 +328,12 @@
         return kinds
 
     def _log_cold(self, target: ListedTarget, source: ColdSource, now_seconds: float) -> None:
-        is_known = target.start in self._known_cold
-        if is_known or self.warmth(target, now_seconds) is not Warmth.COLD:
+        if target.start in self._known_cold:
+            return
+        if self.warmth(target, now_seconds) is not Warmth.COLD:
+            if now_seconds < self.targets.until_seconds(target.start):
+                # The table may follow that says how much a cold target carries.
+                self._unlogged[target.start] = (target, source)
             return
         self._known_cold[target.start] = target
         self._daemon.log.write(
--- a/rackswitch/gateway/items/tests/test_cold_engines.py
+++ b/rackswitch/gateway/items/tests/test_cold_engines.py
@@ -205,3 +205,21 @@
         ("TargetCold", "evacuation ended"),
     ]
     assert "target cold, budget used" in EVENTS.names()
+
+
+def test_a_cold_engine_is_logged_once_the_table_is_known(monkeypatch):
+    """Guards against cold engines that are not shown if their entry was read before the table."""
+
+    async def scenario():
+        owner = ColdOwner("a", make_engines(make_step("j", [10])), ["a"], has_cold_terms=False)
+        written = []
+        monkeypatch.setattr(DecisionLog, "write", lambda log, event: written.append(event))
+        owner.list_cold_engine("e9", 9.0)
+        await asyncio.sleep(1.0)
+        before = [type(event).__name__ for event in written]
+        owner.context.daemon.view.replace_if_newer(COLD_TABLE)
+        await asyncio.sleep(1.0)
+        await owner.context.daemon.cancel_all()
+        return before, [type(event).__name__ for event in written]
+
+    assert run_on_virtual_clock(scenario()) == ([], ["TargetCold"])
