--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -6,6 +6,7 @@
 
 from rackswitch.clients.kv import KvClient
 from rackswitch.daemon.context import DaemonContext
+from rackswitch.gateway.cold_sends import ColdSends
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.start_times import StartTimes
 from rackswitch.gateway.store.member_entries import MemberEntry
@@ -78,6 +79,8 @@
         When the key-value service last confirmed the list of targets (monotonic).
     start_times : StartTimes
         How long the parts of the start took.
+    cold_sends : ColdSends
+        What this daemon may send to targets that are cold.
     connection_limits : ConnectionLimits
         Idle and header timeouts of callers' connections, from the table.
     """
@@ -99,10 +102,12 @@
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
     start_times: StartTimes = field(default_factory=_start_times_from_now)
+    cold_sends: ColdSends = field(init=False)
 
     def __post_init__(self) -> None:
         regions = RegionMap(self.settings.zone, self.settings.region_of_zone)
         self.directory.eligibility = Eligibility(regions)
+        self.cold_sends = ColdSends(self.daemon, self.directory, lambda: self.settings)
 
     @property
     def regions(self) -> RegionMap:
@@ -182,7 +187,9 @@
     def remove_unlisted_estimates(self) -> None:
         """Drop the load estimates of target starts that are no longer listed."""
         self.directory.expire(self.now_seconds())
-        self.load_estimator.keep_only({target.start for target in self.directory.entries.values()})
+        listed_starts = {target.start for target in self.directory.entries.values()}
+        self.load_estimator.keep_only(listed_starts)
+        self.cold_sends.keep_only(listed_starts)
 
     def unix_seconds(self) -> float:
         """Return the Unix time, for comparisons between daemons, whose clocks differ slightly."""
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from dataclasses import replace
 
 from rackswitch.clocks import suspended_seconds
 from rackswitch.daemon.roles import RoleManager
@@ -198,6 +199,7 @@
             CONTROL_PREFIX: control_entries.handlers(),
         }
         self.replicas = ReplicaManager(self.context, handlers, paces, CONTROL_PREFIX)
+        self.context.cold_sends.is_view_complete = lambda: self.replicas.is_complete
         self.presence = Presence(self.context, settings.peer_ports[0], self.replicas.members_read)
         forwarded_calls = ForwardedCalls(self.context, parts.relay)
         self._peers = GatewayPeersService(
@@ -243,6 +245,7 @@
             self._check_jobs_after_first_reads(),
             self._log_store_calls(),
             self._forget_unlisted_targets(),
+            self.context.cold_sends.run(),
         ):
             self.context.daemon.spawn_duty(task)
         for server in self._servers[:waiting_count]:
@@ -370,6 +373,9 @@
             self._sessions.close_idle_connections()
 
     def _record_load_report(self, target: ListedTarget, reported_load: ReportedLoad) -> None:
+        if self.context.cold_sends.is_limited(target, self.context.now_seconds()):
+            # The pace of a cold target says nothing about its pace once it is warm.
+            reported_load = replace(reported_load, pace=None)
         self.context.load_estimator.record_report(target.start, target.service, reported_load)
 
     def _session_lost(self) -> None:
--- a/rackswitch/gateway/daemon_snapshot.py
+++ b/rackswitch/gateway/daemon_snapshot.py
@@ -51,6 +51,8 @@
         Evacuations in force, by zone.
     targets_excluded : dict of str to str
         By target that gets no work, or none of some routes, the reason.
+    cold_targets : dict of str to float
+        How much longer each cold target is cold, in seconds, by instance.
     roles : dict of str to int
         Fencing numbers of the roles held by this daemon.
     """
@@ -65,6 +67,7 @@
     targets: dict[str, int]
     evacuations: dict[str, EvacuationSnapshot]
     targets_excluded: dict[str, str]
+    cold_targets: dict[str, float]
     named_versions: dict[str, int]
     roles: dict[str, int]
     jobs_known: int
@@ -109,6 +112,7 @@
             for zone, evacuation in context.directory.eligibility.evacuations.items()
         },
         targets_excluded=_exclusion_reasons(context, now_seconds),
+        cold_targets=context.cold_sends.cold_left_seconds(),
         named_versions=dict(context.named_versions),
         roles={role: roles.fencing(role) for role in roles.roles if roles.may_act(role)},
         jobs_known=len(jobs.known.jobs),
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -113,6 +113,8 @@
         evacuation = directory.eligibility.end_evacuation(zone)
         if evacuation is None:
             return
+        # The targets may have become cold during the evacuation without a known entry.
+        self._context.cold_sends.mark_zone_cold(zone)
         evacuated_seconds = self._context.now_seconds() - evacuation.since_seconds
         self._context.log.write(
             EvacuationEnded(
@@ -181,6 +183,7 @@
         self._report_ended_starts(previous, target)
         self._context.directory.put(target)
         self._track_start(target)
+        self._context.cold_sends.record_entry(target, entry.mod_revision)
         self._context.loads.record_versions(instance, target.versions, self._context.now_seconds())
         if previous is None or previous.draining != target.draining:
             self._context.log.write(
--- a/rackswitch/gateway/store/tests/test_evacuations.py
+++ b/rackswitch/gateway/store/tests/test_evacuations.py
@@ -25,7 +25,9 @@
 from rackswitch.routing import ListedTarget
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.standins.platform_fleet import desired_state
+from rackswitch.table import ServiceRow, StoredRow, TableDocument
 from rackswitch.telemetry.events import EvacuationEnded, ZoneEvacuated
+from rackswitch.warmup import RAMP_SECONDS, Warmth
 
 EVACUATION_BOUND_SECONDS = 5.0
 ZONES = ("z1", "z2")
@@ -125,6 +127,25 @@
     run_with_daemon(check)
 
 
+def test_targets_of_a_zone_that_is_taken_back_are_cold():
+    """Otherwise all daemons would fill the zone's engines, which may be cold, at once."""
+
+    def check(daemon: Daemon) -> None:
+        target = ListedTarget("t1", "s", "h", 1, "z1")
+        daemon.context.directory.put(target)
+        row = ServiceRow(name="s", cold_seconds=3.0, cold_requests_per_second=17.0)
+        table = TableDocument(1, {"service/s": StoredRow(1, row)})
+        daemon.context.daemon.view.replace_if_newer(table)
+        daemon.update(4, "z1")
+        daemon.update(6, deleted=("z1",))
+        now_seconds = daemon.context.now_seconds()
+        warmth = daemon.context.cold_sends.warmth
+        assert warmth(target, now_seconds) is Warmth.COLD
+        assert warmth(target, now_seconds + 3.0 + RAMP_SECONDS) is Warmth.WARM
+
+    run_with_daemon(check)
+
+
 def test_a_zone_evacuated_twice_is_back_after_one_deletion():
     """A count of orders, or a second event, would keep the zone out or look like a new one."""
 
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -75,6 +75,9 @@
         if unknown.
     region : str
         Region of its zone; empty if unknown.
+    is_cold : bool
+        Whether it is cold or has just become warm: it gets runs only if no other engine has
+        capacity, and no moved ones.
     """
 
     instance: str
@@ -88,6 +91,7 @@
     run_seconds: float = TYPICAL_RUN_SECONDS
     free_tokens: float = math.inf
     region: str = ""
+    is_cold: bool = False
 
     def has_capacity_for(self, tokens: float) -> bool:
         """Return whether one more run of this final size in tokens fits.
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -130,6 +130,7 @@
         self.faults = TargetFaults()
         self.listed_address = ""
         self.zone = "z"
+        self.cold_left_ms = 0.0
         self.runs: list[Run] = []
         self.orders: list[OrderSeen] = []
         self._store = store
@@ -190,7 +191,7 @@
             "version": "v1",
             "slots": 4,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "models": models,
             "seq": 1,
             "born": self._started_unix_ms,
