Several regions: load-based choice of targets, and reward calls sent a second time

Cause: owners in several regions fill the same engines and cannot see each other's runs, so one engine got up to 22 runs for 6 slots; and a step's end waited 0.8 to 2.1 s for reward calls at slow targets.

Change: where the settings' zones span several regions, targets are chosen by load although they report no pace; an owner fills at most a quarter of an engine's slots before the engine reports its load again; and a repeatable reward call without an answer after twice the typical time is sent to a second target, within the route's attempts, while slots are free and under a budget of 10 % of the calls. Deployments without regions take the same paths as before.

--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -1,6 +1,7 @@
 """Sending calls to targets: admission, choice of the target, retries and give-up."""
 
 import asyncio
+import math
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -345,6 +346,7 @@
         log.check_may_begin()
         estimate = self._chooser.target_state(target).estimate
         started_at_seconds = self._context.now_seconds()
+        log.record_send(target.instance, started_at_seconds)
         sent_at_unix_seconds = time.time()
         try:
             result = await self._attempt(
@@ -416,6 +418,18 @@
         """Record that a stream was interrupted after its head."""
         self._quarantine.record_failure(call.fingerprint(), target)
 
+    def free_slots(self, route: RouteRow, excluded: str) -> float:
+        """Return the free slots of a route's targets by their load reports, except one target.
+
+        0 if the targets are not chosen by their reported load.
+        """
+        return sum(
+            estimate.free_slots
+            for choice in route.choices
+            for estimate in self._chooser.estimates(choice.serves)
+            if estimate.instance != excluded and math.isfinite(estimate.report_age_seconds)
+        )
+
     def usable_target_count(self, route: RouteRow) -> int:
         """Return how many targets of a route's services are usable now."""
         now_seconds = self._context.now_seconds()
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -134,9 +134,14 @@
         """Return whether a service's targets are chosen by their reported load.
 
         This is the case if they report their pace, as their speeds may differ, or if calls are
-        queued, as the demand may exceed the capacity.
+        queued, as the demand may exceed the capacity. It is also the case in a deployment with
+        several regions, where only a finish time can count the delay of the path to a target.
         """
-        return self.settings.queues_calls or self.load_estimator.reports_pace(service)
+        return (
+            self.settings.queues_calls
+            or self.regions.has_regions
+            or self.load_estimator.reports_pace(service)
+        )
 
     def list_age_seconds(self) -> float:
         """Return the age of the last confirmation of the list of targets; -1 if there is none."""
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -11,6 +11,7 @@
 )
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.items.reward_calls import RewardCalls, RewardCallState, is_good
 from rackswitch.gateway.items.run_load_tracker import RunLoadTracker
 from rackswitch.gateway.placement_log import placement_event
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
@@ -108,7 +109,7 @@
     __slots__ = (
         "_context",
         "_item_client",
-        "_dispatcher",
+        "_reward_calls",
         "_stop_timeouts",
         "_quarantine",
         "forecast",
@@ -131,7 +132,7 @@
         self._quarantine = quarantine
         self._context = context
         self._item_client = item_client
-        self._dispatcher = dispatcher
+        self._reward_calls = RewardCalls(context, dispatcher)
         self.paces = paces
         self.spare: dict[str, SpareCapacity] = {}
         self.load_tracker = RunLoadTracker(context)
@@ -416,15 +417,15 @@
             return
         # The call is internal: it carries no API key and no tenant.
         call = Call(reward.request_id, reward.host, "POST", reward.path, (), reward.body)
+        state = RewardCallState()
         while not ledger.ended:
             route = self._context.routes.find(reward.host, reward.path.partition("?")[0])
             if route is None:
                 await asyncio.sleep(REWARD_RETRY_DELAY_SECONDS)
                 continue
             deadline_seconds = self._context.now_seconds() + route.timeout_seconds
-            log = self._dispatcher.new_log(route)
-            answer = await self._dispatcher.call(
-                route, call, deadline_seconds, log, reward_of=ledger.job.tenant
+            answer = await self._reward_calls.call(
+                route, call, deadline_seconds, ledger.job.tenant, state
             )
             outcome = answer.outcome
             self._context.log.write(
@@ -436,6 +437,7 @@
                     attempts=answer.attempts,
                     failures=answer.failures,
                     outcome=outcome_label(outcome),
+                    is_hedged=state.is_hedged,
                     place=placement_event(
                         self._context,
                         answer.estimate,
@@ -444,7 +446,7 @@
                     ),
                 )
             )
-            if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
+            if isinstance(outcome, TargetAnswer) and is_good(answer):
                 ledger.record_score(progress, server_stamp(outcome))
                 return
             if not ledger.record_reward_failures(progress, answer.failures, route.most_attempts):
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -20,6 +20,7 @@
     item_tokens,
     plan_starts,
     spare_capacities,
+    startable_before_report,
     tokens_at_end,
 )
 from rackswitch.platform.item_runs import ItemRunEnd
@@ -207,7 +208,7 @@
         return EngineCapacity(
             listed.instance,
             listed.service,
-            free.slots,
+            self._startable(listed, free.slots, slots),
             self._runner.paces.get(listed.start, now_seconds),
             versions,
             slots,
@@ -217,6 +218,14 @@
             free.tokens,
         )
 
+    def _startable(self, listed: ListedTarget, free_slots: int, slots: int) -> int:
+        """Return how many runs an engine may get now; fewer than are free with several regions."""
+        if not self._context.regions.has_regions:
+            return free_slots
+        reported_at_seconds = self._runner.occupancy.reported_at_seconds(listed.instance)
+        unanswered = self._runner.own_runs.unanswered_count(listed.start, reported_at_seconds)
+        return startable_before_report(free_slots, slots, unanswered)
+
     def _free_tokens(self, listed: ListedTarget, is_load_based: bool, now_seconds: float) -> float:
         """Return an engine's free memory in tokens; infinite if memory is not considered."""
         runner = self._runner
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -4,6 +4,8 @@
 from rackswitch.jobs.checkpoints import __all__ as _checkpoints_all
 from rackswitch.jobs.engine_memory import *  # noqa: F403
 from rackswitch.jobs.engine_memory import __all__ as _engine_memory_all
+from rackswitch.jobs.first_fill import *  # noqa: F403
+from rackswitch.jobs.first_fill import __all__ as _first_fill_all
 from rackswitch.jobs.hand_over import *  # noqa: F403
 from rackswitch.jobs.hand_over import __all__ as _hand_over_all
 from rackswitch.jobs.leaving import *  # noqa: F403
@@ -38,6 +40,7 @@
 __all__ = [
     *_checkpoints_all,
     *_engine_memory_all,
+    *_first_fill_all,
     *_hand_over_all,
     *_leaving_all,
     *_ledger_all,
--- a/rackswitch/jobs/local_runs.py
+++ b/rackswitch/jobs/local_runs.py
@@ -78,3 +78,10 @@
     def queued_count(self, start: str, now_seconds: float) -> int:
         """Return how many runs at one start of an engine are probably in its queue."""
         return sum(run.is_queued(now_seconds) for run in self.by_start.get(start, {}).values())
+
+    def unanswered_count(self, start: str, since_seconds: float) -> int:
+        """Return how many runs at one start of an engine were sent later and have not begun."""
+        return sum(
+            not run.has_begun and run.sent_at_seconds >= since_seconds
+            for run in self.by_start.get(start, {}).values()
+        )
--- a/rackswitch/jobs/occupancy.py
+++ b/rackswitch/jobs/occupancy.py
@@ -31,6 +31,7 @@
 class _OtherRuns:
     count: int
     until_seconds: float
+    reported_at_seconds: float
 
 
 @dataclass(slots=True)
@@ -52,9 +53,14 @@
         """Record an engine's load report, which includes this daemon's runs there."""
         other_count = load.running + load.waiting - self.own_runs.get(instance, 0)
         self._other_runs[instance] = _OtherRuns(
-            max(0, other_count), now_seconds + LOAD_REPORT_LIFETIME_SECONDS
+            max(0, other_count), now_seconds + LOAD_REPORT_LIFETIME_SECONDS, now_seconds
         )
 
+    def reported_at_seconds(self, instance: str) -> float:
+        """Return when an engine last reported its load (monotonic); minus infinity if never."""
+        other_runs = self._other_runs.get(instance)
+        return other_runs.reported_at_seconds if other_runs is not None else float("-inf")
+
     def last_reported_other_runs(self, instance: str) -> int | None:
         """Return the number of other daemons' runs by an engine's last report, however old.
 
--- a/rackswitch/requests/attempts.py
+++ b/rackswitch/requests/attempts.py
@@ -86,6 +86,9 @@
         Maximum number of further attempts that targets report as not begun.
     began_at_unix_seconds : float or None
         When the request first began at a target, as far as this is known; None if it has not.
+    sent_to, sent_at_seconds : str, float
+        Target of the attempt in progress, empty if there is none, and when it was sent (event loop
+        time).
     """
 
     repeatable: bool
@@ -93,6 +96,8 @@
     max_attempts: int = MAX_ATTEMPTS
     max_refusals: int = 0
     began_at_unix_seconds: float | None = None
+    sent_to: str = ""
+    sent_at_seconds: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
@@ -116,9 +121,15 @@
         """Check, as an attempt starts, that it is allowed."""
         check_invariant(self.may_begin(), "a request that may have run must not be repeated")
 
+    def record_send(self, target: str, now_seconds: float) -> None:
+        """Record the start of an attempt."""
+        self.sent_to = target
+        self.sent_at_seconds = now_seconds
+
     def record_end(self, end: AttemptEnd) -> None:
         """Record an attempt's end."""
         self.ends.append(end)
+        self.sent_to = ""
 
     def give_up(self, now_seconds: float) -> NotRun | MayHaveRun:
         """Return the final answer: `NotRun` only if no attempt may have begun."""
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -208,7 +208,13 @@
 
 @register_event
 class RewardCallEnded(Event, tag="reward call ended", frozen=True):
-    """A call that scores an item's text ended."""
+    """A call that scores an item's text ended.
+
+    Attributes
+    ----------
+    is_hedged : bool
+        Whether it was sent a second time because the first stayed without an answer.
+    """
 
     job: str
     item: str
@@ -218,6 +224,7 @@
     failures: int
     outcome: str
     place: EstimateLogged | None = None
+    is_hedged: bool = False
 
     @property
     def is_routine(self) -> bool:
