Measured delays of network paths count in finish times

Cause: with 30 ms between regions a fixed initial delay of 1 ms makes far targets look near.

Change: the delay by zone is the least of the latest round trips (connections opened to targets, load reports of engines, replica polls less their holding time), and is applied to the targets of the zone. Typical times are learnt without the path. Calls to daemons in another region get the measured round trip on top of their timeouts. Only where the zones span several regions.

--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -91,7 +91,13 @@
         if not has_open_connection:
             arrival_seconds += 2 * target.one_way_seconds + CONNECT_SECONDS
         return self._context.load_estimator.estimate(
-            listed, WorkKind.CALL, 1.0, now_seconds, arrival_seconds, has_open_connection
+            listed,
+            WorkKind.CALL,
+            1.0,
+            now_seconds,
+            arrival_seconds,
+            has_open_connection,
+            self._context.path_class(listed.zone),
         )
 
     def estimates(self, service: str) -> list[TargetEstimate]:
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -10,7 +10,15 @@
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.gateway.store.reachability import StoreReachability
 from rackswitch.platform.settings import NodeSettings
-from rackswitch.routing import Eligibility, LoadEstimator, RegionMap, Target, TargetDirectory
+from rackswitch.routing import (
+    Eligibility,
+    LoadEstimator,
+    PathClass,
+    PathDelays,
+    RegionMap,
+    Target,
+    TargetDirectory,
+)
 from rackswitch.table import LimitsRow, RouteIndex
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
@@ -65,6 +73,8 @@
         When the key-value service last confirmed the list of targets (monotonic).
     connection_limits : ConnectionLimits
         Idle and header timeouts of callers' connections, from the table.
+    path_delays : PathDelays
+        Measured network delays by zone; used only in deployments with several regions.
     """
 
     settings: NodeSettings
@@ -83,10 +93,13 @@
     list_confirmed_at_seconds: float = float("-inf")
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
+    path_delays: PathDelays = field(init=False)
 
     def __post_init__(self) -> None:
         regions = RegionMap(self.settings.zone, self.settings.region_of_zone)
         self.directory.eligibility = Eligibility(regions)
+        self.path_delays = PathDelays(regions)
+        self.load_estimator.excludes_paths = regions.has_regions
 
     @property
     def regions(self) -> RegionMap:
@@ -143,6 +156,35 @@
             or self.load_estimator.reports_pace(service)
         )
 
+    def path_class(self, zone: str) -> PathClass:
+        """Return how far a zone is; `SAME_REGION` for all zones without several regions."""
+        return self.regions.path_class(zone) if self.regions.has_regions else PathClass.SAME_REGION
+
+    def record_round_trip(self, zone: str, round_trip_seconds: float) -> None:
+        """Record a measured round trip to a zone, and apply it to the zone's targets."""
+        if self.regions.has_regions:
+            now_seconds = self.now_seconds()
+            self.path_delays.record_round_trip(zone, round_trip_seconds, now_seconds)
+            self._update_delays(zone, now_seconds)
+
+    def refresh_path_delays(self) -> None:
+        """Apply delays that were not measured for long to the targets."""
+        if self.regions.has_regions:
+            for zone in {target.zone for target in self.targets.values()}:
+                self._update_delays(zone, self.now_seconds())
+
+    def extra_timeout_seconds(self, zone: str) -> float:
+        """Return what a call to a daemon in a zone is allowed for the path to another region."""
+        if self.path_class(zone) is not PathClass.OTHER_REGION:
+            return 0.0
+        return 2 * self.path_delays.one_way_seconds(zone, self.now_seconds())
+
+    def _update_delays(self, zone: str, now_seconds: float) -> None:
+        one_way_seconds = self.path_delays.one_way_seconds(zone, now_seconds)
+        for target in self.targets.values():
+            if target.zone == zone:
+                target.one_way_seconds = one_way_seconds
+
     def list_age_seconds(self) -> float:
         """Return the age of the last confirmation of the list of targets; -1 if there is none."""
         age_seconds = self.now_seconds() - self.list_confirmed_at_seconds
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -107,7 +107,11 @@
         self.direct_transport = parts.direct
         self.log = parts.context.log
         self.context = GatewayContext(settings, parts.context, StoreReachability(self.log), policy)
-        self._sessions = TargetSessions(self._record_load_report)
+        has_regions = self.context.regions.has_regions
+        self._sessions = TargetSessions(
+            self._record_load_report, self.context.record_round_trip if has_regions else None
+        )
+        parts.context.links.extra_timeout_seconds = self.context.extra_timeout_seconds
         self._started_seconds = float("-inf")
         self._suspended_seconds = suspended_seconds()
         self.quarantine = QuarantineManager(self.context, lambda: self.replicas.is_complete)
@@ -344,4 +348,5 @@
     async def _forget_unlisted_targets(self) -> None:
         while True:
             self.context.remove_unlisted_estimates()
+            self.context.refresh_path_delays()
             await asyncio.sleep(UNLISTED_CHECK_INTERVAL_SECONDS)
--- a/rackswitch/gateway/items/load_poller.py
+++ b/rackswitch/gateway/items/load_poller.py
@@ -52,9 +52,12 @@
         await asyncio.gather(*(self._poll_target(target) for target in targets))
 
     async def _poll_target(self, target: ListedTarget) -> None:
+        asked_at_seconds = self._context.now_seconds()
         report = await self._order_client.report(target)
         if isinstance(report, EngineReport):
             now_seconds = self._context.now_seconds()
+            # An engine answers this request without work.
+            self._context.record_round_trip(target.zone, now_seconds - asked_at_seconds)
             load = EngineLoad(report.running, report.waiting)
             self._occupancy.record_load(target.instance, load, now_seconds)
             if self._on_report is not None:
--- a/rackswitch/gateway/items/run_load_tracker.py
+++ b/rackswitch/gateway/items/run_load_tracker.py
@@ -90,4 +90,11 @@
         units = load_estimator.typical_units(target.service, WorkKind.TEXT)
         target_state = self._context.targets.get(target.instance)
         arrival_seconds = 2 * target_state.one_way_seconds if target_state is not None else 0.0
-        return load_estimator.estimate(target, WorkKind.TEXT, units, now_seconds, arrival_seconds)
+        return load_estimator.estimate(
+            target,
+            WorkKind.TEXT,
+            units,
+            now_seconds,
+            arrival_seconds,
+            path_class=self._context.path_class(target.zone),
+        )
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -199,6 +199,9 @@
             GatewayPeersStub,
         )
         now_seconds = self._context.now_seconds()
+        if not isinstance(reply, PeerUnreachable):
+            round_trip_seconds = now_seconds - requested_at_seconds - reply.held_ms / 1000
+            self._context.record_round_trip(peer.zone, round_trip_seconds)
         if isinstance(reply, PeerUnreachable):
             self._record_follow_failure(self.selector.record_failure, name, reply.detail)
         elif reply.refused or len(reply.news) < len(self._replicas.by_prefix):
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -180,6 +180,9 @@
             self._context.load_estimator.forget(known.start)
         same_zone = listed.zone == self._context.settings.zone
         distance_seconds = SAME_ZONE_LATENCY_SECONDS if same_zone else OTHER_ZONE_LATENCY_SECONDS
+        if self._context.regions.has_regions:
+            now_seconds = self._context.now_seconds()
+            distance_seconds = self._context.path_delays.one_way_seconds(listed.zone, now_seconds)
         self._context.targets[listed.instance] = Target(
             listed.instance, listed.url, listed.zone, distance_seconds, start=listed.start
         )
--- a/rackswitch/peers/links.py
+++ b/rackswitch/peers/links.py
@@ -38,14 +38,27 @@
     ----------
     secret : str
         Shared secret that authenticates daemons of the fleet; empty if there is none.
+
+    Attributes
+    ----------
+    extra_timeout_seconds : callable
+        Returns what is added to the timeout of calls to a zone, for the delay of the path.
     """
 
-    __slots__ = ("_channels", "_secret", "blocked", "calls", "max_channels")
+    __slots__ = (
+        "_channels",
+        "_secret",
+        "blocked",
+        "calls",
+        "extra_timeout_seconds",
+        "max_channels",
+    )
 
     def __init__(self, secret: str):
         self._secret = secret
         self._channels: OrderedDict[tuple[str, int], Channel] = OrderedDict()
         self.calls = 0
+        self.extra_timeout_seconds: Callable[[str], float] = lambda zone: 0.0
         self.max_channels = MAX_CHANNELS
         self.blocked: set[str] = set()
         """Peers that tests make unreachable."""
@@ -62,6 +75,7 @@
         if peer.daemon in self.blocked:
             return PeerUnreachable("cut off")
         self.calls += 1
+        timeout_seconds += self.extra_timeout_seconds(peer.zone)
         stub = stub_kind(self._channel(peer.host, peer.peer_port))
         # Metadata values must not be empty.
         metadata = {SECRET_METADATA: self._secret} if self._secret else {}
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -4,6 +4,7 @@
 import functools
 import re
 from collections.abc import Callable
+from types import SimpleNamespace
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -13,7 +14,10 @@
 from rackswitch.platform.names import REQUEST_ID_HEADER
 from rackswitch.routing import ListedTarget, ReportedLoad
 
-__all__ = ["TargetSessions", "LoadReportCallback"]
+__all__ = ["ConnectCallback", "LoadReportCallback", "TargetSessions"]
+
+ConnectCallback = Callable[[str, float], None]
+"""Receives a target's zone and the time in seconds that a connection to it took to open."""
 
 LoadReportCallback = Callable[[ListedTarget, ReportedLoad], None]
 """Receives each load report of a target."""
@@ -57,6 +61,9 @@
     ----------
     on_load_report : callable, optional
         Called with each load report of a target.
+    on_connect : callable, optional
+        Called with the time of each new connection whose request names its target in
+        `trace_request_ctx`; connections are not timed by default.
 
     Attributes
     ----------
@@ -73,15 +80,20 @@
         "single_use",
     )
 
-    def __init__(self, on_load_report: LoadReportCallback | None = None) -> None:
+    def __init__(
+        self,
+        on_load_report: LoadReportCallback | None = None,
+        on_connect: ConnectCallback | None = None,
+    ) -> None:
         self._on_load_report = on_load_report
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._keep_alive_seconds_by_service: dict[str, float] = {}
         self._pooled_connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=self.keep_alive_seconds
         )
-        self.pooled = _session(self._pooled_connector)
-        self.single_use = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        traces = [_connect_trace(on_connect)] if on_connect is not None else []
+        self.pooled = _session(self._pooled_connector, traces)
+        self.single_use = _session(aiohttp.TCPConnector(limit=0, force_close=True), traces)
 
     def record_response(
         self, target: ListedTarget, answer: aiohttp.ClientResponse, request_id: str
@@ -130,7 +142,27 @@
         await asyncio.gather(self.pooled.close(), self.single_use.close())
 
 
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def _connect_trace(on_connect: ConnectCallback) -> aiohttp.TraceConfig:
+    """Return a trace that passes the time of each new connection to a target on."""
+
+    async def record_start(_session: object, context: SimpleNamespace, _params: object) -> None:
+        context.started_seconds = asyncio.get_running_loop().time()
+
+    async def record_end(_session: object, context: SimpleNamespace, _params: object) -> None:
+        target = context.trace_request_ctx
+        if isinstance(target, ListedTarget):
+            elapsed_seconds = asyncio.get_running_loop().time() - context.started_seconds
+            on_connect(target.zone, elapsed_seconds)
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(record_start)
+    trace.on_connection_create_end.append(record_end)
+    return trace
+
+
+def _session(
+    connector: aiohttp.TCPConnector, traces: list[aiohttp.TraceConfig]
+) -> aiohttp.ClientSession:
     loop = asyncio.get_running_loop()
     # The library has no public way to choose the handler.
     connector._factory = functools.partial(_CheckedResponseHandler, loop=loop)  # type: ignore[assignment]
@@ -140,4 +172,5 @@
         auto_decompress=False,
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=traces,
     )
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -137,7 +137,11 @@
             async with (
                 asyncio.timeout(first_byte_timeout_seconds) as timeout,
                 self._sessions.pooled.post(
-                    url, data=request.item.body, headers=headers, allow_redirects=False
+                    url,
+                    data=request.item.body,
+                    headers=headers,
+                    allow_redirects=False,
+                    trace_request_ctx=target,
                 ) as answer,
             ):
                 self._sessions.record_response(target, answer, request.item.item_id)
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -116,7 +116,7 @@
         try:
             async with (
                 asyncio.timeout(REPORT_TIMEOUT_SECONDS),
-                self._sessions.pooled.get(url, headers=headers) as answer,
+                self._sessions.pooled.get(url, headers=headers, trace_request_ctx=target) as answer,
             ):
                 self._sessions.record_load_report(target, answer)
                 content = await answer.read()
--- a/rackswitch/platform/target_calls.py
+++ b/rackswitch/platform/target_calls.py
@@ -107,6 +107,7 @@
             data=call.body or None,
             headers=headers,
             allow_redirects=False,
+            trace_request_ctx=target,
         )
 
 
--- a/rackswitch/routing/__init__.py
+++ b/rackswitch/routing/__init__.py
@@ -8,6 +8,8 @@
 from rackswitch.routing.eligibility import __all__ as _eligibility_all
 from rackswitch.routing.load_estimator import *  # noqa: F403
 from rackswitch.routing.load_estimator import __all__ as _load_estimator_all
+from rackswitch.routing.path_delays import *  # noqa: F403
+from rackswitch.routing.path_delays import __all__ as _path_delays_all
 from rackswitch.routing.placing import *  # noqa: F403
 from rackswitch.routing.placing import __all__ as _placing_all
 from rackswitch.routing.policies import *  # noqa: F403
@@ -26,6 +28,7 @@
     *_directory_all,
     *_eligibility_all,
     *_load_estimator_all,
+    *_path_delays_all,
     *_placing_all,
     *_policies_all,
     *_regions_all,
--- a/rackswitch/routing/load_estimator.py
+++ b/rackswitch/routing/load_estimator.py
@@ -15,6 +15,7 @@
 from enum import Enum
 
 from rackswitch.routing.directory import ListedTarget
+from rackswitch.routing.regions import PathClass
 from rackswitch.routing.reported_load import ReportedLoad
 from rackswitch.routing.target_estimates import TargetEstimate
 
@@ -219,8 +220,15 @@
     """Estimates of the targets' load, by start of a target.
 
     Another start under the same identity is another target and inherits nothing.
+
+    Attributes
+    ----------
+    excludes_paths : bool
+        Whether typical times are recorded without the network round trip, which differs between
+        the targets of several regions.
     """
 
+    excludes_paths: bool = False
     _loads: dict[str, _LoadEstimate] = field(default_factory=dict)
     _services: dict[str, _ServiceEstimate] = field(default_factory=dict)
 
@@ -310,7 +318,8 @@
         shared = self._service(sent.service)
         run_seconds = shared.run_seconds[sent.kind]
         if sent.estimate.wait_seconds(run_seconds) == 0.0:
-            self._update_typical_times(sent, took_seconds)
+            path_seconds = sent.estimate.round_trip_seconds if self.excludes_paths else 0.0
+            self._update_typical_times(sent, max(1e-4, took_seconds - path_seconds))
         if sent.kind is WorkKind.CALL:
             expected_seconds = sent.estimate.finish_seconds(units, run_seconds)
             log_ratio = math.log(took_seconds / expected_seconds)
@@ -365,6 +374,7 @@
         now_seconds: float,
         arrival_seconds: float = 0.0,
         is_at_hand: bool = False,
+        path_class: PathClass = PathClass.SAME_REGION,
     ) -> TargetEstimate:
         """Return the current estimate of a target.
 
@@ -380,6 +390,8 @@
             Network round trip.
         is_at_hand : bool, optional
             Whether an idle open connection to it exists.
+        path_class : PathClass, optional
+            How far it is.
         """
         load = self._loads.get(target.start) or _LoadEstimate()
         shared = self._services.get(target.service) or _ServiceEstimate()
@@ -401,6 +413,7 @@
             report_age_seconds=load.report_age_seconds(now_seconds),
             round_trip_seconds=arrival_seconds,
             has_idle_connection=is_at_hand,
+            path_class=path_class,
         )
 
     def typical_units(self, service: str, kind: WorkKind) -> float:
--- a/rackswitch/routing/target_estimates.py
+++ b/rackswitch/routing/target_estimates.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, replace
 
+from rackswitch.routing.regions import PathClass
+
 __all__ = ["TargetEstimate"]
 
 
@@ -28,6 +30,8 @@
         Network round trip, including a new connection if none is open.
     has_idle_connection : bool
         Whether an idle open connection to it exists.
+    path_class : PathClass
+        How far it is; `SAME_REGION` if the deployment has no regions.
     """
 
     instance: str
@@ -39,6 +43,7 @@
     report_age_seconds: float
     round_trip_seconds: float
     has_idle_connection: bool = False
+    path_class: PathClass = PathClass.SAME_REGION
 
     @property
     def free_slots(self) -> float:
