Calls stay in their region; late runs move to engines with free slots

Cause: calls were drawn among the targets of all regions alike, and a run at an engine that sends nothing was moved only after 2 s.

Change: a call's target is drawn in the caller's region while a target there is estimated to finish within half of the latency target, and otherwise unless another region's is earlier by a quarter; between equal finishes far targets weigh a quarter. A run without a first piece after 3 times the 90th percentile of its service's times (0.4 to 2 s) is moved once, to an engine with a free slot by its report. Only where the zones span several regions.

--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -261,7 +261,7 @@
 
     async def _next_target(self, state: _CallState) -> ListedTarget | NotRun | None:
         """Wait until a call may be sent; return its target, its refusal, or None for no target."""
-        target = self._pick(state.service, state.log, state.deadline_seconds)
+        target = self._pick(state)
         if target is None:
             return None
         if state.admission_request is not None:
@@ -273,7 +273,7 @@
             if refusal is not None or not state.is_admitted:
                 return refusal if isinstance(refusal, NotRun) else None
             # Chosen again, as the call may have waited.
-            target = self._pick(state.service, state.log, state.deadline_seconds)
+            target = self._pick(state)
             if target is None:
                 return None
         # Last, as this may claim a trial and the request must then be sent.
@@ -436,18 +436,19 @@
         directory = self._context.directory
         return sum(len(directory.usable(choice.serves, now_seconds)) for choice in route.choices)
 
-    def _pick(self, service: str, log: AttemptLog, deadline_seconds: float) -> ListedTarget | None:
+    def _pick(self, state: _CallState) -> ListedTarget | None:
         """Return a target; None if there is none or the deadline has passed.
 
         Without a usable target the call is refused at once, with a retry time.
         """
+        service, log, goal_seconds = state.service, state.log, state.route.goal_seconds
         now_seconds = self._context.now_seconds()
-        if now_seconds >= deadline_seconds:
+        if now_seconds >= state.deadline_seconds:
             return None
-        target = self._chooser.pick(service, log.tried_targets())
+        target = self._chooser.pick(service, log.tried_targets(), goal_seconds)
         if target is None and log.ends and (log.repeatable or not log.may_have_run):
             # All usable targets were tried: try one of them again.
-            target = self._chooser.pick(service, set())
+            target = self._chooser.pick(service, set(), goal_seconds)
         outage = self._outages.setdefault(service, OutageTracker())
         if target is None and not log.ends:
             outage.record_unavailable(now_seconds)
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -10,6 +10,7 @@
     Target,
     TargetEstimate,
     WorkKind,
+    call_candidates,
     usable_targets,
 )
 from rackswitch.table import RouteChoice, RouteRow
@@ -52,8 +53,12 @@
             return route.choices[0]
         return self._context.rng.choices(route.choices, weights)[0]
 
-    def pick(self, service: str, tried: set[str]) -> ListedTarget | None:
-        """Return a target of a service that is not in `tried`, or None."""
+    def pick(self, service: str, tried: set[str], goal_seconds: float = 0.0) -> ListedTarget | None:
+        """Return a target of a service that is not in `tried`, or None.
+
+        With several regions, one of this daemon's region if it can serve a call within a latency
+        target of `goal_seconds`.
+        """
         now_seconds = self._context.now_seconds()
         listed = {
             entry.instance: entry
@@ -64,7 +69,7 @@
             return None
         targets = [self._context.targets[instance] for instance in listed]
         if self._context.chooses_targets_by_load(service):
-            return listed[self._choose_by_load(service, listed, targets, now_seconds).name]
+            return listed[self._choose_by_load(service, listed, targets, goal_seconds).name]
         routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds)
         chosen = self._policy.choose(routed, usable_targets(targets, now_seconds))
         return listed[chosen.name]
@@ -74,13 +79,16 @@
         service: str,
         listed: dict[str, ListedTarget],
         targets: list[Target],
-        now_seconds: float,
+        goal_seconds: float,
     ) -> Target:
         """Return a target of a service whose targets are chosen by reported load."""
+        now_seconds = self._context.now_seconds()
         usable = usable_targets(targets, now_seconds)
         for target in usable:
             target.estimate = self._estimate(listed[target.name], target, now_seconds)
         run_seconds = self._context.load_estimator.typical_run_seconds(service, WorkKind.CALL)
+        if self._context.regions.has_regions:
+            usable = _near_targets(usable, run_seconds, goal_seconds)
         routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds, run_seconds)
         return self._by_load.choose(routed, usable)
 
@@ -155,3 +163,11 @@
             self._context.load_estimator.record_failure(target.start, now_seconds)
         else:
             self._context.load_estimator.record_refusal(target.start, now_seconds)
+
+
+def _near_targets(targets: list[Target], run_seconds: float, goal_seconds: float) -> list[Target]:
+    """Return the targets that a call may use, in view of their regions."""
+    estimates = [target.estimate for target in targets if target.estimate is not None]
+    candidates = call_candidates(estimates, 1.0, run_seconds, goal_seconds)
+    names = {estimate.instance for estimate in candidates}
+    return [target for target in targets if target.name in names]
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -11,6 +11,7 @@
 )
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.items.late_run_mover import LateRunMover
 from rackswitch.gateway.items.reward_calls import RewardCalls, RewardCallState, is_good
 from rackswitch.gateway.items.run_load_tracker import RunLoadTracker
 from rackswitch.gateway.placement_log import placement_event
@@ -43,7 +44,7 @@
 from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.telemetry import events
 
-__all__ = ["ItemRunner"]
+__all__ = ["LATE_DETAIL", "ItemRunner"]
 
 FIRST_PIECE_TIMEOUT_SECONDS = 2.0
 """Longer than a full engine usually queues a run. If other runs there still progress, the run is
@@ -60,7 +61,8 @@
 
 MOVED_DETAIL = "goes on at a faster engine"
 LEFT_DETAIL = "goes on elsewhere before its engine leaves"
-MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL)
+LATE_DETAIL = "goes on elsewhere, as its engine sent nothing for long"
+MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL, LATE_DETAIL)
 """Details of runs that were stopped here to continue elsewhere, without any failure."""
 
 ENDS_WITH_ANSWER = (ItemRunEnd.COMPLETE, ItemRunEnd.FAILED, ItemRunEnd.IMPOSSIBLE)
@@ -100,6 +102,8 @@
         Forecast of text lengths from earlier runs, and the number of runs at each engine.
     own_runs, memory : LocalRuns, EngineMemory
         This daemon's runs in progress, and the memory that engines reported.
+    late_runs : LateRunMover
+        Finds runs that wait long for their first piece.
     load_tracker : RunLoadTracker
         Counts the runs in the load estimates of engines.
     spare : dict of str to SpareCapacity
@@ -110,9 +114,11 @@
         "_context",
         "_item_client",
         "_reward_calls",
+        "_stop_details",
         "_stop_timeouts",
         "_quarantine",
         "forecast",
+        "late_runs",
         "load_tracker",
         "memory",
         "occupancy",
@@ -140,7 +146,9 @@
         self.occupancy = EngineOccupancy()
         self.own_runs = LocalRuns()
         self.memory = EngineMemory()
+        self.late_runs = LateRunMover(context, self.own_runs, FIRST_PIECE_TIMEOUT_SECONDS)
         self._stop_timeouts: dict[tuple[str, str], asyncio.Timeout] = {}
+        self._stop_details: dict[tuple[str, str], str] = {}
 
     async def run(
         self,
@@ -173,6 +181,9 @@
             self.load_tracker.record_end(
                 sent_request, ended, progress.last_number - first_piece_number + 1
             )
+        if intervals.first_at_seconds is not None:
+            first_piece_seconds = intervals.first_at_seconds - began_at_seconds
+            self.late_runs.record_first_piece(target, first_piece_seconds)
         now_seconds = self._context.now_seconds()
         fingerprint = self._report_to_quarantine(
             ledger.job, progress.item, target, ended, intervals
@@ -202,16 +213,19 @@
         self._record_end(ledger, progress, target, ended, may_be_queued)
         return ended
 
-    def stop_run(self, key: tuple[str, str]) -> None:
+    def stop_run(self, key: tuple[str, str], detail: str = LEFT_DETAIL) -> None:
         """Stop a run that will continue elsewhere; does nothing if it has ended.
 
         Parameters
         ----------
         key : (str, str)
             The job id and the item id.
+        detail : str, optional
+            Why it is stopped, one of `MOVE_DETAILS`.
         """
         stop_timeout = self._stop_timeouts.get(key)
         if stop_timeout is not None and not stop_timeout.expired():
+            self._stop_details[key] = detail
             stop_timeout.reschedule(asyncio.get_running_loop().time())
 
     def record_memory(self, target: ListedTarget, report: EngineReport) -> None:
@@ -245,11 +259,12 @@
         except TimeoutError:
             if not stop_timeout.expired():
                 raise
-            return ItemRunEnded(ItemRunEnd.INTERRUPTED, LEFT_DETAIL)
+            return ItemRunEnded(ItemRunEnd.INTERRUPTED, self._stop_details[run.key])
         finally:
             self.own_runs.remove(run)
             if self._stop_timeouts.get(run.key) is stop_timeout:
                 del self._stop_timeouts[run.key]
+                self._stop_details.pop(run.key, None)
 
     async def quarantined_until(self, job: Job, item: JobItem) -> float | None:
         """Return until when quarantine holds an item (monotonic); None if it may be sent now."""
--- a/rackswitch/gateway/items/tests/test_region_load.py
+++ b/rackswitch/gateway/items/tests/test_region_load.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rackswitch.daemon.tests.support import run_on_virtual_clock
+from rackswitch.gateway.items.item_runner import FIRST_PIECE_TIMEOUT_SECONDS
 from rackswitch.gateway.items.tests.region_load import (
     OWNER_COUNT,
     SLOTS,
@@ -69,3 +70,26 @@
         ]
 
     assert run_on_virtual_clock(scenario()) == [False, True]
+
+
+def test_runs_at_a_stalled_engine_are_moved_before_the_timeout():
+    """Guards against steps that wait 2 s for an engine that accepts runs and sends nothing."""
+
+    async def scenario(knows_regions: bool):
+        steps = [make_step(f"j{number}", [15] * 10) for number in range(6)]
+        zones = {f"e{number}": "ga" for number in range(6)}
+        engines = RegionEngines(lengths_of(*steps), zones=zones, paces=dict.fromkeys(zones, 1.0))
+        owner = RegionOwner(0, engines, knows_regions, SEED)
+        for step in steps[:-1]:
+            owner.add_job(step)
+            await owner.run_for(10.0)
+            owner.owned.clear()
+        engines.stalled.add("e0")
+        owner.add_job(steps[-1])
+        began_seconds = owner.context.now_seconds()
+        await owner.run_for(10.0)
+        assert owner.is_complete()
+        return owner.context.now_seconds() - began_seconds
+
+    assert run_on_virtual_clock(scenario(False)) > FIRST_PIECE_TIMEOUT_SECONDS
+    assert run_on_virtual_clock(scenario(True)) < FIRST_PIECE_TIMEOUT_SECONDS
--- a/rackswitch/gateway/placement_log.py
+++ b/rackswitch/gateway/placement_log.py
@@ -24,4 +24,5 @@
         pace=round(estimate.pace, 3),
         wait_seconds=round(estimate.wait_seconds(run_seconds), 4),
         word_age_seconds=round(estimate.report_age_seconds, 3) if has_report else -1.0,
+        path=estimate.path_class.name.lower() if context.regions.has_regions else "",
     )
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -6,6 +6,8 @@
 from rackswitch.jobs.engine_memory import __all__ as _engine_memory_all
 from rackswitch.jobs.first_fill import *  # noqa: F403
 from rackswitch.jobs.first_fill import __all__ as _first_fill_all
+from rackswitch.jobs.first_pieces import *  # noqa: F403
+from rackswitch.jobs.first_pieces import __all__ as _first_pieces_all
 from rackswitch.jobs.hand_over import *  # noqa: F403
 from rackswitch.jobs.hand_over import __all__ as _hand_over_all
 from rackswitch.jobs.leaving import *  # noqa: F403
@@ -41,6 +43,7 @@
     *_checkpoints_all,
     *_engine_memory_all,
     *_first_fill_all,
+    *_first_pieces_all,
     *_hand_over_all,
     *_leaving_all,
     *_ledger_all,
--- a/rackswitch/jobs/progress.py
+++ b/rackswitch/jobs/progress.py
@@ -59,6 +59,8 @@
         one.
     moves : int
         Runs that were ended to continue at a faster engine.
+    late_moves : int
+        Moves of runs that had waited long for their first piece.
     avoided_instance : str
         Target of the last interrupted run; the next run prefers another one.
     """
@@ -71,6 +73,7 @@
     reward_failures: int = 0
     run_number: int = 0
     moves: int = 0
+    late_moves: int = 0
     avoided_instance: str = ""
     not_before_seconds: float = 0.0
     result: JobResult | None = None
--- a/rackswitch/routing/__init__.py
+++ b/rackswitch/routing/__init__.py
@@ -6,6 +6,8 @@
 from rackswitch.routing.directory import __all__ as _directory_all
 from rackswitch.routing.eligibility import *  # noqa: F403
 from rackswitch.routing.eligibility import __all__ as _eligibility_all
+from rackswitch.routing.home_region import *  # noqa: F403
+from rackswitch.routing.home_region import __all__ as _home_region_all
 from rackswitch.routing.load_estimator import *  # noqa: F403
 from rackswitch.routing.load_estimator import __all__ as _load_estimator_all
 from rackswitch.routing.path_delays import *  # noqa: F403
@@ -27,6 +29,7 @@
     *_admission_all,
     *_directory_all,
     *_eligibility_all,
+    *_home_region_all,
     *_load_estimator_all,
     *_path_delays_all,
     *_placing_all,
--- a/rackswitch/routing/placing.py
+++ b/rackswitch/routing/placing.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Sequence
 
+from rackswitch.routing.regions import PathClass
 from rackswitch.routing.target_estimates import TargetEstimate
 
 __all__ = ["choose_target"]
@@ -45,6 +46,10 @@
 MIN_FREE_SLOTS_WEIGHT = 0.25
 """Weight of a target without a free slot; each free slot of another counts 1."""
 
+OTHER_REGION_WEIGHT = 0.25
+"""Weight of a target in another region between equal finishes, relative to one in this region: the
+bytes to it cost four times as much."""
+
 
 def choose_target(
     estimates: Sequence[TargetEstimate], units: float, run_seconds: float, rng: random.Random
@@ -84,7 +89,9 @@
 
 def _weight(estimate: TargetEstimate) -> float:
     """Return a target's weight in the draw, by its free slots and pace."""
-    return max(MIN_FREE_SLOTS_WEIGHT, estimate.free_slots) / estimate.pace
+    weight = max(MIN_FREE_SLOTS_WEIGHT, estimate.free_slots) / estimate.pace
+    is_far = estimate.path_class is PathClass.OTHER_REGION
+    return weight * OTHER_REGION_WEIGHT if is_far else weight
 
 
 def _stale_spread_seconds(estimates: Sequence[TargetEstimate], run_seconds: float) -> float:
--- a/rackswitch/telemetry/events/estimates.py
+++ b/rackswitch/telemetry/events/estimates.py
@@ -20,6 +20,8 @@
         Estimated wait for a slot.
     word_age_seconds : float
         Age of the target's last load report; -1 if there was none.
+    path : str
+        How far the target is, in a deployment with several regions; empty in others.
     """
 
     slots: int
@@ -28,3 +30,4 @@
     pace: float
     wait_seconds: float
     word_age_seconds: float
+    path: str = ""
