Replication and hand-over by region; counters by path class

Cause: each zone of a far region followed the root over the link between regions, and jobs were handed over and adopted without regard to regions.

Change: one daemon of each other region follows the root and the region's zones follow that one; successors and adopters of a job are ordered by region and by zone; requests to targets are counted and logged by path class.

--- a/rackswitch/gateway/jobs/hand_over_sender.py
+++ b/rackswitch/gateway/jobs/hand_over_sender.py
@@ -21,6 +21,7 @@
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
 from rackswitch.peers.links import PeerUnreachable
+from rackswitch.routing import PathClass
 from rackswitch.telemetry.events import JobHandedOver
 
 __all__ = ["HandOverSender"]
@@ -148,6 +149,7 @@
                     ),
                 ),
                 zone == context.settings.zone,
+                context.path_class(zone) is not PathClass.OTHER_REGION,
             )
             for name, zone in context.daemon.membership.live_zones()
             if name != context.daemon_name
--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -19,6 +19,7 @@
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.store.session import Session
 from rackswitch.jobs import Job, JobCheckpoint, OrphanedJobs, order_jobs
+from rackswitch.routing import RegionMap
 from rackswitch.telemetry.events import JobNotOwned
 
 __all__ = ["JobClaims"]
@@ -155,9 +156,28 @@
             return
         released = self._is_released(key_part)
         live = self._context.daemon.membership.live()
-        if self._orphans.try_claim(key_part, live, owned is not None, released, now_seconds):
+        distances = self._distances_from_former_owner(key_part)
+        if self._orphans.try_claim(
+            key_part, live, owned is not None, released, now_seconds, distances
+        ):
             self._context.daemon.spawn(self.claim(job_id, marker_revision))
 
+    def _distances_from_former_owner(self, key_part: str) -> dict[str, int] | None:
+        """Return how far each live daemon is from a job's former owner; None if it is unknown.
+
+        Always None without several regions.
+        """
+        context = self._context
+        former_owner = self._known.former_owner(key_part)
+        if not context.regions.has_regions or former_owner not in context.member_entries:
+            return None
+        zone = context.member_entries[former_owner].zone
+        regions = RegionMap(zone, context.regions.region_of_zone)
+        return {
+            name: int(regions.path_class(member_zone))
+            for name, member_zone in context.daemon.membership.live_zones()
+        }
+
     def _probe(self) -> None:
         """Probe the key-value service and the lease at intervals while this daemon runs jobs."""
         now_seconds = self._context.now_seconds()
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -175,11 +175,18 @@
         if live != self._live_zones:
             self._live_zones = live
             self._tree = DistributionTree(
-                TreeMember(name, zone, self._context.processor_share_of(name))
+                TreeMember(
+                    name, zone, self._context.processor_share_of(name), self._tree_region(zone)
+                )
                 for name, zone in live
             )
         return self._tree
 
+    def _tree_region(self, zone: str) -> str:
+        """Return the region of a zone in the tree; empty without several regions."""
+        regions = self._context.regions
+        return regions.region(zone) if regions.has_regions else ""
+
     async def poll_source(self, name: str, level: int) -> None:
         """Request changes from another daemon and record the outcome.
 
--- a/rackswitch/jobs/hand_over.py
+++ b/rackswitch/jobs/hand_over.py
@@ -28,10 +28,13 @@
         Its open items and its capacity.
     in_zone : bool
         Whether it is in the stopping owner's availability zone.
+    in_region : bool
+        Whether it is in that zone's region; true in deployments without regions.
     """
 
     owner: OwnerCandidate
     in_zone: bool
+    in_region: bool = True
 
 
 def is_restarted(
@@ -64,8 +67,9 @@
 ) -> list[str]:
     """Return the daemons to offer a job to, best first.
 
-    Restarted daemons come first, since the others may be stopped next; then daemons of the owner's
-    zone, those with capacity, and those with open connections for a job's items.
+    Daemons of the owner's region come first, since the job's trainer is most likely there. Among
+    them restarted daemons come first, since the others may be stopped next; then daemons of the
+    owner's zone, those with capacity, and those with open connections for a job's items.
 
     Parameters
     ----------
@@ -83,6 +87,7 @@
 
 def _successor_key(candidate: SuccessorCandidate, items: int) -> tuple[bool, ...]:
     return (
+        not candidate.in_region,
         not candidate.owner.is_restarted,
         not candidate.in_zone,
         not candidate.owner.has_capacity(items),
--- a/rackswitch/jobs/orphaned_jobs.py
+++ b/rackswitch/jobs/orphaned_jobs.py
@@ -1,5 +1,6 @@
 """When a daemon may claim a job that has no owner."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from rackswitch.leases import rank_candidates
@@ -15,6 +16,9 @@
 
 MAX_RANK = 4
 
+MAX_DISTANCE = 2
+"""Distance of a daemon whose zone is not known: that of another region."""
+
 
 @dataclass(slots=True)
 class OrphanedJobs:
@@ -54,6 +58,7 @@
         has_state: bool,
         released: bool,
         now_seconds: float,
+        distances: Mapping[str, int] | None = None,
     ) -> bool:
         """Return whether to claim a job now; if so, delay the next claim.
 
@@ -69,11 +74,15 @@
             Whether the former owner released the job, so that no delay is needed for it.
         now_seconds : float
             Monotonic clock.
+        distances : mapping of str to int, optional
+            How far each daemon is from the former owner; nearer ones rank first.
         """
         orphaned_at_seconds = self.orphaned_at_seconds.get(name)
         if orphaned_at_seconds is None or now_seconds < self.next_claim_seconds.get(name, 0.0):
             return False
         ranked_daemons = rank_candidates(name, live_daemons)
+        if distances is not None:
+            ranked_daemons.sort(key=lambda daemon: distances.get(daemon, MAX_DISTANCE))
         rank = ranked_daemons.index(self.daemon) if self.daemon in ranked_daemons else MAX_RANK
         # The first delay is reserved for a former owner that reclaims the job.
         delay_rank = 0 if has_state else min(rank, MAX_RANK) + (not released)
--- a/rackswitch/jobs/tests/test_hand_over.py
+++ b/rackswitch/jobs/tests/test_hand_over.py
@@ -4,6 +4,7 @@
 from rackswitch.jobs import (
     JobCheckpoint,
     JobLedger,
+    OrphanedJobs,
     OwnerCandidate,
     SuccessorCandidate,
     checkpoint_items,
@@ -88,3 +89,28 @@
     assert by_id["i0"].result is not None
     assert by_id["i1"].pieces == ("x", "y")
     assert len(merged.items) == 2
+
+
+def test_successors_in_the_own_region_come_first():
+    """Guards against jobs whose results and reward calls cross the link between regions."""
+    far = SuccessorCandidate(OwnerCandidate("a", 0.5, 0, 0.0, True), False, in_region=False)
+    near = [candidate("b", in_zone=False), candidate("c"), candidate("d", items=10_000)]
+    assert order_successors("j", 10, [far, *near]) == ["c", "d", "b", "a"]
+
+
+def test_daemons_near_the_former_owner_claim_a_job_first():
+    """Guards against an adoption in another region while a daemon of the own one is live."""
+    live = [f"d{number}" for number in range(12)]
+    distances = {name: 0 if name == "d7" else 1 if name in ("d3", "d9") else 2 for name in live}
+
+    def first_claim_seconds(daemon: str) -> float:
+        orphaned_jobs = OrphanedJobs(daemon)
+        orphaned_jobs.record_orphaned("j", 0.0)
+        now_seconds = 0.0
+        while not orphaned_jobs.try_claim("j", live, False, True, now_seconds, distances):
+            now_seconds += 0.1
+        return now_seconds
+
+    times = {daemon: first_claim_seconds(daemon) for daemon in live}
+    assert min(live, key=times.__getitem__) == "d7"
+    assert sorted(live, key=times.__getitem__)[1:3] in (["d3", "d9"], ["d9", "d3"])
--- a/rackswitch/platform/tests/test_target_calls.py
+++ b/rackswitch/platform/tests/test_target_calls.py
@@ -186,3 +186,24 @@
         for source, report in received
     ]
     assert reports == ([(target.start, 6, 9, 6, 1.2)] if is_recorded else [])
+
+
+def test_times_new_connections_by_the_zone_of_their_target():
+    """Guards against path delays that are never measured, or measured on reused connections."""
+
+    async def scenario():
+        measured = []
+        sessions = TargetSessions(on_connect=lambda zone, seconds: measured.append((zone, seconds)))
+        client = TargetClient(sessions)
+        deadline_seconds = asyncio.get_running_loop().time() + 2.0
+        answer = HEAD + b"Content-Length: 2\r\n\r\nok"
+        async with keep_alive_target(answer) as (target, _):
+            for _ in range(2):
+                result = await client.forward(target, CALL, deadline_seconds, False)
+                assert isinstance(result, TargetAnswer)
+        await sessions.close()
+        return target.zone, measured
+
+    zone, measured = asyncio.run(scenario())
+    assert [measured_zone for measured_zone, _ in measured] == [zone]
+    assert 0.0 < measured[0][1] < 2.0
--- a/rackswitch/spread/tests/test_tree.py
+++ b/rackswitch/spread/tests/test_tree.py
@@ -1,3 +1,5 @@
+import random
+
 import hypothesis.strategies as st
 import pytest
 from hypothesis import given
@@ -78,3 +80,53 @@
         sources = tree.sources(member.daemon)
         if len(members) > 2 and member.daemon not in (tree.root, tree.standby):
             assert len(sources) >= 2
+
+
+def region_fleet(seed: int, count: int) -> list[TreeMember]:
+    rng = random.Random(seed)
+    zones = {f"z{n}": f"r{n % 2}" for n in range(ZONES)}
+    drawn = [rng.choice(sorted(zones)) for _ in range(count)]
+    return [
+        TreeMember(f"d{n}", zone, rng.choice([0.5, 0.7]), zones[zone])
+        for n, zone in enumerate(drawn)
+    ]
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("count", [5, 30, 165])
+def test_entries_cross_the_link_between_regions_once(seed, count):
+    """Guards against a copy of each entry over the link between regions for each zone."""
+    members = region_fleet(seed, count)
+    tree = DistributionTree(members)
+    regions = {member.daemon: member.region for member in members}
+    crossing = []
+    for name in regions:
+        sources = tree.sources(name)
+        assert name not in sources
+        if sources and regions[sources[0]] != regions[name]:
+            crossing.append(name)
+        assert tree.level(name) <= 4
+    assert len(crossing) == len(set(regions.values())) - 1
+
+
+def test_the_head_of_a_region_is_replaced_when_it_is_lost():
+    """Guards against a region without updates after the daemon that relays them has ended."""
+    members = region_fleet(1, 30)
+    tree = DistributionTree(members)
+    root_region = next(member.region for member in members if member.daemon == tree.root)
+    far = [member.daemon for member in members if member.region != root_region]
+    [head] = [name for name in far if tree.sources(name)[0] == tree.root]
+    assert all(tree.root in tree.sources(name) for name in far)
+    remaining = DistributionTree(member for member in members if member.daemon != head)
+    assert [name for name in far if name != head and remaining.sources(name)[0] == tree.root]
+
+
+def test_one_region_has_the_same_tree_as_none():
+    """Guards against other sources in deployments without several regions."""
+    members = fleet(40)
+    tree = DistributionTree(members)
+    regional = DistributionTree(
+        TreeMember(member.daemon, member.zone, member.cpu_share, "r") for member in members
+    )
+    for member in members:
+        assert tree.sources(member.daemon) == regional.sources(member.daemon)
--- a/rackswitch/spread/tree.py
+++ b/rackswitch/spread/tree.py
@@ -2,9 +2,11 @@
 
 One daemon, the root, watches the service. In each availability zone one daemon follows the
 root, and the others of the zone follow that one or each other, so an entry is sent to each
-zone once. Every daemon computes the tree from the members that it knows. If their estimates
-differ for a moment, a daemon may follow one that is not above it; this is harmless, because
-each step reports the correct age of its data.
+zone once. In each region other than the root's, one daemon follows the root and the other zones
+of the region follow that one, so an entry crosses the link between two regions once. Every daemon
+computes the tree from the members that it knows. If their estimates differ for a moment, a daemon
+may follow one that is not above it; this is harmless, because each step reports the correct age of
+its data.
 """
 
 from collections.abc import Iterable
@@ -25,11 +27,14 @@
     ----------
     cpu_share : float
         Share of a processor that its VM has; 0 if it is not known.
+    region : str
+        Region of its zone; empty in deployments without regions and for unlisted zones.
     """
 
     daemon: str
     zone: str
     cpu_share: float = 0.0
+    region: str = ""
 
 
 class DistributionTree:
@@ -49,14 +54,21 @@
         root if there is one. Empty if there is only the root.
     """
 
-    __slots__ = ("_zone_members", "_zones", "root", "standby")
+    __slots__ = ("_region_heads", "_zone_members", "_zones", "root", "standby")
 
     def __init__(self, members: Iterable[TreeMember]):
         ordered = sorted(members, key=_rank_key)
         self._zone_members: dict[str, list[str]] = {}
         self._zones = {member.daemon: member.zone for member in ordered}
+        region_heads: dict[str, str] = {}
         for member in ordered:
             self._zone_members.setdefault(member.zone, []).append(member.daemon)
+            region_heads.setdefault(member.region, member.daemon)
+        self._region_heads = {
+            member.daemon: region_heads[member.region]
+            for member in ordered
+            if member.region != ordered[0].region
+        }
         self.root = ordered[0].daemon if ordered else ""
         others = [member for member in ordered[1:] if member.zone != ordered[0].zone]
         self.standby = (others or ordered[1:2] or [TreeMember("", "")])[0].daemon
@@ -79,6 +91,9 @@
             if position
             else []
         )
+        region_head = self._region_heads.get(daemon, daemon)
+        if region_head != daemon:
+            chosen.append(region_head)
         return tuple(dict.fromkeys([*chosen, self.root, self.standby]))
 
     def level(self, daemon: str) -> int:
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -87,6 +87,7 @@
         "load_orders",
         "named_version",
         "oldest_wait",
+        "path_requests",
         "positions",
         "refusals",
         "record_request",
@@ -164,6 +165,10 @@
         self.items_given_up = meter.create_counter(
             "rackswitch_items_given_up", description="Items listed without a text."
         )
+        self.path_requests = meter.create_counter(
+            "rackswitch_path_requests",
+            description="Requests to targets by path class and reason, with several regions.",
+        )
         self.reward_calls = meter.create_counter(
             "rackswitch_reward_calls", description="Reward calls by outcome."
         )
@@ -198,13 +203,15 @@
         bounded = {name: self._bounded_value(name, str(value)) for name, value in values.items()}
         return {"daemon": self._daemon, **bounded}
 
-    def record_estimate(self, target: str, estimate: EstimateLogged | None) -> None:
+    def record_estimate(self, target: str, estimate: EstimateLogged | None, reason: str) -> None:
         """Record the estimate of a target's load at the time when it was chosen."""
         if estimate is None:
             return
         labels = self.labels(target=target)
         self.estimated_wait.set(estimate.wait_seconds, labels)
         self.report_age.set(estimate.word_age_seconds, labels)
+        if estimate.path:
+            self.path_requests.add(1, self.labels(path=estimate.path, reason=reason))
 
     def _bounded_value(self, name: str, value: str) -> str:
         known = self._known_values.setdefault(name, set())
@@ -221,7 +228,7 @@
     meters.record_request(
         route, event.caller_class, short_outcome(event.outcome), event.elapsed_seconds
     )
-    meters.record_estimate(event.target, event.place)
+    meters.record_estimate(event.target, event.place, "call")
 
 
 @_recorder_of(RequestRefused)
@@ -312,7 +319,7 @@
     labels = meters.labels(outcome=event.outcome)
     meters.item_runs.add(1, labels)
     meters.item_run_seconds.record(event.run_seconds, labels)
-    meters.record_estimate(event.target, event.place)
+    meters.record_estimate(event.target, event.place, "item")
 
 
 @_recorder_of(ItemGivenUp)
@@ -323,7 +330,7 @@
 @_recorder_of(RewardCallEnded)
 def _reward_call_ended(meters: EventMeters, event: RewardCallEnded) -> None:
     meters.reward_calls.add(1, meters.labels(outcome=short_outcome(event.outcome)))
-    meters.record_estimate(event.target, event.place)
+    meters.record_estimate(event.target, event.place, "reward")
 
 
 @_recorder_of(CallDecided)
