--- a/rackswitch/gateway/items/tests/region_load.py
+++ b/rackswitch/gateway/items/tests/region_load.py
@@ -69,6 +69,7 @@
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
             yield ItemRunEnded(ItemRunEnd.SILENT, "cannot connect", was_sent=False)
             return
+        self._owner.context.record_round_trip(engines.zones[name], 2 * path_seconds)
         await asyncio.sleep(path_seconds)
         if name in engines.stalled:
             await asyncio.sleep(first_piece_timeout_seconds - path_seconds)
