--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -1,6 +1,7 @@
 """Sending calls to targets: admission, choice of the target, retries and give-up."""
 
 import asyncio
+import math
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -398,6 +399,7 @@
             return None
         estimate = self._chooser.target_state(target).estimate
         started_at_seconds = self._context.now_seconds()
+        log.record_send(target.instance, started_at_seconds)
         sent_at_unix_seconds = time.time()
         try:
             result = await self._attempt(
@@ -473,6 +475,18 @@
         """Release the queued calls that no target may serve any more."""
         self._service_admission.record_targets_excluded()
 
+    def free_slots(self, route: RouteRow, excluded: str) -> float:
+        """Return the free slots of a route's targets by their load reports, except one target.
+
+        0 if the targets are not chosen by their reported load.
+        """
+        return sum(
+            estimate.free_slots
+            for choice in route.choices
+            for estimate in self._chooser.estimates(choice.serves)
+            if estimate.instance != excluded and math.isfinite(estimate.report_age_seconds)
+        )
+
     def usable_target_count(self, route: RouteRow, tenant: str = "") -> int:
         """Return how many targets of a route's services a tenant's calls may use now."""
         now_seconds = self._context.now_seconds()
@@ -488,14 +502,15 @@
 
         Without a usable target the call is refused at once, with a retry time.
         """
+        service, log, goal_seconds = state.service, state.log, state.route.goal_seconds
+        allowed_regions = state.allowed_regions
         now_seconds = self._context.now_seconds()
-        service, log, allowed_regions = state.service, state.log, state.allowed_regions
         if now_seconds >= state.deadline_seconds:
             return None
-        target = self._chooser.pick(service, log.tried_targets(), allowed_regions)
+        target = self._chooser.pick(service, log.tried_targets(), allowed_regions, goal_seconds)
         if target is None and log.ends and (log.repeatable or not log.may_have_run):
             # All usable targets were tried: try one of them again.
-            target = self._chooser.pick(service, set(), allowed_regions)
+            target = self._chooser.pick(service, set(), allowed_regions, goal_seconds)
         outage = self._outage(state)
         if target is None and not log.ends:
             outage.record_unavailable(now_seconds)
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -13,6 +13,7 @@
     Target,
     TargetEstimate,
     WorkKind,
+    call_candidates,
     usable_targets,
 )
 from rackswitch.table import RouteChoice, RouteRow
@@ -56,10 +57,17 @@
         return self._context.rng.choices(route.choices, weights)[0]
 
     def pick(
-        self, service: str, tried: set[str], allowed_regions: frozenset[str] | None = None
+        self,
+        service: str,
+        tried: set[str],
+        allowed_regions: frozenset[str] | None = None,
+        goal_seconds: float = 0.0,
     ) -> ListedTarget | None:
         """Return a target of a service that is not in `tried`, or None.
 
+        With several regions, one of this daemon's region if it can serve a call within its latency
+        target.
+
         Parameters
         ----------
         service : str
@@ -68,6 +76,8 @@
             Instances of targets that are left out.
         allowed_regions : frozenset of str or None, optional
             Regions in which the call may run; None for all.
+        goal_seconds : float, optional
+            Latency target of the call.
         """
         now_seconds = self._context.now_seconds()
         listed = {
@@ -80,7 +90,7 @@
             return None
         targets = [self._context.targets[instance] for instance in listed]
         if self._context.chooses_targets_by_load(service):
-            return listed[self._choose_by_load(service, listed, targets, now_seconds).name]
+            return listed[self._choose_by_load(service, listed, targets, goal_seconds).name]
         routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds)
         chosen = self._policy.choose(routed, usable_targets(targets, now_seconds))
         return listed[chosen.name]
@@ -119,13 +129,16 @@
         service: str,
         listed: dict[str, ListedTarget],
         targets: list[Target],
-        now_seconds: float,
+        goal_seconds: float,
     ) -> Target:
         """Return a target of a service whose targets are chosen by reported load."""
+        now_seconds = self._context.now_seconds()
         usable = usable_targets(targets, now_seconds)
         for target in usable:
             target.estimate = self._estimate(listed[target.name], target, now_seconds)
         run_seconds = self._context.load_estimator.typical_run_seconds(service, WorkKind.CALL)
+        if self._context.regions.has_regions:
+            usable = _near_targets(usable, run_seconds, goal_seconds)
         routed = RoutedRequest(0.0, CALL_COST_TOKENS, (), now_seconds, run_seconds)
         return self._by_load.choose(routed, usable)
 
@@ -136,7 +149,13 @@
         if not has_open_connection:
             arrival_seconds += 2 * target.one_way_seconds + CONNECT_SECONDS
         return self._context.load_estimator.estimate(
-            listed, WorkKind.CALL, 1.0, now_seconds, arrival_seconds, has_open_connection
+            listed,
+            WorkKind.CALL,
+            1.0,
+            now_seconds,
+            arrival_seconds,
+            has_open_connection,
+            self._context.path_class(listed.zone),
         )
 
     def estimates(self, service: str) -> list[TargetEstimate]:
@@ -221,3 +240,11 @@
             self._context.load_estimator.record_failure(target.start, now_seconds)
         else:
             self._context.load_estimator.record_refusal(target.start, now_seconds)
+
+
+def _near_targets(targets: list[Target], run_seconds: float, goal_seconds: float) -> list[Target]:
+    """Return the targets that a call may use, in view of their regions."""
+    estimates = [target.estimate for target in targets if target.estimate is not None]
+    candidates = call_candidates(estimates, 1.0, run_seconds, goal_seconds)
+    names = {estimate.instance for estimate in candidates}
+    return [target for target in targets if target.name in names]
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -16,6 +16,8 @@
 from rackswitch.routing import (
     Eligibility,
     LoadEstimator,
+    PathClass,
+    PathDelays,
     RegionMap,
     Target,
     TargetDirectory,
@@ -83,6 +85,8 @@
         What this daemon may send to targets that are cold.
     connection_limits : ConnectionLimits
         Idle and header timeouts of callers' connections, from the table.
+    path_delays : PathDelays
+        Measured network delays by zone; used only in deployments with several regions.
     """
 
     settings: NodeSettings
@@ -103,11 +107,14 @@
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
     start_times: StartTimes = field(default_factory=_start_times_from_now)
     cold_sends: ColdSends = field(init=False)
+    path_delays: PathDelays = field(init=False)
 
     def __post_init__(self) -> None:
         regions = RegionMap(self.settings.zone, self.settings.region_of_zone)
         self.directory.eligibility = Eligibility(regions)
         self.cold_sends = ColdSends(self.daemon, self.directory, lambda: self.settings)
+        self.path_delays = PathDelays(regions)
+        self.load_estimator.excludes_paths = regions.has_regions
 
     @property
     def regions(self) -> RegionMap:
@@ -175,9 +182,43 @@
         """Return whether a service's targets are chosen by their reported load.
 
         This is the case if they report their pace, as their speeds may differ, or if calls are
-        queued, as the demand may exceed the capacity.
+        queued, as the demand may exceed the capacity. It is also the case in a deployment with
+        several regions, where only a finish time can count the delay of the path to a target.
         """
-        return self.settings.queues_calls or self.load_estimator.reports_pace(service)
+        return (
+            self.settings.queues_calls
+            or self.regions.has_regions
+            or self.load_estimator.reports_pace(service)
+        )
+
+    def path_class(self, zone: str) -> PathClass:
+        """Return how far a zone is; `SAME_REGION` for all zones without several regions."""
+        return self.regions.path_class(zone) if self.regions.has_regions else PathClass.SAME_REGION
+
+    def record_round_trip(self, zone: str, round_trip_seconds: float) -> None:
+        """Record a measured round trip to a zone, and apply it to the zone's targets."""
+        if self.regions.has_regions:
+            now_seconds = self.now_seconds()
+            self.path_delays.record_round_trip(zone, round_trip_seconds, now_seconds)
+            self._update_delays(zone, now_seconds)
+
+    def refresh_path_delays(self) -> None:
+        """Apply delays that were not measured for long to the targets."""
+        if self.regions.has_regions:
+            for zone in {target.zone for target in self.targets.values()}:
+                self._update_delays(zone, self.now_seconds())
+
+    def extra_timeout_seconds(self, zone: str) -> float:
+        """Return what a call to a daemon in a zone is allowed for the path to another region."""
+        if self.path_class(zone) is not PathClass.OTHER_REGION:
+            return 0.0
+        return 2 * self.path_delays.one_way_seconds(zone, self.now_seconds())
+
+    def _update_delays(self, zone: str, now_seconds: float) -> None:
+        one_way_seconds = self.path_delays.one_way_seconds(zone, now_seconds)
+        for target in self.targets.values():
+            if target.zone == zone:
+                target.one_way_seconds = one_way_seconds
 
     def list_age_seconds(self) -> float:
         """Return the age of the last confirmation of the list of targets; -1 if there is none."""
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -11,6 +11,8 @@
 )
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
+from rackswitch.gateway.items.late_run_mover import LateRunMover
+from rackswitch.gateway.items.reward_calls import RewardCalls, RewardCallState, is_good
 from rackswitch.gateway.items.run_load_tracker import RunLoadTracker
 from rackswitch.gateway.placement_log import placement_event
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
@@ -42,7 +44,7 @@
 from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.telemetry import events
 
-__all__ = ["REGION_DETAIL", "ItemRunner"]
+__all__ = ["LATE_DETAIL", "REGION_DETAIL", "ItemRunner"]
 
 FIRST_PIECE_TIMEOUT_SECONDS = 2.0
 """Longer than a full engine usually queues a run. If other runs there still progress, the run is
@@ -60,7 +62,8 @@
 MOVED_DETAIL = "goes on at a faster engine"
 LEFT_DETAIL = "goes on elsewhere before its engine leaves"
 REGION_DETAIL = "goes on elsewhere, as its engine's region is no longer allowed"
-MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL, REGION_DETAIL)
+LATE_DETAIL = "goes on elsewhere, as its engine sent nothing for long"
+MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL, REGION_DETAIL, LATE_DETAIL)
 """Details of runs that were stopped here to continue elsewhere, without any failure."""
 
 ENDS_WITH_ANSWER = (ItemRunEnd.COMPLETE, ItemRunEnd.FAILED, ItemRunEnd.IMPOSSIBLE)
@@ -100,6 +103,8 @@
         Forecast of text lengths from earlier runs, and the number of runs at each engine.
     own_runs, memory : LocalRuns, EngineMemory
         This daemon's runs in progress, and the memory that engines reported.
+    late_runs : LateRunMover
+        Finds runs that wait long for their first piece.
     load_tracker : RunLoadTracker
         Counts the runs in the load estimates of engines.
     spare : dict of str to SpareCapacity
@@ -109,11 +114,12 @@
     __slots__ = (
         "_context",
         "_item_client",
-        "_dispatcher",
+        "_reward_calls",
         "_stop_details",
         "_stop_timeouts",
         "_quarantine",
         "forecast",
+        "late_runs",
         "load_tracker",
         "memory",
         "occupancy",
@@ -133,7 +139,7 @@
         self._quarantine = quarantine
         self._context = context
         self._item_client = item_client
-        self._dispatcher = dispatcher
+        self._reward_calls = RewardCalls(context, dispatcher)
         self.paces = paces
         self.spare: dict[str, SpareCapacity] = {}
         self.load_tracker = RunLoadTracker(context)
@@ -141,6 +147,7 @@
         self.occupancy = EngineOccupancy()
         self.own_runs = LocalRuns()
         self.memory = EngineMemory()
+        self.late_runs = LateRunMover(context, self.own_runs, FIRST_PIECE_TIMEOUT_SECONDS)
         self._stop_timeouts: dict[tuple[str, str], asyncio.Timeout] = {}
         self._stop_details: dict[tuple[str, str], str] = {}
 
@@ -175,6 +182,9 @@
             self.load_tracker.record_end(
                 target, sent_request, ended, progress.last_number - first_piece_number + 1
             )
+        if intervals.first_at_seconds is not None:
+            first_piece_seconds = intervals.first_at_seconds - began_at_seconds
+            self.late_runs.record_first_piece(target, first_piece_seconds)
         now_seconds = self._context.now_seconds()
         fingerprint = self._report_to_quarantine(
             ledger.job, progress.item, target, ended, intervals
@@ -455,15 +465,15 @@
             return
         # The call is internal: it carries no API key and no tenant.
         call = Call(reward.request_id, reward.host, "POST", reward.path, (), reward.body)
+        state = RewardCallState()
         while not ledger.ended:
             route = self._context.routes.find(reward.host, reward.path.partition("?")[0])
             if route is None:
                 await asyncio.sleep(REWARD_RETRY_DELAY_SECONDS)
                 continue
             deadline_seconds = self._context.now_seconds() + route.timeout_seconds
-            log = self._dispatcher.new_log(route)
-            answer = await self._dispatcher.call(
-                route, call, deadline_seconds, log, reward_of=ledger.job.tenant
+            answer = await self._reward_calls.call(
+                route, call, deadline_seconds, ledger.job.tenant, state
             )
             outcome = answer.outcome
             self._context.log.write(
@@ -475,6 +485,7 @@
                     attempts=answer.attempts,
                     failures=answer.failures,
                     outcome=outcome_label(outcome),
+                    is_hedged=state.is_hedged,
                     place=placement_event(
                         self._context,
                         answer.estimate,
@@ -483,7 +494,7 @@
                     ),
                 )
             )
-            if isinstance(outcome, TargetAnswer) and 200 <= outcome.status < 300:
+            if isinstance(outcome, TargetAnswer) and is_good(answer):
                 ledger.record_score(progress, server_stamp(outcome))
                 return
             if not ledger.record_reward_failures(progress, answer.failures, route.most_attempts):
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.items.item_runner import ItemRunner
+from rackswitch.gateway.items.item_runner import LATE_DETAIL, ItemRunner
 from rackswitch.gateway.items.leaving_run_mover import LeavingRunMover
 from rackswitch.gateway.items.step_ranks import StepRanks
 from rackswitch.gateway.jobs.owned_job import OwnedJob
@@ -22,6 +22,7 @@
     item_tokens,
     plan_starts,
     spare_capacities,
+    startable_before_report,
     tokens_at_end,
 )
 from rackswitch.platform.item_runs import ItemRunEnd
@@ -91,6 +92,8 @@
         warm_engines = [engine for engine in engines if not engine.is_cold]
         cold_engines = [engine for engine in engines if engine.is_cold]
         self._leaving_run_mover.move_runs(warm_engines, order, load_based_services, now_seconds)
+        for run in self._runner.late_runs.runs_to_stop(warm_engines, now_seconds):
+            self._runner.stop_run(run.key, LATE_DETAIL)
         for is_load_based in (True, False):
             # No engine serves two services, so the two plans are independent.
             planned_services = {
@@ -298,7 +301,7 @@
         return EngineCapacity(
             listed.instance,
             listed.service,
-            free_slots,
+            self._startable(listed, free_slots, slots),
             self._runner.paces.get(listed.start, now_seconds),
             versions,
             slots,
@@ -310,6 +313,14 @@
             is_cold=is_cold,
         )
 
+    def _startable(self, listed: ListedTarget, free_slots: int, slots: int) -> int:
+        """Return how many runs an engine may get now; fewer than are free with several regions."""
+        if not self._context.regions.has_regions:
+            return free_slots
+        reported_at_seconds = self._runner.occupancy.reported_at_seconds(listed.instance)
+        unanswered = self._runner.own_runs.unanswered_count(listed.start, reported_at_seconds)
+        return startable_before_report(free_slots, slots, unanswered)
+
     def _free_tokens(self, listed: ListedTarget, is_load_based: bool, now_seconds: float) -> float:
         """Return an engine's free memory in tokens; infinite if memory is not considered."""
         runner = self._runner
--- a/rackswitch/gateway/jobs/hand_over_sender.py
+++ b/rackswitch/gateway/jobs/hand_over_sender.py
@@ -22,6 +22,7 @@
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
 from rackswitch.peers.links import PeerUnreachable
+from rackswitch.routing import PathClass
 from rackswitch.telemetry.events import JobHandedOver
 
 __all__ = ["HandOverSender"]
@@ -152,6 +153,7 @@
                     ),
                 ),
                 zone == context.settings.zone,
+                context.path_class(zone) is not PathClass.OTHER_REGION,
             )
             for name, zone in context.daemon.membership.live_zones()
             if name != context.daemon_name and may_hold(zone, regions, job.home_region)
--- a/rackswitch/gateway/jobs/job_claims.py
+++ b/rackswitch/gateway/jobs/job_claims.py
@@ -20,6 +20,7 @@
 from rackswitch.gateway.jobs.owned_jobs import OwnedJobs
 from rackswitch.gateway.store.session import Session
 from rackswitch.jobs import Job, JobCheckpoint, OrphanedJobs, order_jobs
+from rackswitch.routing import RegionMap
 from rackswitch.telemetry.events import JobNotOwned
 from rackswitch.tenants import identity_tenant
 
@@ -164,7 +165,10 @@
             for name, zone in self._context.daemon.membership.live_zones()
             if self._may_own(zone, known.marker, regions)
         ]
-        if self._orphans.try_claim(key_part, claimants, owned is not None, released, now_seconds):
+        distances = self._distances_from_former_owner(key_part)
+        if self._orphans.try_claim(
+            key_part, claimants, owned is not None, released, now_seconds, distances
+        ):
             self._context.daemon.spawn(self.claim(job_id, known.revision))
 
     def _owner_regions(self, marker: JobMarker) -> frozenset[str] | None:
@@ -178,6 +182,22 @@
         """Return whether a daemon in a zone may claim a job."""
         return self._context.directory.eligibility.may_hold(zone, regions, marker.home_region)
 
+    def _distances_from_former_owner(self, key_part: str) -> dict[str, int] | None:
+        """Return how far each live daemon is from a job's former owner; None if it is unknown.
+
+        Always None without several regions.
+        """
+        context = self._context
+        former_owner = self._known.former_owner(key_part)
+        if not context.regions.has_regions or former_owner not in context.member_entries:
+            return None
+        zone = context.member_entries[former_owner].zone
+        regions = RegionMap(zone, context.regions.region_of_zone)
+        return {
+            name: int(regions.path_class(member_zone))
+            for name, member_zone in context.daemon.membership.live_zones()
+        }
+
     def _probe(self) -> None:
         """Probe the key-value service and the lease at intervals while this daemon runs jobs."""
         now_seconds = self._context.now_seconds()
