Choose owners and the replication tree by memory and link too

Cause: owners of jobs and the root and parents of the replication tree were chosen by processor share alone, so a VM with a link of 30 Mbit/s could own many jobs or send each change to all followers.

Change: VmCapacity (processor share, memory, link) decides how many open items a daemon can carry, whether a job is large for it, and the rank in the tree. Memory and link count only if they differ among the live members. A daemon whose event loop is late passes new jobs on in such fleets; the delay stays local. The event "job placed" states the limits that decided, /status shows capacity and loop delay, and rackswitch_loop_delay_seconds is new. OwnerCandidate and TreeMember hold a VmCapacity in place of the processor share; existing tests are changed only in how they construct these.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 
 from rackswitch.clients.kv import KvClient
+from rackswitch.clocks import LoopDelays
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.store.member_entries import MemberEntry
 from rackswitch.gateway.store.reachability import StoreReachability
+from rackswitch.membership import VmCapacity, counted_capacities
 from rackswitch.platform.settings import NodeSettings
 from rackswitch.routing import (
     Eligibility,
@@ -75,6 +77,8 @@
         Idle and header timeouts of callers' connections, from the table.
     path_delays : PathDelays
         Measured network delays by zone; used only in deployments with several regions.
+    loop_delays : LoopDelays
+        How late the event loop ran timers lately.
     """
 
     settings: NodeSettings
@@ -93,6 +97,7 @@
     list_confirmed_at_seconds: float = float("-inf")
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
+    loop_delays: LoopDelays = field(default_factory=LoopDelays)
     path_delays: PathDelays = field(init=False)
 
     def __post_init__(self) -> None:
@@ -136,12 +141,17 @@
         entry = self.member_entries.get(daemon)
         return entry.started_at_unix_seconds if entry is not None else None
 
-    def processor_share_of(self, daemon: str) -> float:
-        """Return the processor share of a daemon's VM; 0 if unknown."""
-        if daemon == self.daemon_name:
-            return self.settings.processor_share
-        entry = self.member_entries.get(daemon)
-        return entry.processor_share if entry is not None else 0.0
+    def capacity_of(self, daemon: str) -> VmCapacity:
+        """Return what a daemon's VM can carry."""
+        limits = self.settings if daemon == self.daemon_name else self.member_entries.get(daemon)
+        if limits is None:
+            return VmCapacity()
+        return VmCapacity(limits.processor_share, limits.memory_mb, limits.link_mbps)
+
+    def counted_capacities(self) -> dict[str, VmCapacity]:
+        """Return the capacities of live daemons, with what differs among them."""
+        live = self.daemon.membership.live()
+        return counted_capacities({name: self.capacity_of(name) for name in live})
 
     def chooses_targets_by_load(self, service: str) -> bool:
         """Return whether a service's targets are chosen by their reported load.
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -23,6 +23,7 @@
 from rackswitch.gateway.jobs.job_reader import JobReader
 from rackswitch.gateway.jobs.job_store import JobStore
 from rackswitch.gateway.listeners import StatusPages, make_servers
+from rackswitch.gateway.loop_delay_probe import run_loop_delay_probe
 from rackswitch.gateway.peer_service import GatewayPeersService
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
@@ -210,6 +211,7 @@
             *self._duties.background_tasks(),
             self.log.run(),
             self._log_store_calls(),
+            run_loop_delay_probe(self.context),
             self._forget_unlisted_targets(),
         ):
             self.context.daemon.spawn_duty(task)
--- a/rackswitch/gateway/daemon_snapshot.py
+++ b/rackswitch/gateway/daemon_snapshot.py
@@ -8,6 +8,7 @@
 from rackswitch.gateway.store.presence import Presence
 from rackswitch.gateway.store.replica_manager import ReplicaManager
 from rackswitch.jobs import ItemPhase
+from rackswitch.membership import VmCapacity
 from rackswitch.table import ServiceRow
 
 __all__ = ["DaemonSnapshot", "JobSnapshot", "take_snapshot"]
@@ -41,6 +42,10 @@
         Number of usable targets by service.
     roles : dict of str to int
         Fencing numbers of the roles held by this daemon.
+    capacity : VmCapacity
+        What this daemon's VM can carry, as its settings state it; 0 for what they do not state.
+    loop_delay_seconds : float
+        Median delay of the event loop's timers in the last seconds.
     """
 
     daemon: str
@@ -59,6 +64,8 @@
     stopping: bool
     log_lines_dropped: int
     log_lines_folded: int
+    capacity: VmCapacity
+    loop_delay_seconds: float
 
 
 def take_snapshot(
@@ -96,6 +103,8 @@
         stopping=context.daemon.stopping,
         log_lines_dropped=context.log.dropped_total,
         log_lines_folded=context.log.folded_total,
+        capacity=context.capacity_of(context.daemon_name),
+        loop_delay_seconds=round(context.loop_delays.median_seconds, 4),
     )
 
 
--- a/rackswitch/gateway/jobs/hand_over_sender.py
+++ b/rackswitch/gateway/jobs/hand_over_sender.py
@@ -135,11 +135,12 @@
         open_items = self._known.open_items()
         last_submits = self._known.last_submit_unix_seconds()
         now_unix_seconds = context.unix_seconds()
+        capacities = context.counted_capacities()
         return [
             SuccessorCandidate(
                 OwnerCandidate(
                     name,
-                    context.processor_share_of(name),
+                    capacities[name],
                     open_items[name],
                     now_unix_seconds - last_submits.get(name, float("-inf")),
                     is_restarted(
--- a/rackswitch/gateway/jobs/job_placer.py
+++ b/rackswitch/gateway/jobs/job_placer.py
@@ -52,11 +52,12 @@
         """
         if job.job_id in self._job_manager.known.jobs:
             return JobKnown()
-        owner = self._owner(job)
+        candidates = self._candidates(job)
+        owner = self._owner(job, candidates)
         peer = self._context.daemon.membership.address(owner)
         if peer is None or owner == self._context.daemon_name:
             return await self._job_manager.submit(job)
-        forwarded = await self._forward_to(peer, job)
+        forwarded = await self._forward_to(peer, job, candidates[owner])
         if not isinstance(forwarded, JobNotStored):
             return forwarded
         outcome = await self._job_manager.submit(job)
@@ -65,7 +66,7 @@
             return JobNotStored(f"{outcome.detail}; {forwarded.detail}", effect_unknown=True)
         return outcome
 
-    def _owner(self, job: Job) -> str:
+    def _owner(self, job: Job, candidates: dict[str, OwnerCandidate]) -> str:
         """Return the daemon that should own a job.
 
         During an outage of the key-value service that is this daemon: others are probably cut off
@@ -76,24 +77,30 @@
             or self._context.store_reachability.is_unreachable
         ):
             return self._context.daemon_name
+        return self._owner_selector.select_owner(
+            candidates.values(), len(job.items), self._context.now_seconds()
+        )
+
+    def _candidates(self, job: Job) -> dict[str, OwnerCandidate]:
+        """Return the live daemons of this zone by name."""
         open_items = self._job_manager.known.open_items()
         last_submits = self._job_manager.known.last_submit_unix_seconds()
         restarted = self._restarted_daemons()
         zone = self._context.settings.zone
-        candidates = [
-            OwnerCandidate(
+        capacities = self._context.counted_capacities()
+        own = self._context.daemon_name
+        return {
+            name: OwnerCandidate(
                 name,
-                self._context.processor_share_of(name),
+                capacities[name],
                 open_items[name],
                 idle_seconds=job.submitted_at_unix_seconds - last_submits.get(name, float("-inf")),
                 is_restarted=name in restarted,
+                is_overloaded=name == own and self._context.loop_delays.is_overloaded,
             )
             for name, member_zone in self._context.daemon.membership.live_zones()
             if member_zone == zone
-        ]
-        return self._owner_selector.select_owner(
-            candidates, len(job.items), self._context.now_seconds()
-        )
+        }
 
     def _restarted_daemons(self) -> set[str]:
         """Return the daemons that were restarted already during a rolling restart."""
@@ -115,7 +122,7 @@
         return self._context.process_start(daemon)
 
     async def _forward_to(
-        self, peer: MemberUpdate, job: Job
+        self, peer: MemberUpdate, job: Job, candidate: OwnerCandidate
     ) -> JobCreated | JobKnown | JobNotStored:
         """Forward a job to another daemon, which is to own it."""
         packed = pack_job(job)
@@ -138,6 +145,10 @@
                 owner=peer.daemon,
                 elapsed_seconds=round(now_seconds - started_seconds, 4),
                 outcome=refusal or "kept",
+                open_items=candidate.open_items,
+                max_items=int(candidate.limit.max_items),
+                limited_by=candidate.limit.resource,
+                overloaded_here=self._context.loop_delays.is_overloaded,
             )
         )
         if isinstance(outcome, JobNotStored):
--- a/rackswitch/gateway/jobs/tests/test_job_placer.py
+++ b/rackswitch/gateway/jobs/tests/test_job_placer.py
@@ -1,6 +1,7 @@
 """Jobs forwarded to another daemon are stored once and never wrongly reported as refused."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -18,6 +19,8 @@
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
 from rackswitch.standins.kv_store import KvStore
+from rackswitch.telemetry import DecisionLog
+from rackswitch.telemetry.events import JobPlaced
 
 
 class FixedLinks:
@@ -162,6 +165,38 @@
     run_on_virtual_clock(scenario())
 
 
+@pytest.mark.parametrize(
+    ("link_mbps", "is_overloaded", "called"),
+    [(30.0, False, ["b"]), (60.0, False, []), (60.0, True, ["b"]), (200.0, True, [])],
+)
+def test_a_small_or_overloaded_daemon_forwards_to_a_larger_one(
+    monkeypatch, link_mbps, is_overloaded, called
+):
+    """Guards against a job kept on a narrow link, and a changed choice among equal links."""
+
+    async def scenario():
+        links = FixedLinks(pb.TakeJobReply(kept=True, owner_revision=7))
+        job_manager = make_job_manager("a", KvStore())
+        context = job_manager._context
+        events = []
+        monkeypatch.setattr(DecisionLog, "write", lambda log, event: events.append(event))
+        context.daemon.links = links
+        context.daemon.membership.update_from_complete_list([VmEntry("b", "h", 1, "z", False)], 0.0)
+        context.settings = replace(context.settings, link_mbps=link_mbps)
+        context.member_entries["b"] = make_member(processor_share=2.0, link_mbps=200.0)
+        if is_overloaded:
+            for number in range(20):
+                context.loop_delays.record(number, number + 1.0)
+        await JobPlacer(context, job_manager).submit(make_job(items=40))
+        assert links.called == called
+        placed = [event for event in events if isinstance(event, JobPlaced)]
+        assert [(event.limited_by, event.max_items, event.overloaded_here) for event in placed] == [
+            ("link", 833, is_overloaded) for _ in called
+        ]
+
+    run_on_virtual_clock(scenario())
+
+
 def test_an_invalid_or_late_forwarded_job_is_refused():
     async def scenario():
         job_manager = make_job_manager("b", KvStore())
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -175,9 +175,7 @@
         if live != self._live_zones:
             self._live_zones = live
             self._tree = DistributionTree(
-                TreeMember(
-                    name, zone, self._context.processor_share_of(name), self._tree_region(zone)
-                )
+                TreeMember(name, zone, self._context.capacity_of(name), self._tree_region(zone))
                 for name, zone in live
             )
         return self._tree
--- a/rackswitch/gateway/store/tests/test_replica_manager.py
+++ b/rackswitch/gateway/store/tests/test_replica_manager.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
@@ -239,6 +240,16 @@
     run_scenario(scenario, 4)
 
 
+def test_a_daemon_with_a_narrow_link_is_not_the_root():
+    async def scenario(source, follower):
+        follower.context.member_entries["a"] = make_member(processor_share=2.0, link_mbps=30.0)
+        own = follower.context.daemon_name
+        follower.context.settings = replace(follower.context.settings, link_mbps=200.0)
+        assert follower.follower._current_tree().root == own
+
+    run_scenario(scenario)
+
+
 def test_a_daemon_with_a_larger_processor_share_becomes_the_root():
     async def scenario(source, follower):
         entries = follower.context.member_entries
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -22,10 +22,8 @@
     return GatewayContext(stand_in_settings(name), daemon, StoreReachability(daemon.log))
 
 
-def make_member(started_at_unix_seconds: float = 0.0, processor_share: float = 0.0) -> MemberEntry:
-    return MemberEntry(
-        "127.0.0.1", 1, "z", 1, started_at_unix_seconds, processor_share=processor_share
-    )
+def make_member(started_at_unix_seconds: float = 0.0, **limits: float) -> MemberEntry:
+    return MemberEntry("127.0.0.1", 1, "z", 1, started_at_unix_seconds, **limits)
 
 
 class NoLoadPoller:
--- a/rackswitch/gateway/tests/test_path_daemon.py
+++ b/rackswitch/gateway/tests/test_path_daemon.py
@@ -6,6 +6,7 @@
 
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.tests.path import check_complete, run_scenario, wait_for
+from rackswitch.membership import VmCapacity
 
 
 def test_applies_changed_settings_without_a_restart():
@@ -35,6 +36,8 @@
         assert snapshot.members == ["d0", "d1"]
         assert snapshot.targets == {"desk": 2, "engines": 2}
         assert snapshot.jobs_owned["j1"].total == 2
+        assert snapshot.capacity == VmCapacity()
+        assert snapshot.loop_delay_seconds >= 0.0
         assert all(age >= 0 for age in snapshot.copy_ages_seconds.values())
         check_complete(await fleet.read_all("d0", "j1"), [100, 100], "j1")
 
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -10,6 +10,8 @@
 from rackswitch.jobs.first_pieces import __all__ as _first_pieces_all
 from rackswitch.jobs.hand_over import *  # noqa: F403
 from rackswitch.jobs.hand_over import __all__ as _hand_over_all
+from rackswitch.jobs.item_limits import *  # noqa: F403
+from rackswitch.jobs.item_limits import __all__ as _item_limits_all
 from rackswitch.jobs.leaving import *  # noqa: F403
 from rackswitch.jobs.leaving import __all__ as _leaving_all
 from rackswitch.jobs.ledger import *  # noqa: F403
@@ -45,6 +47,7 @@
     *_first_fill_all,
     *_first_pieces_all,
     *_hand_over_all,
+    *_item_limits_all,
     *_leaving_all,
     *_ledger_all,
     *_listing_all,
--- a/rackswitch/jobs/hand_over.py
+++ b/rackswitch/jobs/hand_over.py
@@ -69,7 +69,8 @@
 
     Daemons of the owner's region come first, since the job's trainer is most likely there. Among
     them restarted daemons come first, since the others may be stopped next; then daemons of the
-    owner's zone, those with capacity, and those with open connections for a job's items.
+    owner's zone, those with capacity, those for which the job is not large, and those with open
+    connections for a job's items.
 
     Parameters
     ----------
@@ -91,6 +92,7 @@
         not candidate.owner.is_restarted,
         not candidate.in_zone,
         not candidate.owner.has_capacity(items),
+        candidate.owner.is_large(items),
         not candidate.owner.has_connections,
     )
 
--- a/rackswitch/jobs/placement.py
+++ b/rackswitch/jobs/placement.py
@@ -4,19 +4,18 @@
 reuses connections across jobs. Jobs accepted in one availability zone therefore gather at few
 daemons, as far as these have capacity. A job that arrives while no other is open goes to the last
 owner.
+
+In a fleet whose VMs differ in memory or link, a daemon that cannot carry a job well does not keep
+it because it accepted it, as long as another one can.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["OwnerCandidate", "OwnerSelector"]
-
-ITEMS_PER_PROCESSOR = 1200.0
-"""Maximum number of open items per processor of a daemon's VM."""
+from rackswitch.jobs.item_limits import ItemLimit, item_limit
+from rackswitch.membership import VmCapacity
 
-DEFAULT_MAX_ITEMS = 600.0
-"""Maximum number of open items of a daemon that reports no processor share: that of half a
-processor."""
+__all__ = ["OwnerCandidate", "OwnerSelector"]
 
 CONNECTION_KEEP_ALIVE_SECONDS = 9.0
 """Keep-alive time of connections to engines, counted from a job's submission. Within it the last
@@ -25,6 +24,10 @@
 REFUSAL_COOLDOWN_SECONDS = 3.0
 """How long no jobs are sent to a daemon that did not accept one."""
 
+LARGE_JOB_FRACTION = 0.25
+"""A job is large for a daemon if it takes more than this part of the daemon's maximum number of
+open items. On a link of 30 Mbit/s (125 items) that is a job of 32 items."""
+
 
 @dataclass(frozen=True, slots=True)
 class OwnerCandidate:
@@ -32,21 +35,24 @@
 
     Attributes
     ----------
-    processor_share : float
-        Share of a processor that its VM has; 0 if unknown.
+    capacity : VmCapacity
+        What its VM can carry, with memory and link only where they differ in the fleet.
     open_items : int
         Items of the jobs that it owns and that have not ended.
     idle_seconds : float
         Time since the submission of its latest job, open or not.
     is_restarted : bool
         Whether daemons are being stopped in turn and this one was already restarted.
+    is_overloaded : bool
+        Whether its event loop is late; known only of the daemon that chooses.
     """
 
     daemon: str
-    processor_share: float
+    capacity: VmCapacity
     open_items: int
     idle_seconds: float = float("inf")
     is_restarted: bool = False
+    is_overloaded: bool = False
 
     @property
     def has_connections(self) -> bool:
@@ -55,12 +61,28 @@
 
     def has_capacity(self, items: int) -> bool:
         """Return whether it has capacity for this many more items."""
-        max_items = (
-            self.processor_share * ITEMS_PER_PROCESSOR
-            if self.processor_share
-            else DEFAULT_MAX_ITEMS
-        )
-        return self.open_items + items <= max_items
+        return self.open_items + items <= self.limit.max_items
+
+    def is_large(self, items: int) -> bool:
+        """Return whether a job of this many items is large for its memory or link."""
+        if not self.capacity.has_memory_or_link:
+            return False
+        return items > self.limit.max_items * LARGE_JOB_FRACTION
+
+    @property
+    def limit(self) -> ItemLimit:
+        """Its maximum number of open items."""
+        return item_limit(self.capacity)
+
+    @property
+    def free_items(self) -> float:
+        """How many more items it can carry; negative if it has too many."""
+        return self.limit.max_items - self.open_items
+
+    @property
+    def may_get_jobs(self) -> bool:
+        """Whether it may be chosen: not if it is overloaded in a fleet of uneven VMs."""
+        return not (self.is_overloaded and self.capacity.has_memory_or_link)
 
 
 @dataclass(slots=True)
@@ -81,6 +103,9 @@
     ) -> str:
         """Return the owner of a new job: the fullest owner with capacity for it, else the last one.
 
+        Daemons for which the job is large come after all others. If no owner is suitable, this
+        daemon owns the job, or in an uneven fleet the largest daemon if this one is unsuitable.
+
         While daemons are stopped in turn, restarted daemons with capacity come first: any other may
         have to hand the job over next.
 
@@ -93,19 +118,39 @@
         now_seconds : float
             Monotonic clock.
         """
-        usable = [
-            candidate
-            for candidate in candidates
-            if candidate.has_capacity(items)
-            and now_seconds >= self._cooldown_until_seconds.get(candidate.daemon, float("-inf"))
-        ]
+        candidates = list(candidates)
+        own = next((one for one in candidates if one.daemon == self.daemon), None)
+        available = [one for one in candidates if self._is_available(one, now_seconds)]
+        with_capacity = [one for one in available if one.has_capacity(items)]
+        suitable = [one for one in with_capacity if not one.is_large(items)]
+        usable = suitable or with_capacity
         renewed = [candidate for candidate in usable if candidate.is_restarted]
         if renewed:
             return max(renewed, key=_owner_key).daemon
         connected = [candidate for candidate in usable if candidate.has_connections]
-        if not connected:
+        if connected:
+            return max(connected, key=_owner_key).daemon
+        return self._select_without_connections(available, usable, own)
+
+    def _is_available(self, candidate: OwnerCandidate, now_seconds: float) -> bool:
+        cooldown_until_seconds = self._cooldown_until_seconds.get(candidate.daemon, float("-inf"))
+        return candidate.may_get_jobs and now_seconds >= cooldown_until_seconds
+
+    def _select_without_connections(
+        self,
+        available: list[OwnerCandidate],
+        usable: list[OwnerCandidate],
+        own: OwnerCandidate | None,
+    ) -> str:
+        """Return the owner of a job when no usable daemon has connections for it."""
+        if own is None or own in usable or not own.capacity.has_memory_or_link:
+            return self.daemon
+        if usable:
+            return max(usable, key=lambda one: (one.limit.max_items, one.daemon)).daemon
+        if not available:
             return self.daemon
-        return max(connected, key=_owner_key).daemon
+        # None has capacity, so the job goes where the most is left.
+        return max(available, key=lambda one: (one.free_items, one.daemon)).daemon
 
     def record_refusal(self, daemon: str, now_seconds: float) -> None:
         """Record that a daemon did not accept a job."""
--- a/rackswitch/jobs/tests/test_hand_over.py
+++ b/rackswitch/jobs/tests/test_hand_over.py
@@ -14,10 +14,11 @@
     order_successors,
 )
 from rackswitch.jobs.tests.support import finish, make_job
+from rackswitch.membership import VmCapacity
 
 
 def candidate(name: str, renewed=False, in_zone=True, items=0, idle=0.0) -> SuccessorCandidate:
-    owner = OwnerCandidate(name, 0.5, items, idle, renewed)
+    owner = OwnerCandidate(name, VmCapacity(0.5), items, idle, renewed)
     return SuccessorCandidate(owner, in_zone)
 
 
@@ -93,7 +94,9 @@
 
 def test_successors_in_the_own_region_come_first():
     """Guards against jobs whose results and reward calls cross the link between regions."""
-    far = SuccessorCandidate(OwnerCandidate("a", 0.5, 0, 0.0, True), False, in_region=False)
+    far = SuccessorCandidate(
+        OwnerCandidate("a", VmCapacity(0.5), 0, 0.0, True), False, in_region=False
+    )
     near = [candidate("b", in_zone=False), candidate("c"), candidate("d", items=10_000)]
     assert order_successors("j", 10, [far, *near]) == ["c", "d", "b", "a"]
 
--- a/rackswitch/jobs/tests/test_placement.py
+++ b/rackswitch/jobs/tests/test_placement.py
@@ -3,16 +3,13 @@
 import pytest
 
 from rackswitch.jobs import OwnerCandidate, OwnerSelector
-from rackswitch.jobs.placement import (
-    CONNECTION_KEEP_ALIVE_SECONDS,
-    DEFAULT_MAX_ITEMS,
-    ITEMS_PER_PROCESSOR,
-    REFUSAL_COOLDOWN_SECONDS,
-)
+from rackswitch.jobs.item_limits import DEFAULT_MAX_ITEMS, ITEMS_PER_PROCESSOR
+from rackswitch.jobs.placement import CONNECTION_KEEP_ALIVE_SECONDS, REFUSAL_COOLDOWN_SECONDS
+from rackswitch.membership import VmCapacity
 
 
 def candidates(**open_items: int) -> list[OwnerCandidate]:
-    return [OwnerCandidate(name, 0.5, items) for name, items in open_items.items()]
+    return [OwnerCandidate(name, VmCapacity(0.5), items) for name, items in open_items.items()]
 
 
 def test_job_goes_to_the_daemon_with_most_open_items_or_stays():
@@ -29,7 +26,7 @@
     max_items = int(0.5 * ITEMS_PER_PROCESSOR)
     assert selector.select_owner(candidates(a=0, b=max_items - 100), 100, 0.0) == "b"
     assert selector.select_owner(candidates(a=0, b=max_items - 99), 100, 0.0) == "a"
-    unknown = OwnerCandidate("b", 0.0, int(DEFAULT_MAX_ITEMS))
+    unknown = OwnerCandidate("b", VmCapacity(0.0), int(DEFAULT_MAX_ITEMS))
     assert selector.select_owner([unknown], 1, 0.0) == "a"
 
 
@@ -54,7 +51,10 @@
             accepting_owners.pop((trainer, step - 2), None)
             accepting = rng.choice(names)
             owner_names = list(owners.values())
-            known = [OwnerCandidate(name, 0.5, 130 * owner_names.count(name)) for name in names]
+            known = [
+                OwnerCandidate(name, VmCapacity(0.5), 130 * owner_names.count(name))
+                for name in names
+            ]
             owners[trainer, step] = selectors[accepting].select_owner(known, 130, float(step))
             accepting_owners[trainer, step] = accepting
     owner_names = list(owners.values())
@@ -69,16 +69,16 @@
 
 def test_job_goes_to_the_last_owner_while_that_has_connections():
     known = [
-        OwnerCandidate("a", 0.5, 0),
-        OwnerCandidate("b", 0.5, 0, idle_seconds=8.0),
-        OwnerCandidate("c", 0.5, 0, idle_seconds=4.0),
+        OwnerCandidate("a", VmCapacity(0.5), 0),
+        OwnerCandidate("b", VmCapacity(0.5), 0, idle_seconds=8.0),
+        OwnerCandidate("c", VmCapacity(0.5), 0, idle_seconds=4.0),
     ]
     assert OwnerSelector("a").select_owner(known, 100, 0.0) == "c"
-    busy = OwnerCandidate("d", 0.5, 10, idle_seconds=8.0)
+    busy = OwnerCandidate("d", VmCapacity(0.5), 10, idle_seconds=8.0)
     assert OwnerSelector("a").select_owner([*known, busy], 100, 0.0) == "d"
     assert (
         OwnerSelector("a").select_owner(
-            [OwnerCandidate("b", 0.5, 0, CONNECTION_KEEP_ALIVE_SECONDS)], 1, 0.0
+            [OwnerCandidate("b", VmCapacity(0.5), 0, CONNECTION_KEEP_ALIVE_SECONDS)], 1, 0.0
         )
         == "a"
     )
@@ -97,7 +97,7 @@
         known = [
             OwnerCandidate(
                 name,
-                0.5,
+                VmCapacity(0.5),
                 0,
                 now_seconds - owned_at_seconds.get(name, float("-inf")) if connected else 99.0,
             )
@@ -112,12 +112,12 @@
 def test_job_goes_to_a_restarted_daemon_while_daemons_are_stopped_in_turn():
     selector = OwnerSelector("a")
     others = candidates(a=0, b=300)
-    renewed = OwnerCandidate("c", 0.5, 0, is_restarted=True)
+    renewed = OwnerCandidate("c", VmCapacity(0.5), 0, is_restarted=True)
     assert selector.select_owner([*others, renewed], 100, 0.0) == "c"
-    fuller = OwnerCandidate("d", 0.5, 100, is_restarted=True)
+    fuller = OwnerCandidate("d", VmCapacity(0.5), 100, is_restarted=True)
     assert selector.select_owner([*others, renewed, fuller], 100, 0.0) == "d"
     # Restarted daemons without capacity are ignored.
-    full = OwnerCandidate("c", 0.5, int(DEFAULT_MAX_ITEMS), is_restarted=True)
+    full = OwnerCandidate("c", VmCapacity(0.5), int(DEFAULT_MAX_ITEMS), is_restarted=True)
     assert selector.select_owner([*others, full], 100, 0.0) == "b"
     # A restarted daemon that has just not accepted a job is skipped.
     selector.record_refusal("c", 0.0)
--- a/rackswitch/spread/tests/test_tree.py
+++ b/rackswitch/spread/tests/test_tree.py
@@ -1,16 +1,22 @@
 import random
+from dataclasses import replace
+from hashlib import blake2b
 
 import hypothesis.strategies as st
 import pytest
 from hypothesis import given
 
+from rackswitch.membership import VmCapacity
 from rackswitch.spread import FAN_OUT, DistributionTree, TreeMember
 
 ZONES = 6
 
 
 def fleet(count: int, zones: int = ZONES) -> list[TreeMember]:
-    return [TreeMember(f"d{n}", f"z{n % zones}", 0.7 if n < zones else 0.5) for n in range(count)]
+    return [
+        TreeMember(f"d{n}", f"z{n % zones}", VmCapacity(0.7 if n < zones else 0.5))
+        for n in range(count)
+    ]
 
 
 def naive_sources(members: list[TreeMember], daemon: str) -> tuple[str, ...]:
@@ -57,10 +63,14 @@
     assert len(roots) > 2
 
 
+capacities = st.builds(
+    VmCapacity,
+    st.sampled_from([0.5, 0.7]),
+    st.sampled_from([0.0, 200.0, 552.0]),
+    st.sampled_from([0.0, 30.0, 200.0]),
+)
 member_lists = st.lists(
-    st.builds(
-        TreeMember, st.text("abcd", min_size=1), st.sampled_from("xyz"), st.sampled_from([0.5, 0.7])
-    ),
+    st.builds(TreeMember, st.text("abcd", min_size=1), st.sampled_from("xyz"), capacities),
     unique_by=lambda member: member.daemon,
     max_size=60,
 )
@@ -87,7 +97,7 @@
     zones = {f"z{n}": f"r{n % 2}" for n in range(ZONES)}
     drawn = [rng.choice(sorted(zones)) for _ in range(count)]
     return [
-        TreeMember(f"d{n}", zone, rng.choice([0.5, 0.7]), zones[zone])
+        TreeMember(f"d{n}", zone, VmCapacity(rng.choice([0.5, 0.7])), zones[zone])
         for n, zone in enumerate(drawn)
     ]
 
@@ -121,12 +131,66 @@
     assert [name for name in far if name != head and remaining.sources(name)[0] == tree.root]
 
 
+def order_by_processor(members: list[TreeMember]) -> list[str]:
+    """Return the daemons in the order used before memory and link counted, as a reference."""
+
+    def rank_key(member: TreeMember) -> tuple[float, bytes]:
+        tie_breaker = blake2b(member.daemon.encode(), digest_size=8).digest()
+        return -member.capacity.processor_share, tie_breaker
+
+    return [member.daemon for member in sorted(members, key=rank_key)]
+
+
+@pytest.mark.parametrize("limits", [(0.0, 0.0), (300.0, 50.0), (0.0, 50.0)])
+@pytest.mark.parametrize("seed", range(5))
+def test_without_different_memory_or_link_the_order_is_by_processor_share(seed, limits):
+    """Guards against another tree in fleets that state no memory or link, or equal ones."""
+    rng = random.Random(seed)
+    members = [
+        replace(member, capacity=VmCapacity(rng.choice([0.0, 0.5, 0.7]), *limits), zone="z")
+        for member in fleet(60)
+    ]
+    order = order_by_processor(members)
+    tree = DistributionTree(members)
+    assert tree.root == order[0]
+    assert tree.standby == order[1]
+    for position, name in enumerate(order[2:], 2):
+        assert tree.sources(name)[0] == order[(position - 1) // FAN_OUT]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_daemons_with_a_narrow_link_or_little_memory_have_no_followers(seed):
+    """Guards against a root or parent that sends each change over the narrowest link."""
+    rng = random.Random(seed)
+    members = [
+        replace(
+            member, capacity=VmCapacity(*rng.choice([(2.15, 200.0, 90.0), (2.15, 400.0, 30.0)]))
+        )
+        if rng.random() < 0.4
+        else replace(member, capacity=VmCapacity(rng.uniform(0.5, 1.0), 400.0, 90.0))
+        for member in fleet(60)
+    ]
+    tree = DistributionTree(members)
+    roomy = {m.daemon for m in members if (m.capacity.memory_mb, m.capacity.link_mbps) == (400, 90)}
+    assert {tree.root, tree.standby} <= roomy
+    assert {tree.sources(m.daemon)[0] for m in members if m.daemon != tree.root} <= roomy
+
+
+def test_if_all_daemons_are_constrained_the_processor_share_decides():
+    """Guards against a fleet without a root."""
+    members = [
+        TreeMember("a", "y", VmCapacity(0.5, 200.0, 90.0)),
+        TreeMember("b", "z", VmCapacity(0.7, 400.0, 30.0)),
+    ]
+    assert DistributionTree(members).root == "b"
+
+
 def test_one_region_has_the_same_tree_as_none():
     """Guards against other sources in deployments without several regions."""
     members = fleet(40)
     tree = DistributionTree(members)
     regional = DistributionTree(
-        TreeMember(member.daemon, member.zone, member.cpu_share, "r") for member in members
+        TreeMember(member.daemon, member.zone, member.capacity, "r") for member in members
     )
     for member in members:
         assert tree.sources(member.daemon) == regional.sources(member.daemon)
--- a/rackswitch/spread/tree.py
+++ b/rackswitch/spread/tree.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from rackswitch.membership import VmCapacity, constrained_members
+
 __all__ = ["FAN_OUT", "DistributionTree", "TreeMember"]
 
 FAN_OUT = 12
@@ -25,15 +27,15 @@
 
     Attributes
     ----------
-    cpu_share : float
-        Share of a processor that its VM has; 0 if it is not known.
+    capacity : VmCapacity
+        What its VM can carry.
     region : str
         Region of its zone; empty in deployments without regions and for unlisted zones.
     """
 
     daemon: str
     zone: str
-    cpu_share: float = 0.0
+    capacity: VmCapacity = VmCapacity()
     region: str = ""
 
 
@@ -57,7 +59,7 @@
     __slots__ = ("_region_heads", "_zone_members", "_zones", "root", "standby")
 
     def __init__(self, members: Iterable[TreeMember]):
-        ordered = sorted(members, key=_rank_key)
+        ordered = _ordered(members)
         self._zone_members: dict[str, list[str]] = {}
         self._zones = {member.daemon: member.zone for member in ordered}
         region_heads: dict[str, str] = {}
@@ -105,9 +107,22 @@
         return steps
 
 
-def _rank_key(member: TreeMember) -> tuple[float, bytes]:
-    """Return a sort key that puts daemons with a larger share of a processor first.
+def _ordered(members: Iterable[TreeMember]) -> list[TreeMember]:
+    """Return members in the order in which they take places, from the root downwards.
+
+    Those whose memory or link is in the smallest third of the fleet come last, as a source sends
+    each change up to `FAN_OUT` times and more. Among the rest a larger share of a processor comes
+    first.
+    """
+    by_name = {member.daemon: member for member in members}
+    constrained = constrained_members({name: one.capacity for name, one in by_name.items()})
+    return sorted(by_name.values(), key=lambda one: _rank_key(one, one.daemon in constrained))
+
+
+def _rank_key(member: TreeMember, is_constrained: bool) -> tuple[bool, float, bytes]:
+    """Return a member's sort key.
 
     A hash breaks ties, so that the order does not depend on how daemons are named.
     """
-    return -member.cpu_share, blake2b(member.daemon.encode(), digest_size=8).digest()
+    tie_breaker = blake2b(member.daemon.encode(), digest_size=8).digest()
+    return is_constrained, -member.capacity.processor_share, tie_breaker
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -56,12 +56,26 @@
 
 @register_event
 class JobPlaced(Event, tag="job placed", frozen=True):
-    """A job that was submitted here was passed to the daemon that should own it."""
+    """A job that was submitted here was passed to the daemon that should own it.
+
+    Attributes
+    ----------
+    open_items, max_items : int
+        Items that the chosen daemon had, and how many it can carry.
+    limited_by : str
+        The resource that limits them: "processor", "link" or "memory".
+    overloaded_here : bool
+        Whether the event loop of the daemon that chose was late.
+    """
 
     job: str
     owner: str
     elapsed_seconds: float
     outcome: str
+    open_items: int = 0
+    max_items: int = 0
+    limited_by: str = ""
+    overloaded_here: bool = False
 
 
 @register_event
--- a/rackswitch/telemetry/events/process.py
+++ b/rackswitch/telemetry/events/process.py
@@ -6,6 +6,7 @@
     "HandOverTimedOut",
     "LinesFolded",
     "ListenerClosed",
+    "LoopDelayMeasured",
     "VmSuspended",
     "Reloaded",
     "ReloadRefused",
@@ -45,6 +46,20 @@
     jobs: list[str]
 
 
+@register_event
+class LoopDelayMeasured(Event, tag="loop delay", frozen=True):
+    """How late the event loop ran timers in the last seconds."""
+
+    median_seconds: float
+    max_seconds: float
+    is_overloaded: bool
+
+    @property
+    def is_routine(self) -> bool:
+        """Whether the event loop keeps up."""
+        return not self.is_overloaded
+
+
 @register_event
 class ListenerClosed(Event, tag="listener closed", frozen=True):
     """A planned stop accepts no further connections of callers.
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -21,6 +21,7 @@
     JobOwned,
     JobSubmitted,
     LoadOrdered,
+    LoopDelayMeasured,
     RequestEnded,
     RequestHeldBack,
     RequestRefused,
@@ -85,6 +86,7 @@
         "jobs_owned",
         "jobs_submitted",
         "load_orders",
+        "loop_delay",
         "named_version",
         "oldest_wait",
         "path_requests",
@@ -141,6 +143,11 @@
         self.load_orders = meter.create_counter(
             "rackswitch_load_orders", description="Orders to engines by answer."
         )
+        self.loop_delay = meter.create_gauge(
+            "rackswitch_loop_delay_seconds",
+            unit="s",
+            description="Median delay of the event loop's timers in the last seconds.",
+        )
         self.jobs_submitted = meter.create_counter(
             "rackswitch_jobs_submitted", description="Submissions of jobs by status."
         )
@@ -288,6 +295,11 @@
     meters.load_orders.add(1, labels)
 
 
+@_recorder_of(LoopDelayMeasured)
+def _loop_delay_measured(meters: EventMeters, event: LoopDelayMeasured) -> None:
+    meters.loop_delay.set(event.median_seconds, meters.labels())
+
+
 @_recorder_of(JobSubmitted)
 def _job_submitted(meters: EventMeters, event: JobSubmitted) -> None:
     meters.jobs_submitted.add(1, meters.labels(route=event.route, status=event.outcome))
--- a/rackswitch/telemetry/tests/test_meters.py
+++ b/rackswitch/telemetry/tests/test_meters.py
@@ -5,6 +5,7 @@
     DependencyLost,
     DependencyRegained,
     EstimateLogged,
+    LoopDelayMeasured,
     RequestRefused,
     ResultsAppended,
     RewardCallEnded,
@@ -56,6 +57,11 @@
     assert 'rackswitch_table_revision{daemon="d"} 9.0' in text
 
 
+def test_loop_delay_gauge_shows_the_latest_median():
+    event = LoopDelayMeasured(median_seconds=0.05, max_seconds=0.4, is_overloaded=True)
+    assert 'rackswitch_loop_delay_seconds{daemon="d"} 0.05' in metrics_after(event)
+
+
 def test_estimate_of_a_chosen_target_is_exposed():
     def make_reward_call_ended(target: str, place: EstimateLogged | None) -> RewardCallEnded:
         return RewardCallEnded(
