--- a/rackswitch/gateway/jobs/tests/test_owner_regions.py
+++ b/rackswitch/gateway/jobs/tests/test_owner_regions.py
@@ -146,7 +146,8 @@
         other = make_job(job_id="other")
         manager.known.record_created(make_marker(other), 1)
         manager.known.record_owner("other", JobOwner("c", 1, 0))
-        assert placer._owner(make_home_job("north")) == "a"
+        job = make_home_job("north")
+        assert placer._owner(job, placer._candidates(job)) == "a"
 
     run_on_virtual_clock(scenario())
 
