Start times count from the beginning of the program

Change: the start is timed from the first line that the program runs. Measured: test_early_start, test_start_times and test_start pass.

--- a/rackswitch/gateway/early_start.py
+++ b/rackswitch/gateway/early_start.py
@@ -4,13 +4,11 @@
 reset. Imports of this module delay the listening, so it imports nothing but the settings.
 """
 
-import os
 import signal
 import socket
 import sys
 import time
 from dataclasses import dataclass, field
-from pathlib import Path
 from types import FrameType
 
 from rackswitch.listening import EarlyConnections, open_listening_socket
@@ -21,10 +19,6 @@
 
 EXIT_BAD_SETTINGS = 2
 
-START_TIME_INDEX = 19
-"""Index of `starttime` in /proc/PID/stat (see proc(5)), counted after the process's name, which may
-contain spaces."""
-
 
 @dataclass(slots=True)
 class EarlyStart:
@@ -35,7 +29,8 @@
     settings : NodeSettings
         Settings of the daemon.
     process_started_seconds : float
-        When the process started (boot clock).
+        When the start began, after the interpreter's own start (boot clock). The kernel's time of
+        the process's start is not used, as it may count from another origin in a container.
     sockets : dict of Address to socket
         Listening sockets by address. The servers of these addresses take them over.
     callers : EarlyConnections or None
@@ -71,11 +66,12 @@
 
     Bad settings end the process with one line and `EXIT_BAD_SETTINGS`.
     """
+    started_seconds = _boot_seconds()
     settings = read_node_settings()
     if isinstance(settings, SettingsFault):
         print(settings.line, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    early_start = EarlyStart(settings, _process_started_seconds())
+    early_start = EarlyStart(settings, started_seconds)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, early_start.request_stop)
     for address in (settings.callers, settings.readiness):
@@ -97,15 +93,6 @@
         return
 
 
-def _process_started_seconds() -> float:
-    """Return when this process started, as the kernel states it; now if that cannot be read."""
-    try:
-        fields = Path("/proc/self/stat").read_text().rpartition(")")[2].split()
-    except OSError:
-        return _boot_seconds()
-    return int(fields[START_TIME_INDEX]) / os.sysconf("SC_CLK_TCK")
-
-
 def _boot_seconds() -> float:
     """Return the time of the event loop's clock (`rackswitch.clocks`)."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
