Mend what the reviews of the new parts found

Causes and changes: - a tenant's allowed regions did not restrict its reward calls and their second sends, - calls with allowed regions were refused as without a target while theirs were cold, - a call whose cold budget was used up meanwhile left a claimed trial in quarantine, - late runs were stopped for engines that they may not use, and kept a silent engine's breaker closed, - cold engines counted in the times to a first piece and of reward calls, and were polled, - refused callers of a cold service returned before most daemons may send to it, and all at once, - an unreachable caller could end a starting daemon, slow replies could lengthen timeouts to another region without limit.

--- a/rackswitch/gateway/callers/cold_call_queue.py
+++ b/rackswitch/gateway/callers/cold_call_queue.py
@@ -6,7 +6,8 @@
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.outcomes import NotRun, NotRunReason
-from rackswitch.routing import WorkKind
+from rackswitch.routing import ListedTarget, WorkKind
+from rackswitch.warmup import RAMP_SECONDS
 
 __all__ = ["ColdCallQueue", "HeldCall"]
 
@@ -20,12 +21,14 @@
 """Latest retry time that is stated if all targets stay cold for longer."""
 
 OUT_OF_TIME_DETAIL = "all targets are cold: cannot be in time"
+HeldCheck = Callable[[str, frozenset[str] | None], bool]
+
 NOT_SENDER_DETAIL = "all targets are cold: other daemons send to them"
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class HeldCall:
-    """A call that all targets of its service are too cold for at present.
+    """A call that waits, as no target that may serve it may be sent to now.
 
     Attributes
     ----------
@@ -44,9 +47,16 @@
 
 @dataclass(slots=True)
 class _ServiceQueue:
-    """The waiting calls of a service, and the timer of the next check."""
+    """The waiting calls of a service with one set of allowed regions.
+
+    Attributes
+    ----------
+    timer : TimerHandle or None
+        The next check.
+    """
 
     service: str
+    allowed_regions: frozenset[str] | None
     calls: list[tuple[HeldCall, asyncio.Future[NotRun | None]]] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
 
@@ -59,19 +69,24 @@
     context : GatewayContext
         The daemon.
     is_held : callable
-        Returns whether no target of a service may be sent to now, though some are usable.
+        Returns whether no target of a service in the allowed regions may be sent to now, though
+        some are usable.
     """
 
     __slots__ = ("_context", "_is_held", "_queues")
 
-    def __init__(self, context: GatewayContext, is_held: Callable[[str], bool]):
+    def __init__(self, context: GatewayContext, is_held: HeldCheck):
         self._context = context
         self._is_held = is_held
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[tuple[str, frozenset[str] | None], _ServiceQueue] = {}
 
-    async def wait(self, service: str, call: HeldCall) -> NotRun | None:
+    async def wait(
+        self, service: str, allowed_regions: frozenset[str] | None, call: HeldCall
+    ) -> NotRun | None:
         """Wait until a call may be sent; return its refusal, or None once it may be sent."""
-        queue = self._queues.setdefault(service, _ServiceQueue(service))
+        queue = self._queues.setdefault(
+            (service, allowed_regions), _ServiceQueue(service, allowed_regions)
+        )
         refusal = self._refusal(queue, call)
         if refusal is not None:
             return refusal
@@ -87,9 +102,9 @@
     def _refusal(self, queue: _ServiceQueue, call: HeldCall) -> NotRun | None:
         """Return the refusal of a call that cannot be sent in time, by the calls ahead of it."""
         now_seconds = self._context.now_seconds()
-        next_send_seconds, rate_per_second = self._next_send(queue.service, now_seconds)
+        next_send_seconds, rate_per_second = self._next_send(queue, now_seconds)
         if rate_per_second <= 0:
-            retry_at_seconds = self._warm_at_seconds(queue.service, now_seconds)
+            retry_at_seconds = self._warm_at_seconds(queue, now_seconds)
             return NotRun(NotRunReason.OVERLOADED, NOT_SENDER_DETAIL, retry_at_seconds)
         ahead = sum(other <= call for other, _ in queue.calls if other is not call)
         first_seconds = max(now_seconds, next_send_seconds)
@@ -99,27 +114,36 @@
         retry_at_seconds = first_seconds + len(queue.calls) / rate_per_second
         return NotRun(NotRunReason.OVERLOADED, OUT_OF_TIME_DETAIL, retry_at_seconds)
 
-    def _next_send(self, service: str, now_seconds: float) -> tuple[float, float]:
+    def _next_send(self, queue: _ServiceQueue, now_seconds: float) -> tuple[float, float]:
         """Return when this daemon may next send to a cold target, and at which rate to all."""
         cold_sends = self._context.cold_sends
         next_send_seconds = float("inf")
         rate_per_second = 0.0
-        for target in self._context.directory.usable(service, now_seconds):
+        for target in self._usable(queue, now_seconds):
             if cold_sends.is_limited(target, now_seconds):
                 target_seconds = cold_sends.next_send_seconds(target, WorkKind.CALL, now_seconds)
                 next_send_seconds = min(next_send_seconds, target_seconds)
                 rate_per_second += cold_sends.send_rate(target, WorkKind.CALL, now_seconds)
         return next_send_seconds, rate_per_second
 
-    def _warm_at_seconds(self, service: str, now_seconds: float) -> float:
-        """Return when the first target stops being cold, within `MAX_RETRY_SECONDS`."""
+    def _usable(self, queue: _ServiceQueue, now_seconds: float) -> list[ListedTarget]:
+        directory = self._context.directory
+        return directory.usable(queue.service, now_seconds, queue.allowed_regions)
+
+    def _warm_at_seconds(self, queue: _ServiceQueue, now_seconds: float) -> float:
+        """Return a random time soon after the first target is warm, within `MAX_RETRY_SECONDS`.
+
+        Until the ramp is over, most daemons may not send to it yet. The refused callers of all
+        daemons must not return at the same moment.
+        """
         warm_at_seconds = min(
             (
                 self._context.cold_sends.targets.until_seconds(target.start)
-                for target in self._context.directory.usable(service, now_seconds)
+                for target in self._usable(queue, now_seconds)
             ),
             default=now_seconds,
         )
+        warm_at_seconds += RAMP_SECONDS * (1 + self._context.rng.random())
         earliest_seconds = now_seconds + CHECK_INTERVAL_SECONDS
         return min(now_seconds + MAX_RETRY_SECONDS, max(earliest_seconds, warm_at_seconds))
 
@@ -130,7 +154,7 @@
         waiting = [held for held in queue.calls if not held[1].done()]
         if not waiting:
             return
-        if not self._is_held(queue.service):
+        if not self._is_held(queue.service, queue.allowed_regions):
             waiting[0][1].set_result(None)
             self._schedule_check(queue, MIN_CHECK_INTERVAL_SECONDS)
             return
@@ -138,7 +162,7 @@
             refusal = self._refusal(queue, call)
             if refusal is not None:
                 released.set_result(refusal)
-        next_send_seconds, _ = self._next_send(queue.service, now_seconds)
+        next_send_seconds, _ = self._next_send(queue, now_seconds)
         delay_seconds = min(CHECK_INTERVAL_SECONDS, next_send_seconds - now_seconds)
         self._schedule_check(queue, max(MIN_CHECK_INTERVAL_SECONDS, delay_seconds))
 
--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -244,7 +244,9 @@
             The tenant whose step waits for this reward call; None for a caller's own call.
         """
         service = self._chooser.draw_choice(route).serves
-        allowed_regions = self._context.allowed_regions(route, call.caller.tenant)
+        # A reward call carries no tenant of its own, but its step's tenant restricts it too.
+        tenant = call.caller.tenant if reward_of is None else reward_of
+        allowed_regions = self._context.allowed_regions(route, tenant)
         now_seconds = self._context.now_seconds()
         latest_send_seconds = deadline_seconds
         if reward_of is None:
@@ -278,7 +280,7 @@
     async def _next_target(self, state: _CallState) -> ListedTarget | NotRun | None:
         """Wait until a call may be sent; return its target, its refusal, or None for no target."""
         target: ListedTarget | None = None
-        if not self._chooser.is_held(state.service):
+        if not self._chooser.is_held(state.service, state.allowed_regions):
             target = self._pick(state)
             if target is None:
                 return None
@@ -319,8 +321,10 @@
 
     async def _wait_while_held(self, state: _CallState) -> NotRun | None:
         """Wait while all targets are too cold for a call; return its refusal, if it is refused."""
-        while self._chooser.is_held(state.service):
-            refusal = await self._cold_calls.wait(state.service, state.held_call)
+        while self._chooser.is_held(state.service, state.allowed_regions):
+            refusal = await self._cold_calls.wait(
+                state.service, state.allowed_regions, state.held_call
+            )
             if refusal is not None:
                 return refusal
         return None
@@ -394,7 +398,9 @@
         call, log = state.call, state.log
         log.check_may_begin()
         if not self._context.cold_sends.try_send(target, WorkKind.CALL, call.request_id):
-            # Another call was sent there meanwhile. This one asks for admission again.
+            # Another call was sent there meanwhile. This one asks for admission again, and
+            # quarantine must not count it as a trial that was sent.
+            self._quarantine.record_not_run(call.fingerprint)
             self._release(state)
             return None
         estimate = self._chooser.target_state(target).estimate
@@ -475,15 +481,16 @@
         """Release the queued calls that no target may serve any more."""
         self._service_admission.record_targets_excluded()
 
-    def free_slots(self, route: RouteRow, excluded: str) -> float:
-        """Return the free slots of a route's targets by their load reports, except one target.
+    def free_slots(self, route: RouteRow, tenant: str, excluded: str) -> float:
+        """Return the free slots, by load reports, of the targets that may serve a tenant's call.
 
-        0 if the targets are not chosen by their reported load.
+        The target `excluded` is left out. 0 if the targets are not chosen by their reported load.
         """
+        allowed_regions = self._context.allowed_regions(route, tenant)
         return sum(
             estimate.free_slots
             for choice in route.choices
-            for estimate in self._chooser.estimates(choice.serves)
+            for estimate in self._chooser.estimates(choice.serves, allowed_regions)
             if estimate.instance != excluded and math.isfinite(estimate.report_age_seconds)
         )
 
--- a/rackswitch/gateway/callers/target_choice.py
+++ b/rackswitch/gateway/callers/target_choice.py
@@ -95,15 +95,14 @@
         chosen = self._policy.choose(routed, usable_targets(targets, now_seconds))
         return listed[chosen.name]
 
-    def is_held(self, service: str) -> bool:
-        """Return whether all usable targets of a service are too cold for a call now.
+    def is_held(self, service: str, allowed_regions: frozenset[str] | None = None) -> bool:
+        """Return whether all targets that may serve a call are too cold for it now.
 
         False if no target is usable.
         """
         now_seconds = self._context.now_seconds()
-        listed = {
-            entry.instance: entry for entry in self._context.directory.usable(service, now_seconds)
-        }
+        usable = self._context.directory.usable(service, now_seconds, allowed_regions)
+        listed = {entry.instance: entry for entry in usable}
         return bool(listed) and not self._sendable(listed, now_seconds)
 
     def _sendable(
@@ -158,14 +157,16 @@
             self._context.path_class(listed.zone),
         )
 
-    def estimates(self, service: str) -> list[TargetEstimate]:
+    def estimates(
+        self, service: str, allowed_regions: frozenset[str] | None = None
+    ) -> list[TargetEstimate]:
         """Return the estimates of a service's targets; none if they are not chosen by load."""
         if not self._context.chooses_targets_by_load(service):
             return []
         now_seconds = self._context.now_seconds()
         estimates = [
             self._capacity_estimate(listed, now_seconds)
-            for listed in self._context.directory.usable(service, now_seconds)
+            for listed in self._context.directory.usable(service, now_seconds, allowed_regions)
         ]
         return [estimate for estimate in estimates if estimate.slots > 0]
 
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -34,6 +34,10 @@
 
 __all__ = ["GatewayContext"]
 
+MAX_EXTRA_TIMEOUT_SECONDS = 0.5
+"""Upper bound of the addition to the timeout of a call to another region. Slow replies count in the
+measured delay, and must not lengthen the timeouts of later calls without limit."""
+
 
 def _start_times_from_now() -> StartTimes:
     return StartTimes(time.clock_gettime(time.CLOCK_BOOTTIME))
@@ -222,7 +226,8 @@
         """Return what a call to a daemon in a zone is allowed for the path to another region."""
         if self.path_class(zone) is not PathClass.OTHER_REGION:
             return 0.0
-        return 2 * self.path_delays.one_way_seconds(zone, self.now_seconds())
+        round_trip_seconds = 2 * self.path_delays.one_way_seconds(zone, self.now_seconds())
+        return min(MAX_EXTRA_TIMEOUT_SECONDS, round_trip_seconds)
 
     def _update_delays(self, zone: str, now_seconds: float) -> None:
         one_way_seconds = self.path_delays.one_way_seconds(zone, now_seconds)
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -1,6 +1,7 @@
 """Runs items of batch jobs at engines, and their reward calls."""
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import aclosing
 from functools import partial
 
@@ -18,6 +19,7 @@
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
 from rackswitch.jobs import (
     DEFAULT_URGENCY,
+    EngineCapacity,
     EngineLoad,
     EngineMemory,
     EngineOccupancy,
@@ -61,8 +63,8 @@
 
 MOVED_DETAIL = "goes on at a faster engine"
 LEFT_DETAIL = "goes on elsewhere before its engine leaves"
-REGION_DETAIL = "goes on elsewhere, as its engine's region is no longer allowed"
-LATE_DETAIL = "goes on elsewhere, as its engine sent nothing for long"
+REGION_DETAIL = "continues elsewhere, as its engine's region is no longer allowed"
+LATE_DETAIL = "continues elsewhere, as its engine sent no piece in time"
 MOVE_DETAILS = (MOVED_DETAIL, LEFT_DETAIL, REGION_DETAIL, LATE_DETAIL)
 """Details of runs that were stopped here to continue elsewhere, without any failure."""
 
@@ -184,7 +186,8 @@
             )
         if intervals.first_at_seconds is not None:
             first_piece_seconds = intervals.first_at_seconds - began_at_seconds
-            self.late_runs.record_first_piece(target, first_piece_seconds)
+            if not self._is_cold(target):
+                self.late_runs.record_first_piece(target, first_piece_seconds)
         now_seconds = self._context.now_seconds()
         fingerprint = self._report_to_quarantine(
             ledger.job, progress.item, target, ended, intervals
@@ -231,6 +234,13 @@
         self._stop_details[key] = detail
         return True
 
+    def stop_late_runs(self, engines: Iterable[EngineCapacity], now_seconds: float) -> None:
+        """Stop the runs without a first piece that another engine can run at once."""
+        for run in self.late_runs.runs_to_stop(engines, now_seconds):
+            is_engine_active = self.paces.has_interval_since(run.start, run.sent_at_seconds)
+            if self.stop_run(run.key, LATE_DETAIL):
+                self.late_runs.record_stopped(run, now_seconds, is_engine_active)
+
     def record_memory(self, target: ListedTarget, report: EngineReport) -> None:
         """Record the memory in an engine's report."""
         self.memory.keep_only({entry.start for entry in self._context.directory.entries.values()})
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from rackswitch.gateway.context import GatewayContext
-from rackswitch.gateway.items.item_runner import LATE_DETAIL, ItemRunner
+from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.leaving_run_mover import LeavingRunMover
 from rackswitch.gateway.items.step_ranks import StepRanks
 from rackswitch.gateway.jobs.owned_job import OwnedJob
@@ -92,8 +92,7 @@
         warm_engines = [engine for engine in engines if not engine.is_cold]
         cold_engines = [engine for engine in engines if engine.is_cold]
         self._leaving_run_mover.move_runs(warm_engines, order, load_based_services, now_seconds)
-        for run in self._runner.late_runs.runs_to_stop(warm_engines, now_seconds):
-            self._runner.stop_run(run.key, LATE_DETAIL)
+        self._runner.stop_late_runs(warm_engines, now_seconds)
         for is_load_based in (True, False):
             # No engine serves two services, so the two plans are independent.
             planned_services = {
--- a/rackswitch/gateway/items/late_run_mover.py
+++ b/rackswitch/gateway/items/late_run_mover.py
@@ -45,8 +45,7 @@
     def runs_to_stop(self, engines: Iterable[EngineCapacity], now_seconds: float) -> list[LocalRun]:
         """Return the late runs for which another engine has a free slot.
 
-        At most one run is returned for each free slot. An item is moved once; its engine counts as
-        full until it reports its load again.
+        At most one run is returned for each free slot.
 
         Parameters
         ----------
@@ -72,15 +71,27 @@
             if engine is None:
                 continue
             engine.reserve()
-            run.progress.late_moves += 1
-            self._context.load_estimator.record_refusal(run.start, now_seconds)
             stopped.append(run)
         return stopped
 
+    def record_stopped(self, run: LocalRun, now_seconds: float, is_engine_active: bool) -> None:
+        """Record that a late run was stopped to move elsewhere, which an item does once.
+
+        Its engine counts as full until it reports its load again, and as unresponsive if none of
+        its other runs has progressed since this one was sent.
+        """
+        run.progress.late_moves += 1
+        self._context.load_estimator.record_refusal(run.start, now_seconds)
+        target_state = self._context.targets.get(run.instance)
+        if target_state is not None and not is_engine_active:
+            target_state.record_no_response(now_seconds)
+
     def _is_late(self, run: LocalRun, now_seconds: float) -> bool:
         listed = self._context.directory.entries.get(run.instance)
         if listed is None or run.has_begun or run.progress.late_moves:
             return False
+        if self._context.cold_sends.is_limited(listed, now_seconds):
+            return False
         round_trip_seconds = 2 * self._context.targets[run.instance].one_way_seconds
         late_seconds = self._times[listed.service].late_seconds() + round_trip_seconds
         # A run that is interrupted anyway in a moment is not moved, or its engine's silence would
@@ -100,6 +111,7 @@
                 engine.service == service
                 and engine.instance != run.instance
                 and engine.free_slots > 0
+                and engine.is_allowed(run.ledger.allowed_regions)
                 and engine.versions.get(job.model, 0) >= job.oldest_version
                 and engine.estimate is not None
                 and engine.estimate.report_age_seconds < float("inf")
--- a/rackswitch/gateway/items/load_poller.py
+++ b/rackswitch/gateway/items/load_poller.py
@@ -49,7 +49,10 @@
     async def poll(self, service: str, allowed_regions: frozenset[str] | None = None) -> None:
         """Poll all engines of a service that may run work with these allowed regions."""
         now_seconds = self._context.now_seconds()
-        targets = self._context.directory.usable(service, now_seconds, allowed_regions)
+        usable = self._context.directory.usable(service, now_seconds, allowed_regions)
+        # Reports count as requests to a cold engine, which gets few runs in any case.
+        is_limited = self._context.cold_sends.is_limited
+        targets = [target for target in usable if not is_limited(target, now_seconds)]
         await asyncio.gather(*(self._poll_target(target) for target in targets))
 
     async def _poll_target(self, target: ListedTarget) -> None:
--- a/rackswitch/gateway/items/reward_calls.py
+++ b/rackswitch/gateway/items/reward_calls.py
@@ -6,6 +6,7 @@
 
 from rackswitch.gateway.callers.request_dispatcher import DispatchAnswer, RequestDispatcher
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.outcomes import MayHaveRun, NotRun
 from rackswitch.requests import (
     AttemptLog,
     Call,
@@ -93,7 +94,7 @@
         calls = [first]
         try:
             await self._wait_for_first(route, log, first)
-            if first.done() or state.is_hedged or not self._may_hedge(route, log):
+            if first.done() or state.is_hedged or not self._may_hedge(route, log, tenant):
                 return await first
             state.is_hedged = True
             hedge_log = hedge_attempt_log(log)
@@ -112,7 +113,8 @@
         answer = await self._dispatcher.call(route, call, deadline_seconds, log, reward_of=tenant)
         if is_good(answer) and answer.target is not None:
             took_seconds = self._context.now_seconds() - log.sent_at_seconds
-            self._times[answer.target.service].record(took_seconds)
+            if not self._context.cold_sends.is_limited(answer.target, self._context.now_seconds()):
+                self._times[answer.target.service].record(took_seconds)
         return answer
 
     async def _wait_for_first(
@@ -139,11 +141,11 @@
             default=float("inf"),
         )
 
-    def _may_hedge(self, route: RouteRow, log: AttemptLog) -> bool:
+    def _may_hedge(self, route: RouteRow, log: AttemptLog, tenant: str) -> bool:
         """Return whether to send a second call now; if so, take it from the budget."""
         return (
             may_hedge(log)
-            and self._dispatcher.free_slots(route, log.sent_to) >= MIN_FREE_SLOTS
+            and self._dispatcher.free_slots(route, tenant, log.sent_to) >= MIN_FREE_SLOTS
             and self._budgets[route.name].try_spend()
         )
 
@@ -151,9 +153,10 @@
 async def _first_good(
     first: asyncio.Task[DispatchAnswer], hedge: asyncio.Task[DispatchAnswer]
 ) -> DispatchAnswer:
-    """Return the first good answer of two calls; if there is none, the last one to end.
+    """Return the first good answer of two calls.
 
-    The attempts and failures of an unserved request are those of both calls.
+    Without one, an answer of a target comes before a call that may have run, and that before one
+    that has not run. The attempts and failures of an unserved request are those of both calls.
     """
     pending = {first, hedge}
     while True:
@@ -165,7 +168,15 @@
             break
     failures = first.result().failures + hedge.result().failures
     attempts = max(first.result().attempts, hedge.result().attempts)
-    return replace(first.result(), failures=failures, attempts=attempts)
+    outcome = min((first.result(), hedge.result()), key=_outcome_order)
+    return replace(outcome, failures=failures, attempts=attempts)
+
+
+def _outcome_order(answer: DispatchAnswer) -> int:
+    """Return the rank of an unserved call's outcome; the most telling one first."""
+    if isinstance(answer.outcome, MayHaveRun):
+        return 1
+    return 2 if isinstance(answer.outcome, NotRun) else 0
 
 
 async def _cancel(calls: list[asyncio.Task[DispatchAnswer]]) -> None:
--- a/rackswitch/listening/early_connections.py
+++ b/rackswitch/listening/early_connections.py
@@ -75,7 +75,7 @@
     try:
         for block in _blocks(early):
             early.received += block
-    except (ConnectionError, EOFError):
+    except (OSError, EOFError):
         early.connection.close()
         return False
     return True
@@ -88,7 +88,7 @@
     ------
     EOFError
         If the peer has closed the connection.
-    ConnectionError
+    OSError
         If the connection failed.
     """
     while len(early.received) < MAX_BYTES:
