--- a/rackswitch/gateway/callers/tests/test_eligible_calls.py
+++ b/rackswitch/gateway/callers/tests/test_eligible_calls.py
@@ -258,3 +258,16 @@
 
     single_region = dict.fromkeys(REGION_OF_ZONE, "north")
     assert run_on_virtual_clock(choices(single_region)) == run_on_virtual_clock(choices({}))
+
+
+def test_a_tenant_restricts_the_reward_calls_of_its_steps():
+    """A reward call carries no tenant, and must not leave the regions of its step's tenant."""
+
+    async def scenario():
+        daemon = Daemon(RecordingTargets())
+        daemon.add_tenant("restricted", "south")
+        for number in range(10):
+            await daemon.call(f"r{number}", reward_of="restricted")
+        return set(daemon.targets.called)
+
+    assert run_on_virtual_clock(scenario()) == {"t-s1"}
--- a/rackswitch/listening/tests/test_early_connections.py
+++ b/rackswitch/listening/tests/test_early_connections.py
@@ -1,9 +1,10 @@
 import asyncio
+import errno
 import socket
 
 import pytest
 
-from rackswitch.listening import EarlyConnections, open_listening_socket
+from rackswitch.listening import EarlyConnection, EarlyConnections, open_listening_socket
 from rackswitch.listening.early_connections import MAX_BYTES, MAX_CONNECTIONS
 from rackswitch.standins.loopback import own_loopback_host
 from rackswitch.web import WebServer
@@ -43,6 +44,27 @@
     assert early.take() == []
 
 
+@pytest.mark.parametrize("error", [TimeoutError(), OSError(errno.EHOSTUNREACH, "no route")])
+def test_drops_connections_that_fail(listening_socket, error):
+    """Guards against an unreachable caller that ends the starting daemon."""
+
+    class FailingConnection:
+        closed = False
+
+        def recv(self, size: int) -> bytes:
+            raise error
+
+        def close(self) -> None:
+            self.closed = True
+
+    early = EarlyConnections(listening_socket)
+    connection = FailingConnection()
+    early._connections.append(EarlyConnection(connection, bytearray()))
+    early.poll()
+    assert early.take() == []
+    assert connection.closed
+
+
 def test_bounds_connections_and_bytes(listening_socket):
     """Guards against a start that fills its memory or descriptors."""
     early = EarlyConnections(listening_socket)
