--- a/rackswitch/jobs/first_fill.py
+++ b/rackswitch/jobs/first_fill.py
@@ -8,7 +8,7 @@
 __all__ = ["UNREPORTED_SHARE", "startable_before_report"]
 
 UNREPORTED_SHARE = 0.25
-"""Share of an engine's slots that one owner may fill without a report, at least one. In played
+"""Share of an engine's slots that one owner may fill without a report, at least one. In simulated
 loads of four owners with 176 items for 108 slots (`benchmarks/bench_regions.py`) the steps took
 7.1 s on average; they took 7.4 s with a third, and 7.8 s without this limit."""
 
--- a/rackswitch/routing/home_region.py
+++ b/rackswitch/routing/home_region.py
@@ -7,11 +7,11 @@
 
 __all__ = ["call_candidates", "is_in_own_region"]
 
-GOAL_SHARE = 0.5
+LATENCY_TARGET_SHARE = 0.5
 """A call stays in its region while it is estimated to finish there within this share of its latency
 target. The rest covers what the estimate does not know, such as other daemons' latest calls."""
 
-AWAY_MARGIN = 0.25
+OTHER_REGION_MARGIN = 0.25
 """Beyond that, a call leaves its region only if it would finish earlier by this share. With less,
 estimates that vary by some 10 % from call to call would send calls back and forth."""
 
@@ -42,7 +42,7 @@
     if not own or len(own) == len(estimates):
         return estimates
     best_own_seconds = min(estimate.finish_seconds(units, run_seconds) for estimate in own)
-    if best_own_seconds <= GOAL_SHARE * goal_seconds:
+    if best_own_seconds <= LATENCY_TARGET_SHARE * goal_seconds:
         return own
     best_seconds = min(estimate.finish_seconds(units, run_seconds) for estimate in estimates)
-    return own if best_seconds > (1 - AWAY_MARGIN) * best_own_seconds else estimates
+    return own if best_seconds > (1 - OTHER_REGION_MARGIN) * best_own_seconds else estimates
