--- a/rackswitch/warmup/senders.py
+++ b/rackswitch/warmup/senders.py
@@ -14,10 +14,10 @@
 __all__ = ["SETTLE_SECONDS", "SenderViews", "choose_senders"]
 
 SETTLE_SECONDS = 1.0
-"""How long a daemon must have been chosen before it sends: the age of the oldest view. A sender that
-replaces another one waits this long, so a longer time costs more of the rate while owners of jobs
-come and go: at 70 daemons and a change each second, 0.79, 0.59 and 0.43 of the rate are used with
-0, 1 and 2 s."""
+"""How long a daemon must have been chosen before it sends: the age of the oldest view. A sender
+that replaces another one waits this long, so a longer time costs more of the rate while owners of
+jobs come and go: at 70 daemons and a change each second, 0.79, 0.59 and 0.43 of the rate are used
+with 0, 1 and 2 s."""
 
 MAX_SAMPLE_AGE_SECONDS = 0.6
 """Age of a daemon's last sample of its view above which it was paused or overloaded, so that the
