--- a/rackswitch/gateway/callers/call_handler.py
+++ b/rackswitch/gateway/callers/call_handler.py
@@ -3,12 +3,9 @@
 import asyncio
 
 from rackswitch.gateway.callers.disconnects import done_before_disconnect
+from rackswitch.gateway.callers.dispatch_answers import DispatchAnswer, outcome_label
 from rackswitch.gateway.callers.refusals import TEXT_HEADERS, Refusal, refuse
-from rackswitch.gateway.callers.request_dispatcher import (
-    DispatchAnswer,
-    RequestDispatcher,
-    outcome_label,
-)
+from rackswitch.gateway.callers.request_dispatcher import RequestDispatcher
 from rackswitch.gateway.callers.stream_relay import StreamRelay
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.placement_log import placement_event
--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -4,11 +4,12 @@
 import math
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from rackswitch.admission import LEAST_URGENT_RANK, REWARD_RANK, AdmissionRequest, PatienceEstimate
 from rackswitch.gateway.callers.call_admission import CallAdmission, NoTarget, TargetEstimateLookup
+from rackswitch.gateway.callers.call_state import CallState, Hold
 from rackswitch.gateway.callers.cold_call_queue import ColdCallQueue, HeldCall
+from rackswitch.gateway.callers.dispatch_answers import DispatchAnswer
 from rackswitch.gateway.callers.target_choice import CALL_COST_TOKENS, TargetChooser
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
@@ -29,7 +30,7 @@
 from rackswitch.table import Handling, RouteRow
 from rackswitch.telemetry.events import AttemptFailed, TargetsExcluded
 
-__all__ = ["DispatchAnswer", "DispatchOutcome", "RequestDispatcher", "outcome_label"]
+__all__ = ["RequestDispatcher"]
 
 MAX_REFUSALS = 8
 """Maximum number of target refusals before the request itself is refused."""
@@ -48,118 +49,6 @@
 """Typical call time of a service before its first answer."""
 
 
-DispatchOutcome = TargetAnswer | TargetStream | NotRun | MayHaveRun
-
-
-def outcome_label(outcome: DispatchOutcome) -> str:
-    """Return a short text of an outcome for logs."""
-    if isinstance(outcome, NotRun):
-        return f"not run: {outcome.detail}"
-    if isinstance(outcome, MayHaveRun):
-        return f"may have run: {outcome.detail}"
-    return str(outcome.status)
-
-
-@dataclass(frozen=True, slots=True)
-class DispatchAnswer:
-    """The result of a call.
-
-    Attributes
-    ----------
-    outcome : DispatchOutcome
-        The answer, or why there is none.
-    attempts : int
-        How many times the call was sent.
-    failures : int
-        Answers with status 500.
-    target : ListedTarget or None
-        The target that answered.
-    estimate : TargetEstimate or None
-        Load estimate of the answering target when it was chosen; None if the service's targets
-        report no pace.
-    """
-
-    outcome: DispatchOutcome
-    attempts: int
-    failures: int
-    target: ListedTarget | None = None
-    estimate: TargetEstimate | None = None
-
-    @property
-    def instance(self) -> str:
-        """Instance of the target that answered; empty if none did."""
-        return self.target.instance if self.target is not None else ""
-
-
-@dataclass(slots=True)
-class _CallState:
-    """State of one call in progress.
-
-    Attributes
-    ----------
-    route : RouteRow
-        The route in force when the call arrived.
-    deadline_seconds : float
-        Deadline of the caller or the route (event loop time).
-    log : AttemptLog
-        The attempts so far.
-    as_stream : bool
-        Whether a successful answer is returned as soon as its head has been received.
-    service : str
-        The service whose targets may serve the call.
-    allowed_regions : frozenset of str or None
-        Regions in which the call may run; None for all.
-    admission_request : AdmissionRequest or None
-        The admission request; None for a call that needs no admission.
-    held_call : HeldCall
-        Its place among the calls that wait for cold targets.
-    failures : int
-        Answers with status 500.
-    last_failure : (TargetAnswer, ListedTarget) or None
-        The last answer with status 500 or above.
-    is_admitted : bool
-        Whether the call counts as in flight at the service.
-    """
-
-    route: RouteRow
-    call: Call
-    deadline_seconds: float
-    log: AttemptLog
-    as_stream: bool
-    service: str
-    allowed_regions: frozenset[str] | None
-    admission_request: AdmissionRequest | None
-    held_call: HeldCall
-    failures: int = 0
-    last_failure: tuple[TargetAnswer, ListedTarget] | None = None
-    is_admitted: bool = False
-
-    def answer(
-        self,
-        outcome: DispatchOutcome,
-        target: ListedTarget | None = None,
-        unlogged_attempts: int = 0,
-        place: TargetEstimate | None = None,
-    ) -> DispatchAnswer:
-        """Return the final answer; `unlogged_attempts` are added to those in the log."""
-        return DispatchAnswer(
-            outcome, len(self.log.ends) + unlogged_attempts, self.failures, target, place
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class _Hold:
-    """A request that the quarantine holds back.
-
-    Attributes
-    ----------
-    refusal : NotRun or None
-        The answer to the caller; None if an earlier attempt may have run.
-    """
-
-    refusal: NotRun | None
-
-
 def no_estimates(service: str) -> Sequence[TargetEstimate]:
     """Return no estimates, for a dispatcher without load estimates."""
     return ()
@@ -253,7 +142,7 @@
             latest_send_seconds = min(deadline_seconds, now_seconds + route.goal_seconds)
         rank = self._rank(route, call, reward_of)
         held_call = HeldCall(rank, now_seconds, latest_send_seconds)
-        state = _CallState(
+        state = CallState(
             route, call, deadline_seconds, log, as_stream, service, allowed_regions, None, held_call
         )
         if self._context.settings.queues_calls and not as_stream:
@@ -263,7 +152,7 @@
         finally:
             self._release(state)
 
-    async def _serve(self, state: _CallState) -> DispatchAnswer:
+    async def _serve(self, state: CallState) -> DispatchAnswer:
         while state.log.may_begin():
             target = await self._next_target(state)
             if isinstance(target, NotRun):
@@ -277,7 +166,7 @@
             return state.answer(*state.last_failure)
         return state.answer(self._give_up(state))
 
-    async def _next_target(self, state: _CallState) -> ListedTarget | NotRun | None:
+    async def _next_target(self, state: CallState) -> ListedTarget | NotRun | None:
         """Wait until a call may be sent; return its target, its refusal, or None for no target."""
         target: ListedTarget | None = None
         if not self._chooser.is_held(state.service, state.allowed_regions):
@@ -307,7 +196,7 @@
             return hold.refusal
         return self._recheck(state, target)
 
-    def _recheck(self, state: _CallState, target: ListedTarget) -> ListedTarget | None:
+    def _recheck(self, state: CallState, target: ListedTarget) -> ListedTarget | None:
         """Return the target to send a call to now: another one if the chosen one is excluded.
 
         The call may have waited since the target was chosen.
@@ -319,7 +208,7 @@
             self._quarantine.record_not_run(state.call.fingerprint)
         return another_target
 
-    async def _wait_while_held(self, state: _CallState) -> NotRun | None:
+    async def _wait_while_held(self, state: CallState) -> NotRun | None:
         """Wait while all targets are too cold for a call; return its refusal, if it is refused."""
         while self._chooser.is_held(state.service, state.allowed_regions):
             refusal = await self._cold_calls.wait(
@@ -329,7 +218,7 @@
                 return refusal
         return None
 
-    async def _check_quarantine(self, state: _CallState, may_claim: bool) -> _Hold | None:
+    async def _check_quarantine(self, state: CallState, may_claim: bool) -> Hold | None:
         """Return the hold on a request, or None if it may be sent."""
         hold = await self._quarantine.admit(
             state.call.fingerprint, state.deadline_seconds, may_claim
@@ -337,8 +226,8 @@
         if hold is None:
             return None
         if state.log.may_have_run:
-            return _Hold(None)
-        return _Hold(NotRun(NotRunReason.HELD_BACK, hold.detail, hold.until_seconds))
+            return Hold(None)
+        return Hold(NotRun(NotRunReason.HELD_BACK, hold.detail, hold.until_seconds))
 
     def _rank(self, route: RouteRow, call: Call, reward_of: str | None) -> int:
         """Return a call's rank; 0 is served first."""
@@ -346,7 +235,7 @@
             return REWARD_RANK
         return min(LEAST_URGENT_RANK, call.caller.rank(route.caller_class))
 
-    def _admission_request(self, state: _CallState, reward_of: str | None) -> AdmissionRequest:
+    def _admission_request(self, state: CallState, reward_of: str | None) -> AdmissionRequest:
         """Return a call's admission request."""
         route, call, deadline_seconds = state.route, state.call, state.deadline_seconds
         now_seconds = self._context.now_seconds()
@@ -368,7 +257,7 @@
         )
 
     async def _admit(
-        self, state: _CallState, admission_request: AdmissionRequest
+        self, state: CallState, admission_request: AdmissionRequest
     ) -> NotRun | NoTarget | None:
         """Admit a call: the first attempt, one after a refusal, or a retry after a failure."""
         last_attempt = state.log.ends[-1] if state.log.ends else None
@@ -387,13 +276,13 @@
             return NoTarget()
         return refusal
 
-    def _release(self, state: _CallState) -> None:
+    def _release(self, state: CallState) -> None:
         """Count a call out of its service if it is still counted in."""
         if state.is_admitted and state.admission_request is not None:
             state.is_admitted = False
             self._service_admission.record_end(state.service, state.admission_request)
 
-    async def _try_target(self, state: _CallState, target: ListedTarget) -> DispatchAnswer | None:
+    async def _try_target(self, state: CallState, target: ListedTarget) -> DispatchAnswer | None:
         """Send a call once; return the final answer, or None if it may be sent again."""
         call, log = state.call, state.log
         log.check_may_begin()
@@ -439,7 +328,7 @@
 
     def _record_admission_end(
         self,
-        state: _CallState,
+        state: CallState,
         target: ListedTarget,
         result: TargetAnswer | TargetStream | TargetFailed,
         started_at_seconds: float,
@@ -504,7 +393,7 @@
             for choice in route.choices
         )
 
-    def _pick(self, state: _CallState) -> ListedTarget | None:
+    def _pick(self, state: CallState) -> ListedTarget | None:
         """Return a target; None if there is none or the deadline has passed.
 
         Without a usable target the call is refused at once, with a retry time.
@@ -603,7 +492,7 @@
         self._call_seconds[service] = typical_seconds
         return typical_seconds
 
-    def _give_up(self, state: _CallState) -> NotRun | MayHaveRun:
+    def _give_up(self, state: CallState) -> NotRun | MayHaveRun:
         log, service = state.log, state.service
         rank = state.call.caller.rank(state.route.caller_class)
         now_seconds = self._context.now_seconds()
@@ -626,11 +515,11 @@
         delay_seconds = retry_delay_seconds(base_seconds, rank, draw)
         return NotRun(NotRunReason.NO_TARGET, detail, now_seconds + delay_seconds)
 
-    def _outage(self, state: _CallState) -> OutageTracker:
+    def _outage(self, state: CallState) -> OutageTracker:
         """Return the outages of a service, as calls with the same allowed regions see them."""
         return self._outages.setdefault((state.service, state.allowed_regions), OutageTracker())
 
-    def _exclusion_clause(self, state: _CallState) -> str:
+    def _exclusion_clause(self, state: CallState) -> str:
         """Return why all targets are excluded for a call, and log it; empty if they are not."""
         now_seconds = self._context.now_seconds()
         directory, service = self._context.directory, state.service
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -5,11 +5,8 @@
 from contextlib import aclosing
 from functools import partial
 
-from rackswitch.gateway.callers.request_dispatcher import (
-    DispatchOutcome,
-    RequestDispatcher,
-    outcome_label,
-)
+from rackswitch.gateway.callers.dispatch_answers import DispatchOutcome, outcome_label
+from rackswitch.gateway.callers.request_dispatcher import RequestDispatcher
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.late_run_mover import LateRunMover
--- a/rackswitch/gateway/items/reward_calls.py
+++ b/rackswitch/gateway/items/reward_calls.py
@@ -4,7 +4,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, replace
 
-from rackswitch.gateway.callers.request_dispatcher import DispatchAnswer, RequestDispatcher
+from rackswitch.gateway.callers.dispatch_answers import DispatchAnswer
+from rackswitch.gateway.callers.request_dispatcher import RequestDispatcher
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.outcomes import MayHaveRun, NotRun
 from rackswitch.requests import (
