Distribution tree: follow the limits of a daemon that restarts

Cause: the tree was rebuilt only when a member or its zone changed, so a daemon that came back on another VM kept its place at the others. Measured: tests of the store and of spread pass.

--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -82,7 +82,7 @@
         "_context",
         "_last_poll",
         "_replicas",
-        "_live_zones",
+        "_tree_members",
         "_members_prefix",
         "_paces",
         "_recovered_at_seconds",
@@ -106,7 +106,7 @@
         self._watch = watch
         self._paces = paces
         self._members_prefix = members_prefix
-        self._live_zones: list[tuple[str, str]] = []
+        self._tree_members: list[TreeMember] = []
         self._tree = DistributionTree(())
         self._recovered_at_seconds = float("-inf")
         self._last_poll: _AnsweredPoll | None = None
@@ -179,13 +179,14 @@
             self.selector.clear_cooldowns()
 
     def _current_tree(self) -> DistributionTree:
-        live = self._context.daemon.membership.live_zones()
-        if live != self._live_zones:
-            self._live_zones = live
-            self._tree = DistributionTree(
-                TreeMember(name, zone, self._context.capacity_of(name), self._tree_region(zone))
-                for name, zone in live
-            )
+        """Return the tree of the present members; a restarted one may have other limits."""
+        members = [
+            TreeMember(name, zone, self._context.capacity_of(name), self._tree_region(zone))
+            for name, zone in self._context.daemon.membership.live_zones()
+        ]
+        if members != self._tree_members:
+            self._tree_members = members
+            self._tree = DistributionTree(members)
         return self._tree
 
     def _tree_region(self, zone: str) -> str:
