Capacity of VMs: count memory and link only with regions or cold rates

Change: GatewayContext.placing_capacity_of leaves memory and link out unless the settings name several regions or a service has a cold rate. Tests state both.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -25,7 +25,7 @@
     TargetDirectory,
     intersect_regions,
 )
-from rackswitch.table import LimitsRow, RouteIndex, RouteRow, TenantRow
+from rackswitch.table import LimitsRow, RouteIndex, RouteRow, ServiceRow, TenantRow
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
 from rackswitch.usage import UsageCounts, UsageWindows
@@ -187,10 +187,25 @@
             return VmCapacity()
         return VmCapacity(limits.processor_share, limits.memory_mb, limits.link_mbps)
 
+    def placing_capacity_of(self, daemon: str) -> VmCapacity:
+        """Return what a daemon's VM can carry, as far as owners and the tree are chosen by it.
+
+        Memory and link count where the settings name several regions or the table states the rate
+        of cold targets. Other deployments keep the choice by processor share.
+        """
+        capacity = self.capacity_of(daemon)
+        if self.regions.has_regions or self._has_cold_rates():
+            return capacity
+        return VmCapacity(capacity.processor_share)
+
+    def _has_cold_rates(self) -> bool:
+        rows = self.daemon.view.rows(ServiceRow)
+        return any(row.cold_requests_per_second > 0 for row in rows)
+
     def counted_capacities(self) -> dict[str, VmCapacity]:
         """Return the capacities of live daemons, with what differs among them."""
         live = self.daemon.membership.live()
-        return counted_capacities({name: self.capacity_of(name) for name in live})
+        return counted_capacities({name: self.placing_capacity_of(name) for name in live})
 
     def chooses_targets_by_load(self, service: str) -> bool:
         """Return whether a service's targets are chosen by their reported load.
--- a/rackswitch/gateway/jobs/tests/test_job_placer.py
+++ b/rackswitch/gateway/jobs/tests/test_job_placer.py
@@ -13,7 +13,7 @@
 from rackswitch.gateway.jobs.tests.test_job_manager import make_job_manager
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.tests.path import check_complete, run_scenario, wait_for
-from rackswitch.gateway.tests.support import make_member
+from rackswitch.gateway.tests.support import make_member, state_cold_rate
 from rackswitch.jobs.tests.support import make_job
 from rackswitch.membership import VmEntry
 from rackswitch.peers import gateway_pb2 as pb
@@ -184,6 +184,7 @@
         context.daemon.membership.update_from_complete_list([VmEntry("b", "h", 1, "z", False)], 0.0)
         context.settings = replace(context.settings, link_mbps=link_mbps)
         context.member_entries["b"] = make_member(processor_share=2.0, link_mbps=200.0)
+        state_cold_rate(context)
         if is_overloaded:
             for number in range(20):
                 context.loop_delays.record(number, number + 1.0)
--- a/rackswitch/gateway/store/tests/test_replica_manager.py
+++ b/rackswitch/gateway/store/tests/test_replica_manager.py
@@ -12,7 +12,7 @@
 from rackswitch.gateway.store.replica_manager import ReplicaManager
 from rackswitch.gateway.store.replica_server import ReplicaServer
 from rackswitch.gateway.store.replica_set import ReplicaHandlers
-from rackswitch.gateway.tests.support import make_gateway_context, make_member
+from rackswitch.gateway.tests.support import make_gateway_context, make_member, state_cold_rate
 from rackswitch.membership import VmEntry
 from rackswitch.peers.links import PeerLinks
 from rackswitch.spread import max_age_seconds
@@ -245,6 +245,9 @@
         follower.context.member_entries["a"] = make_member(processor_share=2.0, link_mbps=30.0)
         own = follower.context.daemon_name
         follower.context.settings = replace(follower.context.settings, link_mbps=200.0)
+        # Without regions and cold rates the processor share alone counts, as before.
+        assert follower.follower._current_tree().root == "a"
+        state_cold_rate(follower.context)
         assert follower.follower._current_tree().root == own
 
     run_scenario(scenario)
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -13,6 +13,7 @@
 from rackswitch.standins.faulty_kv import KvFaults
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.standins.platform_fleet import stand_in_settings
+from rackswitch.table import ServiceRow, StoredRow, TableDocument
 
 
 def make_gateway_context(
@@ -88,3 +89,11 @@
         elif earlier.holder != later.holder and interval_seconds < turn_seconds:
             problems.append(f"{earlier.holder}, then {later.holder} after {interval_seconds:.2f} s")
     return problems
+
+
+def state_cold_rate(context: GatewayContext) -> None:
+    """Give a daemon a table with a cold rate, as of a deployment that counts memory and link."""
+    row = ServiceRow(name="cold", cold_requests_per_second=17.0)
+    revision = context.table_revision + 1
+    rows = {**context.daemon.view.document.rows, "service/cold": StoredRow(revision, row)}
+    context.daemon.view.replace_if_newer(TableDocument(revision, rows))
