Capacities of the members: look for cold rates once, not for each member

Cause: each poll of the replication tree and each placing of a job visited all rows of the table once for every member (some 100,000 checks at 74 members and 1,500 rows) in fleets without regions. Change: GatewayContext.placing_capacities checks once; the type alias of the cold queue stands after its constants. Behaviour is unchanged.

--- a/rackswitch/gateway/callers/cold_call_queue.py
+++ b/rackswitch/gateway/callers/cold_call_queue.py
@@ -21,10 +21,10 @@
 """Latest retry time that is stated if all targets stay cold for longer."""
 
 OUT_OF_TIME_DETAIL = "all targets are cold: cannot be in time"
-HeldCheck = Callable[[str, frozenset[str] | None], bool]
-
 NOT_SENDER_DETAIL = "all targets are cold: other daemons send to them"
 
+HeldCheck = Callable[[str, frozenset[str] | None], bool]
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class HeldCall:
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -187,16 +187,17 @@
             return VmCapacity()
         return VmCapacity(limits.processor_share, limits.memory_mb, limits.link_mbps)
 
-    def placing_capacity_of(self, daemon: str) -> VmCapacity:
-        """Return what a daemon's VM can carry, as far as owners and the tree are chosen by it.
+    def placing_capacities(self) -> dict[str, VmCapacity]:
+        """Return what live daemons' VMs can carry, as far as owners and the tree are chosen by it.
 
         Memory and link count where the settings name several regions or the table states the rate
         of cold targets. Other deployments keep the choice by processor share.
         """
-        capacity = self.capacity_of(daemon)
+        capacities = {name: self.capacity_of(name) for name in self.daemon.membership.live()}
+        # Checked once and not for each member, as it visits all rows of the table.
         if self.regions.has_regions or self._has_cold_rates():
-            return capacity
-        return VmCapacity(capacity.processor_share)
+            return capacities
+        return {name: VmCapacity(one.processor_share) for name, one in capacities.items()}
 
     def _has_cold_rates(self) -> bool:
         rows = self.daemon.view.rows(ServiceRow)
@@ -204,8 +205,7 @@
 
     def counted_capacities(self) -> dict[str, VmCapacity]:
         """Return the capacities of live daemons, with what differs among them."""
-        live = self.daemon.membership.live()
-        return counted_capacities({name: self.placing_capacity_of(name) for name in live})
+        return counted_capacities(self.placing_capacities())
 
     def chooses_targets_by_load(self, service: str) -> bool:
         """Return whether a service's targets are chosen by their reported load.
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -180,8 +180,9 @@
 
     def _current_tree(self) -> DistributionTree:
         """Return the tree of the present members; a restarted one may have other limits."""
+        capacities = self._context.placing_capacities()
         members = [
-            TreeMember(name, zone, self._context.placing_capacity_of(name), self._tree_region(zone))
+            TreeMember(name, zone, capacities[name], self._tree_region(zone))
             for name, zone in self._context.daemon.membership.live_zones()
         ]
         if members != self._tree_members:
