Log where a table came from and by which table requests were routed

Cause: the log named a table's revision only; whether a daemon was late because of its source, its own watch or the service could not be told, nor by how old a table a call, a run or a refusal was decided. Change: 'table in force' names the source, the service's revision and the unconfirmed time; 'request ended', 'item run ended', 'reward call ended' and 'request refused' the table in use; a gauge shows its age. Measured: tests of gateway, telemetry and explain pass; no decision is changed.

--- a/rackswitch/gateway/callers/call_handler.py
+++ b/rackswitch/gateway/callers/call_handler.py
@@ -7,7 +7,7 @@
 from rackswitch.gateway.callers.refusals import TEXT_HEADERS, Refusal, refuse
 from rackswitch.gateway.callers.request_dispatcher import RequestDispatcher
 from rackswitch.gateway.callers.stream_relay import StreamRelay
-from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.context import GatewayContext, TableInUse
 from rackswitch.gateway.placement_log import placement_event
 from rackswitch.outcomes import BrokenInvariant, MayHaveRun, NotRun
 from rackswitch.requests import Call, TargetAnswer, TargetStream
@@ -43,6 +43,7 @@
         call: Call,
         deadline_seconds: float,
         arrived_seconds: float,
+        routed_by: TableInUse,
     ) -> None:
         """Serve a call; cancel it if the caller disconnects first."""
         log = self._dispatcher.new_log(route)
@@ -50,7 +51,7 @@
             self._dispatcher.call(route, call, deadline_seconds, log, as_stream=route.streams)
         )
         if not await done_before_disconnect(exchange, work):
-            self._log_end(route, call, arrived_seconds, "caller left", None)
+            self._log_end(route, call, arrived_seconds, routed_by, "caller left", None)
             return
         answer = work.result()
         outcome = answer.outcome
@@ -66,7 +67,7 @@
             await refuse(exchange, Refusal(503, outcome.detail, retry_after_seconds))
         else:
             await self._respond_failed(exchange, outcome, deadline_seconds)
-        self._log_end(route, call, arrived_seconds, label, answer)
+        self._log_end(route, call, arrived_seconds, routed_by, label, answer)
 
     async def _relay(
         self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: ListedTarget
@@ -87,6 +88,7 @@
         route: RouteRow,
         call: Call,
         arrived_seconds: float,
+        routed_by: TableInUse,
         outcome: str,
         answer: DispatchAnswer | None,
     ) -> None:
@@ -104,6 +106,8 @@
                 attempts=answer.attempts if answer is not None else 0,
                 elapsed_seconds=round(elapsed_seconds, 4),
                 outcome=outcome,
+                routed_by_revision=routed_by.revision,
+                routed_by_age_seconds=routed_by.age_seconds,
                 place=self._placement_event(answer),
             )
         )
--- a/rackswitch/gateway/callers/caller_handler.py
+++ b/rackswitch/gateway/callers/caller_handler.py
@@ -9,7 +9,7 @@
 
 from rackswitch.gateway.callers.call_handler import CallHandler
 from rackswitch.gateway.callers.refusals import TEXT_HEADERS, Refusal, refuse_before_routing
-from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.context import GatewayContext, TableInUse
 from rackswitch.gateway.jobs.job_handler import JobHandler, Submission
 from rackswitch.platform.desired_state import LIMITS_NAME
 from rackswitch.platform.ingress import (
@@ -48,6 +48,8 @@
     ----------
     deadline_seconds : float or None
         The caller's own deadline (event loop time).
+    routed_by : TableInUse
+        The table that the route is from.
     """
 
     route: RouteRow
@@ -55,6 +57,7 @@
     host: str
     request_id: str
     deadline_seconds: float | None
+    routed_by: TableInUse
 
 
 class CallerHandler:
@@ -171,7 +174,9 @@
         deadline_seconds = request_deadline_seconds(exchange, arrived_seconds)
         if isinstance(deadline_seconds, MalformedRequest):
             return Refusal(400, deadline_seconds.detail)
-        return _RequestHead(route, caller, host, request_id, deadline_seconds)
+        return _RequestHead(
+            route, caller, host, request_id, deadline_seconds, self._context.table_in_use()
+        )
 
     def _key_refusal(self, fault: KeyFault) -> Refusal:
         """Return the refusal of a request whose key is not in the table in force.
@@ -208,7 +213,9 @@
         deadline_seconds = arrived_seconds + head.route.timeout_seconds
         if head.deadline_seconds is not None:
             deadline_seconds = min(deadline_seconds, head.deadline_seconds)
-        await self._calls.serve(exchange, head.route, call, deadline_seconds, arrived_seconds)
+        await self._calls.serve(
+            exchange, head.route, call, deadline_seconds, arrived_seconds, head.routed_by
+        )
 
     def _limits(self) -> LimitsRow:
         row = self._context.daemon.view.row(LimitsRow, LIMITS_NAME)
--- a/rackswitch/gateway/callers/refusals.py
+++ b/rackswitch/gateway/callers/refusals.py
@@ -55,6 +55,7 @@
             status=refusal.status,
             detail=refusal.detail,
             table_revision=context.table_revision,
+            table_age_seconds=context.table_age_seconds(),
         )
     )
     await refuse(exchange, refusal)
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -32,7 +32,7 @@
 from rackswitch.web.connection_limits import ConnectionLimits
 from rackswitch.weights import EngineLoads
 
-__all__ = ["GatewayContext"]
+__all__ = ["GatewayContext", "TableInUse"]
 
 MAX_EXTRA_TIMEOUT_SECONDS = 0.5
 """Upper bound of the addition to the timeout of a call to another region. Slow replies count in the
@@ -54,6 +54,20 @@
     return UsageCounts(UsageWindows(5.0, 10.0), time.time())
 
 
+@dataclass(frozen=True, slots=True)
+class TableInUse:
+    """The table by which a request was routed.
+
+    Attributes
+    ----------
+    age_seconds : float
+        Age of its last confirmation; -1 if there was none.
+    """
+
+    revision: int
+    age_seconds: float
+
+
 @dataclass(slots=True)
 class GatewayContext:
     """State and connections that several parts of one gateway use.
@@ -85,6 +99,8 @@
         Loads of weights in progress, by engine.
     list_confirmed_at_seconds : float
         When the key-value service last confirmed the list of targets (monotonic).
+    table_confirmed_at_seconds : float
+        When it last confirmed the table and the other entries of operators (monotonic).
     start_times : StartTimes
         How long the parts of the start took.
     cold_sends : ColdSends
@@ -111,6 +127,7 @@
     load_estimator: LoadEstimator = field(default_factory=LoadEstimator)
     connection_limits: ConnectionLimits = field(default_factory=_initial_connection_limits)
     list_confirmed_at_seconds: float = float("-inf")
+    table_confirmed_at_seconds: float = float("-inf")
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
     start_times: StartTimes = field(default_factory=_start_times_from_now)
@@ -252,7 +269,18 @@
 
     def list_age_seconds(self) -> float:
         """Return the age of the last confirmation of the list of targets; -1 if there is none."""
-        age_seconds = self.now_seconds() - self.list_confirmed_at_seconds
+        return self._logged_age_seconds(self.list_confirmed_at_seconds)
+
+    def table_age_seconds(self) -> float:
+        """Return the age of the last confirmation of the table; -1 if there is none."""
+        return self._logged_age_seconds(self.table_confirmed_at_seconds)
+
+    def table_in_use(self) -> TableInUse:
+        """Return the revision and age of the table in force, for the log."""
+        return TableInUse(self.table_revision, self.table_age_seconds())
+
+    def _logged_age_seconds(self, confirmed_at_seconds: float) -> float:
+        age_seconds = self.now_seconds() - confirmed_at_seconds
         return round(age_seconds, 3) if age_seconds < float("inf") else -1.0
 
     def remove_unlisted_estimates(self) -> None:
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -172,6 +172,7 @@
             The urgency sent to the engine.
         """
         began_at_seconds = self._context.now_seconds()
+        routed_by = self._context.table_in_use()
         first_piece_number = progress.last_number + 1
         intervals = PieceIntervals()
         sent_request = self.load_tracker.record_start(target, began_at_seconds)
@@ -209,6 +210,8 @@
                 place=placement_event(
                     self._context, sent_request.estimate, target.service, WorkKind.TEXT
                 ),
+                routed_by_revision=routed_by.revision,
+                routed_by_age_seconds=routed_by.age_seconds,
             )
         )
         may_be_queued = intervals.first_at_seconds is None or urgency != DEFAULT_URGENCY
@@ -479,6 +482,7 @@
             if route is None:
                 await asyncio.sleep(REWARD_RETRY_DELAY_SECONDS)
                 continue
+            routed_by = self._context.table_in_use()
             deadline_seconds = self._context.now_seconds() + route.timeout_seconds
             answer = await self._reward_calls.call(
                 route, call, deadline_seconds, ledger.job.tenant, state
@@ -500,6 +504,7 @@
                         answer.target.service if answer.target is not None else "",
                         WorkKind.CALL,
                     ),
+                    routed_by_revision=routed_by.revision,
                 )
             )
             if isinstance(outcome, TargetAnswer) and is_good(answer):
--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -272,7 +272,7 @@
             if replica is None:
                 continue
             if message.revision > replica.revision:
-                self._apply_prefix_changes(message)
+                self._apply_prefix_changes(message, source)
             age_seconds = message.age_ms / 1000 + transit_seconds
             # After this daemon has watched the service itself, the source's revision may be older
             # than this replica's for a moment; the source's age counts nevertheless.
@@ -305,9 +305,9 @@
         )
         return last_poll.requested_at_seconds if has_changed else float("-inf")
 
-    def _apply_prefix_changes(self, message: pb.CopyNews) -> None:
+    def _apply_prefix_changes(self, message: pb.CopyNews, source: str) -> None:
         changes = decode_changes(message)
         if message.whole:
-            self._replicas.apply_snapshot(message.prefix, changes.entries, message.revision)
+            self._replicas.apply_snapshot(message.prefix, changes.entries, message.revision, source)
         else:
-            self._replicas.apply_changes(message.prefix, changes)
+            self._replicas.apply_changes(message.prefix, changes, source)
--- a/rackswitch/gateway/store/replica_set.py
+++ b/rackswitch/gateway/store/replica_set.py
@@ -26,6 +26,9 @@
         Called with the key of each deleted entry.
     on_confirmed : callable
         Called with the time (monotonic) at which the service last confirmed the replica.
+    on_batch_start : callable
+        Called before the changes of a batch with the daemon that they come from; empty for the
+        service itself.
     on_batch_end : callable
         Called once after all changes of a batch.
     """
@@ -33,6 +36,7 @@
     on_put: Callable[[KvEntry], None]
     on_deleted: Callable[[str], None]
     on_confirmed: Callable[[float], None] = lambda at_seconds: None
+    on_batch_start: Callable[[str], None] = lambda source: None
     on_batch_end: Callable[[], None] = lambda: None
 
 
@@ -78,12 +82,26 @@
         """Return the oldest confirmation time (monotonic) of all replicas."""
         return min(replica.confirmed_at_seconds for replica in self.by_prefix.values())
 
-    def apply_snapshot(self, prefix: str, entries: Iterable[KvEntry], revision: int) -> None:
-        """Replace a replica by a snapshot of all entries under its prefix."""
-        self._notify_handlers(prefix, self.by_prefix[prefix].replace(entries, revision))
+    def apply_snapshot(
+        self, prefix: str, entries: Iterable[KvEntry], revision: int, source: str = ""
+    ) -> None:
+        """Replace a replica by a snapshot of all entries under its prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            The replica's prefix.
+        entries : iterable of KvEntry
+            All entries.
+        revision : int
+            The service's revision of the snapshot.
+        source : str, optional
+            The daemon that sent the snapshot; empty for the service itself.
+        """
+        self._notify_handlers(prefix, self.by_prefix[prefix].replace(entries, revision), source)
 
-    def apply_changes(self, prefix: str, update: WatchUpdate) -> None:
-        """Apply changes under a prefix.
+    def apply_changes(self, prefix: str, update: WatchUpdate, source: str = "") -> None:
+        """Apply changes under a prefix, sent by the daemon `source` or by the service itself.
 
         Changes up to an earlier revision than the replica's are ignored: a watch may deliver them
         after the same daemon has received later ones from a peer, and they would undo those.
@@ -91,7 +109,7 @@
         if update.revision < self.by_prefix[prefix].revision:
             return
         self.by_prefix[prefix].apply(update)
-        self._notify_handlers(prefix, update)
+        self._notify_handlers(prefix, update, source)
 
     def confirm(self, prefix: str, at_seconds: float) -> None:
         """Record that the service confirmed a replica at `at_seconds` (monotonic)."""
@@ -113,8 +131,9 @@
             return False
         return True
 
-    def _notify_handlers(self, prefix: str, update: WatchUpdate) -> None:
+    def _notify_handlers(self, prefix: str, update: WatchUpdate, source: str) -> None:
         handlers = self._handlers[prefix]
+        handlers.on_batch_start(source)
         for entry in update.entries:
             handlers.on_put(entry)
         for key in update.deleted:
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -55,27 +55,39 @@
         Called when a zone's targets are excluded, after `context.directory` excludes them.
     """
 
-    __slots__ = ("_context", "_ends", "on_targets_excluded")
+    __slots__ = ("_context", "_ends", "_operators_source", "on_targets_excluded")
 
     def __init__(self, context: GatewayContext, ends: EndDetector):
         self._context = context
         self._ends = ends
+        self._operators_source = ""
         self.on_targets_excluded: Callable[[], None] = lambda: None
 
     def operator_handlers(self) -> ReplicaHandlers:
         """Return the handlers of the operators' and trainers' entries."""
-        return ReplicaHandlers(self._operator_put, self._operator_deleted)
+        return ReplicaHandlers(
+            self._operator_put,
+            self._operator_deleted,
+            self._record_table_confirmed,
+            self._record_operators_source,
+        )
 
     def target_handlers(self) -> ReplicaHandlers:
         """Return the handlers of the list of targets."""
         return ReplicaHandlers(self._target_put, self._target_deleted, self._record_list_confirmed)
 
+    def _record_table_confirmed(self, at_seconds: float) -> None:
+        self._context.table_confirmed_at_seconds = at_seconds
+
+    def _record_operators_source(self, source: str) -> None:
+        self._operators_source = source
+
     def _operator_put(self, entry: KvEntry) -> None:
         decoded = decode_operator_entry(entry.key, entry.value)
         if isinstance(decoded, MalformedEntry):
             self._log_unreadable(entry, decoded)
         elif isinstance(decoded, TableDocument):
-            self._apply_table(decoded)
+            self._apply_table(decoded, entry.mod_revision)
         elif isinstance(decoded, NamedVersion):
             self._apply_version(decoded)
         elif isinstance(decoded, RetireOrder):
@@ -135,14 +147,20 @@
             EntryUnreadable(key=entry.key, revision=entry.mod_revision, detail=fault.detail)
         )
 
-    def _apply_table(self, document: TableDocument) -> None:
+    def _apply_table(self, document: TableDocument, entry_revision: int) -> None:
         previous = self._context.table_revision
         if self._context.daemon.view.replace_if_newer(document):
             self._context.routes = index_routes(document)
             self._context.tenants = index_tenants(document, self._context.tenants)
             self._apply_limits()
             self._context.log.write(
-                TableInForce(revision=document.revision, revision_before=previous)
+                TableInForce(
+                    revision=document.revision,
+                    revision_before=previous,
+                    entry_revision=entry_revision,
+                    received_from=self._operators_source,
+                    unconfirmed_seconds=self._context.table_age_seconds(),
+                )
             )
 
     def _apply_limits(self) -> None:
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -188,6 +188,12 @@
     place: EstimateLogged | None = None
     """Estimate of the engine's load when the run began, if its service reports a pace."""
 
+    routed_by_revision: int = 0
+    """Revision of the table by which the run was routed."""
+
+    routed_by_age_seconds: float = -1.0
+    """Age of that table's last confirmation when the run began; -1 if there was none."""
+
     @property
     def is_routine(self) -> bool:
         """Whether the first run completed the text."""
@@ -257,6 +263,8 @@
     ----------
     is_hedged : bool
         Whether it was sent a second time because the first stayed without an answer.
+    routed_by_revision : int
+        Revision of the table by which the call was routed.
     """
 
     job: str
@@ -268,6 +276,7 @@
     outcome: str
     place: EstimateLogged | None = None
     is_hedged: bool = False
+    routed_by_revision: int = 0
 
     @property
     def is_routine(self) -> bool:
--- a/rackswitch/telemetry/events/requests.py
+++ b/rackswitch/telemetry/events/requests.py
@@ -14,13 +14,20 @@
 
 @register_event
 class RequestRefused(Event, tag="request refused", frozen=True):
-    """This daemon refused a request before choosing a target."""
+    """This daemon refused a request before choosing a target.
+
+    Attributes
+    ----------
+    table_age_seconds : float
+        Age of the last confirmation of the table; -1 if there is none.
+    """
 
     request: str
     path: str
     status: int
     detail: str
     table_revision: int
+    table_age_seconds: float = -1.0
 
 
 @register_event
@@ -66,6 +73,11 @@
         The target whose answer was forwarded to the caller; empty if there is none.
     targets_known : int
         Usable targets of the service when the request ended.
+    routed_by_revision : int
+        Revision of the table by which the request was routed; `table_revision` is the one in
+        force when it ended.
+    routed_by_age_seconds : float
+        Age of that table's last confirmation when the request was routed; -1 if there was none.
     place : EstimateLogged or None
         Estimate of the target's load when it was chosen, if its service reports a pace.
     """
@@ -81,6 +93,8 @@
     elapsed_seconds: float
     outcome: str
     tenant: str = ""
+    routed_by_revision: int = 0
+    routed_by_age_seconds: float = -1.0
     place: EstimateLogged | None = None
 
     @property
--- a/rackswitch/telemetry/events/state.py
+++ b/rackswitch/telemetry/events/state.py
@@ -22,10 +22,24 @@
 
 @register_event
 class TableInForce(Event, tag="table in force", frozen=True):
-    """Another revision of the table took effect at this daemon."""
+    """Another revision of the table took effect at this daemon.
+
+    Attributes
+    ----------
+    entry_revision : int
+        The key-value service's revision at which it acknowledged the table; 0 if unknown.
+    received_from : str
+        The daemon whose replica brought the table; empty for the service itself. That daemon's own
+        line names the next one on the path.
+    unconfirmed_seconds : float
+        For how long the replica had not been confirmed before; -1 if never.
+    """
 
     revision: int
     revision_before: int
+    entry_revision: int = 0
+    received_from: str = ""
+    unconfirmed_seconds: float = -1.0
 
 
 @register_event
--- a/rackswitch/telemetry/meters.py
+++ b/rackswitch/telemetry/meters.py
@@ -108,6 +108,7 @@
         "record_request",
         "requests_held_back",
         "reward_calls",
+        "table_age",
         "table_revision",
         "targets_ended",
         "targets_excluded",
@@ -152,6 +153,11 @@
         self.table_revision = meter.create_gauge(
             "rackswitch_table_revision", description="Revision of the table in force."
         )
+        self.table_age = meter.create_gauge(
+            "rackswitch_table_age_seconds",
+            unit="s",
+            description="Age of the table's last confirmation as the last request was routed.",
+        )
         self.zones_evacuated = meter.create_gauge(
             "rackswitch_zones_evacuated", description="Zones that operators have evacuated."
         )
@@ -269,6 +275,7 @@
         route, event.caller_class, short_outcome(event.outcome), event.elapsed_seconds
     )
     meters.record_estimate(event.target, event.place, "call")
+    meters.table_age.set(event.routed_by_age_seconds, meters.labels())
 
 
 @_recorder_of(RequestRefused)
