--- a/rackswitch/peers/tests/test_links.py
+++ b/rackswitch/peers/tests/test_links.py
@@ -1,15 +1,18 @@
-"""Calls to peers whose connection closes at the start of the call."""
+"""Calls to peers whose connection closes at the start of the call, or goes silent."""
 
 import asyncio
 from unittest.mock import patch
 
 import pytest
 from grpclib.client import Channel
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Server
 
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
 from rackswitch.peers.links import PeerLinks, PeerUnreachable
+from rackswitch.standins.silent_proxy import SilentProxy
 
 TIMEOUT_SECONDS = 1.0
 
@@ -49,3 +52,41 @@
 def test_missing_method_raises_attribute_error():
     with pytest.raises(AttributeError):
         asyncio.run(_call_unresponsive_peer(lambda stub: stub.NoSuchMethod))
+
+
+class YieldingPeer:
+    """A peer that answers one method."""
+
+    async def answer(self, stream) -> None:
+        await stream.recv_message()
+        await stream.send_message(pb.YieldJobReply())
+
+    def __mapping__(self):
+        path = "/rackswitch.gateway.GatewayPeers/YieldJob"
+        kinds = (Cardinality.UNARY_UNARY, pb.YieldJobRequest, pb.YieldJobReply)
+        return {path: Handler(self.answer, *kinds)}
+
+
+def test_a_peer_stays_reachable_after_its_open_connection_goes_silent():
+    async def scenario():
+        server = Server([YieldingPeer()])
+        await server.start("127.0.0.1", 0)
+        proxy = SilentProxy(server._server.sockets[0].getsockname()[1])
+        peer = MemberUpdate("d1", "127.0.0.1", await proxy.start(), "z", 1, MemberState.ALIVE)
+        links = PeerLinks("")
+
+        async def call():
+            request = pb.YieldJobRequest(job_id="j", owner_revision=1)
+            return await links.call(
+                peer, lambda stub: stub.YieldJob, request, 0.2, GatewayPeersStub
+            )
+
+        answered = [not isinstance(await call(), PeerUnreachable)]
+        proxy.silence_open_connections()
+        answered += [not isinstance(await call(), PeerUnreachable) for _ in range(2)]
+        links.close()
+        await proxy.stop()
+        server.close()
+        return answered
+
+    assert asyncio.run(scenario()) == [True, False, True]
--- a/rackswitch/standins/platform_store.py
+++ b/rackswitch/standins/platform_store.py
@@ -1,7 +1,6 @@
 """Stand-in for the operator platform's key-value service, with injected faults."""
 
 import asyncio
-import contextlib
 from base64 import b64decode, b64encode
 from dataclasses import dataclass, field
 from typing import Any
@@ -129,7 +128,7 @@
             return
         body = await exchange.read_body(MAX_BODY_BYTES, asyncio.get_running_loop().time() + 5.0)
         content = body if isinstance(body, bytes) else b""
-        status, answer = await self._answer(exchange, content)
+        status, answer = await self.answer(exchange.path, exchange.query, content)
         if self._drops_answer(exchange.path, content):
             self.faults.lost_answers -= 1
             await exchange.wait_for_disconnect()
@@ -141,9 +140,10 @@
             return False
         return self.faults.lost_about.encode() in body
 
-    async def _answer(self, exchange: Exchange, body: bytes) -> tuple[int, Any]:
-        query = {name: values[0] for name, values in parse_qs(exchange.query).items()}
-        endpoint, _, argument = exchange.path.removeprefix("/rackswitch/").partition("/")
+    async def answer(self, path: str, raw_query: str, body: bytes) -> tuple[int, Any]:
+        """Return the status and body of the answer to a call, without any fault."""
+        query = {name: values[0] for name, values in parse_qs(raw_query).items()}
+        endpoint, _, argument = path.removeprefix("/rackswitch/").partition("/")
         now_seconds = asyncio.get_running_loop().time()
         self.store.expire(now_seconds)
         self._record_changes()
@@ -189,6 +189,8 @@
     async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
         prefix, revision = query["path_prefix"], int(query["since_rev"])
         deadline_seconds = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        # A timer may fire early by the clock's resolution, so its end is not checked by the clock.
+        is_over = int(query["wait_ms"]) == 0
         while True:
             if revision < self._compacted_revision:
                 return 410, {}
@@ -197,11 +199,13 @@
                 for change in self._history
                 if change.revision > revision and change.key.startswith(prefix)
             ]
-            if events or asyncio.get_running_loop().time() >= deadline_seconds:
+            if events or is_over:
                 return 200, {"events": events, "store_revision": self.store.revision}
-            with contextlib.suppress(TimeoutError):
+            try:
                 async with asyncio.timeout_at(deadline_seconds):
                     await self._changed.wait()
+            except TimeoutError:
+                is_over = True
 
     def _txn(self, transaction: dict[str, Any]) -> tuple[int, Any]:
         compares = tuple(
