Peer links: replace a connection that went silent

What callers saw: changes of the table in force up to 5.8 s late at daemons whose sources were alive. Cause: a call that timed out left its channel in use, so each further call to that peer timed out too. Change: a channel that brought no reply during a call that timed out takes no new calls and is closed after its last one; a channel on which other calls were answered meanwhile is kept.

--- a/rackswitch/peers/links.py
+++ b/rackswitch/peers/links.py
@@ -31,9 +31,44 @@
         self.detail = detail
 
 
+class _PeerConnection:
+    """A channel to a peer, and what shows whether it still works.
+
+    Attributes
+    ----------
+    calls_in_flight : int
+        Calls that wait for a reply on this channel.
+    replied_at_seconds : float
+        When the last reply came (event loop time); minus infinity if none has.
+    is_replaced : bool
+        Whether new calls use another channel; this one is closed after its last call.
+    """
+
+    __slots__ = ("calls_in_flight", "channel", "is_replaced", "replied_at_seconds")
+
+    def __init__(self, channel: Channel):
+        self.channel = channel
+        self.calls_in_flight = 0
+        self.replied_at_seconds = float("-inf")
+        self.is_replaced = False
+
+    def replace(self) -> None:
+        """Take no further calls, and close the channel once it has none in flight."""
+        self.is_replaced = True
+        self.close_if_unused()
+
+    def close_if_unused(self) -> None:
+        """Close a replaced channel without calls in flight."""
+        if self.is_replaced and not self.calls_in_flight:
+            self.channel.close()
+
+
 class PeerLinks:
     """A least-recently-used cache of channels to peers.
 
+    A channel that has brought no reply during a call that timed out is replaced: it may have gone
+    silent without a reset, which would otherwise hide a live peer until the system gives it up.
+
     Parameters
     ----------
     secret : str
@@ -46,7 +81,7 @@
     """
 
     __slots__ = (
-        "_channels",
+        "_connections",
         "_secret",
         "blocked",
         "calls",
@@ -56,7 +91,7 @@
 
     def __init__(self, secret: str):
         self._secret = secret
-        self._channels: OrderedDict[tuple[str, int], Channel] = OrderedDict()
+        self._connections: OrderedDict[tuple[str, int], _PeerConnection] = OrderedDict()
         self.calls = 0
         self.extra_timeout_seconds: Callable[[str], float] = lambda zone: 0.0
         self.max_channels = MAX_CHANNELS
@@ -76,36 +111,55 @@
             return PeerUnreachable("cut off")
         self.calls += 1
         timeout_seconds += self.extra_timeout_seconds(peer.zone)
-        stub = stub_kind(self._channel(peer.host, peer.peer_port))
+        address = (peer.host, peer.peer_port)
+        connection = self._connection(address)
+        stub = stub_kind(connection.channel)
         # Metadata values must not be empty.
         metadata = {SECRET_METADATA: self._secret} if self._secret else {}
+        loop = asyncio.get_running_loop()
+        started_at_seconds = loop.time()
+        connection.calls_in_flight += 1
         try:
             async with asyncio.timeout(timeout_seconds):
-                return await method(stub)(message, timeout=timeout_seconds, metadata=metadata)
+                reply = await method(stub)(message, timeout=timeout_seconds, metadata=metadata)
+            connection.replied_at_seconds = loop.time()
+            return reply
+        except TimeoutError as error:
+            if connection.replied_at_seconds < started_at_seconds:
+                self._replace(address, connection)
+            return PeerUnreachable(f"{type(error).__name__}: {error}")
         except PEER_ERRORS as error:
             return PeerUnreachable(f"{type(error).__name__}: {error}")
         except AttributeError as error:
             if not _belongs_to_grpc_library(error.obj):
                 raise
             return PeerUnreachable(f"connection closed at the start of the call: {error}")
-
-    def _channel(self, host: str, port: int) -> Channel:
-        key = (host, port)
-        channel = self._channels.get(key)
-        if channel is None:
-            channel = Channel(host, port)
-            self._channels[key] = channel
-        self._channels.move_to_end(key)
-        if len(self._channels) > self.max_channels:
-            _, oldest = self._channels.popitem(last=False)
-            oldest.close()
-        return channel
+        finally:
+            connection.calls_in_flight -= 1
+            connection.close_if_unused()
+
+    def _connection(self, address: tuple[str, int]) -> _PeerConnection:
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = _PeerConnection(Channel(*address))
+            self._connections[address] = connection
+        self._connections.move_to_end(address)
+        if len(self._connections) > self.max_channels:
+            _, oldest = self._connections.popitem(last=False)
+            oldest.channel.close()
+        return connection
+
+    def _replace(self, address: tuple[str, int], connection: _PeerConnection) -> None:
+        """Use a new channel for further calls to an address."""
+        if self._connections.get(address) is connection:
+            del self._connections[address]
+        connection.replace()
 
     def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        for connection in self._connections.values():
+            connection.channel.close()
+        self._connections.clear()
 
 
 def _belongs_to_grpc_library(obj: object) -> bool:
