Calls to the service: hedged attempts with one deadline, silent connections replaced

What callers saw: 404s and old routes up to 5 s after a change was acknowledged, once open connections had gone silent. Cause: paths were tried one after the other, each with a timeout of its own (own path 0.3 to 1.5 s, two peers 0.95 to 1.6 s each), and silence of one pooled connection marked the whole path as failed, so that the next calls went to peers only. A watch whose long poll stayed silent counted as a failure of the service. Change: relay.AttemptPlan starts the next path while earlier ones are silent, under one deadline; silence is followed by a new connection and the first peer at once; long polls never probe a failed path and give up after one silent path; a watch that had been answered is resumed at once, by a call answered without a wait.

--- a/rackswitch/clients/http.py
+++ b/rackswitch/clients/http.py
@@ -13,7 +13,7 @@
 import aiohttp
 import msgspec
 
-__all__ = ["NOT_SENT_ERRORS", "CallFailed", "HttpSessions", "call_json"]
+__all__ = ["NOT_SENT_ERRORS", "CallFailed", "HttpSessions", "call_json", "close_idle_connections"]
 
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised before any byte of the request is sent."""
@@ -22,15 +22,24 @@
 POOL_SIZE = 512
 
 
+def close_idle_connections(connector: aiohttp.BaseConnector) -> None:
+    """Close the unused connections of a pool."""
+    # The library has no public way to close idle connections only.
+    for connections in connector._conns.values():
+        for protocol, _ in connections:
+            protocol.close()
+
+
 class HttpSessions:
     """Client sessions of one process."""
 
-    __slots__ = ("pooled", "single_use")
+    __slots__ = ("_pooled_connector", "pooled", "single_use")
 
     def __init__(self) -> None:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
+        self._pooled_connector = aiohttp.TCPConnector(limit=POOL_SIZE)
         self.pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=POOL_SIZE), timeout=timeout, auto_decompress=False
+            connector=self._pooled_connector, timeout=timeout, auto_decompress=False
         )
         self.single_use = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
@@ -38,6 +47,10 @@
             auto_decompress=False,
         )
 
+    def close_idle_connections(self) -> None:
+        """Close the unused connections of the pooled session."""
+        close_idle_connections(self._pooled_connector)
+
     async def close(self) -> None:
         """Close all connections."""
         await asyncio.gather(self.pooled.close(), self.single_use.close())
--- a/rackswitch/gateway/store/service_watch.py
+++ b/rackswitch/gateway/store/service_watch.py
@@ -141,20 +141,27 @@
     async def _watch(self, prefix: str) -> tuple[bool, bool]:
         """Watch a prefix and apply its changes while enabled.
 
+        A watch that was answered before it broke off has not failed: only the first call of the
+        next one, which the service answers without waiting, shows whether the service is reachable.
+
         Returns
         -------
         (bool, bool)
             Whether the watch failed, and whether the prefix must be read again.
         """
         revision = self._replicas.by_prefix[prefix].revision
+        was_answered = False
         async for update in self._context.kv.watch(prefix, revision):
             now_seconds = self._context.now_seconds()
             if isinstance(update, KvUnavailable):
+                if was_answered and not update.history_lost:
+                    break
                 if not update.history_lost:
                     self._context.store_reachability.record_failure(
                         now_seconds, f"watch: {update.detail}"
                     )
                 return True, update.history_lost
+            was_answered = True
             self._context.store_reachability.record_answer(now_seconds)
             # A working watch never ends, so the failure count is reset here; otherwise followers
             # would go on avoiding a daemon whose connection has recovered.
--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -1,7 +1,8 @@
 """Calls to the key-value service, made directly or forwarded by a peer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import msgspec
 
@@ -12,14 +13,15 @@
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
 from rackswitch.peers.links import PeerLinks, PeerUnreachable
 from rackswitch.platform.store_calls import (
+    DirectTransport,
     MalformedCall,
     StoreCall,
-    StoreTransport,
     decode_call,
     encode_call,
+    probe_call,
 )
 from rackswitch.platform.store_messages import StoreAnswer
-from rackswitch.relay import OWN_PATH, PathSelector
+from rackswitch.relay import OWN_PATH, Attempt, AttemptPlan, PathSelector, hedged_stages
 from rackswitch.telemetry import DecisionLog
 from rackswitch.telemetry.events import RelayRefused, StorePathChanged
 
@@ -29,6 +31,10 @@
 """Additional timeout of a call that a peer forwards: some round trips between zones of a few
 milliseconds, and a busy event loop."""
 
+HEDGED_INTERVALS = 4
+"""Deadline of a hedged call, in intervals between its stages: one for each of at most three stages,
+and one more for the answer to the last."""
+
 MAX_FORWARDED_CALLS = 32
 """Concurrency limit for calls forwarded for peers; it bounds the load that a faulty peer causes. A
 daemon makes some ten calls a second and waits for few of them at a time, so the limit serves
@@ -44,7 +50,7 @@
 
     Parameters
     ----------
-    direct : StoreTransport
+    direct : DirectTransport
         The direct path to the service.
     links, membership : PeerLinks, Membership
         Connections to the other daemons, and their addresses.
@@ -71,12 +77,13 @@
         "_log",
         "_membership",
         "_stays_in_region",
+        "_tasks",
         "path_selector",
     )
 
     def __init__(
         self,
-        direct: StoreTransport,
+        direct: DirectTransport,
         links: PeerLinks,
         membership: Membership,
         log: DecisionLog,
@@ -90,32 +97,115 @@
         self._membership = membership
         self._log = log
         self._stays_in_region = stays_in_region
+        self._tasks: set[asyncio.Task[StoreAnswer | KvUnavailable]] = set()
         self.path_selector = PathSelector(membership.own.zone, region_of_zone=region_of_zone or {})
 
     async def send(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
-        """Make a call over the paths in turn until one brings an answer.
+        """Make a call over the paths until one brings an answer.
 
-        A call that may have taken effect is retried only if it is repeatable; otherwise the
-        unknown outcome is returned.
+        A repeatable call is sent over the next path while earlier ones are still silent, with one
+        deadline for all. A call that may have taken effect is retried only if it is repeatable;
+        otherwise the unknown outcome is returned.
         """
-        paths = self.path_selector.paths(
-            self._peers(), call.repeatable, _now_seconds(), self._stays_in_region()
+        if call.is_long_poll:
+            return await self._send_long_poll(call)
+        paths = self._paths(call.repeatable)
+        if call.repeatable:
+            return await self._send_hedged(call, hedged_stages(paths))
+        return await self._send_in_turn(call, paths)
+
+    async def send_directly(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
+        """Make a call without peers; a repeatable one also over a new connection if needed."""
+        if call.repeatable and not call.is_long_poll:
+            return await self._send_hedged(call, hedged_stages([OWN_PATH]))
+        return await self._send_direct(call)
+
+    def _paths(self, repeatable: bool) -> list[str]:
+        return self.path_selector.paths(
+            self._peers(), repeatable, _now_seconds(), self._stays_in_region()
         )
+
+    async def _send_in_turn(self, call: StoreCall, paths: list[str]) -> StoreAnswer | KvUnavailable:
+        """Make a call over one path after the other while it is known to have had no effect."""
         last_result: StoreAnswer | KvUnavailable = KvUnavailable(
             "no path to the service is available", effect_unknown=False
         )
         for path in paths:
-            last_result = await self._send_via(path, call, has_alternatives=len(paths) > 1)
-            if isinstance(last_result, StoreAnswer) and not last_result.is_rejected:
+            last_result = await self._send_via(path, call)
+            if not _is_failure(last_result):
                 return last_result
-            if (
-                isinstance(last_result, KvUnavailable)
-                and last_result.effect_unknown
-                and not call.repeatable
-            ):
+            if isinstance(last_result, KvUnavailable) and last_result.effect_unknown:
                 return last_result
         return last_result
 
+    async def _send_long_poll(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
+        """Make a long poll over the first path that does not reject it.
+
+        Silence is returned at once: the next call, which the service answers without waiting,
+        finds out sooner which path works than another long poll.
+        """
+        if self.path_selector.take_probe(_now_seconds()):
+            self._start(self._send_direct(probe_call(call.timeout_seconds)))
+        result = await self._send_in_turn(call, self._paths(repeatable=False))
+        if isinstance(result, KvUnavailable) and result.effect_unknown:
+            self._direct.discard_idle_connections()
+        return result
+
+    async def _send_hedged(
+        self, call: StoreCall, stages: list[list[Attempt]]
+    ) -> StoreAnswer | KvUnavailable:
+        """Return the first answer to the attempts of a repeatable call, else a failure."""
+        began_seconds = _now_seconds()
+        interval_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
+        deadline_seconds = began_seconds + min(
+            call.timeout_seconds, HEDGED_INTERVALS * interval_seconds
+        )
+        plan = AttemptPlan(stages, began_seconds, interval_seconds)
+        waiting: set[asyncio.Task[StoreAnswer | KvUnavailable]] = set()
+        result: StoreAnswer | KvUnavailable = KvUnavailable("no answer in time", True)
+        now_seconds = began_seconds
+        while now_seconds < deadline_seconds:
+            for attempt in plan.start_due(now_seconds, all_failed=not waiting):
+                limit_seconds = deadline_seconds - now_seconds
+                waiting.add(self._start(self._attempt(call, attempt, limit_seconds)))
+            if not waiting:
+                return result
+            wake_at_seconds = min(plan.next_at_seconds or deadline_seconds, deadline_seconds)
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=max(0.0, wake_at_seconds - _now_seconds()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            # A timer may fire early by the clock's resolution.
+            now_seconds = _now_seconds() if done else wake_at_seconds
+            for task in done:
+                result = task.result()
+                if not _is_failure(result):
+                    return result
+                if isinstance(result, StoreAnswer) or not result.effect_unknown:
+                    plan.drop_new_connection()
+        return result
+
+    def _start(
+        self, attempt: Coroutine[Any, Any, StoreAnswer | KvUnavailable]
+    ) -> asyncio.Task[StoreAnswer | KvUnavailable]:
+        """Start an attempt, which goes on after its call is answered, to learn of its path."""
+        task = asyncio.create_task(attempt)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _attempt(
+        self, call: StoreCall, attempt: Attempt, limit_seconds: float
+    ) -> StoreAnswer | KvUnavailable:
+        limited_call = msgspec.structs.replace(call, timeout_seconds=limit_seconds)
+        if attempt.path != OWN_PATH:
+            return await self._send_via(attempt.path, limited_call)
+        if attempt.on_new_connection:
+            self._direct.discard_idle_connections()
+            return await self._send_direct(limited_call)
+        return await self._send_first(limited_call)
+
     def _peers(self) -> list[tuple[str, str]]:
         """Return the other daemons that may forward calls, with their zones."""
         if not self._through_peers:
@@ -123,38 +213,63 @@
         own = self._membership.own.daemon
         return [entry for entry in self._membership.live_zones() if entry[0] != own]
 
-    async def send_direct(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
-        """Make a call over the direct path and record its outcome in the path selector."""
+    async def _send_first(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
+        """Make a repeatable call over a pooled connection; its silence is not that of the path."""
+        limit_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
+        limited_call = msgspec.structs.replace(call, timeout_seconds=limit_seconds)
         started_at_seconds = _now_seconds()
-        answer = await self._direct.send(call)
-        if _is_failure(answer):
-            if self.path_selector.record_failure(OWN_PATH, _now_seconds()):
-                self._log.write(StorePathChanged(is_good=False, detail=_detail(answer)))
-        elif self.path_selector.record_answer(OWN_PATH, _elapsed_seconds(call, started_at_seconds)):
-            self._log.write(StorePathChanged(is_good=True, detail=""))
+        answer = await self._direct.send(limited_call)
+        if not (isinstance(answer, KvUnavailable) and answer.effect_unknown):
+            self._record_direct(call, answer, started_at_seconds)
         return answer
 
-    async def _send_via(
-        self, path: str, call: StoreCall, has_alternatives: bool
-    ) -> StoreAnswer | KvUnavailable:
+    async def _send_direct(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
+        """Make a call over the direct path and record its outcome in the path selector.
+
+        A path that stays silent for the time of a call counts as failed from then on, although
+        its answer is still waited for.
+        """
+        started_at_seconds = _now_seconds()
+        sending = asyncio.ensure_future(self._direct.send(call))
+        try:
+            if call.repeatable and not call.is_long_poll:
+                limit_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
+                await asyncio.wait({sending}, timeout=limit_seconds)
+                if not sending.done():
+                    self._record_direct_failure("no answer yet")
+            answer = await sending
+        finally:
+            sending.cancel()
+        self._record_direct(call, answer, started_at_seconds)
+        return answer
+
+    def _record_direct(
+        self, call: StoreCall, answer: StoreAnswer | KvUnavailable, started_at_seconds: float
+    ) -> None:
+        if isinstance(answer, KvUnavailable) or answer.is_rejected:
+            self._record_direct_failure(_detail(answer))
+            return
+        elapsed_seconds = _elapsed_seconds(call, started_at_seconds)
+        answer.attempt_seconds = elapsed_seconds
+        if self.path_selector.record_answer(OWN_PATH, elapsed_seconds):
+            self._log.write(StorePathChanged(is_good=True, detail=""))
+
+    def _record_direct_failure(self, detail: str) -> None:
+        if self.path_selector.record_failure(OWN_PATH, _now_seconds()):
+            self._log.write(StorePathChanged(is_good=False, detail=detail))
+
+    async def _send_via(self, path: str, call: StoreCall) -> StoreAnswer | KvUnavailable:
         if path == OWN_PATH:
-            return await self.send_direct(
-                self._with_shorter_timeout(call) if has_alternatives else call
-            )
+            return await self._send_direct(call)
+        started_at_seconds = _now_seconds()
         answer = await self._forward_to(path, call)
-        if _is_failure(answer):
+        if isinstance(answer, KvUnavailable) or answer.is_rejected:
             self.path_selector.record_failure(path, _now_seconds())
         else:
+            answer.attempt_seconds = _elapsed_seconds(call, started_at_seconds)
             self.path_selector.record_answer(path, 0.0)
         return answer
 
-    def _with_shorter_timeout(self, call: StoreCall) -> StoreCall:
-        """Return a call with the direct path's timeout for the case that there are other paths."""
-        if not call.repeatable or call.is_long_poll:
-            return call
-        limit_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
-        return msgspec.structs.replace(call, timeout_seconds=limit_seconds)
-
     async def _forward_to(self, name: str, call: StoreCall) -> StoreAnswer | KvUnavailable:
         peer = self._membership.address(name)
         if peer is None:
@@ -211,7 +326,7 @@
             return pb.PassOnReply(refused="too many forwarded calls are in progress")
         self._in_flight += 1
         try:
-            answer = await self._relay.send_direct(call)
+            answer = await self._relay.send_directly(call)
         finally:
             self._in_flight -= 1
         if isinstance(answer, KvUnavailable):
--- a/rackswitch/gateway/store/tests/test_store_relay.py
+++ b/rackswitch/gateway/store/tests/test_store_relay.py
@@ -115,6 +115,9 @@
         await self.answer_allowed.wait()
         return self.answer
 
+    def discard_idle_connections(self):
+        """Nothing is idle."""
+
 
 class FakeLinks:
     """Connections to peers with preset replies."""
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from rackswitch.clients.http import close_idle_connections
 from rackswitch.platform.answers import MISDIRECTED_STATUS
 from rackswitch.platform.load_header import parse_load_report
 from rackswitch.platform.names import REQUEST_ID_HEADER
@@ -134,9 +135,7 @@
         The library measures idle time by the monotonic clock, which stops while the VM is
         suspended, so it would reuse connections that the targets have already closed.
         """
-        for connections in self._pooled_connector._conns.values():
-            for protocol, _ in connections:
-                protocol.close()
+        close_idle_connections(self._pooled_connector)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -278,7 +278,10 @@
         answer = await self._transport.send(call)
         if isinstance(answer, KvUnavailable):
             return answer
-        self._record_duration(call, asyncio.get_running_loop().time() - started_seconds)
+        if answer.attempt_seconds < 0.0:
+            answer.attempt_seconds = asyncio.get_running_loop().time() - started_seconds
+        # Time lost on silent paths before this attempt says nothing of the service.
+        self._record_duration(call, answer.attempt_seconds)
         return check_answer_status(answer)
 
 
--- a/rackswitch/platform/store_calls.py
+++ b/rackswitch/platform/store_calls.py
@@ -15,12 +15,14 @@
 from rackswitch.platform.store_messages import StoreAnswer
 
 __all__ = [
+    "DirectTransport",
     "HttpTransport",
     "MalformedCall",
     "StoreCall",
     "StoreTransport",
     "decode_call",
     "encode_call",
+    "probe_call",
 ]
 
 METHODS = ("GET", "POST", "DELETE")
@@ -79,6 +81,22 @@
         ...
 
 
+class DirectTransport(StoreTransport, Protocol):
+    """Sends calls to the service over pooled connections."""
+
+    def discard_idle_connections(self) -> None:
+        """Close the idle connections, so that the next call opens a new one."""
+        ...
+
+
+def probe_call(timeout_seconds: float) -> StoreCall:
+    """Return a cheap call that only shows whether the service answers."""
+    target = TARGET_PREFIX + "key?key=control/probe&stale_ok=1"
+    return StoreCall(
+        method="GET", target=target, content=b"", timeout_seconds=timeout_seconds, repeatable=True
+    )
+
+
 def encode_call(call: StoreCall) -> bytes:
     """Return an encoded call, to be forwarded to another daemon."""
     return msgspec.msgpack.encode(call)
@@ -134,3 +152,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return KvUnavailable(type(error).__name__, effect_unknown=True)
         return StoreAnswer(answer.status, content)
+
+    def discard_idle_connections(self) -> None:
+        """Close the idle connections, so that the next call opens a new one."""
+        self._sessions.close_idle_connections()
--- a/rackswitch/platform/store_messages.py
+++ b/rackswitch/platform/store_messages.py
@@ -84,13 +84,24 @@
 
 
 class StoreAnswer:
-    """Status and body of the answer to a call."""
+    """Status and body of the answer to a call.
 
-    __slots__ = ("content", "status")
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    content : bytes
+        The body.
+    attempt_seconds : float, optional
+        How long the attempt that was answered took; -1 if unknown.
+    """
 
-    def __init__(self, status: int, content: bytes):
+    __slots__ = ("attempt_seconds", "content", "status")
+
+    def __init__(self, status: int, content: bytes, attempt_seconds: float = -1.0):
         self.status = status
         self.content = content
+        self.attempt_seconds = attempt_seconds
 
     @property
     def is_rejected(self) -> bool:
--- a/rackswitch/relay/paths.py
+++ b/rackswitch/relay/paths.py
@@ -93,8 +93,7 @@
             return [OWN_PATH, *peers]
         if not peers:
             return [OWN_PATH]
-        if repeatable and now_seconds >= self._next_probe_seconds:
-            self._next_probe_seconds = now_seconds + PROBE_INTERVAL_SECONDS
+        if repeatable and self.take_probe(now_seconds):
             return [OWN_PATH, *peers]
         return peers
 
@@ -104,6 +103,13 @@
             limit_seconds, max(MIN_TIMEOUT_SECONDS, self.slowest_answer_seconds * TIMEOUT_FACTOR)
         )
 
+    def take_probe(self, now_seconds: float) -> bool:
+        """Return whether the failed own path is to be probed now; the next probe is later."""
+        if self.is_own_path_up or now_seconds < self._next_probe_seconds:
+            return False
+        self._next_probe_seconds = now_seconds + PROBE_INTERVAL_SECONDS
+        return True
+
     def record_answer(self, path: str, duration_seconds: float) -> bool:
         """Record an answer; return whether the own path works again since this answer."""
         if path != OWN_PATH:
