Timeouts of the service: forget a slow answer after 1.5 s

What callers saw: after a slow phase of the service that had long ended, a change came up to 4 s late once open connections had gone silent. Cause: the slowest answer decayed with each further answer, not with time; a daemon that follows another one makes a call each 5 s, so its timeouts stayed at 1.5 s. The root's long polls did not count as answers. Change: relay.SlowestRecent, used by the path selector and the client, remembers for 1.5 s; a long poll that ran its time counts with what it took beyond it. The test of the path selector passes the time, which is now an argument; its checks are the same. Without the change the new test of the path selector fails (1.5 s for 0.3).

--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -156,7 +156,9 @@
     ) -> StoreAnswer | KvUnavailable:
         """Return the first answer to the attempts of a repeatable call, else a failure."""
         began_seconds = _now_seconds()
-        interval_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
+        interval_seconds = self.path_selector.call_timeout_seconds(
+            call.timeout_seconds, _now_seconds()
+        )
         deadline_seconds = began_seconds + min(
             call.timeout_seconds, HEDGED_INTERVALS * interval_seconds
         )
@@ -215,7 +217,9 @@
 
     async def _send_first(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
         """Make a repeatable call over a pooled connection; its silence is not that of the path."""
-        limit_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
+        limit_seconds = self.path_selector.call_timeout_seconds(
+            call.timeout_seconds, _now_seconds()
+        )
         limited_call = msgspec.structs.replace(call, timeout_seconds=limit_seconds)
         started_at_seconds = _now_seconds()
         answer = await self._direct.send(limited_call)
@@ -233,7 +237,9 @@
         sending = asyncio.ensure_future(self._direct.send(call))
         try:
             if call.repeatable and not call.is_long_poll:
-                limit_seconds = self.path_selector.call_timeout_seconds(call.timeout_seconds)
+                limit_seconds = self.path_selector.call_timeout_seconds(
+                    call.timeout_seconds, _now_seconds()
+                )
                 await asyncio.wait({sending}, timeout=limit_seconds)
                 if not sending.done():
                     self._record_direct_failure("no answer yet")
@@ -251,7 +257,7 @@
             return
         elapsed_seconds = _elapsed_seconds(call, started_at_seconds)
         answer.attempt_seconds = elapsed_seconds
-        if self.path_selector.record_answer(OWN_PATH, elapsed_seconds):
+        if self.path_selector.record_answer(OWN_PATH, elapsed_seconds, _now_seconds()):
             self._log.write(StorePathChanged(is_good=True, detail=""))
 
     def _record_direct_failure(self, detail: str) -> None:
@@ -267,7 +273,7 @@
             self.path_selector.record_failure(path, _now_seconds())
         else:
             answer.attempt_seconds = _elapsed_seconds(call, started_at_seconds)
-            self.path_selector.record_answer(path, 0.0)
+            self.path_selector.record_answer(path, 0.0, _now_seconds())
         return answer
 
     async def _forward_to(self, name: str, call: StoreCall) -> StoreAnswer | KvUnavailable:
--- a/rackswitch/platform/store.py
+++ b/rackswitch/platform/store.py
@@ -37,6 +37,7 @@
     mark_without_effect,
     txn_body,
 )
+from rackswitch.relay import SlowestRecent
 
 __all__ = ["PROTOCOL_NAME", "PlatformKvClient"]
 
@@ -56,7 +57,7 @@
 """Extra time for the answer to a long poll, as a multiple of the slowest recent answer."""
 
 SLOWEST_ANSWER_DECAY = 0.8
-"""Factor by which the slowest duration decreases with each faster answer."""
+"""Factor by which the slowest duration decreases with each faster answer or long poll."""
 
 STALE_READ_QUERY = {"stale_ok": "1"}
 """Requests a read that may be some seconds stale and is cheaper."""
@@ -77,11 +78,11 @@
         Sends calls to the service.
     """
 
-    __slots__ = ("_slowest_answer_seconds", "_transport", "calls", "calls_by_path")
+    __slots__ = ("_slowest_answer", "_transport", "calls", "calls_by_path")
 
     def __init__(self, transport: StoreTransport):
         self._transport = transport
-        self._slowest_answer_seconds = 0.0
+        self._slowest_answer = SlowestRecent(SLOWEST_ANSWER_DECAY)
         self.calls = 0
         self.calls_by_path: Counter[str] = Counter()
 
@@ -215,6 +216,7 @@
                 "since_rev": str(revision),
                 "wait_ms": str(round(wait_seconds * 1000)),
             }
+            asked_at_seconds = asyncio.get_running_loop().time()
             answer = await self._call(
                 "GET",
                 WATCH_PATH,
@@ -222,10 +224,13 @@
                 limit_seconds=self._watch_timeout_seconds(wait_seconds),
                 held=wait_seconds > 0,
             )
-            wait_seconds = WATCH_WAIT_SECONDS
             if isinstance(answer, KvUnavailable):
                 yield mark_without_effect(answer)
                 return
+            overrun_seconds = asyncio.get_running_loop().time() - asked_at_seconds - wait_seconds
+            if wait_seconds and overrun_seconds >= 0.0:
+                self._record_duration(overrun_seconds)
+            wait_seconds = WATCH_WAIT_SECONDS
             news = answer.decode(WireWatch)
             if isinstance(news, KvUnavailable):
                 yield mark_without_effect(news)
@@ -245,14 +250,8 @@
         """
         if not wait_seconds:
             return CALL_TIMEOUT_SECONDS
-        return wait_seconds + max(
-            WATCH_SLACK_SECONDS, SLOW_ANSWER_FACTOR * self._slowest_answer_seconds
-        )
-
-    def _record_duration(self, call: StoreCall, elapsed_seconds: float) -> None:
-        if not call.is_long_poll:
-            decayed_seconds = self._slowest_answer_seconds * SLOWEST_ANSWER_DECAY
-            self._slowest_answer_seconds = max(elapsed_seconds, decayed_seconds)
+        slowest_seconds = self._slowest_answer.value_seconds(asyncio.get_running_loop().time())
+        return wait_seconds + max(WATCH_SLACK_SECONDS, SLOW_ANSWER_FACTOR * slowest_seconds)
 
     async def _call(
         self,
@@ -281,9 +280,14 @@
         if answer.attempt_seconds < 0.0:
             answer.attempt_seconds = asyncio.get_running_loop().time() - started_seconds
         # Time lost on silent paths before this attempt says nothing of the service.
-        self._record_duration(call, answer.attempt_seconds)
+        if not call.is_long_poll:
+            self._record_duration(answer.attempt_seconds)
         return check_answer_status(answer)
 
+    def _record_duration(self, duration_seconds: float) -> None:
+        """Record how long the service took, apart from the wait of a long poll."""
+        self._slowest_answer.record(duration_seconds, asyncio.get_running_loop().time())
+
 
 def _call_name(path: str, query: dict[str, str] | None) -> str:
     """Return a call's name for the counters: verb, key prefix, and "stale" for a stale read."""
--- a/rackswitch/relay/paths.py
+++ b/rackswitch/relay/paths.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from rackswitch.relay.recent import SlowestRecent
 from rackswitch.routing import PathClass, RegionMap
 
 __all__ = ["OWN_PATH", "PathSelector"]
@@ -52,13 +53,15 @@
     ----------
     failed_since_seconds : float or None
         When the own path first failed after its last answer; None while it works.
-    slowest_answer_seconds : float
-        Time of the slowest recent answer on the own path; decays with each answer.
+    slowest_answer : SlowestRecent
+        Time of the slowest recent answer on the own path.
     """
 
     zone: str
     failed_since_seconds: float | None = None
-    slowest_answer_seconds: float = 0.0
+    slowest_answer: SlowestRecent = field(
+        default_factory=lambda: SlowestRecent(SLOWEST_ANSWER_DECAY)
+    )
     _next_probe_seconds: float = float("-inf")
     _cooldown_until_seconds: dict[str, float] = field(default_factory=dict)
     region_of_zone: dict[str, str] = field(default_factory=dict)
@@ -97,11 +100,10 @@
             return [OWN_PATH, *peers]
         return peers
 
-    def call_timeout_seconds(self, limit_seconds: float) -> float:
+    def call_timeout_seconds(self, limit_seconds: float, now_seconds: float) -> float:
         """Return the timeout of a repeatable call on the own path, after which a peer is tried."""
-        return min(
-            limit_seconds, max(MIN_TIMEOUT_SECONDS, self.slowest_answer_seconds * TIMEOUT_FACTOR)
-        )
+        slowest_seconds = self.slowest_answer.value_seconds(now_seconds)
+        return min(limit_seconds, max(MIN_TIMEOUT_SECONDS, slowest_seconds * TIMEOUT_FACTOR))
 
     def take_probe(self, now_seconds: float) -> bool:
         """Return whether the failed own path is to be probed now; the next probe is later."""
@@ -110,14 +112,12 @@
         self._next_probe_seconds = now_seconds + PROBE_INTERVAL_SECONDS
         return True
 
-    def record_answer(self, path: str, duration_seconds: float) -> bool:
+    def record_answer(self, path: str, duration_seconds: float, now_seconds: float) -> bool:
         """Record an answer; return whether the own path works again since this answer."""
         if path != OWN_PATH:
             self._cooldown_until_seconds.pop(path, None)
             return False
-        self.slowest_answer_seconds = max(
-            duration_seconds, self.slowest_answer_seconds * SLOWEST_ANSWER_DECAY
-        )
+        self.slowest_answer.record(duration_seconds, now_seconds)
         recovered = not self.is_own_path_up
         self.failed_since_seconds = None
         return recovered
--- a/rackswitch/relay/tests/test_paths.py
+++ b/rackswitch/relay/tests/test_paths.py
@@ -8,6 +8,7 @@
     PEER_COOLDOWN_SECONDS,
     PROBE_INTERVAL_SECONDS,
 )
+from rackswitch.relay.recent import MEMORY_SECONDS
 
 PEERS = [("b", "y"), ("c", "x"), ("d", "y"), ("e", "x")]
 
@@ -38,9 +39,9 @@
 
 def test_an_answer_restores_the_own_path():
     selector = failed_selector()
-    assert selector.record_answer(OWN_PATH, 0.004)
+    assert selector.record_answer(OWN_PATH, 0.004, 10.0)
     assert selector.is_own_path_up
-    assert not selector.record_answer(OWN_PATH, 0.004)
+    assert not selector.record_answer(OWN_PATH, 0.004, 10.0)
 
 
 def test_a_failed_peer_is_not_used_during_its_cooldown():
@@ -52,14 +53,21 @@
 
 def test_the_timeout_follows_the_slowest_recent_answer():
     selector = PathSelector("x")
-    selector.record_answer(OWN_PATH, 0.004)
-    assert selector.call_timeout_seconds(1.5) == MIN_TIMEOUT_SECONDS
-    selector.record_answer(OWN_PATH, 0.25)
-    assert selector.call_timeout_seconds(1.5) == 1.0
-    assert selector.call_timeout_seconds(0.85) == 0.85
+    selector.record_answer(OWN_PATH, 0.004, 10.0)
+    assert selector.call_timeout_seconds(1.5, 10.0) == MIN_TIMEOUT_SECONDS
+    selector.record_answer(OWN_PATH, 0.25, 10.0)
+    assert selector.call_timeout_seconds(1.5, 10.0) == 1.0
+    assert selector.call_timeout_seconds(0.85, 10.0) == 0.85
     for _ in range(40):
-        selector.record_answer(OWN_PATH, 0.004)
-    assert selector.call_timeout_seconds(1.5) == MIN_TIMEOUT_SECONDS
+        selector.record_answer(OWN_PATH, 0.004, 10.0)
+    assert selector.call_timeout_seconds(1.5, 10.0) == MIN_TIMEOUT_SECONDS
+
+
+def test_the_timeout_of_a_slow_service_ends_although_no_call_is_made():
+    selector = PathSelector("x")
+    selector.record_answer(OWN_PATH, 0.4, 10.0)
+    assert selector.call_timeout_seconds(1.5, 10.5) == 1.5
+    assert selector.call_timeout_seconds(1.5, 10.0 + MEMORY_SECONDS) == MIN_TIMEOUT_SECONDS
 
 
 class PathMachine(RuleBasedStateMachine):
@@ -80,7 +88,7 @@
 
     @rule(path=st.sampled_from([OWN_PATH, *(name for name, _ in PEERS)]))
     def record_answer(self, path):
-        self.selector.record_answer(path, 0.01)
+        self.selector.record_answer(path, 0.01, self.now_seconds)
 
     @invariant()
     def each_call_has_distinct_paths(self):
@@ -104,8 +112,8 @@
 def test_the_timeout_never_exceeds_the_limit_of_the_call(durations_seconds):
     selector = PathSelector("x")
     for duration_seconds in durations_seconds:
-        selector.record_answer(OWN_PATH, duration_seconds)
-    assert MIN_TIMEOUT_SECONDS <= selector.call_timeout_seconds(1.5) <= 1.5
+        selector.record_answer(OWN_PATH, duration_seconds, 10.0)
+    assert MIN_TIMEOUT_SECONDS <= selector.call_timeout_seconds(1.5, 10.0) <= 1.5
 
 
 REGION_OF_ZONE = {"x": "north", "y": "north", "z": "south"}
