Calls to the service: try a failed own path again if the first peer does not help

Cause: of two watches that began at once the first one probed the failed own path and found it good; the second one went to peers only, one of which refused and the other was silent, and the prefix then waited for the members'. Change: a hedged call includes the own path, on a new connection, in its second stage in any case; an attempt through a peer takes two intervals at most.

--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -35,6 +35,10 @@
 """Deadline of a hedged call, in intervals between its stages: one for each of at most three stages,
 and one more for the answer to the last."""
 
+PEER_INTERVALS = 2
+"""Timeout of an attempt through a peer, in intervals: the peer may need one for a silent connection
+of its own. A longer one would keep a silent connection to the peer in use."""
+
 MAX_FORWARDED_CALLS = 32
 """Concurrency limit for calls forwarded for peers; it bounds the load that a faulty peer causes. A
 daemon makes some ten calls a second and waits for few of them at a time, so the limit serves
@@ -169,6 +173,8 @@
         while now_seconds < deadline_seconds:
             for attempt in plan.start_due(now_seconds, all_failed=not waiting):
                 limit_seconds = deadline_seconds - now_seconds
+                if attempt.path != OWN_PATH:
+                    limit_seconds = min(limit_seconds, PEER_INTERVALS * interval_seconds)
                 waiting.add(self._start(self._attempt(call, attempt, limit_seconds)))
             if not waiting:
                 return result
--- a/rackswitch/relay/attempts.py
+++ b/rackswitch/relay/attempts.py
@@ -32,17 +32,14 @@
     """Return the attempts of a repeatable call, in stages that start one after the other.
 
     Silence on the own path may be that of one connection, so a new connection is tried at the same
-    time as the first peer.
+    time as the next peer. That holds for an own path that counts as failed, too, if the first peer
+    does not help.
     """
     if not paths:
         return []
     first, *others = paths
-    stages = [[Attempt(first)]]
-    if first == OWN_PATH:
-        stages.append([Attempt(OWN_PATH, on_new_connection=True), *map(Attempt, others[:1])])
-        others = others[1:]
-    stages.extend([Attempt(path)] for path in others)
-    return stages
+    second = [Attempt(OWN_PATH, on_new_connection=True), *map(Attempt, others[:1])]
+    return [[Attempt(first)], second, *([Attempt(path)] for path in others[1:])]
 
 
 class AttemptPlan:
