Followers: ask the next source while one is silent, and notice old data in time

What callers saw: a table up to 3 s late at daemons that were not disturbed, with two or three disruptions at once. Cause: a follower waited for the time-out of each silent source in turn (1.1 s, then 0.3 s each) before it watched the service, and a request held for 0.8 s let data that was 0.8 s old become 1.6 s old before it was noticed. Change: a source that is 0.1 s late is no longer waited for, though its answer is still used; a request is held only until the data may have become too old. More kinds of disruptions in the seeded runs: daemons that are turned away or restarted. A daemon that has no table at all refuses requests and is not checked.

--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -27,6 +27,12 @@
 FOLLOW_SLACK_SECONDS = 0.3
 """Additional time after which a request to the source fails with a timeout."""
 
+FOLLOW_HEDGE_SECONDS = 0.1
+"""Additional time after which the next source is asked as well, or the service if there is none."""
+
+MIN_FOLLOW_WAIT_SECONDS = 0.1
+"""Minimum time for which a source holds a request open, however old the replicas are."""
+
 POLL_INTERVAL_SECONDS = 0.1
 """Interval between checks for a source while none is available."""
 
@@ -85,6 +91,7 @@
         "_tree_members",
         "_members_prefix",
         "_paces",
+        "_polls",
         "_recovered_at_seconds",
         "_tree",
         "_watch",
@@ -110,6 +117,7 @@
         self._tree = DistributionTree(())
         self._recovered_at_seconds = float("-inf")
         self._last_poll: _AnsweredPoll | None = None
+        self._polls: set[asyncio.Task[None]] = set()
         self.selector = SourceSelector(float("-inf"))
         self.members_read = asyncio.Event()
         self.state_read = asyncio.Event()
@@ -118,8 +126,12 @@
         """Follow or watch until cancelled."""
         await self._read_initial_state()
         self.selector.without_source_since_seconds = self._context.now_seconds()
-        while True:
-            await self._follow_once()
+        try:
+            while True:
+                await self._follow_once()
+        finally:
+            for poll in self._polls:
+                poll.cancel()
 
     async def _read_initial_state(self) -> None:
         """Read the initial state, which may be stale, since stale reads are cheaper.
@@ -165,7 +177,31 @@
         if name is None:
             await self._replicas.wait_for_update(now_seconds + POLL_INTERVAL_SECONDS)
         else:
-            await self.poll_source(name, level)
+            await self._poll_until_silent(name, level)
+
+    async def _poll_until_silent(self, name: str, level: int) -> None:
+        """Poll a source; stop waiting for it once it is late, but use its answer if it comes."""
+        hold_seconds = self._hold_seconds(name, level)
+        poll = asyncio.create_task(self.poll_source(name, level))
+        self._polls.add(poll)
+        poll.add_done_callback(self._polls.discard)
+        await asyncio.wait({poll}, timeout=hold_seconds + FOLLOW_HEDGE_SECONDS)
+        if poll.done():
+            poll.result()
+            return
+        retry_at_seconds = self._context.now_seconds() + FOLLOW_SLACK_SECONDS - FOLLOW_HEDGE_SECONDS
+        self.selector.record_silence(name, self._context.now_seconds(), retry_at_seconds)
+
+    def _hold_seconds(self, name: str, level: int) -> float:
+        """Return for how long a source may hold a request open.
+
+        A source that is followed answers at the latest when its data may have become too old.
+        """
+        if name != self.selector.source:
+            return 0.0
+        age_seconds = self._context.now_seconds() - self._replicas.oldest_confirmed_at_seconds()
+        fresh_seconds = max_age_seconds(level) - age_seconds
+        return min(FOLLOW_WAIT_SECONDS, max(MIN_FOLLOW_WAIT_SECONDS, fresh_seconds))
 
     def _retry_sources_after_outage(self) -> None:
         """Clear the cooldowns of all sources once the service is reachable again.
@@ -204,7 +240,7 @@
         if peer is None:
             self._record_follow_failure(self.selector.record_failure, name, "no address")
             return
-        wait_seconds = FOLLOW_WAIT_SECONDS if name == self.selector.source else 0.0
+        wait_seconds = self._hold_seconds(name, level)
         requested_at_seconds = self._context.now_seconds()
         reply = await self._context.daemon.links.call(
             peer,
--- a/rackswitch/gateway/store/tests/silence_run.py
+++ b/rackswitch/gateway/store/tests/silence_run.py
@@ -25,6 +25,10 @@
 ANSWER_SECONDS = 0.004
 SLOW_ANSWER_SECONDS = 0.4
 FOREVER_SECONDS = 3600.0
+BOUND_SECONDS = 2.0
+"""Time after its acknowledgement within which a change must be in force."""
+CONTACT_SECONDS = 3.0
+"""Time for which a daemon counts as disturbed after a disruption has ended."""
 
 
 class Network:
@@ -47,6 +51,7 @@
         self._run = run
         self._idle_connections: list[float] = []
         self.is_cut = False
+        self.is_rejected = False
 
     async def send(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
         try:
@@ -62,6 +67,8 @@
             connection = now_seconds()
             await asyncio.sleep(CONNECT_SECONDS)
         await self._pass(connection)
+        if self.is_rejected:
+            return StoreAnswer(503, b"")
         path, _, query = call.target.partition("?")
         await asyncio.sleep(self._run.answer_seconds)
         status, answer = await self._run.stand_in.answer(path, query, call.content)
@@ -156,15 +163,18 @@
         self.disturbed: set[str] = set()
         self.changes: list[Change] = []
         SimulatedChannel.runs[seed] = self
+        self.seed = seed
+        self.contact_at_seconds: dict[str, float] = {}
         self.transports: dict[str, SimulatedTransport] = {}
         self._forwarded: dict[str, ForwardedCalls] = {}
         for name, daemon in self.daemons.items():
-            self._connect(name, daemon, seed)
+            self._connect(name, daemon)
 
-    def _connect(self, name: str, daemon: SimulatedDaemon, peer_port: int) -> None:
+    def _connect(self, name: str, daemon: SimulatedDaemon) -> None:
         context = daemon.context
         context.settings = replace(context.settings, host=name)
-        daemon.presence._peer_port = peer_port
+        # The port identifies the run to the simulated channels.
+        daemon.presence._peer_port = self.seed
         context.daemon.links = PeerLinks("")
         self.transports[name] = SimulatedTransport(self)
         relay = RelayTransport(
@@ -180,11 +190,12 @@
     async def start(self) -> None:
         self.put(f"{STATE}a", "first")
         for daemon in self.daemons.values():
-            for coroutine in (daemon.replica_manager.run(), daemon.presence.run()):
-                delay_seconds = self.rng.uniform(0.0, 0.3)
-                self._tasks.append(
-                    (daemon, asyncio.create_task(run_after(delay_seconds, coroutine)))
-                )
+            self._start_daemon(daemon)
+
+    def _start_daemon(self, daemon: SimulatedDaemon) -> None:
+        for work in (daemon.replica_manager.run, daemon.presence.run):
+            delay_seconds = self.rng.uniform(0.0, 0.3)
+            self._tasks.append((daemon, asyncio.create_task(run_after(delay_seconds, work))))
 
     def put(self, key: str, value: str) -> None:
         self.stand_in.put(key, value)
@@ -203,24 +214,42 @@
         self.disturbed.add(daemon.context.daemon_name)
         self.transports[daemon.context.daemon_name].is_cut = True
 
+    def reject_calls(self, daemon: SimulatedDaemon) -> None:
+        """Make the service turn a daemon away; it is still reachable through peers."""
+        self.transports[daemon.context.daemon_name].is_rejected = True
+
+    def restart(self, daemon: SimulatedDaemon) -> None:
+        """End a daemon and start another process in its place."""
+        self.kill(daemon)
+        name = daemon.context.daemon_name
+        self.daemons[name] = SimulatedDaemon(name, daemon.zone, self.service, self.rng)
+        self._connect(name, self.daemons[name])
+        self._start_daemon(self.daemons[name])
+        self.contact_at_seconds[name] = now_seconds() + CONTACT_SECONDS
+
     async def write_changes(self, until_seconds: float) -> None:
         while now_seconds() < until_seconds:
             await asyncio.sleep(self.rng.uniform(0.1, 0.3))
             self.put(f"{STATE}a", f"change {len(self.changes)}")
 
-    def late_changes(self, bound_seconds: float, contact_seconds: float) -> list[str]:
+    def late_changes(self) -> list[str]:
         """Return the changes that an undisturbed daemon did not have in time.
 
-        After open connections went silent, all daemons count as disturbed for `contact_seconds`.
+        A daemon counts as disturbed for `CONTACT_SECONDS` after its start, and all do after open
+        connections went silent.
         """
-        contact_at_seconds = self.network.silenced_at_seconds + contact_seconds
+        silence_over_seconds = self.network.silenced_at_seconds + CONTACT_SECONDS
         late: list[str] = []
         for name, daemon in self.daemons.items():
-            if name in self.disturbed:
+            # A daemon without a table refuses all requests, so that it follows no older one.
+            if name in self.disturbed or not daemon.received_at_seconds:
                 continue
+            contact_at_seconds = max(
+                silence_over_seconds, self.contact_at_seconds.get(name, float("-inf"))
+            )
             for number, change in enumerate(self.changes):
                 deadline_seconds = max(
-                    change.acknowledged_at_seconds + bound_seconds, contact_at_seconds
+                    change.acknowledged_at_seconds + BOUND_SECONDS, contact_at_seconds
                 )
                 later = {one.value for one in self.changes[number:]}
                 times = [at for value, at in daemon.received_at_seconds.items() if value in later]
@@ -245,14 +274,21 @@
     ]
     actions: list[Callable[[], None]] = []
     for kind in kinds:
-        victims = [run.daemons[name] for name in names[: run.rng.randint(1, 3)]]
+        victims = names[: run.rng.randint(1, 3)]
         if run.rng.random() < 0.4:
-            victims = [run.daemons[name] for name in run.rng.sample(names, run.rng.randint(1, 3))]
+            victims = run.rng.sample(names, run.rng.randint(1, 3))
         if kind == "silence":
             actions.append(run.network.silence_open_connections)
         else:
-            act = run.freeze if kind == "freeze" else run.cut_from_service
-            actions.extend(lambda act=act, victim=victim: act(victim) for victim in victims)
+            act = {
+                "freeze": run.freeze,
+                "cut": run.cut_from_service,
+                "reject": run.reject_calls,
+                "restart": run.restart,
+            }[kind]
+            actions.extend(
+                lambda act=act, victim=victim: act(run.daemons[victim]) for victim in victims
+            )
     run.rng.shuffle(actions)
     return actions
 
@@ -276,7 +312,7 @@
         action()
     await writing
     await asyncio.sleep(6.0)
-    late = run.late_changes(bound_seconds=2.0, contact_seconds=3.0)
+    late = run.late_changes()
     await run.stop()
     return late
 
@@ -285,9 +321,9 @@
     monkeypatch.setattr(peer_links, "Channel", SimulatedChannel)
 
 
-async def run_after(delay_seconds: float, coroutine) -> None:
+async def run_after(delay_seconds: float, work) -> None:
     await asyncio.sleep(delay_seconds)
-    await coroutine
+    await work()
 
 
 def now_seconds() -> float:
--- a/rackswitch/gateway/store/tests/test_silence_runs.py
+++ b/rackswitch/gateway/store/tests/test_silence_runs.py
@@ -14,7 +14,17 @@
 
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("slow_before", [False, True])
-@pytest.mark.parametrize("kinds", [["freeze", "cut"], ["silence", "cut"], ["silence", "freeze"]])
+@pytest.mark.parametrize(
+    "kinds",
+    [
+        ["freeze", "cut"],
+        ["silence", "cut"],
+        ["silence", "freeze"],
+        ["silence", "cut", "freeze"],
+        ["silence", "restart", "cut"],
+        ["reject", "restart", "freeze"],
+    ],
+)
 def test_changes_arrive_in_time_despite_overlapping_disruptions(
     kinds, slow_before, seed, monkeypatch
 ):
--- a/rackswitch/spread/choice.py
+++ b/rackswitch/spread/choice.py
@@ -102,6 +102,21 @@
         self._failed.add(name)
         self._start_cooldown(name, now_seconds, FAILED_SOURCE_COOLDOWN_SECONDS)
 
+    def record_silence(self, name: str, now_seconds: float, retry_at_seconds: float) -> None:
+        """Record that a source is late with its answer, which is still waited for.
+
+        Parameters
+        ----------
+        name : str
+            The source.
+        now_seconds : float
+            Monotonic clock.
+        retry_at_seconds : float
+            When the source may be asked again (monotonic).
+        """
+        self._failed.add(name)
+        self._start_cooldown(name, now_seconds, retry_at_seconds - now_seconds)
+
     def record_stale(self, name: str, now_seconds: float) -> None:
         """Record that a source answered with data that is too old."""
         self._failed.add(name)
--- a/rackswitch/spread/tests/test_choice.py
+++ b/rackswitch/spread/tests/test_choice.py
@@ -71,3 +71,15 @@
     assert selector.must_watch(SOURCES, 1, 10.0)
     assert selector.next_source(SOURCES, 10.0 + STALE_SOURCE_COOLDOWN_SECONDS) == "a"
     assert STALE_SOURCE_COOLDOWN_SECONDS < FAILED_SOURCE_COOLDOWN_SECONDS
+
+
+def test_a_late_source_is_not_waited_for_but_followed_again_if_it_answers():
+    selector = selector_following()
+    selector.record_silence("a", 10.0, retry_at_seconds=10.2)
+    assert not selector.is_following
+    assert selector.next_source(SOURCES, 10.0) == "b"
+    selector.record_silence("b", 10.1, retry_at_seconds=10.3)
+    assert selector.next_source(SOURCES, 10.1) is None
+    assert selector.must_watch(SOURCES, 1, 10.1)
+    assert selector.record_success("a")
+    assert not selector.must_watch(SOURCES, 1, 10.2)
