Calls to the service: one deadline of the whole call, idle connections dropped after any silence

What callers saw: nothing; found by reading. A service whose answers take 1 s would have counted as unreachable, as a hedged call ended after four intervals (1.2 s) and its attempt on a new connection began after 0.3 s; a write that stayed silent left the other idle connections in use. Cause: a deadline shorter than the call's own; idle connections were discarded after long polls and reads only. Change: a hedged call ends at its own deadline; silence of any call discards the idle connections.

--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -31,10 +31,6 @@
 """Additional timeout of a call that a peer forwards: some round trips between zones of a few
 milliseconds, and a busy event loop."""
 
-HEDGED_INTERVALS = 4
-"""Deadline of a hedged call, in intervals between its stages: one for each of at most three stages,
-and one more for the answer to the last."""
-
 PEER_INTERVALS = 2
 """Timeout of an attempt through a peer, in intervals: the peer may need one for a silent connection
 of its own. A longer one would keep a silent connection to the peer in use."""
@@ -130,7 +126,10 @@
         )
 
     async def _send_in_turn(self, call: StoreCall, paths: list[str]) -> StoreAnswer | KvUnavailable:
-        """Make a call over one path after the other while it is known to have had no effect."""
+        """Make a call over one path after the other while it is known to have had no effect.
+
+        Silence may be that of one connection, so the idle ones are not used again.
+        """
         last_result: StoreAnswer | KvUnavailable = KvUnavailable(
             "no path to the service is available", effect_unknown=False
         )
@@ -139,6 +138,7 @@
             if not _is_failure(last_result):
                 return last_result
             if isinstance(last_result, KvUnavailable) and last_result.effect_unknown:
+                self._direct.discard_idle_connections()
                 return last_result
         return last_result
 
@@ -150,10 +150,7 @@
         """
         if self.path_selector.take_probe(_now_seconds()):
             self._start(self._send_direct(probe_call(call.timeout_seconds)))
-        result = await self._send_in_turn(call, self._paths(repeatable=False))
-        if isinstance(result, KvUnavailable) and result.effect_unknown:
-            self._direct.discard_idle_connections()
-        return result
+        return await self._send_in_turn(call, self._paths(repeatable=False))
 
     async def _send_hedged(
         self, call: StoreCall, stages: list[list[Attempt]]
@@ -161,11 +158,9 @@
         """Return the first answer to the attempts of a repeatable call, else a failure."""
         began_seconds = _now_seconds()
         interval_seconds = self.path_selector.call_timeout_seconds(
-            call.timeout_seconds, _now_seconds()
-        )
-        deadline_seconds = began_seconds + min(
-            call.timeout_seconds, HEDGED_INTERVALS * interval_seconds
+            call.timeout_seconds, began_seconds
         )
+        deadline_seconds = began_seconds + call.timeout_seconds
         plan = AttemptPlan(stages, began_seconds, interval_seconds)
         waiting: set[asyncio.Task[StoreAnswer | KvUnavailable]] = set()
         result: StoreAnswer | KvUnavailable = KvUnavailable("no answer in time", True)
