Soak and links: open connections that go silent while new ones work

Change: Link.silence_open_connections; soak faults store-connections-silent and target-connections-silent; the two tests on real sockets use the link in place of a proxy of their own.

--- a/rackswitch/gateway/store/tests/test_store_relay.py
+++ b/rackswitch/gateway/store/tests/test_store_relay.py
@@ -11,13 +11,13 @@
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.store.store_relay import MAX_FORWARDED_CALLS, ForwardedCalls, RelayTransport
 from rackswitch.gateway.tests.path import check_complete, run_scenario, wait_for
+from rackswitch.load.link import Link
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.platform.store_calls import HttpTransport, StoreCall, decode_call, encode_call
 from rackswitch.platform.store_messages import StoreAnswer
 from rackswitch.relay import OWN_PATH
 from rackswitch.standins.platform_store import PlatformStoreStandIn
-from rackswitch.standins.silent_proxy import SilentProxy
 from rackswitch.telemetry.events import RoleAcquired
 
 UNREACHABLE_URL = "http://127.0.0.1:9"
@@ -271,18 +271,19 @@
     async def scenario():
         service = PlatformStoreStandIn()
         await service.start()
-        proxy = SilentProxy(int(service.address.rpartition(":")[2]))
+        link = Link(service.address)
+        await link.open()
         sessions = HttpSessions()
-        direct = HttpTransport(f"http://127.0.0.1:{await proxy.start()}", sessions)
+        direct = HttpTransport(f"http://{link.address}", sessions)
         relay = RelayTransport(direct, FakeLinks({}), FakeMembership([]), RecordingLog(), True)
         # Two idle connections, so that the second one is silent as well.
         await asyncio.gather(relay.send(READ), relay.send(READ))
-        proxy.silence_open_connections()
+        link.silence_open_connections()
         began_seconds = asyncio.get_running_loop().time()
         answer = await relay.send(READ)
         elapsed_seconds = asyncio.get_running_loop().time() - began_seconds
         await sessions.close()
-        await proxy.stop()
+        await link.close()
         await service.stop()
         return answer, elapsed_seconds, relay.path_selector.is_own_path_up
 
--- a/rackswitch/load/link.py
+++ b/rackswitch/load/link.py
@@ -52,6 +52,7 @@
     __slots__ = (
         "_changed",
         "_faults",
+        "_generation",
         "_upstream_host",
         "_listen_host",
         "_connections",
@@ -67,6 +68,7 @@
         if upstream:
             self.set_upstream(upstream)
         self._faults = LinkFaults()
+        self._generation = 0
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -87,6 +89,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def silence_open_connections(self) -> None:
+        """Forward nothing more on the open connections, without closing them; new ones work."""
+        self._generation += 1
+
     async def open(self) -> None:
         """Start listening; a closed link listens on its previous port."""
         self._server = await asyncio.start_server(self._serve, self._listen_host, self.port)
@@ -109,6 +115,7 @@
         connection = asyncio.current_task()
         assert connection is not None
         self._connections.add(connection)
+        generation = self._generation
         writers = [writer]
         try:
             server_reader, server_writer = await asyncio.open_connection(
@@ -116,8 +123,8 @@
             )
             writers.append(server_writer)
             async with asyncio.TaskGroup() as task_group:
-                task_group.create_task(self._forward(FORWARD, reader, server_writer))
-                task_group.create_task(self._forward(BACKWARD, server_reader, writer))
+                task_group.create_task(self._forward(FORWARD, reader, server_writer, generation))
+                task_group.create_task(self._forward(BACKWARD, server_reader, writer, generation))
         except* (OSError, asyncio.CancelledError):
             # The reset below ends the connection on both sides.
             pass
@@ -127,14 +134,18 @@
                 _reset(open_writer)
 
     async def _forward(
-        self, direction: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        direction: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        generation: int,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await asyncio.sleep(self._faults.delay_seconds)
-            await self._wait_unblocked(direction)
+            await self._wait_unblocked(direction, generation)
             writer.write(data)
             await writer.drain()
-        await self._wait_unblocked(direction)
+        await self._wait_unblocked(direction, generation)
         if direction == BACKWARD:
             # Passes the server's FIN on, so that the client can close its own side.
             writer.write_eof()
@@ -142,8 +153,8 @@
             # Resets the server's connection, since the client no longer reads responses.
             raise ConnectionError("the client closed the connection")
 
-    async def _wait_unblocked(self, direction: str) -> None:
-        while direction in self._faults.blocked_directions:
+    async def _wait_unblocked(self, direction: str, generation: int) -> None:
+        while direction in self._faults.blocked_directions or generation < self._generation:
             await self._changed.wait()
 
 
--- a/rackswitch/load/soak_faults.py
+++ b/rackswitch/load/soak_faults.py
@@ -98,6 +98,12 @@
     await asyncio.gather(*(daemon.link.reset() for daemon in site.draw_daemons()))
 
 
+@SOAK_FAULTS.register("store-connections-silent")
+async def _store_connections_silent(site: SoakSite) -> None:
+    for daemon in site.draw_daemons():
+        daemon.link.silence_open_connections()
+
+
 @SOAK_FAULTS.register("store-loses-answers")
 async def _store_loses_answers(site: SoakSite) -> None:
     count = site.rng.randint(1, MAX_LOST_ANSWERS)
@@ -151,6 +157,11 @@
     await site.fault_links([site.rng.choice(site.targets).link], LinkFaults(direction))
 
 
+@SOAK_FAULTS.register("target-connections-silent")
+async def _target_connections_silent(site: SoakSite) -> None:
+    site.rng.choice(site.targets).link.silence_open_connections()
+
+
 @SOAK_FAULTS.register("target-resets")
 async def _target_resets(site: SoakSite) -> None:
     await asyncio.gather(*(target.link.reset() for target in site.targets))
--- a/rackswitch/load/tests/test_link.py
+++ b/rackswitch/load/tests/test_link.py
@@ -101,3 +101,21 @@
         await _connect(link)
 
     run_scenario(scenario)
+
+
+def test_open_connections_go_silent_while_new_ones_work():
+    async def scenario(link):
+        reader, writer = await _connect(link)
+        writer.write(b"first")
+        await reader.readexactly(5)
+        link.silence_open_connections()
+        writer.write(b"hello")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.readexactly(5), SHORT_SECONDS)
+        new_reader, new_writer = await _connect(link)
+        new_writer.write(b"hello")
+        assert await new_reader.readexactly(5) == b"hello"
+        writer.close()
+        new_writer.close()
+
+    run_scenario(scenario)
--- a/rackswitch/peers/tests/test_links.py
+++ b/rackswitch/peers/tests/test_links.py
@@ -8,11 +8,11 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 
+from rackswitch.load.link import Link
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
 from rackswitch.peers.links import PeerLinks, PeerUnreachable
-from rackswitch.standins.silent_proxy import SilentProxy
 
 TIMEOUT_SECONDS = 1.0
 
@@ -71,8 +71,10 @@
     async def scenario():
         server = Server([YieldingPeer()])
         await server.start("127.0.0.1", 0)
-        proxy = SilentProxy(server._server.sockets[0].getsockname()[1])
-        peer = MemberUpdate("d1", "127.0.0.1", await proxy.start(), "z", 1, MemberState.ALIVE)
+        link = Link(f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}")
+        await link.open()
+        host, port = link.address.split(":")
+        peer = MemberUpdate("d1", host, int(port), "z", 1, MemberState.ALIVE)
         links = PeerLinks("")
 
         async def call():
@@ -82,10 +84,10 @@
             )
 
         answered = [not isinstance(await call(), PeerUnreachable)]
-        proxy.silence_open_connections()
+        link.silence_open_connections()
         answered += [not isinstance(await call(), PeerUnreachable) for _ in range(2)]
         links.close()
-        await proxy.stop()
+        await link.close()
         server.close()
         return answered
 
