Followers: a starting daemon waits for its sources until the time-out

Cause: sources that are starting hold a request for up to 0.25 s; a follower that is starting too took them for silent after 0.1 s and watched the service. Change: sources are hedged only by daemons whose replicas are complete.

--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -180,7 +180,14 @@
             await self._poll_until_silent(name, level)
 
     async def _poll_until_silent(self, name: str, level: int) -> None:
-        """Poll a source; stop waiting for it once it is late, but use its answer if it comes."""
+        """Poll a source; stop waiting for it once it is late, but use its answer if it comes.
+
+        A daemon without complete replicas waits until the time-out: its sources may be starting as
+        well, and hold its request until they have something to send.
+        """
+        if not self._replicas.is_complete:
+            await self.poll_source(name, level)
+            return
         hold_seconds = self._hold_seconds(name, level)
         poll = asyncio.create_task(self.poll_source(name, level))
         self._polls.add(poll)
