--- a/rackswitch/gateway/store/tests/silence_run.py
+++ b/rackswitch/gateway/store/tests/silence_run.py
@@ -18,6 +18,7 @@
 from rackswitch.platform.store import PlatformKvClient
 from rackswitch.platform.store_calls import StoreCall
 from rackswitch.platform.store_messages import StoreAnswer
+from rackswitch.registry import Registry
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 
 CONNECT_SECONDS = 0.003
@@ -31,6 +32,10 @@
 """Time for which a daemon counts as disturbed after a disruption has ended."""
 
 
+DISRUPTIONS: Registry[Callable[["SilenceRun", SimulatedDaemon], None]] = Registry("disruption")
+"""Disruptions of one daemon by name."""
+
+
 class Network:
     """What the open connections of a run have in common."""
 
@@ -206,18 +211,23 @@
             return await daemon.replica_manager.server.serve(message)
         return await self._forwarded[daemon.context.daemon_name].serve(message)
 
+    @DISRUPTIONS.register("freeze")
     def freeze(self, daemon: SimulatedDaemon) -> None:
+        """Stop a daemon without a reset of its connections."""
         self.disturbed.add(daemon.context.daemon_name)
         self.kill(daemon)
 
+    @DISRUPTIONS.register("cut")
     def cut_from_service(self, daemon: SimulatedDaemon) -> None:
         self.disturbed.add(daemon.context.daemon_name)
         self.transports[daemon.context.daemon_name].is_cut = True
 
+    @DISRUPTIONS.register("reject")
     def reject_calls(self, daemon: SimulatedDaemon) -> None:
         """Make the service turn a daemon away; it is still reachable through peers."""
         self.transports[daemon.context.daemon_name].is_rejected = True
 
+    @DISRUPTIONS.register("restart")
     def restart(self, daemon: SimulatedDaemon) -> None:
         """End a daemon and start another process in its place."""
         self.kill(daemon)
@@ -251,17 +261,21 @@
                 deadline_seconds = max(
                     change.acknowledged_at_seconds + BOUND_SECONDS, contact_at_seconds
                 )
-                later = {one.value for one in self.changes[number:]}
-                times = [at for value, at in daemon.received_at_seconds.items() if value in later]
-                if now_seconds() > deadline_seconds and min(times, default=FOREVER_SECONDS) > (
-                    deadline_seconds
-                ):
-                    delay_seconds = min(times, default=FOREVER_SECONDS) - (
-                        change.acknowledged_at_seconds
-                    )
+                current_at_seconds = self._current_at_seconds(daemon, number)
+                if now_seconds() > deadline_seconds < current_at_seconds:
+                    delay_seconds = current_at_seconds - change.acknowledged_at_seconds
                     late.append(f"{name}: {change.value} after {delay_seconds:.2f} s")
         return late
 
+    def _current_at_seconds(self, daemon: SimulatedDaemon, number: int) -> float:
+        """Return when a daemon first had a change or a later one; `FOREVER_SECONDS` if never."""
+        times = [
+            daemon.received_at_seconds[change.value]
+            for change in self.changes[number:]
+            if change.value in daemon.received_at_seconds
+        ]
+        return min(times, default=FOREVER_SECONDS)
+
 
 def disturb(run: SilenceRun, kinds: list[str]) -> list[Callable[[], None]]:
     """Return the disruptions of a run, in the order in which they happen."""
@@ -280,14 +294,10 @@
         if kind == "silence":
             actions.append(run.network.silence_open_connections)
         else:
-            act = {
-                "freeze": run.freeze,
-                "cut": run.cut_from_service,
-                "reject": run.reject_calls,
-                "restart": run.restart,
-            }[kind]
+            disrupt = DISRUPTIONS.get(kind)
             actions.extend(
-                lambda act=act, victim=victim: act(run.daemons[victim]) for victim in victims
+                lambda disrupt=disrupt, victim=victim: disrupt(run, run.daemons[victim])
+                for victim in victims
             )
     run.rng.shuffle(actions)
     return actions
