--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -137,7 +137,7 @@
             last_result = await self._send_via(path, call)
             if not _is_failure(last_result):
                 return last_result
-            if isinstance(last_result, KvUnavailable) and last_result.effect_unknown:
+            if _is_silence(last_result):
                 self._direct.discard_idle_connections()
                 return last_result
         return last_result
@@ -157,9 +157,7 @@
     ) -> StoreAnswer | KvUnavailable:
         """Return the first answer to the attempts of a repeatable call, else a failure."""
         began_seconds = _now_seconds()
-        interval_seconds = self.path_selector.call_timeout_seconds(
-            call.timeout_seconds, began_seconds
-        )
+        interval_seconds = self._interval_seconds(call)
         deadline_seconds = began_seconds + call.timeout_seconds
         plan = AttemptPlan(stages, began_seconds, interval_seconds)
         waiting: set[asyncio.Task[StoreAnswer | KvUnavailable]] = set()
@@ -185,7 +183,7 @@
                 result = task.result()
                 if not _is_failure(result):
                     return result
-                if isinstance(result, StoreAnswer) or not result.effect_unknown:
+                if not _is_silence(result):
                     plan.drop_new_connection()
         return result
 
@@ -209,6 +207,10 @@
             return await self._send_direct(limited_call)
         return await self._send_first(limited_call)
 
+    def _interval_seconds(self, call: StoreCall) -> float:
+        """Return how long an attempt of a call may stay silent before the next one starts."""
+        return self.path_selector.call_timeout_seconds(call.timeout_seconds, _now_seconds())
+
     def _peers(self) -> list[tuple[str, str]]:
         """Return the other daemons that may forward calls, with their zones."""
         if not self._through_peers:
@@ -218,13 +220,11 @@
 
     async def _send_first(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
         """Make a repeatable call over a pooled connection; its silence is not that of the path."""
-        limit_seconds = self.path_selector.call_timeout_seconds(
-            call.timeout_seconds, _now_seconds()
-        )
+        limit_seconds = self._interval_seconds(call)
         limited_call = msgspec.structs.replace(call, timeout_seconds=limit_seconds)
         started_at_seconds = _now_seconds()
         answer = await self._direct.send(limited_call)
-        if not (isinstance(answer, KvUnavailable) and answer.effect_unknown):
+        if not _is_silence(answer):
             self._record_direct(call, answer, started_at_seconds)
         return answer
 
@@ -238,9 +238,7 @@
         sending = asyncio.ensure_future(self._direct.send(call))
         try:
             if call.repeatable and not call.is_long_poll:
-                limit_seconds = self.path_selector.call_timeout_seconds(
-                    call.timeout_seconds, _now_seconds()
-                )
+                limit_seconds = self._interval_seconds(call)
                 await asyncio.wait({sending}, timeout=limit_seconds)
                 if not sending.done():
                     self._record_direct_failure("no answer yet")
@@ -354,6 +352,11 @@
     return isinstance(answer, KvUnavailable) or answer.is_rejected
 
 
+def _is_silence(answer: StoreAnswer | KvUnavailable) -> bool:
+    """Return whether a call was sent and brought neither an answer nor a refusal."""
+    return isinstance(answer, KvUnavailable) and answer.effect_unknown
+
+
 def _detail(answer: StoreAnswer | KvUnavailable) -> str:
     return answer.detail if isinstance(answer, KvUnavailable) else f"status {answer.status}"
 
