Start: refuse at once what a starting daemon cannot serve in time

Callers saw: no answer at all from a daemon that had been started a few seconds before, although it had accepted the connection and read the request; they gave up after their own 4 s.

Cause: a starting daemon reads requests before its imports, because callers give up what is not read within a second. Nothing compared their time limits with the start, which takes 0.8 s of processor time and thus several seconds on a busy machine. A waiting request's time limit was also counted anew from the end of the start.

Ruled out: the stop cuts requests off (`whole: true`), the loop is blocked after the start.

Change: a forecast of the end of the start by the pace of its imports; a request that it cannot serve within three quarters of its caller's time, or before the end of a stop requested meanwhile, gets 503 with a Retry-After that the caller can follow, and a log line. Connections are read at each import. A request that waits keeps the time of its arrival. A stop waits for the balancer no longer than until its own deadline.

Why it works: the wait is bounded by what the caller itself says, whatever the start takes.

--- a/rackswitch/gateway/__main__.py
+++ b/rackswitch/gateway/__main__.py
@@ -1,7 +1,6 @@
 """Entry point of ``python3 -m rackswitch.gateway``."""
 
 import gc
-import importlib
 import os
 import signal
 
@@ -17,31 +16,13 @@
 
 from rackswitch.gateway.early_start import start_early  # noqa: E402
 
-IMPORT_STAGES = (
-    "asyncio",
-    "aiohttp.http",
-    "aiohttp",
-    "grpclib.client",
-    "uvicorn",
-    "rackswitch.routing",
-    "rackswitch.daemon.context",
-    "rackswitch.daemon.roles",
-    "rackswitch.gateway.callers.call_handler",
-    "rackswitch.gateway.jobs.job_manager",
-    "rackswitch.gateway.core",
-)
-"""Modules that are imported one by one, so that callers' connections are read in between. Each
-takes at most some 0.1 s on a VM with half a processor."""
-
 
 def main() -> None:
     """Listen, then import and run the daemon."""
     early_start = start_early()
     # Imported only now, since these imports take most of the time of a start.
-    for module in IMPORT_STAGES:
-        importlib.import_module(module)
-        early_start.read_callers()
-    from rackswitch.gateway.main import main as run_daemon
+    with early_start.reading_callers():
+        from rackswitch.gateway.main import main as run_daemon
 
     gc.freeze()
     gc.enable()
--- a/rackswitch/gateway/callers/caller_handler.py
+++ b/rackswitch/gateway/callers/caller_handler.py
@@ -113,7 +113,8 @@
             await exchange.respond(504, TEXT_HEADERS, CANCELLED_TEXT)
 
     async def _serve(self, exchange: Exchange) -> None:
-        arrived_seconds = self._context.now_seconds()
+        # A request may have waited for the end of the start.
+        arrived_seconds = exchange.received_at_seconds or self._context.now_seconds()
         job_call = decode_job_call(exchange)
         if isinstance(job_call, MalformedRequest):
             await refuse_before_routing(exchange, self._context, Refusal(400, job_call.detail))
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -15,6 +15,7 @@
 from rackswitch.gateway.daemon_context import make_daemon_context
 from rackswitch.gateway.daemon_snapshot import DaemonSnapshot, take_snapshot
 from rackswitch.gateway.duties.duties import Duties
+from rackswitch.gateway.early_callers import EarlyCallers
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.load_poller import LoadPoller
@@ -40,7 +41,6 @@
 from rackswitch.gateway.store.state_manager import StateManager
 from rackswitch.gateway.store.store_relay import ForwardedCalls
 from rackswitch.gateway.versions.version_manager import VersionManager
-from rackswitch.listening import EarlyConnections
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.item_runs import ItemClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
@@ -52,6 +52,7 @@
     HandOverTimedOut,
     ListenerClosed,
     Reloaded,
+    RequestRefused,
     ServerStopped,
     Started,
     Stopped,
@@ -112,8 +113,8 @@
     sockets : dict of Address to socket, optional
         Listening sockets that are already open. The servers of these addresses take them over and
         remove them from the dictionary.
-    early_callers : EarlyConnections, optional
-        Connections of callers that were accepted while the process started.
+    early_callers : EarlyCallers, optional
+        Callers whose requests were read while the process started.
     start_times : StartTimes, optional
         Parts of the start that were reached before; by default the start begins now.
     """
@@ -124,7 +125,7 @@
         log_descriptor: int | None = 1,
         policy: PolicySettings | None = None,
         sockets: dict[Address, socket.socket] | None = None,
-        early_callers: EarlyConnections | None = None,
+        early_callers: EarlyCallers | None = None,
         start_times: StartTimes | None = None,
     ):
         self.settings = settings
@@ -259,6 +260,7 @@
             await self._wait_for_first_read()
             callers = self._early_callers.take() if self._early_callers is not None else ()
             await server.start(callers)
+        self._log_early_refusals()
         self.context.daemon.spawn(self._log_start_times())
         self.log.write(Started(zone=self.settings.zone, machine_class=self.settings.machine_class))
 
@@ -273,6 +275,18 @@
         if self._early_callers is not None:
             self._early_callers.poll()
 
+    def _log_early_refusals(self) -> None:
+        for refusal in self._early_callers.refusals if self._early_callers is not None else ():
+            self.log.write(
+                RequestRefused(
+                    request=refusal.request_id,
+                    path=refusal.path,
+                    status=503,
+                    detail=refusal.detail,
+                    table_revision=0,
+                )
+            )
+
     async def stop(self, requested_seconds: float | None = None) -> None:
         """Stop as planned: hand over roles and jobs, finish the requests in flight, then end.
 
@@ -292,7 +306,9 @@
         for server in self._servers:
             server.announce_stop()
         self.context.daemon.membership.leave()
-        balancer_drain = asyncio.create_task(asyncio.sleep(BALANCER_DRAIN_SECONDS))
+        # A stop that was requested during a long start has less time left.
+        drain_seconds = min(BALANCER_DRAIN_SECONDS, deadline_seconds - self.context.now_seconds())
+        balancer_drain = asyncio.create_task(asyncio.sleep(max(0.0, drain_seconds)))
         try:
             async with asyncio.timeout_at(deadline_seconds):
                 await self.presence.announce_leaving()
--- a/rackswitch/gateway/early_start.py
+++ b/rackswitch/gateway/early_start.py
@@ -4,14 +4,16 @@
 reset. Imports of this module delay the listening, so it imports nothing but the settings.
 """
 
+import contextlib
 import signal
 import socket
 import sys
-import time
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from types import FrameType
 
-from rackswitch.listening import EarlyConnections, open_listening_socket
+from rackswitch.gateway.early_callers import EarlyCallers
+from rackswitch.listening import EarlyConnections, boot_seconds, open_listening_socket
 from rackswitch.platform.settings import Address, NodeSettings, read_node_settings
 from rackswitch.settings import SettingsFault
 
@@ -33,9 +35,9 @@
         the process's start is not used, as it may count from another origin in a container.
     sockets : dict of Address to socket
         Listening sockets by address. The servers of these addresses take them over.
-    callers : EarlyConnections or None
-        Callers' connections that are accepted and read during the start; None if this VM serves
-        no callers or failed to listen.
+    callers : EarlyCallers or None
+        Callers whose requests are read during the start; None if this VM serves no callers or
+        failed to listen.
     listening_seconds : float
         When the sockets were opened (boot clock).
     stop_requested_seconds : float or None
@@ -46,19 +48,31 @@
     settings: NodeSettings
     process_started_seconds: float
     sockets: dict[Address, socket.socket] = field(default_factory=dict)
-    callers: EarlyConnections | None = None
+    callers: EarlyCallers | None = None
     listening_seconds: float = 0.0
     stop_requested_seconds: float | None = None
 
-    def read_callers(self) -> None:
-        """Accept callers' connections and read what has arrived on them."""
-        if self.callers is not None:
-            self.callers.poll()
+    @contextlib.contextmanager
+    def reading_callers(self) -> Iterator[None]:
+        """Read callers' requests whenever a module is imported in this context."""
+        if self.callers is None:
+            yield
+            return
+        sys.meta_path.insert(0, self.callers)  # type: ignore[arg-type]
+        try:
+            yield
+        finally:
+            sys.meta_path.remove(self.callers)  # type: ignore[arg-type]
+        self.callers.record_imports_ended()
+        self.callers.poll()
 
     def request_stop(self, signal_number: int, frame: FrameType | None) -> None:
         """Record a stop signal (signal handler)."""
-        if self.stop_requested_seconds is None:
-            self.stop_requested_seconds = _boot_seconds()
+        if self.stop_requested_seconds is not None:
+            return
+        self.stop_requested_seconds = boot_seconds()
+        if self.callers is not None:
+            self.callers.request_stop(self.stop_requested_seconds)
 
 
 def start_early() -> EarlyStart:
@@ -66,7 +80,7 @@
 
     Bad settings end the process with one line and `EXIT_BAD_SETTINGS`.
     """
-    started_seconds = _boot_seconds()
+    started_seconds = boot_seconds()
     settings = read_node_settings()
     if isinstance(settings, SettingsFault):
         print(settings.line, file=sys.stderr)
@@ -78,8 +92,12 @@
         if address is not None:
             _listen(early_start, address)
     if settings.callers in early_start.sockets:
-        early_start.callers = EarlyConnections(early_start.sockets[settings.callers])
-    early_start.listening_seconds = _boot_seconds()
+        early_start.callers = EarlyCallers(
+            EarlyConnections(early_start.sockets[settings.callers]),
+            started_seconds,
+            settings.stop_grace_seconds,
+        )
+    early_start.listening_seconds = boot_seconds()
     return early_start
 
 
@@ -91,8 +109,3 @@
     except OSError:
         # The address's server tries again when it starts, and reports the error if it persists.
         return
-
-
-def _boot_seconds() -> float:
-    """Return the time of the event loop's clock (`rackswitch.clocks`)."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/rackswitch/gateway/tests/test_early_start.py
+++ b/rackswitch/gateway/tests/test_early_start.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import signal
 import socket
 import sys
@@ -11,6 +12,7 @@
 from pathlib import Path
 
 import msgspec
+import pytest
 
 import rackswitch
 from rackswitch.gateway.early_start import EXIT_BAD_SETTINGS
@@ -39,6 +41,21 @@
 arrives on standard input."""
 
 
+SLOW_IMPORTS = """
+import runpy, sys, time
+
+class Slow:
+    def find_spec(self, name, path, target=None):
+        time.sleep(0.01)
+
+sys.meta_path.insert(0, Slow())
+runpy.run_module("rackswitch.gateway", run_name="__main__", alter_sys=True)
+"""
+"""Runs the daemon as on a busy VM: its imports take some 8 s."""
+
+TIME_LIMIT_SECONDS = 1.5
+
+
 @dataclass(slots=True)
 class PausedDaemon:
     """A daemon process that has not begun its large imports."""
@@ -66,7 +83,7 @@
 
 @contextlib.asynccontextmanager
 async def paused_daemon(
-    folder: Path, store_address: str, **changes: object
+    folder: Path, store_address: str, program: str = PAUSE_BEFORE_IMPORTS, **changes: object
 ) -> AsyncIterator[PausedDaemon]:
     host = own_loopback_host()
     ports = {name: free_port(host) for name in ("front", "ready", "peer")}
@@ -85,7 +102,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-c",
-        PAUSE_BEFORE_IMPORTS,
+        program,
         cwd=folder,
         env={**os.environ, SETTINGS_VARIABLE: str(path), "PYTHONPATH": root},
         stdin=asyncio.subprocess.PIPE,
@@ -164,6 +181,31 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_a_caller_is_refused_in_time_while_the_start_takes_long(tmp_path, is_stopped):
+    # Guards against callers who wait for a slow start, or for its stop, until their time is over.
+    call = CALL[:-2] + f"X-Rackswitch-Deadline-Ms: {TIME_LIMIT_SECONDS * 1000}\r\n\r\n".encode()
+
+    async def scenario():
+        async with (
+            stand_ins() as store,
+            paused_daemon(tmp_path, store.address, SLOW_IMPORTS) as daemon,
+        ):
+            for _ in range(2):
+                reader, writer = await daemon.connect("front")
+                writer.write(call)
+                async with asyncio.timeout(TIME_LIMIT_SECONDS):
+                    assert await status_of(reader) == 503
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                retry_after = float(re.search(r"retry-after: (\S+)", head).group(1))
+                assert 0.0 < retry_after <= TIME_LIMIT_SECONDS / 3
+                writer.close()
+                if is_stopped:
+                    daemon.process.send_signal(signal.SIGTERM)
+
+    asyncio.run(scenario())
+
+
 def test_an_address_in_use_ends_the_start_with_its_name(tmp_path):
     # Guards against an early listener that hides the error of the server.
     async def scenario():
--- a/rackswitch/listening/tests/test_early_connections.py
+++ b/rackswitch/listening/tests/test_early_connections.py
@@ -1,6 +1,7 @@
 import asyncio
 import errno
 import socket
+import struct
 
 import pytest
 
@@ -8,6 +9,7 @@
 from rackswitch.listening.early_connections import MAX_BYTES, MAX_CONNECTIONS
 from rackswitch.standins.loopback import own_loopback_host
 from rackswitch.web import WebServer
+from rackswitch.web.exchange import Exchange
 
 REQUEST = b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabcdef"
 
@@ -116,3 +118,63 @@
         return response
 
     assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
+
+def test_an_answered_caller_reads_the_whole_response(listening_socket):
+    """Guards against a reset, by bytes that the caller sends later, that discards the response."""
+    early = EarlyConnections(listening_socket)
+    with connect(listening_socket) as caller:
+        caller.sendall(REQUEST)
+        early.poll()
+        (connection,) = early.open_connections
+        early.answer(connection, b"HTTP/1.1 503 x\r\n\r\n")
+        caller.sendall(bytes(MAX_BYTES))
+        early.poll()
+        assert early.take() == []
+        caller.settimeout(5.0)
+        assert caller.recv(100) == b"HTTP/1.1 503 x\r\n\r\n"
+        assert caller.recv(100) == b""
+
+
+def test_answers_a_caller_that_has_left(listening_socket):
+    """Guards against a caller's reset that ends the starting daemon."""
+    early = EarlyConnections(listening_socket)
+    caller = connect(listening_socket)
+    caller.sendall(REQUEST)
+    early.poll()
+    (connection,) = early.open_connections
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+    early.answer(connection, b"HTTP/1.1 503 x\r\n\r\n")
+    assert early.take() == []
+
+
+def test_a_request_keeps_the_time_of_its_arrival(listening_socket):
+    """Guards against targets that get more time than the caller has left."""
+
+    async def scenario() -> list[float | None]:
+        arrivals = []
+
+        async def record(scope, receive, send):
+            if scope["type"] == "http":
+                arrivals.append(Exchange(scope, receive, send).received_at_seconds)
+                await echo(scope, receive, send)
+
+        early = EarlyConnections(listening_socket, now_seconds=lambda: 12.5)
+        host, port = listening_socket.getsockname()
+        with connect(listening_socket) as caller:
+            caller.sendall(REQUEST)
+            early.poll()
+            server = WebServer(record, host, port, opened_socket=listening_socket.dup())
+            await server.start(early.take())
+            caller.setblocking(False)
+            for _ in range(2):
+                response = b""
+                async with asyncio.timeout(5.0):
+                    while b"abcdef" not in response:
+                        response += await asyncio.get_running_loop().sock_recv(caller, 4096)
+                await asyncio.get_running_loop().sock_sendall(caller, REQUEST)
+        await server.stop()
+        return arrivals
+
+    assert asyncio.run(scenario())[:2] == [12.5, None]
--- a/rackswitch/web/connection_limits.py
+++ b/rackswitch/web/connection_limits.py
@@ -7,7 +7,7 @@
 
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-__all__ = ["BoundedHttpProtocol", "ConnectionLimits"]
+__all__ = ["RECEIVED_AT_KEY", "BoundedHttpProtocol", "ConnectionLimits"]
 
 HEADER_TIMEOUT_RESPONSE = (
     STATUS_LINE[408]
@@ -15,6 +15,9 @@
     + b"The head did not come in in time."
 )
 
+RECEIVED_AT_KEY = "rackswitch.received_at_seconds"
+"""Key of the ASGI scope of a request that arrived before the server started."""
+
 
 @dataclass(slots=True)
 class ConnectionLimits:
@@ -44,6 +47,11 @@
         Timeouts shared by all connections of a server.
     **options
         Arguments of `HttpToolsProtocol`.
+
+    Attributes
+    ----------
+    received_at_seconds : float or None
+        When the next request arrived (event loop time), if that was before the server started.
     """
 
     def __init__(self, limits: ConnectionLimits, **options: Any):
@@ -51,6 +59,7 @@
         self._limits = limits
         self._header_timer: asyncio.TimerHandle | None = None
         self._closes_after_response = False
+        self.received_at_seconds: float | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the idle timeout before the first request."""
@@ -67,6 +76,9 @@
     def on_message_begin(self) -> None:
         """Start the header timer at the first byte of a request."""
         super().on_message_begin()
+        if self.received_at_seconds is not None:
+            self.scope[RECEIVED_AT_KEY] = self.received_at_seconds  # type: ignore[literal-required]
+            self.received_at_seconds = None
         self._cancel_header_timer()
         self._header_timer = self.loop.call_later(
             self._limits.header_timeout_seconds, self._on_header_timeout
--- a/rackswitch/web/exchange.py
+++ b/rackswitch/web/exchange.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from rackswitch.web.connection_limits import RECEIVED_AT_KEY
+
 __all__ = ["BodyTooLarge", "BodyTooSlow", "CallerDisconnected", "Exchange"]
 
 Message = dict[str, Any]
@@ -64,6 +66,11 @@
         """The request's method."""
         return self._scope["method"]
 
+    @property
+    def received_at_seconds(self) -> float | None:
+        """When the request arrived (event loop time); None if it has just arrived."""
+        return self._scope.get(RECEIVED_AT_KEY)
+
     @property
     def path(self) -> str:
         """The raw path, without the query."""
--- a/rackswitch/web/listener.py
+++ b/rackswitch/web/listener.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from rackswitch.listening import BACKLOG, EarlyConnection, open_listening_socket
+from rackswitch.web.connection_limits import BoundedHttpProtocol
 
 __all__ = ["Listener"]
 
@@ -34,7 +35,7 @@
 
     __slots__ = ("_make_protocol", "_pending_connections", "_retry_timer", "_socket", "port")
 
-    def __init__(self, make_protocol: Callable[[], asyncio.Protocol]):
+    def __init__(self, make_protocol: Callable[[], BoundedHttpProtocol]):
         self.port = 0
         self._make_protocol = make_protocol
         self._socket: socket.socket | None = None
@@ -70,7 +71,7 @@
         self._socket = opened_socket
         self.port = self._socket.getsockname()[1]
         for early in early_connections:
-            self._set_up(early.connection, bytes(early.received))
+            self._set_up(early.connection, early)
         self._start_accepting()
 
     @property
@@ -144,15 +145,16 @@
             ACCEPT_RETRY_SECONDS, self._start_accepting
         )
 
-    def _set_up(self, connection: socket.socket, received: bytes = b"") -> None:
+    def _set_up(self, connection: socket.socket, early: EarlyConnection | None = None) -> None:
         connection.setblocking(False)
-        task = asyncio.create_task(self._connect(connection, received))
+        task = asyncio.create_task(self._connect(connection, early))
         self._pending_connections.add(task)
         task.add_done_callback(self._pending_connections.discard)
 
-    async def _connect(self, connection: socket.socket, received: bytes) -> None:
+    async def _connect(self, connection: socket.socket, early: EarlyConnection | None) -> None:
         loop = asyncio.get_running_loop()
         transport, protocol = await loop.connect_accepted_socket(self._make_protocol, connection)
-        if received and not transport.is_closing():
+        if early is not None and early.received and not transport.is_closing():
             # The loop resumes this task before it reads from the connection for the first time.
-            protocol.data_received(received)
+            protocol.received_at_seconds = early.received_at_seconds
+            protocol.data_received(bytes(early.received))
