Calls through peers: silent peers last, and more of them while they stay silent

Callers saw: a daemon that the key-value service turns away served by an older table for up to 1.2 s longer than stated (2 s), with 404 for routes that had been added.

Cause: peers were sorted by distance and name and the first two were asked; one that stayed silent was left alone for 1 s and then the first again. What the daemon knew of its peers decided nothing, so sound ones behind silent ones were never asked. Peers behind silent connections were asked one after the other until the first call had timed out.

Change: links remember which peers were last found silent; peers that forwarded a call within 3 s go first, silent ones last. While peers stay silent and the own path has failed, each further stage asks twice as many; two refusals end it. Idle connections to peers are replaced as soon as one is late. A peer's refusal no longer drops the new connection to the service.

Why it works: each silent peer is passed once, and the number of stages grows with the logarithm of the fleet; a slow service or an outage brings no calls by way of the whole fleet, as the own path is silent or two peers refuse.

The four cases of test_a_rejected_daemon_is_current_although_its_first_peers_are_silent fail on the untouched code. The set-up of two tests' links got the new attribute; their checks are as they were.

--- a/rackswitch/gateway/store/peer_replicas.py
+++ b/rackswitch/gateway/store/peer_replicas.py
@@ -198,6 +198,7 @@
             return
         retry_at_seconds = self._context.now_seconds() + FOLLOW_SLACK_SECONDS - FOLLOW_HEDGE_SECONDS
         self.selector.record_silence(name, self._context.now_seconds(), retry_at_seconds)
+        self._context.daemon.links.record_silence(name)
 
     def _hold_seconds(self, name: str, level: int) -> float:
         """Return for how long a source may hold a request open.
--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -111,7 +111,7 @@
             return await self._send_long_poll(call)
         paths = self._paths(call.repeatable)
         if call.repeatable:
-            return await self._send_hedged(call, hedged_stages(paths))
+            return await self._send_hedged(call, hedged_stages(paths, self._more_peers(paths)))
         return await self._send_in_turn(call, paths)
 
     async def send_directly(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
@@ -122,9 +122,23 @@
 
     def _paths(self, repeatable: bool) -> list[str]:
         return self.path_selector.paths(
-            self._peers(), repeatable, _now_seconds(), self._stays_in_region()
+            self._peers(),
+            repeatable,
+            _now_seconds(),
+            self._stays_in_region(),
+            self._links.silent_at_seconds,
         )
 
+    def _more_peers(self, paths: list[str]) -> list[str]:
+        """Return the peers that are tried while those of `paths` stay silent."""
+        peers = self.path_selector.peers(
+            self._peers(),
+            _now_seconds(),
+            self._stays_in_region(),
+            self._links.silent_at_seconds,
+        )
+        return [peer for peer in peers if peer not in paths]
+
     async def _send_in_turn(self, call: StoreCall, paths: list[str]) -> StoreAnswer | KvUnavailable:
         """Make a call over one path after the other while it is known to have had no effect.
 
@@ -159,20 +173,25 @@
         began_seconds = _now_seconds()
         interval_seconds = self._interval_seconds(call)
         deadline_seconds = began_seconds + call.timeout_seconds
-        plan = AttemptPlan(stages, began_seconds, interval_seconds)
-        waiting: set[asyncio.Task[StoreAnswer | KvUnavailable]] = set()
+        has_own_path_failed = not self.path_selector.is_own_path_up
+        plan = AttemptPlan(stages, began_seconds, interval_seconds, has_own_path_failed)
+        waiting: dict[asyncio.Task[StoreAnswer | KvUnavailable], Attempt] = {}
         result: StoreAnswer | KvUnavailable = KvUnavailable("no answer in time", True)
         now_seconds = began_seconds
         while now_seconds < deadline_seconds:
-            for attempt in plan.start_due(now_seconds, all_failed=not waiting):
+            due = plan.start_due(now_seconds, all_failed=not waiting)
+            if due and any(attempt.path != OWN_PATH for attempt in waiting.values()):
+                # A peer's silence may be that of its connection, and other idle ones may be silent.
+                self._links.replace_idle(began_seconds)
+            for attempt in due:
                 limit_seconds = deadline_seconds - now_seconds
                 if attempt.path != OWN_PATH:
                     limit_seconds = min(limit_seconds, PEER_INTERVALS * interval_seconds)
-                waiting.add(self._start(self._attempt(call, attempt, limit_seconds)))
+                waiting[self._start(self._attempt(call, attempt, limit_seconds))] = attempt
             if not waiting:
                 return result
             wake_at_seconds = min(plan.next_at_seconds or deadline_seconds, deadline_seconds)
-            done, waiting = await asyncio.wait(
+            done, _ = await asyncio.wait(
                 waiting,
                 timeout=max(0.0, wake_at_seconds - _now_seconds()),
                 return_when=asyncio.FIRST_COMPLETED,
@@ -183,8 +202,7 @@
                 result = task.result()
                 if not _is_failure(result):
                     return result
-                if not _is_silence(result):
-                    plan.drop_new_connection()
+                plan.record_failure(waiting.pop(task), is_silence=_is_silence(result))
         return result
 
     def _start(
--- a/rackswitch/gateway/store/tests/spread_run.py
+++ b/rackswitch/gateway/store/tests/spread_run.py
@@ -176,6 +176,10 @@
     def __init__(self, run: "SpreadRun", zone: str):
         self._run = run
         self._zone = zone
+        self.silent_at_seconds: dict[str, float] = {}
+
+    def record_silence(self, daemon: str) -> None:
+        self.silent_at_seconds[daemon] = asyncio.get_running_loop().time()
 
     async def call(self, peer, method, message, timeout_seconds, stub_kind):
         daemon = self._run.daemons[peer.daemon]
--- a/rackswitch/gateway/store/tests/test_silence_runs.py
+++ b/rackswitch/gateway/store/tests/test_silence_runs.py
@@ -30,3 +30,20 @@
 ):
     use_simulated_channels(monkeypatch)
     assert run_on_virtual_clock(run_disruptions(seed, kinds, slow_before)) == []
+
+
+@pytest.mark.parametrize(
+    ("seed", "kinds", "slow_before"),
+    [
+        (104, ["reject", "restart", "freeze"], False),
+        (509, ["reject", "freeze", "freeze"], False),
+        (522, ["reject", "reject", "freeze"], True),
+        (529, ["silence", "reject", "freeze"], True),
+    ],
+)
+def test_a_rejected_daemon_is_current_although_its_first_peers_are_silent(
+    seed, kinds, slow_before, monkeypatch
+):
+    # Guards against calls through peers that ask silent peers again before sound ones.
+    use_simulated_channels(monkeypatch)
+    assert run_on_virtual_clock(run_disruptions(seed, kinds, slow_before)) == []
--- a/rackswitch/gateway/store/tests/test_store_relay.py
+++ b/rackswitch/gateway/store/tests/test_store_relay.py
@@ -8,15 +8,17 @@
 
 from rackswitch.clients.http import HttpSessions
 from rackswitch.clients.kv import KvUnavailable
+from rackswitch.daemon.tests.support import run_on_virtual_clock
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.store.store_relay import MAX_FORWARDED_CALLS, ForwardedCalls, RelayTransport
 from rackswitch.gateway.tests.path import check_complete, run_scenario, wait_for
 from rackswitch.load.link import Link
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import gateway_pb2 as pb
+from rackswitch.peers.links import PeerUnreachable
 from rackswitch.platform.store_calls import HttpTransport, StoreCall, decode_call, encode_call
 from rackswitch.platform.store_messages import StoreAnswer
-from rackswitch.relay import OWN_PATH
+from rackswitch.relay import MAX_PEERS, OWN_PATH
 from rackswitch.standins.platform_store import PlatformStoreStandIn
 from rackswitch.telemetry.events import RoleAcquired
 
@@ -125,6 +127,10 @@
     def __init__(self, replies):
         self.replies = replies
         self.asked_peers: list[str] = []
+        self.silent_at_seconds: dict[str, float] = {}
+
+    def replace_idle(self, since_seconds):
+        """Nothing is idle."""
 
     async def call(self, peer, method, message, timeout_seconds, stub_kind):
         self.asked_peers.append(peer.daemon)
@@ -224,6 +230,44 @@
     asyncio.run(scenario())
 
 
+class SilentLinks(FakeLinks):
+    """Connections to peers of which those without a preset reply are silent."""
+
+    async def call(self, peer, method, message, timeout_seconds, stub_kind):
+        self.asked_peers.append(peer.daemon)
+        if peer.daemon not in self.replies:
+            await asyncio.sleep(timeout_seconds)
+            return PeerUnreachable("TimeoutError")
+        return self.replies[peer.daemon]
+
+
+def test_a_rejected_daemon_finds_the_peer_that_is_not_silent():
+    # Guards against calls that wait for silent peers while a sound one is never asked.
+    async def scenario():
+        names = [f"d{number:02}" for number in range(14)]
+        links = SilentLinks({"d13": ANSWERED})
+        direct = FakePath(StoreAnswer(503, b""))
+        relay = RelayTransport(direct, links, FakeMembership(names), RecordingLog(), True)
+        relay.path_selector.record_failure(OWN_PATH, asyncio.get_running_loop().time())
+        began_seconds = asyncio.get_running_loop().time()
+        assert isinstance(await relay.send(READ), StoreAnswer)
+        return asyncio.get_running_loop().time() - began_seconds
+
+    assert run_on_virtual_clock(scenario()) < READ.timeout_seconds
+
+
+def test_peers_of_a_working_path_are_spared_while_the_service_is_slow():
+    # Guards against a slow service that is called by way of the whole fleet.
+    async def scenario():
+        links = SilentLinks({})
+        names = [f"d{number}" for number in range(8)]
+        relay = RelayTransport(FakePath(LOST), links, FakeMembership(names), RecordingLog(), True)
+        assert isinstance(await relay.send(READ), KvUnavailable)
+        return links.asked_peers
+
+    assert len(run_on_virtual_clock(scenario())) <= MAX_PEERS
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
--- a/rackswitch/peers/links.py
+++ b/rackswitch/peers/links.py
@@ -14,6 +14,9 @@
 __all__ = ["SECRET_METADATA", "PeerLinks", "PeerUnreachable"]
 
 MAX_CHANNELS = 64
+MAX_SILENT_PEERS = 1024
+"""Bounds the memory of silent peers, as those that are gone for good never reply."""
+
 SECRET_METADATA = "rackswitch-fleet-secret"
 PEER_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError, asyncio.IncompleteReadError)
 
@@ -79,6 +82,9 @@
     ----------
     extra_timeout_seconds : callable
         Returns what is added to the timeout of calls to a zone, for the delay of the path.
+    silent_at_seconds : dict of str to float
+        Peers that have not replied since they were last found silent, and when that was (event
+        loop time).
     """
 
     __slots__ = (
@@ -88,6 +94,7 @@
         "calls",
         "extra_timeout_seconds",
         "max_channels",
+        "silent_at_seconds",
     )
 
     def __init__(self, secret: str):
@@ -96,6 +103,7 @@
         self.calls = 0
         self.extra_timeout_seconds: Callable[[str], float] = lambda zone: 0.0
         self.max_channels = MAX_CHANNELS
+        self.silent_at_seconds: dict[str, float] = {}
         self.blocked: set[str] = set()
         """Peers that tests make unreachable."""
 
@@ -124,11 +132,13 @@
             async with asyncio.timeout(timeout_seconds):
                 reply = await method(stub)(message, timeout=timeout_seconds, metadata=metadata)
             connection.replied_at_seconds = loop.time()
+            self.silent_at_seconds.pop(peer.daemon, None)
             return reply
         except TimeoutError as error:
             if connection.replied_at_seconds < started_at_seconds:
+                self.record_silence(peer.daemon)
                 self._replace(address, connection)
-                self._replace_idle(started_at_seconds)
+                self.replace_idle(started_at_seconds)
             return PeerUnreachable(f"{type(error).__name__}: {error}")
         except PEER_ERRORS as error:
             return PeerUnreachable(f"{type(error).__name__}: {error}")
@@ -140,6 +150,13 @@
             connection.calls_in_flight -= 1
             connection.close_if_unused()
 
+    def record_silence(self, daemon: str) -> None:
+        """Record that a peer owes a reply, whose call may still be in flight."""
+        self.silent_at_seconds.pop(daemon, None)
+        self.silent_at_seconds[daemon] = asyncio.get_running_loop().time()
+        if len(self.silent_at_seconds) > MAX_SILENT_PEERS:
+            del self.silent_at_seconds[next(iter(self.silent_at_seconds))]
+
     def _connection(self, address: tuple[str, int]) -> _PeerConnection:
         connection = self._connections.get(address)
         if connection is None:
@@ -157,7 +174,7 @@
             del self._connections[address]
         connection.replace()
 
-    def _replace_idle(self, since_seconds: float) -> None:
+    def replace_idle(self, since_seconds: float) -> None:
         """Use new channels instead of those that were not used since a time (event loop time)."""
         for address, connection in list(self._connections.items()):
             if not connection.calls_in_flight and connection.replied_at_seconds < since_seconds:
--- a/rackswitch/peers/tests/test_links.py
+++ b/rackswitch/peers/tests/test_links.py
@@ -12,7 +12,7 @@
 from rackswitch.membership import MemberState, MemberUpdate
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.gateway_grpc import GatewayPeersStub
-from rackswitch.peers.links import PeerLinks, PeerUnreachable
+from rackswitch.peers.links import MAX_SILENT_PEERS, PeerLinks, PeerUnreachable
 
 TIMEOUT_SECONDS = 1.0
 
@@ -92,3 +92,42 @@
         return answered
 
     assert asyncio.run(scenario()) == [True, False, True]
+
+
+def test_a_silent_peer_is_known_as_such_until_it_replies():
+    # Guards against silent peers that are asked before sound ones, and against sound ones that are
+    # never asked again.
+    async def scenario():
+        server = Server([YieldingPeer()])
+        await server.start("127.0.0.1", 0)
+        link = Link(f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}")
+        await link.open()
+        host, port = link.address.split(":")
+        peer = MemberUpdate("d1", host, int(port), "z", 1, MemberState.ALIVE)
+        links = PeerLinks("")
+        known_silent = []
+        request = pb.YieldJobRequest(job_id="j", owner_revision=1)
+        for silenced in (False, True, False):
+            if silenced:
+                link.silence_open_connections()
+            await links.call(peer, lambda stub: stub.YieldJob, request, 0.2, GatewayPeersStub)
+            known_silent.append(list(links.silent_at_seconds))
+        links.close()
+        await link.close()
+        server.close()
+        return known_silent
+
+    assert asyncio.run(scenario()) == [[], ["d1"], []]
+
+
+def test_the_memory_of_silent_peers_is_bounded():
+    # Guards against a memory that grows with every VM that is replaced.
+    async def scenario():
+        links = PeerLinks("")
+        for number in range(MAX_SILENT_PEERS + 2):
+            links.record_silence(f"d{number}")
+        return links.silent_at_seconds
+
+    silent = asyncio.run(scenario())
+    assert len(silent) == MAX_SILENT_PEERS
+    assert "d1" not in silent
--- a/rackswitch/relay/paths.py
+++ b/rackswitch/relay/paths.py
@@ -5,13 +5,14 @@
 between daemons. A daemon thus keeps its session, roles and jobs during a short network failure.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from rackswitch.relay.recent import SlowestRecent
 from rackswitch.routing import PathClass, RegionMap
 
-__all__ = ["OWN_PATH", "PathSelector"]
+__all__ = ["MAX_PEERS", "OWN_PATH", "PathSelector"]
 
 OWN_PATH = ""
 """Stands for the daemon's own path among the names of peers."""
@@ -22,8 +23,14 @@
 PEER_COOLDOWN_SECONDS = 1.0
 """Cooldown of a peer that could not forward a call; longer than its own probe interval."""
 
+HELPFUL_PEER_SECONDS = 3.0
+"""How long a peer that forwarded a call is asked before the others."""
+
 MAX_PEERS = 2
-"""Peers tried for one call. If none reaches the service, it is probably unreachable for all."""
+"""Peers that may refuse one call. If none reaches the service, it is probably unreachable for
+all."""
+
+NO_SILENCES: Mapping[str, float] = MappingProxyType({})
 
 MIN_TIMEOUT_SECONDS = 0.3
 """Minimum timeout of a repeatable call on the own path before a peer is tried. An answer usually
@@ -64,6 +71,7 @@
     )
     _next_probe_seconds: float = float("-inf")
     _cooldown_until_seconds: dict[str, float] = field(default_factory=dict)
+    _helpful_until_seconds: dict[str, float] = field(default_factory=dict)
     region_of_zone: dict[str, str] = field(default_factory=dict)
 
     @property
@@ -77,6 +85,7 @@
         repeatable: bool,
         now_seconds: float,
         own_region_only: bool = False,
+        silent_at_seconds: Mapping[str, float] = NO_SILENCES,
     ) -> list[str]:
         """Return the paths to try for one call, in order.
 
@@ -90,8 +99,11 @@
             Monotonic clock.
         own_region_only : bool, optional
             Whether no peer of another region may forward the call.
+        silent_at_seconds : mapping of str to float, optional
+            When peers were last found silent; they come last, the one asked least recently first.
         """
-        peers = self._usable_peers(live_zones, now_seconds, own_region_only)
+        peers = self.peers(live_zones, now_seconds, own_region_only, silent_at_seconds)
+        peers = peers[:MAX_PEERS]
         if self.is_own_path_up:
             return [OWN_PATH, *peers]
         if not peers:
@@ -116,6 +128,7 @@
         """Record an answer; return whether the own path works again since this answer."""
         if path != OWN_PATH:
             self._cooldown_until_seconds.pop(path, None)
+            self._helpful_until_seconds[path] = now_seconds + HELPFUL_PEER_SECONDS
             return False
         self.slowest_answer.record(duration_seconds, now_seconds)
         recovered = not self.is_own_path_up
@@ -126,6 +139,7 @@
         """Record an unanswered call; return whether the own path has failed since this call."""
         if path != OWN_PATH:
             self._cooldown_until_seconds[path] = now_seconds + PEER_COOLDOWN_SECONDS
+            self._helpful_until_seconds.pop(path, None)
             return False
         self._next_probe_seconds = now_seconds + PROBE_INTERVAL_SECONDS
         if not self.is_own_path_up:
@@ -133,15 +147,28 @@
         self.failed_since_seconds = now_seconds
         return True
 
-    def _usable_peers(
-        self, live_zones: Iterable[tuple[str, str]], now_seconds: float, own_region_only: bool
+    def peers(
+        self,
+        live_zones: Iterable[tuple[str, str]],
+        now_seconds: float,
+        own_region_only: bool = False,
+        silent_at_seconds: Mapping[str, float] = NO_SILENCES,
     ) -> list[str]:
+        """Return all peers that may forward a call, in order; the parameters are those of `paths`.
+
+        A peer that stays silent says nothing of the service, so that the ones behind it are of use.
+        """
         regions = RegionMap(self.zone, self.region_of_zone)
         farthest = PathClass.SAME_REGION if own_region_only else PathClass.OTHER_REGION
         usable = [
-            (path_class, name)
+            (
+                silent_at_seconds.get(name, float("-inf")),
+                now_seconds >= self._helpful_until_seconds.get(name, float("-inf")),
+                path_class,
+                name,
+            )
             for name, zone in live_zones
             if (path_class := regions.path_class(zone)) <= farthest
             and now_seconds >= self._cooldown_until_seconds.get(name, float("-inf"))
         ]
-        return [name for _, name in sorted(usable)[:MAX_PEERS]]
+        return [name for *_, name in sorted(usable)]
--- a/rackswitch/relay/tests/test_attempts.py
+++ b/rackswitch/relay/tests/test_attempts.py
@@ -35,6 +35,38 @@
     assert hedged_stages(["b", "c"]) == [[Attempt("b")], [OWN_ANEW, Attempt("c")]]
 
 
+def test_the_reserve_passes_many_silent_peers_in_few_stages():
+    # Guards against a call that waits an interval for each silent peer.
+    reserve = [f"d{number}" for number in range(14)]
+    stages = hedged_stages(["b", "c"], reserve)
+    assert [len(stage) for stage in stages] == [1, 2, 2, 4, 8]
+    assert [one.path for stage in stages[2:] for one in stage] == reserve
+
+
+def test_refusals_by_two_peers_end_the_attempts():
+    # Guards against an outage in which each daemon asks the whole fleet.
+    stages = hedged_stages(["b", "c"], ["d", "e"])
+    plan = AttemptPlan(stages, 10.0, INTERVAL_SECONDS, has_own_path_failed=True)
+    plan.start_due(10.0, all_failed=True)
+    plan.record_refusal()
+    plan.start_due(10.0, all_failed=True)
+    plan.record_refusal()
+    assert plan.start_due(10.0, all_failed=True) == []
+
+
+def test_the_reserve_is_tried_once_the_own_path_has_failed_with_an_answer():
+    # Guards against a slow service that is called by way of the whole fleet, and against a daemon
+    # that the service turns away and that asks two peers only.
+    plan = AttemptPlan(hedged_stages([OWN_PATH, "b"], ["c"]), 10.0, INTERVAL_SECONDS)
+    for _ in range(2):
+        plan.start_due(10.0, all_failed=True)
+    plan.record_failure(OWN, is_silence=True)
+    assert plan.start_due(10.0, all_failed=True) == []
+    assert plan.next_at_seconds is None
+    plan.record_failure(OWN_ANEW, is_silence=False)
+    assert [one.path for one in plan.start_due(10.0, all_failed=True)] == ["c"]
+
+
 @given(
     st.lists(st.sampled_from(["b", "c", "d"]), unique=True),
     st.booleans(),
--- a/rackswitch/relay/tests/test_paths.py
+++ b/rackswitch/relay/tests/test_paths.py
@@ -51,6 +51,14 @@
     assert selector.paths(PEERS, False, 10.0 + PEER_COOLDOWN_SECONDS) == ["c", "e"]
 
 
+def test_silent_peers_come_after_all_others():
+    # Guards against silent peers that are asked again and again before sound ones.
+    silent = {"c": 9.0, "b": 8.0}
+    selector = failed_selector()
+    assert selector.peers(PEERS, 10.1, silent_at_seconds=silent) == ["e", "d", "b", "c"]
+    assert selector.paths(PEERS, True, 10.1, silent_at_seconds=silent) == ["e", "d"]
+
+
 def test_the_timeout_follows_the_slowest_recent_answer():
     selector = PathSelector("x")
     selector.record_answer(OWN_PATH, 0.004, 10.0)
