Roles: leave a vacant role to its last holder until its turn ends

Cause: the others left the role to its last holder for 0.8 s after they found it vacant, and for 1.0 s after their own start. These durations say nothing of when the last holder may be back: its start takes seconds on a busy machine, and an attempt of its own that fails is repeated after 0.4 to 1.0 s only.

Ruled out: that the others do not know the last holder.

Change: a vacant role is left to its last holder until 0.5 s before the end of its turn, which the others know, and for 0.8 s after that holder's own start. The event `role not acquired` tells why an attempt failed.

Why it works: before the end of the turn no other holder could act, so that the wait costs nobody anything; a holder that stays away is replaced in time to act when its turn ends, as before.

--- a/rackswitch/daemon/roles.py
+++ b/rackswitch/daemon/roles.py
@@ -1,7 +1,7 @@
 """Acquire, renew and release leases on roles that need a single holder."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from rackswitch.clients.kv import (
     Compare,
@@ -10,10 +10,11 @@
     LeaseGranted,
     Operation,
     TxnPart,
+    TxnPartResult,
 )
 from rackswitch.daemon.context import DaemonContext
 from rackswitch.leases import LeaseAction, RoleLease, decode_holder, encode_holder
-from rackswitch.telemetry.events import RoleAcquired, RoleLost
+from rackswitch.telemetry.events import RoleAcquired, RoleLost, RoleNotAcquired
 
 __all__ = ["ROLE_PREFIX", "RoleManager"]
 
@@ -37,6 +38,9 @@
     vacant_seconds : callable
         Returns how long a role is known to have been vacant, None if it has a holder. By
         default this is always 0, and two daemons check each role periodically.
+    reserved_until_seconds : callable
+        Returns until when a vacant role is left to the preferred daemon (event loop time); by
+        default only for a short time after it was found vacant.
     """
 
     __slots__ = (
@@ -46,6 +50,7 @@
         "_settled_lease_ids",
         "_vacant_seconds",
         "_required_roles",
+        "_reserved_until_seconds",
         "roles",
     )
 
@@ -56,6 +61,7 @@
         preferred: Callable[[str], str | None] = lambda role: None,
         prefix: str = ROLE_PREFIX,
         vacant_seconds: Callable[[str], float | None] = lambda role: 0.0,
+        reserved_until_seconds: Callable[[str], float] = lambda role: float("-inf"),
     ):
         self._prefix = prefix
         self._vacant_seconds = vacant_seconds
@@ -64,6 +70,7 @@
         self._context = context
         self._required_roles = required_roles
         self._preferred = preferred
+        self._reserved_until_seconds = reserved_until_seconds
         self.roles: dict[str, RoleLease] = {}
 
     def may_act(self, role: str) -> bool:
@@ -138,16 +145,22 @@
         read = await self._context.kv.read(key)
         if isinstance(read, KvUnavailable):
             lease.record_no_answer(self._context.now_seconds(), self._context.rng.random())
+            self._log_not_acquired(lease, f"read: {read.detail}")
             return
         if read.entries:
             lease.record_loss(self._context.now_seconds(), self._context.rng.random())
+            self._log_not_acquired(lease, f"held by {decode_holder(read.entries[0].value)[0]}")
             return
-        if not lease.may_acquire(self._context.now_seconds(), self._preferred(lease.role)):
+        preferred = self._preferred(lease.role)
+        reserved_until_seconds = self._reserved_until_seconds(lease.role)
+        if not lease.may_acquire(self._context.now_seconds(), preferred, reserved_until_seconds):
+            self._log_not_acquired(lease, f"left to {preferred}")
             return
         requested_at_seconds = self._context.now_seconds()
         granted = await self._context.kv.grant_lease(lease.ttl_seconds)
         if isinstance(granted, KvUnavailable):
             lease.record_no_answer(self._context.now_seconds(), self._context.rng.random())
+            self._log_not_acquired(lease, f"lease: {granted.detail}")
             return
         self._settled_lease_ids.add(granted.lease_id)
         await self._create_key(lease, key, granted, requested_at_seconds)
@@ -163,6 +176,7 @@
         done = await self._context.kv.txn([part])
         if isinstance(done, KvUnavailable) and not done.effect_unknown:
             lease.record_no_answer(self._context.now_seconds(), self._context.rng.random())
+            self._log_not_acquired(lease, f"write: {done.detail}")
             return
         read = await self._context.kv.read(key)
         if isinstance(read, KvRead) and read.entries and read.entries[0].value == value:
@@ -171,6 +185,15 @@
             self._context.log.write(RoleAcquired(role=lease.role, fencing=fencing))
             return
         lease.record_loss(self._context.now_seconds(), self._context.rng.random())
+        self._log_not_acquired(lease, _failed_write_reason(done, read))
+
+    def _log_not_acquired(self, lease: RoleLease, reason: str) -> None:
+        retry_in_seconds = lease.next_try_seconds - self._context.now_seconds()
+        self._context.log.write(
+            RoleNotAcquired(
+                role=lease.role, reason=reason, retry_in_seconds=round(retry_in_seconds, 3)
+            )
+        )
 
     async def _renew(self, lease: RoleLease) -> None:
         if lease.held is None:
@@ -206,3 +229,16 @@
             self._context.log.write(
                 RoleLost(role=lease.role, fencing=held.fencing, reason="not renewed in time")
             )
+
+
+def _failed_write_reason(
+    written: Sequence[TxnPartResult] | KvUnavailable, read: KvRead | KvUnavailable
+) -> str:
+    """Return why a role's key, read after it was written, is not the one that was written."""
+    if isinstance(read, KvUnavailable):
+        return f"read after the write: {read.detail}"
+    if read.entries:
+        return f"held by {decode_holder(read.entries[0].value)[0]}"
+    if isinstance(written, KvUnavailable):
+        return f"write: {written.detail}"
+    return "the write was refused and nobody holds the role"
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -31,6 +31,7 @@
 from rackswitch.gateway.policy import PolicySettings
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
 from rackswitch.gateway.reload import compare_settings
+from rackswitch.gateway.role_preference import RolePreference
 from rackswitch.gateway.start_times import StartTimes
 from rackswitch.gateway.store.control_entries import CONTROL_PREFIX, ControlEntries
 from rackswitch.gateway.store.presence import Presence
@@ -79,10 +80,6 @@
 """How long a stopping daemon still accepts connections: the balancer checks readiness every second
 and removes a daemon after two failed checks."""
 
-FLEET_START_SECONDS = 1.0
-"""After a restart of the whole fleet, how much later than this daemon another one may appear among
-the members: all start within some 0.3 s, and a session takes another 0.1 s."""
-
 EARLY_POLL_INTERVAL_SECONDS = 0.02
 """Interval at which connections that arrive before the callers' server has started are read."""
 
@@ -145,7 +142,6 @@
             self._record_load_report, self.context.record_round_trip if has_regions else None
         )
         parts.context.links.extra_timeout_seconds = self.context.extra_timeout_seconds
-        self._started_seconds = float("-inf")
         self._suspended_seconds = suspended_seconds()
         self.quarantine = QuarantineManager(self.context, lambda: self.replicas.is_complete)
         self.state = StateManager(self.context, self.quarantine.end_detector)
@@ -154,9 +150,10 @@
         self.roles = RoleManager(
             parts.context,
             self._required_roles,
-            self._preferred_holder,
+            lambda role: self._role_preference.holder(role),
             ROLES_PREFIX,
             self._vacant_seconds,
+            lambda role: self._role_preference.reserved_until_seconds(role),
         )
         target_chooser = TargetChooser(self.context)
         self.request_dispatcher = RequestDispatcher(
@@ -191,6 +188,9 @@
         self._job_cleaner = JobCleaner(self.context, self.jobs.known, job_store)
         job_reader = JobReader(self.context, self.jobs, job_store, self.session)
         self._duties = Duties(self.context, self.roles, self.jobs.known)
+        self._role_preference = RolePreference(
+            self.context, (self._duties.role_turns(), self.versions.role_turns())
+        )
         control_entries = ControlEntries(
             self.context,
             self.jobs,
@@ -233,7 +233,6 @@
         Connections of callers that already wait are accepted after the first read of the table and
         the targets, or after `FIRST_READ_WAIT_SECONDS`.
         """
-        self._started_seconds = self.context.now_seconds()
         waiting_count = 1 if self._callers_wait else 0
         for server in self._servers[waiting_count:]:
             await server.start()
@@ -416,15 +415,6 @@
             return []
         return [*self.versions.required_roles(), *self._duties.required_roles()]
 
-    def _preferred_holder(self, role: str) -> str | None:
-        """Return the last holder if it is a live member or may still be starting with the fleet."""
-        holder = self._duties.last_holder(role) or self.versions.last_holder(role)
-        now_seconds = self.context.now_seconds()
-        starting = now_seconds < self._started_seconds + FLEET_START_SECONDS
-        if holder in self.context.daemon.membership.live() or starting:
-            return holder
-        return None
-
     async def _check_jobs_after_first_reads(self) -> None:
         """Claim jobs and start items as soon as the entries that this depends on are known."""
         for is_read in (self.replicas.members_read, self.replicas.state_read):
--- a/rackswitch/gateway/duties/duties.py
+++ b/rackswitch/gateway/duties/duties.py
@@ -12,6 +12,7 @@
 from rackswitch.gateway.duties.usage_reporter import UsageReporter
 from rackswitch.gateway.duties.usage_service import UsageService
 from rackswitch.gateway.jobs.known_jobs import KnownJobs
+from rackswitch.gateway.role_preference import RoleTurns
 from rackswitch.gateway.turns import TurnManager
 from rackswitch.platform.duty_calls import DutyClient
 from rackswitch.usage import UsageCounts, UsageWindows
@@ -55,9 +56,13 @@
         """Return the roles that the settings require."""
         return [DUTIES_ROLE] if self._context.settings.duties is not None else []
 
-    def last_holder(self, role: str) -> str | None:
-        """Return the last daemon that acted in the duties role; None for any other role."""
-        return self.turns.last_holder(DUTIES_TURN.group) if role == DUTIES_ROLE else None
+    def role_turns(self) -> RoleTurns:
+        """Return the last turn of the duties role; any other role has no last holder here."""
+        group = DUTIES_TURN.group
+        return RoleTurns(
+            lambda role: self.turns.last_holder(group) if role == DUTIES_ROLE else None,
+            lambda role: self.turns.may_act_from_seconds(group),
+        )
 
     def background_tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines to run until the daemon stops."""
--- a/rackswitch/gateway/tests/path.py
+++ b/rackswitch/gateway/tests/path.py
@@ -14,12 +14,12 @@
 def run_scenario(
     scenario: Callable[[PlatformFleet], Awaitable[None]],
     policy: PolicySettings | None = None,
-    **sizes: int,
+    **options: float,
 ) -> None:
-    """Run a scenario on a new fleet."""
+    """Run a scenario on a new fleet with these options of `PlatformFleet`."""
 
     async def run_on_new_fleet() -> None:
-        fleet = PlatformFleet(**sizes, policy=policy)
+        fleet = PlatformFleet(**options, policy=policy)
         await fleet.start()
         try:
             async with asyncio.timeout(SCENARIO_SECONDS):
--- a/rackswitch/gateway/turns.py
+++ b/rackswitch/gateway/turns.py
@@ -80,6 +80,11 @@
         """
         return self.order_turns.last_holder(group)
 
+    def may_act_from_seconds(self, group: str) -> float:
+        """Return when this daemon may act as the holder (event loop time); -inf if at any time."""
+        turn_seconds = self._context.settings.order_turn_seconds
+        return self.order_turns.may_order_from_seconds(group, turn_seconds)
+
     async def may_act_now(self, turn: Turn, on_entry: Callable[[KvEntry], None]) -> bool:
         """Return whether this daemon may write an entry and act now.
 
@@ -92,7 +97,7 @@
         """
         if not self._roles.may_act(turn.role) or not await self._read_record(turn, on_entry):
             return False
-        return self._context.now_seconds() >= self._may_act_from_seconds(turn)
+        return self._context.now_seconds() >= self.may_act_from_seconds(turn.group)
 
     async def write_entry(
         self,
@@ -145,10 +150,6 @@
             return None
         return self._roles.fencing(turn.role)
 
-    def _may_act_from_seconds(self, turn: Turn) -> float:
-        turn_seconds = self._context.settings.order_turn_seconds
-        return self.order_turns.may_order_from_seconds(turn.group, turn_seconds)
-
     async def _read_record(self, turn: Turn, on_entry: Callable[[KvEntry], None]) -> bool:
         """Read the record once after the role was acquired; return whether it was read.
 
@@ -167,7 +168,7 @@
         for entry in read.entries:
             on_entry(entry)
         self._read_fencing[turn.group] = fencing
-        wait_seconds = self._may_act_from_seconds(turn) - self._context.now_seconds()
+        wait_seconds = self.may_act_from_seconds(turn.group) - self._context.now_seconds()
         self._context.log.write(
             OrdersTakenOver(
                 service=turn.group,
--- a/rackswitch/gateway/versions/tests/test_path_versions.py
+++ b/rackswitch/gateway/versions/tests/test_path_versions.py
@@ -53,7 +53,8 @@
 
 
 def test_the_last_holder_gets_the_role_again_after_a_restart_of_all_daemons():
-    # Any other daemon would have to wait for the end of the former holder's turn.
+    # Any other daemon would have to wait for the end of the former holder's turn. The turn is as
+    # long as on the platform, so that it lasts longer than the restart on a busy machine.
     async def scenario(fleet):
         fleet.name_version(2)
         await wait_for(lambda: any(engine.orders for engine in fleet.engines))
@@ -65,7 +66,7 @@
         await wait_for(lambda: any(engine.versions["m0"] == 3 for engine in fleet.engines))
         assert {order.holder for engine in fleet.engines for order in engine.orders} == {holder}
 
-    run_scenario(scenario, daemons=4)
+    run_scenario(scenario, daemons=4, order_turn_seconds=3.0)
 
 
 def test_ignores_a_report_from_another_start_of_the_engine():
--- a/rackswitch/gateway/versions/version_manager.py
+++ b/rackswitch/gateway/versions/version_manager.py
@@ -10,6 +10,7 @@
 from rackswitch.daemon.roles import RoleManager
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import INITIAL_PACE_SECONDS, EnginePaces
+from rackswitch.gateway.role_preference import RoleTurns
 from rackswitch.gateway.turns import TurnManager
 from rackswitch.gateway.versions.order_sender import (
     ORDERS_PREFIX,
@@ -137,9 +138,12 @@
         rows = self._context.daemon.view.rows(ServiceRow)
         return [version_role(row.name) for row in rows if row.models]
 
-    def last_holder(self, role: str) -> str | None:
-        """Return the last daemon that sent orders in a role."""
-        return self._turns.last_holder(service_of_role(role))
+    def role_turns(self) -> RoleTurns:
+        """Return the last turns of the roles that order versions."""
+        return RoleTurns(
+            lambda role: self._turns.last_holder(service_of_role(role)),
+            lambda role: self._turns.may_act_from_seconds(service_of_role(role)),
+        )
 
     async def run(self) -> None:
         """Order loads for the services whose role is held here, until cancelled."""
--- a/rackswitch/leases/core.py
+++ b/rackswitch/leases/core.py
@@ -13,7 +13,13 @@
 
 from rackswitch.outcomes import check_invariant
 
-__all__ = ["HeldLease", "LeaseAction", "RoleLease", "rank_candidates"]
+__all__ = [
+    "HeldLease",
+    "LeaseAction",
+    "RoleLease",
+    "rank_candidates",
+    "reserved_until_seconds",
+]
 
 DEADLINE_MARGIN_SHARE = 0.25
 """Part of the TTL that the holder doesn't use, as a margin for clock drift and delay."""
@@ -27,6 +33,9 @@
 """Time that a role has to be vacant for each further candidate to try to acquire it. The first ones
 acquire it within 0.3 s, or 0.8 s later if another daemon is preferred."""
 
+ACQUIRE_SECONDS = 0.5
+"""Time to find a role vacant, to acquire it and to read the last holder's record."""
+
 VACANT_ROLE_POLL_SECONDS = 0.25
 """Poll interval for a vacant role that another daemon should acquire."""
 
@@ -54,6 +63,24 @@
     return sorted(daemons, key=weight, reverse=True)
 
 
+def reserved_until_seconds(turn_ends_seconds: float, started_at_seconds: float) -> float:
+    """Return until when a vacant role is left to its last holder.
+
+    Before the end of that holder's turn no other daemon could act in the role, so that leaving it
+    vacant costs nothing. A holder that has just started again needs a moment to acquire it.
+
+    Parameters
+    ----------
+    turn_ends_seconds : float
+        When another daemon may act in the role (monotonic).
+    started_at_seconds : float
+        When the last holder's process started (monotonic).
+    """
+    return max(
+        turn_ends_seconds - ACQUIRE_SECONDS, started_at_seconds + PREFERRED_DAEMON_WAIT_SECONDS
+    )
+
+
 class LeaseAction(Enum):
     """What a daemon should do about a role."""
 
@@ -138,7 +165,12 @@
         chosen = rank_candidates(self.role, live)[:candidate_count]
         return LeaseAction.ACQUIRE if self.daemon in chosen else LeaseAction.NOTHING
 
-    def may_acquire(self, now_seconds: float, preferred: str | None) -> bool:
+    def may_acquire(
+        self,
+        now_seconds: float,
+        preferred: str | None,
+        reserved_until_seconds: float = float("-inf"),
+    ) -> bool:
         """Return whether a role that was found vacant may be acquired now.
 
         Parameters
@@ -147,14 +179,17 @@
             Monotonic clock.
         preferred : str or None
             The daemon that should hold the role; it may try first.
+        reserved_until_seconds : float, optional
+            Until when the role is left to the preferred daemon in any case (monotonic).
         """
         if preferred is None or preferred == self.daemon:
             return True
         if self.vacant_since_seconds is None:
             self.vacant_since_seconds = now_seconds
-        if now_seconds >= self.vacant_since_seconds + PREFERRED_DAEMON_WAIT_SECONDS:
+        wait_until_seconds = self.vacant_since_seconds + PREFERRED_DAEMON_WAIT_SECONDS
+        if now_seconds >= max(wait_until_seconds, reserved_until_seconds):
             return True
-        self.next_try_seconds = now_seconds + VACANT_ROLE_POLL_SECONDS
+        self.next_try_seconds = max(now_seconds + VACANT_ROLE_POLL_SECONDS, reserved_until_seconds)
         return False
 
     def record_acquired(self, requested_at_seconds: float, lease_id: int, fencing: int) -> None:
--- a/rackswitch/standins/platform_fleet.py
+++ b/rackswitch/standins/platform_fleet.py
@@ -161,6 +161,8 @@
         Optional mechanisms of the gateways; all enabled by default.
     usage_window_seconds : float
         Length of a usage reporting window; 0 disables reports.
+    order_turn_seconds : float
+        Minimum time between the orders of two holders of a role.
 
     Attributes
     ----------
@@ -175,9 +177,11 @@
         services: int = 2,
         policy: PolicySettings | None = None,
         usage_window_seconds: float = 0.0,
+        order_turn_seconds: float = 0.5,
     ):
         self._policy = policy
         self._window_seconds = usage_window_seconds
+        self._order_turn_seconds = order_turn_seconds
         self.api = PlatformApiStandIn()
         self.store = PlatformStoreStandIn()
         self.key = ""
@@ -221,7 +225,7 @@
             callers=Address("127.0.0.1", 0),
             readiness=Address("127.0.0.1", 0),
             peer_ports=(port, port),
-            order_turn_seconds=0.5,
+            order_turn_seconds=self._order_turn_seconds,
             duties=self._duties(),
         )
         gateway = Gateway(settings, log_descriptor, self._policy)
--- a/rackswitch/telemetry/events/state.py
+++ b/rackswitch/telemetry/events/state.py
@@ -10,6 +10,7 @@
     "RetireAnswered",
     "RoleAcquired",
     "RoleLost",
+    "RoleNotAcquired",
     "TableInForce",
     "TargetCold",
     "TargetGone",
@@ -101,6 +102,21 @@
     reason: str
 
 
+@register_event
+class RoleNotAcquired(Event, tag="role not acquired", frozen=True):
+    """This daemon tried to acquire a vacant role and did not get it.
+
+    Attributes
+    ----------
+    retry_in_seconds : float
+        Time until the next attempt.
+    """
+
+    role: str
+    reason: str
+    retry_in_seconds: float
+
+
 @register_event
 class RetireAnswered(Event, tag="retire", frozen=True):
     """An order to drain a VM was answered."""
