Test of separate processes: a loopback address of its own

Cause: the test chose free ports on 127.0.0.1, closed them and let 16 programs listen on them later. In between an outgoing connection of any other program may get one of them, as the kernel takes its ports from the same range.

Change: all programs of the test listen on a loopback address that only this test uses, as those of other tests do. The checks are as they were.

--- a/rackswitch/demo/tests/test_processes.py
+++ b/rackswitch/demo/tests/test_processes.py
@@ -23,6 +23,7 @@
     table_rows,
 )
 from rackswitch.standins.callers import CallerStandIn
+from rackswitch.standins.loopback import own_loopback_host
 from rackswitch.standins.trainer import TrainerStandIn
 from rackswitch.table import DaemonRow, TargetRow
 
@@ -31,10 +32,10 @@
 MODEL, APPLICATION, SERVICE = REGISTER.model, REGISTER.application, REGISTER.service
 
 
-def free_ports(count):
+def free_ports(host, count):
     sockets = [socket.socket() for _ in range(count)]
     for bound_socket in sockets:
-        bound_socket.bind(("127.0.0.1", 0))
+        bound_socket.bind((host, 0))
     ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
     for bound_socket in sockets:
         bound_socket.close()
@@ -47,14 +48,16 @@
     def __init__(self, folder: Path):
         self.folder = folder
         self.running: dict[str, subprocess.Popen] = {}
-        ports = iter(free_ports(2 * DAEMONS + 10))
+        # On 127.0.0.1, outgoing connections may take a port between its choice and its use.
+        self.host = own_loopback_host()
+        ports = iter(free_ports(self.host, 2 * DAEMONS + 10))
         self.port = {name: next(ports) for name in ("kv", "store", "vms", "service", "scorer")}
         self.engines = {f"{MODEL}-0": next(ports), f"{MODEL}-1": next(ports)}
         self.engines |= {f"{APPLICATION}-0": next(ports), f"{APPLICATION}-1": next(ports)}
         self.daemons = {f"d{n}": (next(ports), next(ports)) for n in range(DAEMONS)}
 
     def url(self, port):
-        return f"http://127.0.0.1:{port}"
+        return f"http://{self.host}:{port}"
 
     def daemon_urls(self):
         return [self.url(port) for port, _ in self.daemons.values()]
@@ -67,20 +70,22 @@
     def start_stand_ins(self):
         module = "rackswitch.standins.main"
         store_url = self.url(self.port["store"])
-        self.start("kv", module, "kv", str(self.port["kv"]))
-        self.start("store", module, "store", str(self.port["store"]), MODEL)
-        self.start("vms", module, "vm_list", str(self.port["vms"]))
-        self.start("service", module, "service", str(self.port["service"]))
-        self.start("scorer", module, "scorer", str(self.port["scorer"]))
+        host = f"--host={self.host}"
+        self.start("kv", module, "kv", str(self.port["kv"]), host)
+        self.start("store", module, "store", str(self.port["store"]), MODEL, host)
+        self.start("vms", module, "vm_list", str(self.port["vms"]), host)
+        self.start("service", module, "service", str(self.port["service"]), host)
+        self.start("scorer", module, "scorer", str(self.port["scorer"]), host)
         for name, port in self.engines.items():
             model = name.rsplit("-", 1)[0]
             extra = [f"--store_url={store_url}"] if model == MODEL else []
-            self.start(name, module, "engine", str(port), name, model, *extra)
+            self.start(name, module, "engine", str(port), name, model, host, *extra)
 
     def start_daemon(self, name):
         port, peer_port = self.daemons[name]
         settings = {
             "daemon": name,
+            "host": self.host,
             "zone": REGISTER.zones[int(name[1:]) % 3],
             "port": port,
             "peer_port": peer_port,
