--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -32,6 +32,7 @@
 from rackswitch.gateway.quarantine.quarantine_manager import QuarantineManager
 from rackswitch.gateway.reload import compare_settings
 from rackswitch.gateway.role_preference import RolePreference
+from rackswitch.gateway.start_forecast import STOP_MARGIN_SECONDS
 from rackswitch.gateway.start_times import StartTimes
 from rackswitch.gateway.store.control_entries import CONTROL_PREFIX, ControlEntries
 from rackswitch.gateway.store.presence import Presence
@@ -92,9 +93,6 @@
 """Shorter suspensions are ignored: they are no worse than a pause of the processor, and idle
 connections stay open for 4 s and more."""
 
-STOP_MARGIN_SECONDS = 1.0
-"""Part of the grace period that is left for shutdown when the last requests are given up."""
-
 
 class Gateway:
     """The daemon of one VM.
--- a/rackswitch/gateway/early_callers.py
+++ b/rackswitch/gateway/early_callers.py
@@ -36,8 +36,6 @@
         Accepts and reads the connections.
     started_seconds : float
         When the imports began (boot clock).
-    stop_grace_seconds : float
-        How long after its request a planned stop has to be over.
 
     Attributes
     ----------
@@ -50,22 +48,18 @@
         "_forecast",
         "_next_poll_seconds",
         "_stop_deadline_seconds",
-        "_stop_grace_seconds",
         "refusals",
     )
 
-    def __init__(
-        self, connections: EarlyConnections, started_seconds: float, stop_grace_seconds: float
-    ):
+    def __init__(self, connections: EarlyConnections, started_seconds: float):
         self._connections = connections
         self._forecast = StartForecast(started_seconds)
         self._next_poll_seconds = started_seconds
-        self._stop_grace_seconds = stop_grace_seconds
         self._stop_deadline_seconds: float | None = None
         self.refusals: list[EarlyRefusal] = []
 
-    def find_spec(self, name: str, path: object = None, target: object = None) -> None:
-        """Poll before a module is imported; the module is found by others (`sys.meta_path`)."""
+    def record_import(self) -> None:
+        """Record that the import of a module begins, and poll if the last poll was long ago."""
         self._forecast.record_import()
         if boot_seconds() >= self._next_poll_seconds:
             self.poll()
@@ -74,9 +68,9 @@
         """Record that only the event loop is missing."""
         self._forecast.record_imports_ended()
 
-    def request_stop(self, now_seconds: float) -> None:
-        """Record that a planned stop was requested."""
-        self._stop_deadline_seconds = now_seconds + self._stop_grace_seconds
+    def record_stop(self, deadline_seconds: float) -> None:
+        """Record a planned stop, and until when it lets requests be served (boot clock)."""
+        self._stop_deadline_seconds = deadline_seconds
 
     def poll(self) -> None:
         """Accept and read the connections, and refuse requests that cannot be served in time."""
--- a/rackswitch/gateway/early_start.py
+++ b/rackswitch/gateway/early_start.py
@@ -8,11 +8,13 @@
 import signal
 import socket
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from types import FrameType
+from typing import Any
 
 from rackswitch.gateway.early_callers import EarlyCallers
+from rackswitch.gateway.start_forecast import STOP_MARGIN_SECONDS
 from rackswitch.listening import EarlyConnections, boot_seconds, open_listening_socket
 from rackswitch.platform.settings import Address, NodeSettings, read_node_settings
 from rackswitch.settings import SettingsFault
@@ -22,6 +24,25 @@
 EXIT_BAD_SETTINGS = 2
 
 
+class _ImportObserver:
+    """A finder of modules that finds none, and calls a function before each search.
+
+    Parameters
+    ----------
+    on_import : callable
+        Called before each module is imported.
+    """
+
+    __slots__ = ("_on_import",)
+
+    def __init__(self, on_import: Callable[[], None]):
+        self._on_import = on_import
+
+    def find_spec(self, name: str, path: object = None, target: object = None) -> None:
+        """Call the function; the next finder of `sys.meta_path` looks for the module."""
+        self._on_import()
+
+
 @dataclass(slots=True)
 class EarlyStart:
     """What a starting process has done and received before its event loop runs.
@@ -58,11 +79,12 @@
         if self.callers is None:
             yield
             return
-        sys.meta_path.insert(0, self.callers)  # type: ignore[arg-type]
+        observer: Any = _ImportObserver(self.callers.record_import)
+        sys.meta_path.insert(0, observer)
         try:
             yield
         finally:
-            sys.meta_path.remove(self.callers)  # type: ignore[arg-type]
+            sys.meta_path.remove(observer)
         self.callers.record_imports_ended()
         self.callers.poll()
 
@@ -72,7 +94,8 @@
             return
         self.stop_requested_seconds = boot_seconds()
         if self.callers is not None:
-            self.callers.request_stop(self.stop_requested_seconds)
+            grace_seconds = self.settings.stop_grace_seconds - STOP_MARGIN_SECONDS
+            self.callers.record_stop(self.stop_requested_seconds + grace_seconds)
 
 
 def start_early() -> EarlyStart:
@@ -93,9 +116,7 @@
             _listen(early_start, address)
     if settings.callers in early_start.sockets:
         early_start.callers = EarlyCallers(
-            EarlyConnections(early_start.sockets[settings.callers]),
-            started_seconds,
-            settings.stop_grace_seconds,
+            EarlyConnections(early_start.sockets[settings.callers]), started_seconds
         )
     early_start.listening_seconds = boot_seconds()
     return early_start
--- a/rackswitch/gateway/start_forecast.py
+++ b/rackswitch/gateway/start_forecast.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["StartForecast", "StartRefusal", "refusal_of_waiting"]
+__all__ = ["STOP_MARGIN_SECONDS", "StartForecast", "StartRefusal", "refusal_of_waiting"]
+
+STOP_MARGIN_SECONDS = 1.0
+"""Part of the grace period that is left for shutdown when the last requests are given up."""
 
 START_MODULE_COUNT = 720
 """Modules that a start imports after it listens."""
--- a/rackswitch/listening/early_connections.py
+++ b/rackswitch/listening/early_connections.py
@@ -76,7 +76,14 @@
         while len(self._connections) + len(self._answered) < MAX_CONNECTIONS:
             if not self._accept_one():
                 break
-        self._connections = [early for early in self._connections if self._read(early)]
+        free_bytes = MAX_TOTAL_BYTES - sum(len(early.received) for early in self._connections)
+        open_connections = []
+        for early in self._connections:
+            known_bytes = len(early.received)
+            if self._read(early, min(MAX_BYTES - known_bytes, free_bytes)):
+                open_connections.append(early)
+                free_bytes -= len(early.received) - known_bytes
+        self._connections = open_connections
         self._answered = [connection for connection in self._answered if _drain(connection)]
 
     def answer(self, early: EarlyConnection, response: bytes) -> None:
@@ -115,12 +122,10 @@
         self._connections.append(EarlyConnection(connection, bytearray()))
         return True
 
-    def _read(self, early: EarlyConnection) -> bool:
+    def _read(self, early: EarlyConnection, max_bytes: int) -> bool:
         """Read what has arrived; return whether the connection is still open."""
-        held_bytes = sum(len(one.received) for one in self._connections)
-        max_bytes = min(MAX_BYTES, len(early.received) + max(0, MAX_TOTAL_BYTES - held_bytes))
         try:
-            for block in _blocks(early.connection, max_bytes - len(early.received)):
+            for block in _blocks(early.connection, max_bytes):
                 early.received += block
         except (OSError, EOFError):
             early.connection.close()
