--- a/rackswitch/gateway/tests/test_early_start.py
+++ b/rackswitch/gateway/tests/test_early_start.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import socket
+import subprocess
 import sys
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 
 import rackswitch
 from rackswitch.gateway.early_start import EXIT_BAD_SETTINGS
+from rackswitch.gateway.start_forecast import START_MODULE_COUNT
 from rackswitch.platform.names import SETTINGS_VARIABLE
 from rackswitch.standins.loopback import own_loopback_host
 from rackswitch.standins.platform_fleet import HOST, desired_state, free_port
@@ -56,6 +58,21 @@
 TIME_LIMIT_SECONDS = 1.5
 
 
+COUNT_IMPORTS = """
+import sys
+
+class Count:
+    modules = 0
+    def find_spec(self, name, path, target=None):
+        Count.modules += 1
+
+import rackswitch.gateway.early_start
+sys.meta_path.insert(0, Count())
+import rackswitch.gateway.main
+print(Count.modules)
+"""
+
+
 @dataclass(slots=True)
 class PausedDaemon:
     """A daemon process that has not begun its large imports."""
@@ -206,6 +223,15 @@
     asyncio.run(scenario())
 
 
+def test_the_forecast_knows_how_many_modules_a_start_imports():
+    # Guards against a forecast that ends too early or too late as the program grows.
+    root = str(Path(rackswitch.__file__).parents[1])
+    environment = {**os.environ, "PYTHONPATH": root}
+    command = [sys.executable, "-c", COUNT_IMPORTS]
+    finished = subprocess.run(command, env=environment, capture_output=True, text=True, check=True)
+    assert int(finished.stdout) == pytest.approx(START_MODULE_COUNT, rel=0.1)
+
+
 def test_an_address_in_use_ends_the_start_with_its_name(tmp_path):
     # Guards against an early listener that hides the error of the server.
     async def scenario():
--- a/rackswitch/peers/tests/test_links.py
+++ b/rackswitch/peers/tests/test_links.py
@@ -1,6 +1,7 @@
 """Calls to peers whose connection closes at the start of the call, or goes silent."""
 
 import asyncio
+from contextlib import asynccontextmanager
 from unittest.mock import patch
 
 import pytest
@@ -67,29 +68,34 @@
         return {path: Handler(self.answer, *kinds)}
 
 
-def test_a_peer_stays_reachable_after_its_open_connection_goes_silent():
-    async def scenario():
-        server = Server([YieldingPeer()])
-        await server.start("127.0.0.1", 0)
-        link = Link(f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}")
-        await link.open()
-        host, port = link.address.split(":")
-        peer = MemberUpdate("d1", host, int(port), "z", 1, MemberState.ALIVE)
-        links = PeerLinks("")
+@asynccontextmanager
+async def linked_peer():
+    """Yield links, a link to silence, and a function that calls a peer over it."""
+    server = Server([YieldingPeer()])
+    await server.start("127.0.0.1", 0)
+    link = Link(f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}")
+    await link.open()
+    host, port = link.address.split(":")
+    peer = MemberUpdate("d1", host, int(port), "z", 1, MemberState.ALIVE)
+    links = PeerLinks("")
+    request = pb.YieldJobRequest(job_id="j", owner_revision=1)
 
-        async def call():
-            request = pb.YieldJobRequest(job_id="j", owner_revision=1)
-            return await links.call(
-                peer, lambda stub: stub.YieldJob, request, 0.2, GatewayPeersStub
-            )
+    async def call():
+        return await links.call(peer, lambda stub: stub.YieldJob, request, 0.2, GatewayPeersStub)
 
-        answered = [not isinstance(await call(), PeerUnreachable)]
-        link.silence_open_connections()
-        answered += [not isinstance(await call(), PeerUnreachable) for _ in range(2)]
-        links.close()
-        await link.close()
-        server.close()
-        return answered
+    yield links, link, call
+    links.close()
+    await link.close()
+    server.close()
+
+
+def test_a_peer_stays_reachable_after_its_open_connection_goes_silent():
+    async def scenario():
+        async with linked_peer() as (_, link, call):
+            answered = [not isinstance(await call(), PeerUnreachable)]
+            link.silence_open_connections()
+            answered += [not isinstance(await call(), PeerUnreachable) for _ in range(2)]
+            return answered
 
     assert asyncio.run(scenario()) == [True, False, True]
 
@@ -98,23 +104,13 @@
     # Guards against silent peers that are asked before sound ones, and against sound ones that are
     # never asked again.
     async def scenario():
-        server = Server([YieldingPeer()])
-        await server.start("127.0.0.1", 0)
-        link = Link(f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}")
-        await link.open()
-        host, port = link.address.split(":")
-        peer = MemberUpdate("d1", host, int(port), "z", 1, MemberState.ALIVE)
-        links = PeerLinks("")
         known_silent = []
-        request = pb.YieldJobRequest(job_id="j", owner_revision=1)
-        for silenced in (False, True, False):
-            if silenced:
-                link.silence_open_connections()
-            await links.call(peer, lambda stub: stub.YieldJob, request, 0.2, GatewayPeersStub)
-            known_silent.append(list(links.silent_at_seconds))
-        links.close()
-        await link.close()
-        server.close()
+        async with linked_peer() as (links, link, call):
+            for is_silenced in (False, True, False):
+                if is_silenced:
+                    link.silence_open_connections()
+                await call()
+                known_silent.append(list(links.silent_at_seconds))
         return known_silent
 
     assert asyncio.run(scenario()) == [[], ["d1"], []]
