Start: a poll that imports a module does not poll again

Cause: found while reading the change: the time of the next poll was set after the connections were read, so that an import in between would have polled once more, without end. Nothing imports there now.

--- a/rackswitch/gateway/early_callers.py
+++ b/rackswitch/gateway/early_callers.py
@@ -74,9 +74,10 @@
 
     def poll(self) -> None:
         """Accept and read the connections, and refuse requests that cannot be served in time."""
+        # Set first, as a poll that imports a module would poll again.
+        self._next_poll_seconds = boot_seconds() + POLL_INTERVAL_SECONDS
         self._connections.poll()
         now_seconds = boot_seconds()
-        self._next_poll_seconds = now_seconds + POLL_INTERVAL_SECONDS
         for early in self._connections.open_connections:
             self._refuse_if_late(early, now_seconds)
 
