Relay: sort the peers of a call once; one interval for reading early callers

Cause: found in the last reading: each repeatable call, on the hot path of renewals and watches as well, sorted all peers twice, once for its paths and once for the reserve, which is just the rest of the same list; the interval at which early connections are read stood in two modules. Change: RelayTransport asks for the usable peers once, PathSelector.paths_through makes the paths from them, and what is left is the reserve; core.py uses POLL_INTERVAL_SECONDS of early_callers. Behaviour and tests are unchanged.

--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -15,7 +15,7 @@
 from rackswitch.gateway.daemon_context import make_daemon_context
 from rackswitch.gateway.daemon_snapshot import DaemonSnapshot, take_snapshot
 from rackswitch.gateway.duties.duties import Duties
-from rackswitch.gateway.early_callers import EarlyCallers
+from rackswitch.gateway.early_callers import POLL_INTERVAL_SECONDS, EarlyCallers
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.load_poller import LoadPoller
@@ -81,9 +81,6 @@
 """How long a stopping daemon still accepts connections: the balancer checks readiness every second
 and removes a daemon after two failed checks."""
 
-EARLY_POLL_INTERVAL_SECONDS = 0.02
-"""Interval at which connections that arrive before the callers' server has started are read."""
-
 FIRST_READ_WAIT_SECONDS = 0.5
 """How long callers' connections that arrived during the start wait for the first read of the table
 and the targets. Before it, all requests are refused, and a caller that has only one retry may give
@@ -268,7 +265,7 @@
         while not has_state and self.context.now_seconds() < until_seconds:
             if self._early_callers is not None:
                 self._early_callers.poll()
-            has_state = await self.replicas.wait_for_first_read(EARLY_POLL_INTERVAL_SECONDS)
+            has_state = await self.replicas.wait_for_first_read(POLL_INTERVAL_SECONDS)
         if self._early_callers is not None:
             self._early_callers.poll()
 
--- a/rackswitch/gateway/early_callers.py
+++ b/rackswitch/gateway/early_callers.py
@@ -6,10 +6,10 @@
 from rackswitch.listening import EarlyConnection, EarlyConnections, boot_seconds
 from rackswitch.platform.early_heads import parse_early_head
 
-__all__ = ["EarlyCallers", "EarlyRefusal"]
+__all__ = ["POLL_INTERVAL_SECONDS", "EarlyCallers", "EarlyRefusal"]
 
 POLL_INTERVAL_SECONDS = 0.02
-"""Minimum interval between two polls while modules are imported."""
+"""Interval at which connections that arrive before the callers' server has started are read."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rackswitch/gateway/store/store_relay.py
+++ b/rackswitch/gateway/store/store_relay.py
@@ -21,7 +21,14 @@
     probe_call,
 )
 from rackswitch.platform.store_messages import StoreAnswer
-from rackswitch.relay import OWN_PATH, Attempt, AttemptPlan, PathSelector, hedged_stages
+from rackswitch.relay import (
+    MAX_PEERS,
+    OWN_PATH,
+    Attempt,
+    AttemptPlan,
+    PathSelector,
+    hedged_stages,
+)
 from rackswitch.telemetry import DecisionLog
 from rackswitch.telemetry.events import RelayRefused, StorePathChanged
 
@@ -109,9 +116,10 @@
         """
         if call.is_long_poll:
             return await self._send_long_poll(call)
-        paths = self._paths(call.repeatable)
+        peers = self._usable_peers()
+        paths = self.path_selector.paths_through(peers, call.repeatable, _now_seconds())
         if call.repeatable:
-            return await self._send_hedged(call, hedged_stages(paths, self._more_peers(paths)))
+            return await self._send_hedged(call, hedged_stages(paths, peers[MAX_PEERS:]))
         return await self._send_in_turn(call, paths)
 
     async def send_directly(self, call: StoreCall) -> StoreAnswer | KvUnavailable:
@@ -120,25 +128,15 @@
             return await self._send_hedged(call, hedged_stages([OWN_PATH]))
         return await self._send_direct(call)
 
-    def _paths(self, repeatable: bool) -> list[str]:
-        return self.path_selector.paths(
+    def _usable_peers(self) -> list[str]:
+        """Return the peers that may forward a call now, in the order in which they are tried."""
+        return self.path_selector.peers(
             self._peers(),
-            repeatable,
             _now_seconds(),
             self._stays_in_region(),
             self._links.silent_at_seconds,
         )
 
-    def _more_peers(self, paths: list[str]) -> list[str]:
-        """Return the peers that are tried while those of `paths` stay silent."""
-        peers = self.path_selector.peers(
-            self._peers(),
-            _now_seconds(),
-            self._stays_in_region(),
-            self._links.silent_at_seconds,
-        )
-        return [peer for peer in peers if peer not in paths]
-
     async def _send_in_turn(self, call: StoreCall, paths: list[str]) -> StoreAnswer | KvUnavailable:
         """Make a call over one path after the other while it is known to have had no effect.
 
@@ -164,7 +162,10 @@
         """
         if self.path_selector.take_probe(_now_seconds()):
             self._start(self._send_direct(probe_call(call.timeout_seconds)))
-        return await self._send_in_turn(call, self._paths(repeatable=False))
+        paths = self.path_selector.paths_through(
+            self._usable_peers(), repeatable=False, now_seconds=_now_seconds()
+        )
+        return await self._send_in_turn(call, paths)
 
     async def _send_hedged(
         self, call: StoreCall, stages: list[list[Attempt]]
--- a/rackswitch/relay/paths.py
+++ b/rackswitch/relay/paths.py
@@ -103,14 +103,18 @@
             When peers were last found silent; they come last, the one asked least recently first.
         """
         peers = self.peers(live_zones, now_seconds, own_region_only, silent_at_seconds)
-        peers = peers[:MAX_PEERS]
+        return self.paths_through(peers, repeatable, now_seconds)
+
+    def paths_through(self, peers: list[str], repeatable: bool, now_seconds: float) -> list[str]:
+        """Return the paths of `paths` by the result of `peers`, of which the first are used."""
+        first_peers = peers[:MAX_PEERS]
         if self.is_own_path_up:
-            return [OWN_PATH, *peers]
-        if not peers:
+            return [OWN_PATH, *first_peers]
+        if not first_peers:
             return [OWN_PATH]
         if repeatable and self.take_probe(now_seconds):
-            return [OWN_PATH, *peers]
-        return peers
+            return [OWN_PATH, *first_peers]
+        return first_peers
 
     def call_timeout_seconds(self, limit_seconds: float, now_seconds: float) -> float:
         """Return the timeout of a repeatable call on the own path, after which a peer is tried."""
