Items: end for good only by a table known to be current

Cause: a starting daemon reads the table with a stale read, which lacked the route that had just been added. The job's entries arrive first, and the next planning gave up the waiting items of a job without a route. A listed result never changes.

Evidence: the new log line `give-up postponed` of all three processes names table revision 7 (the route came with 9), no confirmation, and claims of the jobs at service revisions 61 to 71. Ruled out: a table that goes back within a process, and a route that was gone.

Change: waiting items are given up, for a missing route or the end of their keep time, only by a table that the service has confirmed within 2 s and as of a revision at or above the owner's claim. Until then they wait. The stand-in of the service can answer stale reads with an earlier state.

Why it works: all changes of the service have one counter, so a table at the claim's revision includes the one by which the job was accepted; no clocks are compared. A daemon cut off from the service has no confirmation and decides nothing for good.

--- a/rackswitch/explain/verdicts.py
+++ b/rackswitch/explain/verdicts.py
@@ -147,6 +147,21 @@
     return Verdict(match.line, cause, 45)
 
 
+@JUDGES.register("items wait for a confirmed table")
+def _give_up_postponed(story: Timeline) -> Verdict | None:
+    """Report items that waited as the table without their route was not confirmed."""
+    match = _last_event(story, ev.GiveUpPostponed)
+    if match is None:
+        return None
+    event = match.event
+    cause = (
+        f"its items waited at {match.line.daemon} until a current table was known: {event.reason} "
+        f"in table revision {event.table_revision}, as of revision {event.confirmed_revision} of "
+        f"the key-value service"
+    )
+    return Verdict(match.line, cause, 44)
+
+
 def _rules(reasons: dict[str, int]) -> str:
     return ", ".join(f"{reason} ({count})" for reason, count in reasons.items())
 
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -25,7 +25,14 @@
     TargetDirectory,
     intersect_regions,
 )
-from rackswitch.table import LimitsRow, RouteIndex, RouteRow, ServiceRow, TenantRow
+from rackswitch.table import (
+    LimitsRow,
+    RouteIndex,
+    RouteRow,
+    ServiceRow,
+    TableConfirmation,
+    TenantRow,
+)
 from rackswitch.telemetry import DecisionLog
 from rackswitch.tenants import TenantIndex
 from rackswitch.usage import UsageCounts, UsageWindows
@@ -99,8 +106,8 @@
         Loads of weights in progress, by engine.
     list_confirmed_at_seconds : float
         When the key-value service last confirmed the list of targets (monotonic).
-    table_confirmed_at_seconds : float
-        When it last confirmed the table and the other entries of operators (monotonic).
+    table_confirmation : TableConfirmation
+        Its last confirmation of the table and the other entries of operators.
     start_times : StartTimes
         How long the parts of the start took.
     cold_sends : ColdSends
@@ -127,7 +134,7 @@
     load_estimator: LoadEstimator = field(default_factory=LoadEstimator)
     connection_limits: ConnectionLimits = field(default_factory=_initial_connection_limits)
     list_confirmed_at_seconds: float = float("-inf")
-    table_confirmed_at_seconds: float = float("-inf")
+    table_confirmation: TableConfirmation = field(default_factory=TableConfirmation)
     process_started_unix_seconds: float = field(default_factory=time.time)
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
     start_times: StartTimes = field(default_factory=_start_times_from_now)
@@ -273,7 +280,7 @@
 
     def table_age_seconds(self) -> float:
         """Return the age of the last confirmation of the table; -1 if there is none."""
-        return self._logged_age_seconds(self.table_confirmed_at_seconds)
+        return self._logged_age_seconds(self.table_confirmation.at_seconds)
 
     def table_in_use(self) -> TableInUse:
         """Return the revision and age of the table in force, for the log."""
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from rackswitch.gateway.context import GatewayContext
+from rackswitch.gateway.items.give_up_checker import GiveUpChecker
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.leaving_run_mover import LeavingRunMover
 from rackswitch.gateway.items.step_ranks import StepRanks
@@ -28,7 +29,7 @@
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.table import RouteRow, ServiceRow
-from rackswitch.telemetry.events import ItemGivenUp, JobExcluded
+from rackswitch.telemetry.events import JobExcluded
 
 __all__ = ["ItemStarter"]
 
@@ -57,6 +58,7 @@
         "_context",
         "_cooldown_until_seconds",
         "_exclusion_reasons",
+        "_give_ups",
         "_leaving_run_mover",
         "_step_ranks",
         "_runner",
@@ -70,6 +72,7 @@
         self._cooldown_until_seconds: dict[str, float] = {}
         self._exclusion_reasons: dict[str, dict[str, int]] = {}
         self._cold_timer: asyncio.TimerHandle | None = None
+        self._give_ups = GiveUpChecker(context)
         self._step_ranks = StepRanks(context)
         self._leaving_run_mover = LeavingRunMover(context, runner)
 
@@ -212,35 +215,20 @@
         return frozenset(filter(self._context.chooses_targets_by_load, services))
 
     def _services(self, owned_jobs: dict[str, OwnedJob], now_seconds: float) -> dict[str, str]:
-        """Return the service that runs each job; give up items that no engine may run."""
+        """Return the service that runs each job; give up items that can no longer run."""
         services: dict[str, str] = {}
+        self._give_ups.keep_only(set(owned_jobs))
         for job_id, owned in owned_jobs.items():
             route = self._route(owned)
             if route is not None:
                 services[job_id] = route.choices[0].serves
-            elif self._context.table_revision:
-                self._give_up(owned, "its route is gone")
-            if now_seconds >= owned.keep_until_seconds:
-                self._give_up(owned, "it is past the time it is kept for")
+            self._give_ups.check(owned, route, now_seconds)
         return services
 
     def _route(self, owned: OwnedJob) -> RouteRow | None:
         job = owned.ledger.job
         return self._context.routes.find(job.host, job.path)
 
-    def _give_up(self, owned: OwnedJob, reason: str) -> None:
-        for progress in owned.ledger.items.values():
-            if progress.phase is ItemPhase.WAITING:
-                owned.ledger.give_up(progress)
-                self._context.log.write(
-                    ItemGivenUp(
-                        job=owned.ledger.job.job_id,
-                        item=progress.item.item_id,
-                        reason=reason,
-                        table_revision=self._context.table_revision,
-                    )
-                )
-
     def _engine_capacities(
         self, services: set[str], load_based_services: frozenset[str], now_seconds: float
     ) -> list[EngineCapacity]:
--- a/rackswitch/gateway/store/replica_set.py
+++ b/rackswitch/gateway/store/replica_set.py
@@ -25,7 +25,8 @@
     on_deleted : callable
         Called with the key of each deleted entry.
     on_confirmed : callable
-        Called with the time (monotonic) at which the service last confirmed the replica.
+        Called with the revision as of which the service last confirmed the replica, and with the
+        time (monotonic) at which it did.
     on_batch_start : callable
         Called before the changes of a batch with the daemon that they come from; empty for the
         service itself.
@@ -35,7 +36,7 @@
 
     on_put: Callable[[KvEntry], None]
     on_deleted: Callable[[str], None]
-    on_confirmed: Callable[[float], None] = lambda at_seconds: None
+    on_confirmed: Callable[[int, float], None] = lambda revision, at_seconds: None
     on_batch_start: Callable[[str], None] = lambda source: None
     on_batch_end: Callable[[], None] = lambda: None
 
@@ -115,7 +116,7 @@
         """Record that the service confirmed a replica at `at_seconds` (monotonic)."""
         replica = self.by_prefix[prefix]
         replica.confirmed_at_seconds = max(replica.confirmed_at_seconds, at_seconds)
-        self._handlers[prefix].on_confirmed(replica.confirmed_at_seconds)
+        self._handlers[prefix].on_confirmed(replica.revision, replica.confirmed_at_seconds)
         oldest_seconds = self.oldest_confirmed_at_seconds()
         if oldest_seconds >= self._round_confirmed_at_seconds + CONFIRMATION_STEP_SECONDS:
             self._round_confirmed_at_seconds = oldest_seconds
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -68,7 +68,7 @@
         return ReplicaHandlers(
             self._operator_put,
             self._operator_deleted,
-            self._record_table_confirmed,
+            self._context.table_confirmation.record,
             self._record_operators_source,
         )
 
@@ -76,9 +76,6 @@
         """Return the handlers of the list of targets."""
         return ReplicaHandlers(self._target_put, self._target_deleted, self._record_list_confirmed)
 
-    def _record_table_confirmed(self, at_seconds: float) -> None:
-        self._context.table_confirmed_at_seconds = at_seconds
-
     def _record_operators_source(self, source: str) -> None:
         self._operators_source = source
 
@@ -139,7 +136,7 @@
             )
         )
 
-    def _record_list_confirmed(self, at_seconds: float) -> None:
+    def _record_list_confirmed(self, _revision: int, at_seconds: float) -> None:
         self._context.list_confirmed_at_seconds = at_seconds
 
     def _log_unreadable(self, entry: KvEntry, fault: MalformedEntry) -> None:
--- a/rackswitch/standins/platform_store.py
+++ b/rackswitch/standins/platform_store.py
@@ -34,12 +34,15 @@
         Restricts `lost_answers` to transactions that contain this key or prefix.
     turned_away : set of str
         IP addresses of clients that get 503.
+    stale_state : KvStore or None
+        Earlier state that answers reads which may be stale; None for the present state.
     """
 
     down: str = ""
     lost_answers: int = 0
     lost_about: str = ""
     turned_away: set[str] = field(default_factory=set)
+    stale_state: KvStore | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +97,10 @@
         self.store.end_lease(lease_id)
         self._record_changes()
 
+    def keep_stale_reads(self) -> None:
+        """Answer reads that may be stale with the present state from now on."""
+        self.faults.stale_state = KvStore(self.store.revision, dict(self.store.keys))
+
     def forget_history(self) -> None:
         """Compact the history, so that watches from earlier revisions get 410."""
         self._history.clear()
@@ -150,7 +157,10 @@
         if endpoint == "kv-key":
             return self._read_key(query["key"])
         if endpoint == "kv-range":
-            return self._read_range(query["path_prefix"], query.get("since_rev", ""))
+            store = self.store
+            if "stale_ok" in query and self.faults.stale_state is not None:
+                store = self.faults.stale_state
+            return _read_range(store, query["path_prefix"], query.get("since_rev", ""))
         if endpoint == "kv-watch":
             return await self._watch(query)
         if endpoint == "kv-txn":
@@ -174,18 +184,6 @@
             return 404, {"store_revision": self.store.revision}
         return 200, {**_encode_item(entries[0]), "store_revision": self.store.revision}
 
-    def _read_range(self, prefix: str, after_key: str) -> tuple[int, Any]:
-        entries = [
-            entry
-            for entry in self.store.read(prefix, is_prefix=True).entries
-            if entry.key > after_key
-        ]
-        return 200, {
-            "items": [_encode_item(entry) for entry in entries[:MAX_PAGE_ITEMS]],
-            "truncated": len(entries) > MAX_PAGE_ITEMS,
-            "store_revision": self.store.revision,
-        }
-
     async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
         prefix, revision = query["path_prefix"], int(query["since_rev"])
         deadline_seconds = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
@@ -226,6 +224,17 @@
         return 412, {"items": [_encode_item(found[0]) for found in current_entries if found]}
 
 
+def _read_range(store: KvStore, prefix: str, after_key: str) -> tuple[int, Any]:
+    entries = [
+        entry for entry in store.read(prefix, is_prefix=True).entries if entry.key > after_key
+    ]
+    return 200, {
+        "items": [_encode_item(entry) for entry in entries[:MAX_PAGE_ITEMS]],
+        "truncated": len(entries) > MAX_PAGE_ITEMS,
+        "store_revision": store.revision,
+    }
+
+
 def _encode_item(entry: KvEntry) -> dict[str, Any]:
     return {
         "key": entry.key,
--- a/rackswitch/table/__init__.py
+++ b/rackswitch/table/__init__.py
@@ -1,5 +1,7 @@
 """The operators' table: rows, edits and the current view."""
 
+from rackswitch.table.confirmation import *  # noqa: F403
+from rackswitch.table.confirmation import __all__ as _confirmation_all
 from rackswitch.table.delta import *  # noqa: F403
 from rackswitch.table.delta import __all__ as _delta_all
 from rackswitch.table.edits import *  # noqa: F403
@@ -13,4 +15,12 @@
 from rackswitch.table.view import *  # noqa: F403
 from rackswitch.table.view import __all__ as _view_all
 
-__all__ = [*_delta_all, *_edits_all, *_matching_all, *_rows_all, *_shared_keys_all, *_view_all]
+__all__ = [
+    *_confirmation_all,
+    *_delta_all,
+    *_edits_all,
+    *_matching_all,
+    *_rows_all,
+    *_shared_keys_all,
+    *_view_all,
+]
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "EngineLeaves",
+    "GiveUpPostponed",
     "ItemGivenUp",
     "ItemRunEnded",
     "JobCallRefused",
@@ -286,12 +287,39 @@
 
 @register_event
 class ItemGivenUp(Event, tag="item given up", frozen=True):
-    """An item was listed without a text."""
+    """An item was listed without a text.
+
+    Attributes
+    ----------
+    table_age_seconds : float
+        Age of the last confirmation of the table; -1 if there was none.
+    confirmed_revision, owner_revision : int
+        The key-value service's revision as of which it confirmed the table, and that of the
+        owner's claim of the job.
+    """
 
     job: str
     item: str
     reason: str
     table_revision: int
+    table_age_seconds: float = -1.0
+    confirmed_revision: int = 0
+    owner_revision: int = 0
+
+
+@register_event
+class GiveUpPostponed(Event, tag="give-up postponed", frozen=True):
+    """A job's items would be given up, but the table may be outdated; logged once per reason.
+
+    The fields are those of `ItemGivenUp`.
+    """
+
+    job: str
+    reason: str
+    table_revision: int
+    table_age_seconds: float
+    confirmed_revision: int
+    owner_revision: int
 
 
 @register_event
