Jobs: limits follow the route, and end items only by a current table

Trainers could see: items listed as dead before their route's keep time or attempts, or a text of two versions on a route that allows one, after a restart or a take-over with an outdated table. Not seen outside tests.

Cause: `new_owned_job` fixed due time, keep time, attempts and single version by the table in force at the adoption, which may come from a stale read; a job without a route kept the defaults for good.

Change: the planning applies the route of the table in force to the job. An item ends by failed runs or reward calls only if the limits come from a current table; otherwise it waits and does not run again. A complete text of several versions waits in a phase of its own and is then accepted or generated again. A keep time is only lengthened.

Two tests set single_version in the ledger, which the route would now overwrite; they set it in the table.

--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -282,6 +282,16 @@
         """Return the age of the last confirmation of the table; -1 if there is none."""
         return self._logged_age_seconds(self.table_confirmation.at_seconds)
 
+    def is_table_current(self, min_revision: int = 0) -> bool:
+        """Return whether decisions that cannot be taken back may follow from the table in force.
+
+        Parameters
+        ----------
+        min_revision : int, optional
+            The key-value service's revision of the write that the decision is about.
+        """
+        return self.table_confirmation.is_current(self.now_seconds(), min_revision)
+
     def table_in_use(self) -> TableInUse:
         """Return the revision and age of the table in force, for the log."""
         return TableInUse(self.table_revision, self.table_age_seconds())
--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -482,6 +482,11 @@
             if route is None:
                 await asyncio.sleep(REWARD_RETRY_DELAY_SECONDS)
                 continue
+            if progress.reward_failures >= route.most_attempts:
+                if not ledger.record_reward_failures(progress, 0, route.most_attempts):
+                    return
+                await asyncio.sleep(REWARD_RETRY_DELAY_SECONDS)
+                continue
             routed_by = self._context.table_in_use()
             deadline_seconds = self._context.now_seconds() + route.timeout_seconds
             answer = await self._reward_calls.call(
--- a/rackswitch/gateway/items/tests/test_eligible_items.py
+++ b/rackswitch/gateway/items/tests/test_eligible_items.py
@@ -9,7 +9,6 @@
 from rackswitch.gateway.items.tests.test_item_starter import (
     ON,
     SLOTS,
-    TABLE,
     Owner,
     SharedEngines,
     check_complete_texts,
@@ -20,7 +19,6 @@
 from rackswitch.jobs import SpareCapacity
 from rackswitch.jobs.stragglers import PieceIntervals
 from rackswitch.routing import Eligibility, ListedTarget, RegionMap, Target
-from rackswitch.table import StoredRow, TableDocument, index_routes
 from rackswitch.telemetry.events import JobExcluded
 
 REGIONS = RegionMap("n1", {"n1": "north", "n2": "north", "s1": "south"})
@@ -67,12 +65,7 @@
 
 def allow_regions(owner: Owner, *regions: str) -> None:
     """Put a table in force whose first route allows these regions."""
-    stored = TABLE.rows["route/first"]
-    row = msgspec.structs.replace(stored.row, allowed_regions=regions)
-    revision = owner.context.table_revision + 1
-    table = TableDocument(revision, {**TABLE.rows, "route/first": StoredRow(revision, row)})
-    owner.context.daemon.view.replace_if_newer(table)
-    owner.context.routes = index_routes(table)
+    owner.change_first_route(allowed_regions=regions)
 
 
 def evacuate(owner: Owner, zone: str) -> None:
@@ -181,8 +174,8 @@
         step = make_step("j", [100, 5])
         engines = SharedEngines(lengths_of(step))
         owner = make_owner(engines, "n1")
+        owner.change_first_route(single_version=single_version)
         owner.add_job(step)
-        owner.owned["j"].ledger.single_version = single_version
         await owner.run_for(1.0)
         listed = ListedTarget("s1", "s", "h", 1, "s1", SLOTS, versions={"m": 1})
         owner.context.directory.put(listed)
--- a/rackswitch/gateway/items/tests/test_give_up_checker.py
+++ b/rackswitch/gateway/items/tests/test_give_up_checker.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from rackswitch.daemon.tests.support import run_on_virtual_clock
@@ -9,8 +10,8 @@
 from rackswitch.gateway.jobs.owned_job import new_owned_job
 from rackswitch.gateway.tests.path import check_complete, run_scenario
 from rackswitch.gateway.tests.support import make_gateway_context
-from rackswitch.jobs import ItemPhase
-from rackswitch.jobs.tests.support import make_job
+from rackswitch.jobs import ItemPhase, JobLedger, TextPiece
+from rackswitch.jobs.tests.support import finish, make_job
 from rackswitch.standins.kv_store import KvStore
 from rackswitch.standins.platform_fleet import desired_state
 from rackswitch.table import Handling, RouteChoice, RouteRow, TableConfirmation, TableDocument
@@ -112,6 +113,94 @@
     run_on_virtual_clock(scenario())
 
 
+@pytest.mark.parametrize(
+    ("confirmation", "keep_seconds", "is_given_up"),
+    [(UNCONFIRMED, 40.0, False), (CURRENT, 40.0, True), (CURRENT, 60.0, False)],
+)
+def test_items_are_kept_as_long_as_the_current_table_says(confirmation, keep_seconds, is_given_up):
+    # Guards against items that end by the keep time of the table that their job was adopted with.
+    async def scenario():
+        checked = Checked(replace(confirmation), submitted_seconds=NOW_SECONDS - 50.0)
+        checked.check(msgspec.structs.replace(ROUTE, keep_seconds=keep_seconds))
+        assert checked.has_given_up is is_given_up
+
+    run_on_virtual_clock(scenario())
+
+
+def test_a_shorter_keep_time_does_not_apply_to_accepted_jobs():
+    # Guards against giving up items that their submitter may still rely on.
+    owned = new_owned_job(make_job(), OWNER_REVISION, [], ROUTE, 0.0)
+    owned.apply_route(msgspec.structs.replace(ROUTE, keep_seconds=5.0))
+    assert owned.keep_until_seconds == ROUTE.keep_seconds
+
+
+def test_a_job_adopted_without_a_route_gets_its_limits_when_the_route_is_known():
+    # Guards against the default limits of a job whose route a restarted daemon did not know yet.
+    owned = new_owned_job(make_job(), OWNER_REVISION, [], None, 10.0)
+    route = msgspec.structs.replace(ROUTE, most_attempts=2, single_version=True, due_seconds=8.0)
+    owned.apply_route(route)
+    assert (owned.ledger.max_failures, owned.ledger.single_version) == (2, True)
+    assert (owned.due_seconds, owned.keep_until_seconds) == (18.0, 50.0)
+
+
+@pytest.mark.parametrize("most_attempts", [2, 3])
+def test_too_many_failures_end_an_item_only_by_a_current_table(most_attempts):
+    # Guards against an item listed as dead although the table in force allows another attempt.
+    async def scenario():
+        checked = Checked(replace(UNCONFIRMED))
+        checked.owned.ledger.limits_are_current = lambda: False
+        progress = checked.owned.ledger.items["i0"]
+        for _ in range(2):
+            checked.owned.ledger.record_start(progress)
+            checked.owned.ledger.record_failure(progress, 0.0)
+        stale_route = msgspec.structs.replace(ROUTE, most_attempts=2)
+        checked.check(stale_route)
+        assert progress.result is None
+        assert progress not in checked.owned.ledger.startable_items(NOW_SECONDS)
+        checked.context.table_confirmation.record(OWNER_REVISION, NOW_SECONDS)
+        checked.check(msgspec.structs.replace(ROUTE, most_attempts=most_attempts))
+        may_start = progress in checked.owned.ledger.startable_items(NOW_SECONDS)
+        assert may_start is (most_attempts == 3)
+        assert (progress.result is None) is may_start
+
+    run_on_virtual_clock(scenario())
+
+
+@pytest.mark.parametrize("single_version", [False, True])
+def test_a_text_of_several_versions_is_listed_only_by_a_current_table(single_version):
+    # Guards against a text of two versions on a route that an outdated table says allows them.
+    async def scenario():
+        checked = Checked(replace(UNCONFIRMED))
+        ledger = checked.owned.ledger
+        ledger.limits_are_current = lambda: checked.context.table_confirmation.revision > 0
+        progress = ledger.items["i0"]
+        ledger.record_start(progress)
+        for number in (1, 2):
+            progress.accept(TextPiece(number, "a", version=number), 0)
+        ledger.record_complete_text(progress)
+        checked.check(ROUTE)
+        assert progress.phase is ItemPhase.UNCONFIRMED
+        checked.context.table_confirmation.record(OWNER_REVISION, NOW_SECONDS)
+        checked.check(msgspec.structs.replace(ROUTE, single_version=single_version))
+        expected_phase = ItemPhase.WAITING if single_version else ItemPhase.FINISHED
+        assert progress.phase is expected_phase
+        assert progress.pieces == []
+
+    run_on_virtual_clock(scenario())
+
+
+def test_failed_reward_calls_end_an_item_only_by_current_limits():
+    # Guards against an item listed as dead by the attempts that an outdated table allows.
+    ledger = JobLedger(make_job(reward=True))
+    finish(ledger, "i0")
+    progress = ledger.items["i0"]
+    ledger.limits_are_current = lambda: False
+    assert ledger.record_reward_failures(progress, 2, max_failures=2)
+    ledger.limits_are_current = lambda: True
+    assert not ledger.record_reward_failures(progress, 0, max_failures=2)
+    assert progress.result is not None
+
+
 class EventList(list):
     """A log that keeps its events."""
 
--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -160,6 +160,15 @@
         self.starter = ItemStarter(self.context, self.runner, self.wake)
         self.owned: dict[str, OwnedJob] = {}
 
+    def change_first_route(self, **fields) -> None:
+        """Put a table in force whose first route has these fields."""
+        document = self.context.daemon.view.document
+        revision = document.revision + 1
+        row = msgspec.structs.replace(document.rows["route/first"].row, **fields)
+        table = TableDocument(revision, {**document.rows, "route/first": StoredRow(revision, row)})
+        self.context.daemon.view.replace_if_newer(table)
+        self.context.routes = index_routes(table)
+
     def list_engine(self, name: str, **listing_fields) -> None:
         listed = ListedTarget(name, "s", "h", 1, "z", SLOTS, versions={"m": 1}, **listing_fields)
         self.context.directory.put(listed)
@@ -297,8 +306,8 @@
         step = make_step("j", [150])
         engines = SharedEngines(lengths_of(step))
         owner = Owner("a", engines, 1, ON)
+        owner.change_first_route(single_version=single_version)
         owner.add_job(step)
-        owner.owned["j"].ledger.single_version = single_version
         await owner.run_for(0.1)
         owner.list_engine("e0", draining=True)
         owner.list_engine("e1")
--- a/rackswitch/gateway/jobs/owned_job.py
+++ b/rackswitch/gateway/jobs/owned_job.py
@@ -20,6 +20,8 @@
     ----------
     owner_revision : int
         Fencing number of this owner's writes.
+    submitted_seconds : float
+        When the job was submitted (monotonic).
     due_seconds, keep_until_seconds : float
         Deadline for all results, and when items may be abandoned (monotonic).
     runs : dict of str to asyncio.Task
@@ -39,12 +41,15 @@
     may_miss_results : bool
         Whether another daemon may have listed results that are not in the ledger. Readers use the
         key-value service until these are loaded, or a segment is appended after them.
+    is_unrouted : bool
+        Whether no table so far had the job's route.
     results_listed : asyncio.Event
         Set when results are listed, and then replaced by a new event.
     """
 
     ledger: JobLedger
     owner_revision: int
+    submitted_seconds: float
     due_seconds: float
     keep_until_seconds: float
     runs: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -57,6 +62,7 @@
     successor: str = ""
     awaits_claim: bool = False
     may_miss_results: bool = False
+    is_unrouted: bool = True
 
     @property
     def may_append(self) -> bool:
@@ -68,6 +74,19 @@
         """Whether readers may be served from the ledger: it has all listed results."""
         return self.may_append and not self.may_miss_results
 
+    def apply_route(self, route: RouteRow) -> None:
+        """Apply the deadlines and limits of the job's route, which may change while the job runs.
+
+        The keep time is never shortened: a submitter relies on the one that it was accepted with.
+        """
+        keep_until_seconds = self.submitted_seconds + route.keep_seconds
+        if self.is_unrouted or keep_until_seconds > self.keep_until_seconds:
+            self.keep_until_seconds = keep_until_seconds
+        self.is_unrouted = False
+        self.due_seconds = self.submitted_seconds + route.due_seconds
+        self.ledger.max_failures = route.most_attempts
+        self.ledger.single_version = route.single_version
+
     def record_claim(self, owner_revision: int, may_miss_results: bool) -> None:
         """Record this daemon's claim of the job."""
         self.owner_revision = owner_revision
@@ -110,19 +129,13 @@
     submitted_seconds : float
         When the job was submitted (monotonic).
     """
-    if route is None:
-        ledger = JobLedger(job, listed)
-        keep_until_seconds = submitted_seconds + UNROUTED_KEEP_SECONDS
-        return OwnedJob(ledger, owner_revision, submitted_seconds, keep_until_seconds)
-    ledger = JobLedger(
-        job,
-        listed,
-        max_failures=route.most_attempts,
-        single_version=route.single_version,
-    )
-    return OwnedJob(
-        ledger,
+    owned = OwnedJob(
+        JobLedger(job, listed),
         owner_revision,
-        due_seconds=submitted_seconds + route.due_seconds,
-        keep_until_seconds=submitted_seconds + route.keep_seconds,
+        submitted_seconds,
+        due_seconds=submitted_seconds,
+        keep_until_seconds=submitted_seconds + UNROUTED_KEEP_SECONDS,
     )
+    if route is not None:
+        owned.apply_route(route)
+    return owned
--- a/rackswitch/gateway/jobs/owned_jobs.py
+++ b/rackswitch/gateway/jobs/owned_jobs.py
@@ -59,6 +59,9 @@
         submitted_seconds = self._context.now_seconds() - age_seconds
         owned = new_owned_job(job, owner_revision, listed, route, submitted_seconds)
         owned.awaits_claim = awaits_claim
+        owned.ledger.limits_are_current = lambda: self._context.is_table_current(
+            owned.owner_revision
+        )
         self.by_id[job.job_id] = owned
         self._context.start_times.record(StartPart.FIRST_JOB, self._context.now_seconds())
         self._context.log.write(
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from rackswitch.jobs.messages import Job, JobResult
@@ -42,6 +43,9 @@
     ----------
     allowed_regions : frozenset of str or None
         Regions in which its items may run by the table in force; None for all.
+    limits_are_current : callable
+        Returns whether `max_failures` and `single_version` come from a table that is known to be
+        current. Items do not end by other limits, but wait.
     """
 
     job: Job
@@ -51,6 +55,7 @@
     ended: bool = False
     items: dict[str, ItemProgress] = field(default_factory=dict)
     allowed_regions: frozenset[str] | None = None
+    limits_are_current: Callable[[], bool] = lambda: True
     _pending_results: list[JobResult] = field(default_factory=list)
     _unfinished_items: Counter[str] = field(default_factory=Counter)
     _unlisted_items: Counter[str] = field(default_factory=Counter)
@@ -84,7 +89,9 @@
         return [
             progress
             for progress in self.items.values()
-            if progress.phase is ItemPhase.WAITING and now_seconds >= progress.not_before_seconds
+            if progress.phase is ItemPhase.WAITING
+            and now_seconds >= progress.not_before_seconds
+            and progress.failures < self.max_failures
         ]
 
     def record_start(self, progress: ItemProgress) -> None:
@@ -116,7 +123,7 @@
         if progress.result is not None:
             return
         progress.failures += 1
-        if progress.failures >= self.max_failures:
+        if progress.failures >= self.max_failures and self.limits_are_current():
             self.give_up(progress)
             return
         progress.phase = ItemPhase.WAITING
@@ -126,11 +133,36 @@
         """Record that a text is complete; its reward call, if any, comes next."""
         if progress.result is not None:
             return
+        if len(progress.versions) > 1 and not self.limits_are_current():
+            progress.phase = ItemPhase.UNCONFIRMED
+            return
         if progress.item.reward is None:
             self._complete_item(progress, "")
         else:
             progress.phase = ItemPhase.SCORING
 
+    def exhausted_items(self) -> list[ItemProgress]:
+        """Return the waiting items with too many failures, whose limits were not current then."""
+        return [
+            progress
+            for progress in self.items.values()
+            if progress.phase is ItemPhase.WAITING and progress.failures >= self.max_failures
+        ]
+
+    def settle_texts(self) -> None:
+        """Accept the texts of several versions that had to wait, or let their items run again.
+
+        The limits must be current.
+        """
+        for progress in self.items.values():
+            if progress.phase is not ItemPhase.UNCONFIRMED:
+                continue
+            if self.single_version:
+                progress.discard_text()
+                progress.phase = ItemPhase.WAITING
+            else:
+                self.record_complete_text(progress)
+
     def record_score(self, progress: ItemProgress, score: str) -> None:
         """Record the answer of the reward call."""
         self._complete_item(progress, score)
@@ -151,7 +183,7 @@
             from the reward call's own route.
         """
         progress.reward_failures += failures
-        if progress.reward_failures < max_failures:
+        if progress.reward_failures < max_failures or not self.limits_are_current():
             return True
         self.give_up(progress)
         return False
--- a/rackswitch/jobs/progress.py
+++ b/rackswitch/jobs/progress.py
@@ -13,6 +13,9 @@
 
     WAITING = "waiting"
     RUNNING = "running"
+    UNCONFIRMED = "unconfirmed"
+    """The text is complete, but it is not known whether several versions may have generated it."""
+
     SCORING = "scoring"
     FINISHED = "finished"
     LISTED = "listed"
--- a/rackswitch/jobs/step_order.py
+++ b/rackswitch/jobs/step_order.py
@@ -46,7 +46,7 @@
         if progress.result is not None:
             continue
         group = progress.item.group
-        is_complete = progress.phase is ItemPhase.SCORING
+        is_complete = progress.phase in (ItemPhase.UNCONFIRMED, ItemPhase.SCORING)
         remaining_pieces = 0.0 if is_complete else forecast.remaining_pieces(progress)
         max_remaining[group] = max(max_remaining[group], remaining_pieces)
         total_remaining[group] += remaining_pieces
