Callers: refuse for good only by a table known to be current

Callers could see: 404 for a route that had been added, or 413 and 431 by limits that had been raised, from a daemon that had just started or was cut off from the service. Callers do not come again after these.

Only 401 in an outage had a rule of its own.

Callers of routes that the table has are served as before, however old it is.

The test of the logged refusals waits until its starting daemon's table is confirmed, as its 404 depends on that now; its checks are as they were.

--- a/rackswitch/gateway/callers/caller_handler.py
+++ b/rackswitch/gateway/callers/caller_handler.py
@@ -34,7 +34,7 @@
 """Response body of a request that a planned stop cancels."""
 
 NO_TABLE_RETRY_AFTER_SECONDS = 0.2
-"""`Retry-After` of a daemon that has started and has not read a table yet."""
+"""`Retry-After` of a daemon that has started and has no current table yet."""
 
 NO_TABLE_REFUSAL = Refusal(503, "no table in force yet", NO_TABLE_RETRY_AFTER_SECONDS)
 """Refusal of all requests until a table is known: keys cannot be checked, so no 401 is sent."""
@@ -161,11 +161,13 @@
             return NO_TABLE_REFUSAL
         if exchange.header_bytes > limits.most_header_bytes:
             exchange.close_connection = True
-            return Refusal(431, f"over {limits.most_header_bytes} header bytes")
+            return self._refusal_by_table(
+                Refusal(431, f"over {limits.most_header_bytes} header bytes")
+            )
         host = exchange.header("host") or ""
         route = self._context.routes.find(host, exchange.path)
         if route is None:
-            return Refusal(404, f"no route for {host}{exchange.path}")
+            return self._refusal_by_table(Refusal(404, f"no route for {host}{exchange.path}"))
         caller = self._identify_caller(exchange, route)
         if isinstance(caller, KeyFault):
             return self._key_refusal(caller)
@@ -180,17 +182,30 @@
         )
 
     def _key_refusal(self, fault: KeyFault) -> Refusal:
-        """Return the refusal of a request whose key is not in the table in force.
-
-        While the key-value service is unreachable, the table may lack a new key. The response is
-        then a 503, as callers do not retry after a 401.
+        """Return the refusal of a request whose key is not in the table in force."""
+        refusal = Refusal(401, fault.detail, response_text=fault.public_detail)
+        if not fault.may_be_new:
+            return refusal
+        return self._refusal_by_table(refusal, "the key cannot be checked now")
+
+    def _refusal_by_table(self, refusal: Refusal, outdated_text: str = "") -> Refusal:
+        """Return a refusal after which callers do not retry, or a 503 if the table may be outdated.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            The refusal by the table in force.
+        outdated_text : str, optional
+            Response body of the 503 where the refusal's detail is not meant for callers.
         """
         contact = self._context.store_reachability
-        if not fault.may_be_new or not contact.is_unreachable:
-            return Refusal(401, fault.detail, response_text=fault.public_detail)
-        retry_after_seconds = contact.outage.remaining_seconds(self._context.now_seconds())
-        detail = f"{fault.detail}; the table may be outdated"
-        return Refusal(503, detail, retry_after_seconds, "the key cannot be checked now")
+        if self._context.is_table_current() and not contact.is_unreachable:
+            return refusal
+        retry_after_seconds = NO_TABLE_RETRY_AFTER_SECONDS
+        if contact.is_unreachable:
+            retry_after_seconds = contact.outage.remaining_seconds(self._context.now_seconds())
+        detail = f"{refusal.detail}; the table may be outdated"
+        return Refusal(503, detail, retry_after_seconds, outdated_text)
 
     def _identify_caller(self, exchange: Exchange, route: RouteRow) -> Caller | KeyFault:
         """Return the caller of a request by its key, or the anonymous caller on public routes."""
@@ -226,11 +241,8 @@
         self, exchange: Exchange, fault: BodyTooLarge | BodyTooSlow | CallerDisconnected
     ) -> None:
         if isinstance(fault, BodyTooLarge):
-            await refuse_before_routing(
-                exchange,
-                self._context,
-                Refusal(413, f"the body is over {fault.max_bytes} bytes"),
-            )
+            refusal = Refusal(413, f"the body is over {fault.max_bytes} bytes")
+            await refuse_before_routing(exchange, self._context, self._refusal_by_table(refusal))
         elif isinstance(fault, BodyTooSlow):
             await refuse_before_routing(
                 exchange, self._context, Refusal(408, "the body was not received in time")
--- a/rackswitch/gateway/callers/tests/test_path_requests.py
+++ b/rackswitch/gateway/callers/tests/test_path_requests.py
@@ -198,7 +198,7 @@
     async def scenario(fleet):
         reader, writer = os.pipe()
         gateway = await fleet.start_gateway("d9", writer)
-        await wait_for(lambda: gateway.context.table_revision == 1)
+        await wait_for(gateway.context.is_table_current)
         gateway.context.daemon.view.document = TableDocument()
         assert (await fleet.request("d9", "GET", "/look/x", request_id="r1"))[0] == 503
         gateway.context.daemon.view.replace_if_newer(TableDocument(revision=1))
--- a/rackswitch/gateway/store/state_manager.py
+++ b/rackswitch/gateway/store/state_manager.py
@@ -68,7 +68,7 @@
         return ReplicaHandlers(
             self._operator_put,
             self._operator_deleted,
-            self._context.table_confirmation.record,
+            self._record_table_confirmed,
             self._record_operators_source,
         )
 
@@ -76,6 +76,9 @@
         """Return the handlers of the list of targets."""
         return ReplicaHandlers(self._target_put, self._target_deleted, self._record_list_confirmed)
 
+    def _record_table_confirmed(self, revision: int, at_seconds: float) -> None:
+        self._context.table_confirmation.record(revision, at_seconds)
+
     def _record_operators_source(self, source: str) -> None:
         self._operators_source = source
 
