Calls: pass no promise on that the target did not make

Callers could see: a 503, 429 or 408 to a request that must not be repeated, which they send again, although the target may have run it.

Cause: a target's answer reaches the caller unchanged, and these statuses mean more to callers (not run, never will) than to targets, of which only a header states that.

Change: for calls that must not be repeated such an answer counts as one that may have run (502). Answers to repeatable calls pass as before, as their callers lose nothing.

Measured: three cases of test_a_promise_that_the_target_did_not_make fail on the code before; 500 and 504 pass in both.

--- a/rackswitch/platform/answers.py
+++ b/rackswitch/platform/answers.py
@@ -17,6 +17,9 @@
 MISDIRECTED_STATUS = 421
 """Status with which a target reports that the expected instance is not at its address."""
 
+NOT_RUN_STATUSES = (408, MISDIRECTED_STATUS, 429, 503)
+"""Statuses that promise callers that a request has not run and never will."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -34,8 +37,21 @@
 library sets for the body it sends."""
 
 
-def check_answer_head(answer: aiohttp.ClientResponse, request_id: str) -> TargetFailed | None:
-    """Return the failure that an answer's status and headers show, or None."""
+def check_answer_head(
+    answer: aiohttp.ClientResponse, request_id: str, may_repeat: bool = True
+) -> TargetFailed | None:
+    """Return the failure that an answer's status and headers show, or None.
+
+    Parameters
+    ----------
+    answer : aiohttp.ClientResponse
+        The answer.
+    request_id : str
+        The request that it must belong to.
+    may_repeat : bool, optional
+        Whether callers may send the request again. If not, a status that promises that it has not
+        run is a failure unless the target states so.
+    """
     if answer.status == MISDIRECTED_STATUS:
         return TargetFailed(False, "another target has the address", is_other_target=True)
     if NOT_RUN_HEADER in answer.headers:
@@ -48,6 +64,8 @@
         return TargetFailed(True, "the answer carries no signature of the target")
     if answer.status < 200 or 300 <= answer.status < 400:
         return TargetFailed(True, f"status {answer.status}")
+    if not may_repeat and answer.status in NOT_RUN_STATUSES:
+        return TargetFailed(True, f"status {answer.status} without {NOT_RUN_HEADER}")
     return None
 
 
--- a/rackswitch/platform/target_calls.py
+++ b/rackswitch/platform/target_calls.py
@@ -55,7 +55,7 @@
                 self._open(target, call, deadline_seconds, fresh_connection) as answer,
             ):
                 self._sessions.record_response(target, answer, call.request_id)
-                fault = check_answer_head(answer, call.request_id)
+                fault = check_answer_head(answer, call.request_id, not fresh_connection)
                 if fault is not None:
                     await release_or_close(answer, call.request_id)
                     return fault
@@ -78,7 +78,7 @@
         except CALL_ERRORS as error:
             return _failure(error)
         self._sessions.record_response(target, answer, call.request_id)
-        fault = check_answer_head(answer, call.request_id)
+        fault = check_answer_head(answer, call.request_id, not fresh_connection)
         if fault is not None:
             close_connection(answer)
             return fault
--- a/rackswitch/platform/tests/test_target_calls.py
+++ b/rackswitch/platform/tests/test_target_calls.py
@@ -14,12 +14,15 @@
 CALL = Call("r1", "h.example", "POST", "/a%2Fb?c=%20", (("x-own", "1"), ("x-own", "2")), b"body")
 
 
-async def forward_call(answer: bytes, reset: bool = False) -> tuple[object, bytes]:
+async def forward_call(
+    answer: bytes, reset: bool = False, fresh_connection: bool = False
+) -> tuple[object, bytes]:
     """Return the client's result for an answer of the given bytes, and the request sent."""
     sessions = TargetSessions()
     deadline_seconds = asyncio.get_running_loop().time() + 2.0
     async with raw_target(answer, reset) as (target, raw):
-        result = await TargetClient(sessions).forward(target, CALL, deadline_seconds, False)
+        client = TargetClient(sessions)
+        result = await client.forward(target, CALL, deadline_seconds, fresh_connection)
     await sessions.close()
     return result, raw.requests[0]
 
@@ -64,6 +67,16 @@
     assert result.status == 503
 
 
+@pytest.mark.parametrize("status", [b"408", b"429", b"503", b"500", b"504"])
+def test_a_promise_that_the_target_did_not_make_is_not_passed_on(status):
+    # Guards against an unsafe call that callers send again after it has run.
+    answer = HEAD.replace(b"200 OK", status + b" X") + b"Content-Length: 0\r\n\r\n"
+    result, _ = asyncio.run(forward_call(answer, fresh_connection=True))
+    is_promise = status not in (b"500", b"504")
+    assert isinstance(result, TargetFailed if is_promise else TargetAnswer)
+    assert not is_promise or result.may_have_run
+
+
 def test_forwards_a_call_unchanged_with_the_platforms_headers():
     _, request = asyncio.run(forward_call(HEAD + b"Content-Length: 0\r\n\r\n"))
     head, _, body = request.partition(b"\r\n\r\n")
