Planned stop: refuse what may not end in time, close unused connections

Unsafe calls got a 504 then, which does not say whether to send again.

Cause: a stop waits while anything is in flight, at most until its deadline, and went on taking requests without comparing their time with that. Callers of unused connections learnt of the stop with their next response, the one that was cut.

Evidence: all cuts at the stop's deadline while the engines were sending; the listener had closed at 2.5 s. Ruled out: engines that break off, new connections.

Why it works: a request's deadline bounds its end, so nothing that is taken on outlasts the stop, and what is refused has certainly not run.

--- a/rackswitch/gateway/callers/call_handler.py
+++ b/rackswitch/gateway/callers/call_handler.py
@@ -1,23 +1,32 @@
 """HTTP responses to callers: a target's answer or stream, or an error status."""
 
 import asyncio
+import math
 
 from rackswitch.gateway.callers.disconnects import done_before_disconnect
 from rackswitch.gateway.callers.dispatch_answers import DispatchAnswer, outcome_label
-from rackswitch.gateway.callers.refusals import TEXT_HEADERS, Refusal, refuse
+from rackswitch.gateway.callers.refusals import (
+    TEXT_HEADERS,
+    Refusal,
+    refuse,
+    refuse_before_routing,
+)
 from rackswitch.gateway.callers.request_dispatcher import RequestDispatcher
 from rackswitch.gateway.callers.stream_relay import StreamRelay
 from rackswitch.gateway.context import GatewayContext, TableInUse
 from rackswitch.gateway.placement_log import placement_event
 from rackswitch.outcomes import BrokenInvariant, MayHaveRun, NotRun
-from rackswitch.requests import Call, TargetAnswer, TargetStream
+from rackswitch.requests import Call, TargetAnswer, TargetStream, may_end_before_stop
 from rackswitch.routing import ListedTarget, WorkKind
-from rackswitch.table import RouteRow
+from rackswitch.table import Handling, RouteRow
 from rackswitch.telemetry.events import EstimateLogged, RequestEnded
 from rackswitch.web.exchange import Exchange
 
 __all__ = ["CallHandler"]
 
+RESTART_SECONDS = 2.0
+"""Time from the end of a stop until the next process serves requests."""
+
 
 class CallHandler:
     """Forwards callers' calls to targets and responds to the callers.
@@ -46,6 +55,9 @@
         routed_by: TableInUse,
     ) -> None:
         """Serve a call; cancel it if the caller disconnects first."""
+        if not self._may_end_before_stop(route, deadline_seconds):
+            await self._refuse_while_stopping(exchange)
+            return
         log = self._dispatcher.new_log(route)
         work = asyncio.create_task(
             self._dispatcher.call(route, call, deadline_seconds, log, as_stream=route.streams)
@@ -69,6 +81,29 @@
             await self._respond_failed(exchange, outcome, deadline_seconds)
         self._log_end(route, call, arrived_seconds, routed_by, label, answer)
 
+    def _may_end_before_stop(self, route: RouteRow, deadline_seconds: float) -> bool:
+        """Return whether a call may be sent to a target, if this daemon is stopping."""
+        may_repeat = route.handling is Handling.REPEATABLE and not route.streams
+        return may_end_before_stop(
+            self._context.stop_deadline_seconds,
+            self._context.now_seconds(),
+            deadline_seconds,
+            self._dispatcher.typical_call_seconds(route) if may_repeat else math.inf,
+        )
+
+    async def _refuse_while_stopping(self, exchange: Exchange) -> None:
+        """Refuse a call; another daemon can serve it at once, or else the next process here."""
+        now_seconds = self._context.now_seconds()
+        own_name = self._context.daemon_name
+        has_other_daemon = any(name != own_name for name in self._context.daemon.membership.live())
+        stop_seconds = max(0.0, self._context.stop_deadline_seconds - now_seconds)
+        retry_after_seconds = 0.0 if has_other_daemon else stop_seconds + RESTART_SECONDS
+        exchange.close_connection = True
+        detail = "this daemon is stopping and may end before the request does"
+        await refuse_before_routing(
+            exchange, self._context, Refusal(503, detail, retry_after_seconds)
+        )
+
     async def _relay(
         self, exchange: Exchange, relay: StreamRelay, stream: TargetStream, target: ListedTarget
     ) -> str:
--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -383,6 +383,10 @@
             if estimate.instance != excluded and math.isfinite(estimate.report_age_seconds)
         )
 
+    def typical_call_seconds(self, route: RouteRow) -> float:
+        """Return the typical time of a route's calls; infinite if it is not known."""
+        return max(self._call_seconds.get(choice.serves, math.inf) for choice in route.choices)
+
     def usable_target_count(self, route: RouteRow, tenant: str = "") -> int:
         """Return how many targets of a route's services a tenant's calls may use now."""
         now_seconds = self._context.now_seconds()
--- a/rackswitch/gateway/context.py
+++ b/rackswitch/gateway/context.py
@@ -116,6 +116,9 @@
         Idle and header timeouts of callers' connections, from the table.
     path_delays : PathDelays
         Measured network delays by zone; used only in deployments with several regions.
+    stop_deadline_seconds : float
+        When this daemon, if it is stopping, cuts off the requests in flight (monotonic); infinite
+        otherwise.
     loop_delays : LoopDelays
         How late the event loop ran timers lately.
     """
@@ -139,6 +142,7 @@
     member_entries: dict[str, MemberEntry] = field(default_factory=dict)
     start_times: StartTimes = field(default_factory=_start_times_from_now)
     cold_sends: ColdSends = field(init=False)
+    stop_deadline_seconds: float = float("inf")
     loop_delays: LoopDelays = field(default_factory=LoopDelays)
     path_delays: PathDelays = field(init=False)
 
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -52,6 +52,7 @@
 from rackswitch.routing import ListedTarget, ReportedLoad
 from rackswitch.telemetry.events import (
     HandOverTimedOut,
+    IdleConnectionsClosed,
     ListenerClosed,
     Reloaded,
     RequestRefused,
@@ -297,6 +298,7 @@
         )
         self.log.write(Stopping(requests_in_flight=self.context.daemon.in_flight.count))
         self.context.daemon.stopping = True
+        self.context.stop_deadline_seconds = deadline_seconds
         for server in self._servers:
             server.announce_stop()
         self.context.daemon.membership.leave()
@@ -314,6 +316,7 @@
         if self.context.daemon.in_flight.count > 0:
             # Otherwise callers that reconnect could keep requests in flight until the deadline.
             self._close_listener()
+            await self._close_idle_connections()
         remaining_seconds = deadline_seconds - self.context.now_seconds()
         completed = await self.context.daemon.in_flight.wait_idle(max(0.0, remaining_seconds))
         await self._duties.hand_over()
@@ -329,6 +332,15 @@
         if server.is_listening:
             self.log.write(ListenerClosed(backlog_accepted=server.close_listener()))
 
+    async def _close_idle_connections(self) -> None:
+        """Have callers with unused connections send their next requests to other daemons.
+
+        They learn of the stop only with their next response, and requests that take long could not
+        end here any more.
+        """
+        closed_count = await self._servers[0].close_idle_connections()
+        self.log.write(IdleConnectionsClosed(closed=closed_count))
+
     async def _finish_serving(self, deadline_seconds: float) -> bool:
         """Stop the servers; return whether all received requests were answered in time.
 
--- a/rackswitch/requests/__init__.py
+++ b/rackswitch/requests/__init__.py
@@ -12,6 +12,8 @@
 from rackswitch.requests.hedging import __all__ as _hedging_all
 from rackswitch.requests.outages import *  # noqa: F403
 from rackswitch.requests.outages import __all__ as _outages_all
+from rackswitch.requests.stopping import *  # noqa: F403
+from rackswitch.requests.stopping import __all__ as _stopping_all
 from rackswitch.requests.stream import *  # noqa: F403
 from rackswitch.requests.stream import __all__ as _stream_all
 
@@ -22,5 +24,6 @@
     *_claims_all,
     *_hedging_all,
     *_outages_all,
+    *_stopping_all,
     *_stream_all,
 ]
--- a/rackswitch/telemetry/events/process.py
+++ b/rackswitch/telemetry/events/process.py
@@ -5,6 +5,7 @@
 __all__ = [
     "HandOverTimedOut",
     "LinesFolded",
+    "IdleConnectionsClosed",
     "ListenerClosed",
     "LoopDelayMeasured",
     "VmSuspended",
@@ -100,6 +101,13 @@
     backlog_accepted: int
 
 
+@register_event
+class IdleConnectionsClosed(Event, tag="idle connections closed", frozen=True):
+    """A planned stop closed the connections of callers without a request on them."""
+
+    closed: int
+
+
 @register_event
 class ServerStopped(Event, tag="server stopped", frozen=True):
     """A planned stop closed the connections of callers.
--- a/rackswitch/web/connection_limits.py
+++ b/rackswitch/web/connection_limits.py
@@ -111,8 +111,15 @@
         self.close_after_response()
         if self.cycle is not None and not self.cycle.response_complete:
             self.cycle.keep_alive = False
-        elif not self.has_request():
-            self.transport.close()
+        else:
+            self.close_if_idle()
+
+    def close_if_idle(self) -> bool:
+        """Close the connection if no request is on it; return whether it was closed."""
+        if self.transport.is_closing() or self.has_request():
+            return False
+        self.transport.close()
+        return True
 
     def has_request(self) -> bool:
         """Whether a request is being served, is being received, or waits to be read."""
--- a/rackswitch/web/server.py
+++ b/rackswitch/web/server.py
@@ -209,6 +209,19 @@
         """Stop accepting connections; return how many were still in the backlog."""
         return self._server.listener.close()
 
+    async def close_idle_connections(self) -> int:
+        """Close the connections without a request, so that their callers use others from now on.
+
+        Returns
+        -------
+        int
+            How many were closed. Connections that were opened within the last `CLOSE_DELAY_SECONDS`
+            are kept, as their first requests may be on their way.
+        """
+        connections = self._server.open_connections()
+        await asyncio.sleep(CLOSE_DELAY_SECONDS)
+        return sum(connection.close_if_idle() for connection in connections)
+
     async def stop(self, deadline_seconds: float | None = None) -> StopReport:
         """Stop accepting connections and finish the requests in progress.
 
