Streams: end at the time limit of their request

Cause: the deadline bounded the head of a stream's answer and its resumption, but no wait for a piece after the head.

Evidence: the relay's waits, by reading; streams that an engine breaks off end as they should.

Change: each wait for a piece ends at the request's deadline; the target's connection is closed and the response aborted. `request ended` is logged for streams that end so or break off. The stand-in engine can fall silent within a stream.

Why it works: the deadline holds for the relay as a whole, so no target, sound or silent, and no resumption can exceed it.

--- a/rackswitch/gateway/callers/call_handler.py
+++ b/rackswitch/gateway/callers/call_handler.py
@@ -72,7 +72,12 @@
             await exchange.respond(outcome.status, outcome.headers, outcome.body)
         elif isinstance(outcome, TargetStream):
             relay = StreamRelay(self._dispatcher, route, call, deadline_seconds, log)
-            label = await self._relay(exchange, relay, outcome, _stream_target(answer))
+            try:
+                label = await self._relay(exchange, relay, outcome, _stream_target(answer))
+            except ConnectionError as error:
+                label = f"{outcome.status}, cut off: {error}"
+                self._log_end(route, call, arrived_seconds, routed_by, label, answer)
+                raise
         elif isinstance(outcome, NotRun):
             retry_at_seconds = outcome.retry_at_seconds or self._context.now_seconds()
             retry_after_seconds = max(0.0, retry_at_seconds - self._context.now_seconds())
--- a/rackswitch/gateway/callers/stream_relay.py
+++ b/rackswitch/gateway/callers/stream_relay.py
@@ -1,6 +1,7 @@
 """Forwarding a stream to its caller and resuming it at another target if it is interrupted."""
 
-from collections.abc import AsyncGenerator
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator
 
 from rackswitch.gateway.callers.request_dispatcher import RequestDispatcher
 from rackswitch.platform.events import EventSplitter
@@ -9,7 +10,11 @@
 from rackswitch.routing import ListedTarget
 from rackswitch.table import RouteRow
 
-__all__ = ["StreamRelay"]
+__all__ = ["StreamRelay", "StreamTimeoutError"]
+
+
+class StreamTimeoutError(ConnectionError):
+    """A stream had not ended by the deadline of its request."""
 
 
 class StreamRelay:
@@ -65,11 +70,16 @@
         ConnectionError
             If the stream is interrupted and cannot be resumed. The response must then be aborted,
             so that the caller does not take it for complete.
+        StreamTimeoutError
+            If the stream has not ended by the deadline, which holds for all its targets together.
         """
         if not self._route.resumable:
             try:
-                async for data in stream.pieces:
+                async for data in self._until_deadline(stream):
                     yield data
+            except StreamTimeoutError:
+                # A long stream says nothing about its target.
+                raise
             except ConnectionError:
                 self._dispatcher.record_stream_failure(self._call, target)
                 raise
@@ -79,12 +89,14 @@
         while True:
             detail = "the stream ended inside an event"
             try:
-                async for data in stream.pieces:
+                async for data in self._until_deadline(stream):
                     for event in splitter.feed(data):
                         yield event
                 if splitter.is_between_events:
                     self._dispatcher.record_stream_end(self._call)
                     return
+            except StreamTimeoutError:
+                raise
             except ConnectionError as error:
                 detail = str(error)
             finally:
@@ -94,6 +106,20 @@
             self._log.record_end(AttemptEnd(target.instance, True, detail))
             stream, target = await self._resume(splitter.last_event_id, detail)
 
+    async def _until_deadline(self, stream: TargetStream) -> AsyncIterator[bytes]:
+        """Yield the pieces of a target's stream until the request's deadline."""
+        pieces = aiter(stream.pieces)
+        while True:
+            try:
+                async with asyncio.timeout_at(self._deadline_seconds):
+                    data = await anext(pieces)
+            except StopAsyncIteration:
+                return
+            except TimeoutError as error:
+                stream.close()
+                raise StreamTimeoutError("the stream had not ended by its deadline") from error
+            yield data
+
     async def _resume(self, last_number: str, detail: str) -> tuple[TargetStream, ListedTarget]:
         answer = await self._dispatcher.call(
             self._route,
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -39,6 +39,8 @@
         Add a content-encoding header to answers that are not encoded.
     break_after : int
         Interrupt streams inside the event after this many; 0 for never.
+    silent_after : int
+        Send no more after this many events of a stream, until its caller leaves; 0 for never.
     status : int
         Status of the answers.
     end_on : bytes
@@ -57,6 +59,7 @@
     foreign: bool = False
     encoded: bool = False
     break_after: int = 0
+    silent_after: int = 0
     status: int = 200
     end_on: bytes = b""
     back_after_seconds: float = 0.6
@@ -279,16 +282,19 @@
                 # Without further events no version contributes to the text.
                 headers.append(("x-rackswitch-weight-versions", str(run.version)))
             headers.append(("content-type", "text/event-stream"))
-            await exchange.stream(200, tuple(headers), self._events(body, run))
+            await exchange.stream(200, tuple(headers), self._events(exchange, body, run))
             return
         await exchange.respond(self.faults.status, tuple(headers), b"answer to " + body)
 
-    async def _events(self, body: bytes, run: Run):
+    async def _events(self, exchange: Exchange, body: bytes, run: Run):
         """Yield as many events as the number in the body."""
         first = int(run.last_event_id or 0) + 1
         version = run.version
         for number in range(first, int(body) + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+            if self.faults.silent_after and number - first >= self.faults.silent_after:
+                await exchange.wait_for_disconnect()
+                return
             current_version = next(iter(self.versions.values()))
             version_line = (
                 f"x-rackswitch-weight-versions: {current_version}\n"
