Soak: unsafe methods, streams, jobs of new routes and stale reads

Change: unsafe calls use POST, PUT and DELETE over sessions that send once; streams are checked for their events, and for cuts after the signal of a planned stop where no target fails; each edit adds a job route that trainers use; a fault kills all daemons after an edit while stale reads lack it; an item given up before its keep time is a violation.

--- a/rackswitch/load/soak.py
+++ b/rackswitch/load/soak.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from rackswitch.clients.http import HttpSession
 from rackswitch.load.daemon_process import DaemonProcess
 from rackswitch.load.soak_callers import SoakCallers, call_once
 from rackswitch.load.soak_faults import SOAK_FAULTS
@@ -28,6 +29,7 @@
 MAX_FAULTS_AT_ONCE = 4
 CHECK_INTERVAL_SECONDS = 0.5
 POLL_INTERVAL_SECONDS = 0.1
+CALL_TIMEOUT_SECONDS = 2.0
 READY_TIMEOUT_SECONDS = 15.0
 RECOVERY_TIMEOUT_SECONDS = 10.0
 """Time after the last fault within which each daemon must serve by the newest table."""
@@ -37,6 +39,8 @@
 a killed daemon."""
 
 MAX_REPORTED_VIOLATIONS = 20
+TARGET_FAULTS = ("target", "service")
+"""Beginnings of the names of faults that interrupt streams."""
 
 
 @dataclass(slots=True)
@@ -87,6 +91,9 @@
         self._rng = random.Random(seed)
         self._fault_counts: Counter[str] = Counter()
         self.callers = SoakCallers(self.site, seed)
+        self.callers.checks_streams = not any(
+            name.startswith(TARGET_FAULTS) for name in self._fault_names
+        )
         self.trainers = [SoakTrainer(f"t{n}", self.site, seed) for n in range(TRAINERS)]
 
     async def run(self, seconds: float) -> SoakReport:
@@ -164,12 +171,16 @@
         start_seconds = asyncio.get_running_loop().time()
         unserved = {daemon.name for daemon in self.site.daemons}
 
-        async def wait_served(session: aiohttp.ClientSession, daemon: DaemonProcess) -> None:
+        async def wait_served(session: HttpSession, daemon: DaemonProcess) -> None:
             await self._wait_served(session, daemon)
             unserved.discard(daemon.name)
 
         try:
-            async with self._session() as session, asyncio.timeout(RECOVERY_TIMEOUT_SECONDS):
+            timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
+            async with (
+                HttpSession(timeout=timeout) as session,
+                asyncio.timeout(RECOVERY_TIMEOUT_SECONDS),
+            ):
                 # All at once, so that the time limit is the same for each of many daemons.
                 await asyncio.gather(
                     *(wait_served(session, daemon) for daemon in self.site.daemons)
@@ -180,7 +191,7 @@
             )
         self.report.served_after_seconds = asyncio.get_running_loop().time() - start_seconds
 
-    async def _wait_served(self, session: aiohttp.ClientSession, daemon: DaemonProcess) -> None:
+    async def _wait_served(self, session: HttpSession, daemon: DaemonProcess) -> None:
         for number in itertools.count():
             statuses = set()
             for path in (self.site.newest_path, "/lodge/"):
@@ -230,4 +241,4 @@
         return report
 
     def _session(self) -> aiohttp.ClientSession:
-        return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0))
+        return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS))
--- a/rackswitch/load/soak_callers.py
+++ b/rackswitch/load/soak_callers.py
@@ -3,18 +3,22 @@
 import asyncio
 import itertools
 import random
+import re
 from collections import Counter
 from dataclasses import dataclass
 
 import aiohttp
 
+from rackswitch.clients.http import HttpSession
 from rackswitch.load.daemon_process import DaemonProcess, ProcessRecord
 from rackswitch.load.soak_site import SoakSite, added_path
 from rackswitch.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER, STAMP_HEADER
-from rackswitch.standins.platform_fleet import HOST
+from rackswitch.standins.platform_fleet import HOST, MODEL
 
 __all__ = ["CallRecord", "SoakCallers", "call_once"]
 
+MODEL_HEADER = "X-Rackswitch-Model"
+EVENT_ID_PATTERN = re.compile(r"^id: (\d+)$", re.MULTILINE)
 CALLERS = 12
 BURST_CALLERS = 120
 MEAN_CALL_INTERVAL_SECONDS = 0.05
@@ -28,7 +32,16 @@
 """Excludes 500, which no target sends here, so it would be a fault of the daemon."""
 
 NOT_RUN = frozenset((408, 429, 503))
-MAX_RUNS = {"look": 3, "lodge": 1, "added": 3}
+UNSAFE_METHODS = ("POST", "PUT", "DELETE")
+CALL_KINDS = 3 * ("look", "lodge", "added") + ("draft",)
+MAX_STREAM_EVENTS = 1200
+"""Takes an engine some six seconds."""
+
+STREAM_DEADLINE_MS = 12_000
+STREAM_TIMEOUT_SECONDS = 15.0
+"""Above the stream's deadline."""
+
+MAX_RUNS = {"look": 3, "lodge": 1, "added": 3, "draft": 1}
 """Maximum number of attempts of each route in the operator's table."""
 
 
@@ -52,7 +65,7 @@
 
 
 async def call_once(
-    session: aiohttp.ClientSession, daemon: DaemonProcess, path: str, request_id: str
+    session: HttpSession, daemon: DaemonProcess, path: str, request_id: str, method: str = "POST"
 ) -> CallRecord:
     """Send a request with a unique body and check that the response belongs to it.
 
@@ -68,7 +81,8 @@
         REQUEST_ID_HEADER: request_id,
         DEADLINE_HEADER: str(DEADLINE_MS),
     }
-    async with session.post(daemon.url + path, data=body, headers=headers) as response:
+    url = daemon.url + path
+    async with session.request(method, url, data=body, headers=headers) as response:
         content = await response.read()
     if response.status != 200:
         return CallRecord(request_id, kind, response.status, daemon.name, content.decode()[:80])
@@ -79,6 +93,34 @@
     return CallRecord(request_id, kind, 200, daemon.name)
 
 
+async def stream_once(
+    session: HttpSession, daemon: DaemonProcess, path: str, request_id: str, events: int
+) -> CallRecord:
+    """Request a stream of events and check that it is complete.
+
+    Raises
+    ------
+    aiohttp.ClientError, OSError, TimeoutError
+        If no complete response is received.
+    """
+    headers = {
+        "Host": HOST,
+        REQUEST_ID_HEADER: request_id,
+        DEADLINE_HEADER: str(STREAM_DEADLINE_MS),
+        MODEL_HEADER: MODEL,
+    }
+    timeout = aiohttp.ClientTimeout(total=STREAM_TIMEOUT_SECONDS)
+    async with session.post(
+        daemon.url + path, data=str(events).encode(), headers=headers, timeout=timeout
+    ) as response:
+        content = await response.read()
+    if response.status != 200:
+        return CallRecord(request_id, "draft", response.status, daemon.name, content.decode()[:80])
+    numbers = [int(number) for number in EVENT_ID_PATTERN.findall(content.decode())]
+    detail = "" if numbers == list(range(1, events + 1)) else f"foreign: events {numbers[-3:]}"
+    return CallRecord(request_id, "draft", 200, daemon.name, detail)
+
+
 class SoakCallers:
     """Sends calls to the daemons and checks their outcomes.
 
@@ -95,11 +137,14 @@
         All requests that ended.
     answers : Counter
         Number of responses by status and text.
+    checks_streams : bool
+        Whether streams that are cut by a planned stop are violations; not while targets fail.
     """
 
     def __init__(self, site: SoakSite, seed: int):
         self.records: list[CallRecord] = []
         self.answers: Counter[str] = Counter()
+        self.checks_streams = False
         self._site = site
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
@@ -153,6 +198,8 @@
             and process_record.ended_seconds is not None
             and not process_record.disturbed
             and sent_seconds < process_record.ended_seconds - MIN_SENT_BEFORE_EXIT_SECONDS
+            # A stream from before the stop may take longer than the stop.
+            and (record.kind != "draft" or sent_seconds > process_record.stop_requested_seconds)
         ]
 
     async def _call_repeatedly(self) -> None:
@@ -168,9 +215,9 @@
         async with _session(1) as session:
             await self._call(session, self._rng.choice(self._site.daemons))
 
-    async def _call(self, session: aiohttp.ClientSession, daemon: DaemonProcess) -> CallRecord:
+    async def _call(self, session: HttpSession, daemon: DaemonProcess) -> CallRecord:
         number = next(self._numbers)
-        kind = self._rng.choice(("look", "lodge", "added"))
+        kind = self._rng.choice(CALL_KINDS)
         version = self._site.table_version
         if kind == "added" and version == 1:
             kind = "look"
@@ -178,11 +225,18 @@
         request_id = f"{kind}-{number}"
         process_record, sent_seconds = daemon.process_record, asyncio.get_running_loop().time()
         known_version = self._newest_known_versions.get(daemon.name, 1)
+        method = self._rng.choice(UNSAFE_METHODS) if kind == "lodge" else "POST"
+        events = self._rng.randint(1, MAX_STREAM_EVENTS)
+        url_path = f"{path}{number}"
         try:
-            record = await call_once(session, daemon, f"{path}{number}", request_id)
+            if kind == "draft":
+                record = await stream_once(session, daemon, url_path, request_id, events)
+            else:
+                record = await call_once(session, daemon, url_path, request_id, method)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             record = CallRecord(request_id, kind, 0, daemon.name, type(error).__name__)
-            if not isinstance(error, aiohttp.ClientConnectorError):
+            is_checked = kind != "draft" or self.checks_streams
+            if is_checked and not isinstance(error, aiohttp.ClientConnectorError):
                 self._interrupted_calls.append((record, process_record, sent_seconds))
         if kind == "added" and record.status == 200:
             self._newest_known_versions[daemon.name] = max(
@@ -197,8 +251,8 @@
         return record
 
 
-def _session(connections: int) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=connections),
+def _session(connections: int) -> HttpSession:
+    return HttpSession(
+        aiohttp.TCPConnector(limit=connections),
         timeout=aiohttp.ClientTimeout(total=CLIENT_TIMEOUT_SECONDS),
     )
--- a/rackswitch/load/soak_faults.py
+++ b/rackswitch/load/soak_faults.py
@@ -46,6 +46,22 @@
     await asyncio.gather(*(_replace_daemon(site, daemon, planned=False) for daemon in site.daemons))
 
 
+@SOAK_FAULTS.register("all-killed-after-an-edit")
+async def _all_daemons_killed_after_an_edit(site: SoakSite) -> None:
+    """Kill all daemons once jobs of a new route are accepted; their first reads lack the route."""
+    if site.store.faults.stale_state is not None:
+        # Another one is in progress, and its stale reads must not include its route.
+        return
+    site.store.keep_stale_reads()
+    site.edit_table()
+    await asyncio.sleep(site.rng.uniform(0.5, 1.5))
+    try:
+        await _all_daemons_killed(site)
+        await asyncio.sleep(site.draw_fault_seconds())
+    finally:
+        site.store.faults.stale_state = None
+
+
 @SOAK_FAULTS.register("daemons-rolled")
 async def _rolling_restart(site: SoakSite) -> None:
     for daemon in site.rng.sample(site.daemons, len(site.daemons)):
--- a/rackswitch/load/soak_site.py
+++ b/rackswitch/load/soak_site.py
@@ -17,6 +17,7 @@
 
 ENGINES = 4
 SERVICES = 3
+STREAM_TIMEOUT_MS = 12_000
 RESULT_RETENTION_SECONDS = 3600.0
 """Longer than a soak, so that every job stays readable until its end."""
 
@@ -99,7 +100,7 @@
     async def start(self) -> None:
         """Start the stand-ins and daemons, and wait until every daemon listens."""
         await self.store.start()
-        self.store.put("op/config", desired_state(self.table_version))
+        self.store.put("op/config", self._table())
         for target in self.targets:
             await target.start()
         for daemon in self.daemons:
@@ -147,14 +148,27 @@
                 link.set_faults(LinkFaults())
 
     def edit_table(self) -> None:
-        """Add a route to the table as the operator does, and keep the existing routes."""
+        """Add routes to the table as the operator does, and keep the existing routes."""
         self.table_version += 1
+        self.store.put("op/config", self._table())
+
+    def _table(self) -> dict[str, Any]:
+        """Return the desired state: with streams, and a call and a job route for each edit."""
         state = desired_state(self.table_version)
-        added = [
-            {**state["routes"][0], "name": f"added-{number}", "path_prefix": added_path(number)}
-            for number in range(2, self.table_version + 1)
-        ]
-        self.store.put("op/config", {**state, "routes": [*state["routes"], *added]})
+        call_route, _, job_route = state["routes"]
+        stream = {"name": "drafts", "path_prefix": "/draft/", "service": "engines"}
+        limits = {"kind": "streaming", "timeout_ms": STREAM_TIMEOUT_MS, "max_attempts": 1}
+        routes = [*state["routes"], {**call_route, **stream, **limits}]
+        for number in range(2, self.table_version + 1):
+            added = {"name": f"added-{number}", "path_prefix": added_path(number)}
+            added_jobs = {"name": f"added-jobs-{number}", "path_prefix": added_jobs_path(number)}
+            routes += [{**call_route, **added}, {**job_route, **added_jobs}]
+        return {**state, "routes": routes}
+
+    @property
+    def newest_jobs_path(self) -> str:
+        """The path of jobs that only the newest table version routes, or that of the first."""
+        return added_jobs_path(self.table_version) if self.table_version > 1 else "/jobs/"
 
     @property
     def newest_path(self) -> str:
@@ -173,6 +187,11 @@
     return f"/added/{table_version}/"
 
 
+def added_jobs_path(table_version: int) -> str:
+    """Return the path of the jobs' route that a table version added."""
+    return f"/added-jobs/{table_version}/"
+
+
 def _unique_loopback_host(number: int) -> str:
     """Return a loopback address derived from the process id, so that parallel soaks differ."""
     process_id = os.getpid()
--- a/rackswitch/load/soak_trainer.py
+++ b/rackswitch/load/soak_trainer.py
@@ -16,11 +16,17 @@
 
 TIMEOUT_SECONDS = 4.0
 WAIT_MS = 400
+FIRST_JOBS_PATH = "/jobs/new"
+"""Path that every table routes."""
+
 RETRY_SECONDS = 0.1
 MAX_ITEMS = 12
 MAX_PIECES = 250
 """Takes an engine about one second."""
 
+KEEP_SECONDS = 40.0
+"""Time for which the table's job routes keep items."""
+
 REREAD_PROBABILITY = 0.3
 STALENESS_VERSIONS = 1
 """How much older than the newest version the texts of a job may be."""
@@ -33,6 +39,7 @@
     job_id: str
     pieces: list[int]
     oldest_version: int = 1
+    submitted_seconds: float = 0.0
     is_accepted: bool = False
     listed: list[dict[str, Any]] = field(default_factory=list)
 
@@ -99,10 +106,14 @@
     async def _submit(self, session: aiohttp.ClientSession, job: JobRecord) -> None:
         """Submit a job with the same id until it is accepted."""
         body = job_body(job.job_id, job.pieces, job.oldest_version)
+        job.submitted_seconds = asyncio.get_running_loop().time()
+        path = self._site.newest_jobs_path + "new"
         while not job.is_accepted:
-            status, content = await self._call(session, "POST", "/jobs/new", job.job_id, body)
+            status, content = await self._call(session, "POST", path, job.job_id, body)
             job.is_accepted = status == 202
-            if status in (400, 404, 413):
+            # A daemon may not have applied the newest table yet.
+            is_route_pending = status == 404 and path != FIRST_JOBS_PATH
+            if status in (400, 404, 413) and not is_route_pending:
                 self._add_violation(f"{job.job_id}: {status} for its submission: {content[:80]!r}")
             if not job.is_accepted:
                 await asyncio.sleep(RETRY_SECONDS)
@@ -148,6 +159,13 @@
             )
         elif result["state"] != "completed":
             self.given_up += 1
+            age_seconds = asyncio.get_running_loop().time() - job.submitted_seconds
+            if age_seconds < KEEP_SECONDS:
+                # No target of a soak fails an item, and no route is removed.
+                self._add_violation(
+                    f"{job.job_id}: {result['id']} was given up {age_seconds:.1f} s after its "
+                    f"submission"
+                )
         elif result["text"] != _text(job.pieces[int(number)]):
             self._add_violation(f"{job.job_id}: {result['id']} has a wrong text")
         elif not result["score"].endswith(f"-{job.job_id}-score-{number}"):
--- a/rackswitch/load/tests/test_soak.py
+++ b/rackswitch/load/tests/test_soak.py
@@ -67,6 +67,8 @@
         (CallRecord("r1", "added", 404, "d0"), 0, ""),
         (CallRecord("r1", "look", 404, "d0"), 0, "unexpected status for"),
         (CallRecord("r1", "look", 500, "d0"), 1, "unexpected status for"),
+        (CallRecord("r1", "draft", 200, "d0", "foreign: events [3]"), 1, "not its own response"),
+        (CallRecord("r1", "draft", 0, "d0"), 2, "ran 2 times"),
     ],
 )
 def test_callers_find_violations(site, record, runs, expected_text):
@@ -82,17 +84,20 @@
 
 
 @pytest.mark.parametrize(
-    ("stop_requested_seconds", "ended_seconds", "disturbed", "sent_seconds", "violation_count"),
+    ("kind", "stop_requested_seconds", "ended_seconds", "disturbed", "sent_seconds", "count"),
     [
-        (1.0, 4.0, False, 2.0, 1),
-        (None, 4.0, False, 2.0, 0),
-        (1.0, None, False, 2.0, 0),
-        (1.0, 4.0, True, 2.0, 0),
-        (1.0, 4.0, False, 3.9, 0),
+        ("look", 1.0, 4.0, False, 2.0, 1),
+        ("look", 1.0, 4.0, False, 0.5, 1),
+        ("look", None, 4.0, False, 2.0, 0),
+        ("look", 1.0, None, False, 2.0, 0),
+        ("look", 1.0, 4.0, True, 2.0, 0),
+        ("look", 1.0, 4.0, False, 3.9, 0),
+        ("draft", 1.0, 4.0, False, 2.0, 1),
+        ("draft", 1.0, 4.0, False, 0.5, 0),
     ],
 )
 def test_finds_only_requests_interrupted_by_a_planned_stop_alone(
-    site, stop_requested_seconds, ended_seconds, disturbed, sent_seconds, violation_count
+    site, kind, stop_requested_seconds, ended_seconds, disturbed, sent_seconds, count
 ):
     async def scenario():
         callers = SoakCallers(site, SEED)
@@ -102,9 +107,9 @@
             disturbed=disturbed,
         )
         callers._interrupted_calls.append(
-            (CallRecord("r1", "look", 0, "d0"), process_record, sent_seconds)
+            (CallRecord("r1", kind, 0, "d0"), process_record, sent_seconds)
         )
-        assert len(callers.check()) == violation_count
+        assert len(callers.check()) == count
 
     asyncio.run(scenario())
 
@@ -145,6 +150,19 @@
     assert all(expected_text in line for line in site.violations)
 
 
+@pytest.mark.parametrize(("age_seconds", "violation_count"), [(5.0, 1), (45.0, 0)])
+def test_trainers_find_items_that_were_given_up_early(site, age_seconds, violation_count):
+    # Guards against a soak that takes items listed as dead for a regular end.
+    async def scenario():
+        trainer = SoakTrainer("t", site, SEED)
+        submitted_seconds = asyncio.get_running_loop().time() - age_seconds
+        job = JobRecord("j", [2, 2], submitted_seconds=submitted_seconds)
+        trainer._record_result(job, 0, _result(0, state="dead", text=""))
+        assert len(site.violations) == violation_count
+
+    asyncio.run(scenario())
+
+
 def test_finds_two_holders_with_one_fencing_number(tmp_path):
     async def scenario():
         soak = Soak(SEED, 1, tmp_path)
