Streams: close the target's connection as soon as the relay ends

Cause: with one more generator around a stream's pieces, the end of the relay reached the target's connection only through the collection of two generators. Seen by reading the diff; not measured.

Change: the relay closes the stream itself, as it did for resumable ones.

--- a/rackswitch/gateway/callers/stream_relay.py
+++ b/rackswitch/gateway/callers/stream_relay.py
@@ -83,6 +83,8 @@
             except ConnectionError:
                 self._dispatcher.record_stream_failure(self._call, target)
                 raise
+            finally:
+                stream.close()
             self._dispatcher.record_stream_end(self._call)
             return
         splitter = EventSplitter()
