Jobs: a complete text of several versions waits for no outage

Seen by reading the diff.

Change: the text needs a table as of the job's claim or later, however old its confirmation; the operator of a job that was accepted under such a table has set its number of versions by then. Giving up still needs a recent confirmation.

Measured: the test of such texts uses a confirmation 60 s old and passes. The gateway's tests of items, jobs and callers pass; the effect on outages was not measured.

--- a/rackswitch/gateway/items/give_up_checker.py
+++ b/rackswitch/gateway/items/give_up_checker.py
@@ -49,11 +49,11 @@
         if route is not None:
             owned.apply_route(route)
         ledger = owned.ledger
+        ledger.settle_texts()
         reason = self._reason(owned, route, now_seconds)
         exhausted = ledger.exhausted_items()
         if self._context.table_confirmation.is_current(now_seconds, owned.owner_revision):
             self._postponed.pop(ledger.job.job_id, None)
-            ledger.settle_texts()
             self._give_up(owned, exhausted, TOO_MANY_FAILURES)
             if reason:
                 self._give_up(owned, ledger.items.values(), reason)
--- a/rackswitch/gateway/jobs/owned_jobs.py
+++ b/rackswitch/gateway/jobs/owned_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from rackswitch.gateway.context import GatewayContext
@@ -59,9 +60,8 @@
         submitted_seconds = self._context.now_seconds() - age_seconds
         owned = new_owned_job(job, owner_revision, listed, route, submitted_seconds)
         owned.awaits_claim = awaits_claim
-        owned.ledger.limits_are_current = lambda: self._context.is_table_current(
-            owned.owner_revision
-        )
+        owned.ledger.limits_are_current = partial(self._is_table_current, owned)
+        owned.ledger.limits_are_confirmed = partial(self._is_table_confirmed, owned)
         self.by_id[job.job_id] = owned
         self._context.start_times.record(StartPart.FIRST_JOB, self._context.now_seconds())
         self._context.log.write(
@@ -81,6 +81,12 @@
         self._wake.set()
         return owned
 
+    def _is_table_current(self, owned: OwnedJob) -> bool:
+        return self._context.is_table_current(owned.owner_revision)
+
+    def _is_table_confirmed(self, owned: OwnedJob) -> bool:
+        return self._context.table_confirmation.covers(owned.owner_revision)
+
     def drop(self, job_id: str, reason: str) -> None:
         """Stop running a job, if it runs here."""
         owned = self.by_id.pop(job_id, None)
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -44,8 +44,11 @@
     allowed_regions : frozenset of str or None
         Regions in which its items may run by the table in force; None for all.
     limits_are_current : callable
-        Returns whether `max_failures` and `single_version` come from a table that is known to be
-        current. Items do not end by other limits, but wait.
+        Returns whether `max_failures` comes from a table that is known to be current. Items are not
+        given up by another one, but wait.
+    limits_are_confirmed : callable
+        Returns whether `single_version` comes from a table that includes all changes before the
+        job's claim. A complete text of several versions waits for one.
     """
 
     job: Job
@@ -56,6 +59,7 @@
     items: dict[str, ItemProgress] = field(default_factory=dict)
     allowed_regions: frozenset[str] | None = None
     limits_are_current: Callable[[], bool] = lambda: True
+    limits_are_confirmed: Callable[[], bool] = lambda: True
     _pending_results: list[JobResult] = field(default_factory=list)
     _unfinished_items: Counter[str] = field(default_factory=Counter)
     _unlisted_items: Counter[str] = field(default_factory=Counter)
@@ -133,7 +137,7 @@
         """Record that a text is complete; its reward call, if any, comes next."""
         if progress.result is not None:
             return
-        if len(progress.versions) > 1 and not self.limits_are_current():
+        if len(progress.versions) > 1 and not self.limits_are_confirmed():
             progress.phase = ItemPhase.UNCONFIRMED
             return
         if progress.item.reward is None:
@@ -150,10 +154,9 @@
         ]
 
     def settle_texts(self) -> None:
-        """Accept the texts of several versions that had to wait, or let their items run again.
-
-        The limits must be current.
-        """
+        """Accept the texts of several versions that had to wait, or let their items run again."""
+        if not self.limits_are_confirmed():
+            return
         for progress in self.items.values():
             if progress.phase is not ItemPhase.UNCONFIRMED:
                 continue
--- a/rackswitch/table/confirmation.py
+++ b/rackswitch/table/confirmation.py
@@ -33,6 +33,10 @@
         self.revision = max(self.revision, revision)
         self.at_seconds = max(self.at_seconds, at_seconds)
 
+    def covers(self, revision: int) -> bool:
+        """Return whether the table includes all changes before a write of this revision."""
+        return self.revision > 0 and self.revision >= revision
+
     def is_current(self, now_seconds: float, min_revision: int = 0) -> bool:
         """Return whether decisions that cannot be taken back may follow from the table.
 
@@ -45,4 +49,4 @@
             that were made before it.
         """
         is_recent = now_seconds <= self.at_seconds + MAX_AGE_SECONDS
-        return is_recent and self.revision > 0 and self.revision >= min_revision
+        return is_recent and self.covers(min_revision)
