--- a/rackswitch/gateway/items/tests/test_give_up_checker.py
+++ b/rackswitch/gateway/items/tests/test_give_up_checker.py
@@ -167,7 +167,7 @@
 
 
 @pytest.mark.parametrize("single_version", [False, True])
-def test_a_text_of_several_versions_is_listed_only_by_a_current_table(single_version):
+def test_a_text_of_several_versions_is_listed_only_by_a_confirmed_table(single_version):
     # Guards against a text of two versions on a route that an outdated table says allows them.
     async def scenario():
         checked = Checked(replace(UNCONFIRMED))
