Items: log what an item at no engine waits for

Cause: a run's end and a held request were logged, but not that an item waits. Of an item that is owed and sits at no engine the log could not tell a hold by quarantine from a circuit breaker, old weights, a lost run or a full fleet.

What is planned stays as it was: engines in cooldown are now left out after their capacity is computed, not before.

--- a/rackswitch/explain/tests/test_story.py
+++ b/rackswitch/explain/tests/test_story.py
@@ -137,6 +137,27 @@
     assert "> " in format_timeline(story, verdict)
 
 
+def test_cause_of_an_item_at_no_engine_names_its_reason_and_the_engines():
+    daemon = LoggingDaemon("a")
+    daemon.log(1.0, make_run_ended("i1", 1, "broken", 0.2, "e1"))
+    wait = ev.ItemWaits(
+        job="j1",
+        item="i1",
+        run=1,
+        reason="an engine with room",
+        waited_seconds=4.0,
+        remaining_seconds=-1.0,
+        last_target="e1",
+        engines_with_room=[],
+        obstacles={"does not respond": 2},
+        list_age_seconds=0.1,
+        table_revision=3,
+    )
+    daemon.log(5.0, wait)
+    cause = find_cause(story_of("i1", daemon)).cause
+    assert "4.0 s" in cause and "an engine with room" in cause and "does not respond (2)" in cause
+
+
 def test_identity_of_a_reward_call_selects_its_item():
     daemon = LoggingDaemon("a")
     daemon.log(1.0, make_run_ended("i1", 1, "whole", 0.9))
--- a/rackswitch/explain/verdicts.py
+++ b/rackswitch/explain/verdicts.py
@@ -162,6 +162,23 @@
     return Verdict(match.line, cause, 44)
 
 
+@JUDGES.register("item at no engine")
+def _item_waited(story: Timeline) -> Verdict | None:
+    """Report what an item at no engine waited for, by its last line."""
+    match = _last_event(story, ev.ItemWaits)
+    if match is None or story.subject.kind != "item":
+        return None
+    event = match.event
+    room = f"{len(event.engines_with_room)} engines had room"
+    if event.obstacles:
+        room += f", others not: {_rules(event.obstacles)}"
+    cause = (
+        f"it was at no engine for {event.waited_seconds:.1f} s at {match.line.daemon} and waited "
+        f"for {event.reason}; {room}"
+    )
+    return Verdict(match.line, cause, 42)
+
+
 def _rules(reasons: dict[str, int]) -> str:
     return ", ".join(f"{reason} ({count})" for reason, count in reasons.items())
 
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.items.item_runner import ItemRunner
 from rackswitch.gateway.items.leaving_run_mover import LeavingRunMover
 from rackswitch.gateway.items.step_ranks import StepRanks
+from rackswitch.gateway.items.wait_log import WaitLog
 from rackswitch.gateway.jobs.owned_job import OwnedJob
 from rackswitch.gateway.start_times import StartPart
 from rackswitch.jobs import (
@@ -62,6 +63,7 @@
         "_leaving_run_mover",
         "_step_ranks",
         "_runner",
+        "_wait_log",
         "_wake",
     )
 
@@ -75,6 +77,7 @@
         self._give_ups = GiveUpChecker(context)
         self._step_ranks = StepRanks(context)
         self._leaving_run_mover = LeavingRunMover(context, runner)
+        self._wait_log = WaitLog(context)
 
     def start_items(self, owned_jobs: dict[str, OwnedJob]) -> None:
         """Start the items that may start now, and give up those that can no longer run."""
@@ -83,12 +86,16 @@
         now_seconds = self._context.now_seconds()
         services = self._services(owned_jobs, now_seconds)
         load_based_services = self._load_based_services(services.values())
-        engines = self._engine_capacities(set(services.values()), load_based_services, now_seconds)
+        all_engines = self._engine_capacities(
+            set(services.values()), load_based_services, now_seconds
+        )
+        engines = [engine for engine in all_engines if now_seconds >= engine.excluded_until_seconds]
         due_seconds = {job_id: owned.due_seconds for job_id, owned in owned_jobs.items()}
         ledgers = [owned.ledger for owned in owned_jobs.values()]
         forecast, policy = self._runner.forecast, self._context.policy
         for ledger in ledgers:
             ledger.allowed_regions = self._context.job_regions(ledger.job)
+            ledger.record_idle_items(now_seconds)
         self._leaving_run_mover.stop_excluded_runs()
         self._log_excluded_jobs(ledgers, services, engines, now_seconds)
         order = self._step_ranks.order(owned_jobs, services, engines, forecast)
@@ -144,6 +151,9 @@
                 if engine.service not in load_based_services or engine.runs < engine.slots
             ]
         self._runner.spare = {} if has_waiting_items else spare_capacities(spare_engines)
+        self._wait_log.log_due(
+            owned_jobs, services, all_engines, self._runner.own_runs, now_seconds
+        )
 
     def _schedule_cold_send(self, cold_engines: list[EngineCapacity], now_seconds: float) -> None:
         """Plan again when the budget of one of these engines allows the next send."""
@@ -241,15 +251,15 @@
                     listed, default_slots, service in load_based_services, now_seconds
                 )
                 for listed in self._context.directory.usable(service, now_seconds)
-                if not self._is_in_cooldown(listed.instance, now_seconds)
             )
         return engines
 
-    def _is_in_cooldown(self, instance: str, now_seconds: float) -> bool:
-        """Return whether an engine gets no runs now because it refused one or did not respond."""
-        if now_seconds < self._cooldown_until_seconds.get(instance, 0.0):
-            return True
-        return now_seconds < self._context.targets[instance].open_until_seconds
+    def _excluded_until_seconds(self, instance: str) -> float:
+        """Return until when an engine gets no runs as it refused one or did not respond."""
+        return max(
+            self._cooldown_until_seconds.get(instance, 0.0),
+            self._context.targets[instance].open_until_seconds,
+        )
 
     def _engine_capacity(
         self, listed: ListedTarget, default_slots: int, is_load_based: bool, now_seconds: float
@@ -298,6 +308,7 @@
             free.tokens,
             region=self._context.regions.region(listed.zone),
             is_cold=is_cold,
+            excluded_until_seconds=self._excluded_until_seconds(listed.instance),
         )
 
     def _startable(self, listed: ListedTarget, free_slots: int, slots: int) -> int:
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -40,6 +40,8 @@
 from rackswitch.jobs.stragglers import __all__ as _stragglers_all
 from rackswitch.jobs.urgency import *  # noqa: F403
 from rackswitch.jobs.urgency import __all__ as _urgency_all
+from rackswitch.jobs.waits import *  # noqa: F403
+from rackswitch.jobs.waits import __all__ as _waits_all
 
 __all__ = [
     *_checkpoints_all,
@@ -62,4 +64,5 @@
     *_step_order_all,
     *_stragglers_all,
     *_urgency_all,
+    *_waits_all,
 ]
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -98,6 +98,12 @@
             and progress.failures < self.max_failures
         ]
 
+    def record_idle_items(self, now_seconds: float) -> None:
+        """Record that waiting items that were never considered before are at no engine."""
+        for progress in self.items.values():
+            if progress.phase is ItemPhase.WAITING and progress.idle_since_seconds is None:
+                progress.idle_since_seconds = now_seconds
+
     def record_start(self, progress: ItemProgress) -> None:
         """Record the start of an item's run."""
         check_invariant(progress.phase is ItemPhase.WAITING, "an item runs once at a time")
@@ -119,6 +125,7 @@
         if progress.result is not None:
             return
         progress.phase = ItemPhase.WAITING
+        progress.idle_since_seconds = now_seconds
         progress.avoided_instance = target
         progress.not_before_seconds = now_seconds + RETRY_DELAY_SECONDS
 
@@ -131,6 +138,7 @@
             self.give_up(progress)
             return
         progress.phase = ItemPhase.WAITING
+        progress.idle_since_seconds = now_seconds
         progress.not_before_seconds = now_seconds + RETRY_DELAY_SECONDS
 
     def record_complete_text(self, progress: ItemProgress) -> None:
--- a/rackswitch/jobs/progress.py
+++ b/rackswitch/jobs/progress.py
@@ -66,6 +66,11 @@
         Moves of runs that had waited long for their first piece.
     avoided_instance : str
         Target of the last interrupted run; the next run prefers another one.
+    not_before_seconds : float
+        Earliest start of the next run (monotonic).
+    idle_since_seconds : float or None
+        Since when the item has been at no engine (monotonic), or was before its present run; None
+        until it is first considered.
     """
 
     item: JobItem
@@ -79,6 +84,7 @@
     late_moves: int = 0
     avoided_instance: str = ""
     not_before_seconds: float = 0.0
+    idle_since_seconds: float | None = None
     result: JobResult | None = None
 
     @property
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -80,6 +80,8 @@
     is_cold : bool
         Whether it is cold or has just become warm: it gets runs only if no other engine has
         capacity, and no moved ones.
+    excluded_until_seconds : float
+        Until when it gets no runs because it refused one or did not respond (monotonic).
     """
 
     instance: str
@@ -94,6 +96,7 @@
     free_tokens: float = math.inf
     region: str = ""
     is_cold: bool = False
+    excluded_until_seconds: float = 0.0
 
     def has_capacity_for(self, tokens: float) -> bool:
         """Return whether one more run of this final size in tokens fits.
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -8,6 +8,7 @@
     "GiveUpPostponed",
     "ItemGivenUp",
     "ItemRunEnded",
+    "ItemWaits",
     "JobCallRefused",
     "JobDropped",
     "JobEnded",
@@ -201,6 +202,42 @@
         return self.run == 1 and self.outcome == "whole"
 
 
+@register_event
+class ItemWaits(Event, tag="item waits", frozen=True):
+    """An item of an owned job has been at no engine for long.
+
+    Attributes
+    ----------
+    run : int
+        Number of its runs so far.
+    reason : str
+        What it waits for.
+    remaining_seconds : float
+        Time until it may start; -1 if no time is set.
+    last_target : str
+        Target of its last interrupted run; empty if there was none.
+    engines_with_room : list of str
+        Some of the engines that had room for it.
+    obstacles : dict of str to int
+        Number of engines that each obstacle excluded.
+    items_left_out : int
+        Further items that waited at that time and are not logged.
+    """
+
+    job: str
+    item: str
+    run: int
+    reason: str
+    waited_seconds: float
+    remaining_seconds: float
+    last_target: str
+    engines_with_room: list[str]
+    obstacles: dict[str, int]
+    list_age_seconds: float
+    table_revision: int
+    items_left_out: int = 0
+
+
 @register_event
 class EngineLeaves(Event, tag="engine leaves", frozen=True):
     """An engine with runs of this daemon is leaving; it serves for `left_seconds` at least."""
