Items: continue after an unexpected error in a run or reward call

Callers saw items of a step that were at no engine although engines had room. One way there: an item waits for the end of the task that runs it, and the phase changes only in that task. An error that nobody expects (in the decoding of a stream, the close of one, the log) ended the task with 'background task failed' and left the item RUNNING at no engine, or SCORING without a call, for as long as its owner lived. The class: state that only the work itself resets.

Change: all work on an item goes through one function. If it raises, the item waits again (or its reward call is sent again) after a delay that doubles up to 1 s, and the error is logged with job and item; the task's own error is still raised. Its entry among the job's runs goes with it in any case, also where the engine left the list before the run.

--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 from functools import partial
+from typing import Any
 
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.give_up_checker import GiveUpChecker
@@ -30,7 +31,7 @@
 from rackswitch.platform.item_runs import ItemRunEnd
 from rackswitch.routing import ListedTarget, WorkKind
 from rackswitch.table import RouteRow, ServiceRow
-from rackswitch.telemetry.events import JobExcluded
+from rackswitch.telemetry.events import ItemWorkFailed, JobExcluded
 
 __all__ = ["ItemStarter"]
 
@@ -41,6 +42,10 @@
 """Slots of an engine if neither it nor its service states a number."""
 
 
+MAX_DETAIL_LENGTH = 200
+"""Maximum number of characters of an error that are logged."""
+
+
 class ItemStarter:
     """Plans which items start where, and starts them.
 
@@ -135,7 +140,7 @@
                         urgency = self._step_ranks.urgency(order, start.ledger, start.progress)
                     self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
         for owned in owned_jobs.values():
-            self._resume_reward_calls(owned)
+            self._resume_reward_calls(owned, now_seconds)
         has_waiting_items = any(
             ledger.startable_items(now_seconds)
             for ledger in ledgers
@@ -329,29 +334,61 @@
 
     def _start(self, owned: OwnedJob, start: ItemStart, urgency: int) -> None:
         start.ledger.record_start(start.progress)
-        task = self._context.daemon.spawn(self._run_item(owned, start, urgency))
-        owned.runs[start.progress.item.item_id] = task
+        self._spawn(owned, start.progress, self._run_item(owned, start, urgency))
+
+    def _resume_reward_calls(self, owned: OwnedJob, now_seconds: float) -> None:
+        """Start the reward calls of complete texts for which no call is in progress.
 
-    def _resume_reward_calls(self, owned: OwnedJob) -> None:
-        """Start the reward calls of texts that were complete when the job was taken over."""
+        These are the texts of a job that was taken over, and those whose call ended unexpectedly.
+        """
         for item_id, progress in owned.ledger.items.items():
-            if progress.phase is ItemPhase.SCORING and item_id not in owned.runs:
-                task = self._context.daemon.spawn(self._score(owned, progress))
-                owned.runs[item_id] = task
+            if (
+                progress.phase is ItemPhase.SCORING
+                and item_id not in owned.runs
+                and now_seconds >= progress.not_before_seconds
+            ):
+                self._spawn(owned, progress, self._score(owned.ledger, progress))
 
-    async def _score(self, owned: OwnedJob, progress: ItemProgress) -> None:
-        await self._runner.score(owned.ledger, progress)
-        self._wake.set()
-        owned.runs.pop(progress.item.item_id, None)
+    def _spawn(
+        self, owned: OwnedJob, progress: ItemProgress, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Work on an item in the background, until the work ends or is cancelled."""
+        task = self._context.daemon.spawn(self._work_on_item(owned, progress, work))
+        owned.runs[progress.item.item_id] = task
+
+    async def _work_on_item(
+        self, owned: OwnedJob, progress: ItemProgress, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Await the work on an item; if it raises an error, let the item continue later.
+
+        The item would wait for ever for the end of work that nobody does.
+        """
+        try:
+            await work
+        except Exception as error:
+            owned.ledger.record_error(progress, self._context.now_seconds())
+            self._context.log.write(
+                ItemWorkFailed(
+                    job=owned.ledger.job.job_id,
+                    item=progress.item.item_id,
+                    run=progress.run_number,
+                    errors=progress.errors,
+                    detail=f"{type(error).__name__}: {error}"[:MAX_DETAIL_LENGTH],
+                )
+            )
+            raise
+        finally:
+            item_id = progress.item.item_id
+            if owned.runs.get(item_id) is asyncio.current_task():
+                del owned.runs[item_id]
 
     def _postpone_unsent(self, owned: OwnedJob, progress: ItemProgress) -> None:
         """Let an item wait again that quarantine admitted but that was not sent."""
-        ledger = owned.ledger
-        self._runner.record_not_sent(ledger.job, progress.item)
-        ledger.postpone(progress, self._context.now_seconds())
-        owned.runs.pop(progress.item.item_id, None)
+        self._runner.record_not_sent(owned.ledger.job, progress.item)
+        owned.ledger.postpone(progress, self._context.now_seconds())
 
     async def _run_item(self, owned: OwnedJob, start: ItemStart, urgency: int) -> None:
+        """Run an item at an engine, then send its reward call if its text is complete."""
         ledger, progress = start.ledger, start.progress
         listed = self._context.directory.entries.get(start.instance)
         if listed is None:
@@ -360,7 +397,6 @@
         quarantined_until_seconds = await self._runner.quarantined_until(ledger.job, progress.item)
         if quarantined_until_seconds is not None:
             ledger.postpone(progress, quarantined_until_seconds)
-            owned.runs.pop(progress.item.item_id, None)
             return
         item_id = progress.item.item_id
         if not self._context.directory.may_receive(listed, self._context.job_regions(ledger.job)):
@@ -383,6 +419,8 @@
             until_seconds = self._context.now_seconds() + REFUSAL_COOLDOWN_SECONDS
             self._cooldown_until_seconds[start.instance] = until_seconds
         if progress.phase is ItemPhase.SCORING:
-            await self._score(owned, progress)
-        else:
-            owned.runs.pop(progress.item.item_id, None)
+            await self._score(ledger, progress)
+
+    async def _score(self, ledger: JobLedger, progress: ItemProgress) -> None:
+        await self._runner.score(ledger, progress)
+        self._wake.set()
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -12,6 +12,7 @@
 from rackswitch.jobs.messages import Job, JobResult
 from rackswitch.jobs.progress import ItemPhase, ItemProgress
 from rackswitch.outcomes import check_invariant
+from rackswitch.requests import backoff_seconds
 
 __all__ = ["JobLedger"]
 
@@ -23,6 +24,9 @@
 """Delay before an item is started again after an interrupted or failed run; prevents a busy
 loop."""
 
+MAX_ERROR_DELAY_SECONDS = 1.0
+"""Maximum delay before an item continues after unexpected errors."""
+
 
 @dataclass(slots=True)
 class JobLedger:
@@ -129,6 +133,22 @@
         progress.avoided_instance = target
         progress.not_before_seconds = now_seconds + RETRY_DELAY_SECONDS
 
+    def record_error(self, progress: ItemProgress, now_seconds: float) -> None:
+        """Record that an unexpected error ended the work on an item; it continues after a delay.
+
+        An item whose text is complete stays in its phase, and its reward call is sent again.
+        """
+        if progress.result is not None:
+            return
+        delay_seconds = backoff_seconds(
+            RETRY_DELAY_SECONDS, MAX_ERROR_DELAY_SECONDS, progress.errors
+        )
+        progress.errors += 1
+        progress.not_before_seconds = now_seconds + delay_seconds
+        if progress.phase is ItemPhase.RUNNING:
+            progress.phase = ItemPhase.WAITING
+            progress.idle_since_seconds = now_seconds
+
     def record_failure(self, progress: ItemProgress, now_seconds: float) -> None:
         """Record that an engine ended a run with a failure; too many failures end the item."""
         if progress.result is not None:
--- a/rackswitch/jobs/progress.py
+++ b/rackswitch/jobs/progress.py
@@ -57,6 +57,8 @@
         Runs that the engine ended with a failure.
     reward_failures : int
         Reward calls that the reward service ended with a failure.
+    errors : int
+        Unexpected errors that ended the work on it.
     run_number : int
         Number of runs started. It distinguishes the current run's output from that of a cancelled
         one.
@@ -79,6 +81,7 @@
     versions: list[int] = field(default_factory=list)
     failures: int = 0
     reward_failures: int = 0
+    errors: int = 0
     run_number: int = 0
     moves: int = 0
     late_moves: int = 0
--- a/rackswitch/telemetry/events/jobs.py
+++ b/rackswitch/telemetry/events/jobs.py
@@ -9,6 +9,7 @@
     "ItemGivenUp",
     "ItemRunEnded",
     "ItemWaits",
+    "ItemWorkFailed",
     "JobCallRefused",
     "JobDropped",
     "JobEnded",
@@ -238,6 +239,23 @@
     items_left_out: int = 0
 
 
+@register_event
+class ItemWorkFailed(Event, tag="item work failed", frozen=True):
+    """An unexpected error ended a run of an item or its reward call; the item continues later.
+
+    Attributes
+    ----------
+    errors : int
+        Number of such errors of the item so far.
+    """
+
+    job: str
+    item: str
+    run: int
+    errors: int
+    detail: str
+
+
 @register_event
 class EngineLeaves(Event, tag="engine leaves", frozen=True):
     """An engine with runs of this daemon is leaving; it serves for `left_seconds` at least."""
