Items: start overdue ones whatever their owner believes of an engine

Callers saw items at no engine while engines had room. A second way there: an owner's items obey circuit breakers, which stay open for up to 30 s, and cooldowns, even if those of all engines are open; calls do not, as breakers may exclude at most half of the targets from them. Memory that is taken for full delays an item in the same way. The class: a wait that ends by an estimate, with no bound of the item's own.

Change: an item's time at no engine is kept with the item. Runs that never began do not end that time; then it is tried again after 1 s.

test_plans_without_order_and_memory... checks what plan_starts is given while nothing ever starts; its items now become overdue, so it plans no overdue ones. Its checks are as they were.

--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -214,8 +214,8 @@
                 routed_by_age_seconds=routed_by.age_seconds,
             )
         )
-        may_be_queued = intervals.first_at_seconds is None or urgency != DEFAULT_URGENCY
-        self._record_end(ledger, progress, target, ended, may_be_queued)
+        has_begun = intervals.first_at_seconds is not None
+        self._record_end(ledger, progress, target, ended, has_begun, urgency)
         return ended
 
     def stop_run(self, key: tuple[str, str], detail: str = LEFT_DETAIL) -> bool:
@@ -435,7 +435,8 @@
         progress: ItemProgress,
         target: ListedTarget,
         ended: ItemRunEnded,
-        may_be_queued: bool,
+        has_begun: bool,
+        urgency: int,
     ) -> None:
         """Record a run's end in the ledger and in the state of its engine.
 
@@ -443,9 +444,10 @@
         ----------
         ledger, progress, target, ended : JobLedger, ItemProgress, ListedTarget, ItemRunEnded
             The run and its end.
-        may_be_queued : bool
-            Whether the engine may have delayed it for other runs: it never began, or a more urgent
-            run may have displaced it.
+        has_begun : bool
+            Whether it has delivered a piece.
+        urgency : int
+            The urgency sent to the engine; a more urgent run may have displaced this one.
         """
         now_seconds = self._context.now_seconds()
         target_state = self._context.targets[target.instance]
@@ -461,12 +463,14 @@
             if ended.end is ItemRunEnd.SILENT:
                 since_seconds = now_seconds - FIRST_PIECE_TIMEOUT_SECONDS / 2
                 is_engine_active = self.paces.has_interval_since(target.start, since_seconds)
+                may_be_queued = not has_begun or urgency != DEFAULT_URGENCY
                 is_excused = (may_be_queued and is_engine_active) or self._is_cold(target)
                 if not is_excused:
                     target_state.record_no_response(now_seconds)
             elif ended.end is ItemRunEnd.MISDIRECTED:
                 self._context.directory.remove_replaced(target.instance)
-            ledger.record_interruption(progress, target.instance, now_seconds)
+            was_at_engine = has_begun or ended.end is ItemRunEnd.INTERRUPTED
+            ledger.record_interruption(progress, target.instance, now_seconds, was_at_engine)
 
     async def score(self, ledger: JobLedger, progress: ItemProgress) -> None:
         """Send an item's reward call, with retries, until it is answered or given up."""
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -23,6 +23,7 @@
     JobLedger,
     free_capacity,
     item_tokens,
+    plan_overdue_starts,
     plan_starts,
     spare_capacities,
     startable_before_report,
@@ -139,6 +140,17 @@
                     if is_load_based:
                         urgency = self._step_ranks.urgency(order, start.ledger, start.progress)
                     self._start(owned_jobs[start.ledger.job.job_id], start, urgency)
+        overdue_starts = plan_overdue_starts(
+            ledgers,
+            all_engines,
+            services,
+            due_seconds,
+            now_seconds,
+            forecast,
+            self._context.rng,
+        )
+        for start in overdue_starts:
+            self._start(owned_jobs[start.ledger.job.job_id], start, DEFAULT_URGENCY)
         for owned in owned_jobs.values():
             self._resume_reward_calls(owned, now_seconds)
         has_waiting_items = any(
--- a/rackswitch/gateway/items/tests/test_item_starter.py
+++ b/rackswitch/gateway/items/tests/test_item_starter.py
@@ -433,6 +433,8 @@
         return []
 
     monkeypatch.setattr(item_starter, "plan_starts", plan)
+    # No item starts, so they become overdue.
+    monkeypatch.setattr(item_starter, "plan_overdue_starts", lambda *args: [])
 
     async def scenario():
         rng = random.Random(2)
--- a/rackswitch/jobs/__init__.py
+++ b/rackswitch/jobs/__init__.py
@@ -26,6 +26,8 @@
 from rackswitch.jobs.occupancy import __all__ as _occupancy_all
 from rackswitch.jobs.orphaned_jobs import *  # noqa: F403
 from rackswitch.jobs.orphaned_jobs import __all__ as _orphaned_jobs_all
+from rackswitch.jobs.overdue import *  # noqa: F403
+from rackswitch.jobs.overdue import __all__ as _overdue_all
 from rackswitch.jobs.placement import *  # noqa: F403
 from rackswitch.jobs.placement import __all__ as _placement_all
 from rackswitch.jobs.progress import *  # noqa: F403
@@ -57,6 +59,7 @@
     *_messages_all,
     *_occupancy_all,
     *_orphaned_jobs_all,
+    *_overdue_all,
     *_placement_all,
     *_progress_all,
     *_retention_all,
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -102,11 +102,17 @@
             and progress.failures < self.max_failures
         ]
 
+    def has_overdue_items(self, now_seconds: float) -> bool:
+        """Return whether any item that may start now is overdue."""
+        return any(
+            progress.is_overdue(now_seconds) for progress in self.startable_items(now_seconds)
+        )
+
     def record_idle_items(self, now_seconds: float) -> None:
         """Record that waiting items that were never considered before are at no engine."""
         for progress in self.items.values():
             if progress.phase is ItemPhase.WAITING and progress.idle_since_seconds is None:
-                progress.idle_since_seconds = now_seconds
+                progress.record_idle(now_seconds)
 
     def record_start(self, progress: ItemProgress) -> None:
         """Record the start of an item's run."""
@@ -121,15 +127,32 @@
         progress.phase = ItemPhase.WAITING
         progress.not_before_seconds = until_seconds
 
-    def record_interruption(self, progress: ItemProgress, target: str, now_seconds: float) -> None:
+    def record_interruption(
+        self,
+        progress: ItemProgress,
+        target: str,
+        now_seconds: float,
+        was_at_engine: bool = True,
+    ) -> None:
         """Record that a run was interrupted, through no fault of the item.
 
         Does nothing if the item's result was listed meanwhile, by another owner.
+
+        Parameters
+        ----------
+        progress : ItemProgress
+            The item.
+        target : str
+            The engine.
+        now_seconds : float
+            The current time (monotonic).
+        was_at_engine : bool, optional
+            Whether the engine worked on the item.
         """
         if progress.result is not None:
             return
         progress.phase = ItemPhase.WAITING
-        progress.idle_since_seconds = now_seconds
+        progress.record_idle(now_seconds, was_at_engine)
         progress.avoided_instance = target
         progress.not_before_seconds = now_seconds + RETRY_DELAY_SECONDS
 
@@ -147,7 +170,7 @@
         progress.not_before_seconds = now_seconds + delay_seconds
         if progress.phase is ItemPhase.RUNNING:
             progress.phase = ItemPhase.WAITING
-            progress.idle_since_seconds = now_seconds
+            progress.record_idle(now_seconds)
 
     def record_failure(self, progress: ItemProgress, now_seconds: float) -> None:
         """Record that an engine ended a run with a failure; too many failures end the item."""
@@ -158,7 +181,7 @@
             self.give_up(progress)
             return
         progress.phase = ItemPhase.WAITING
-        progress.idle_since_seconds = now_seconds
+        progress.record_idle(now_seconds)
         progress.not_before_seconds = now_seconds + RETRY_DELAY_SECONDS
 
     def record_complete_text(self, progress: ItemProgress) -> None:
--- a/rackswitch/jobs/progress.py
+++ b/rackswitch/jobs/progress.py
@@ -1,5 +1,6 @@
 """The progress of one item: the pieces of its text over one or more runs."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -7,6 +8,13 @@
 
 __all__ = ["ItemPhase", "ItemProgress", "PieceFault", "TextPiece"]
 
+MAX_IDLE_SECONDS = 2.0
+"""Time at no engine after which an item is overdue. While engines have room, an owed item may be at
+none for 5 s; the rest is for a change of its job's owner and for a start that fails."""
+
+OVERDUE_RETRY_SECONDS = 1.0
+"""Time after which an item whose overdue start reached no engine is overdue again."""
+
 
 class ItemPhase(Enum):
     """Phase of an item's processing."""
@@ -73,6 +81,9 @@
     idle_since_seconds : float or None
         Since when the item has been at no engine (monotonic), or was before its present run; None
         until it is first considered.
+    overdue_at_seconds : float
+        From when the item may start at any engine with its weights and a free slot (monotonic).
+        What the owner only believes of an engine does not delay it any longer.
     """
 
     item: JobItem
@@ -88,6 +99,7 @@
     avoided_instance: str = ""
     not_before_seconds: float = 0.0
     idle_since_seconds: float | None = None
+    overdue_at_seconds: float = math.inf
     result: JobResult | None = None
 
     @property
@@ -95,6 +107,27 @@
         """Number of the last piece; 0 if there is none."""
         return len(self.pieces)
 
+    def is_overdue(self, now_seconds: float) -> bool:
+        """Return whether the item has been at no engine for too long (monotonic clock)."""
+        return now_seconds >= self.overdue_at_seconds
+
+    def record_idle(self, now_seconds: float, was_at_engine: bool = True) -> None:
+        """Record that the item is at no engine.
+
+        Parameters
+        ----------
+        now_seconds : float
+            The current time (monotonic).
+        was_at_engine : bool, optional
+            Whether an engine has worked on it until now. Otherwise the item has been at no engine
+            for longer.
+        """
+        if was_at_engine or self.idle_since_seconds is None:
+            self.idle_since_seconds = now_seconds
+            self.overdue_at_seconds = now_seconds + MAX_IDLE_SECONDS
+        elif self.is_overdue(now_seconds):
+            self.overdue_at_seconds = now_seconds + OVERDUE_RETRY_SECONDS
+
     def accept(self, piece: TextPiece, oldest_version: int) -> PieceFault | None:
         """Append a piece, or return why it does not continue this text."""
         expected_number = self.last_number + 1
--- a/rackswitch/jobs/schedule.py
+++ b/rackswitch/jobs/schedule.py
@@ -216,6 +216,7 @@
     rng: random.Random | None = None,
     order: ItemOrder | None = None,
     tokens_of: Callable[[ItemProgress], float] | None = None,
+    may_start: Callable[[JobLedger, ItemProgress], bool] | None = None,
 ) -> list[ItemStart]:
     """Decide which waiting items start at which engines.
 
@@ -245,6 +246,8 @@
         Replaces the order described above.
     tokens_of : callable, optional
         Final memory use of an item's run, in tokens; not counted by default.
+    may_start : callable, optional
+        Whether an item is planned; all by default.
 
     Returns
     -------
@@ -267,6 +270,7 @@
         for ledger in ledgers
         if service_of.get(ledger.job.job_id) in available_services
         for progress in ledger.startable_items(now_seconds)
+        if may_start is None or may_start(ledger, progress)
     ]
     waiting.sort(key=lambda entry: entry[0])
     starts: list[ItemStart] = []
