Quarantine: delay items after ends of engines, but never hold them back

Callers saw items of a step at no engine although engines had room. Present at three ends it was sent on trials 10 s apart, 300 s if it was the only suspect of one of them, and a trial whose run said nothing (moved, cut off after a second, owner killed) was not given back. But items do not end engines by themselves, and each is owed. The class: a protection that holds what is owed, for a time that no rule of the work bounds.

Change: an item needs no trial. From its third end on its next run waits for 0.5 s after the latest end, longer by as much with each further one, 2 s at most; an overdue item is not held, whatever a record or another daemon's clock says. Ends of items are still recorded, as they say something of calls that were present; calls are judged as before, and their tests are as they were.

--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -289,12 +289,20 @@
                 del self._stop_timeouts[run.key]
                 self._stop_details.pop(run.key, None)
 
-    async def quarantined_until(self, job: Job, item: JobItem) -> float | None:
-        """Return until when quarantine holds an item (monotonic); None if it may be sent now."""
-        deadline_seconds = self._context.now_seconds() + ADMISSION_TIMEOUT_SECONDS
-        fingerprint_of = partial(item_fingerprint, job, item)
-        request_held = await self._quarantine.admit(fingerprint_of, deadline_seconds)
-        return request_held.until_seconds if request_held is not None else None
+    async def quarantined_until(self, job: Job, progress: ItemProgress) -> float | None:
+        """Return until when quarantine holds an item (monotonic); None if it may be sent now.
+
+        An overdue item is not held.
+        """
+        now_seconds = self._context.now_seconds()
+        if progress.is_overdue(now_seconds):
+            return None
+        deadline_seconds = min(now_seconds + ADMISSION_TIMEOUT_SECONDS, progress.overdue_at_seconds)
+        fingerprint_of = partial(item_fingerprint, job, progress.item)
+        request_held = await self._quarantine.admit_item(fingerprint_of, deadline_seconds)
+        if request_held is None:
+            return None
+        return min(request_held.until_seconds, progress.overdue_at_seconds)
 
     def record_not_sent(self, job: Job, item: JobItem) -> None:
         """Record that an item that quarantine admitted was not sent."""
@@ -310,8 +318,7 @@
     ) -> str:
         """Report a run's end to quarantine; return the item's fingerprint if it is suspected.
 
-        An item that never reached its engine cannot have caused the engine's end, and must not be
-        quarantined for it.
+        An item that never reached its engine was not present at the engine's end.
         """
         fingerprint_of = partial(item_fingerprint, job, item)
         if ended.end in ENDS_WITH_ANSWER:
--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -406,7 +406,7 @@
         if listed is None:
             ledger.record_interruption(progress, start.instance, self._context.now_seconds())
             return
-        quarantined_until_seconds = await self._runner.quarantined_until(ledger.job, progress.item)
+        quarantined_until_seconds = await self._runner.quarantined_until(ledger.job, progress)
         if quarantined_until_seconds is not None:
             ledger.postpone(progress, quarantined_until_seconds)
             return
--- a/rackswitch/gateway/items/tests/test_owed_items.py
+++ b/rackswitch/gateway/items/tests/test_owed_items.py
@@ -14,6 +14,8 @@
     lengths_of,
     make_step,
 )
+from rackswitch.gateway.quarantine.quarantine_manager import HeldRequest
+from rackswitch.gateway.tests.support import NoQuarantine
 from rackswitch.jobs import RewardCall
 from rackswitch.jobs.progress import OVERDUE_RETRY_SECONDS
 
@@ -110,6 +112,31 @@
     assert sorted(items) == ["j-0", "j-1"]
 
 
+class HoldingQuarantine(NoQuarantine):
+    """Holds all items for a long time."""
+
+    async def admit_item(self, fingerprint_of, deadline_seconds):
+        return HeldRequest("held", self.now_seconds() + 300.0)
+
+    def __init__(self, now_seconds):
+        self.now_seconds = now_seconds
+
+
+def test_an_item_is_held_back_until_it_is_overdue_at_most():
+    """Guards against holds that another daemon's clock or record makes long."""
+
+    async def scenario():
+        step = make_step("j", [10])
+        engines = SharedEngines(lengths_of(step))
+        owner = Owner("a", engines, 1, ON)
+        owner.runner._quarantine = HoldingQuarantine(owner.context.now_seconds)
+        owner.add_job(step)
+        await owner.run_for(MAX_IDLE_SECONDS)
+        check_complete_texts(owner, engines)
+
+    run_on_virtual_clock(scenario())
+
+
 def test_starts_of_an_overdue_item_that_reach_no_engine_are_spaced():
     """Guards against a start of each overdue item at each planning while engines are down."""
 
--- a/rackswitch/gateway/quarantine/quarantine_manager.py
+++ b/rackswitch/gateway/quarantine/quarantine_manager.py
@@ -23,6 +23,7 @@
     TrialDue,
     TrialRecord,
     judge,
+    judge_item,
 )
 from rackswitch.routing import ListedTarget
 from rackswitch.telemetry.events import RequestCleared, RequestHeldBack, TrialClaimed
@@ -192,6 +193,31 @@
                 return None
             return self._hold(fingerprint, UNCLAIMED_RETRY_DELAY_SECONDS)
 
+    async def admit_item(
+        self, fingerprint_of: Callable[[], str], deadline_seconds: float
+    ) -> HeldRequest | None:
+        """Return why an item must not be sent to any engine now; None if it may be.
+
+        Parameters
+        ----------
+        fingerprint_of : callable
+            Returns the fingerprint of the item's request; called only if any request is suspected.
+        deadline_seconds : float
+            How long to wait (monotonic) until the fate of other targets is known.
+        """
+        if not self.has_suspects:
+            return None
+        fingerprint = fingerprint_of()
+        while True:
+            now_unix_seconds = self._context.unix_seconds()
+            verdict = judge_item(self._suspicion(fingerprint), now_unix_seconds)
+            if isinstance(verdict, NotSuspected):
+                return None
+            if isinstance(verdict, HeldBack):
+                return self._hold(fingerprint, verdict.until_unix_seconds - now_unix_seconds)
+            if not await self._wait_for_outcome(deadline_seconds):
+                return self._hold(fingerprint, PACED_RETRY_DELAY_SECONDS)
+
     def record_failure(self, fingerprint: str, target: ListedTarget) -> None:
         """Record that a run of a request failed at a target."""
         self.end_detector.record_failure(fingerprint, target)
--- a/rackswitch/gateway/tests/support.py
+++ b/rackswitch/gateway/tests/support.py
@@ -54,6 +54,9 @@
     ) -> None:
         return
 
+    async def admit_item(self, fingerprint_of: Callable[[], str], deadline_seconds: float) -> None:
+        return
+
 
 async def inject_random_faults(
     rng: random.Random,
--- a/rackswitch/quarantine/tests/test_decisions.py
+++ b/rackswitch/quarantine/tests/test_decisions.py
@@ -21,6 +21,7 @@
     TrialDue,
     TrialRecord,
     judge,
+    judge_item,
     request_fingerprint,
 )
 from rackswitch.quarantine.end_investigations import (
@@ -29,7 +30,7 @@
     REFUSALS_TO_CONFIRM,
 )
 from rackswitch.quarantine.evidence import EVIDENCE_LIFETIME_SECONDS, MAX_ENDS
-from rackswitch.quarantine.verdicts import ENDS_TO_HOLD, MAX_TRIALS
+from rackswitch.quarantine.verdicts import ENDS_TO_HOLD, MAX_ITEM_DELAY_SECONDS, MAX_TRIALS
 
 REQUEST_PARTS = ("tenant", "host.example", "POST", "/a/b?c", b"body")
 
@@ -182,6 +183,29 @@
     assert isinstance(judge(suspicion, NOW), expected)
 
 
+@pytest.mark.parametrize(
+    ("suspicion", "expected"),
+    [
+        (Suspicion(2, newest_end_unix_seconds=NOW), NotSuspected),
+        (Suspicion(1, unresolved=1), AwaitingInvestigations),
+        (Suspicion(3, newest_end_unix_seconds=NOW), HeldBack),
+        (Suspicion(3, newest_end_unix_seconds=NOW - MAX_ITEM_DELAY_SECONDS), NotSuspected),
+        # Neither trials nor the blame for an end hold an item.
+        (Suspicion(99, 0, True, NOW - 2.0, TrialRecord(MAX_TRIALS, NOW + 300.0)), NotSuspected),
+    ],
+)
+def test_judges_whether_an_item_may_be_sent(suspicion, expected):
+    assert isinstance(judge_item(suspicion, NOW), expected)
+
+
+@given(st.integers(0, 1000), st.floats(0.0, 1000.0))
+def test_an_item_is_delayed_for_a_bounded_time_after_an_end(ends, since_end_seconds):
+    newest_end_unix_seconds = NOW - since_end_seconds
+    verdict = judge_item(Suspicion(ends, 0, True, newest_end_unix_seconds), NOW)
+    if isinstance(verdict, HeldBack):
+        assert NOW < verdict.until_unix_seconds <= newest_end_unix_seconds + MAX_ITEM_DELAY_SECONDS
+
+
 @given(st.integers(0, 10**6))
 def test_a_held_request_that_ends_each_target_gets_at_most_the_maximum_trials(seed):
     """Holds for any other requests present, any answers in between and any duration."""
--- a/rackswitch/quarantine/verdicts.py
+++ b/rackswitch/quarantine/verdicts.py
@@ -4,6 +4,10 @@
 other reasons must be served. Ends alone do not distinguish the two, so a request that was present
 at several ends is sent on trial: one trial at a time in the whole fleet, each claimed in the
 key-value service before it is sent, up to `MAX_TRIALS`. An answer clears the request.
+
+Items of batch jobs do not end targets by themselves, and each is owed a run. They are delayed after
+ends, so that engines that end in series do not all take the same item at once, but they need no
+trial.
 """
 
 from dataclasses import dataclass
@@ -18,6 +22,7 @@
     "TrialDue",
     "Verdict",
     "judge",
+    "judge_item",
     "next_trial",
 ]
 
@@ -44,6 +49,14 @@
 are closed (some 0.4 s). Otherwise a request could end a target every 0.1 s meanwhile."""
 
 
+ITEM_DELAY_SECONDS = 0.5
+"""Delay of an item's next run after the third end; longer by as much after each further one."""
+
+MAX_ITEM_DELAY_SECONDS = 2.0
+"""Maximum delay of an item's next run after an end. Targets that ended took 1.4 s and more to
+return."""
+
+
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """What is known about a request.
@@ -117,6 +130,28 @@
     return TrialDue(next_trial(suspicion, now_unix_seconds))
 
 
+def judge_item(
+    suspicion: Suspicion, now_unix_seconds: float
+) -> NotSuspected | AwaitingInvestigations | HeldBack:
+    """Decide about one run of an item.
+
+    Parameters
+    ----------
+    suspicion : Suspicion
+        What is known about the item's request.
+    now_unix_seconds : float
+        The current time.
+    """
+    if suspicion.unresolved and suspicion.ends + suspicion.unresolved >= ENDS_TO_WAIT:
+        return AwaitingInvestigations()
+    if suspicion.ends < ENDS_TO_HOLD:
+        return NotSuspected()
+    delay_seconds = ITEM_DELAY_SECONDS * (suspicion.ends - ENDS_TO_HOLD + 1)
+    delay_seconds = min(delay_seconds, MAX_ITEM_DELAY_SECONDS)
+    due_seconds = suspicion.newest_end_unix_seconds + delay_seconds
+    return HeldBack(due_seconds) if now_unix_seconds < due_seconds else NotSuspected()
+
+
 def _due_unix_seconds(suspicion: Suspicion, now_unix_seconds: float) -> float:
     sole_suspect_due_seconds = (
         suspicion.newest_end_unix_seconds + SOLE_SUSPECT_TRIAL_INTERVAL_SECONDS
