Items: the timeouts of a run are those of its pieces, not of any bytes

Callers saw items at no engine while engines had room. An engine that sends comments or empty lines holds an item for ever: its owner takes it for running, the engine knows of no run. The class: progress measured by activity.

Change: the timeout runs to the first piece, and from each piece to the next or to the end of the stream. The engine then counts as one that does not respond, and the item goes elsewhere.

Measured: the six new cases (comments, comments as events, empty lines, each with and without a piece before) are not over after 5 s without the change, and end within 0.8 s with it (timeouts of 0.5 and 0.3 s).

--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -110,8 +110,8 @@
         self,
         target: ListedTarget,
         request: ItemRequest,
-        first_byte_timeout_seconds: float,
-        idle_timeout_seconds: float,
+        first_piece_timeout_seconds: float,
+        next_piece_timeout_seconds: float,
     ) -> AsyncIterator[EngineLoad | TextPiece | ItemRunEnded]:
         """Run an item; closing the iterator aborts the run.
 
@@ -121,9 +121,10 @@
             The engine.
         request : ItemRequest
             What to run.
-        first_byte_timeout_seconds, idle_timeout_seconds : float
-            Timeouts of the first bytes, from the start of the run, and of each later chunk, from
-            the previous one.
+        first_piece_timeout_seconds, next_piece_timeout_seconds : float
+            Timeouts of the first piece, from the start of the run, and of each later piece, or the
+            end of the stream, from the previous one. Bytes that are no piece, such as comments, do
+            not extend them.
 
         Yields
         ------
@@ -135,7 +136,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with (
-                asyncio.timeout(first_byte_timeout_seconds) as timeout,
+                asyncio.timeout(first_piece_timeout_seconds) as timeout,
                 self._sessions.pooled.post(
                     url,
                     data=request.item.body,
@@ -153,8 +154,8 @@
                     yield parser
                     return
                 async for data in answer.content.iter_any():
-                    timeout.reschedule(loop.time() + idle_timeout_seconds)
                     for piece in parser.feed(data):
+                        timeout.reschedule(loop.time() + next_piece_timeout_seconds)
                         yield piece
                     if parser.fault:
                         close_connection(answer)
@@ -165,7 +166,7 @@
             detail = f"cannot connect: {error_name(error)}"
             yield ItemRunEnded(ItemRunEnd.SILENT, detail, was_sent=False)
         except TimeoutError:
-            yield ItemRunEnded(ItemRunEnd.SILENT, "nothing came in time")
+            yield ItemRunEnded(ItemRunEnd.SILENT, "no piece came in time")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             yield ItemRunEnded(ItemRunEnd.INTERRUPTED, f"{error_name(error)}: {error}")
 
--- a/rackswitch/platform/tests/support.py
+++ b/rackswitch/platform/tests/support.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from rackswitch.routing import ListedTarget
 
@@ -46,6 +46,55 @@
         writer.close()
 
 
+class EndlessTarget:
+    """Answers with a prefix, then repeats bytes without end until the caller closes.
+
+    Attributes
+    ----------
+    connections, sent_bytes : int
+        Connections so far, and bytes sent on all of them.
+    """
+
+    def __init__(self, prefix: bytes, repeated: bytes, interval_seconds: float):
+        self.connections = 0
+        self.sent_bytes = 0
+        self._prefix = prefix
+        self._repeated = repeated
+        self._interval_seconds = interval_seconds
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Stop sending."""
+        self._is_closed = True
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        await reader.read(10_000)
+        data = self._prefix
+        with suppress(ConnectionError):
+            while not self._is_closed:
+                writer.write(data)
+                await writer.drain()
+                self.sent_bytes += len(data)
+                data = self._repeated
+                await asyncio.sleep(self._interval_seconds)
+        writer.close()
+
+
+@asynccontextmanager
+async def endless_target(
+    prefix: bytes, repeated: bytes, interval_seconds: float = 0.0
+) -> AsyncIterator[tuple[ListedTarget, EndlessTarget]]:
+    fake_target = EndlessTarget(prefix, repeated, interval_seconds)
+    server = await asyncio.start_server(fake_target.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield ListedTarget("i-1", "s", "127.0.0.1", port, "z"), fake_target
+    finally:
+        fake_target.close()
+        server.close()
+
+
 @asynccontextmanager
 async def keep_alive_target(answer: bytes) -> AsyncIterator[tuple[ListedTarget, KeepAliveTarget]]:
     fake_target = KeepAliveTarget(answer)
--- /dev/null
+++ b/rackswitch/platform/tests/test_endless_bytes.py
@@ -0,0 +1,60 @@
+"""Engines that send bytes without end, in a head or a body."""
+
+import asyncio
+from contextlib import aclosing
+
+import pytest
+
+from rackswitch.jobs import JobItem, TextPiece
+from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
+from rackswitch.platform.tests.support import endless_target
+from rackswitch.routing import ListedTarget
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Rackswitch-Request-Id: i1\r\nX-Rackswitch-Server-Stamp: s\r\n"
+    b"X-Rackswitch-Weight-Versions: 4\r\n"
+)
+EVENT = b"id: 1\ndata: a\n\n"
+ITEM = JobItem(item_id="i1", path="/p", headers=(), body=b"b", tokens=1)
+FIRST_PIECE_SECONDS = 0.5
+NEXT_PIECE_SECONDS = 0.3
+TIMEOUT_SECONDS = 5.0
+
+
+async def run_item(
+    target: ListedTarget,
+) -> tuple[list[TextPiece], ItemRunEnded, float]:
+    """Run an item; return its pieces, its end and how long it took."""
+    sessions = TargetSessions()
+    request = ItemRequest("h.example", ITEM, 0, 5)
+    pieces: list[TextPiece] = []
+    ended: ItemRunEnded | None = None
+    started_seconds = asyncio.get_running_loop().time()
+    run = ItemClient(sessions).run(target, request, FIRST_PIECE_SECONDS, NEXT_PIECE_SECONDS)
+    try:
+        async with asyncio.timeout(TIMEOUT_SECONDS), aclosing(run):
+            async for piece in run:
+                if isinstance(piece, ItemRunEnded):
+                    ended = piece
+                elif isinstance(piece, TextPiece):
+                    pieces.append(piece)
+    finally:
+        await sessions.close()
+    assert ended is not None
+    return pieces, ended, asyncio.get_running_loop().time() - started_seconds
+
+
+@pytest.mark.parametrize("prefix", [HEAD + b"\r\n", HEAD + b"\r\n" + EVENT])
+@pytest.mark.parametrize("repeated", [b": keep\n", b": keep\n\n", b"\n"])
+def test_a_run_whose_bytes_are_no_pieces_ends_in_time(prefix, repeated):
+    """Guards against an item that stays at an engine that sends comments without end."""
+
+    async def scenario():
+        async with endless_target(prefix, repeated, 0.02) as (target, _):
+            return await run_item(target)
+
+    pieces, ended, took_seconds = asyncio.run(scenario())
+    assert ended.end is ItemRunEnd.SILENT
+    assert len(pieces) == (EVENT in prefix)
+    assert took_seconds < FIRST_PIECE_SECONDS + NEXT_PIECE_SECONDS
