Streams: bound the size of an event

The parsers of streams kept a line or an event without an end whole: memory of a daemon and processor time that grows with the square of its length, until the timeout of the run, or the deadline of a caller's stream, which was cut then instead of going on at another engine.

Change: an event of more than 1 MiB (a read of results holds 1 MB, so no longer text could be read) is a fault of the stream. A run of an item ends as interrupted; a resumable stream goes on elsewhere.

--- a/rackswitch/gateway/callers/stream_relay.py
+++ b/rackswitch/gateway/callers/stream_relay.py
@@ -94,6 +94,8 @@
                 async for data in self._until_deadline(stream):
                     for event in splitter.feed(data):
                         yield event
+                    if splitter.fault:
+                        raise ConnectionError(splitter.fault)
                 if splitter.is_between_events:
                     self._dispatcher.record_stream_end(self._call)
                     return
--- a/rackswitch/platform/events.py
+++ b/rackswitch/platform/events.py
@@ -5,10 +5,13 @@
 from rackswitch.jobs import TextPiece
 from rackswitch.platform.names import VERSIONS_HEADER
 
-__all__ = ["EventParser", "EventSplitter"]
+__all__ = ["MAX_EVENT_BYTES", "EventParser", "EventSplitter"]
 
 VERSION_FIELD = VERSIONS_HEADER.lower()
 
+MAX_EVENT_BYTES = 1_048_576
+"""Maximum size of an event. A read of results holds 1 MB, so a longer text could not be read."""
+
 
 class EventParser:
     """Parses a stream in the text/event-stream format into complete events.
@@ -26,13 +29,21 @@
         Why the stream is malformed, after which nothing more is parsed; empty if it is not.
     """
 
-    __slots__ = ("_buffer", "_data", "_in_event", "_number", "_version", "events", "fault")
+    __slots__ = (
+        "_buffer",
+        "_data",
+        "_event_bytes",
+        "_number",
+        "_version",
+        "events",
+        "fault",
+    )
 
     def __init__(self, version: int | None):
         self._version = version
         self.events = 0
         self._buffer = b""
-        self._in_event = False
+        self._event_bytes = 0
         self._data: list[str] = []
         self._number: int | None = None
         self.fault = ""
@@ -40,7 +51,7 @@
     @property
     def is_between_events(self) -> bool:
         """Whether the stream is not inside an event."""
-        return not self._buffer and not self._in_event
+        return not self._buffer and not self._event_bytes
 
     def feed(self, data: bytes) -> Iterator[TextPiece]:
         """Add bytes and yield the events that are now complete.
@@ -50,6 +61,7 @@
         self._buffer += data
         *lines, self._buffer = self._buffer.split(b"\n")
         for line in lines:
+            self._check_size(len(line))
             if self.fault:
                 return
             try:
@@ -58,16 +70,23 @@
                 self.fault = "bytes that are not text"
                 return
             if text:
+                self._event_bytes += len(line)
                 self._parse_field(text)
                 continue
-            self._in_event = False
+            self._event_bytes = 0
             if self._data or self._number is not None:
                 piece = self._finish_event()
                 if piece is not None:
                     yield piece
+        self._check_size(len(self._buffer))
+
+    def _check_size(self, line_bytes: int) -> None:
+        """Record a fault if an event is too long with its next line, or a part of that."""
+        if not self.fault and self._event_bytes + line_bytes > MAX_EVENT_BYTES:
+            self.fault = f"an event longer than {MAX_EVENT_BYTES} bytes"
+            self._buffer = b""
 
     def _parse_field(self, line: str) -> None:
-        self._in_event = True
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "data":
@@ -101,12 +120,15 @@
     ----------
     last_event_id : str
         Number of the last complete event; empty before the first.
+    fault : str
+        Why the stream is malformed; empty if it is not.
     """
 
-    __slots__ = ("_buffer", "last_event_id")
+    __slots__ = ("_buffer", "fault", "last_event_id")
 
     def __init__(self) -> None:
         self._buffer = b""
+        self.fault = ""
         self.last_event_id = ""
 
     @property
@@ -115,8 +137,9 @@
         return not self._buffer
 
     def discard_partial_event(self) -> None:
-        """Discard the event of which only a part has arrived."""
+        """Discard the event of which only a part has arrived, to go on with another stream."""
         self._buffer = b""
+        self.fault = ""
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Add bytes and yield the events that are now complete."""
@@ -127,6 +150,8 @@
                 if line.startswith(b"id:"):
                     self.last_event_id = line[3:].strip().decode("latin-1")
             yield event
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self.fault = f"an event longer than {MAX_EVENT_BYTES} bytes"
 
 
 def _event_end(buffer: bytes) -> int:
--- a/rackswitch/platform/tests/test_endless_bytes.py
+++ b/rackswitch/platform/tests/test_endless_bytes.py
@@ -7,6 +7,7 @@
 
 from rackswitch.jobs import JobItem, TextPiece
 from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.events import MAX_EVENT_BYTES, EventParser, EventSplitter
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
 from rackswitch.platform.tests.support import endless_target
 from rackswitch.routing import ListedTarget
@@ -20,6 +21,7 @@
 FIRST_PIECE_SECONDS = 0.5
 NEXT_PIECE_SECONDS = 0.3
 TIMEOUT_SECONDS = 5.0
+CHUNK_BYTES = 65_536
 
 
 async def run_item(
@@ -58,3 +60,36 @@
     assert ended.end is ItemRunEnd.SILENT
     assert len(pieces) == (EVENT in prefix)
     assert took_seconds < FIRST_PIECE_SECONDS + NEXT_PIECE_SECONDS
+
+
+@pytest.mark.parametrize("prefix", [b"", EVENT])
+@pytest.mark.parametrize(
+    "repeated",
+    [b"x" * CHUNK_BYTES, b"data: " + b"x" * CHUNK_BYTES + b"\n", b": " + b"x" * 1000 + b"\n"],
+    ids=["line", "event", "comments"],
+)
+def test_an_event_without_an_end_is_not_kept(prefix, repeated):
+    """Guards against a stream whose unfinished event takes a daemon's memory and processor."""
+    parser, splitter = EventParser(4), EventSplitter()
+    fed_bytes = 0
+    events = [*parser.feed(prefix), *splitter.feed(prefix)]
+    while not (parser.fault and splitter.fault) and fed_bytes < 2 * MAX_EVENT_BYTES:
+        events += [*parser.feed(repeated), *splitter.feed(repeated)]
+        fed_bytes += len(repeated)
+    assert "longer than 1048576 bytes" in parser.fault
+    assert "longer than 1048576 bytes" in splitter.fault
+    assert len(events) == 2 * bool(prefix)
+    assert fed_bytes <= MAX_EVENT_BYTES + 2 * CHUNK_BYTES
+
+
+def test_a_long_event_is_complete():
+    """Guards against a limit on the length of a stream instead of one event."""
+    text = "x" * (MAX_EVENT_BYTES // 2)
+    parser = EventParser(4)
+    pieces = [
+        piece
+        for number in range(1, 5)
+        for piece in parser.feed(f"id: {number}\ndata: {text}\n\n".encode())
+    ]
+    assert [piece.text for piece in pieces] == [text] * 4
+    assert parser.fault == ""
--- a/rackswitch/standins/platform_target.py
+++ b/rackswitch/standins/platform_target.py
@@ -19,6 +19,7 @@
 __all__ = ["OrderSeen", "PlatformTargetStandIn", "Run", "TargetFaults"]
 
 EVENT_INTERVAL_SECONDS = 0.004
+ENDLESS_INTERVAL_SECONDS = 0.002
 LOAD_SECONDS = 0.1
 MAX_BODY_BYTES = 1_000_000
 
@@ -41,6 +42,9 @@
         Interrupt streams inside the event after this many; 0 for never.
     silent_after : int
         Send no more after this many events of a stream, until its caller leaves; 0 for never.
+    endless : bytes
+        Repeat these bytes without end in place of the rest of an answer, until its caller leaves;
+        after the first event of a stream. Empty for never.
     status : int
         Status of the answers.
     end_on : bytes
@@ -60,6 +64,7 @@
     encoded: bool = False
     break_after: int = 0
     silent_after: int = 0
+    endless: bytes = b""
     status: int = 200
     end_on: bytes = b""
     back_after_seconds: float = 0.6
@@ -284,8 +289,21 @@
             headers.append(("content-type", "text/event-stream"))
             await exchange.stream(200, tuple(headers), self._events(exchange, body, run))
             return
+        if self.faults.endless:
+            await exchange.stream(self.faults.status, tuple(headers), self._endless(exchange))
+            return
         await exchange.respond(self.faults.status, tuple(headers), b"answer to " + body)
 
+    async def _endless(self, exchange: Exchange):
+        """Yield the same bytes until the caller leaves."""
+        disconnect = asyncio.create_task(exchange.wait_for_disconnect())
+        try:
+            while not disconnect.done():
+                yield self.faults.endless
+                await asyncio.sleep(ENDLESS_INTERVAL_SECONDS)
+        finally:
+            disconnect.cancel()
+
     async def _events(self, exchange: Exchange, body: bytes, run: Run):
         """Yield as many events as the number in the body."""
         first = int(run.last_event_id or 0) + 1
@@ -295,6 +313,10 @@
             if self.faults.silent_after and number - first >= self.faults.silent_after:
                 await exchange.wait_for_disconnect()
                 return
+            if self.faults.endless and number > first:
+                async for data in self._endless(exchange):
+                    yield data
+                return
             current_version = next(iter(self.versions.values()))
             version_line = (
                 f"x-rackswitch-weight-versions: {current_version}\n"
