Items: numbers of an engine's stream are bounded

What callers saw: with one engine that names a version of 31 digits, no further result of a job is listed, although all its texts are whole. Cause: the stream's parser took any digits; a result with such a version cannot be encoded for the key-value service (integers of 64 bits), so the append of its segment raises each time, and all results behind it wait. The class: input that is checked where it is used, not where it enters. The numbers of load headers were bounded, those of events were not.

Change: one function parses the counts of headers and events, with a limit on their digits (15). A larger version ends the run as interrupted, so that the item goes elsewhere; a larger event number is none. Reports and list entries had their bounds already.

--- a/rackswitch/gateway/jobs/tests/test_path_jobs.py
+++ b/rackswitch/gateway/jobs/tests/test_path_jobs.py
@@ -10,6 +10,7 @@
 from rackswitch.gateway.tests.path import SCENARIO_SECONDS, check_complete, run_scenario, wait_for
 from rackswitch.peers import gateway_pb2 as pb
 from rackswitch.peers.links import PeerUnreachable
+from rackswitch.standins.platform_fleet import MODEL
 
 
 def test_a_job_is_run_and_scored_and_read_identically_at_every_daemon():
@@ -245,3 +246,15 @@
         assert range_reads() == reads + 1
 
     run_scenario(scenario)
+
+
+def test_an_engine_that_names_a_huge_version_does_not_block_a_job():
+    """Guards against a result that cannot be encoded, behind which no other is listed."""
+
+    async def scenario(fleet):
+        fleet.engines[0].versions[MODEL] = 10**30
+        pieces = [30] * 8
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        check_complete(await fleet.read_all("d1", "j1", 6.0), pieces, "j1")
+
+    run_scenario(scenario)
--- a/rackswitch/platform/events.py
+++ b/rackswitch/platform/events.py
@@ -3,12 +3,19 @@
 from collections.abc import Iterator
 
 from rackswitch.jobs import TextPiece
+from rackswitch.platform.counts import parse_count
 from rackswitch.platform.names import VERSIONS_HEADER
 
-__all__ = ["MAX_EVENT_BYTES", "EventParser", "EventSplitter"]
+__all__ = ["INVALID_VERSION", "MAX_DIGITS", "MAX_EVENT_BYTES", "EventParser", "EventSplitter"]
 
 VERSION_FIELD = VERSIONS_HEADER.lower()
 
+MAX_DIGITS = 15
+"""Maximum number of digits of an event's number and version, so that every JSON and MessagePack
+implementation can represent them."""
+
+INVALID_VERSION = "the version is no number, or too large"
+
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an event. A read of results holds 1 MB, so a longer text could not be read."""
 
@@ -92,12 +99,11 @@
         if name == "data":
             self._data.append(value)
         elif name == "id":
-            self._number = int(value) if value.isdigit() else None
+            self._number = parse_count(value, MAX_DIGITS)
         elif name == VERSION_FIELD:
-            if value.strip().isdigit():
-                self._version = int(value)
-            else:
-                self.fault = f"version {value!r} is no number"
+            self._version = parse_count(value, MAX_DIGITS)
+            if self._version is None:
+                self.fault = INVALID_VERSION
 
     def _finish_event(self) -> TextPiece | None:
         if self._number is None:
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -18,7 +18,8 @@
 )
 from rackswitch.platform.caller_headers import headers_for_target
 from rackswitch.platform.connections import TargetSessions
-from rackswitch.platform.events import EventParser
+from rackswitch.platform.counts import parse_count
+from rackswitch.platform.events import INVALID_VERSION, MAX_DIGITS, EventParser
 from rackswitch.platform.load_header import parse_load_report
 from rackswitch.platform.names import (
     EXPECT_INSTANCE_HEADER,
@@ -190,9 +191,10 @@
     version = answer.headers.get(VERSIONS_HEADER)
     if version is None:
         return EventParser(None)
-    if not version.isdigit():
-        return ItemRunEnded(ItemRunEnd.INTERRUPTED, f"version {version!r} is no number")
-    return EventParser(int(version))
+    number = parse_count(version, MAX_DIGITS)
+    if number is None:
+        return ItemRunEnded(ItemRunEnd.INTERRUPTED, INVALID_VERSION)
+    return EventParser(number)
 
 
 def _end_of_stream(
--- a/rackswitch/platform/load_header.py
+++ b/rackswitch/platform/load_header.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping
 
+from rackswitch.platform.counts import parse_count
 from rackswitch.platform.names import SERVER_LOAD_HEADER
 from rackswitch.routing import ReportedLoad
 
@@ -38,7 +39,7 @@
         Time at which the answer arrived (monotonic).
     """
     parts = headers.get(SERVER_LOAD_HEADER, "").split(",")
-    fields = [_parse_count(part) for part in parts[: PACE_INDEX + 1]]
+    fields = [parse_count(part, MAX_DIGITS) for part in parts[: PACE_INDEX + 1]]
     if len(fields) < MIN_FIELDS:
         return None
     running, waiting, slots = fields[:MIN_FIELDS]
@@ -50,11 +51,3 @@
     if not percent or percent > MAX_PERCENT:
         return None
     return ReportedLoad(running, waiting, slots, percent / TYPICAL_PERCENT, now_seconds)
-
-
-def _parse_count(text: str) -> int | None:
-    """Return a non-negative integer from a field of the header, or None."""
-    digits = text.strip()
-    if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_DIGITS:
-        return None
-    return int(digits)
--- a/rackswitch/platform/tests/test_item_runs.py
+++ b/rackswitch/platform/tests/test_item_runs.py
@@ -75,6 +75,21 @@
     assert [piece.number for piece in pieces] == list(range(1, count + 1))
 
 
+@pytest.mark.parametrize("number", ["1" + "0" * 30, "9" * 5000, "-1", "1.5", "\u00b2", ""])
+def test_a_number_out_of_range_ends_the_run(number):
+    """Guards against numbers of an engine that no result can hold."""
+    value = number.encode()
+    answers = (
+        HEAD.replace(b": 4", b": " + value) + b"\r\n" + EVENT,
+        HEAD + b"\r\nx-rackswitch-weight-versions: " + value + b"\n" + EVENT,
+        HEAD + b"\r\n" + EVENT.replace(b"1", value),
+    )
+    for answer in answers:
+        pieces, ended, _ = asyncio.run(run_item(answer))
+        assert ended.end is ItemRunEnd.INTERRUPTED
+        assert pieces == []
+
+
 @pytest.mark.parametrize(
     ("answer", "after_piece", "end"),
     [
