Items: an engine that sends no answers counts as failing

What callers saw: nothing yet. A head without an end, bytes that are no HTTP, an answer to another request or a malformed stream ended an item's run at once, and the item was sent again 0.05 s later, to the same engine if there is no other: the circuit breaker knows silence only. The class: a failure that nobody counts is retried without a backoff.

Change: the end of a run says whether the engine sent bytes that are no answer; three of these in a row open its circuit breaker, as for calls. Such a run does not end the item's time at no engine.

--- a/rackswitch/gateway/items/item_runner.py
+++ b/rackswitch/gateway/items/item_runner.py
@@ -476,7 +476,10 @@
                     target_state.record_no_response(now_seconds)
             elif ended.end is ItemRunEnd.MISDIRECTED:
                 self._context.directory.remove_replaced(target.instance)
-            was_at_engine = has_begun or ended.end is ItemRunEnd.INTERRUPTED
+            elif ended.is_malformed:
+                target_state.record_failure(now_seconds)
+            is_interrupted = ended.end is ItemRunEnd.INTERRUPTED and not ended.is_malformed
+            was_at_engine = has_begun or is_interrupted
             ledger.record_interruption(progress, target.instance, now_seconds, was_at_engine)
 
     async def score(self, ledger: JobLedger, progress: ItemProgress) -> None:
--- a/rackswitch/platform/item_runs.py
+++ b/rackswitch/platform/item_runs.py
@@ -65,11 +65,14 @@
     ----------
     was_sent : bool
         False if no part of the item can have reached the engine.
+    is_malformed : bool
+        Whether the engine sent bytes that are no answer to this request.
     """
 
     end: ItemRunEnd
     detail: str = ""
     was_sent: bool = True
+    is_malformed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +163,7 @@
                         yield piece
                     if parser.fault:
                         close_connection(answer)
-                        yield ItemRunEnded(ItemRunEnd.INTERRUPTED, parser.fault)
+                        yield _malformed(parser.fault)
                         return
             yield _end_of_stream(answer, parser, request)
         except NOT_SENT_ERRORS as error:
@@ -168,10 +171,17 @@
             yield ItemRunEnded(ItemRunEnd.SILENT, detail, was_sent=False)
         except TimeoutError:
             yield ItemRunEnded(ItemRunEnd.SILENT, "no piece came in time")
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (aiohttp.ClientResponseError, ValueError) as error:
+            yield _malformed(f"{error_name(error)}: {error}")
+        except (aiohttp.ClientError, OSError) as error:
             yield ItemRunEnded(ItemRunEnd.INTERRUPTED, f"{error_name(error)}: {error}")
 
 
+def _malformed(detail: str) -> ItemRunEnded:
+    """Return the end of a run whose engine sent bytes that are no answer to it."""
+    return ItemRunEnded(ItemRunEnd.INTERRUPTED, detail, is_malformed=True)
+
+
 def _run_headers(target: ListedTarget, request: ItemRequest) -> CIMultiDict[str]:
     headers = headers_for_target(request.item.headers, request.caller)
     headers["Host"] = request.host
@@ -193,7 +203,7 @@
         return EventParser(None)
     number = parse_count(version, MAX_DIGITS)
     if number is None:
-        return ItemRunEnded(ItemRunEnd.INTERRUPTED, INVALID_VERSION)
+        return _malformed(INVALID_VERSION)
     return EventParser(number)
 
 
@@ -223,8 +233,9 @@
     if fault is not None:
         if fault.is_other_target:
             return ItemRunEnded(ItemRunEnd.MISDIRECTED, fault.detail)
-        end = ItemRunEnd.INTERRUPTED if fault.may_have_run else ItemRunEnd.NOT_RUN
-        return ItemRunEnded(end, fault.detail)
+        if fault.may_have_run:
+            return _malformed(fault.detail)
+        return ItemRunEnded(ItemRunEnd.NOT_RUN, fault.detail)
     if answer.status == 422:
         return ItemRunEnded(ItemRunEnd.IMPOSSIBLE, "status 422")
     if answer.status == 500:
