Clients: bound the size of bodies that are read

Cause: answers, reports, orders, duties and the key-value service's answers were bounded in time only. The class: a limit on one resource (time) taken for a limit on another (memory).

Change: one function reads all bodies. An answer to a caller has at most 32 MiB, which is the default limit of callers' own bodies, and large ones share an eighth of the VM's memory; the first 64 KiB of each are not counted, so that small ones are never refused for large ones. Other answers have at most 1 MiB, refusals that are read to keep their connection 64 KiB. The key-value service's answers have 32 MiB. A larger body is a failed call like one that breaks off.

--- a/rackswitch/clients/engine.py
+++ b/rackswitch/clients/engine.py
@@ -16,6 +16,7 @@
 import aiohttp
 import msgspec
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, CallFailed, HttpSessions, call_json, error_name
 from rackswitch.registry import Registry
 from rackswitch.requests import StreamChunk
@@ -201,7 +202,7 @@
             ):
                 answered = True
                 if answer.status != 200:
-                    yield _refused_stream(answer.status, await answer.read())
+                    yield _refused_stream(answer.status, await read_body(answer, MAX_BODY_BYTES))
                     return
                 queued_tokens = _reported_queued_tokens(answer)
                 async for line in answer.content:
@@ -238,7 +239,7 @@
                 asyncio.timeout(ORDER_TIMEOUT_SECONDS),
                 self._sessions.pooled.post(url + "/update_weights", json=body) as answer,
             ):
-                text = (await answer.read()).decode(errors="replace")
+                text = (await read_body(answer, MAX_BODY_BYTES)).decode(errors="replace")
         except (aiohttp.ClientError, TimeoutError) as error:
             return OrderRefused(error_name(error))
         if answer.status != 200:
--- a/rackswitch/clients/http.py
+++ b/rackswitch/clients/http.py
@@ -15,6 +15,8 @@
 import aiohttp
 import msgspec
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
+
 __all__ = [
     "NOT_SENT_ERRORS",
     "CallFailed",
@@ -198,4 +200,4 @@
 async def _call(session: HttpSession, method: str, url: str, body: Any) -> tuple[int, bytes]:
     """Make a call once; return its status and body."""
     async with session.request(method, url, json=body) as answer:
-        return answer.status, await answer.read()
+        return answer.status, await read_body(answer, MAX_BODY_BYTES)
--- a/rackswitch/clients/kv.py
+++ b/rackswitch/clients/kv.py
@@ -19,6 +19,7 @@
 import aiohttp
 import msgspec
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions, error_name
 from rackswitch.registry import Registry
 
@@ -427,7 +428,7 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 async with self._sessions.pooled.post(self._url + path, data=data) as answer:
-                    content = await answer.read()
+                    content = await read_body(answer, MAX_BODY_BYTES)
         except NOT_SENT_ERRORS as error:
             return KvUnavailable(error_name(error), effect_unknown=False)
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/rackswitch/clients/plain_service.py
+++ b/rackswitch/clients/plain_service.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions, error_name
 
 __all__ = ["PlainAnswer", "PlainFailed", "PlainRequest", "PlainServiceClient"]
@@ -75,7 +76,7 @@
                     headers=headers,
                 ) as answer,
             ):
-                body = await answer.read()
+                body = await read_body(answer, MAX_BODY_BYTES)
         except NOT_SENT_ERRORS as error:
             return PlainFailed(False, f"cannot connect: {error_name(error)}")
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/rackswitch/gateway/core.py
+++ b/rackswitch/gateway/core.py
@@ -43,7 +43,7 @@
 from rackswitch.gateway.store.state_manager import StateManager
 from rackswitch.gateway.store.store_relay import ForwardedCalls
 from rackswitch.gateway.versions.version_manager import VersionManager
-from rackswitch.platform.connections import TargetSessions
+from rackswitch.platform.connections import TargetSessions, body_budget_for
 from rackswitch.platform.item_runs import ItemClient
 from rackswitch.platform.names import OPERATOR_PREFIX, SERVERS_PREFIX
 from rackswitch.platform.orders import OrderClient
@@ -135,7 +135,9 @@
             self.context.start_times = start_times
         has_regions = self.context.regions.has_regions
         self._sessions = TargetSessions(
-            self._record_load_report, self.context.record_round_trip if has_regions else None
+            self._record_load_report,
+            self.context.record_round_trip if has_regions else None,
+            body_budget_for(settings.memory_mb),
         )
         parts.context.links.extra_timeout_seconds = self.context.extra_timeout_seconds
         self._suspended_seconds = suspended_seconds()
--- a/rackswitch/platform/answers.py
+++ b/rackswitch/platform/answers.py
@@ -3,6 +3,7 @@
 import aiohttp
 from multidict import CIMultiDictProxy
 
+from rackswitch.clients.bodies import read_body
 from rackswitch.platform.names import NOT_RUN_HEADER, REQUEST_ID_HEADER, STAMP_HEADER
 from rackswitch.requests import TargetFailed
 
@@ -20,6 +21,9 @@
 NOT_RUN_STATUSES = (408, MISDIRECTED_STATUS, 429, 503)
 """Statuses that promise callers that a request has not run and never will."""
 
+MAX_REFUSAL_BYTES = 65_536
+"""Longer refusals are not read: a new connection costs less."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -78,8 +82,10 @@
     fault = check_answer_head(answer, request_id)
     refused = fault is not None and not fault.may_have_run
     answers_request = answer.headers.get(REQUEST_ID_HEADER) == request_id
-    if refused and answers_request and "Content-Length" in answer.headers:
-        await answer.read()
+    length_bytes = answer.content_length
+    is_short = length_bytes is not None and length_bytes <= MAX_REFUSAL_BYTES
+    if refused and answers_request and is_short:
+        await read_body(answer, MAX_REFUSAL_BYTES)
     else:
         close_connection(answer)
 
--- a/rackswitch/platform/connections.py
+++ b/rackswitch/platform/connections.py
@@ -9,13 +9,14 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from rackswitch.clients.bodies import BodyBudget
 from rackswitch.clients.http import HttpSession, close_idle_connections
 from rackswitch.platform.answers import MISDIRECTED_STATUS
 from rackswitch.platform.load_header import parse_load_report
 from rackswitch.platform.names import REQUEST_ID_HEADER
 from rackswitch.routing import ListedTarget, ReportedLoad
 
-__all__ = ["ConnectCallback", "LoadReportCallback", "TargetSessions"]
+__all__ = ["ConnectCallback", "LoadReportCallback", "TargetSessions", "body_budget_for"]
 
 ConnectCallback = Callable[[str, float], None]
 """Receives a target's zone and the time in seconds that a connection to it took to open."""
@@ -32,6 +33,13 @@
 
 A request on a connection that the target is closing is lost."""
 
+BODY_MEMORY_SHARE = 0.125
+"""Share of a VM's memory for the answers that are being read. Each is copied once when it is
+complete."""
+
+DEFAULT_BODY_BUDGET_BYTES = 134_217_728
+"""Memory for these answers on a VM whose memory is not known."""
+
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 """How much earlier than the target this daemon closes an unused connection.
 
@@ -43,6 +51,13 @@
 """Headers that the client library would otherwise add."""
 
 
+def body_budget_for(memory_mb: float) -> BodyBudget:
+    """Return the budget of a VM with this memory in MB; 0 if its memory is not known."""
+    if memory_mb <= 0:
+        return BodyBudget(DEFAULT_BODY_BUDGET_BYTES)
+    return BodyBudget(int(memory_mb * 1_000_000 * BODY_MEMORY_SHARE))
+
+
 class _CheckedResponseHandler(ResponseHandler):
     """Raises an error if the connection is reset within a body.
 
@@ -66,9 +81,13 @@
     on_connect : callable, optional
         Called with the time of each new connection whose request names its target in
         `trace_request_ctx`; connections are not timed by default.
+    body_budget : BodyBudget, optional
+        Memory for the answers to callers; a default one if left out.
 
     Attributes
     ----------
+    body_budget : BodyBudget
+        Memory for the answers to callers that are being read.
     keep_alive_seconds : float
         Keep-alive timeout of unused connections.
     """
@@ -77,6 +96,7 @@
         "_pooled_connector",
         "_keep_alive_seconds_by_service",
         "_on_load_report",
+        "body_budget",
         "pooled",
         "keep_alive_seconds",
         "single_use",
@@ -86,7 +106,9 @@
         self,
         on_load_report: LoadReportCallback | None = None,
         on_connect: ConnectCallback | None = None,
+        body_budget: BodyBudget | None = None,
     ) -> None:
+        self.body_budget = body_budget or BodyBudget(DEFAULT_BODY_BUDGET_BYTES)
         self._on_load_report = on_load_report
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._keep_alive_seconds_by_service: dict[str, float] = {}
--- a/rackswitch/platform/duty_calls.py
+++ b/rackswitch/platform/duty_calls.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from rackswitch.clients.bodies import read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions, error_name
 from rackswitch.platform.names import DUTY_HOLDER_HEADER, FENCING_HEADER
 
@@ -95,7 +96,7 @@
                     self._url + path, data=msgspec.json.encode(body), headers=headers
                 ) as answer,
             ):
-                await answer.read()
+                await read_body(answer)
         except NOT_SENT_ERRORS as error:
             return DutyAnswer(DutyOutcome.BUSY, f"cannot connect: {error_name(error)}")
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -8,6 +8,7 @@
 import msgspec
 from yarl import URL
 
+from rackswitch.clients.bodies import read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, error_name
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.loaded_models import Count, WireLoadedModel, versions_of
@@ -119,7 +120,7 @@
                 self._sessions.pooled.get(url, headers=headers, trace_request_ctx=target) as answer,
             ):
                 self._sessions.record_load_report(target, answer)
-                content = await answer.read()
+                content = await read_body(answer)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return NoReport(error_name(error))
         if answer.status != 200:
@@ -172,7 +173,7 @@
                     url, data=msgspec.json.encode(body), headers=headers
                 ) as answer,
             ):
-                await answer.read()
+                await read_body(answer)
         except NOT_SENT_ERRORS:
             return OrderAnswer.REFUSED
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/rackswitch/platform/store_calls.py
+++ b/rackswitch/platform/store_calls.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import (
     NOT_SENT_ERRORS,
     ConnectionBrokenError,
@@ -177,7 +178,7 @@
             call.method, self.url + call.target, data=call.content or None, headers=headers
         )
         async with request as answer:
-            return StoreAnswer(answer.status, await answer.read())
+            return StoreAnswer(answer.status, await read_body(answer, MAX_BODY_BYTES))
 
     def discard_idle_connections(self) -> None:
         """Close the idle connections, so that the next call opens a new one."""
--- a/rackswitch/platform/target_calls.py
+++ b/rackswitch/platform/target_calls.py
@@ -7,6 +7,7 @@
 import aiohttp
 from yarl import URL
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, error_name
 from rackswitch.platform.answers import (
     check_answer_head,
@@ -59,7 +60,7 @@
                 if fault is not None:
                     await release_or_close(answer, call.request_id)
                     return fault
-                body = await answer.read()
+                body = await self._read(answer)
         except CALL_ERRORS as error:
             return _failure(error)
         return TargetAnswer(answer.status, end_to_end_headers(answer.headers), body)
@@ -87,10 +88,13 @@
             return TargetStream(answer.status, headers, _body_chunks(answer), answer.close)
         try:
             async with asyncio.timeout_at(deadline_seconds), answer:
-                return TargetAnswer(answer.status, headers, await answer.read())
+                return TargetAnswer(answer.status, headers, await self._read(answer))
         except CALL_ERRORS as error:
             return _failure(error)
 
+    async def _read(self, answer: aiohttp.ClientResponse) -> bytes:
+        return await read_body(answer, MAX_BODY_BYTES, self._sessions.body_budget)
+
     def _open(
         self, target: ListedTarget, call: Call, deadline_seconds: float, fresh_connection: bool
     ) -> Any:
--- a/rackswitch/platform/tests/test_endless_bytes.py
+++ b/rackswitch/platform/tests/test_endless_bytes.py
@@ -5,11 +5,15 @@
 
 import pytest
 
+from rackswitch.clients.bodies import MAX_BODY_BYTES, MAX_CONTROL_BODY_BYTES
 from rackswitch.jobs import JobItem, TextPiece
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.events import MAX_EVENT_BYTES, EventParser, EventSplitter
 from rackswitch.platform.item_runs import ItemClient, ItemRequest, ItemRunEnd, ItemRunEnded
+from rackswitch.platform.orders import NoReport, OrderAnswer, OrderClient, VersionOrder
+from rackswitch.platform.target_calls import TargetClient
 from rackswitch.platform.tests.support import endless_target
+from rackswitch.requests import Call, TargetFailed
 from rackswitch.routing import ListedTarget
 
 HEAD = (
@@ -93,3 +97,48 @@
     ]
     assert [piece.text for piece in pieces] == [text] * 4
     assert parser.fault == ""
+
+
+CALL = Call("i1", "h.example", "POST", "/a", (), b"body")
+ENDLESS_BODY = b"x" * 100_000
+
+
+async def forward(target: ListedTarget, sessions: TargetSessions) -> object:
+    deadline_seconds = asyncio.get_running_loop().time() + TIMEOUT_SECONDS
+    return await TargetClient(sessions).forward(target, CALL, deadline_seconds, False)
+
+
+async def report(target: ListedTarget, sessions: TargetSessions) -> object:
+    return await OrderClient(sessions).report(target)
+
+
+async def order(target: ListedTarget, sessions: TargetSessions) -> object:
+    return await OrderClient(sessions).order_version(
+        target, VersionOrder("m", 2, "d0", 1, 0, False)
+    )
+
+
+@pytest.mark.parametrize(
+    ("call", "status", "expected", "max_bytes"),
+    [
+        (forward, b"200 OK", TargetFailed, MAX_BODY_BYTES),
+        (forward, b"503 Busy\r\nX-Rackswitch-Not-Run: 1", TargetFailed, MAX_CONTROL_BODY_BYTES),
+        (report, b"200 OK", NoReport, MAX_CONTROL_BODY_BYTES),
+        (order, b"200 OK", OrderAnswer, MAX_CONTROL_BODY_BYTES),
+    ],
+)
+def test_a_call_gives_up_a_body_without_an_end(call, status, expected, max_bytes):
+    """Guards against calls that read all that an engine sends until their deadline."""
+
+    async def scenario():
+        sessions = TargetSessions()
+        head = HEAD.replace(b"200 OK", status) + b"\r\n"
+        async with endless_target(head, ENDLESS_BODY) as (target, raw):
+            result = await call(target, sessions)
+            await sessions.close()
+            return result, raw.sent_bytes
+
+    result, sent_bytes = asyncio.run(scenario())
+    assert isinstance(result, expected)
+    # Bytes in the sockets' buffers are sent but not read.
+    assert sent_bytes < max_bytes + 20_000_000
