Decoding: whatever is wrong with bytes becomes a value

What users saw (other operators' systems): one odd entry among the engines', and the machines that read the list ended again and again. Here: an entry nested 1,500 deep in a field that nobody knows raises a RecursionError, which is none of the errors that decode_target expected; the duty that reads the list ends, the process with it, and each successor reads the entry again. The class: a list of expected errors, kept at fifty places. Invalid UTF-8 in a control entry did the same, as UnicodeDecodeError is no DecodeError; a submission with such a field was answered 500.

Change: one decoder (rackswitch.decoding) turns all that a decoder raises because of its input into a value, with a short message; the readers of entries, reports, the key-value service's answers, loads, submissions and peers' messages use it or its list of errors.

Nested submissions: 400, were 500.

--- a/rackswitch/clients/engine.py
+++ b/rackswitch/clients/engine.py
@@ -18,6 +18,7 @@
 
 from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, CallFailed, HttpSessions, call_json, error_name
+from rackswitch.decoding import DECODE_ERRORS, Undecodable, decode_json
 from rackswitch.registry import Registry
 from rackswitch.requests import StreamChunk
 
@@ -216,7 +217,7 @@
                     queued_tokens = None
         except NOT_SENT_ERRORS as error:
             yield StreamFailed(False, f"cannot connect: {error_name(error)}")
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, TimeoutError, *DECODE_ERRORS) as error:
             stage = "stream broke" if answered else "no answer"
             yield StreamFailed(True, f"{stage}: {error_name(error)}")
 
@@ -283,9 +284,8 @@
     header = answer.headers.get(LOAD_HEADER, "")
     if not header.startswith(LOAD_FORMAT_PREFIX):
         return None
-    try:
-        load = msgspec.json.decode(header[len(LOAD_FORMAT_PREFIX) :], type=_WireLoad)
-    except msgspec.DecodeError:
+    load = decode_json(header[len(LOAD_FORMAT_PREFIX) :], _WireLoad)
+    if isinstance(load, Undecodable):
         return None
     return load.named_metrics.get("queued_tokens")
 
--- a/rackswitch/clients/http.py
+++ b/rackswitch/clients/http.py
@@ -13,9 +13,9 @@
 from typing import Any, TypeVar
 
 import aiohttp
-import msgspec
 
 from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
+from rackswitch.decoding import Undecodable, decode_json
 
 __all__ = [
     "NOT_SENT_ERRORS",
@@ -191,10 +191,10 @@
         return CallFailed(error_name(error))
     if status != 200:
         return CallFailed(f"status {status}")
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.DecodeError as error:
-        return CallFailed(f"invalid response body: {error}")
+    decoded = decode_json(content, kind)
+    if isinstance(decoded, Undecodable):
+        return CallFailed(f"invalid response body: {decoded.detail}")
+    return decoded
 
 
 async def _call(session: HttpSession, method: str, url: str, body: Any) -> tuple[int, bytes]:
--- a/rackswitch/clients/kv.py
+++ b/rackswitch/clients/kv.py
@@ -21,6 +21,7 @@
 
 from rackswitch.clients.bodies import MAX_BODY_BYTES, read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, HttpSessions, error_name
+from rackswitch.decoding import DECODE_ERRORS, Undecodable, decode_json
 from rackswitch.registry import Registry
 
 __all__ = [
@@ -417,7 +418,7 @@
                     update = msgspec.json.decode(line, type=_WireWatchResponse, strict=False).result
                     entries = (event.kv.entry() for event in update.events if event.type == "PUT")
                     yield WatchUpdate(tuple(entries), update.header.revision)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, *DECODE_ERRORS) as error:
             yield KvUnavailable(f"watch failed: {error_name(error)}", False)
             return
         yield KvUnavailable("watch ended", False)
@@ -437,11 +438,11 @@
             return KvUnavailable(f"status {answer.status}", effect_unknown=False)
         if answer.status != 200:
             return KvUnavailable(f"status {answer.status}", effect_unknown=True)
-        try:
-            # The JSON gateway encodes 64-bit numbers as strings.
-            return msgspec.json.decode(content, type=kind, strict=False)
-        except msgspec.DecodeError as error:
-            return KvUnavailable(f"invalid response body: {error}", effect_unknown=True)
+        # The JSON gateway encodes 64-bit numbers as strings.
+        decoded = decode_json(content, kind, strict=False)
+        if isinstance(decoded, Undecodable):
+            return KvUnavailable(f"invalid response body: {decoded.detail}", effect_unknown=True)
+        return decoded
 
 
 def _txn_body(part: TxnPart) -> dict[str, Any]:
--- a/rackswitch/gateway/jobs/hand_over_receiver.py
+++ b/rackswitch/gateway/jobs/hand_over_receiver.py
@@ -3,8 +3,7 @@
 import asyncio
 import zlib
 
-import msgspec
-
+from rackswitch.decoding import DECODE_ERRORS
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_checkpoints import JobCheckpoints
 from rackswitch.gateway.jobs.job_claims import JobClaims
@@ -73,7 +72,7 @@
             job = unpack_job(request.job)
             listed = unpack_results(request.listed)
             snapshot = unpack_checkpoint(request.checkpoint)
-        except (msgspec.DecodeError, zlib.error) as error:
+        except (*DECODE_ERRORS, zlib.error) as error:
             return pb.HandOverReply(detail=f"invalid hand-over request: {error}")
         if job.job_id in self._jobs.by_id or job.job_id in self._jobs.incoming:
             return pb.HandOverReply(detail="this daemon already runs the job")
--- a/rackswitch/gateway/jobs/job_placer.py
+++ b/rackswitch/gateway/jobs/job_placer.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-import msgspec
-
+from rackswitch.decoding import DECODE_ERRORS
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.jobs.job_manager import JobManager
 from rackswitch.gateway.jobs.job_outcomes import JobCreated, JobKnown, JobNotStored, JobTooLarge
@@ -197,7 +196,7 @@
             return pb.TakeJobReply(detail="this daemon is stopping")
         try:
             job = unpack_job(request.job)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return pb.TakeJobReply(detail=f"`job`: {error}")
         # Shielded: a caller that cancels the call must not interrupt the submission.
         submitting = self._context.daemon.spawn(self._job_manager.submit(job))
--- a/rackswitch/gateway/store/control_entries.py
+++ b/rackswitch/gateway/store/control_entries.py
@@ -1,9 +1,8 @@
 """Dispatch of the control entries that daemons write for each other."""
 
-import msgspec
-
 from rackswitch.clients.kv import KvEntry
 from rackswitch.daemon.roles import RoleManager
+from rackswitch.decoding import DECODE_ERRORS, error_detail
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.duties.duty_turn import DUTIES_KEY, record_duty_entry
 from rackswitch.gateway.jobs.job_manager import JobManager
@@ -83,15 +82,14 @@
         return ReplicaHandlers(self._put, self._deleted, on_batch_end=self._update_membership)
 
     def _put(self, entry: KvEntry) -> None:
-        """Dispatch an entry; log and ignore one that cannot be decoded.
-
-        An exception raised here would end the daemon.
-        """
+        """Dispatch an entry; log and ignore one that cannot be decoded."""
         try:
             self._dispatch(entry)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self._context.log.write(
-                EntryUnreadable(key=entry.key, revision=entry.mod_revision, detail=str(error))
+                EntryUnreadable(
+                    key=entry.key, revision=entry.mod_revision, detail=error_detail(error)
+                )
             )
 
     def _dispatch(self, entry: KvEntry) -> None:
--- a/rackswitch/gateway/tests/test_bad_input.py
+++ b/rackswitch/gateway/tests/test_bad_input.py
@@ -122,3 +122,17 @@
         assert not has_run(fleet)
 
     run_scenario(scenario)
+
+
+def test_a_deeply_nested_submission_is_refused_by_name():
+    """Guards against a status 500 for a body that the decoder cannot follow."""
+
+    async def scenario(fleet):
+        nested = b'{"items":[],"other":' + b"[" * 1500 + b"]" * 1500 + b"}"
+        in_item = b'{"items":[{"id":"a","other":' + b"[" * 1500 + b"]" * 1500 + b"}]}"
+        for number, body in enumerate((nested, in_item)):
+            status, _, text = await fleet.request("d0", "POST", "/jobs/new", body, f"j{number}")
+            assert status == 400
+            assert b"recursion" in text
+
+    run_scenario(scenario)
--- a/rackswitch/platform/desired_state.py
+++ b/rackswitch/platform/desired_state.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from rackswitch.decoding import Undecodable, decode_json
+from rackswitch.platform.loaded_models import Count
 from rackswitch.platform.names import (
     CONFIG_KEY,
     EVACUATE_PREFIX,
@@ -154,7 +156,7 @@
 
 
 class _WireConfig(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -163,15 +165,14 @@
 
 class _WireVersion(msgspec.Struct):
     model: str
-    version: int
+    version: Count
 
 
 def decode_desired_state(value: bytes) -> TableDocument | MalformedEntry:
     """Return the operators' desired state as a table, whose revision is its version."""
-    try:
-        wire = msgspec.json.decode(value, type=_WireConfig)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return MalformedEntry(str(error))
+    wire = decode_json(value, _WireConfig)
+    if isinstance(wire, Undecodable):
+        return MalformedEntry(wire.detail)
     fault = _scaling_fault(wire.services)
     if fault is not None:
         return MalformedEntry(fault)
@@ -211,10 +212,9 @@
 
 
 def _named_version(value: bytes) -> NamedVersion | MalformedEntry:
-    try:
-        wire = msgspec.json.decode(value, type=_WireVersion)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return MalformedEntry(str(error))
+    wire = decode_json(value, _WireVersion)
+    if isinstance(wire, Undecodable):
+        return MalformedEntry(wire.detail)
     return NamedVersion(wire.model, wire.version)
 
 
--- a/rackswitch/platform/job_calls.py
+++ b/rackswitch/platform/job_calls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rackswitch.decoding import Undecodable, decode_json, error_detail
 from rackswitch.jobs import Job, JobItem, JobResult, RewardCall
 from rackswitch.platform.ingress import MalformedRequest
 from rackswitch.platform.names import LENGTH_HINT_HEADER, TOKEN_COUNTS_HEADER, WAIT_HEADER
@@ -156,10 +157,9 @@
     job_id: str, host: str, path: str, body: bytes, now_unix_seconds: float
 ) -> JobOutline | MalformedRequest:
     """Return the batch job in a body, without decoding its items."""
-    try:
-        wire = msgspec.json.decode(body, type=_WireJob)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
-        return MalformedRequest(str(error))
+    wire = decode_json(body, _WireJob)
+    if isinstance(wire, Undecodable):
+        return MalformedRequest(wire.detail)
     job = Job(
         job_id=job_id,
         host=host,
@@ -180,11 +180,14 @@
     """Decode a range of a job's items, so that a large job can be decoded in batches."""
     items: list[JobItem] = []
     for number, raw in enumerate(outline.raw_items[start : start + count], start=start):
+        # msgspec decodes the base64 text of bodies into bytes.
+        wire = decode_json(raw, _WireItem)
+        if isinstance(wire, Undecodable):
+            return MalformedRequest(f"`$.items[{number}]`: {wire.detail}")
         try:
-            # msgspec decodes the base64 text of bodies into bytes.
-            items.append(_job_item(msgspec.json.decode(raw, type=_WireItem)))
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
-            return MalformedRequest(f"`$.items[{number}]`: {error}")
+            items.append(_job_item(wire))
+        except ValueError as error:
+            return MalformedRequest(f"`$.items[{number}]`: {error_detail(error)}")
     return items
 
 
--- a/rackswitch/platform/orders.py
+++ b/rackswitch/platform/orders.py
@@ -10,6 +10,7 @@
 
 from rackswitch.clients.bodies import read_body
 from rackswitch.clients.http import NOT_SENT_ERRORS, error_name
+from rackswitch.decoding import Undecodable, decode_json
 from rackswitch.platform.connections import TargetSessions
 from rackswitch.platform.loaded_models import Count, WireLoadedModel, versions_of
 from rackswitch.platform.names import EXPECT_INSTANCE_HEADER
@@ -125,10 +126,9 @@
             return NoReport(error_name(error))
         if answer.status != 200:
             return NoReport(f"status {answer.status}")
-        try:
-            wire = msgspec.json.decode(content, type=_WireReport)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return NoReport(f"cannot read the report: {error}")
+        wire = decode_json(content, _WireReport)
+        if isinstance(wire, Undecodable):
+            return NoReport(f"cannot read the report: {wire.detail}")
         if wire.born and target.started_at_unix_ms and wire.born != target.started_at_unix_ms:
             # After a restart the order count begins at 0, and the listed weights do not apply.
             return NoReport("another start has its identity")
--- a/rackswitch/platform/servers.py
+++ b/rackswitch/platform/servers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rackswitch.decoding import Undecodable, decode_json, error_detail
 from rackswitch.platform.desired_state import MalformedEntry
 from rackswitch.platform.loaded_models import Count, WireLoadedModel, versions_of
 from rackswitch.platform.names import SERVERS_PREFIX
@@ -16,10 +17,13 @@
 MAX_SLOTS = 100_000
 """Above the concurrency of any engine; an entry with more slots is invalid."""
 
+MAX_MILLISECONDS = 86_400_000
+"""A day; no target is cold or leaves for longer."""
+
 ADDRESS_PATTERN = re.compile(r"([0-9.]+):([0-9]{1,5})", re.ASCII)
 
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -56,11 +60,15 @@
 
 def decode_target(instance: str, value: bytes) -> ListedTarget | MalformedEntry:
     """Return the target that an entry of the list describes."""
+    if not instance.isprintable() or not instance:
+        return MalformedEntry("the key names no instance")
+    wire = decode_json(value, _WireServer)
+    if isinstance(wire, Undecodable):
+        return MalformedEntry(f"{instance}: {wire.detail}")
     try:
-        wire = msgspec.json.decode(value, type=_WireServer)
         host, port = _address(wire.address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
-        return MalformedEntry(f"{instance}: {error}")
+    except ValueError as error:
+        return MalformedEntry(f"{instance}: {error_detail(error)}")
     return ListedTarget(
         instance=instance,
         service=wire.service,
--- a/rackswitch/platform/settings.py
+++ b/rackswitch/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rackswitch.decoding import DECODE_ERRORS
 from rackswitch.platform.names import SETTINGS_VARIABLE
 from rackswitch.settings import SettingsFault
 
@@ -199,7 +200,7 @@
     try:
         wire = msgspec.yaml.decode(content, type=_WireSettings)
         return _node_settings(wire)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return SettingsFault(f"{path}: {error}")
     except ValueError as error:
         return SettingsFault(f"{path}: {error}")
--- a/rackswitch/platform/store_calls.py
+++ b/rackswitch/platform/store_calls.py
@@ -18,6 +18,7 @@
     error_name,
 )
 from rackswitch.clients.kv import KvUnavailable
+from rackswitch.decoding import DECODE_ERRORS, error_detail
 from rackswitch.platform.store_messages import StoreAnswer
 
 __all__ = [
@@ -112,8 +113,8 @@
     """Decode a call from another daemon and check that it may be sent to the service."""
     try:
         call = msgspec.msgpack.decode(data, type=StoreCall)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return MalformedCall(f"`call`: {error}")
+    except DECODE_ERRORS as error:
+        return MalformedCall(f"`call`: {error_detail(error)}")
     if call.method not in METHODS:
         return MalformedCall(f"`method` {call.method!r} must be one of {METHODS}")
     if not call.target.startswith(TARGET_PREFIX) or not call.target.isprintable():
--- a/rackswitch/platform/store_messages.py
+++ b/rackswitch/platform/store_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rackswitch.clients.kv import KvEntry, KvUnavailable, TxnPart
+from rackswitch.decoding import Undecodable, decode_json
 from rackswitch.outcomes import check_invariant
 
 __all__ = [
@@ -110,10 +111,10 @@
 
     def decode(self, message_type: type[T]) -> T | KvUnavailable:
         """Decode the content as a message."""
-        try:
-            return msgspec.json.decode(self.content, type=message_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return KvUnavailable(f"cannot read the answer: {error}", effect_unknown=True)
+        decoded = decode_json(self.content, message_type)
+        if isinstance(decoded, Undecodable):
+            return KvUnavailable(f"cannot read the answer: {decoded.detail}", effect_unknown=True)
+        return decoded
 
 
 def check_answer_status(answer: StoreAnswer) -> StoreAnswer | KvUnavailable:
--- a/rackswitch/standins/platform_store.py
+++ b/rackswitch/standins/platform_store.py
@@ -84,7 +84,11 @@
 
     def put(self, key: str, value: Any) -> None:
         """Write a value on behalf of the operator or a target."""
-        self.store.txn([TxnPart((), (Operation(key, msgspec.json.encode(value)),))])
+        self.put_bytes(key, msgspec.json.encode(value))
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Write any bytes, as another writer may do."""
+        self.store.txn([TxnPart((), (Operation(key, value),))])
         self._record_changes()
 
     def delete(self, key: str) -> None:
--- a/rackswitch/web/handlers.py
+++ b/rackswitch/web/handlers.py
@@ -8,6 +8,7 @@
 from blacksheep import Application, Content, Request, Response, Router
 from blacksheep.exceptions import MessageAborted
 
+from rackswitch.decoding import Undecodable, decode_json
 from rackswitch.web.problems import Problem, problem_response
 
 __all__ = [
@@ -126,7 +127,7 @@
     body = await read_body(request, max_bytes)
     if isinstance(body, BodyFault):
         return body
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return BodyFault(Problem(400, "bad-request", str(error)))
+    decoded = decode_json(body, kind)
+    if isinstance(decoded, Undecodable):
+        return BodyFault(Problem(400, "bad-request", decoded.detail))
+    return decoded
