Replicas: an error in the handling of one entry concerns that entry alone

Cause here: handlers are called from the task that watches the key-value service, so any error of one, at any entry, ends the following of all (and the daemon); the next process meets the entry again. The class: one input's defect taken for the process's.

Change: an unexpected error of a handler is logged with its entry (entry failed, and the traceback) and counted by event, and the other changes of the batch are handled. A broken invariant still ends the process.

Measured: with handlers that raise RecursionError, KeyError or OverflowError at one entry, three of three cases fail without the change (the daemons end) and pass with it, also for restarted daemons.

--- a/rackswitch/gateway/store/replica_manager.py
+++ b/rackswitch/gateway/store/replica_manager.py
@@ -7,6 +7,9 @@
 import asyncio
 import contextlib
 
+from loguru import logger
+
+from rackswitch.decoding import error_detail
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.engine_paces import EnginePaces
 from rackswitch.gateway.store.peer_replicas import PeerFollower
@@ -14,6 +17,7 @@
 from rackswitch.gateway.store.replica_set import ReplicaHandlers, ReplicaSet
 from rackswitch.gateway.store.replicas import PrefixReplica
 from rackswitch.gateway.store.service_watch import ServiceWatch
+from rackswitch.telemetry.events import EntryFailed
 
 __all__ = ["ReplicaManager"]
 
@@ -38,7 +42,7 @@
         Answers daemons that follow this one.
     """
 
-    __slots__ = ("_replicas", "_follower", "_watch", "server")
+    __slots__ = ("_context", "_replicas", "_follower", "_watch", "server")
 
     def __init__(
         self,
@@ -47,11 +51,17 @@
         paces: EnginePaces,
         members_prefix: str,
     ):
-        self._replicas = ReplicaSet(handlers)
+        self._context = context
+        self._replicas = ReplicaSet(handlers, self._record_failed)
         self._watch = ServiceWatch(context, self._replicas, members_prefix)
         self._follower = PeerFollower(context, self._replicas, self._watch, paces, members_prefix)
         self.server = ReplicaServer(context, self._replicas, paces, self._watch)
 
+    def _record_failed(self, key: str, revision: int, error: Exception) -> None:
+        logger.opt(exception=error).error("handler of entry {!r} failed", key)
+        detail = f"{type(error).__name__}: {error_detail(error)}"
+        self._context.log.write(EntryFailed(key=key, revision=revision, detail=detail))
+
     @property
     def replicas(self) -> dict[str, PrefixReplica]:
         """The replicas, by prefix."""
--- a/rackswitch/gateway/store/replica_set.py
+++ b/rackswitch/gateway/store/replica_set.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 from rackswitch.clients.kv import KvEntry, WatchUpdate
 from rackswitch.gateway.store.replicas import PrefixReplica
+from rackswitch.outcomes import BrokenInvariant
 
-__all__ = ["ReplicaHandlers", "ReplicaSet"]
+__all__ = ["OnFailed", "ReplicaHandlers", "ReplicaSet"]
 
 CONFIRMATION_STEP_SECONDS = 0.5
 """Minimum time between confirmations sent to waiting followers when nothing has changed. Somewhat
@@ -41,6 +43,14 @@
     on_batch_end: Callable[[], None] = lambda: None
 
 
+OnFailed = Callable[[str, int, Exception], None]
+"""Receives the key and revision of an entry whose handler failed, and the error."""
+
+
+def _raise(_key: str, _revision: int, error: Exception) -> None:
+    raise error
+
+
 class ReplicaSet:
     """The replicas of one daemon.
 
@@ -48,6 +58,9 @@
     ----------
     handlers : dict of str to ReplicaHandlers
         Handlers of changes, by prefix.
+    on_failed : callable, optional
+        Called if the handler of an entry raises an unexpected error, after which the other changes
+        are handled; errors are raised by default.
 
     Attributes
     ----------
@@ -61,14 +74,16 @@
 
     __slots__ = (
         "_handlers",
+        "_on_failed",
         "_round_confirmed_at_seconds",
         "by_prefix",
         "confirmation_rounds",
         "updated",
     )
 
-    def __init__(self, handlers: dict[str, ReplicaHandlers]):
+    def __init__(self, handlers: dict[str, ReplicaHandlers], on_failed: OnFailed = _raise):
         self._handlers = handlers
+        self._on_failed = on_failed
         self.by_prefix = {prefix: PrefixReplica(prefix) for prefix in handlers}
         self.updated = asyncio.Event()
         self.confirmation_rounds = 0
@@ -136,13 +151,25 @@
         handlers = self._handlers[prefix]
         handlers.on_batch_start(source)
         for entry in update.entries:
-            handlers.on_put(entry)
+            self._handle(entry.key, entry.mod_revision, partial(handlers.on_put, entry))
         for key in update.deleted:
-            handlers.on_deleted(key)
-        handlers.on_batch_end()
+            self._handle(key, update.revision, partial(handlers.on_deleted, key))
+        self._handle(prefix, update.revision, handlers.on_batch_end)
         if update.entries or update.deleted:
             self.notify_waiters()
 
+    def _handle(self, key: str, revision: int, handle: Callable[[], None]) -> None:
+        """Call a handler; an unexpected error concerns its entry alone.
+
+        An error raised from here would end the task that follows the service, for all entries.
+        """
+        try:
+            handle()
+        except BrokenInvariant:
+            raise
+        except Exception as error:
+            self._on_failed(key, revision, error)
+
     def notify_waiters(self) -> None:
         """Wake all waiting tasks so that they check for changes."""
         self.updated.set()
--- a/rackswitch/gateway/store/tests/test_odd_entries.py
+++ b/rackswitch/gateway/store/tests/test_odd_entries.py
@@ -6,9 +6,12 @@
 import msgspec
 import pytest
 
+from rackswitch.gateway.store import state_manager
 from rackswitch.gateway.tests.path import check_complete, run_scenario, wait_for
 from rackswitch.platform.names import CONFIG_KEY, SERVERS_PREFIX, VERSION_PREFIX
 from rackswitch.standins.platform_fleet import MODEL, PlatformFleet, desired_state
+from rackswitch.telemetry import DecisionLog
+from rackswitch.telemetry.events import EntryFailed
 
 ENTRY = {
     "service": "engines",
@@ -126,3 +129,32 @@
         await check_following(fleet)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("error", [RecursionError("deep"), KeyError("k"), OverflowError("large")])
+def test_an_error_in_the_handling_of_an_entry_concerns_that_entry_alone(monkeypatch, error):
+    """Guards against any other defect that one entry brings about."""
+    written = []
+    decode = state_manager.decode_target
+
+    def fail_on_odd(instance, value):
+        if instance == "odd":
+            raise error
+        return decode(instance, value)
+
+    monkeypatch.setattr(state_manager, "decode_target", fail_on_odd)
+
+    async def scenario(fleet):
+        write = DecisionLog.write
+        monkeypatch.setattr(
+            DecisionLog, "write", lambda log, event: written.append(event) or write(log, event)
+        )
+        fleet.store.put(f"{SERVERS_PREFIX}odd", ENTRY)
+        await check_following(fleet)
+        await restart_all(fleet)
+        await check_following(fleet)
+
+    run_scenario(scenario)
+    failed = [event for event in written if isinstance(event, EntryFailed)]
+    assert {event.key for event in failed} == {f"{SERVERS_PREFIX}odd"}
+    assert len(failed) == 4
--- a/rackswitch/telemetry/events/dependencies.py
+++ b/rackswitch/telemetry/events/dependencies.py
@@ -8,6 +8,7 @@
     "DependencyLost",
     "DependencyRegained",
     "EntryContinued",
+    "EntryFailed",
     "EntryUnreadable",
     "ReplicationStarted",
     "LeavingNotified",
@@ -100,6 +101,18 @@
     detail: str
 
 
+@register_event
+class EntryFailed(Event, tag="entry failed", frozen=True):
+    """The handling of an entry raised an unexpected error; other entries are not affected.
+
+    `key` is the prefix if the error was raised after the changes of a batch.
+    """
+
+    key: str
+    revision: int
+    detail: str
+
+
 @register_event
 class StorePathChanged(Event, tag="key-value path changed", frozen=True):
     """The daemon's direct path to the key-value service failed or recovered.
