Soak: crashes in a burst, odd entries and endless bytes

The soak crashed engines one at a time or all at once, listed only sound entries, and its targets fell silent but never sent bytes without end, so that none of the three reports could show.

--- a/rackswitch/load/soak_faults.py
+++ b/rackswitch/load/soak_faults.py
@@ -6,6 +6,7 @@
 from rackswitch.load.daemon_process import DaemonProcess
 from rackswitch.load.link import BACKWARD, BOTH, FORWARD, LinkFaults
 from rackswitch.load.soak_site import SoakSite, SoakTarget
+from rackswitch.platform.names import SERVERS_PREFIX
 from rackswitch.registry import Registry
 
 __all__ = ["SOAK_FAULTS", "SoakFault"]
@@ -15,6 +16,23 @@
 
 MAX_DELAY_SECONDS = 0.4
 MAX_LOST_ANSWERS = 8
+MAX_CRASHES = 8
+CRASH_INTERVAL_SECONDS = (0.1, 0.4)
+"""Minimum and maximum interval between two crashes of a burst."""
+
+CRASH_SECONDS = 0.4
+"""How long an engine is down in a burst; others crash meanwhile."""
+
+ODD_ENTRIES = (
+    b'{"service":"engines","other":' + b"[" * 1500 + b"]" * 1500 + b"}",
+    b'{"service":"engines","slots":1e400}',
+    b'{"service":"engines","address":"127.0.0.1:99999","zone":"z","slots":4,"state":"ready"}',
+    b"\xff",
+)
+"""Entries of another writer in the list of targets."""
+
+ENDLESS_BYTES = (b": keep\n\n", b"x" * 4096)
+"""What a target repeats: comments of a stream, and a line without an end."""
 
 
 async def _replace_daemon(site: SoakSite, daemon: DaemonProcess, planned: bool) -> None:
@@ -156,6 +174,33 @@
     await _crash_targets(site, site.rng.choice((site.engines, site.services)))
 
 
+@SOAK_FAULTS.register("targets-crash-in-a-burst")
+async def _engines_crash_in_a_burst(site: SoakSite) -> None:
+    """Crash engines one after the other under the items that they run."""
+    crashes = []
+    for _ in range(site.rng.randint(3, MAX_CRASHES)):
+        engine = site.rng.choice(site.engines)
+        crashes.append(asyncio.create_task(engine.crash_and_restart(CRASH_SECONDS, False)))
+        await asyncio.sleep(site.rng.uniform(*CRASH_INTERVAL_SECONDS))
+    await asyncio.gather(*crashes)
+
+
+@SOAK_FAULTS.register("target-list-has-odd-entries")
+async def _odd_entries_listed(site: SoakSite) -> None:
+    keys = [f"{SERVERS_PREFIX}odd-{number}" for number in range(len(ODD_ENTRIES))]
+    for key, value in zip(keys, ODD_ENTRIES, strict=True):
+        site.store.put_bytes(key, value)
+    await asyncio.sleep(site.draw_fault_seconds())
+    for key in keys:
+        site.store.delete(key)
+
+
+@SOAK_FAULTS.register("target-endless")
+async def _target_endless(site: SoakSite) -> None:
+    endless = site.rng.choice(ENDLESS_BYTES)
+    await site.fault_stand_in(site.rng.choice(site.targets).stand_in.faults, endless=endless)
+
+
 @SOAK_FAULTS.register("target-slow")
 async def _target_slow(site: SoakSite) -> None:
     slow = LinkFaults(delay_seconds=site.rng.uniform(0.02, MAX_DELAY_SECONDS))
--- a/rackswitch/load/tests/test_soak.py
+++ b/rackswitch/load/tests/test_soak.py
@@ -41,6 +41,16 @@
     assert report.answers["200"] > 0
 
 
+def test_items_outlast_crashes_in_a_burst_odd_entries_and_endless_bytes(tmp_path):
+    # Guards against owed items that are held back, and against daemons that such input ends.
+    names = ["targets-crash-in-a-burst", "target-list-has-odd-entries", "target-endless"]
+    soak = Soak(SEED, 3, tmp_path, names)
+    report = asyncio.run(asyncio.wait_for(soak.run(STOP_FAULT_SECONDS), TIMEOUT_SECONDS))
+    assert report.violations == []
+    assert set(report.faults) == set(names)
+    assert report.jobs > 0
+
+
 @pytest.fixture
 def site(tmp_path):
     return SoakSite(1, SEED, tmp_path)
