Items: starts that reach no engine do not end the time at none

Cause: an unexpected error, and an engine that left the list between planning and start, counted as work of an engine, so that an item with nothing but such starts would never have become overdue.

Change: both keep the item's time at no engine, like a run that never began.

Measured: both new cases fail before and pass now.

--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -404,7 +404,8 @@
         ledger, progress = start.ledger, start.progress
         listed = self._context.directory.entries.get(start.instance)
         if listed is None:
-            ledger.record_interruption(progress, start.instance, self._context.now_seconds())
+            now_seconds = self._context.now_seconds()
+            ledger.record_interruption(progress, start.instance, now_seconds, was_at_engine=False)
             return
         quarantined_until_seconds = await self._runner.quarantined_until(ledger.job, progress)
         if quarantined_until_seconds is not None:
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -170,7 +170,7 @@
         progress.not_before_seconds = now_seconds + delay_seconds
         if progress.phase is ItemPhase.RUNNING:
             progress.phase = ItemPhase.WAITING
-            progress.record_idle(now_seconds)
+            progress.record_idle(now_seconds, was_at_engine=False)
 
     def record_failure(self, progress: ItemProgress, now_seconds: float) -> None:
         """Record that an engine ended a run with a failure; too many failures end the item."""
--- a/rackswitch/jobs/tests/test_ledger.py
+++ b/rackswitch/jobs/tests/test_ledger.py
@@ -3,6 +3,7 @@
 
 from rackswitch.jobs import ItemPhase, JobLedger, JobResult, TextPiece, check_job
 from rackswitch.jobs.ledger import RETRY_DELAY_SECONDS
+from rackswitch.jobs.progress import MAX_IDLE_SECONDS
 from rackswitch.jobs.tests.support import finish, make_item, make_job
 from rackswitch.outcomes import BrokenInvariant
 
@@ -82,6 +83,21 @@
     assert progress.avoided_instance == "t"
 
 
+@pytest.mark.parametrize("end", ["error", "not at engine"])
+def test_starts_that_reach_no_engine_do_not_end_the_time_at_none(end):
+    """Guards against an item that is never overdue as its starts come to nothing."""
+    ledger = JobLedger(make_job())
+    progress = ledger.items["i0"]
+    ledger.record_idle_items(1.0)
+    ledger.record_start(progress)
+    if end == "error":
+        ledger.record_error(progress, 2.0)
+    else:
+        ledger.record_interruption(progress, "e", 2.0, was_at_engine=False)
+    assert progress.idle_since_seconds == 1.0
+    assert progress.is_overdue(1.0 + MAX_IDLE_SECONDS)
+
+
 def test_no_item_starts_after_the_job_is_ended():
     ledger = JobLedger(make_job())
     ledger.end()
