Items: bounded wait lines for the longest waits; work is created when its task runs

Reading of the diff: under an overload up to 64 lines a second said that items wait, those of any 16 items; now at most 16 a second, for the items that have waited longest. A task that is cancelled before its first step leaves no coroutine that nobody awaits. An error's detail is shortened by the one function for it, and overdue items are looked for without a list of all startable ones.

--- a/rackswitch/gateway/items/item_starter.py
+++ b/rackswitch/gateway/items/item_starter.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import math
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
 from typing import Any
 
+from rackswitch.decoding import error_detail
 from rackswitch.gateway.context import GatewayContext
 from rackswitch.gateway.items.give_up_checker import GiveUpChecker
 from rackswitch.gateway.items.item_runner import ItemRunner
@@ -36,6 +37,9 @@
 
 __all__ = ["ItemStarter"]
 
+ItemWork = Callable[[], Coroutine[Any, Any, None]]
+"""Runs an item, or sends its reward call."""
+
 REFUSAL_COOLDOWN_SECONDS = 0.1
 """How long an engine that refused a run gets no new ones; it is full or loading weights."""
 
@@ -43,10 +47,6 @@
 """Slots of an engine if neither it nor its service states a number."""
 
 
-MAX_DETAIL_LENGTH = 200
-"""Maximum number of characters of an error that are logged."""
-
-
 class ItemStarter:
     """Plans which items start where, and starts them.
 
@@ -346,7 +346,7 @@
 
     def _start(self, owned: OwnedJob, start: ItemStart, urgency: int) -> None:
         start.ledger.record_start(start.progress)
-        self._spawn(owned, start.progress, self._run_item(owned, start, urgency))
+        self._spawn(owned, start.progress, partial(self._run_item, owned, start, urgency))
 
     def _resume_reward_calls(self, owned: OwnedJob, now_seconds: float) -> None:
         """Start the reward calls of complete texts for which no call is in progress.
@@ -359,24 +359,20 @@
                 and item_id not in owned.runs
                 and now_seconds >= progress.not_before_seconds
             ):
-                self._spawn(owned, progress, self._score(owned.ledger, progress))
+                self._spawn(owned, progress, partial(self._score, owned.ledger, progress))
 
-    def _spawn(
-        self, owned: OwnedJob, progress: ItemProgress, work: Coroutine[Any, Any, None]
-    ) -> None:
+    def _spawn(self, owned: OwnedJob, progress: ItemProgress, work: ItemWork) -> None:
         """Work on an item in the background, until the work ends or is cancelled."""
         task = self._context.daemon.spawn(self._work_on_item(owned, progress, work))
         owned.runs[progress.item.item_id] = task
 
-    async def _work_on_item(
-        self, owned: OwnedJob, progress: ItemProgress, work: Coroutine[Any, Any, None]
-    ) -> None:
+    async def _work_on_item(self, owned: OwnedJob, progress: ItemProgress, work: ItemWork) -> None:
         """Await the work on an item; if it raises an error, let the item continue later.
 
         The item would wait for ever for the end of work that nobody does.
         """
         try:
-            await work
+            await work()
         except Exception as error:
             owned.ledger.record_error(progress, self._context.now_seconds())
             self._context.log.write(
@@ -385,7 +381,7 @@
                     item=progress.item.item_id,
                     run=progress.run_number,
                     errors=progress.errors,
-                    detail=f"{type(error).__name__}: {error}"[:MAX_DETAIL_LENGTH],
+                    detail=f"{type(error).__name__}: {error_detail(error)}",
                 )
             )
             raise
--- a/rackswitch/gateway/items/wait_log.py
+++ b/rackswitch/gateway/items/wait_log.py
@@ -22,9 +22,10 @@
 FIRST_LINE_SECONDS = 1.0
 """Time at no engine after which an item is logged; again each time that its wait has doubled."""
 
-CHECK_INTERVAL_SECONDS = 0.25
-MAX_LINES = 16
-"""Maximum number of lines of one check; the last one counts the items left out."""
+CHECK_INTERVAL_SECONDS = 0.5
+MAX_LINES = 8
+"""Maximum number of lines of one check, for the items that have waited longest; the last one counts
+the others."""
 
 MAX_NAMED_ENGINES = 8
 
@@ -92,6 +93,7 @@
         due_items = [
             idle for idle in idle_items if now_seconds >= self._next_line_seconds.get(idle.key, 0.0)
         ]
+        due_items.sort(key=lambda idle: idle.idle_since_seconds)
         logged_items = due_items[:MAX_LINES]
         surveys: dict[str, EngineSurvey] = {}
         for idle in logged_items:
--- a/rackswitch/jobs/ledger.py
+++ b/rackswitch/jobs/ledger.py
@@ -95,17 +95,21 @@
         if self.ended:
             return []
         return [
-            progress
-            for progress in self.items.values()
-            if progress.phase is ItemPhase.WAITING
+            progress for progress in self.items.values() if self._may_start(progress, now_seconds)
+        ]
+
+    def _may_start(self, progress: ItemProgress, now_seconds: float) -> bool:
+        return (
+            progress.phase is ItemPhase.WAITING
             and now_seconds >= progress.not_before_seconds
             and progress.failures < self.max_failures
-        ]
+        )
 
     def has_overdue_items(self, now_seconds: float) -> bool:
         """Return whether any item that may start now is overdue."""
-        return any(
-            progress.is_overdue(now_seconds) for progress in self.startable_items(now_seconds)
+        return not self.ended and any(
+            progress.is_overdue(now_seconds) and self._may_start(progress, now_seconds)
+            for progress in self.items.values()
         )
 
     def record_idle_items(self, now_seconds: float) -> None:
