Quarantine: the reward call of an item is owed like the item

Cause: the same as for items, found by looking for it on the other ways to a target. A reward call that was present at three ends of its service was sent on trials up to 300 s apart, so that an item whose text was whole was not listed for that long.

Change: reward calls are delayed after ends like items, and need no trial. Callers' own calls and streams are judged as before.

--- a/rackswitch/gateway/callers/call_state.py
+++ b/rackswitch/gateway/callers/call_state.py
@@ -35,6 +35,8 @@
         The admission request; None for a call that needs no admission.
     held_call : HeldCall
         Its place among the calls that wait for cold targets.
+    is_reward : bool
+        Whether it is the reward call of an item.
     failures : int
         Answers with status 500.
     last_failure : (TargetAnswer, ListedTarget) or None
@@ -52,6 +54,7 @@
     allowed_regions: frozenset[str] | None
     admission_request: AdmissionRequest | None
     held_call: HeldCall
+    is_reward: bool = False
     failures: int = 0
     last_failure: tuple[TargetAnswer, ListedTarget] | None = None
     is_admitted: bool = False
--- a/rackswitch/gateway/callers/request_dispatcher.py
+++ b/rackswitch/gateway/callers/request_dispatcher.py
@@ -143,7 +143,16 @@
         rank = self._rank(route, call, reward_of)
         held_call = HeldCall(rank, now_seconds, latest_send_seconds)
         state = CallState(
-            route, call, deadline_seconds, log, as_stream, service, allowed_regions, None, held_call
+            route,
+            call,
+            deadline_seconds,
+            log,
+            as_stream,
+            service,
+            allowed_regions,
+            None,
+            held_call,
+            is_reward=reward_of is not None,
         )
         if self._context.settings.queues_calls and not as_stream:
             state.admission_request = self._admission_request(state, reward_of)
@@ -220,9 +229,11 @@
 
     async def _check_quarantine(self, state: CallState, may_claim: bool) -> Hold | None:
         """Return the hold on a request, or None if it may be sent."""
-        hold = await self._quarantine.admit(
-            state.call.fingerprint, state.deadline_seconds, may_claim
-        )
+        fingerprint_of, deadline_seconds = state.call.fingerprint, state.deadline_seconds
+        if state.is_reward:
+            hold = await self._quarantine.admit_item(fingerprint_of, deadline_seconds)
+        else:
+            hold = await self._quarantine.admit(fingerprint_of, deadline_seconds, may_claim)
         if hold is None:
             return None
         if state.log.may_have_run:
--- a/rackswitch/gateway/quarantine/quarantine_manager.py
+++ b/rackswitch/gateway/quarantine/quarantine_manager.py
@@ -196,12 +196,12 @@
     async def admit_item(
         self, fingerprint_of: Callable[[], str], deadline_seconds: float
     ) -> HeldRequest | None:
-        """Return why an item must not be sent to any engine now; None if it may be.
+        """Return why an item or its reward call must not be sent now; None if it may be.
 
         Parameters
         ----------
         fingerprint_of : callable
-            Returns the fingerprint of the item's request; called only if any request is suspected.
+            Returns the request's fingerprint; called only if any request is suspected.
         deadline_seconds : float
             How long to wait (monotonic) until the fate of other targets is known.
         """
--- a/rackswitch/gateway/quarantine/tests/test_path_quarantine.py
+++ b/rackswitch/gateway/quarantine/tests/test_path_quarantine.py
@@ -213,3 +213,19 @@
         check_complete(await fleet.read_all("d1", "j1", MAX_IDLE_SECONDS), pieces, "j1")
 
     run_scenario(scenario, daemons=3, engines=4)
+
+
+def test_a_reward_call_at_ends_of_services_is_sent_again_in_time():
+    """Guards against a complete text that is not listed as its reward call is held back."""
+
+    async def scenario(fleet):
+        for service in fleet.services:
+            service.faults.end_on = b"score"
+        pieces = [5]
+        assert await fleet.submit("d0", "j1", pieces) == 202
+        await wait_for(lambda: end_count(fleet.services) >= 4, 20.0)
+        for service in fleet.services:
+            service.faults.end_on = b""
+        check_complete(await fleet.read_all("d1", "j1", MAX_IDLE_SECONDS), pieces, "j1")
+
+    run_scenario(scenario, services=3)
--- a/rackswitch/quarantine/verdicts.py
+++ b/rackswitch/quarantine/verdicts.py
@@ -5,9 +5,9 @@
 at several ends is sent on trial: one trial at a time in the whole fleet, each claimed in the
 key-value service before it is sent, up to `MAX_TRIALS`. An answer clears the request.
 
-Items of batch jobs do not end targets by themselves, and each is owed a run. They are delayed after
-ends, so that engines that end in series do not all take the same item at once, but they need no
-trial.
+Items of batch jobs and their reward calls do not end targets by themselves, and are owed. They are
+delayed after ends, so that engines that end in series do not all take the same item at once, but
+they need no trial.
 """
 
 from dataclasses import dataclass
@@ -133,12 +133,12 @@
 def judge_item(
     suspicion: Suspicion, now_unix_seconds: float
 ) -> NotSuspected | AwaitingInvestigations | HeldBack:
-    """Decide about one run of an item.
+    """Decide about one run of an item, or one send of its reward call.
 
     Parameters
     ----------
     suspicion : Suspicion
-        What is known about the item's request.
+        What is known about the request.
     now_unix_seconds : float
         The current time.
     """
